--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# The README's two commands are `make demo` and `make test`.
+
+GOLANGCI_LINT_VERSION := v2.15.0
+BIN := $(CURDIR)/bin
+LINT := $(BIN)/tools/golangci-lint
+
+.PHONY: all build test demo demo-kill lint format unit clean
+
+all: build
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+# The linter is installed by version and outside go.mod, so that its
+# dependencies do not weigh on the product's.
+$(LINT):
+	GOBIN=$(BIN)/tools go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+
+lint: $(LINT)
+	$(LINT) fmt --diff
+	$(LINT) run --allow-parallel-runners ./...
+
+format: $(LINT)
+	$(LINT) fmt
+
+unit:
+	go test -race -timeout 20m ./...
+
+test: lint unit
+
+clean:
+	rm -rf $(BIN) run
--- /dev/null
+++ b/internal/answerer/answerer_test.go
@@ -0,0 +1,45 @@
+package answerer_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/wigeonstand/wigeonstand/internal/answerer"
+)
+
+func TestTableHasOneRowPerKind(t *testing.T) {
+	seen := map[answerer.Kind]bool{}
+	for _, row := range answerer.Table() {
+		if seen[row.Kind] {
+			t.Errorf("kind %s has two rows", row.Kind)
+		}
+		seen[row.Kind] = true
+		if row.Retry != (row.After > 0) {
+			t.Errorf("kind %s: Retry is %v but After is %v", row.Kind, row.Retry, row.After)
+		}
+		if row.Text == "" || row.Status < 400 {
+			t.Errorf("kind %s has an incomplete row: %+v", row.Kind, row)
+		}
+	}
+}
+
+func TestErrorCarriesItsKindThroughWrapping(t *testing.T) {
+	cause := errors.New("disk on fire")
+	err := fmt.Errorf("while serving: %w", answerer.Wrap(answerer.Overloaded, cause, "queue of %d", 7).After(3*time.Second))
+	if diff := cmp.Diff(answerer.Overloaded, answerer.KindOf(err)); diff != "" {
+		t.Error(diff)
+	}
+	if !errors.Is(err, cause) {
+		t.Error("the cause is lost")
+	}
+	if diff := cmp.Diff(3*time.Second, answerer.As(err).Answer().After); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff(answerer.Internal, answerer.KindOf(cause)); diff != "" {
+		t.Error(diff)
+	}
+}
--- /dev/null
+++ b/internal/answerer/table.go
@@ -0,0 +1,56 @@
+package answerer
+
+import (
+	"net/http"
+	"time"
+)
+
+var table = []Answer{
+	{BadRequest, http.StatusBadRequest, NotRun, false, 0, "The request is malformed."},
+	{TooLarge, http.StatusRequestEntityTooLarge, NotRun, false, 0, "The request is larger than the limit."},
+	{Unauthenticated, http.StatusUnauthorized, NotRun, false, 0, "The key is missing or not known."},
+	{Forbidden, http.StatusForbidden, NotRun, false, 0, "The key does not permit this."},
+	{NotFound, http.StatusNotFound, NotRun, false, 0, "There is no such resource."},
+	{ProgramEnded, http.StatusGone, NotRun, false, 0, "The program has ended."},
+	{TurnConflict, http.StatusConflict, NotRun, false, 0, "The turn was already taken with another input."},
+	{TurnGap, http.StatusConflict, NotRun, false, 0, "An earlier turn is missing."},
+	{KeyReused, http.StatusConflict, NotRun, false, 0, "The key was used for another request."},
+	{HistoryDiverged, http.StatusConflict, NotRun, false, 0, "The caller's history differs from the recorded one."},
+	{RevisionConflict, http.StatusConflict, NotRun, false, 0, "The section was changed by somebody else."},
+	{DocumentInvalid, http.StatusUnprocessableEntity, NotRun, false, 0, "The document has errors."},
+	{BudgetExhausted, http.StatusPaymentRequired, NotRun, false, 0, "The budget does not cover the request."},
+	{LimitReached, http.StatusForbidden, NotRun, false, 0, "The program reached a limit and was ended."},
+	{Overloaded, http.StatusTooManyRequests, NotRun, true, 2 * time.Second, "The queue is full."},
+	{Infeasible, http.StatusTooManyRequests, NotRun, true, 2 * time.Second, "The deadline cannot be met."},
+	{NoEndpoint, http.StatusServiceUnavailable, NotRun, true, 2 * time.Second, "No endpoint can take the request."},
+	{OwnerUnavailable, http.StatusServiceUnavailable, NotRun, true, time.Second, "The program's owner is not reachable."},
+	{Moved, http.StatusServiceUnavailable, NotRun, true, time.Second, "The program is moving to another instance."},
+	{StoreUnavailable, http.StatusServiceUnavailable, NotRun, true, 5 * time.Second, "The platform's store is not reachable."},
+	{BacklogFull, http.StatusServiceUnavailable, NotRun, true, 5 * time.Second, "Too much waits to be made durable."},
+	{Stopping, http.StatusServiceUnavailable, NotRun, true, time.Second, "The instance is stopping."},
+	{DeadlineNotRun, http.StatusGatewayTimeout, NotRun, true, time.Second, "The deadline passed before the request was run."},
+	{DeadlineRan, http.StatusGatewayTimeout, RanAndFailed, true, time.Second, "The deadline passed while the request ran."},
+	{Canceled, 499, RanAndFailed, true, time.Second, "The caller went away."},
+	{EndpointFailed, http.StatusBadGateway, RanAndFailed, true, time.Second, "The endpoint failed while running the request."},
+	{AnswerTruncated, http.StatusBadGateway, RanAndFailed, true, time.Second, "The endpoint's answer was cut short."},
+	{OutcomeUnknown, http.StatusBadGateway, Unknown, true, 5 * time.Second, "The request may have run; ask for its outcome by its key."},
+	{NotDurable, http.StatusServiceUnavailable, Unknown, true, 5 * time.Second, "The answer could not be confirmed as durable."},
+	{Internal, http.StatusInternalServerError, Unknown, false, 0, "The system failed."},
+}
+
+// Lookup returns the row of the kind; a kind outside the list gets Internal's.
+func Lookup(kind Kind) Answer {
+	for _, a := range table {
+		if a.Kind == kind {
+			return a
+		}
+	}
+	return table[len(table)-1]
+}
+
+// Table returns all rows in order.
+func Table() []Answer {
+	rows := make([]Answer, len(table))
+	copy(rows, table)
+	return rows
+}
--- /dev/null
+++ b/internal/meter/meter.go
@@ -0,0 +1,83 @@
+// Package meter owns the names of the system's metrics and the registry that
+// serves them. It does not own when a metric changes.
+package meter
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+const namespace = "wigeonstand"
+
+// Meter holds the metrics of one process.
+type Meter struct {
+	registry *prometheus.Registry
+	// Refusals counts answers with an error, by Kind and Ran.
+	Refusals *prometheus.CounterVec
+	// Retries counts repeated attempts, by Reason and Target (Engine, Service, Peer, Store).
+	Retries *prometheus.CounterVec
+	// Requests counts answered requests, by Operation.
+	Requests *prometheus.CounterVec
+	// StoreRequests counts requests to the platform's store, by Operation and Result.
+	StoreRequests *prometheus.CounterVec
+	// Tokens counts tokens, by Use (Prompt, Cached, Generated, Recomputed).
+	Tokens *prometheus.CounterVec
+	// TurnSeconds is the time from a turn's arrival to its complete answer.
+	TurnSeconds *prometheus.HistogramVec
+	// FirstTokenSeconds is the time from a turn's arrival to its first token.
+	FirstTokenSeconds prometheus.Histogram
+	// Programs is the number of programs owned by this instance.
+	Programs prometheus.Gauge
+	// DocumentVersion is the version in force on this instance.
+	DocumentVersion prometheus.Gauge
+}
+
+// New returns a Meter with its own registry.
+func New() *Meter {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector())
+	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m := &Meter{registry: registry}
+	m.Refusals = m.NewCounter("refusals_total", "Answers with an error.", "Kind", "Ran")
+	m.Retries = m.NewCounter("retries_total", "Repeated attempts.", "Reason", "Target")
+	m.Requests = m.NewCounter("requests_total", "Answered requests.", "Operation")
+	m.StoreRequests = m.NewCounter("store_requests_total", "Requests to the platform's store.", "Operation", "Result")
+	m.Tokens = m.NewCounter("tokens_total", "Tokens by use.", "Use")
+	m.TurnSeconds = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "turn_seconds", Help: "Arrival of a turn to its complete answer.",
+		Buckets: prometheus.ExponentialBuckets(0.005, 2, 15),
+	}, []string{"Business"})
+	m.FirstTokenSeconds = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "first_token_seconds", Help: "Arrival of a turn to its first token.",
+		Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+	})
+	registry.MustRegister(m.TurnSeconds, m.FirstTokenSeconds)
+	m.Programs = m.NewGauge("programs", "Programs owned by this instance.")
+	m.DocumentVersion = m.NewGauge("document_version", "Document version in force.")
+	return m
+}
+
+// NewCounter registers a counter with the labels.
+func (m *Meter) NewCounter(name, help string, labels ...string) *prometheus.CounterVec {
+	counter := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	m.registry.MustRegister(counter)
+	return counter
+}
+
+// NewGauge registers a gauge without labels.
+func (m *Meter) NewGauge(name, help string) prometheus.Gauge {
+	gauge := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
+	m.registry.MustRegister(gauge)
+	return gauge
+}
+
+// Handler serves the metrics for scraping.
+func (m *Meter) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Registry returns the registry, for tests that gather from it.
+func (m *Meter) Registry() *prometheus.Registry { return m.registry }
