--- /dev/null
+++ b/internal/decider/budget.go
@@ -0,0 +1,210 @@
+package decider
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonstand/wigeonstand/internal/answerer"
+	"github.com/wigeonstand/wigeonstand/internal/queuer"
+	"github.com/wigeonstand/wigeonstand/internal/recorder"
+)
+
+const (
+	// overshootTokens covers what an engine generates after a cancel.
+	overshootTokens = 32
+	// messageTokens covers the tokens that an engine adds around one message.
+	messageTokens = 8
+	// leastTokens is the shortest output worth asking for.
+	leastTokens = 16
+	// escrowTokens is what an instance draws at least of a business's budget.
+	escrowTokens = 65536
+	// escrowRetry is the time to come back after a failed draw.
+	escrowRetry = 2 * time.Second
+)
+
+// escrow is the part of a business's budget that this instance may spend.
+type escrow struct {
+	// free is drawn, not spent and not reserved, in tokens.
+	free    int
+	drawing bool
+	waiting []*activeTurn
+}
+
+func seedOf(chain string, number int) uint64 {
+	return xxhash.Sum64String(chain) + uint64(number)
+}
+
+// promptBound returns the most tokens that the prompt can have: what the last
+// engine counted plus one token a byte for what is new.
+func (t *activeTurn) promptBound() int {
+	p := t.program
+	bound := len(t.input) + 2*messageTokens
+	if len(p.turns) == 0 {
+		return bound + len(t.agent.Instructions) + messageTokens
+	}
+	return bound + p.context()
+}
+
+// reserve sets aside the turn's worst case and queues the turn once that is durable.
+func (c *Core) reserve(t *activeTurn) {
+	t.phase = reserving
+	root := t.program.root
+	bound := t.promptBound()
+	t.maxTokens = min(t.wanted, t.program.remaining()-bound-overshootTokens)
+	if t.maxTokens < min(t.wanted, leastTokens) {
+		c.refuseBudget(t)
+		return
+	}
+	t.worst = bound + t.maxTokens + overshootTokens
+	if c.storeDown && root.spent+root.reserved+t.worst > root.allowed {
+		c.dropUnreserved(t, answerer.New(answerer.StoreUnavailable, "the budget cannot be reserved while the store is down"))
+		return
+	}
+	root.reserved += t.worst
+	c.drawFor(t)
+}
+
+// refuseBudget gives up a turn that the tree's budget does not cover.
+func (c *Core) refuseBudget(t *activeTurn) {
+	c.dropUnreserved(t, answerer.New(answerer.BudgetExhausted,
+		"%d tokens remain and the turn may take %d", t.program.remaining(), t.promptBound()+min(t.wanted, leastTokens)))
+}
+
+// dropUnreserved refuses a turn that holds no reservation; one that ran before
+// is told so.
+func (c *Core) dropUnreserved(t *activeTurn, err *answerer.Error) {
+	t.worst = 0
+	if t.ran {
+		err = answerer.New(answerer.EndpointFailed, "an attempt failed and no other can be made: %s", err.Detail)
+	}
+	c.drop(t, err)
+}
+
+// drawFor takes the turn's worst case from the business's escrow.
+func (c *Core) drawFor(t *activeTurn) {
+	b := c.version.Businesses[t.program.business]
+	if b == nil || b.Budget == 0 {
+		c.allow(t)
+		return
+	}
+	e := c.escrow(t.program.business)
+	if e.free >= t.worst {
+		e.free -= t.worst
+		c.allow(t)
+		return
+	}
+	e.waiting = append(e.waiting, t)
+	if !e.drawing {
+		e.drawing = true
+		c.do(DrawEscrow{Business: b.Name, Tokens: max(escrowTokens, t.worst-e.free), Limit: b.Budget})
+	}
+}
+
+func (c *Core) escrow(business string) *escrow {
+	e := c.escrows[business]
+	if e == nil {
+		e = &escrow{}
+		c.escrows[business] = e
+	}
+	return e
+}
+
+func (c *Core) escrowDrawn(d EscrowDrawn) {
+	e := c.escrow(d.Business)
+	e.drawing = false
+	e.free += d.Tokens
+	waiting := e.waiting
+	e.waiting = nil
+	for _, t := range waiting {
+		if c.turns[t.id] != t || t.phase != reserving {
+			continue
+		}
+		c.drawAgain(t, d)
+	}
+}
+
+// drawAgain goes on with a turn that waited for a draw.
+func (c *Core) drawAgain(t *activeTurn, d EscrowDrawn) {
+	if d.Tokens > 0 || c.escrow(d.Business).free >= t.worst {
+		c.drawFor(t)
+		return
+	}
+	err := answerer.New(answerer.BudgetExhausted, "the budget of business %s is spent", d.Business)
+	if d.Failed {
+		err = answerer.New(answerer.StoreUnavailable, "the business's budget cannot be drawn").After(escrowRetry)
+	}
+	t.program.root.reserved -= t.worst
+	c.dropUnreserved(t, err)
+}
+
+// allow raises the tree's durable allowance if the reservation needs it.
+func (c *Core) allow(t *activeTurn) {
+	root := t.program.root
+	need := root.spent + root.reserved
+	if need > root.allowed {
+		limit := min(root.budget, need+c.settings.slice)
+		c.append(shardOf(root), nil, recorder.Record{Allowed: &recorder.Allowed{Program: root.id, Limit: max(limit, need)}})
+		root.allowedTicket = c.ticket
+	}
+	if root.allowedTicket <= c.committed {
+		c.enqueue(t)
+		return
+	}
+	c.gateAt(root.allowedTicket, shardOf(root), func() {
+		if c.turns[t.id] == t && t.phase == reserving {
+			c.enqueue(t)
+		}
+	})
+}
+
+func (c *Core) enqueue(t *activeTurn) {
+	t.phase = queued
+	t.queuedAt = time.Now()
+	p := t.program
+	c.queue.Push(queuer.Item{
+		ID: t.id, Program: p.root.id, Business: p.business, Model: t.agent.Model, Weight: c.weight(p.business),
+		Precedence: t.agent.Precedence, Attained: p.root.spent, Estimate: t.worst,
+		Arrived: t.created, Deadline: t.latest(),
+	})
+}
+
+func (c *Core) weight(business string) int {
+	if b := c.version.Businesses[business]; b != nil && b.Weight > 0 {
+		return b.Weight
+	}
+	return 1
+}
+
+// latest returns when the last of the waiters gives up.
+func (t *activeTurn) latest() time.Time {
+	var latest time.Time
+	for _, r := range t.waiters {
+		if r.deadline.After(latest) {
+			latest = r.deadline
+		}
+	}
+	return latest
+}
+
+// unreserve returns the reservation, less what was charged, to the tree and
+// the business.
+func (c *Core) unreserve(t *activeTurn, charged int) {
+	t.program.root.reserved -= t.worst
+	b := c.version.Businesses[t.program.business]
+	if b != nil && b.Budget > 0 && !c.waitsForDraw(t) {
+		c.escrow(b.Name).free += t.worst - charged
+	}
+	t.worst = 0
+}
+
+func (c *Core) waitsForDraw(t *activeTurn) bool {
+	e := c.escrow(t.program.business)
+	for i := range e.waiting {
+		if e.waiting[i] == t {
+			e.waiting = append(e.waiting[:i:i], e.waiting[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/decider/core.go
@@ -0,0 +1,376 @@
+// Package decider owns every decision about programs and keyed calls: order,
+// history, budget, at most one run, which endpoint and when, and what memory is
+// released. It takes events and returns actions, does no I/O and starts no
+// goroutine; time is the runtime's. It does not own how actions are carried
+// out, nor which shards the instance owns.
+package decider
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/answerer"
+	"github.com/wigeonstand/wigeonstand/internal/compiler"
+	"github.com/wigeonstand/wigeonstand/internal/keeper"
+	"github.com/wigeonstand/wigeonstand/internal/queuer"
+	"github.com/wigeonstand/wigeonstand/internal/recorder"
+	"github.com/wigeonstand/wigeonstand/internal/requester"
+	"github.com/wigeonstand/wigeonstand/internal/router"
+)
+
+// Retrier bounds the attempts beyond the first, per business.
+type Retrier interface {
+	// Sent counts a first attempt.
+	Sent(business string, now time.Time)
+	// Allow says whether one more attempt may be made, and counts it.
+	Allow(business string, share float64, now time.Time) bool
+}
+
+// Core holds the live and durable state of the shards that the instance owns.
+// It is not safe for concurrent use.
+type Core struct {
+	settings settings
+	version  *compiler.Version
+	queue    queuer.Queue
+	router   router.Router
+	retrier  Retrier
+
+	shards    map[int]*shard
+	requests  map[string]*request
+	turns     map[string]*activeTurn
+	attempts  map[string]*activeTurn
+	calls     map[string]*invocation
+	endpoints map[string]*endpoint
+	escrows   map[string]*escrow
+
+	ticket    int64
+	committed int64
+	gated     []gate
+	serial    int64
+	storeDown bool
+	downSince time.Time
+	fenced    bool
+	actions   []Action
+
+	// holding are the ended programs whose memory is not yet released everywhere.
+	holding        map[string]bool
+	sweepTurn      int
+	drainSince     time.Time
+	drainCount     int
+	enginesOf      *compiler.Version
+	enginesByModel map[string][]*compiler.Endpoint
+}
+
+// settings are the bounds of one core.
+type settings struct {
+	name        string
+	dataCentre  string
+	queueLimit  int
+	lineLimit   int
+	maxAttempts int
+	slice       int
+	durableWait time.Duration
+	sweepGrace  time.Duration
+}
+
+const (
+	defaultQueueLimit  = 4096
+	defaultLineLimit   = 8
+	defaultMaxAttempts = 3
+	defaultSliceTokens = 4096
+	defaultDurableWait = 10 * time.Second
+	defaultSweepGrace  = 30 * time.Second
+)
+
+// Option sets one bound of a Core.
+type Option func(*settings)
+
+// WithName sets the prefix of attempt ids; it must differ between processes.
+func WithName(name string) Option { return func(s *settings) { s.name = name } }
+
+// WithDataCentre sets the data centre that the instance is in.
+func WithDataCentre(name string) Option { return func(s *settings) { s.dataCentre = name } }
+
+// WithSlice sets by how many tokens beyond a turn's worst case a program's
+// durable allowance is raised.
+func WithSlice(tokens int) Option { return func(s *settings) { s.slice = tokens } }
+
+// WithDurableWait bounds how long a finished answer waits to become durable
+// while the store is down.
+func WithDurableWait(wait time.Duration) Option {
+	return func(s *settings) { s.durableWait = wait }
+}
+
+// New returns a Core without shards.
+func New(version *compiler.Version, queue queuer.Queue, routes router.Router, retrier Retrier, options ...Option) *Core {
+	c := &Core{
+		settings: settings{
+			name: "core", queueLimit: defaultQueueLimit, lineLimit: defaultLineLimit,
+			maxAttempts: defaultMaxAttempts, slice: defaultSliceTokens,
+			durableWait: defaultDurableWait, sweepGrace: defaultSweepGrace,
+		},
+		version: version, queue: queue, router: routes, retrier: retrier,
+		shards: map[int]*shard{}, requests: map[string]*request{}, turns: map[string]*activeTurn{},
+		attempts: map[string]*activeTurn{}, calls: map[string]*invocation{},
+		endpoints: map[string]*endpoint{}, escrows: map[string]*escrow{}, holding: map[string]bool{},
+	}
+	for _, option := range options {
+		option(&c.settings)
+	}
+	return c
+}
+
+// request is one caller that waits for an answer.
+type request struct {
+	id       string
+	business string
+	deadline time.Time
+	turn     *activeTurn
+	line     *program
+	call     *invocation
+}
+
+// gate holds what may only happen once an append is durable.
+type gate struct {
+	ticket int64
+	shard  int
+	open   func()
+}
+
+// Handle takes one event and returns what has to be done, in order.
+func (c *Core) Handle(event Event) []Action {
+	if c.fenced {
+		return c.refuseFenced(event)
+	}
+	c.dispatch(event)
+	c.pump()
+	return c.take()
+}
+
+func (c *Core) take() []Action {
+	actions := c.actions
+	c.actions = nil
+	return actions
+}
+
+func (c *Core) dispatch(event Event) {
+	switch e := event.(type) {
+	case Arrived:
+		c.arrive(e)
+	case Gone:
+		c.gone(e.Request)
+	case Committed:
+		c.commit(e.Ticket)
+	case Fenced:
+		c.fence()
+	case Generated:
+		c.generated(e)
+	case GenerateFailed:
+		c.generateFailed(e)
+	case Invoked:
+		c.invoked(e)
+	case InvokeFailed:
+		c.invokeFailed(e)
+	case StatusKnown:
+		c.statusKnown(e)
+	case VersionChanged:
+		c.version = e.Version
+	case EndpointsChanged:
+		c.endpointsChanged(e.Views)
+	case Holdings:
+		c.sweep(e)
+	case MemoryReleased:
+		c.memoryReleased(e)
+	case Evicted:
+		c.evicted(e)
+	case EscrowDrawn:
+		c.escrowDrawn(e)
+	case StoreHealth:
+		c.storeHealth(e.Down)
+	case Released:
+		c.release(e.Shard)
+	case Cut:
+		c.cut(e.Shard)
+	case Ticked:
+		c.tick()
+	}
+}
+
+func (c *Core) do(action Action) { c.actions = append(c.actions, action) }
+
+// append applies the records to the shard's state and makes them durable; then
+// runs once they are.
+func (c *Core) append(shardNumber int, then func(), records ...recorder.Record) {
+	s := c.shards[shardNumber]
+	entries := make([]keeper.Entry, 0, len(records))
+	for _, r := range records {
+		if err := s.state.apply(r); err != nil {
+			panic(fmt.Sprintf("decider made a record that does not apply: %v", err))
+		}
+		entries = append(entries, entry(shardNumber, r))
+	}
+	c.ticket++
+	s.last = c.ticket
+	c.do(Append{Ticket: c.ticket, Entries: entries})
+	if then != nil {
+		c.gateAt(c.ticket, shardNumber, then)
+	}
+}
+
+// gateAt runs open once the ticket is durable, in the order of tickets.
+func (c *Core) gateAt(ticket int64, shardNumber int, open func()) {
+	at := len(c.gated)
+	for at > 0 && c.gated[at-1].ticket > ticket {
+		at--
+	}
+	c.gated = slices.Insert(c.gated, at, gate{ticket: ticket, shard: shardNumber, open: open})
+}
+
+func (c *Core) commit(ticket int64) {
+	if ticket <= c.committed {
+		return
+	}
+	c.committed = ticket
+	ready := 0
+	for ready < len(c.gated) && c.gated[ready].ticket <= ticket {
+		ready++
+	}
+	open := c.gated[:ready]
+	c.gated = append([]gate(nil), c.gated[ready:]...)
+	for _, g := range open {
+		g.open()
+	}
+	c.finishReleases()
+}
+
+func (c *Core) arrive(e Arrived) {
+	command := e.Command
+	if c.requests[command.Request] != nil {
+		return
+	}
+	r := &request{id: command.Request, business: command.Business, deadline: e.Deadline}
+	c.requests[r.id] = r
+	if key := command.RoutingKey(); key != "" {
+		s := c.shards[requester.ShardOf(key)]
+		if s == nil || (s.releasing && admits(command)) {
+			c.refuse(r, answerer.New(answerer.Moved, "the shard is served by another instance"))
+			return
+		}
+	}
+	c.arriveAt(r, command)
+}
+
+// admits says whether the command starts work, in place of reading or ending it.
+func admits(command requester.Command) bool {
+	return command.Open != nil || command.Turn != nil || command.Call != nil
+}
+
+func (c *Core) arriveAt(r *request, command requester.Command) {
+	switch {
+	case command.Open != nil:
+		c.open(r, command.Open)
+	case command.Turn != nil:
+		c.turn(r, command.Turn)
+	case command.Call != nil:
+		c.invoke(r, command.Call)
+	case command.End != nil:
+		c.end(r, command.End)
+	case command.History != nil:
+		c.history(r, command.History)
+	case command.Outcome != nil:
+		c.outcome(r, command.Outcome)
+	case command.Explain != nil:
+		c.explain(r, command.Explain)
+	case command.Resolve != nil:
+		c.resolve(r, command.Resolve)
+	case command.List != nil:
+		c.list(r, command.List)
+	default:
+		c.refuse(r, answerer.New(answerer.BadRequest, "the command is empty"))
+	}
+}
+
+// refuse answers the request with an error.
+func (c *Core) refuse(r *request, err *answerer.Error) {
+	if c.requests[r.id] == nil {
+		return
+	}
+	delete(c.requests, r.id)
+	c.do(Answer{Request: r.id, Err: err})
+}
+
+// reply answers the request.
+func (c *Core) reply(r *request, reply requester.Reply) {
+	if c.requests[r.id] == nil {
+		return
+	}
+	delete(c.requests, r.id)
+	c.do(Answer{Request: r.id, Reply: reply})
+}
+
+func (c *Core) gone(id string) {
+	r := c.requests[id]
+	if r == nil {
+		return
+	}
+	delete(c.requests, id)
+	c.leave(r, answerer.Canceled)
+}
+
+// leave takes a request that is answered or gone out of what it waited for.
+func (c *Core) leave(r *request, why answerer.Kind) {
+	if r.line != nil {
+		r.line.live.leaveLine(r)
+	}
+	if r.call != nil {
+		r.call.leave(r)
+	}
+	if r.turn != nil {
+		c.leaveTurn(r.turn, r, why)
+	}
+}
+
+// refuseFenced answers commands after another instance has taken over.
+func (c *Core) refuseFenced(event Event) []Action {
+	e, ok := event.(Arrived)
+	if !ok {
+		return nil
+	}
+	return []Action{Answer{
+		Request: e.Command.Request,
+		Err:     answerer.New(answerer.Moved, "this instance was replaced by another one"),
+	}}
+}
+
+// next returns an id that no other attempt of any process has.
+func (c *Core) next() string {
+	c.serial++
+	return fmt.Sprintf("%s-%d", c.settings.name, c.serial)
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func sortedPrograms(m map[string]*program) []*program {
+	all := make([]*program, 0, len(m))
+	for _, id := range sortedKeys(m) {
+		all = append(all, m[id])
+	}
+	return all
+}
+
+func sortedCalls(m map[string]*call) []*call {
+	all := make([]*call, 0, len(m))
+	for _, id := range sortedKeys(m) {
+		all = append(all, m[id])
+	}
+	return all
+}
--- /dev/null
+++ b/internal/decider/explainer.go
@@ -0,0 +1,98 @@
+package decider
+
+import (
+	"sort"
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/recorder"
+	"github.com/wigeonstand/wigeonstand/internal/requester"
+)
+
+func (c *Core) explain(r *request, ask *requester.Explain) {
+	p := c.programByID(ask.Program)
+	if p == nil || (r.business != "" && p.business != r.business) {
+		c.refuseUnknown(r, ask.Program)
+		return
+	}
+	explanation := c.explanation(p)
+	c.reply(r, requester.Reply{Explain: &explanation})
+}
+
+// explanation says where the program stands and where its time went.
+func (c *Core) explanation(p *program) requester.Explanation {
+	e := requester.Explanation{
+		Program: p.id, Business: p.business, Agent: p.agent, State: "Idle", Reason: p.reason,
+		Turns: len(p.turns), Spent: p.root.spent, Reserved: p.root.reserved, Budget: p.root.budget,
+		Queued: p.live.queued, Running: p.live.running, Endpoint: p.live.last,
+	}
+	e.Waiting = max(0, time.Since(p.live.base)-e.Queued-e.Running)
+	if p.ended {
+		e.State = "Ended"
+		return e
+	}
+	t := p.live.active
+	if t == nil {
+		e.Reason = "No turn was asked for"
+		return e
+	}
+	e.State = string(t.phase)
+	e.Reason = c.reasonOf(t)
+	if t.phase == queued {
+		e.Position = c.queue.Position(time.Now(), t.id)
+	}
+	return e
+}
+
+func (c *Core) reasonOf(t *activeTurn) string {
+	switch t.phase {
+	case reserving:
+		return "The budget's reservation is being made durable"
+	case queued:
+		if len(c.engines(t.agent.Model)) == 0 {
+			return "No endpoint serves model " + t.agent.Model
+		}
+		return "Every usable endpoint of model " + t.agent.Model + " is full"
+	case running:
+		return "The endpoint is generating"
+	}
+	return "The finished turn is being made durable"
+}
+
+// list returns the programs, or the calls with unknown outcome, of all shards owned.
+func (c *Core) list(r *request, ask *requester.List) {
+	listed := &requester.Listed{}
+	for _, number := range c.ownedShards() {
+		s := c.shards[number]
+		if ask.What == "Unknown" {
+			listed.Outcomes = append(listed.Outcomes, s.unknown(r.business)...)
+			continue
+		}
+		for _, p := range sortedPrograms(s.state.programs) {
+			if r.business == "" || p.business == r.business {
+				listed.Programs = append(listed.Programs, c.explanation(p))
+			}
+		}
+	}
+	c.reply(r, requester.Reply{Listed: listed})
+}
+
+func (c *Core) ownedShards() []int {
+	numbers := make([]int, 0, len(c.shards))
+	for number := range c.shards {
+		numbers = append(numbers, number)
+	}
+	sort.Ints(numbers)
+	return numbers
+}
+
+func (s *shard) unknown(business string) []requester.OutcomeView {
+	var views []requester.OutcomeView
+	for _, k := range sortedCalls(s.state.calls) {
+		if k.outcome.State != recorder.Unknown || (business != "" && k.intent.Business != business) {
+			continue
+		}
+		view := k.view()
+		views = append(views, *view)
+	}
+	return views
+}
--- /dev/null
+++ b/internal/decider/program.go
@@ -0,0 +1,230 @@
+package decider
+
+import (
+	"sort"
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/answerer"
+	"github.com/wigeonstand/wigeonstand/internal/compiler"
+	"github.com/wigeonstand/wigeonstand/internal/recorder"
+	"github.com/wigeonstand/wigeonstand/internal/requester"
+)
+
+// liveProgram is the part of a program that a takeover does not need.
+type liveProgram struct {
+	active *activeTurn
+	line   []lined
+	// base is when this owner would have opened the program by its own clock.
+	base     time.Time
+	lastUsed time.Time
+	// prefix is the part of the context that an endpoint is believed to hold, in tokens.
+	prefix map[string]int
+	last   string
+	// releasing are the endpoints asked to release the program's memory.
+	releasing map[string]time.Time
+	queued    time.Duration
+	running   time.Duration
+}
+
+// lined is a turn that waits for the program's active one.
+type lined struct {
+	request *request
+	turn    *requester.Turn
+}
+
+func (l *liveProgram) leaveLine(r *request) {
+	for i := range l.line {
+		if l.line[i].request == r {
+			l.line = append(l.line[:i], l.line[i+1:]...)
+			return
+		}
+	}
+}
+
+// start prepares the live part for an owner that has just got the program.
+func (p *program) start(now time.Time) {
+	p.live = liveProgram{
+		base: now.Add(-p.elapsed), lastUsed: now,
+		prefix: map[string]int{}, releasing: map[string]time.Time{},
+	}
+}
+
+func (p *program) releasedEndpoints() []string {
+	seen := map[string]bool{}
+	var released []string
+	for i := range p.turns {
+		endpoint := p.turns[i].Endpoint
+		if seen[endpoint] || p.holdings[endpoint] {
+			continue
+		}
+		seen[endpoint] = true
+		released = append(released, endpoint)
+	}
+	sort.Strings(released)
+	return released
+}
+
+func (c *Core) agentOf(p *program) *compiler.Agent {
+	return c.version.Agents[compiler.AgentName(p.business, p.agent)]
+}
+
+// lookup returns the program if it is the business's own.
+func (c *Core) lookup(r *request, id string) *program {
+	s := c.shards[requester.ShardOf(requester.Root(id))]
+	if s == nil {
+		return nil
+	}
+	p := s.state.programs[id]
+	if p == nil || p.business != r.business {
+		return nil
+	}
+	return p
+}
+
+func shardOf(p *program) int { return requester.ShardOf(p.root.id) }
+
+func (c *Core) refuseUnknown(r *request, id string) {
+	c.refuse(r, answerer.New(answerer.NotFound, "program %q is not known", id))
+}
+
+func (c *Core) open(r *request, open *requester.Open) {
+	if p := c.lookup(r, open.Program); p != nil {
+		c.reopen(r, p, open)
+		return
+	}
+	shardNumber := requester.ShardOf(requester.Root(open.Program))
+	if c.shards[shardNumber].state.programs[open.Program] != nil {
+		c.refuse(r, answerer.New(answerer.KeyReused, "the program id is taken"))
+		return
+	}
+	record, err := c.opened(r, open)
+	if err != nil {
+		c.refuse(r, err)
+		return
+	}
+	if c.storeDown {
+		c.refuse(r, answerer.New(answerer.StoreUnavailable, "a program cannot be opened while the store is down"))
+		return
+	}
+	c.append(shardNumber, func() { c.replyOpened(r, open.Program) }, recorder.Record{Opened: record})
+	c.shards[shardNumber].state.programs[open.Program].start(time.Now())
+}
+
+// opened checks the request against the document and the parent.
+func (c *Core) opened(r *request, open *requester.Open) (*recorder.Opened, *answerer.Error) {
+	agent := c.version.Agents[compiler.AgentName(r.business, open.Agent)]
+	if agent == nil {
+		return nil, answerer.New(answerer.NotFound, "agent program %q is not known", open.Agent)
+	}
+	if open.Budget < 0 {
+		return nil, answerer.New(answerer.BadRequest, "Budget is negative")
+	}
+	record := &recorder.Opened{Program: open.Program, Business: r.business, Agent: open.Agent, Parent: open.Parent}
+	if open.Parent == "" {
+		record.Budget = agent.Budget
+		if open.Budget > 0 && open.Budget < agent.Budget {
+			record.Budget = open.Budget
+		}
+		return record, nil
+	}
+	parent := c.lookup(r, open.Parent)
+	if parent == nil {
+		return nil, answerer.New(answerer.NotFound, "parent %q is not known", open.Parent)
+	}
+	if parent.ended || parent.root.ended {
+		return nil, answerer.New(answerer.ProgramEnded, "parent %q has ended", open.Parent)
+	}
+	return record, nil
+}
+
+// reopen answers a repeated open of the same program.
+func (c *Core) reopen(r *request, p *program, open *requester.Open) {
+	if p.agent != open.Agent || p.parent != open.Parent {
+		c.refuse(r, answerer.New(answerer.KeyReused, "the key was used to open another program"))
+		return
+	}
+	c.whenDurable(shardOf(p), func() { c.replyOpened(r, p.id) })
+}
+
+// whenDurable runs then once all that was appended for the shard is durable.
+func (c *Core) whenDurable(shardNumber int, then func()) {
+	s := c.shards[shardNumber]
+	if s.last <= c.committed {
+		then()
+		return
+	}
+	c.gateAt(s.last, shardNumber, then)
+}
+
+func (c *Core) replyOpened(r *request, id string) {
+	p := c.lookup(r, id)
+	if p == nil {
+		c.refuse(r, answerer.New(answerer.Moved, "the program has moved"))
+		return
+	}
+	c.reply(r, requester.Reply{Opened: &requester.Opened{Program: id, Budget: p.remaining(), Chain: p.chain}})
+}
+
+func (c *Core) end(r *request, end *requester.End) {
+	p := c.lookup(r, end.Program)
+	if p == nil {
+		c.refuseUnknown(r, end.Program)
+		return
+	}
+	reason := end.Reason
+	if reason == "" {
+		reason = "Ended by its caller"
+	}
+	c.endTree(p, reason)
+	c.whenDurable(shardOf(p), func() {
+		c.reply(r, requester.Reply{Ended: &requester.Ended{Program: p.id, Reason: p.reason, Spent: p.root.spent}})
+	})
+}
+
+// endTree ends the program and, if it is a root, its sub-agents.
+func (c *Core) endTree(p *program, reason string) {
+	s := c.shards[shardOf(p)]
+	for _, member := range sortedPrograms(s.state.programs) {
+		if member == p || (p.root == p && member.root == p) {
+			c.endOne(member, reason)
+		}
+	}
+}
+
+// endOne ends the program at once; what it has in flight is canceled and still billed.
+func (c *Core) endOne(p *program, reason string) {
+	if p.ended {
+		return
+	}
+	for _, l := range p.live.line {
+		c.refuse(l.request, answerer.New(answerer.ProgramEnded, "the program has ended: %s", reason))
+	}
+	p.live.line = nil
+	c.abandonTurn(p, answerer.New(answerer.ProgramEnded, "the program has ended: %s", reason))
+	c.append(shardOf(p), func() { c.releaseMemory(p) }, recorder.Record{Ended: &recorder.Ended{Program: p.id, Reason: reason}})
+}
+
+func (c *Core) history(r *request, read *requester.History) {
+	p := c.lookup(r, read.Program)
+	if p == nil {
+		c.refuseUnknown(r, read.Program)
+		return
+	}
+	c.whenDurable(shardOf(p), func() {
+		c.reply(r, requester.Reply{History: p.page(read.After)})
+	})
+}
+
+func (p *program) page(after int) *requester.HistoryPage {
+	page := &requester.HistoryPage{Program: p.id, Agent: p.agent, Ended: p.ended, Chain: p.chain}
+	for i := range p.turns {
+		t := &p.turns[i]
+		if t.Number <= after {
+			continue
+		}
+		page.Turns = append(page.Turns, requester.TurnView{
+			Number: t.Number, Input: t.Input, Text: t.Text, Usage: t.Usage, Chain: t.Chain,
+		})
+	}
+	return page
+}
--- /dev/null
+++ b/internal/decider/state.go
@@ -0,0 +1,267 @@
+package decider
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonstand/wigeonstand/internal/keeper"
+	"github.com/wigeonstand/wigeonstand/internal/recorder"
+	"github.com/wigeonstand/wigeonstand/internal/requester"
+)
+
+// state is the durable state of one shard. It changes only through apply, so
+// that a replay of the records rebuilds it.
+type state struct {
+	programs map[string]*program
+	calls    map[string]*call
+}
+
+func newState() *state {
+	return &state{programs: map[string]*program{}, calls: map[string]*call{}}
+}
+
+// program is one program; budget fields are used at the root of a tree only.
+type program struct {
+	id       string
+	business string
+	agent    string
+	parent   string
+	root     *program
+	turns    []recorder.Turned
+	chain    string
+	ended    bool
+	reason   string
+	// holdings are the endpoints that may hold memory for the program.
+	holdings map[string]bool
+	elapsed  time.Duration
+
+	// budget, allowed and spent are in tokens; reserved is in flight.
+	budget   int
+	allowed  int
+	spent    int
+	reserved int
+	// other is the part of the tree's spent tokens that this program's failed
+	// attempts cost.
+	other int
+	// allowedTicket is the append that made allowed durable.
+	allowedTicket int64
+
+	live liveProgram
+}
+
+// turnIndexed returns the committed turn with the number, or nil.
+func (p *program) turnIndexed(number int) *recorder.Turned {
+	if number < 1 || number > len(p.turns) {
+		return nil
+	}
+	return &p.turns[number-1]
+}
+
+// turnKeyed returns the committed turn with the key, or nil.
+func (p *program) turnKeyed(key string) *recorder.Turned {
+	if key == "" {
+		return nil
+	}
+	for i := range p.turns {
+		if p.turns[i].Key == key {
+			return &p.turns[i]
+		}
+	}
+	return nil
+}
+
+// context returns the tokens of the history as the last engine counted them.
+func (p *program) context() int {
+	if len(p.turns) == 0 {
+		return 0
+	}
+	usage := p.turns[len(p.turns)-1].Usage
+	return usage.Prompt + usage.Generated
+}
+
+// remaining returns the tokens that the tree may still reserve.
+func (p *program) remaining() int {
+	return p.root.budget - p.root.spent - p.root.reserved
+}
+
+// call is one keyed call to a service that may not be repeated.
+type call struct {
+	intent  recorder.Intended
+	outcome recorder.Concluded
+
+	live *invocation
+}
+
+func (s *state) apply(r recorder.Record) error {
+	switch {
+	case r.Opened != nil:
+		return s.applyOpened(r.Opened)
+	case r.Intended != nil:
+		s.calls[requester.CallRoutingKey(r.Intended.Business, r.Intended.Key)] = &call{
+			intent:  *r.Intended,
+			outcome: recorder.Concluded{Business: r.Intended.Business, Key: r.Intended.Key, State: recorder.Pending},
+		}
+		return nil
+	case r.Concluded != nil:
+		return s.applyConcluded(r.Concluded)
+	}
+	return s.applyToProgram(r)
+}
+
+func (s *state) applyOpened(r *recorder.Opened) error {
+	if s.programs[r.Program] != nil {
+		return eris.Errorf("program %s was opened twice", r.Program)
+	}
+	p := &program{
+		id: r.Program, business: r.Business, agent: r.Agent, parent: r.Parent,
+		chain: recorder.FirstChain(r.Program), holdings: map[string]bool{}, budget: r.Budget,
+	}
+	p.root = p
+	if r.Parent != "" {
+		root := s.programs[requester.Root(r.Program)]
+		if root == nil {
+			return eris.Errorf("program %s has no root", r.Program)
+		}
+		p.root = root
+	}
+	s.programs[r.Program] = p
+	return nil
+}
+
+func (s *state) applyConcluded(r *recorder.Concluded) error {
+	id := requester.CallRoutingKey(r.Business, r.Key)
+	c := s.calls[id]
+	if c == nil {
+		return eris.Errorf("call %s was concluded without an intent", id)
+	}
+	if r.State == recorder.Voided {
+		delete(s.calls, id)
+		return nil
+	}
+	c.outcome = *r
+	return nil
+}
+
+func (s *state) applyToProgram(r recorder.Record) error {
+	switch {
+	case r.Allowed != nil:
+		p, err := s.known(r.Allowed.Program)
+		if err != nil {
+			return err
+		}
+		p.allowed = r.Allowed.Limit
+	case r.Settled != nil:
+		p, err := s.known(r.Settled.Program)
+		if err != nil {
+			return err
+		}
+		p.other += r.Settled.Tokens
+		p.root.spent += r.Settled.Tokens
+	case r.Turned != nil:
+		return s.applyTurned(r.Turned)
+	case r.Ended != nil:
+		p, err := s.known(r.Ended.Program)
+		if err != nil {
+			return err
+		}
+		p.ended = true
+		p.reason = r.Ended.Reason
+	case r.Released != nil:
+		p, err := s.known(r.Released.Program)
+		if err != nil {
+			return err
+		}
+		delete(p.holdings, r.Released.Endpoint)
+	default:
+		return eris.New("record is empty")
+	}
+	return nil
+}
+
+// applyTurned refuses a turn that does not continue the history, so that a
+// lost or mixed record is never served.
+func (s *state) applyTurned(r *recorder.Turned) error {
+	p, err := s.known(r.Program)
+	if err != nil {
+		return err
+	}
+	if r.Number != len(p.turns)+1 {
+		return eris.Errorf("program %s: turn %d follows turn %d", r.Program, r.Number, len(p.turns))
+	}
+	if r.Chain != recorder.Chain(p.chain, r.Number, r.Input, r.Text) {
+		return eris.Errorf("program %s: turn %d does not continue the history", r.Program, r.Number)
+	}
+	p.turns = append(p.turns, *r)
+	p.chain = r.Chain
+	p.elapsed = r.Elapsed
+	p.root.spent += r.Usage.Total()
+	p.holdings[r.Endpoint] = true
+	return nil
+}
+
+func (s *state) known(id string) (*program, error) {
+	p := s.programs[id]
+	if p == nil {
+		return nil, eris.Errorf("program %s was never opened", id)
+	}
+	return p, nil
+}
+
+// records returns the fewest records that rebuild the state.
+func (s *state) records() []recorder.Record {
+	var all []recorder.Record
+	for _, p := range sortedPrograms(s.programs) {
+		all = append(all, p.records()...)
+	}
+	for _, c := range sortedCalls(s.calls) {
+		intent, outcome := c.intent, c.outcome
+		all = append(all, recorder.Record{Intended: &intent})
+		if outcome.State != recorder.Pending {
+			all = append(all, recorder.Record{Concluded: &outcome})
+		}
+	}
+	return all
+}
+
+func (p *program) records() []recorder.Record {
+	all := []recorder.Record{{Opened: &recorder.Opened{
+		Program: p.id, Business: p.business, Agent: p.agent, Parent: p.parent, Budget: p.budget,
+	}}}
+	for i := range p.turns {
+		all = append(all, recorder.Record{Turned: &p.turns[i]})
+	}
+	if p.root == p {
+		all = append(all, recorder.Record{Allowed: &recorder.Allowed{Program: p.id, Limit: p.allowed}})
+	}
+	return append(all, p.closing()...)
+}
+
+// closing returns the records that follow the turns.
+func (p *program) closing() []recorder.Record {
+	var all []recorder.Record
+	if p.other > 0 {
+		all = append(all, recorder.Record{Settled: &recorder.Settled{Program: p.id, Attempt: "Snapshot", Tokens: p.other}})
+	}
+	if p.ended {
+		all = append(all, recorder.Record{Ended: &recorder.Ended{Program: p.id, Reason: p.reason}})
+	}
+	for _, endpoint := range p.releasedEndpoints() {
+		all = append(all, recorder.Record{Released: &recorder.Released{Program: p.id, Endpoint: endpoint}})
+	}
+	return all
+}
+
+// encodeSnapshot joins entries into one body, a line each.
+func encodeSnapshot(records []recorder.Record) []byte {
+	var body []byte
+	for _, r := range records {
+		body = append(body, recorder.Encode(r)...)
+		body = append(body, '\n')
+	}
+	return body
+}
+
+func entry(shard int, r recorder.Record) keeper.Entry {
+	return keeper.Entry{Shard: shard, Body: recorder.Encode(r)}
+}
--- /dev/null
+++ b/internal/decider/turn.go
@@ -0,0 +1,444 @@
+package decider
+
+import (
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/answerer"
+	"github.com/wigeonstand/wigeonstand/internal/compiler"
+	"github.com/wigeonstand/wigeonstand/internal/generator"
+	"github.com/wigeonstand/wigeonstand/internal/recorder"
+	"github.com/wigeonstand/wigeonstand/internal/requester"
+)
+
+// phase is where an active turn stands.
+type phase string
+
+const (
+	// reserving waits for a durable allowance or for tokens of the business.
+	reserving phase = "Reserving"
+	// queued waits for an endpoint.
+	queued phase = "Queued"
+	// running was sent to an endpoint.
+	running phase = "Running"
+	// committing waits for its record to be durable.
+	committing phase = "Committing"
+)
+
+// activeTurn is the one turn of a program that is being served.
+type activeTurn struct {
+	id        string
+	program   *program
+	agent     *compiler.Agent
+	number    int
+	key       string
+	input     string
+	maxTokens int
+	// wanted is MaxTokens before the budget clipped it.
+	wanted int
+	// worst is what the turn may cost, in tokens.
+	worst    int
+	waiters  []*request
+	phase    phase
+	attempt  string
+	endpoint string
+	avoid    string
+	tries    int
+	// resume is the offset at which a cut stream is continued at the same endpoint.
+	resume int
+	// ran is true once an attempt may have reached an endpoint.
+	ran bool
+	// abandoned turns are only billed.
+	abandoned bool
+	created   time.Time
+	queuedAt  time.Time
+	sentAt    time.Time
+}
+
+// matches says whether the request is for the active turn.
+func (t *activeTurn) matches(turn *requester.Turn) bool {
+	if turn.Key != "" && turn.Key == t.key {
+		return true
+	}
+	return turn.Number != 0 && turn.Number == t.number
+}
+
+func (c *Core) turn(r *request, turn *requester.Turn) {
+	p := c.lookup(r, turn.Program)
+	if p == nil {
+		c.refuseUnknown(r, turn.Program)
+		return
+	}
+	c.admitTurn(r, p, turn)
+}
+
+func (c *Core) admitTurn(r *request, p *program, turn *requester.Turn) {
+	if c.replay(r, p, turn) {
+		return
+	}
+	if p.ended || p.root.ended {
+		c.refuse(r, answerer.New(answerer.ProgramEnded, "the program has ended: %s", p.reason))
+		return
+	}
+	if p.live.active != nil {
+		c.lineUp(r, p, turn)
+		return
+	}
+	if turn.Number > len(p.turns)+1 {
+		c.refuse(r, answerer.New(answerer.TurnGap, "turn %d was asked for after turn %d", turn.Number, len(p.turns)))
+		return
+	}
+	if turn.Chain != "" && turn.Chain != p.chain {
+		c.refuse(r, answerer.New(answerer.HistoryDiverged, "the history after turn %d has another chain", len(p.turns)))
+		return
+	}
+	c.begin(r, p, turn)
+}
+
+// replay answers a turn that was taken already.
+func (c *Core) replay(r *request, p *program, turn *requester.Turn) bool {
+	recorded := p.turnKeyed(turn.Key)
+	kind := answerer.KeyReused
+	if recorded == nil {
+		recorded = p.turnIndexed(turn.Number)
+		kind = answerer.TurnConflict
+	}
+	if recorded == nil {
+		return false
+	}
+	if recorded.Input != turn.Input || (turn.Number != 0 && turn.Number != recorded.Number) {
+		c.refuse(r, answerer.New(kind, "turn %d was taken with another input", recorded.Number))
+		return true
+	}
+	number := recorded.Number
+	c.whenDurable(shardOf(p), func() { c.replyTurned(r, p, number, true) })
+	return true
+}
+
+func (c *Core) replyTurned(r *request, p *program, number int, replayed bool) {
+	t := p.turnIndexed(number)
+	c.reply(r, requester.Reply{Turned: &requester.Turned{
+		Program: p.id, Number: number, Text: t.Text, Usage: t.Usage, Chain: t.Chain,
+		Remaining: p.remaining(), Replayed: replayed, Endpoint: t.Endpoint,
+	}})
+}
+
+// lineUp joins the request to the active turn or puts it behind.
+func (c *Core) lineUp(r *request, p *program, turn *requester.Turn) {
+	t := p.live.active
+	if t.matches(turn) && t.input != turn.Input {
+		c.refuse(r, answerer.New(answerer.TurnConflict, "turn %d is being taken with another input", t.number))
+		return
+	}
+	if t.matches(turn) && !t.abandoned {
+		t.waiters = append(t.waiters, r)
+		r.turn = t
+		return
+	}
+	if turn.Number > t.number+1+len(p.live.line) {
+		c.refuse(r, answerer.New(answerer.TurnGap, "turn %d was asked for during turn %d", turn.Number, t.number))
+		return
+	}
+	if len(p.live.line) >= c.settings.lineLimit {
+		c.refuse(r, answerer.New(answerer.Overloaded, "%d turns of the program wait already", len(p.live.line)))
+		return
+	}
+	r.line = p
+	p.live.line = append(p.live.line, lined{request: r, turn: turn})
+}
+
+// nextInLine admits what waited for the program's active turn.
+func (c *Core) nextInLine(p *program) {
+	p.live.active = nil
+	p.live.lastUsed = time.Now()
+	line := p.live.line
+	p.live.line = nil
+	for _, l := range line {
+		l.request.line = nil
+		c.admitTurn(l.request, p, l.turn)
+	}
+}
+
+// begin makes the turn the program's active one.
+func (c *Core) begin(r *request, p *program, turn *requester.Turn) {
+	agent := c.agentOf(p)
+	if agent == nil {
+		c.refuse(r, answerer.New(answerer.NotFound, "agent program %q is no longer in the document", p.agent))
+		return
+	}
+	if reason := c.overLimit(p, agent); reason != "" {
+		c.refuse(r, answerer.New(answerer.LimitReached, "%s", reason))
+		c.endTree(p, reason)
+		return
+	}
+	if c.queue.Len() >= c.limit() {
+		c.refuse(r, answerer.New(answerer.Overloaded, "%d turns wait on this instance", c.queue.Len()).After(c.drainTime()))
+		return
+	}
+	t := &activeTurn{
+		id: c.next(), program: p, agent: agent, number: len(p.turns) + 1, key: turn.Key, input: turn.Input,
+		wanted: clipOutput(turn.MaxTokens, agent.MaxOutput), waiters: []*request{r}, created: time.Now(),
+	}
+	p.live.active = t
+	r.turn = t
+	c.turns[t.id] = t
+	c.retrier.Sent(p.business, t.created)
+	c.reserve(t)
+}
+
+func clipOutput(asked, limit int) int {
+	if asked <= 0 || asked > limit {
+		return limit
+	}
+	return asked
+}
+
+// overLimit returns why the program may take no further turn, or "".
+func (c *Core) overLimit(p *program, agent *compiler.Agent) string {
+	switch {
+	case agent.MaxTurns > 0 && len(p.turns) >= agent.MaxTurns:
+		return "Turn limit reached"
+	case agent.MaxHistory > 0 && p.context() >= agent.MaxHistory:
+		return "History limit reached"
+	case agent.WallLimit > 0 && time.Since(p.live.base) > agent.WallLimit:
+		return "Wall limit reached"
+	}
+	return ""
+}
+
+func (c *Core) limit() int {
+	if c.version.Policy.QueueLimit > 0 {
+		return c.version.Policy.QueueLimit
+	}
+	return c.settings.queueLimit
+}
+
+// send dispatches the turn to the endpoint.
+func (c *Core) send(t *activeTurn, target *endpoint) {
+	now := time.Now()
+	t.phase = running
+	t.sentAt = now
+	t.attempt = c.next()
+	t.endpoint = target.name
+	t.tries++
+	c.attempts[t.attempt] = t
+	target.outstanding++
+	target.sinceReport++
+	p := t.program
+	p.live.queued += now.Sub(t.queuedAt)
+	p.live.last = target.name
+	p.holdings[target.name] = true
+	c.do(Generate{Attempt: t.attempt, Endpoint: target.name, Sink: t.sink(), Request: c.prompt(t)})
+}
+
+// sink returns the request whose caller gets the chunks.
+func (t *activeTurn) sink() string {
+	if len(t.waiters) == 0 {
+		return ""
+	}
+	return t.waiters[0].id
+}
+
+func (c *Core) prompt(t *activeTurn) generator.GenerateRequest {
+	p := t.program
+	messages := make([]generator.Message, 0, 2*len(p.turns)+2)
+	if t.agent.Instructions != "" {
+		messages = append(messages, generator.Message{Role: "System", Text: t.agent.Instructions})
+	}
+	for i := range p.turns {
+		messages = append(messages,
+			generator.Message{Role: "User", Text: p.turns[i].Input},
+			generator.Message{Role: "Assistant", Text: p.turns[i].Text})
+	}
+	messages = append(messages, generator.Message{Role: "User", Text: t.input})
+	return generator.GenerateRequest{
+		Request: t.attempt, Program: p.id, Business: p.business, Model: t.agent.Model, Adapter: t.agent.Adapter,
+		Priority: t.agent.Precedence, Messages: messages, MaxTokens: t.maxTokens, Offset: t.resume,
+		Seed: seedOf(p.chain, t.number),
+	}
+}
+
+func (c *Core) generated(e Generated) {
+	t := c.landed(e.Attempt)
+	if t == nil {
+		return
+	}
+	p := t.program
+	c.unreserve(t, e.Usage.Total())
+	if t.abandoned && p.ended {
+		c.settle(t, e.Usage.Total())
+		c.forget(t)
+		return
+	}
+	t.phase = committing
+	t.abandoned = false
+	p.live.prefix[t.endpoint] = e.Usage.Prompt + e.Usage.Generated
+	turned := &recorder.Turned{
+		Program: p.id, Number: t.number, Key: t.key, Input: t.input, Text: e.Text, Usage: e.Usage,
+		Endpoint: t.endpoint, Attempt: t.attempt, Chain: recorder.Chain(p.chain, t.number, t.input, e.Text),
+		Elapsed: time.Since(p.live.base),
+	}
+	c.append(shardOf(p), func() { c.finish(t) }, recorder.Record{Turned: turned})
+}
+
+// landed takes the attempt out of flight; nil for one that is not known.
+func (c *Core) landed(attempt string) *activeTurn {
+	t := c.attempts[attempt]
+	if t == nil {
+		return nil
+	}
+	delete(c.attempts, attempt)
+	t.program.live.running += time.Since(t.sentAt)
+	if target := c.endpoints[t.endpoint]; target != nil && target.outstanding > 0 {
+		target.outstanding--
+	}
+	return t
+}
+
+// finish answers a turn whose record is durable.
+func (c *Core) finish(t *activeTurn) {
+	delete(c.turns, t.id)
+	for _, r := range t.waiters {
+		c.replyTurned(r, t.program, t.number, false)
+	}
+	t.waiters = nil
+	if t.program.live.active == t {
+		c.nextInLine(t.program)
+	}
+}
+
+func (c *Core) generateFailed(e GenerateFailed) {
+	t := c.landed(e.Attempt)
+	if t == nil {
+		return
+	}
+	charge := t.charge(e)
+	c.unreserve(t, charge)
+	c.settle(t, charge)
+	if e.Cause != NotSent {
+		t.ran = true
+	}
+	if t.abandoned {
+		c.forget(t)
+		return
+	}
+	c.retry(t, e)
+}
+
+// charge returns what a failed attempt may have cost, in tokens.
+func (t *activeTurn) charge(e GenerateFailed) int {
+	switch {
+	case e.Cause == NotSent:
+		return 0
+	case e.Usage != nil:
+		return e.Usage.Total()
+	}
+	return t.worst
+}
+
+// settle bills the tree for an attempt that made no turn.
+func (c *Core) settle(t *activeTurn, tokens int) {
+	if tokens == 0 || c.shards[shardOf(t.program)] == nil {
+		return
+	}
+	c.append(shardOf(t.program), nil, recorder.Record{Settled: &recorder.Settled{
+		Program: t.program.id, Attempt: t.attempt, Tokens: tokens,
+	}})
+}
+
+// retry sends the turn again if that is safe and within bounds, or gives it up.
+func (c *Core) retry(t *activeTurn, e GenerateFailed) {
+	share := c.retryShare(t.program.business)
+	if t.tries >= c.settings.maxAttempts || !c.retrier.Allow(t.program.business, share, time.Now()) {
+		c.giveUp(t, e.Cause)
+		return
+	}
+	c.do(Retried{Reason: string(e.Cause), Target: "Engine"})
+	t.avoid = t.endpoint
+	t.resume = 0
+	if e.Cause == Truncated && e.Tokens > 0 {
+		t.avoid = ""
+		t.resume = e.Tokens
+	}
+	c.reserve(t)
+}
+
+func (c *Core) retryShare(business string) float64 {
+	if b := c.version.Businesses[business]; b != nil {
+		return b.RetryShare
+	}
+	return 0
+}
+
+// giveUp answers a turn that no further attempt is made for.
+func (c *Core) giveUp(t *activeTurn, cause Cause) {
+	kind := answerer.EndpointFailed
+	switch {
+	case !t.ran:
+		kind = answerer.NoEndpoint
+	case cause == Truncated:
+		kind = answerer.AnswerTruncated
+	}
+	c.drop(t, answerer.New(kind, "%d attempts were made, the last one ended as %s", t.tries, cause))
+}
+
+// drop takes a turn that is not in flight out of the program and refuses its waiters.
+func (c *Core) drop(t *activeTurn, err *answerer.Error) {
+	waiters := t.waiters
+	t.waiters = nil
+	for _, r := range waiters {
+		c.refuse(r, err)
+	}
+	c.forget(t)
+}
+
+// forget clears a turn that is not in flight and lets the next one in.
+func (c *Core) forget(t *activeTurn) {
+	c.queue.Remove(t.id)
+	delete(c.turns, t.id)
+	p := t.program
+	if p.ended {
+		c.releaseMemory(p)
+	}
+	if p.live.active == t {
+		c.nextInLine(p)
+	}
+}
+
+// leaveTurn takes one waiter away; the last one to leave cancels the turn.
+func (c *Core) leaveTurn(t *activeTurn, r *request, why answerer.Kind) {
+	for i := range t.waiters {
+		if t.waiters[i] == r {
+			t.waiters = append(t.waiters[:i:i], t.waiters[i+1:]...)
+			break
+		}
+	}
+	if len(t.waiters) > 0 || t.phase == committing {
+		return
+	}
+	c.stop(t, answerer.New(why, "nobody waits for the turn"))
+}
+
+// stop cancels a turn wherever it stands, short of its commit.
+func (c *Core) stop(t *activeTurn, err *answerer.Error) {
+	switch t.phase {
+	case running:
+		t.abandoned = true
+		waiters := t.waiters
+		t.waiters = nil
+		for _, r := range waiters {
+			c.refuse(r, err)
+		}
+		c.do(CancelGenerate{Attempt: t.attempt, Endpoint: t.endpoint})
+	case committing:
+	default:
+		c.unreserve(t, 0)
+		c.drop(t, err)
+	}
+}
+
+// abandonTurn stops the program's active turn because the program ends.
+func (c *Core) abandonTurn(p *program, err *answerer.Error) {
+	if t := p.live.active; t != nil && t.phase != committing {
+		c.stop(t, err)
+	}
+}
