internal/queuer, internal/router: implement the policies behind the contracts

Cause: the owner needs an order of waiting generations and a choice of endpoint. Ruled out: a heap per business, since Next must pass over refused items in order and Remove takes any item; serving all starved items first, since under lasting overload that becomes arrival order and puts hot requests behind low ones. Change: LeastAttained by start-time fair queueing between businesses, precedence and least attained service inside one, one dispatch in four for a starved item; FirstCome and ShortestCall as baselines. Affinity weighs held prefix against load; four baselines. Conclusion: ready for the decision core; the constants are still to be measured.

--- /dev/null
+++ b/internal/queuer/leastattained.go
@@ -0,0 +1,240 @@
+package queuer
+
+import (
+	"cmp"
+	"time"
+)
+
+const (
+	// defaultStarveAfter bounds the wait behind precedence when the policy
+	// gives none.
+	defaultStarveAfter = 30 * time.Second
+	// defaultStarvedEvery is the number of a business's dispatches of which one
+	// goes to its longest waiting starved item.
+	defaultStarvedEvery = 4
+	// creditTokens bounds the service that a business may catch up on after a
+	// time in which none of its waiting items was admissible.
+	creditTokens = 65536
+)
+
+// leastAttained shares service between businesses by start-time fair queueing.
+// Inside a business it serves the lowest precedence first and then the program
+// with the least attained service.
+type leastAttained struct {
+	starveAfter  time.Duration
+	starvedEvery int
+
+	entries    map[string]*entry
+	businesses map[string]*lane
+	// active holds the lanes that have waiting items, in no order.
+	active []*lane
+	// virtual is the start tag of the item dispatched last.
+	virtual  float64
+	sequence uint64
+}
+
+// lane is the waiting work of one business.
+type lane struct {
+	business string
+	// tag is the virtual time at which the lane's next item starts.
+	tag float64
+	// ranked is in order of precedence and attained service.
+	ranked sorted
+	// aged is in order of arrival.
+	aged sorted
+	// sinceStarved counts dispatches since a starved item had its turn.
+	sinceStarved int
+}
+
+func newLeastAttained(starveAfter time.Duration, starvedEvery int) *leastAttained {
+	return &leastAttained{
+		starveAfter:  starveAfter,
+		starvedEvery: starvedEvery,
+		entries:      make(map[string]*entry),
+		businesses:   make(map[string]*lane),
+	}
+}
+
+// Push implements Queue.
+func (q *leastAttained) Push(item Item) {
+	q.sequence++
+	e := &entry{Item: item, sequence: q.sequence}
+	q.entries[item.ID] = e
+	l := q.lane(item.Business)
+	if l.ranked.len() == 0 {
+		l.tag = max(l.tag, q.virtual)
+		q.active = append(q.active, l)
+	}
+	l.ranked.insert(e)
+	l.aged.insert(e)
+}
+
+// Remove implements Queue.
+func (q *leastAttained) Remove(id string) bool {
+	e, ok := q.entries[id]
+	if !ok {
+		return false
+	}
+	q.take(q.businesses[e.Business], e)
+	return true
+}
+
+// Next implements Queue.
+func (q *leastAttained) Next(now time.Time, admissible func(Item) bool) (Item, bool) {
+	var asked map[*lane]bool
+	for range len(q.active) {
+		l := q.first(asked)
+		if e, starved := q.pick(l, now, admissible); e != nil {
+			q.dispatch(l, e, starved)
+			return e.Item, true
+		}
+		if asked == nil {
+			asked = make(map[*lane]bool, len(q.active))
+		}
+		asked[l] = true
+	}
+	return Item{}, false
+}
+
+// Position implements Queue.
+func (q *leastAttained) Position(now time.Time, id string) int {
+	if _, ok := q.entries[id]; !ok {
+		return 0
+	}
+	trial := q.clone()
+	for position := 1; ; position++ {
+		item, _ := trial.Next(now, func(Item) bool { return true })
+		if item.ID == id {
+			return position
+		}
+	}
+}
+
+// Len implements Queue.
+func (q *leastAttained) Len() int { return len(q.entries) }
+
+func (q *leastAttained) lane(business string) *lane {
+	l, ok := q.businesses[business]
+	if !ok {
+		l = &lane{
+			business: business,
+			ranked:   sorted{compare: compareRank},
+			aged:     sorted{compare: compareArrival},
+		}
+		q.businesses[business] = l
+	}
+	return l
+}
+
+// first returns the active lane with the lowest tag among those not asked yet.
+func (q *leastAttained) first(asked map[*lane]bool) *lane {
+	var best *lane
+	for _, l := range q.active {
+		if asked[l] {
+			continue
+		}
+		if best == nil || compareLanes(l, best) < 0 {
+			best = l
+		}
+	}
+	return best
+}
+
+// pick returns the lane's first admissible entry and whether it had the turn
+// kept for starved entries.
+func (q *leastAttained) pick(l *lane, now time.Time, admissible func(Item) bool) (*entry, bool) {
+	turn := l.sinceStarved+1 >= q.starvedEvery
+	if turn {
+		for _, e := range l.aged.all() {
+			if !q.starved(e, now) {
+				break
+			}
+			if admissible(e.Item) {
+				return e, true
+			}
+		}
+	}
+	for _, e := range l.ranked.all() {
+		if turn && q.starved(e, now) {
+			continue
+		}
+		if admissible(e.Item) {
+			return e, false
+		}
+	}
+	return nil, false
+}
+
+func (q *leastAttained) starved(e *entry, now time.Time) bool {
+	return now.Sub(e.Arrived) >= q.starveAfter
+}
+
+// dispatch takes the entry out and charges its service to the lane.
+func (q *leastAttained) dispatch(l *lane, e *entry, starved bool) {
+	q.virtual = max(q.virtual, l.tag)
+	l.tag += float64(max(e.Estimate, 1)) / float64(max(e.Weight, 1))
+	l.sinceStarved++
+	if starved {
+		l.sinceStarved = 0
+	}
+	q.take(l, e)
+	q.limitCredit()
+}
+
+// limitCredit raises the tags of lanes that have fallen behind the virtual
+// time by more than creditTokens of service.
+func (q *leastAttained) limitCredit() {
+	for _, l := range q.active {
+		weight := max(l.aged.all()[0].Weight, 1)
+		l.tag = max(l.tag, q.virtual-creditTokens/float64(weight))
+	}
+}
+
+// take removes the entry from all indexes.
+func (q *leastAttained) take(l *lane, e *entry) {
+	delete(q.entries, e.ID)
+	l.ranked.remove(e)
+	l.aged.remove(e)
+	if l.ranked.len() > 0 {
+		return
+	}
+	for i, other := range q.active {
+		if other == l {
+			last := len(q.active) - 1
+			q.active[i] = q.active[last]
+			q.active[last] = nil
+			q.active = q.active[:last]
+			return
+		}
+	}
+}
+
+// clone copies all that dispatching changes.
+func (q *leastAttained) clone() *leastAttained {
+	c := newLeastAttained(q.starveAfter, q.starvedEvery)
+	c.virtual = q.virtual
+	c.sequence = q.sequence
+	for id, e := range q.entries {
+		c.entries[id] = e
+	}
+	for _, l := range q.active {
+		copied := *l
+		copied.ranked = l.ranked.clone()
+		copied.aged = l.aged.clone()
+		c.businesses[l.business] = &copied
+		c.active = append(c.active, &copied)
+	}
+	return c
+}
+
+func compareLanes(a, b *lane) int {
+	return cmp.Or(cmp.Compare(a.tag, b.tag), cmp.Compare(a.business, b.business))
+}
+
+func compareRank(a, b *entry) int {
+	return cmp.Or(
+		cmp.Compare(a.Precedence, b.Precedence),
+		cmp.Compare(a.Attained, b.Attained),
+		compareArrival(a, b),
+	)
+}
--- /dev/null
+++ b/internal/queuer/new.go
@@ -0,0 +1,52 @@
+package queuer
+
+import (
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/compiler"
+)
+
+// The names of the queue policies in compiler.Policy.Queue.
+const (
+	// LeastAttained shares between businesses by weight, then serves by
+	// precedence and by least attained service of the program.
+	LeastAttained = "LeastAttained"
+	// FirstCome serves by arrival.
+	FirstCome = "FirstCome"
+	// ShortestCall serves the smallest estimate first.
+	ShortestCall = "ShortestCall"
+)
+
+// Option changes a queue's settings.
+type Option func(*settings)
+
+type settings struct {
+	starveAfter  time.Duration
+	starvedEvery int
+}
+
+// WithStarvedEvery serves the longest waiting starved item of a business once
+// in n dispatches of that business; 1 serves starved items before all others.
+func WithStarvedEvery(n int) Option {
+	return func(s *settings) { s.starvedEvery = n }
+}
+
+// New returns an empty queue of the policy's kind. An empty or unknown name
+// means LeastAttained.
+func New(policy compiler.Policy, opts ...Option) Queue {
+	s := settings{starveAfter: policy.StarveAfter, starvedEvery: defaultStarvedEvery}
+	for _, opt := range opts {
+		opt(&s)
+	}
+	if s.starveAfter <= 0 {
+		s.starveAfter = defaultStarveAfter
+	}
+	switch policy.Queue {
+	case FirstCome:
+		return newSingle(compareArrival)
+	case ShortestCall:
+		return newSingle(compareEstimate)
+	default:
+		return newLeastAttained(s.starveAfter, s.starvedEvery)
+	}
+}
--- /dev/null
+++ b/internal/queuer/queuer_test.go
@@ -0,0 +1,291 @@
+package queuer_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/wigeonstand/wigeonstand/internal/compiler"
+	"github.com/wigeonstand/wigeonstand/internal/queuer"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const starveAfter = 10 * time.Second
+
+func always(queuer.Item) bool { return true }
+
+// drawItem returns an item of one of three businesses with weights 1 to 3.
+func drawItem(t *rapid.T, id int, now time.Time) queuer.Item {
+	business := rapid.IntRange(1, 3).Draw(t, "business")
+	return queuer.Item{
+		ID:         fmt.Sprint(id),
+		Business:   fmt.Sprint("b", business),
+		Weight:     business,
+		Precedence: rapid.IntRange(0, 2).Draw(t, "precedence"),
+		Attained:   rapid.IntRange(0, 5).Draw(t, "attained") * 1000,
+		Estimate:   rapid.IntRange(0, 500).Draw(t, "estimate"),
+		Arrived:    now,
+	}
+}
+
+// model is the plain oracle: the waiting items by id.
+type model struct {
+	queue   queuer.Queue
+	waiting map[string]queuer.Item
+	now     time.Time
+	next    int
+}
+
+func (m *model) push(t *rapid.T) {
+	m.next++
+	item := drawItem(t, m.next, m.now)
+	m.waiting[item.ID] = item
+	m.queue.Push(item)
+}
+
+func (m *model) remove(t *rapid.T) {
+	id := fmt.Sprint(rapid.IntRange(1, m.next+1).Draw(t, "id"))
+	_, want := m.waiting[id]
+	if got := m.queue.Remove(id); got != want {
+		t.Fatalf("Remove(%s) = %v, want %v", id, got, want)
+	}
+	delete(m.waiting, id)
+}
+
+func (m *model) take(t *rapid.T) {
+	refused := rapid.IntRange(0, 4).Draw(t, "refused precedence")
+	admissible := func(item queuer.Item) bool { return item.Precedence != refused }
+	want := slices.ContainsFunc(m.items(), admissible)
+	item, ok := m.queue.Next(m.now, admissible)
+	if ok != want {
+		t.Fatalf("Next found an item: %v, want %v", ok, want)
+	}
+	if !ok {
+		return
+	}
+	if diff := cmp.Diff(m.waiting[item.ID], item); diff != "" {
+		t.Fatal(diff)
+	}
+	if item.Precedence == refused {
+		t.Fatalf("item %s was served though refused", item.ID)
+	}
+	delete(m.waiting, item.ID)
+}
+
+func (m *model) wait(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(1, 5).Draw(t, "seconds")) * time.Second)
+}
+
+func (m *model) items() []queuer.Item {
+	items := make([]queuer.Item, 0, len(m.waiting))
+	for _, item := range m.waiting {
+		items = append(items, item)
+	}
+	return items
+}
+
+func (m *model) check(t *rapid.T) {
+	if got, want := m.queue.Len(), len(m.waiting); got != want {
+		t.Fatalf("Len() = %d, want %d", got, want)
+	}
+	for id := 1; id <= m.next; id++ {
+		_, want := m.waiting[fmt.Sprint(id)]
+		if got := m.queue.Position(m.now, fmt.Sprint(id)) > 0; got != want {
+			t.Fatalf("item %d has a position: %v, want %v", id, got, want)
+		}
+	}
+}
+
+// No policy loses, doubles or invents an item under any order of operations.
+func TestQueueKeepsItems(t *testing.T) {
+	for _, name := range []string{queuer.LeastAttained, queuer.FirstCome, queuer.ShortestCall} {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				m := &model{
+					queue:   queuer.New(compiler.Policy{Queue: name, StarveAfter: starveAfter}),
+					waiting: map[string]queuer.Item{},
+					now:     epoch,
+				}
+				t.Repeat(map[string]func(*rapid.T){
+					"push": m.push, "remove": m.remove, "take": m.take, "wait": m.wait, "": m.check,
+				})
+			})
+		})
+	}
+}
+
+// Position tells how many calls of Next it takes to serve an item.
+func TestPositionMatchesService(t *testing.T) {
+	for _, name := range []string{queuer.LeastAttained, queuer.FirstCome, queuer.ShortestCall} {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				queue := queuer.New(compiler.Policy{Queue: name, StarveAfter: starveAfter})
+				count := rapid.IntRange(1, 30).Draw(t, "count")
+				now := epoch
+				for id := range count {
+					queue.Push(drawItem(t, id, now))
+					now = now.Add(time.Second)
+				}
+				want, got := map[string]int{}, map[string]int{}
+				for id := range count {
+					want[fmt.Sprint(id)] = queue.Position(now, fmt.Sprint(id))
+				}
+				for place := 1; place <= count; place++ {
+					item, _ := queue.Next(now, always)
+					got[item.ID] = place
+				}
+				if diff := cmp.Diff(want, got); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
+
+// Inside a business an item is served before one of a lower precedence value
+// only if it has starved, and only once in four dispatches.
+func TestPrecedenceYieldsOnlyToStarved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		queue := queuer.New(compiler.Policy{StarveAfter: starveAfter})
+		now := epoch
+		waiting := map[string]queuer.Item{}
+		sinceOvertaken := map[string]int{}
+		for id := range rapid.IntRange(1, 100).Draw(t, "count") {
+			item := drawItem(t, id, now)
+			waiting[item.ID] = item
+			queue.Push(item)
+			now = now.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "seconds")) * time.Second)
+			if rapid.Bool().Draw(t, "only push") {
+				continue
+			}
+			served, _ := queue.Next(now, always)
+			delete(waiting, served.ID)
+			checkOrder(t, served, waiting, now, sinceOvertaken)
+		}
+	})
+}
+
+func checkOrder(t *rapid.T, served queuer.Item, waiting map[string]queuer.Item, now time.Time, since map[string]int) {
+	overtakes := false
+	for _, other := range waiting {
+		overtakes = overtakes || other.Business == served.Business && other.Precedence < served.Precedence
+	}
+	since[served.Business]++
+	if !overtakes {
+		return
+	}
+	if now.Sub(served.Arrived) < starveAfter {
+		t.Fatalf("item %s overtook a lower precedence after %v", served.ID, now.Sub(served.Arrived))
+	}
+	if since[served.Business] < 4 {
+		t.Fatalf("starved items overtook twice within %d dispatches", since[served.Business])
+	}
+	since[served.Business] = 0
+}
+
+// A business that floods the queue does not delay another's only item by more
+// than one dispatch.
+func TestBusinessDoesNotStarveAnother(t *testing.T) {
+	queue := queuer.New(compiler.Policy{})
+	for id := range 10000 {
+		queue.Push(queuer.Item{ID: fmt.Sprint("flood", id), Business: "flood", Weight: 100, Estimate: 100, Arrived: epoch})
+	}
+	for range 500 {
+		queue.Next(epoch, always)
+	}
+	queue.Push(queuer.Item{ID: "only", Business: "small", Weight: 1, Precedence: 9, Estimate: 5000, Arrived: epoch})
+	if position := queue.Position(epoch, "only"); position > 2 {
+		t.Errorf("Position(only) = %d, want at most 2", position)
+	}
+}
+
+// While all businesses are backlogged, each one's service differs from its weighted
+// share by a bounded number of dispatches.
+func TestWeightedShares(t *testing.T) {
+	const dispatches, estimate, maxError = 600, 100, 200
+	rapid.Check(t, func(t *rapid.T) {
+		queue := queuer.New(compiler.Policy{})
+		weights := rapid.SliceOfN(rapid.IntRange(1, 5), 2, 4).Draw(t, "weights")
+		total := 0
+		for b, weight := range weights {
+			total += weight
+			for id := range dispatches {
+				queue.Push(queuer.Item{
+					ID: fmt.Sprint(b, "/", id), Business: fmt.Sprint(b), Weight: weight,
+					Estimate: estimate, Precedence: rapid.IntRange(0, 2).Draw(t, "precedence"), Arrived: epoch,
+				})
+			}
+		}
+		served := map[string]int{}
+		for range dispatches {
+			item, _ := queue.Next(epoch, always)
+			served[item.Business] += estimate
+		}
+		for b, weight := range weights {
+			want := dispatches * estimate * weight / total
+			if got := served[fmt.Sprint(b)]; got < want-maxError || got > want+maxError {
+				t.Fatalf("business %d of weight %d of %d was served %d tokens, want about %d", b, weight, total, got, want)
+			}
+		}
+	})
+}
+
+// Under an unending stream of lower precedence values an item is served within
+// its bound.
+func TestStarvedItemIsServed(t *testing.T) {
+	queue := queuer.New(compiler.Policy{StarveAfter: starveAfter})
+	queue.Push(queuer.Item{ID: "low", Business: "b", Precedence: 9, Attained: 1 << 30, Estimate: 1, Arrived: epoch})
+	now := epoch
+	for id := range 100 {
+		queue.Push(queuer.Item{ID: fmt.Sprint(id), Business: "b", Estimate: 1, Arrived: now})
+		queue.Push(queuer.Item{ID: fmt.Sprint("extra", id), Business: "b", Estimate: 1, Arrived: now})
+		now = now.Add(time.Second)
+		if item, _ := queue.Next(now, always); item.ID != "low" {
+			continue
+		}
+		if waited := now.Sub(epoch); waited > starveAfter+4*time.Second {
+			t.Errorf("the item waited %v", waited)
+		}
+		return
+	}
+	t.Error("the item was never served")
+}
+
+// A business that could not be served does not take all of the service when it
+// can be again.
+func TestCreditIsBounded(t *testing.T) {
+	queue := queuer.New(compiler.Policy{})
+	for id := range 1000 {
+		queue.Push(queuer.Item{ID: fmt.Sprint("a", id), Business: "a", Estimate: 4096, Arrived: epoch})
+		queue.Push(queuer.Item{ID: fmt.Sprint("b", id), Business: "b", Estimate: 4096, Arrived: epoch})
+	}
+	for range 500 {
+		queue.Next(epoch, func(item queuer.Item) bool { return item.Business == "b" })
+	}
+	run := 0
+	for item, _ := queue.Next(epoch, always); item.Business == "a"; item, _ = queue.Next(epoch, always) {
+		run++
+	}
+	if run > 18 {
+		t.Errorf("business a was served %d times in a row, want at most 18", run)
+	}
+}
+
+func BenchmarkNextWithTenThousandWaiting(b *testing.B) {
+	queue := queuer.New(compiler.Policy{})
+	for id := range 10000 {
+		queue.Push(queuer.Item{
+			ID: fmt.Sprint(id), Business: fmt.Sprint(id % 20), Precedence: id % 3,
+			Attained: id * 7919 % 100000, Estimate: 100, Arrived: epoch.Add(time.Duration(id)),
+		})
+	}
+	for b.Loop() {
+		item, _ := queue.Next(epoch, always)
+		queue.Push(item)
+	}
+}
--- /dev/null
+++ b/internal/queuer/sorted.go
@@ -0,0 +1,57 @@
+package queuer
+
+import (
+	"cmp"
+	"slices"
+)
+
+// entry is one item and its place among items that arrived together.
+type entry struct {
+	Item
+	sequence uint64
+}
+
+// sorted keeps entries in a total order. Taking the first entry is cheap;
+// inserting costs a binary search and one move of memory.
+type sorted struct {
+	compare func(a, b *entry) int
+	entries []*entry
+}
+
+func (s *sorted) len() int { return len(s.entries) }
+
+// all returns the entries in order; the slice is valid until the next change.
+func (s *sorted) all() []*entry { return s.entries }
+
+func (s *sorted) insert(e *entry) {
+	i, _ := slices.BinarySearchFunc(s.entries, e, s.compare)
+	s.entries = slices.Insert(s.entries, i, e)
+}
+
+func (s *sorted) remove(e *entry) {
+	i, ok := slices.BinarySearchFunc(s.entries, e, s.compare)
+	if !ok {
+		return
+	}
+	if i == 0 {
+		s.entries[0] = nil
+		s.entries = s.entries[1:]
+		return
+	}
+	s.entries = slices.Delete(s.entries, i, i+1)
+}
+
+func (s *sorted) clone() sorted {
+	return sorted{compare: s.compare, entries: slices.Clone(s.entries)}
+}
+
+func compareArrival(a, b *entry) int {
+	return cmp.Or(
+		a.Arrived.Compare(b.Arrived),
+		cmp.Compare(a.sequence, b.sequence),
+	)
+}
+
+func compareEstimate(a, b *entry) int {
+	return cmp.Or(cmp.Compare(a.Estimate, b.Estimate), compareArrival(a, b))
+}
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,148 @@
+package router_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/wigeonstand/wigeonstand/internal/compiler"
+	"github.com/wigeonstand/wigeonstand/internal/router"
+)
+
+var policies = []string{
+	router.Affinity, router.TwoChoices, router.LeastLoaded, router.RoundRobin, router.Random,
+}
+
+func drawCandidates(t *rapid.T) []router.Candidate {
+	candidates := make([]router.Candidate, rapid.IntRange(1, 6).Draw(t, "candidates"))
+	for i := range candidates {
+		candidates[i] = router.Candidate{
+			Endpoint:     fmt.Sprint("e", i),
+			Local:        rapid.Bool().Draw(t, "local"),
+			Running:      rapid.IntRange(0, 5).Draw(t, "running"),
+			Waiting:      rapid.IntRange(0, 2).Draw(t, "waiting"),
+			Slots:        4,
+			Outstanding:  rapid.IntRange(0, 5).Draw(t, "outstanding"),
+			SinceReport:  rapid.IntRange(0, 2).Draw(t, "since"),
+			PrefixTokens: rapid.IntRange(0, 3).Draw(t, "prefix") * 500,
+			Ramp:         float64(rapid.IntRange(0, 4).Draw(t, "ramp")) / 4,
+			GapRatio:     1,
+		}
+	}
+	return candidates
+}
+
+// hasRoom is the oracle of a candidate that may be picked.
+func hasRoom(c router.Candidate) bool {
+	used := max(c.Running+c.Waiting+c.SinceReport, c.Outstanding)
+	return used < int(float64(c.Slots)*c.Ramp)
+}
+
+// Every policy picks a candidate with room if there is one and none otherwise.
+func TestPickHasRoom(t *testing.T) {
+	for _, name := range policies {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				r := router.New(compiler.Policy{Routing: name}, rapid.Uint64().Draw(t, "seed"))
+				candidates := drawCandidates(t)
+				want := false
+				for _, c := range candidates {
+					want = want || hasRoom(c)
+				}
+				request := router.Request{
+					PromptTokens: 1500, MaxTokens: 64, Last: fmt.Sprint("e", rapid.IntRange(0, 6).Draw(t, "last")),
+				}
+				i, got := r.Pick(request, candidates)
+				if got != want {
+					t.Fatalf("Pick found room: %v, want %v", got, want)
+				}
+				if got && !hasRoom(candidates[i]) {
+					t.Fatalf("Pick chose the full candidate %d", i)
+				}
+			})
+		})
+	}
+}
+
+// The same seed gives the same choices.
+func TestPickFollowsSeed(t *testing.T) {
+	for _, name := range policies {
+		rapid.Check(t, func(t *rapid.T) {
+			candidates := drawCandidates(t)
+			seed := rapid.Uint64().Draw(t, "seed")
+			picks := func() (picks []int) {
+				r := router.New(compiler.Policy{Routing: name}, seed)
+				for range 10 {
+					i, _ := r.Pick(router.Request{PromptTokens: 100, MaxTokens: 10}, candidates)
+					picks = append(picks, i)
+				}
+				return picks
+			}
+			if diff := cmp.Diff(picks(), picks()); diff != "" {
+				t.Fatal(diff)
+			}
+		})
+	}
+}
+
+func idle(endpoint string) router.Candidate {
+	return router.Candidate{Endpoint: endpoint, Slots: 16, Ramp: 1, GapRatio: 1}
+}
+
+func TestAffinity(t *testing.T) {
+	held := idle("held")
+	held.PrefixTokens = 20000
+	busy := held
+	busy.Running = 15
+	small := idle("small")
+	small.PrefixTokens = 100
+	small.Running = 15
+	fullHeld := held
+	fullHeld.Outstanding = 16
+	slow := idle("last")
+	slow.GapRatio = 4
+	slightly := idle("last")
+	slightly.Running = 1
+	tests := []struct {
+		name       string
+		last       string
+		candidates []router.Candidate
+		want       string
+	}{
+		{"PrefixWins", "", []router.Candidate{idle("a"), idle("b"), held}, "held"},
+		{"LongPrefixWinsOverLoad", "", []router.Candidate{idle("a"), busy}, "held"},
+		{"LoadWinsOverShortPrefix", "", []router.Candidate{idle("a"), small}, "a"},
+		{"FullIsPassedOver", "held", []router.Candidate{idle("a"), fullHeld}, "a"},
+		{"SlowIsLeft", "last", []router.Candidate{idle("a"), slow}, "a"},
+		{"SmallSavingDoesNotMove", "last", []router.Candidate{idle("a"), slightly}, "last"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := router.New(compiler.Policy{}, 1)
+			request := router.Request{PromptTokens: 20500, MaxTokens: 128, Last: test.last}
+			i, ok := r.Pick(request, test.candidates)
+			if !ok {
+				t.Fatal("no candidate was picked")
+			}
+			if diff := cmp.Diff(test.want, test.candidates[i].Endpoint); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestRoundRobinTakesTurns(t *testing.T) {
+	r := router.New(compiler.Policy{Routing: router.RoundRobin}, 1)
+	busy := idle("b")
+	busy.Outstanding = 16
+	var got []int
+	for range 4 {
+		i, _ := r.Pick(router.Request{}, []router.Candidate{idle("a"), busy, idle("c")})
+		got = append(got, i)
+	}
+	if diff := cmp.Diff([]int{0, 2, 0, 2}, got); diff != "" {
+		t.Error(diff)
+	}
+}
