--- /dev/null
+++ b/internal/limiter/limiter_test.go
@@ -0,0 +1,182 @@
+package limiter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/wigeonstand/wigeonstand/internal/limiter"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// The retries granted never exceed the burst, the share of requests and the
+// trickle, and one business's retries take none from another.
+func TestRetryBudgetBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := limiter.NewRetryBudget(1)
+		now := epoch
+		granted, requests := 0, 0
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				budget.Earn(now, "a", 0.2)
+				requests++
+			case 1:
+				if budget.Spend(now, "a") {
+					granted++
+				}
+			case 2:
+				now = now.Add(time.Second)
+			}
+		}
+		bound := 10 + 0.2*float64(requests) + now.Sub(epoch).Seconds()/10
+		if float64(granted) > bound+1e-6 {
+			t.Fatalf("%d retries were granted, want at most %.1f", granted, bound)
+		}
+		if !budget.Spend(now, "b") {
+			t.Fatal("business b was refused its first retry")
+		}
+	})
+}
+
+func TestBackoffBound(t *testing.T) {
+	budget := limiter.NewRetryBudget(1)
+	bounds := []time.Duration{50, 100, 200, 400, 800, 1600, 3200, 5000, 5000}
+	for i, bound := range bounds {
+		distinct := map[time.Duration]bool{}
+		for range 100 {
+			wait := budget.Backoff(i + 1)
+			if wait < 0 || wait >= bound*time.Millisecond {
+				t.Fatalf("Backoff(%d) = %v, want below %v", i+1, wait, bound*time.Millisecond)
+			}
+			distinct[wait] = true
+		}
+		if len(distinct) < 90 {
+			t.Errorf("Backoff(%d) gave only %d distinct waits", i+1, len(distinct))
+		}
+	}
+}
+
+// drain dispatches one request every 100 ms for 20 s with a backlog.
+func drain(f *limiter.Feasibility) time.Time {
+	now := epoch
+	f.Backlog(now, 100)
+	for range 200 {
+		now = now.Add(100 * time.Millisecond)
+		f.Dispatched(now)
+	}
+	return now
+}
+
+func TestFeasibilityFollowsDrainRate(t *testing.T) {
+	f := limiter.NewFeasibility()
+	now := drain(f)
+	wait, known := f.Wait(now, 100)
+	if !known || wait < 9*time.Second || wait > 11*time.Second {
+		t.Errorf("Wait = %v, %v, want about 10s", wait, known)
+	}
+	// An idle queue says nothing about the rate.
+	f.Backlog(now, 0)
+	now = now.Add(time.Hour)
+	f.Backlog(now, 1)
+	if idle, _ := f.Wait(now, 100); idle != wait {
+		t.Errorf("Wait after an idle hour = %v, want %v", idle, wait)
+	}
+}
+
+func TestFeasibilityRefusesEarly(t *testing.T) {
+	f := limiter.NewFeasibility()
+	if _, ok := f.Admit(epoch, 1000, time.Second); !ok {
+		t.Error("a request was refused before any dispatch was seen")
+	}
+	now := drain(f)
+	tests := []struct {
+		name     string
+		position int
+		left     time.Duration
+		want     bool
+	}{
+		{"InTime", 50, 10 * time.Second, true},
+		{"Late", 200, 5 * time.Second, false},
+		{"NoDeadline", 100000, 0, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			comeBack, ok := f.Admit(now, test.position, test.left)
+			if diff := cmp.Diff(test.want, ok); diff != "" {
+				t.Error(diff)
+			}
+			if !ok && (comeBack < time.Second || comeBack > time.Minute) {
+				t.Errorf("the caller is asked to come back after %v", comeBack)
+			}
+		})
+	}
+}
+
+// While the queue stalls the expected wait grows.
+func TestFeasibilitySeesStall(t *testing.T) {
+	f := limiter.NewFeasibility()
+	now := drain(f)
+	before, _ := f.Wait(now, 10)
+	after, _ := f.Wait(now.Add(10*time.Second), 10)
+	if after < 2*before {
+		t.Errorf("Wait = %v after a stall of 10s, want at least twice %v", after, before)
+	}
+	if _, ok := f.Admit(now.Add(time.Hour), 1, time.Minute); ok {
+		t.Error("a request was admitted after a stall of an hour")
+	}
+}
+
+// run feeds a window ten seconds of observations with the gap.
+func run(w *limiter.Window, now time.Time, gap time.Duration) time.Time {
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		w.Sent(w.Limit())
+		w.Gap(now, gap)
+	}
+	return now
+}
+
+func TestWindowFollowsLatency(t *testing.T) {
+	w := limiter.NewWindow(epoch, 32)
+	if diff := cmp.Diff(32, w.Limit()); diff != "" {
+		t.Error(diff)
+	}
+	now := run(w, epoch, 100*time.Millisecond)
+	low := w.Limit()
+	if low > 8 {
+		t.Errorf("Limit = %d after ten slow seconds, want at most 8", low)
+	}
+	now = run(w, now, 20*time.Millisecond)
+	if got := w.Limit(); got < low+9 {
+		t.Errorf("Limit = %d after ten fast seconds, want at least %d", got, low+9)
+	}
+	run(w, now, time.Second)
+	if got := w.Limit(); got < 1 {
+		t.Errorf("Limit = %d, want at least 1", got)
+	}
+}
+
+// A window that is not used up does not grow, and a long prefill is not late.
+func TestWindowCountsOnlyEvidence(t *testing.T) {
+	w := limiter.NewWindow(epoch, 32)
+	now := run(w, epoch, 100*time.Millisecond)
+	want := w.Limit()
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		w.FirstToken(now, 5*time.Second, 20000)
+	}
+	if diff := cmp.Diff(want, w.Limit()); diff != "" {
+		t.Error(diff)
+	}
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		w.Failed(now)
+	}
+	if got := w.Limit(); got >= want {
+		t.Errorf("Limit = %d after failures, want below %d", got, want)
+	}
+}
--- /dev/null
+++ b/internal/limiter/retry.go
@@ -0,0 +1,85 @@
+package limiter
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// defaultRetryShare is the share of requests that may be retried where the
+	// business gives none.
+	defaultRetryShare = 0.1
+	// retryBurst bounds the retries that a business may save up.
+	retryBurst = 10
+	// retryRefill is the time in which a business earns one retry without any
+	// request, so that a quiet one can retry too.
+	retryRefill = 10 * time.Second
+	// backoffBase and backoffCap bound the wait before a retry.
+	backoffBase = 50 * time.Millisecond
+	backoffCap  = 5 * time.Second
+)
+
+// RetryBudget bounds the retries of each business to a share of its requests.
+type RetryBudget struct {
+	random  *rand.Rand
+	buckets map[string]*retryBucket
+}
+
+type retryBucket struct {
+	tokens float64
+	seen   time.Time
+}
+
+// NewRetryBudget returns a budget whose jitter follows the seed.
+func NewRetryBudget(seed uint64) *RetryBudget {
+	return &RetryBudget{
+		random:  rand.New(rand.NewPCG(seed, seed)),
+		buckets: make(map[string]*retryBucket),
+	}
+}
+
+// Earn counts a first attempt of the business, which earns it a share of a
+// retry. A share of zero or less means the default.
+func (b *RetryBudget) Earn(now time.Time, business string, share float64) {
+	if share <= 0 {
+		share = defaultRetryShare
+	}
+	bucket := b.bucket(now, business)
+	bucket.tokens = min(bucket.tokens+share, retryBurst)
+}
+
+// Spend takes one retry from the business's budget and says whether there was
+// one.
+func (b *RetryBudget) Spend(now time.Time, business string) bool {
+	bucket := b.bucket(now, business)
+	if bucket.tokens < 1 {
+		return false
+	}
+	bucket.tokens--
+	return true
+}
+
+// Backoff returns the wait before the retry with the number, from 1. It is
+// drawn evenly from zero to a bound that doubles with each retry.
+func (b *RetryBudget) Backoff(retry int) time.Duration {
+	bound := backoffBase
+	for i := 1; i < retry && bound < backoffCap; i++ {
+		bound *= 2
+	}
+	return time.Duration(b.random.Int64N(int64(min(bound, backoffCap))))
+}
+
+// bucket returns the business's bucket, refilled up to now.
+func (b *RetryBudget) bucket(now time.Time, business string) *retryBucket {
+	bucket, ok := b.buckets[business]
+	if !ok {
+		bucket = &retryBucket{tokens: retryBurst, seen: now}
+		b.buckets[business] = bucket
+	}
+	if elapsed := now.Sub(bucket.seen); elapsed > 0 {
+		earned := float64(elapsed) / float64(retryRefill)
+		bucket.tokens = min(bucket.tokens+earned, retryBurst)
+		bucket.seen = now
+	}
+	return bucket
+}
