--- /dev/null
+++ b/internal/faker/listener.go
@@ -0,0 +1,121 @@
+package faker
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+)
+
+// Listener accepts connections that can go silent: what is sent to them is
+// lost and nothing comes from them, while they stay open and new ones work.
+type Listener struct {
+	net.Listener
+
+	mu   sync.Mutex
+	open map[*connection]struct{}
+}
+
+// NewListener returns a Listener over the one given.
+func NewListener(l net.Listener) *Listener {
+	return &Listener{Listener: l, open: map[*connection]struct{}{}}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &connection{Conn: accepted, listener: l}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[c] = struct{}{}
+	return c, nil
+}
+
+// Silence makes the connections that are open now silent for good and returns
+// how many they are. The one that the context belongs to is left alone.
+func (l *Listener) Silence(ctx context.Context) int {
+	own, _ := ctx.Value(connectionKey{}).(*connection)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for c := range l.open {
+		if c != own && !c.silent.Swap(true) {
+			n++
+		}
+	}
+	return n
+}
+
+func (l *Listener) forget(c *connection) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
+}
+
+// connection is a connection that can go silent.
+type connection struct {
+	net.Conn
+	listener *Listener
+	silent   atomic.Bool
+}
+
+// Read implements net.Conn. On a silent connection it drops what arrives.
+func (c *connection) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil {
+			return 0, err
+		}
+		if !c.silent.Load() {
+			return n, nil
+		}
+	}
+}
+
+// Write implements net.Conn. On a silent connection it drops what is sent.
+func (c *connection) Write(b []byte) (int, error) {
+	if c.silent.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// Close implements net.Conn.
+func (c *connection) Close() error {
+	c.listener.forget(c)
+	return c.Conn.Close()
+}
+
+type connectionKey struct{}
+
+// WithConnection is an http.Server's ConnContext that lets Silence tell the
+// connection of a request.
+func WithConnection(ctx context.Context, c net.Conn) context.Context {
+	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = wrapped.NetConn()
+	}
+	return context.WithValue(ctx, connectionKey{}, c)
+}
+
+// Silenced is the answer to POST /silence.
+type Silenced struct{ Connections int }
+
+// WithSilence returns the handler with POST /silence beside it, which makes
+// all other connections of the listener silent.
+func (l *Listener) WithSilence(next http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /silence", func(w http.ResponseWriter, r *http.Request) {
+		WriteJSON(w, http.StatusOK, Silenced{Connections: l.Silence(r.Context())})
+	})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/silence" {
+			mux.ServeHTTP(w, r)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/internal/fakeservice/handler.go
@@ -0,0 +1,96 @@
+package fakeservice
+
+import (
+	"cmp"
+	"net/http"
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/faker"
+)
+
+// handler serves a Service over HTTP.
+type handler struct{ service *Service }
+
+// Handler returns the service's HTTP face: GET /counts, GET /status?Key=,
+// GET and PUT /faults, GET /healthz; any other request is executed.
+func (s *Service) Handler() http.Handler {
+	h := &handler{service: s}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /counts", h.counts)
+	mux.HandleFunc("GET /status", h.status)
+	mux.HandleFunc("GET /faults", h.faults)
+	mux.HandleFunc("PUT /faults", h.setFaults)
+	mux.HandleFunc("GET /healthz", faker.Healthz)
+	mux.HandleFunc("/", h.execute)
+	return mux
+}
+
+func (h *handler) counts(w http.ResponseWriter, _ *http.Request) {
+	faker.WriteJSON(w, http.StatusOK, h.service.Counts())
+}
+
+func (h *handler) status(w http.ResponseWriter, r *http.Request) {
+	faker.WriteJSON(w, http.StatusOK, h.service.Status(r.URL.Query().Get("Key")))
+}
+
+func (h *handler) faults(w http.ResponseWriter, _ *http.Request) {
+	faker.WriteJSON(w, http.StatusOK, h.service.Faults())
+}
+
+func (h *handler) setFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if !faker.ReadJSON(w, r, &faults) {
+		return
+	}
+	h.service.SetFaults(faults)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// execute executes one request under the faults in force.
+func (h *handler) execute(w http.ResponseWriter, r *http.Request) {
+	body, ok := faker.ReadBody(w, r)
+	if !ok {
+		return
+	}
+	h.service.receive()
+	faults := h.service.takeFaults()
+	before(r, faults)
+	if faults.Refuse {
+		faker.WriteProblem(w, http.StatusServiceUnavailable, "the service refuses for now")
+		return
+	}
+	time.Sleep(faults.Delay)
+	echo := h.service.Execute(newRequest(r, body))
+	after(r, faults)
+	if faults.Fail {
+		faker.WriteProblem(w, http.StatusInternalServerError, "the service failed after executing")
+		return
+	}
+	faker.WriteJSON(w, http.StatusOK, echo)
+}
+
+// newRequest returns the request as the service counts it.
+func newRequest(r *http.Request, body []byte) Request {
+	key := cmp.Or(r.Header.Get("Idempotency-Key"), r.Header.Get("Wigeonstand-Key"), bodyKey(body))
+	return Request{Key: key, Method: r.Method, Path: r.URL.RequestURI(), Body: string(body)}
+}
+
+// before strikes the request before it is executed.
+func before(r *http.Request, faults Faults) {
+	if faults.CloseBefore {
+		faker.Abort()
+	}
+	if faults.HangBefore {
+		faker.Hang(r)
+	}
+}
+
+// after strikes the request after it was executed.
+func after(r *http.Request, faults Faults) {
+	if faults.CloseAfter {
+		faker.Abort()
+	}
+	if faults.HangAfter {
+		faker.Hang(r)
+	}
+}
