--- /dev/null
+++ b/internal/fakeservice/service_test.go
@@ -0,0 +1,184 @@
+package fakeservice_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+
+	"github.com/wigeonstand/wigeonstand/internal/faker"
+	"github.com/wigeonstand/wigeonstand/internal/fakeservice"
+	"github.com/wigeonstand/wigeonstand/internal/logger"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// face is a service served in memory.
+type face struct {
+	*testing.T
+	service *fakeservice.Service
+	client  *http.Client
+}
+
+func withService(t *testing.T, test func(f face), options ...fakeservice.Option) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		service := fakeservice.New("fees", options...)
+		listener := faker.NewPipeListener()
+		transport := listener.Transport()
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() {
+			done <- faker.Server{Grace: time.Second}.ServeOn(ctx, logger.Discard(), listener, service.Handler())
+		}()
+		test(face{t, service, &http.Client{Transport: transport}})
+		transport.CloseIdleConnections()
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// do sends a request within a minute; status 0 is a cut or silent connection.
+func (f face) do(method, path, header, body string) (int, string) {
+	f.Helper()
+	ctx, cancel := context.WithTimeout(f.Context(), time.Minute)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, "http://service"+path, strings.NewReader(body))
+	if err != nil {
+		f.Fatal(err)
+	}
+	if header != "" {
+		r.Header.Set(header, "k")
+	}
+	response, err := f.client.Do(r)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		f.Fatal(err)
+	}
+	return response.StatusCode, string(answer)
+}
+
+func (f face) same(want, got any) {
+	f.Helper()
+	if diff := cmp.Diff(want, got); diff != "" {
+		f.Error(diff)
+	}
+}
+
+// executed returns the number of executions.
+func (f face) executed() int { return f.service.Counts().Executed }
+
+func TestExecutionsAreCountedAndEchoed(t *testing.T) {
+	withService(t, func(f face) {
+		for _, header := range []string{"Idempotency-Key", "Wigeonstand-Key"} {
+			status, body := f.do("POST", "/postings?a=b", header, "250 cents")
+			f.same(http.StatusOK, status)
+			var echo fakeservice.Echo
+			if err := json.Unmarshal([]byte(body), &echo); err != nil {
+				f.Fatal(err)
+			}
+			f.same(fakeservice.Echo{
+				Key: "k", Method: "POST", Path: "/postings?a=b", Body: "250 cents", Execution: f.executed(),
+			}, echo)
+		}
+		_, _ = f.do("POST", "/postings?a=b", "", `{"Key":"k","Cents":250}`)
+		counts := f.service.Counts()
+		f.same([]int{3, 3, 2}, []int{counts.Received, counts.Executed, len(counts.Executions)})
+		f.same(2, counts.Executions[0].Count+counts.Executions[1].Count-1)
+	})
+}
+
+func TestHonouredKeyIsExecutedOnce(t *testing.T) {
+	withService(t, func(f face) {
+		_, first := f.do("POST", "/postings", "Idempotency-Key", "x")
+		_, second := f.do("POST", "/postings", "Idempotency-Key", "x")
+		f.same(first, second)
+		counts := f.service.Counts()
+		f.same([]int{2, 1, 1}, []int{counts.Received, counts.Executed, counts.Repeated})
+	}, fakeservice.WithHonouredKeys())
+}
+
+func TestStatusTellsDoneFromAbsent(t *testing.T) {
+	withService(t, func(f face) {
+		_, body := f.do("GET", "/status?Key=k", "", "")
+		f.same(`{"State":"Absent"}`+"\n", body)
+		_, _ = f.do("POST", "/postings", "Idempotency-Key", "x")
+		_, body = f.do("GET", "/status?Key=k", "", "")
+		f.same(`{"State":"Done"}`+"\n", body)
+		f.same(1, f.executed())
+	})
+}
+
+func TestFaultsStrikeBeforeOrAfterExecution(t *testing.T) {
+	tests := []struct {
+		name     string
+		faults   fakeservice.Faults
+		status   int
+		executed int
+	}{
+		{"refuse", fakeservice.Faults{Refuse: true}, http.StatusServiceUnavailable, 0},
+		{"fail", fakeservice.Faults{Fail: true}, http.StatusInternalServerError, 1},
+		{"close before", fakeservice.Faults{CloseBefore: true}, 0, 0},
+		{"close after", fakeservice.Faults{CloseAfter: true}, 0, 1},
+		{"hang before", fakeservice.Faults{HangBefore: true}, 0, 0},
+		{"hang after", fakeservice.Faults{HangAfter: true}, 0, 1},
+		{"delay within the caller's time", fakeservice.Faults{Delay: time.Second}, http.StatusOK, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withService(t, func(f face) {
+				test.faults.Times = 1
+				f.service.SetFaults(test.faults)
+				status, _ := f.do("POST", "/postings", "", "x")
+				f.same([]int{test.status, test.executed}, []int{status, f.executed()})
+				status, _ = f.do("POST", "/postings", "", "x")
+				f.same([]int{http.StatusOK, test.executed + 1}, []int{status, f.executed()})
+			})
+		})
+	}
+}
+
+func TestDelayedRequestIsExecutedAfterItsCallerLeft(t *testing.T) {
+	withService(t, func(f face) {
+		f.service.SetFaults(fakeservice.Faults{Delay: 2 * time.Minute})
+		status, _ := f.do("POST", "/postings", "Idempotency-Key", "x")
+		f.same([]any{0, fakeservice.StateAbsent}, []any{status, f.service.Status("k").State})
+		time.Sleep(2 * time.Minute)
+		f.same(fakeservice.StateDone, f.service.Status("k").State)
+	})
+}
+
+// Go's client repeats a request that a reused connection swallowed when it
+// carries an Idempotency-Key: the service executes it twice.
+func TestClientRepeatsAnIdempotencyKeyOnAReusedConnection(t *testing.T) {
+	tests := []struct {
+		header   string
+		executed int
+	}{
+		{"Idempotency-Key", 2},
+		{"Wigeonstand-Key", 1},
+	}
+	for _, test := range tests {
+		t.Run(test.header, func(t *testing.T) {
+			withService(t, func(f face) {
+				_, _ = f.do("GET", "/counts", "", "")
+				f.service.SetFaults(fakeservice.Faults{CloseAfter: true, Times: 1})
+				_, _ = f.do("POST", "/postings", test.header, "x")
+				f.same(test.executed, f.executed())
+			})
+		})
+	}
+}
