--- /dev/null
+++ b/internal/compiler/compile.go
@@ -0,0 +1,216 @@
+package compiler
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/wigeonstand/wigeonstand/internal/loader"
+)
+
+// Empty returns the version of a document without sections: nothing may be
+// called, and the policy is the default one.
+func Empty() *Version {
+	version, err := Compile(Document{})
+	if err != nil {
+		panic(err)
+	}
+	return version
+}
+
+// Compile checks the whole document and returns the version made from it. The
+// error, of type loader.Errors, holds every fault that was found.
+func Compile(document Document) (*Version, error) {
+	c := &compiling{places: map[string]*loader.Places{}}
+	c.policyFile.Policy = policyEntry(DefaultPolicy())
+	c.loadSections(document)
+	c.checkBusinesses()
+	c.checkAgents()
+	c.checkBudgets()
+	c.checkPrecedence()
+	c.checkEndpoints()
+	c.checkServices()
+	c.checkOperators()
+	c.checkKeys()
+	if err := c.errors.Err(); err != nil {
+		return nil, err
+	}
+	return c.version(document.Number), nil
+}
+
+// compiling is the state of one call of Compile.
+type compiling struct {
+	content
+	places map[string]*loader.Places
+	errors loader.Errors
+}
+
+func (c *compiling) loadSections(document Document) {
+	seen := map[string]loader.Position{}
+	for _, section := range document.Sections {
+		at := loader.Position{File: section.File, Line: max(section.Line, 1), Column: 1}
+		if rival, again := seen[section.Name]; again {
+			c.errors.Add(at, section.Name, "section %s is given twice, first at %s", section.Name, rival)
+			continue
+		}
+		seen[section.Name] = at
+		c.loadSection(section, at)
+	}
+}
+
+func (c *compiling) loadSection(section Section, at loader.Position) {
+	into := c.fileOf(section.Name)
+	if into == nil {
+		c.errors.Add(at, section.Name, "unknown section %q", section.Name)
+		return
+	}
+	if c.refuseMarkers(section, at) {
+		return
+	}
+	places, err := loader.Load(sourceOf(section), into)
+	c.places[section.Name] = places
+	c.errors = append(c.errors, loader.AsErrors(err)...)
+	if err == nil && !places.Holds(section.Name) {
+		c.errors.Add(at, section.Name, "the text must begin with %s:", section.Name)
+	}
+}
+
+// refuseMarkers keeps the sections fit to be joined into one file.
+func (c *compiling) refuseMarkers(section Section, at loader.Position) bool {
+	for i, line := range strings.Split(section.Text, "\n") {
+		if isMarker(line) {
+			at.Line += i
+			c.errors.Add(at, section.Name, "document markers are not supported")
+			return true
+		}
+	}
+	return false
+}
+
+func (c *compiling) fileOf(section string) any {
+	switch section {
+	case SectionBusinesses:
+		return &c.businessesFile
+	case SectionAgents:
+		return &c.agentsFile
+	case SectionBudgets:
+		return &c.budgetsFile
+	case SectionPrecedence:
+		return &c.precedenceFile
+	case SectionEndpoints:
+		return &c.endpointsFile
+	case SectionServices:
+		return &c.servicesFile
+	case SectionOperators:
+		return &c.operatorsFile
+	case SectionPolicy:
+		return &c.policyFile
+	}
+	return nil
+}
+
+// at returns the position of a value. The path begins with the section's name.
+func (c *compiling) at(path string) loader.Position {
+	section, _, _ := strings.Cut(path, "[")
+	if places := c.places[section]; places != nil {
+		return places.At(path)
+	}
+	return loader.Position{}
+}
+
+func (c *compiling) fail(path, format string, args ...any) {
+	c.errors.Add(c.at(path), path, format, args...)
+}
+
+// field returns the path of one field of one entry of a section.
+func field(section string, i int, name string) string {
+	return fmt.Sprintf("%s[%d].%s", section, i, name)
+}
+
+// unique remembers where each key was first given.
+type unique map[string]string
+
+// claim records the path for the key and fails if another one holds it.
+func (c *compiling) claim(taken unique, key, path, what string) {
+	if rival, again := taken[key]; again {
+		c.fail(path, "%s is given twice, first at %s", what, c.at(rival))
+		return
+	}
+	taken[key] = path
+}
+
+func (c *compiling) version(number int64) *Version {
+	v := &Version{
+		Number:     number,
+		Businesses: map[string]*Business{},
+		Agents:     map[string]*Agent{},
+		Endpoints:  map[string]*Endpoint{},
+		Services:   map[string]*Service{},
+		Operators:  map[string]*Operator{},
+		Policy:     Policy(c.Policy),
+	}
+	c.addBusinesses(v)
+	c.addAgents(v)
+	c.addBudgets(v)
+	c.addPrecedence(v)
+	for _, e := range c.Endpoints {
+		v.Endpoints[e.Name] = &Endpoint{
+			Name: e.Name, Address: e.Address, DataCentre: e.DataCentre, Service: e.Service,
+			Models: slices.Clone(e.Models), Slots: e.Slots, CacheTokens: e.CacheTokens,
+			ChecksFence: e.ChecksFence, TLS: e.TLS, Leaving: e.Leaving,
+		}
+	}
+	for _, e := range c.Services {
+		service := Service(e)
+		v.Services[e.Name] = &service
+	}
+	for _, e := range c.Operators {
+		v.Operators[e.Name] = &Operator{Name: e.Name, KeyHash: e.KeyHash, Sections: slices.Clone(e.Sections)}
+	}
+	return v
+}
+
+func (c *compiling) addBusinesses(v *Version) {
+	for _, e := range c.Businesses {
+		v.Businesses[e.Name] = &Business{
+			Name: e.Name, Weight: e.Weight, RetryShare: e.RetryShare, KeyHashes: slices.Clone(e.KeyHashes),
+		}
+	}
+}
+
+func (c *compiling) addAgents(v *Version) {
+	for _, e := range c.Agents {
+		v.Agents[AgentName(e.Business, e.Name)] = &Agent{
+			Business: e.Business, Name: e.Name, Model: e.Model, Adapter: e.Adapter,
+			Instructions: e.Instructions, MaxTurns: e.MaxTurns, MaxOutput: e.MaxOutput,
+			MaxHistory: e.MaxHistory, WallLimit: e.WallLimit, IdleTimeout: e.IdleTimeout,
+			ToolPause: e.ToolPause,
+		}
+	}
+}
+
+func (c *compiling) addBudgets(v *Version) {
+	for _, e := range c.Budgets {
+		if e.Agent == "" {
+			v.Businesses[e.Business].Budget = e.Tokens
+			continue
+		}
+		v.Agents[AgentName(e.Business, e.Agent)].Budget = e.Tokens
+	}
+}
+
+// addPrecedence counts from 1; agent programs that are not named come last.
+func (c *compiling) addPrecedence(v *Version) {
+	orders := map[string][]string{}
+	for _, e := range c.Precedence {
+		orders[e.Business] = e.Order
+	}
+	for _, agent := range v.Agents {
+		order := orders[agent.Business]
+		place := slices.Index(order, agent.Name)
+		if place < 0 {
+			place = len(order)
+		}
+		agent.Precedence = place + 1
+	}
+}
--- /dev/null
+++ b/internal/compiler/entries.go
@@ -0,0 +1,139 @@
+package compiler
+
+import (
+	"net/netip"
+	"time"
+)
+
+// The structures below are the sections as operators write them.
+
+type businessesFile struct {
+	Businesses []businessEntry `validate:"dive"`
+}
+
+type businessEntry struct {
+	Name       string   `validate:"name"`
+	Weight     int      `validate:"min=1,max=1000"`
+	RetryShare float64  `validate:"min=0,max=1"`
+	KeyHashes  []string `validate:"dive,keyhash"`
+}
+
+type agentsFile struct {
+	Agents []agentEntry `validate:"dive"`
+}
+
+type agentEntry struct {
+	Business     string        `validate:"name"`
+	Name         string        `validate:"name"`
+	Model        string        `validate:"model"`
+	Adapter      string        `validate:"omitempty,model"`
+	Instructions string        `validate:"max=65536"`
+	MaxTurns     int           `validate:"min=1"`
+	MaxOutput    int           `validate:"min=1"`
+	MaxHistory   int           `validate:"min=1"`
+	WallLimit    time.Duration `validate:"min=1s"`
+	IdleTimeout  time.Duration `validate:"min=1s"`
+	ToolPause    time.Duration `validate:"min=0s"`
+}
+
+type budgetsFile struct {
+	Budgets []budgetEntry `validate:"dive"`
+}
+
+type budgetEntry struct {
+	Business string `validate:"name"`
+	// Agent is empty for the budget of the whole business.
+	Agent  string `validate:"omitempty,name"`
+	Tokens int    `validate:"min=1"`
+}
+
+type precedenceFile struct {
+	Precedence []precedenceEntry `validate:"dive"`
+}
+
+type precedenceEntry struct {
+	Business string `validate:"name"`
+	// Order names agent programs, the most urgent first.
+	Order []string `validate:"min=1,dive,name"`
+}
+
+type endpointsFile struct {
+	Endpoints []endpointEntry `validate:"dive"`
+}
+
+type endpointEntry struct {
+	Name        string         `validate:"name"`
+	Address     netip.AddrPort `validate:"required"`
+	DataCentre  string         `validate:"name"`
+	Service     string         `validate:"omitempty,name"`
+	Models      []string       `validate:"dive,model"`
+	Slots       int            `validate:"min=1"`
+	CacheTokens int            `validate:"min=0"`
+	ChecksFence bool
+	TLS         bool
+	Leaving     bool
+}
+
+type servicesFile struct {
+	Services []serviceEntry `validate:"dive"`
+}
+
+type serviceEntry struct {
+	Name       string `validate:"name"`
+	Business   string `validate:"omitempty,name"`
+	Repeatable bool
+	HonoursKey bool
+	StatusPath string        `validate:"omitempty,urlpath"`
+	Timeout    time.Duration `validate:"min=1ms"`
+}
+
+type operatorsFile struct {
+	Operators []operatorEntry `validate:"dive"`
+}
+
+type operatorEntry struct {
+	Name     string   `validate:"name"`
+	KeyHash  string   `validate:"keyhash"`
+	Sections []string `validate:"min=1"`
+}
+
+type policyFile struct {
+	Policy policyEntry
+}
+
+type policyEntry struct {
+	Queue       string        `validate:"oneof=LeastAttained FirstCome ShortestCall"`
+	Routing     string        `validate:"oneof=Affinity TwoChoices LeastLoaded RoundRobin Random"`
+	StarveAfter time.Duration `validate:"min=1ms"`
+	QueueLimit  int           `validate:"min=1"`
+}
+
+// content is the whole document as operators wrote it.
+type content struct {
+	businessesFile
+	agentsFile
+	budgetsFile
+	precedenceFile
+	endpointsFile
+	servicesFile
+	operatorsFile
+	policyFile
+}
+
+// The policy of a document that does not choose one.
+const (
+	defaultQueue       = "LeastAttained"
+	defaultRouting     = "Affinity"
+	defaultStarveAfter = 30 * time.Second
+	defaultQueueLimit  = 1000
+)
+
+// DefaultPolicy returns the policy of a document that does not choose one.
+func DefaultPolicy() Policy {
+	return Policy{
+		Queue:       defaultQueue,
+		Routing:     defaultRouting,
+		StarveAfter: defaultStarveAfter,
+		QueueLimit:  defaultQueueLimit,
+	}
+}
--- /dev/null
+++ b/internal/loader/errors.go
@@ -0,0 +1,95 @@
+package loader
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Position is a place in a file. Lines and columns count from 1.
+type Position struct {
+	File   string
+	Line   int
+	Column int
+}
+
+// String returns the position as file:line:column.
+func (p Position) String() string {
+	return fmt.Sprintf("%s:%d:%d", p.File, p.Line, p.Column)
+}
+
+// Compare orders positions by file, line and column.
+func (p Position) Compare(other Position) int {
+	return cmp.Or(
+		cmp.Compare(p.File, other.File),
+		cmp.Compare(p.Line, other.Line),
+		cmp.Compare(p.Column, other.Column),
+	)
+}
+
+// Error is one fault found in a text.
+type Error struct {
+	Position
+	// Field is the path of the value, such as Agents[2].Model; empty if the
+	// text could not be read as YAML.
+	Field   string
+	Message string
+}
+
+// String returns the error as one line.
+func (e Error) String() string {
+	return fmt.Sprintf("%s: %s", e.Position, e.Message)
+}
+
+// Errors is every fault found in one or more texts. An empty Errors is not an
+// error; Err turns it into nil.
+type Errors []Error
+
+// Error implements error with one line per fault.
+func (e Errors) Error() string {
+	lines := make([]string, len(e))
+	for i, fault := range e {
+		lines[i] = fault.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Add appends a fault with a formatted message.
+func (e *Errors) Add(position Position, field, format string, args ...any) {
+	*e = append(*e, Error{Position: position, Field: field, Message: fmt.Sprintf(format, args...)})
+}
+
+// Err returns the faults sorted by position, or nil if there are none.
+func (e Errors) Err() error {
+	if len(e) == 0 {
+		return nil
+	}
+	sorted := slices.Clone(e)
+	slices.SortStableFunc(sorted, func(a, b Error) int {
+		return cmp.Or(a.Compare(b.Position), cmp.Compare(a.Field, b.Field))
+	})
+	return sorted
+}
+
+// Has says whether a fault has been found at the field or inside it.
+func (e Errors) Has(field string) bool {
+	return slices.ContainsFunc(e, func(fault Error) bool {
+		rest, inside := strings.CutPrefix(fault.Field, field)
+		return inside && (rest == "" || rest[0] == '.' || rest[0] == '[')
+	})
+}
+
+// AsErrors returns the faults inside err; an error without any becomes one
+// fault without a position.
+func AsErrors(err error) Errors {
+	if err == nil {
+		return nil
+	}
+	var faults Errors
+	if errors.As(err, &faults) {
+		return faults
+	}
+	return Errors{{Message: err.Error()}}
+}
--- /dev/null
+++ b/internal/loader/places.go
@@ -0,0 +1,54 @@
+package loader
+
+import "strings"
+
+// Places tells where the values of a loaded text stand.
+type Places struct {
+	root  Position
+	paths map[string]Position
+	// keys holds the positions of the keys of mappings.
+	keys map[string]Position
+}
+
+func newPlaces(source Source) *Places {
+	return &Places{root: source.position(nil), paths: map[string]Position{}, keys: map[string]Position{}}
+}
+
+// At returns the position of the value at the path, such as Agents[2].Model.
+// For a value that the text does not hold it is that of the nearest value
+// around it.
+func (p *Places) At(path string) Position {
+	for path != "" {
+		if position, ok := p.paths[path]; ok {
+			return position
+		}
+		path = parent(path)
+	}
+	return p.root
+}
+
+// Key returns the position of the key of the field at the path, or that of the
+// text if it does not hold the field.
+func (p *Places) Key(path string) Position {
+	if position, ok := p.keys[path]; ok {
+		return position
+	}
+	return p.root
+}
+
+// Holds says whether the text holds a value at the path.
+func (p *Places) Holds(path string) bool {
+	_, ok := p.paths[path]
+	return ok
+}
+
+func parent(path string) string {
+	return path[:max(strings.LastIndexAny(path, ".["), 0)]
+}
+
+func join(path, field string) string {
+	if path == "" {
+		return field
+	}
+	return path + "." + field
+}
