--- /dev/null
+++ b/internal/certifier/certifier.go
@@ -0,0 +1,204 @@
+// Package certifier owns the TLS configurations of the process: it loads key
+// pairs and authorities from files, takes changed files into use without a
+// restart, and issues certificates for demonstrations and tests. It does not
+// own which connections are secured, nor callers' keys.
+package certifier
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonstand/wigeonstand/internal/logger"
+	"github.com/wigeonstand/wigeonstand/internal/meter"
+)
+
+const (
+	defaultInterval = 5 * time.Second
+	defaultWarning  = 14 * 24 * time.Hour
+	// warningInterval is the time between two warnings of one certificate.
+	warningInterval = time.Hour
+)
+
+// Files names the PEM files of one side of a connection.
+type Files struct {
+	Certificate string
+	Key         string
+	// Authority is empty if the peer's certificate is not checked (server) or
+	// is checked against the system's authorities (client).
+	Authority string
+}
+
+// Certifier holds the key pair and authority of one set of files, and follows
+// changes of the files while Run runs. It is safe for concurrent use.
+type Certifier struct {
+	files    Files
+	interval time.Duration
+	warning  time.Duration
+	log      *logger.Logger
+	expiry   prometheus.Gauge
+
+	current  atomic.Pointer[material]
+	warnedAt time.Time
+}
+
+// material is what was loaded from the files at one time.
+type material struct {
+	pair     *tls.Certificate
+	pool     *x509.CertPool
+	expires  time.Time
+	modified [3]time.Time
+}
+
+// Option sets one property of a Certifier.
+type Option func(*Certifier)
+
+// WithInterval sets how often the files are looked at.
+func WithInterval(d time.Duration) Option { return func(c *Certifier) { c.interval = d } }
+
+// WithWarning sets how long before its end a certificate is warned of.
+func WithWarning(d time.Duration) Option { return func(c *Certifier) { c.warning = d } }
+
+// WithLogger sets where events are logged.
+func WithLogger(l *logger.Logger) Option { return func(c *Certifier) { c.log = l } }
+
+// WithMeter publishes the end of the certificate, as a Unix time, under the
+// name given, which must be unique in the meter.
+func WithMeter(m *meter.Meter, name string) Option {
+	return func(c *Certifier) {
+		c.expiry = m.NewGauge(name, "End of the certificate's validity, as a Unix time in seconds.")
+	}
+}
+
+// New loads the files and returns a Certifier.
+func New(files Files, options ...Option) (*Certifier, error) {
+	c := &Certifier{
+		files:    files,
+		interval: defaultInterval,
+		warning:  defaultWarning,
+		log:      logger.Discard(),
+	}
+	for _, option := range options {
+		option(c)
+	}
+	loaded, err := load(files)
+	if err != nil {
+		return nil, err
+	}
+	c.use(loaded)
+	return c, nil
+}
+
+// Run takes changed files into use until ctx ends. Files that can't be loaded
+// leave what is in use as it is.
+func (c *Certifier) Run(ctx context.Context) error {
+	ticker := time.NewTicker(c.interval)
+	defer ticker.Stop()
+	for {
+		c.warn()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			c.reload()
+		}
+	}
+}
+
+// Expires returns the end of the certificate's validity; zero if there is none.
+func (c *Certifier) Expires() time.Time { return c.current.Load().expires }
+
+func (c *Certifier) use(loaded *material) {
+	c.current.Store(loaded)
+	if c.expiry != nil && !loaded.expires.IsZero() {
+		c.expiry.Set(float64(loaded.expires.Unix()))
+	}
+}
+
+func (c *Certifier) reload() {
+	if c.current.Load().modified == c.files.modified() {
+		return
+	}
+	loaded, err := load(c.files)
+	if err != nil {
+		c.log.Log(reloadFailed, "Certificate", c.files.Certificate, "Cause", err)
+		return
+	}
+	c.use(loaded)
+	c.warnedAt = time.Time{}
+	c.log.Log(reloaded, "Certificate", c.files.Certificate, "Expires", loaded.expires)
+}
+
+func (c *Certifier) warn() {
+	expires := c.Expires()
+	if expires.IsZero() || time.Until(expires) > c.warning {
+		return
+	}
+	if !c.warnedAt.IsZero() && time.Since(c.warnedAt) < warningInterval {
+		return
+	}
+	c.warnedAt = time.Now()
+	c.log.Log(expiresSoon, "Certificate", c.files.Certificate, "Expires", expires)
+}
+
+// modified returns the times at which the files were last changed; zero for
+// one that is missing.
+func (f Files) modified() [3]time.Time {
+	var times [3]time.Time
+	for i, name := range []string{f.Certificate, f.Key, f.Authority} {
+		if name == "" {
+			continue
+		}
+		if info, err := os.Stat(name); err == nil {
+			times[i] = info.ModTime()
+		}
+	}
+	return times
+}
+
+// load reads the files. The times are taken first, so that a change during the
+// load is seen as a change at the next look.
+func load(files Files) (*material, error) {
+	loaded := &material{modified: files.modified()}
+	if err := loaded.loadPair(files); err != nil {
+		return nil, err
+	}
+	if err := loaded.loadAuthority(files); err != nil {
+		return nil, err
+	}
+	return loaded, nil
+}
+
+func (m *material) loadPair(files Files) error {
+	if files.Certificate == "" && files.Key == "" {
+		return nil
+	}
+	pair, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
+	if err != nil {
+		return eris.Wrapf(err, "load key pair of %s", files.Certificate)
+	}
+	m.pair = &pair
+	m.expires = pair.Leaf.NotAfter
+	return nil
+}
+
+func (m *material) loadAuthority(files Files) error {
+	if files.Authority == "" {
+		return nil
+	}
+	text, err := os.ReadFile(files.Authority)
+	if err != nil {
+		return eris.Wrapf(err, "load authority %s", files.Authority)
+	}
+	m.pool = x509.NewCertPool()
+	if !m.pool.AppendCertsFromPEM(text) {
+		return eris.Errorf("authority %s holds no certificate", files.Authority)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/certifier/config.go
@@ -0,0 +1,73 @@
+package certifier
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+
+	"github.com/rotisserie/eris"
+)
+
+var errNoPair = eris.New("no key pair is configured")
+
+// Server returns a configuration that shows the certificate and does not ask
+// for the peer's. Each handshake uses the files as last loaded.
+func (c *Certifier) Server() *tls.Config {
+	return &tls.Config{
+		MinVersion:     tls.VersionTLS13,
+		GetCertificate: c.serverPair,
+		NextProtos:     []string{"http/1.1"},
+	}
+}
+
+// MutualServer returns a configuration that requires a certificate of the
+// authority from the peer. Each handshake uses the files as last loaded.
+func (c *Certifier) MutualServer() *tls.Config {
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		GetCertificate:     c.serverPair,
+		GetConfigForClient: c.mutual,
+	}
+}
+
+func (c *Certifier) mutual(*tls.ClientHelloInfo) (*tls.Config, error) {
+	authorities := c.current.Load().pool
+	if authorities == nil {
+		authorities = x509.NewCertPool()
+	}
+	return &tls.Config{
+		MinVersion:     tls.VersionTLS13,
+		GetCertificate: c.serverPair,
+		ClientAuth:     tls.RequireAndVerifyClientCert,
+		ClientCAs:      authorities,
+		// A resumed session would outlive a change of the authority.
+		SessionTicketsDisabled: true,
+	}, nil
+}
+
+// Client returns a configuration that checks the server's certificate against
+// the authority last loaded, and shows the own certificate if there is one and
+// the server asks. Call it for each connection, so that a changed authority is
+// taken into use.
+func (c *Certifier) Client() *tls.Config {
+	return &tls.Config{
+		MinVersion:           tls.VersionTLS13,
+		RootCAs:              c.current.Load().pool,
+		GetClientCertificate: c.clientPair,
+	}
+}
+
+func (c *Certifier) serverPair(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+	pair := c.current.Load().pair
+	if pair == nil {
+		return nil, errNoPair
+	}
+	return pair, nil
+}
+
+func (c *Certifier) clientPair(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+	pair := c.current.Load().pair
+	if pair == nil {
+		return &tls.Certificate{}, nil
+	}
+	return pair, nil
+}
--- /dev/null
+++ b/internal/certifier/issuer.go
@@ -0,0 +1,136 @@
+package certifier
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// serialBits is the length of a certificate's random serial number.
+	serialBits = 120
+	// backdate covers clocks that are behind the issuer's.
+	backdate = time.Minute
+
+	secretMode    os.FileMode = 0o600
+	publicMode    os.FileMode = 0o644
+	directoryMode os.FileMode = 0o755
+)
+
+// Issuer makes certificates for demonstrations and tests. Its authority's key
+// is kept in memory only.
+type Issuer struct {
+	directory   string
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+// NewIssuer makes an authority and writes its certificate to authority.pem in
+// the directory.
+func NewIssuer(directory string, life time.Duration) (*Issuer, error) {
+	if err := os.MkdirAll(directory, directoryMode); err != nil {
+		return nil, eris.Wrap(err, "make directory")
+	}
+	template, err := newTemplate("wigeonstand authority", life)
+	if err != nil {
+		return nil, err
+	}
+	template.IsCA = true
+	template.KeyUsage = x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, eris.Wrap(err, "generate key")
+	}
+	issuer := &Issuer{directory: directory, certificate: template, key: key}
+	der, err := issuer.sign(template, key)
+	if err != nil {
+		return nil, err
+	}
+	if issuer.certificate, err = x509.ParseCertificate(der); err != nil {
+		return nil, eris.Wrap(err, "parse authority")
+	}
+	return issuer, writePEM(issuer.authority(), "CERTIFICATE", der, publicMode)
+}
+
+// Issue makes a key pair for servers and clients with the addresses, and
+// writes it to NAME.pem and NAME-key.pem. Issuing a name again replaces both
+// files, the key first.
+func (i *Issuer) Issue(name string, life time.Duration, addresses ...netip.Addr) (Files, error) {
+	template, err := newTemplate(name, life)
+	if err != nil {
+		return Files{}, err
+	}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	for _, address := range addresses {
+		template.IPAddresses = append(template.IPAddresses, net.IP(address.AsSlice()))
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Files{}, eris.Wrap(err, "generate key")
+	}
+	der, err := i.sign(template, key)
+	if err != nil {
+		return Files{}, err
+	}
+	return i.write(name, der, key)
+}
+
+func (i *Issuer) sign(template *x509.Certificate, key *ecdsa.PrivateKey) ([]byte, error) {
+	der, err := x509.CreateCertificate(rand.Reader, template, i.certificate, &key.PublicKey, i.key)
+	return der, eris.Wrap(err, "sign certificate")
+}
+
+func (i *Issuer) authority() string { return filepath.Join(i.directory, "authority.pem") }
+
+func (i *Issuer) write(name string, der []byte, key *ecdsa.PrivateKey) (Files, error) {
+	files := Files{
+		Certificate: filepath.Join(i.directory, name+".pem"),
+		Key:         filepath.Join(i.directory, name+"-key.pem"),
+		Authority:   i.authority(),
+	}
+	secret, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return Files{}, eris.Wrap(err, "encode key")
+	}
+	if err := writePEM(files.Key, "PRIVATE KEY", secret, secretMode); err != nil {
+		return Files{}, err
+	}
+	return files, writePEM(files.Certificate, "CERTIFICATE", der, publicMode)
+}
+
+func newTemplate(name string, life time.Duration) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, eris.Wrap(err, "draw serial number")
+	}
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber:          serial,
+		Subject:               pkix.Name{CommonName: name},
+		NotBefore:             now.Add(-backdate),
+		NotAfter:              now.Add(life),
+		BasicConstraintsValid: true,
+	}, nil
+}
+
+// writePEM replaces the file in one step.
+func writePEM(name, kind string, der []byte, mode os.FileMode) error {
+	text := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	partial := name + ".partial"
+	if err := os.WriteFile(partial, text, mode); err != nil {
+		return eris.Wrap(err, "write file")
+	}
+	return eris.Wrap(os.Rename(partial, name), "replace file")
+}
--- /dev/null
+++ b/internal/dispatcher/engine.go
@@ -0,0 +1,103 @@
+package dispatcher
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonstand/wigeonstand/internal/compiler"
+	"github.com/wigeonstand/wigeonstand/internal/generator"
+)
+
+// The paths of an engine.
+const (
+	pathGenerate = "/v1/generate"
+	pathCancel   = "/v1/cancel"
+	pathLoad     = "/v1/load"
+	pathHoldings = "/v1/holdings"
+	pathRelease  = "/v1/release"
+	pathEvents   = "/v1/events"
+	pathExport   = "/v1/export"
+	pathImport   = "/v1/import"
+	pathOrders   = "/v1/orders"
+	pathState    = "/v1/state"
+	pathHealth   = "/healthz"
+)
+
+const contentBytes = "application/octet-stream"
+
+// Cancel stops the attempt; an attempt that is not known is not an error.
+func (d *Dispatcher) Cancel(ctx context.Context, endpoint *compiler.Endpoint, request string) error {
+	return d.control(ctx, endpoint, http.MethodPost, pathCancel, generator.CancelRequest{Request: request}, nil)
+}
+
+// Release frees the program's cache entries.
+func (d *Dispatcher) Release(ctx context.Context, endpoint *compiler.Endpoint, program string) error {
+	return d.control(ctx, endpoint, http.MethodPost, pathRelease, generator.ReleaseRequest{Program: program}, nil)
+}
+
+// Load returns the engine's lagging account of itself.
+func (d *Dispatcher) Load(ctx context.Context, endpoint *compiler.Endpoint) (generator.LoadReport, error) {
+	var report generator.LoadReport
+	err := d.control(ctx, endpoint, http.MethodGet, pathLoad, nil, &report)
+	return report, err
+}
+
+// Holdings returns what the engine's cache holds.
+func (d *Dispatcher) Holdings(ctx context.Context, endpoint *compiler.Endpoint) (generator.HoldingReport, error) {
+	var report generator.HoldingReport
+	err := d.control(ctx, endpoint, http.MethodGet, pathHoldings, nil, &report)
+	return report, err
+}
+
+// Events returns the cache events after the number given.
+func (d *Dispatcher) Events(ctx context.Context, endpoint *compiler.Endpoint, after int64) (generator.EventPage, error) {
+	query := url.Values{"After": {strconv.FormatInt(after, 10)}}
+	var page generator.EventPage
+	err := d.control(ctx, endpoint, http.MethodGet, pathEvents+"?"+query.Encode(), nil, &page)
+	return page, err
+}
+
+// Export returns the program's cache entries as opaque bytes.
+func (d *Dispatcher) Export(ctx context.Context, endpoint *compiler.Endpoint, program string) ([]byte, error) {
+	body, err := json.Marshal(generator.ReleaseRequest{Program: program})
+	if err != nil {
+		return nil, eris.Wrap(err, "encode request")
+	}
+	return d.fetch(ctx, endpoint, http.MethodPost, pathExport, contentJSON, body, d.cacheBytes)
+}
+
+// Import adds cache entries that another engine exported.
+func (d *Dispatcher) Import(ctx context.Context, endpoint *compiler.Endpoint, body []byte) error {
+	_, err := d.fetch(ctx, endpoint, http.MethodPost, pathImport, contentBytes, body, d.answerBytes)
+	return err
+}
+
+// SendOrder gives the engine an order. The error is ErrFenced if the engine
+// has seen a higher fencing number.
+func (d *Dispatcher) SendOrder(ctx context.Context, endpoint *compiler.Endpoint, order generator.Order) (generator.OrderReport, error) {
+	var report generator.OrderReport
+	err := d.control(ctx, endpoint, http.MethodPost, pathOrders, order, &report)
+	var failure *Failure
+	if errors.As(err, &failure) && failure.Status == http.StatusConflict {
+		failure.Cause = ErrFenced
+	}
+	return report, err
+}
+
+// State returns what the engine serves.
+func (d *Dispatcher) State(ctx context.Context, endpoint *compiler.Endpoint) (generator.OrderReport, error) {
+	var report generator.OrderReport
+	err := d.control(ctx, endpoint, http.MethodGet, pathState, nil, &report)
+	return report, err
+}
+
+// Ping asks the endpoint whether it is healthy.
+func (d *Dispatcher) Ping(ctx context.Context, endpoint *compiler.Endpoint) error {
+	return d.control(ctx, endpoint, http.MethodGet, pathHealth, nil, nil)
+}
--- /dev/null
+++ b/internal/receiver/exchange.go
@@ -0,0 +1,201 @@
+package receiver
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"path"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonstand/wigeonstand/internal/answerer"
+	"github.com/wigeonstand/wigeonstand/internal/compiler"
+	"github.com/wigeonstand/wigeonstand/internal/requester"
+)
+
+// The headers of the API.
+const (
+	// HeaderRequest carries the request's id on every answer.
+	HeaderRequest = "Wigeonstand-Request"
+	// HeaderTimeout carries the time that the caller waits, as a Go duration.
+	HeaderTimeout = "Wigeonstand-Timeout"
+	// HeaderKey carries the key of a call to a plain service.
+	HeaderKey = "Wigeonstand-Key"
+	// HeaderProgram names the program that a call to a plain service belongs to.
+	HeaderProgram = "Wigeonstand-Program"
+	// HeaderReplayed is "true" when a recorded answer was sent again.
+	HeaderReplayed = "Wigeonstand-Replayed"
+	// HeaderKind carries the kind of a refusal; it is absent from a service's own answer.
+	HeaderKind = "Wigeonstand-Kind"
+)
+
+const contentJSON = "application/json"
+
+// exchange is one request and its answer.
+type exchange struct {
+	receiver *Receiver
+	writer   *statusWriter
+	request  *http.Request
+	id       string
+	version  *compiler.Version
+	business *compiler.Business
+}
+
+// statusWriter remembers whether the answer's header was written.
+type statusWriter struct {
+	http.ResponseWriter
+	wrote bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *statusWriter) WriteHeader(status int) {
+	w.wrote = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *statusWriter) Write(body []byte) (int, error) {
+	w.wrote = true
+	return w.ResponseWriter.Write(body)
+}
+
+// Unwrap gives http.ResponseController the writer underneath.
+func (w *statusWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// handler serves one operation and returns an error to be answered as a refusal.
+type handler func(*exchange) error
+
+// serve returns the handler with everything that all operations share.
+func (r *Receiver) serve(operation string, h handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, request *http.Request) {
+		x := r.newExchange(w, request)
+		defer x.recover()
+		if err := x.run(h); err != nil {
+			x.refuse(err)
+			return
+		}
+		r.meter.Requests.WithLabelValues(operation).Inc()
+	}
+}
+
+func (r *Receiver) newExchange(w http.ResponseWriter, request *http.Request) *exchange {
+	x := &exchange{
+		receiver: r,
+		writer:   &statusWriter{ResponseWriter: w},
+		request:  request,
+		id:       ulid.Make().String(),
+	}
+	w.Header().Set(HeaderRequest, x.id)
+	w.Header().Set("Cache-Control", "no-store")
+	w.Header().Set("X-Content-Type-Options", "nosniff")
+	if r.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	return x
+}
+
+func (x *exchange) run(h handler) error {
+	r := x.receiver
+	defer r.inFlight.Add(-1)
+	if r.inFlight.Add(1) > r.maximumFlight {
+		return answerer.New(answerer.Overloaded, "the instance serves %d requests already", r.maximumFlight)
+	}
+	if err := x.boundBody(); err != nil {
+		return err
+	}
+	if err := x.authenticate(); err != nil {
+		return err
+	}
+	if !cleanPath(x.request.URL.Path) {
+		return answerer.New(answerer.BadRequest, "the path has empty or dotted segments")
+	}
+	return h(x)
+}
+
+// cleanPath reports whether no segment would be rewritten on the way.
+func cleanPath(p string) bool {
+	return path.Clean(p) == strings.TrimSuffix(p, "/") || p == "/"
+}
+
+// recover answers a panic as an internal failure.
+func (x *exchange) recover() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	x.receiver.log.Log(requestFailed, "Request", x.id, "Cause", cause, "Stack", string(debug.Stack()))
+	if x.writer.wrote {
+		panic(http.ErrAbortHandler)
+	}
+	x.refuse(answerer.New(answerer.Internal, "the request could not be served"))
+}
+
+// left returns the time that the caller waits.
+func (x *exchange) left() (time.Duration, error) {
+	text := x.request.Header.Get(HeaderTimeout)
+	if text == "" {
+		return x.receiver.timeout, nil
+	}
+	left, err := time.ParseDuration(text)
+	if err != nil || left <= 0 {
+		return 0, answerer.New(answerer.BadRequest, "header %s is not a positive duration such as 1.5s", HeaderTimeout)
+	}
+	return min(left, x.receiver.maximumTimeout), nil
+}
+
+// do completes the command, carries it to its owner and returns the reply.
+func (x *exchange) do(command requester.Command, sink requester.Sink) (requester.Reply, error) {
+	left, err := x.left()
+	if err != nil {
+		return requester.Reply{}, err
+	}
+	command.Request = x.id
+	command.Business = x.business.Name
+	command.Left = left
+	ctx, cancel := context.WithTimeout(x.request.Context(), left+answerGrace)
+	defer cancel()
+	return x.receiver.doer.Do(ctx, command, sink)
+}
+
+// answer writes the value as JSON.
+func (x *exchange) answer(status int, value any) error {
+	body, err := json.Marshal(value)
+	if err != nil {
+		return eris.Wrap(err, "encode answer")
+	}
+	return x.write(status, contentJSON, body)
+}
+
+// write writes the whole body. A failed write is not an error of the request:
+// the caller is gone and nothing more can be told to it.
+func (x *exchange) write(status int, contentType string, body []byte) error {
+	x.extendWrite()
+	header := x.writer.Header()
+	if contentType != "" {
+		header.Set("Content-Type", contentType)
+	}
+	x.writer.WriteHeader(status)
+	if !bodyAllowed(status) {
+		return nil
+	}
+	if _, err := x.writer.Write(body); err != nil {
+		x.receiver.log.Log(connectionFailed, "Request", x.id, "Cause", err)
+	}
+	return nil
+}
+
+func bodyAllowed(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// extendWrite gives the next write its own time.
+func (x *exchange) extendWrite() {
+	control := http.NewResponseController(x.writer)
+	if err := control.SetWriteDeadline(time.Now().Add(x.receiver.writeTimeout)); err != nil {
+		x.receiver.log.Log(connectionFailed, "Request", x.id, "Cause", err)
+	}
+}
--- /dev/null
+++ b/internal/receiver/programs.go
@@ -0,0 +1,225 @@
+package receiver
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/wigeonstand/wigeonstand/internal/answerer"
+	"github.com/wigeonstand/wigeonstand/internal/requester"
+)
+
+const (
+	// derivedBytes is the part of the hash that a derived program id keeps.
+	derivedBytes = 20
+	// endedByCaller is the reason of an end that names none.
+	endedByCaller = "EndedByCaller"
+)
+
+// OpenRequest is the body of POST /v1/programs.
+type OpenRequest struct {
+	Agent string
+	// Budget is in tokens; zero means the agent program's default.
+	Budget int
+	// Parent is set for a sub-agent.
+	Parent string
+	// Key makes the open idempotent.
+	Key string
+}
+
+// TurnRequest is the body of POST /v1/programs/ID/turns.
+type TurnRequest struct {
+	Number    int
+	Key       string
+	Input     string
+	MaxTokens int
+	Chain     string
+	Stream    bool
+}
+
+func openProgram(x *exchange) error {
+	var body OpenRequest
+	if err := x.decode(&body); err != nil {
+		return err
+	}
+	if err := checkOpen(body); err != nil {
+		return err
+	}
+	open := requester.Open{
+		Program: programFor(x.business.Name, body),
+		Agent:   body.Agent,
+		Budget:  body.Budget,
+		Parent:  body.Parent,
+	}
+	reply, err := x.do(requester.Command{Open: &open}, nil)
+	if err != nil {
+		return err
+	}
+	if reply.Opened == nil {
+		return wrongReply()
+	}
+	return x.answer(http.StatusCreated, reply.Opened)
+}
+
+func checkOpen(body OpenRequest) error {
+	switch {
+	case !nameForm.MatchString(body.Agent):
+		return answerer.New(answerer.BadRequest, "Agent is not a name")
+	case body.Budget < 0:
+		return answerer.New(answerer.BadRequest, "Budget is negative")
+	case body.Parent != "" && !programForm.MatchString(body.Parent):
+		return answerer.New(answerer.BadRequest, "Parent is not a program id")
+	case body.Key != "" && !keyForm.MatchString(body.Key):
+		return answerer.New(answerer.BadRequest, "Key is not 1 to 200 visible ASCII characters")
+	}
+	return nil
+}
+
+// programFor returns the id of the program to open. The same key of the same
+// business gives the same id.
+func programFor(business string, body OpenRequest) string {
+	own := strings.ToLower(ulid.Make().String())
+	if body.Key != "" {
+		own = derivedID(business, body.Key)
+	}
+	if body.Parent != "" {
+		return requester.NewChild(body.Parent, own)
+	}
+	return own
+}
+
+// derivedID hashes the pair; the length keeps two pairs with the same joined
+// text apart.
+func derivedID(business, key string) string {
+	sum := sha256.Sum256([]byte(strconv.Itoa(len(business)) + "/" + business + "/" + key))
+	return hex.EncodeToString(sum[:derivedBytes])
+}
+
+func takeTurn(x *exchange) error {
+	program, err := x.program()
+	if err != nil {
+		return err
+	}
+	var body TurnRequest
+	if err := x.decode(&body); err != nil {
+		return err
+	}
+	if err := checkTurn(body); err != nil {
+		return err
+	}
+	command := requester.Command{Turn: &requester.Turn{
+		Program:   program,
+		Number:    body.Number,
+		Key:       body.Key,
+		Input:     body.Input,
+		MaxTokens: body.MaxTokens,
+		Chain:     body.Chain,
+	}}
+	if body.Stream {
+		return streamTurn(x, command)
+	}
+	reply, err := x.do(command, nil)
+	if err != nil {
+		return err
+	}
+	if reply.Turned == nil {
+		return wrongReply()
+	}
+	return x.answer(http.StatusOK, reply.Turned)
+}
+
+func checkTurn(body TurnRequest) error {
+	switch {
+	case body.Number < 0:
+		return answerer.New(answerer.BadRequest, "Number is negative")
+	case body.MaxTokens < 0:
+		return answerer.New(answerer.BadRequest, "MaxTokens is negative")
+	case body.Input == "":
+		return answerer.New(answerer.BadRequest, "Input is empty")
+	case body.Key != "" && !keyForm.MatchString(body.Key):
+		return answerer.New(answerer.BadRequest, "Key is not 1 to 200 visible ASCII characters")
+	case body.Chain != "" && !keyForm.MatchString(body.Chain):
+		return answerer.New(answerer.BadRequest, "Chain is not a hash of a history")
+	}
+	return nil
+}
+
+func endProgram(x *exchange) error {
+	program, err := x.program()
+	if err != nil {
+		return err
+	}
+	end := requester.End{Program: program, Reason: endedByCaller}
+	reply, err := x.do(requester.Command{End: &end}, nil)
+	if err != nil {
+		return err
+	}
+	if reply.Ended == nil {
+		return wrongReply()
+	}
+	return x.answer(http.StatusOK, reply.Ended)
+}
+
+func readHistory(x *exchange) error {
+	program, err := x.program()
+	if err != nil {
+		return err
+	}
+	after, err := x.after()
+	if err != nil {
+		return err
+	}
+	history := requester.History{Program: program, After: after}
+	reply, err := x.do(requester.Command{History: &history}, nil)
+	if err != nil {
+		return err
+	}
+	if reply.History == nil {
+		return wrongReply()
+	}
+	return x.answer(http.StatusOK, reply.History)
+}
+
+func (x *exchange) after() (int, error) {
+	text := x.request.URL.Query().Get("After")
+	if text == "" {
+		return 0, nil
+	}
+	after, err := strconv.Atoi(text)
+	if err != nil || after < 0 {
+		return 0, answerer.New(answerer.BadRequest, "After is not the number of a turn")
+	}
+	return after, nil
+}
+
+func explainProgram(x *exchange) error {
+	program, err := x.program()
+	if err != nil {
+		return err
+	}
+	explain := requester.Explain{Program: program}
+	reply, err := x.do(requester.Command{Explain: &explain}, nil)
+	if err != nil {
+		return err
+	}
+	if reply.Explain == nil {
+		return wrongReply()
+	}
+	return x.answer(http.StatusOK, reply.Explain)
+}
+
+func (x *exchange) program() (string, error) {
+	program := x.request.PathValue("program")
+	if !programForm.MatchString(program) {
+		return "", answerer.New(answerer.BadRequest, "the path does not name a program id")
+	}
+	return program, nil
+}
+
+func wrongReply() error {
+	return answerer.New(answerer.Internal, "the reply does not belong to the request")
+}
--- /dev/null
+++ b/internal/receiver/receiver.go
@@ -0,0 +1,183 @@
+// Package receiver owns the callers' HTTP API: it authenticates a caller,
+// checks the request, carries it as a command to a requester.Doer and writes
+// the whole answer. It does not own any decision about a program, nor where
+// its owner is.
+package receiver
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/compiler"
+	"github.com/wigeonstand/wigeonstand/internal/logger"
+	"github.com/wigeonstand/wigeonstand/internal/meter"
+	"github.com/wigeonstand/wigeonstand/internal/requester"
+)
+
+// The defaults of the options.
+const (
+	defaultTimeout       = time.Minute
+	maximumTimeout       = 10 * time.Minute
+	defaultBodyBytes     = 4 << 20
+	defaultHeaderBytes   = 16 << 10
+	defaultHeaderTimeout = 5 * time.Second
+	defaultBodyTimeout   = 10 * time.Second
+	defaultWriteTimeout  = 10 * time.Second
+	defaultIdleTimeout   = 30 * time.Second
+	defaultDrainTimeout  = 30 * time.Second
+	defaultInFlight      = 8192
+	// answerGrace is how long past the caller's time the owner may take to say
+	// what became of the request.
+	answerGrace = 500 * time.Millisecond
+)
+
+// Receiver serves the callers' API.
+type Receiver struct {
+	doer    requester.Doer
+	current func() *compiler.Version
+	handler http.Handler
+	log     *logger.Logger
+	meter   *meter.Meter
+	tls     *tls.Config
+
+	timeout        time.Duration
+	maximumTimeout time.Duration
+	bodyBytes      int64
+	headerBytes    int
+	headerTimeout  time.Duration
+	bodyTimeout    time.Duration
+	writeTimeout   time.Duration
+	idleTimeout    time.Duration
+	drainTimeout   time.Duration
+	maximumFlight  int64
+
+	stopping atomic.Bool
+	inFlight atomic.Int64
+}
+
+// Option sets one property of a Receiver.
+type Option func(*Receiver)
+
+// WithLogger sets where events are logged.
+func WithLogger(l *logger.Logger) Option { return func(r *Receiver) { r.log = l } }
+
+// WithMeter sets where requests and refusals are counted.
+func WithMeter(m *meter.Meter) Option { return func(r *Receiver) { r.meter = m } }
+
+// WithTLS serves TLS with the configuration.
+func WithTLS(config *tls.Config) Option { return func(r *Receiver) { r.tls = config } }
+
+// WithTimeouts sets the time given to a request that names none and the longest that it may name.
+func WithTimeouts(usual, longest time.Duration) Option {
+	return func(r *Receiver) { r.timeout, r.maximumTimeout = usual, longest }
+}
+
+// WithBodyLimit bounds a request's body in bytes and the time to send it.
+func WithBodyLimit(bytes int64, within time.Duration) Option {
+	return func(r *Receiver) { r.bodyBytes, r.bodyTimeout = bytes, within }
+}
+
+// WithHeaderLimit bounds a request's header in bytes and the time to send it.
+func WithHeaderLimit(bytes int, within time.Duration) Option {
+	return func(r *Receiver) { r.headerBytes, r.headerTimeout = bytes, within }
+}
+
+// WithWriteTimeout bounds each write to a caller.
+func WithWriteTimeout(d time.Duration) Option { return func(r *Receiver) { r.writeTimeout = d } }
+
+// WithIdleTimeout bounds how long a connection may stay without a request.
+func WithIdleTimeout(d time.Duration) Option { return func(r *Receiver) { r.idleTimeout = d } }
+
+// WithDrainTimeout bounds how long Serve waits for requests in flight once its context has ended.
+func WithDrainTimeout(d time.Duration) Option { return func(r *Receiver) { r.drainTimeout = d } }
+
+// WithMaximumInFlight bounds the requests served at a time.
+func WithMaximumInFlight(n int) Option { return func(r *Receiver) { r.maximumFlight = int64(n) } }
+
+// New returns a Receiver that carries commands to doer and reads callers' keys
+// and services from the version that current returns. Current returns nil
+// while no version is in force.
+func New(doer requester.Doer, current func() *compiler.Version, options ...Option) *Receiver {
+	r := &Receiver{
+		doer: doer, current: current,
+		log: logger.Discard(), meter: meter.New(),
+		timeout: defaultTimeout, maximumTimeout: maximumTimeout,
+		bodyBytes: defaultBodyBytes, headerBytes: defaultHeaderBytes,
+		headerTimeout: defaultHeaderTimeout, bodyTimeout: defaultBodyTimeout,
+		writeTimeout: defaultWriteTimeout, idleTimeout: defaultIdleTimeout,
+		drainTimeout: defaultDrainTimeout, maximumFlight: defaultInFlight,
+	}
+	for _, option := range options {
+		option(r)
+	}
+	r.handler = r.routes()
+	return r
+}
+
+// Handler returns the callers' API.
+func (r *Receiver) Handler() http.Handler { return r.handler }
+
+// InFlight returns the number of requests being served.
+func (r *Receiver) InFlight() int { return int(r.inFlight.Load()) }
+
+// SetStopping makes every answer close its connection, so that callers move to
+// another instance while this one still serves.
+func (r *Receiver) SetStopping(stopping bool) { r.stopping.Store(stopping) }
+
+// Serve answers requests on the listener until ctx ends. It then takes no new
+// connection, waits for the requests in flight, and returns nil; those that
+// outlast the drain timeout are cut and logged.
+func (r *Receiver) Serve(ctx context.Context, listener net.Listener) error {
+	server := r.server()
+	failed := make(chan error, 1)
+	go func() { failed <- r.listen(server, listener) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	r.drain(ctx, server)
+	return <-failed
+}
+
+func (r *Receiver) server() *http.Server {
+	return &http.Server{
+		Handler:           r.handler,
+		ReadHeaderTimeout: r.headerTimeout,
+		IdleTimeout:       r.idleTimeout,
+		MaxHeaderBytes:    r.headerBytes,
+		TLSConfig:         r.tls,
+		ErrorLog:          connectionLog(r.log),
+		TLSNextProto:      map[string]func(*http.Server, *tls.Conn, http.Handler){},
+	}
+}
+
+func (r *Receiver) listen(server *http.Server, listener net.Listener) error {
+	serve := server.Serve
+	if r.tls != nil {
+		serve = func(l net.Listener) error { return server.ServeTLS(l, "", "") }
+	}
+	err := serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (r *Receiver) drain(ctx context.Context, server *http.Server) {
+	r.SetStopping(true)
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.drainTimeout)
+	defer cancel()
+	if err := server.Shutdown(bounded); err == nil {
+		return
+	}
+	r.log.Log(requestsCut, "InFlight", r.InFlight())
+	if err := server.Close(); err != nil {
+		r.log.Log(connectionFailed, "Cause", err)
+	}
+}
--- /dev/null
+++ b/internal/receiver/refuse.go
@@ -0,0 +1,80 @@
+package receiver
+
+import (
+	"encoding/json"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/answerer"
+)
+
+// Refusal is the JSON body of an answer with an error.
+type Refusal struct {
+	Kind answerer.Kind
+	// Ran says what is known about execution.
+	Ran    answerer.Ran
+	Detail string
+	// RetryAfter is in seconds; zero means that repeating the request is of no use.
+	RetryAfter float64
+	Request    string
+}
+
+// newRefusal returns the body for the error.
+func newRefusal(err *answerer.Error, request string) Refusal {
+	row := err.Answer()
+	detail := err.Detail
+	if detail == "" {
+		detail = row.Text
+	}
+	return Refusal{
+		Kind:       row.Kind,
+		Ran:        row.Ran,
+		Detail:     detail,
+		RetryAfter: row.After.Seconds(),
+		Request:    request,
+	}
+}
+
+// refuse answers with the error, unless an answer was begun already.
+func (x *exchange) refuse(err error) {
+	e := answerer.As(err)
+	refusal := x.count(e)
+	if x.writer.wrote {
+		return
+	}
+	row := e.Answer()
+	header := x.writer.Header()
+	header.Set(HeaderKind, string(row.Kind))
+	if row.After > 0 {
+		header.Set("Retry-After", wholeSeconds(row.After))
+	}
+	if row.Kind == answerer.Unauthenticated {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
+	body, _ := json.Marshal(refusal)
+	_ = x.write(row.Status, contentJSON, body)
+}
+
+// count counts and logs the refusal and returns its body.
+func (x *exchange) count(e *answerer.Error) Refusal {
+	refusal := newRefusal(e, x.id)
+	x.receiver.meter.Refusals.WithLabelValues(string(refusal.Kind), string(refusal.Ran)).Inc()
+	event := requestRefused
+	if refusal.Kind == answerer.Internal {
+		event = requestFailed
+	}
+	x.receiver.log.Log(event, "Request", x.id, "Kind", refusal.Kind, "Cause", e)
+	return refusal
+}
+
+// wholeSeconds rounds up to whole seconds, at least one.
+func wholeSeconds(d time.Duration) string {
+	seconds := max(1, int(math.Ceil(d.Seconds())))
+	return strconv.Itoa(seconds)
+}
+
+// unknownPath answers a path or method outside the API.
+func unknownPath(x *exchange) error {
+	return answerer.New(answerer.NotFound, "%s %s is not part of the API", x.request.Method, x.request.URL.Path)
+}
--- /dev/null
+++ b/internal/receiver/services.go
@@ -0,0 +1,123 @@
+package receiver
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/wigeonstand/wigeonstand/internal/answerer"
+	"github.com/wigeonstand/wigeonstand/internal/compiler"
+	"github.com/wigeonstand/wigeonstand/internal/requester"
+)
+
+// The statuses that a service's answer may pass on to a caller.
+const (
+	lowestStatus  = 200
+	highestStatus = 599
+)
+
+func callService(x *exchange) error {
+	service, err := x.service()
+	if err != nil {
+		return err
+	}
+	call, err := x.call(service)
+	if err != nil {
+		return err
+	}
+	reply, err := x.do(requester.Command{Call: call}, nil)
+	if err != nil {
+		return err
+	}
+	if reply.Called == nil {
+		return wrongReply()
+	}
+	return x.pass(reply.Called)
+}
+
+// service returns the service that the path names, if the business may call it.
+func (x *exchange) service() (*compiler.Service, error) {
+	name := x.request.PathValue("service")
+	service := x.version.Services[name]
+	if service == nil || (service.Business != "" && service.Business != x.business.Name) {
+		return nil, answerer.New(answerer.NotFound, "there is no such service")
+	}
+	return service, nil
+}
+
+func (x *exchange) call(service *compiler.Service) (*requester.Call, error) {
+	key, err := x.callKey(service)
+	if err != nil {
+		return nil, err
+	}
+	program := x.request.Header.Get(HeaderProgram)
+	if program != "" && !programForm.MatchString(program) {
+		return nil, answerer.New(answerer.BadRequest, "header %s is not a program id", HeaderProgram)
+	}
+	body, err := x.readBody()
+	if err != nil {
+		return nil, err
+	}
+	return &requester.Call{
+		Service:     service.Name,
+		Key:         key,
+		Method:      x.request.Method,
+		Path:        servicePath(x.request),
+		ContentType: x.request.Header.Get("Content-Type"),
+		Body:        body,
+		Program:     program,
+	}, nil
+}
+
+func (x *exchange) callKey(service *compiler.Service) (string, error) {
+	key := x.request.Header.Get(HeaderKey)
+	if key == "" && !service.Repeatable {
+		return "", answerer.New(answerer.BadRequest,
+			"calls of service %s may not be repeated: header %s is required", service.Name, HeaderKey)
+	}
+	if key != "" && !keyForm.MatchString(key) {
+		return "", answerer.New(answerer.BadRequest, "header %s is not 1 to 200 visible ASCII characters", HeaderKey)
+	}
+	return key, nil
+}
+
+// servicePath returns the path and query that the service is to see.
+func servicePath(request *http.Request) string {
+	escaped := strings.TrimPrefix(request.URL.EscapedPath(), "/v1/services/")
+	_, rest, _ := strings.Cut(escaped, "/")
+	path := "/" + rest
+	if request.URL.RawQuery != "" {
+		path += "?" + request.URL.RawQuery
+	}
+	return path
+}
+
+// pass writes the service's own answer.
+func (x *exchange) pass(called *requester.Called) error {
+	if called.Status < lowestStatus || called.Status > highestStatus {
+		return answerer.New(answerer.EndpointFailed, "the service answered with status %d", called.Status)
+	}
+	header := x.writer.Header()
+	if called.Key != "" {
+		header.Set(HeaderKey, called.Key)
+	}
+	if called.Replayed {
+		header.Set(HeaderReplayed, "true")
+	}
+	return x.write(called.Status, called.ContentType, called.Body)
+}
+
+func readOutcome(x *exchange) error {
+	key := x.request.PathValue("key")
+	if !keyForm.MatchString(key) {
+		return answerer.New(answerer.BadRequest, "the path does not name a key")
+	}
+	outcome := requester.Outcome{Key: key}
+	reply, err := x.do(requester.Command{Outcome: &outcome}, nil)
+	if err != nil {
+		return err
+	}
+	if reply.Outcome == nil {
+		return wrongReply()
+	}
+	return x.answer(http.StatusOK, reply.Outcome)
+}
