internal/placer: place shards under leases, with journals and calls between instances

Cause: the parts that decide who may commit and who serves a shard were missing. Change: connector, leaser, committer, placer and forwarder, each for one job.

--- /dev/null
+++ b/internal/committer/record.go
@@ -0,0 +1,110 @@
+package committer
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonstand/wigeonstand/internal/keeper"
+)
+
+// Prefix starts the key of every journal batch, row or object.
+const Prefix = "journal/"
+
+// recordOverhead is the bytes counted for an entry besides its body.
+const recordOverhead = 32
+
+// Record is what one Append made durable.
+type Record struct {
+	Sequence int64
+	Entries  []keeper.Entry
+}
+
+func (r Record) size() int {
+	n := 0
+	for _, entry := range r.Entries {
+		n += recordOverhead + len(entry.Body)
+	}
+	return n
+}
+
+// Batch is the content of one journal row or object. Its records have the sequences
+// First to Last without a gap; the batch before it ends at First-1.
+type Batch struct {
+	Instance   string
+	Generation int64
+	First      int64
+	Last       int64
+	Records    []Record
+}
+
+// Envelope carries a Batch with its checksum, the xxHash64 of Body in hex.
+type Envelope struct {
+	Checksum string
+	Body     json.RawMessage
+}
+
+// GenerationPrefix returns the start of the keys of one generation's objects.
+func GenerationPrefix(instance string, generation int64) string {
+	return fmt.Sprintf("%s%s/%020d/", Prefix, instance, generation)
+}
+
+// ObjectKey returns the key of the batch whose last sequence is last.
+func ObjectKey(instance string, generation, last int64) string {
+	return fmt.Sprintf("%s%020d", GenerationPrefix(instance, generation), last)
+}
+
+func encode(instance string, generation int64, records []Record) ([]byte, error) {
+	body, err := json.Marshal(Batch{
+		Instance:   instance,
+		Generation: generation,
+		First:      records[0].Sequence,
+		Last:       records[len(records)-1].Sequence,
+		Records:    records,
+	})
+	if err != nil {
+		return nil, eris.Wrap(err, "encode batch")
+	}
+	object, err := json.Marshal(Envelope{Checksum: checksum(body), Body: body})
+	return object, eris.Wrap(err, "encode envelope")
+}
+
+// decode reads an object and checks it against the key that it was found under.
+func decode(object []byte, instance string, generation, last int64) (Batch, error) {
+	var envelope Envelope
+	if err := json.Unmarshal(object, &envelope); err != nil {
+		return Batch{}, eris.Wrap(err, "decode envelope")
+	}
+	if envelope.Checksum != checksum(envelope.Body) {
+		return Batch{}, eris.New("the checksum does not match")
+	}
+	var batch Batch
+	if err := json.Unmarshal(envelope.Body, &batch); err != nil {
+		return Batch{}, eris.Wrap(err, "decode batch")
+	}
+	if batch.Instance != instance || batch.Generation != generation || batch.Last != last {
+		return Batch{}, eris.Errorf("the batch is %d of %s/%d", batch.Last, batch.Instance, batch.Generation)
+	}
+	return batch, batch.check()
+}
+
+// check verifies that the sequences have no gap.
+func (b Batch) check() error {
+	want := b.First
+	for _, record := range b.Records {
+		if record.Sequence != want {
+			return eris.Errorf("sequence %d follows %d", record.Sequence, want-1)
+		}
+		want++
+	}
+	if b.First < 1 || want != b.Last+1 {
+		return eris.Errorf("the batch ends at %d, not at %d", want-1, b.Last)
+	}
+	return nil
+}
+
+func checksum(body []byte) string {
+	return fmt.Sprintf("%016x", xxhash.Sum64(body))
+}
--- /dev/null
+++ b/internal/connector/request.go
@@ -0,0 +1,189 @@
+package connector
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonstand/wigeonstand/internal/storer"
+)
+
+// request is one request to the platform.
+type request struct {
+	operation string
+	method    string
+	path      string
+	body      []byte
+	write     bool
+}
+
+// result names the outcomes that are counted.
+type result string
+
+const (
+	resultOK          result = "OK"
+	resultConflict    result = "Conflict"
+	resultNotFound    result = "NotFound"
+	resultUnavailable result = "Unavailable"
+	resultInDoubt     result = "InDoubt"
+	resultRefused     result = "Refused"
+	resultLimited     result = "Limited"
+	resultOpen        result = "BreakerOpen"
+	resultHedged      result = "Hedged"
+)
+
+var errRefused = errors.New("refused by the platform")
+
+// do sends the request within the rate limit, reads hedged, writes once.
+func (c *Connector) do(ctx context.Context, r request) ([]byte, error) {
+	gate := c.reads
+	if r.write {
+		gate = c.writes
+	}
+	if err := gate.wait(ctx, storer.PriorityOf(ctx)); err != nil {
+		c.count(r, resultLimited)
+		return nil, err
+	}
+	if r.write {
+		return c.attempt(ctx, r)
+	}
+	return c.hedged(ctx, r)
+}
+
+// attempt sends the request once.
+func (c *Connector) attempt(ctx context.Context, r request) ([]byte, error) {
+	if !c.breaker.allow() {
+		c.count(r, resultOpen)
+		return nil, fmt.Errorf("%w: breaker open", storer.ErrUnavailable)
+	}
+	body, err := c.send(ctx, r)
+	outcome := outcomeOf(err)
+	if ctx.Err() != nil {
+		c.breaker.abandon()
+	} else {
+		c.breaker.done(outcome != resultUnavailable && outcome != resultInDoubt)
+	}
+	c.count(r, outcome)
+	return body, err
+}
+
+// send exchanges one request and answer and classifies what went wrong.
+func (c *Connector) send(ctx context.Context, r request) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.deadline)
+	defer cancel()
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := c.newRequest(httptrace.WithClientTrace(ctx, trace), r)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := c.client.Do(req)
+	if err != nil {
+		if ctx.Err() != nil {
+			// Other idle connections may have gone silent with this one.
+			c.transport.CloseIdleConnections()
+		}
+		return nil, lost(r, connected.Load(), err)
+	}
+	defer answer.Body.Close() //nolint:errcheck // Nothing can be done about it.
+	body, err := io.ReadAll(io.LimitReader(answer.Body, answerLimit))
+	if err != nil {
+		return nil, lost(r, true, err)
+	}
+	return body, classify(r, answer.StatusCode)
+}
+
+// newRequest makes a request that the transport does not repeat by itself: a
+// write has a body that cannot be read twice and no idempotency header.
+func (c *Connector) newRequest(ctx context.Context, r request) (*http.Request, error) {
+	var body io.Reader
+	if r.body != nil {
+		body = struct{ io.Reader }{bytes.NewReader(r.body)}
+	}
+	req, err := http.NewRequestWithContext(ctx, r.method, c.base+r.path, body)
+	if err != nil {
+		return nil, eris.Wrap(err, "make request")
+	}
+	if r.body != nil {
+		req.ContentLength = int64(len(r.body))
+		req.Header.Set("Content-Type", "application/json")
+	}
+	if c.key != "" {
+		req.Header.Set("Authorization", bearerPrefix+c.key)
+	}
+	return req, nil
+}
+
+// lost classifies a request that had no whole answer.
+func lost(r request, sent bool, err error) error {
+	if r.write && sent {
+		return fmt.Errorf("%w: %s: %w", storer.ErrInDoubt, r.operation, err)
+	}
+	return fmt.Errorf("%w: %s: %w", storer.ErrUnavailable, r.operation, err)
+}
+
+// classify returns the error of an answer by its status.
+func classify(r request, status int) error {
+	switch {
+	case status >= 200 && status < 300:
+		return nil
+	case status == http.StatusConflict:
+		return storer.ErrConflict
+	case status == http.StatusNotFound:
+		return storer.ErrNotFound
+	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
+		return fmt.Errorf("%w: status %d", storer.ErrUnavailable, status)
+	case status < http.StatusInternalServerError:
+		return fmt.Errorf("%w: %s: status %d", errRefused, r.operation, status)
+	case r.write:
+		return fmt.Errorf("%w: status %d", storer.ErrInDoubt, status)
+	}
+	return fmt.Errorf("%w: status %d", storer.ErrUnavailable, status)
+}
+
+func outcomeOf(err error) result {
+	switch {
+	case err == nil:
+		return resultOK
+	case errors.Is(err, storer.ErrConflict):
+		return resultConflict
+	case errors.Is(err, storer.ErrNotFound):
+		return resultNotFound
+	case errors.Is(err, storer.ErrInDoubt):
+		return resultInDoubt
+	case errors.Is(err, storer.ErrUnavailable):
+		return resultUnavailable
+	}
+	return resultRefused
+}
+
+func (c *Connector) count(r request, outcome result) {
+	c.meter.StoreRequests.WithLabelValues(r.operation, string(outcome)).Inc()
+}
+
+// exchange sends in as JSON and decodes the answer into out.
+func (c *Connector) exchange(ctx context.Context, r request, in, out any) error {
+	if in != nil {
+		body, err := json.Marshal(in)
+		if err != nil {
+			return eris.Wrap(err, "encode request")
+		}
+		r.body = body
+	}
+	answer, err := c.do(ctx, r)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(answer, out); err != nil {
+		return lost(r, true, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/forwarder/events.go
@@ -0,0 +1,11 @@
+package forwarder
+
+import (
+	"github.com/charmbracelet/log"
+
+	"github.com/wigeonstand/wigeonstand/internal/logger"
+)
+
+var eventUnanswered = logger.Define(3400, "PeerUnanswered", log.WarnLevel,
+	"a command sent to another instance had no answer",
+	"Check the instance named in the cause and the network between the two.")
--- /dev/null
+++ b/internal/leaser/holder.go
@@ -0,0 +1,170 @@
+package leaser
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonstand/wigeonstand/internal/storer"
+)
+
+// Closed is the record of a generation that can commit nothing any more.
+type Closed struct {
+	Instance   string
+	Generation int64
+	// Head is the last journal sequence that the generation committed.
+	Head int64
+}
+
+// ClosedKey returns the key of the record of a closed generation.
+func ClosedKey(instance string, generation int64) string {
+	return fmt.Sprintf("%s%s/%020d", ClosedPrefix, instance, generation)
+}
+
+// Acquire takes the lease under a new generation, closing the one before. It
+// keeps trying until ctx ends. A generation is the version of the row that the
+// acquiring write replaced, so it also grows across a deletion of the row.
+func (l *Leaser) Acquire(ctx context.Context) error {
+	ctx = storer.WithPriority(ctx, storer.PriorityLease)
+	waits := newWaits()
+	for {
+		done, err := l.acquireOnce(ctx)
+		if done || errors.Is(err, errMalformed) {
+			return err
+		}
+		if !pause(ctx, waits.NextBackOff()) {
+			return eris.Wrap(ctx.Err(), "acquire the lease")
+		}
+	}
+}
+
+var errMalformed = errors.New("malformed lease row")
+
+func (l *Leaser) acquireOnce(ctx context.Context) (bool, error) {
+	if err := l.lock(ctx); err != nil {
+		return false, err
+	}
+	defer l.unlock()
+	row, err := l.readBack(ctx)
+	if err != nil {
+		return false, err
+	}
+	old, err := decodeOrAbsent(row)
+	if err != nil {
+		return false, fmt.Errorf("%w: %w", errMalformed, err)
+	}
+	if old.Incarnation == l.identity.Incarnation && old.Generation != 0 {
+		// An earlier send took effect though its answer was lost.
+		l.adopt(old, row.Version, time.Time{})
+		return true, nil
+	}
+	next := l.identity
+	if row.Version == 0 {
+		// The row must exist before its version can number a generation.
+		next = Lease{Instance: l.identity.Instance, State: Released}
+	}
+	next.Generation = row.Version
+	next.CommitID = ulid.Make().String()
+	sent := time.Now()
+	result, err := l.table.Commit(ctx, replace(row, old, next))
+	if err != nil || row.Version == 0 {
+		return false, err
+	}
+	l.adopt(next, result.Versions[row.Key], sent)
+	return true, nil
+}
+
+// Fence takes the lease of another instance away, given its row as last seen. It
+// returns nil once the generation in the row is closed, by whomever, and
+// storer.ErrConflict if its holder has renewed it since. The caller is to have
+// made sure of the holder's silence with an Observer.
+func (l *Leaser) Fence(ctx context.Context, row storer.Row) error {
+	rival, err := Decode(row)
+	if err != nil {
+		return err
+	}
+	next := rival
+	next.Incarnation = ""
+	next.Generation = row.Version
+	next.Head = 0
+	next.State = Fenced
+	next.CommitID = ulid.Make().String()
+	_, err = l.table.Commit(ctx, replace(row, rival, next))
+	if err == nil {
+		l.log.Log(eventTaken, "Instance", rival.Instance, "Generation", rival.Generation, "Head", rival.Head)
+		return nil
+	}
+	if errors.Is(err, storer.ErrUnavailable) {
+		return err
+	}
+	_, closed, readErr := ReadClosed(ctx, l.table, rival.Instance, rival.Generation)
+	if readErr != nil {
+		return fmt.Errorf("%w: %w", err, readErr)
+	}
+	if closed {
+		return nil
+	}
+	return err
+}
+
+// ReadClosed says whether the generation can commit nothing any more and, if so,
+// how far it had committed.
+func ReadClosed(ctx context.Context, table storer.Table, instance string, generation int64) (Closed, bool, error) {
+	rows, err := table.Read(ctx, Key(instance), ClosedKey(instance, generation))
+	if err != nil {
+		return Closed{}, false, err
+	}
+	holder, err := decodeOrAbsent(rows[0])
+	if err != nil {
+		return Closed{}, false, err
+	}
+	if holder.Generation == generation && rows[0].Version != 0 {
+		return Closed{}, false, nil
+	}
+	if rows[1].Version == 0 {
+		return Closed{}, false, eris.Errorf("generation %d of %s is over but has no record", generation, instance)
+	}
+	closed, err := DecodeClosed(rows[1])
+	return closed, err == nil, err
+}
+
+// DecodeClosed reads the value of the record of a closed generation.
+func DecodeClosed(row storer.Row) (Closed, error) {
+	var closed Closed
+	if err := json.Unmarshal(row.Value, &closed); err != nil {
+		return Closed{}, eris.Wrapf(err, "decode %s", row.Key)
+	}
+	return closed, nil
+}
+
+// replace returns the commit that changes the holder of a row and records how
+// far the generation before had come.
+func replace(row storer.Row, old, next Lease) storer.Commit {
+	commit := storer.Commit{
+		ID:         next.CommitID,
+		Conditions: []storer.Condition{{Key: Key(next.Instance), Version: row.Version}},
+		Writes:     []storer.Write{{Key: Key(next.Instance), Value: encode(next)}},
+	}
+	if old.Generation != 0 {
+		closed := Closed{Instance: old.Instance, Generation: old.Generation, Head: old.Head}
+		commit.Writes = append(commit.Writes, storer.Write{
+			Key:   ClosedKey(old.Instance, old.Generation),
+			Value: encode(closed),
+		})
+	}
+	return commit
+}
+
+// encode returns the JSON of a value that has no field JSON cannot carry.
+func encode(value any) []byte {
+	body, err := json.Marshal(value)
+	if err != nil {
+		panic(eris.Wrap(err, "encode a lease"))
+	}
+	return body
+}
--- /dev/null
+++ b/internal/leaser/observer.go
@@ -0,0 +1,60 @@
+package leaser
+
+import (
+	"sync"
+	"time"
+)
+
+// Observer watches the lease rows of other instances and says which have not
+// been renewed for long enough to be taken away. It uses its own clock only,
+// counted from after it saw a row.
+type Observer struct {
+	patience time.Duration
+	ttl      time.Duration
+
+	mu   sync.Mutex
+	seen map[string]sighting
+}
+
+type sighting struct {
+	version int64
+	since   time.Time
+	last    time.Time
+}
+
+// NewObserver returns an Observer of leases with the TTL. The margin is waited
+// beyond it, for clocks that run at different rates.
+func NewObserver(ttl, margin time.Duration) *Observer {
+	return &Observer{patience: ttl + margin, ttl: ttl, seen: map[string]sighting{}}
+}
+
+// See notes that the instance's row was just read with the version. After a gap
+// of more than a TTL in which the row was not read, as when the store is
+// out, waiting starts anew: the holder could not renew it either.
+func (o *Observer) See(instance string, version int64) {
+	now := time.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s, ok := o.seen[instance]
+	if !ok || s.version != version || now.Sub(s.last) > o.ttl {
+		s = sighting{version: version, since: now}
+	}
+	s.last = now
+	o.seen[instance] = s
+}
+
+// Forget drops what was seen of the instance.
+func (o *Observer) Forget(instance string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.seen, instance)
+}
+
+// Lapsed says whether the row has kept the version for longer than its TTL and
+// the margin.
+func (o *Observer) Lapsed(instance string, version int64) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s, ok := o.seen[instance]
+	return ok && s.version == version && time.Since(s.since) >= o.patience
+}
--- /dev/null
+++ b/internal/placer/cluster_test.go
@@ -0,0 +1,367 @@
+package placer_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/committer"
+	"github.com/wigeonstand/wigeonstand/internal/forwarder"
+	"github.com/wigeonstand/wigeonstand/internal/keeper"
+	"github.com/wigeonstand/wigeonstand/internal/leaser"
+	"github.com/wigeonstand/wigeonstand/internal/placer"
+)
+
+const testShards = 16
+
+// oracle knows every value that was acknowledged as durable, by shard.
+type oracle struct {
+	mu       sync.Mutex
+	store    *memory
+	acked    map[int][]int
+	restored map[int][]int
+	owners   map[int]*app
+	breaches []string
+	next     int
+}
+
+func (o *oracle) breach(format string, args ...any) {
+	o.breaches = append(o.breaches, fmt.Sprintf(format, args...))
+}
+
+// checkRestore compares a restored shard with what was acknowledged.
+func (o *oracle) checkRestore(a *app, shard int, values []int) {
+	current := o.store.owner(shard) == a.owner()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !current {
+		return
+	}
+	seen := map[int]bool{}
+	for _, v := range values {
+		if seen[v] {
+			o.breach("shard %d: value %d is doubled on %s", shard, v, a.name)
+		}
+		seen[v] = true
+	}
+	for _, v := range o.acked[shard] {
+		if !seen[v] {
+			o.breach("shard %d: acknowledged value %d is lost on %s", shard, v, a.name)
+		}
+	}
+	if !slices.IsSorted(values) {
+		o.breach("shard %d: out of order on %s", shard, a.name)
+	}
+	o.restored[shard] = slices.Clone(values)
+	o.owners[shard] = a
+}
+
+// ack notes that a value was acknowledged. Another owner must have restored it.
+func (o *oracle) ack(a *app, shard, value int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.owners[shard] != a && !slices.Contains(o.restored[shard], value) {
+		o.breach("shard %d: %s acknowledged %d, which the owner lacks", shard, a.name, value)
+	}
+	o.acked[shard] = append(o.acked[shard], value)
+}
+
+func (o *oracle) value() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.next++
+	return o.next
+}
+
+// app is the machine of one instance: each shard is a list of values.
+type app struct {
+	name    string
+	lease   *leaser.Leaser
+	oracle  *oracle
+	journal *committer.Committer
+	random  *rand.Rand
+
+	mu        sync.Mutex
+	shards    map[int]*list
+	pending   []pending
+	committed int64
+	fenced    bool
+}
+
+type list struct {
+	durable []int
+	waiting int
+	closing bool
+}
+
+type pending struct {
+	sequence     int64
+	shard, value int
+}
+
+func (a *app) owner() placer.Owner {
+	lease := a.lease.Lease()
+	return placer.Owner{Instance: lease.Instance, Generation: lease.Generation}
+}
+
+func (a *app) Restore(_ context.Context, shard int, snapshot []byte, entries []keeper.Entry) error {
+	values := decode[[]int](snapshot)
+	for _, entry := range entries {
+		values = append(values, decode[int](entry.Body))
+	}
+	a.oracle.checkRestore(a, shard, values)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.shards[shard] = &list{durable: values}
+	return nil
+}
+
+func (a *app) Snapshot(_ context.Context, shard int) ([]byte, int64, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	l, ok := a.shards[shard]
+	if !ok {
+		return nil, 0, errors.New("not here")
+	}
+	body, err := json.Marshal(l.durable)
+	return body, a.committed, err
+}
+
+func (a *app) Release(ctx context.Context, shard int) error {
+	for {
+		a.mu.Lock()
+		l, ok := a.shards[shard]
+		if !ok {
+			a.mu.Unlock()
+			return nil
+		}
+		l.closing = true
+		if l.waiting == 0 {
+			delete(a.shards, shard)
+			a.mu.Unlock()
+			return nil
+		}
+		a.mu.Unlock()
+		if err := sleep(ctx, 5*time.Millisecond); err != nil {
+			return err
+		}
+	}
+}
+
+func (a *app) Committed(sequence int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.committed = sequence
+	for len(a.pending) > 0 && a.pending[0].sequence <= sequence {
+		p := a.pending[0]
+		a.pending = a.pending[1:]
+		if l, ok := a.shards[p.shard]; ok {
+			l.durable = append(l.durable, p.value)
+			l.waiting--
+		}
+		a.oracle.ack(a, p.shard, p.value)
+	}
+}
+
+func (a *app) Fenced() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.fenced = true
+	a.shards = map[int]*list{}
+	a.pending = nil
+}
+
+// work appends values to the shards that are served here until ctx ends.
+func (a *app) work(ctx context.Context) {
+	for sleep(ctx, time.Duration(1+a.random.IntN(60))*time.Millisecond) == nil {
+		a.mu.Lock()
+		shard := a.random.IntN(testShards)
+		if l, ok := a.shards[shard]; ok && !l.closing && !a.fenced {
+			value := a.oracle.value()
+			body, _ := json.Marshal(value)
+			sequence := a.journal.Append([]keeper.Entry{{Shard: shard, Body: body}})
+			a.pending = append(a.pending, pending{sequence, shard, value})
+			l.waiting++
+		}
+		a.mu.Unlock()
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+// instance is one process.
+type instance struct {
+	*app
+	link   *link
+	placer *placer.Placer
+	stop   context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// cluster runs instances on one store inside a synctest bubble.
+type cluster struct {
+	store  *memory
+	oracle *oracle
+	seed   uint64
+
+	mu        sync.Mutex
+	instances map[string]*instance
+}
+
+func newCluster(seed uint64) *cluster {
+	store := newMemory()
+	return &cluster{
+		store: store,
+		oracle: &oracle{
+			store: store, acked: map[int][]int{}, restored: map[int][]int{}, owners: map[int]*app{},
+		},
+		seed:      seed,
+		instances: map[string]*instance{},
+	}
+}
+
+// peers carries the heartbeats of one instance.
+type peers struct {
+	*cluster
+	name string
+}
+
+func (p peers) Heartbeat(ctx context.Context, address string, beat forwarder.Beat) (forwarder.Beat, error) {
+	from, to := p.get(p.name), p.get(address)
+	if to == nil || from == nil || from.unreachable() || to.unreachable() {
+		<-ctx.Done()
+		return forwarder.Beat{}, ctx.Err()
+	}
+	return to.placer.Heard(beat), nil
+}
+
+func (i *instance) unreachable() bool {
+	i.link.mu.Lock()
+	defer i.link.mu.Unlock()
+	return i.link.asleep != nil
+}
+
+func (c *cluster) get(name string) *instance {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.instances[name]
+}
+
+func (c *cluster) start(name string, options ...placer.Option) {
+	ctx, stop := context.WithCancel(context.Background())
+	c.seed++
+	l := &link{memory: c.store}
+	lease := leaser.New(l, name, name, "dc")
+	a := &app{
+		name: name, lease: lease, oracle: c.oracle,
+		random: rand.New(rand.NewPCG(c.seed, 1)), shards: map[int]*list{},
+	}
+	a.journal = committer.New(lease, l)
+	options = append([]placer.Option{placer.WithShards(testShards), placer.WithSnapshotBatches(20)}, options...)
+	platform := placer.Platform{Table: l, Objects: l, Lister: l}
+	i := &instance{
+		app: a, link: l, stop: stop,
+		placer: placer.New(lease, a.journal, platform, a, peers{c, name}, options...),
+	}
+	c.mu.Lock()
+	c.instances[name] = i
+	c.mu.Unlock()
+	i.done.Go(func() {
+		if lease.Acquire(ctx) != nil {
+			return
+		}
+		i.done.Go(func() { _ = lease.Run(ctx) })
+		i.done.Go(func() { _ = a.journal.Run(ctx, a) })
+		i.done.Go(func() { a.work(ctx) })
+		_ = i.placer.Run(ctx)
+	})
+}
+
+// kill ends an instance at once; what it was about to send is never sent.
+func (c *cluster) kill(name string) {
+	i := c.get(name)
+	if i == nil {
+		return
+	}
+	c.mu.Lock()
+	delete(c.instances, name)
+	c.mu.Unlock()
+	i.stop()
+	i.link.mu.Lock()
+	i.link.cut = true
+	i.link.mu.Unlock()
+	c.resume(i)
+	i.done.Wait()
+}
+
+func (c *cluster) pause(i *instance) {
+	i.link.mu.Lock()
+	defer i.link.mu.Unlock()
+	if i.link.asleep == nil {
+		i.link.asleep = make(chan struct{})
+	}
+}
+
+func (c *cluster) resume(i *instance) {
+	i.link.mu.Lock()
+	defer i.link.mu.Unlock()
+	if i.link.asleep != nil {
+		close(i.link.asleep)
+		i.link.asleep = nil
+	}
+}
+
+func (c *cluster) names() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var names []string
+	for name := range c.instances {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (c *cluster) stopAll() {
+	for _, name := range c.names() {
+		c.kill(name)
+	}
+}
+
+// served returns how many instances serve each shard.
+func (c *cluster) served() []int {
+	counts := make([]int, testShards)
+	for _, name := range c.names() {
+		i := c.get(name)
+		if i.lease.Fenced() {
+			continue
+		}
+		for shard := range counts {
+			if i.placer.Place(shard).Local {
+				counts[shard]++
+			}
+		}
+	}
+	return counts
+}
+
+func (c *cluster) breaches() []string {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	c.oracle.mu.Lock()
+	defer c.oracle.mu.Unlock()
+	all := append(slices.Clone(c.store.broken), c.oracle.breaches...)
+	return all[:min(len(all), 8)]
+}
--- /dev/null
+++ b/internal/placer/fuzz_test.go
@@ -0,0 +1,159 @@
+package placer_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/wigeonstand/wigeonstand/internal/placer"
+)
+
+const fixedSeed = "1"
+
+// TestMain fixes the seed of the generated runs unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
+	if !given {
+		_ = flag.Set("rapid.seed", fixedSeed)
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// step is one event of a generated run.
+type step struct {
+	Action string
+	Target int
+	Count  int
+	Wait   time.Duration
+}
+
+var actions = []string{
+	"Wait", "Start", "Kill", "Restart", "Pause", "Resume", "Lose", "Late", "Cut", "Outage", "Drain", "Heal",
+}
+
+var targets = []string{"a", "b", "c", "d"}
+
+func drawStep(t *rapid.T) step {
+	return step{
+		Action: rapid.SampledFrom(actions).Draw(t, "Action"),
+		Target: rapid.IntRange(0, len(targets)-1).Draw(t, "Target"),
+		Count:  rapid.IntRange(1, 4).Draw(t, "Count"),
+		Wait:   time.Duration(rapid.IntRange(1, 9000).Draw(t, "Wait")) * time.Millisecond,
+	}
+}
+
+func (c *cluster) take(s step) {
+	name := targets[s.Target]
+	i := c.get(name)
+	if i == nil {
+		if s.Action == "Start" || s.Action == "Restart" {
+			c.start(name, placer.WithSweepPeriod(5*time.Second))
+		}
+		return
+	}
+	switch s.Action {
+	case "Kill":
+		c.kill(name)
+	case "Restart":
+		c.kill(name)
+		c.start(name, placer.WithSweepPeriod(5*time.Second))
+	case "Pause":
+		c.pause(i)
+	case "Resume":
+		c.resume(i)
+	case "Lose", "Late", "Cut":
+		i.link.fault(s.Action, s.Count)
+	case "Outage":
+		c.store.setOutage(true)
+	case "Heal":
+		c.heal()
+	case "Drain":
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), s.Wait)
+			defer cancel()
+			_ = i.placer.Drain(ctx)
+		}()
+	}
+}
+
+func (l *link) fault(action string, count int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch action {
+	case "Lose":
+		l.lose = count
+	case "Late":
+		l.late = count
+	case "Cut":
+		l.cut = !l.cut
+	}
+}
+
+func (m *memory) setOutage(on bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.outage = on
+}
+
+func (c *cluster) heal() {
+	c.store.setOutage(false)
+	for _, name := range c.names() {
+		i := c.get(name)
+		i.link.mu.Lock()
+		i.link.cut = false
+		i.link.mu.Unlock()
+		c.resume(i)
+	}
+}
+
+// run takes the steps and returns what was broken. At the end all instances are
+// replaced by two new ones, which must serve every shard with all its values.
+func run(t *testing.T, seed uint64, steps []step) (broken []string) {
+	synctest.Test(t, func(*testing.T) {
+		c := newCluster(seed)
+		defer c.stopAll()
+		for _, name := range targets[:3] {
+			c.start(name, placer.WithSweepPeriod(5*time.Second))
+		}
+		time.Sleep(8 * time.Second)
+		for _, s := range steps {
+			c.take(s)
+			time.Sleep(s.Wait)
+		}
+		c.heal()
+		c.stopAll()
+		c.start("y")
+		c.start("z")
+		time.Sleep(60 * time.Second)
+		for shard, n := range c.served() {
+			if n != 1 {
+				broken = append(broken, fmt.Sprintf("shard %d is served by %d instances", shard, n))
+			}
+		}
+		broken = append(broken, c.breaches()...)
+		if c.oracle.next == 0 {
+			broken = append(broken, "nothing was written")
+		}
+	})
+	return broken
+}
+
+func TestFuzzOwnershipAndJournal(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "Seed")
+		steps := rapid.SliceOfN(rapid.Custom(drawStep), 5, 40).Draw(rt, "Steps")
+		if broken := run(t, seed, steps); len(broken) > 0 {
+			rt.Fatal(strings.Join(broken, "\n"))
+		}
+	})
+}
--- /dev/null
+++ b/internal/placer/placer.go
@@ -0,0 +1,308 @@
+// Package placer owns which instance serves which shard: the membership, the
+// shard map, the takeover of shards of instances that are gone, the handover of
+// shards between live ones, and snapshots. It does not own what a shard holds,
+// nor the lease that makes a commit of this instance valid.
+package placer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/forwarder"
+	"github.com/wigeonstand/wigeonstand/internal/keeper"
+	"github.com/wigeonstand/wigeonstand/internal/leaser"
+	"github.com/wigeonstand/wigeonstand/internal/logger"
+	"github.com/wigeonstand/wigeonstand/internal/requester"
+	"github.com/wigeonstand/wigeonstand/internal/storer"
+)
+
+// The defaults of a Placer.
+const (
+	DefaultPeriod  = 250 * time.Millisecond
+	DefaultSettle  = 3 * time.Second
+	DefaultSilence = 3 * time.Second
+	// DefaultMoves bounds the shards that an instance hands over at once while
+	// it is not leaving.
+	DefaultMoves = 8
+	// DefaultSnapshotBatches is the number of journal objects after which a
+	// shard's snapshot is due.
+	DefaultSnapshotBatches = 256
+	// DefaultSweepPeriod is the time between two deletions of what is not needed.
+	DefaultSweepPeriod = 30 * time.Second
+
+	mapAge        = 3 * time.Second
+	scanPeriod    = time.Second
+	scanPerMember = 30 * time.Millisecond
+	beatPeriod    = time.Second
+	stepLimit     = 10 * time.Second
+	// watchers is the number of instances that exchange heartbeats with an
+	// instance and take its lease away when it is gone.
+	watchers = 6
+)
+
+// Lease is this instance's lease.
+type Lease interface {
+	Commit(ctx context.Context, change leaser.Change) error
+	Lease() leaser.Lease
+	Fence(ctx context.Context, row storer.Row) error
+	Confirmed() bool
+	Fenced() bool
+}
+
+// Journal tells how much was committed since a shard's last snapshot.
+type Journal interface {
+	Batches() int64
+}
+
+// Heartbeater exchanges beats with another instance.
+type Heartbeater interface {
+	Heartbeat(ctx context.Context, address string, beat forwarder.Beat) (forwarder.Beat, error)
+}
+
+// Platform is the part of the platform that a Placer uses.
+type Platform struct {
+	Table   storer.Table
+	Objects storer.Objects
+	Lister  storer.Lister
+}
+
+// Placer implements keeper.Placer and forwarder.Placer.
+type Placer struct {
+	lease    Lease
+	journal  Journal
+	platform Platform
+	machine  keeper.Machine
+	peers    Heartbeater
+	log      *logger.Logger
+
+	shards          int
+	period          time.Duration
+	settle          time.Duration
+	silence         time.Duration
+	moves           int
+	snapshotBatches int64
+	sweepPeriod     time.Duration
+	instances       func(n int)
+	document        func() int64
+	load            func() int64
+
+	observer *leaser.Observer
+	started  time.Time
+	wake     chan struct{}
+	loading  chan struct{}
+
+	mu       sync.Mutex
+	members  map[string]*member
+	scanned  time.Time
+	swept    time.Time
+	shardMap Map
+	version  int64
+	loaded   time.Time
+	heard    int64
+	held     map[int]*holding
+	running  context.Context
+	draining context.Context
+	fenced   bool
+}
+
+var (
+	_ keeper.Placer    = (*Placer)(nil)
+	_ forwarder.Placer = (*Placer)(nil)
+	_ forwarder.Peers  = (*Placer)(nil)
+)
+
+// Option sets one property of a Placer.
+type Option func(*Placer)
+
+// WithShards sets the number of shards; all instances must have the same.
+func WithShards(n int) Option { return func(p *Placer) { p.shards = n } }
+
+// WithPeriod sets the time between two rounds of Run.
+func WithPeriod(d time.Duration) Option { return func(p *Placer) { p.period = d } }
+
+// WithSettle sets how long an instance must be seen before shards move to it.
+func WithSettle(d time.Duration) Option { return func(p *Placer) { p.settle = d } }
+
+// WithSilence sets after which time without a heartbeat an instance is suspect.
+func WithSilence(d time.Duration) Option { return func(p *Placer) { p.silence = d } }
+
+// WithSnapshotBatches sets after how many journal objects a snapshot is due.
+func WithSnapshotBatches(n int64) Option { return func(p *Placer) { p.snapshotBatches = n } }
+
+// WithSweepPeriod sets the time between two deletions of what is not needed.
+func WithSweepPeriod(d time.Duration) Option { return func(p *Placer) { p.sweepPeriod = d } }
+
+// WithLeaseTimes sets the TTL of the leases and the margin waited beyond it.
+func WithLeaseTimes(ttl, margin time.Duration) Option {
+	return func(p *Placer) { p.observer = leaser.NewObserver(ttl, margin) }
+}
+
+// WithInstances sets what is told the number of live instances.
+func WithInstances(tell func(n int)) Option { return func(p *Placer) { p.instances = tell } }
+
+// WithDocumentVersion sets what gives the document version for heartbeats.
+func WithDocumentVersion(version func() int64) Option {
+	return func(p *Placer) { p.document = version }
+}
+
+// WithLoad sets what gives this instance's load for heartbeats.
+func WithLoad(load func() int64) Option { return func(p *Placer) { p.load = load } }
+
+// WithLogger sets where events are logged.
+func WithLogger(log *logger.Logger) Option { return func(p *Placer) { p.log = log } }
+
+// New returns a Placer for the instance that holds the lease, which must be
+// acquired before Run.
+func New(lease Lease, journal Journal, platform Platform, machine keeper.Machine, peers Heartbeater, options ...Option) *Placer {
+	p := &Placer{
+		lease:           lease,
+		journal:         journal,
+		platform:        platform,
+		machine:         machine,
+		peers:           peers,
+		log:             logger.Discard(),
+		shards:          requester.Shards,
+		period:          DefaultPeriod,
+		settle:          DefaultSettle,
+		silence:         DefaultSilence,
+		moves:           DefaultMoves,
+		snapshotBatches: DefaultSnapshotBatches,
+		sweepPeriod:     DefaultSweepPeriod,
+		instances:       func(int) {},
+		document:        func() int64 { return 0 },
+		load:            func() int64 { return 0 },
+		observer:        leaser.NewObserver(leaser.DefaultTTL, leaser.DefaultMargin),
+		started:         time.Now(),
+		wake:            make(chan struct{}, 1),
+		loading:         make(chan struct{}, 1),
+		members:         map[string]*member{},
+		held:            map[int]*holding{},
+	}
+	for _, option := range options {
+		option(p)
+	}
+	return p
+}
+
+// Run keeps the membership and the shard map until ctx ends, and returns
+// leaser.ErrFenced once another generation holds the lease.
+func (p *Placer) Run(ctx context.Context) error {
+	var beats sync.WaitGroup
+	ctx, cancel := context.WithCancel(ctx)
+	defer beats.Wait()
+	defer cancel()
+	p.mu.Lock()
+	p.running = ctx
+	p.mu.Unlock()
+	beats.Go(func() { p.beat(ctx) })
+	ticker := time.NewTicker(p.period)
+	defer ticker.Stop()
+	for {
+		if p.lease.Fenced() {
+			p.fence()
+			return leaser.ErrFenced
+		}
+		p.round(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		case <-p.wake:
+		}
+	}
+}
+
+// round takes each step once. A failed step is taken again in the next round.
+func (p *Placer) round(ctx context.Context) {
+	steps := []struct {
+		name string
+		take func(context.Context) error
+	}{
+		{"Load", p.loadIfDue},
+		{"Scan", p.scanIfDue},
+		{"Watch", p.watch},
+		{"Propose", p.propose},
+		{"Release", p.release},
+		{"Record", p.record},
+		{"Claim", p.claim},
+		{"Snapshot", p.snapshot},
+		{"Sweep", p.sweepIfDue},
+	}
+	for _, step := range steps {
+		err := p.limited(ctx, step.take)
+		if err == nil || ctx.Err() != nil {
+			continue
+		}
+		if errors.Is(err, leaser.ErrFenced) {
+			return
+		}
+		p.log.Log(eventStepFailed, "Step", step.name, "Cause", err)
+	}
+}
+
+func (p *Placer) limited(ctx context.Context, take func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, stepLimit)
+	defer cancel()
+	return take(ctx)
+}
+
+func (p *Placer) fence() {
+	p.mu.Lock()
+	p.fenced = true
+	p.held = map[int]*holding{}
+	p.mu.Unlock()
+	p.machine.Fenced()
+}
+
+// Place implements keeper.Placer.
+func (p *Placer) Place(shard int) keeper.Placement {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h, ok := p.held[shard]; ok && h.state == serving {
+		lease := p.lease.Lease()
+		return keeper.Placement{Instance: lease.Instance, Address: lease.Address, Local: true, Ready: true}
+	}
+	owner := p.shardMap.Owner(shard)
+	if owner.Instance == "" || owner == p.self() {
+		return keeper.Placement{Instance: owner.Instance}
+	}
+	m, ok := p.members[owner.Instance]
+	if !ok || m.lease.Generation != owner.Generation {
+		return keeper.Placement{Instance: owner.Instance}
+	}
+	return keeper.Placement{Instance: owner.Instance, Address: m.lease.Address, Ready: true}
+}
+
+// Owned returns the number of shards served here.
+func (p *Placer) Owned() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, h := range p.held {
+		if h.state == serving {
+			n++
+		}
+	}
+	return n
+}
+
+// Epoch returns the epoch of the shard map in use.
+func (p *Placer) Epoch() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.shardMap.Epoch
+}
+
+func (p *Placer) self() Owner {
+	lease := p.lease.Lease()
+	return Owner{Instance: lease.Instance, Generation: lease.Generation}
+}
+
+func (p *Placer) wakeUp() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/placer/placer_test.go
@@ -0,0 +1,60 @@
+package placer_test
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// once is the count of servers that every shard is to have.
+var once = slices.Repeat([]int{1}, testShards)
+
+func TestShardsOfAKilledInstanceAreTakenOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1)
+		defer c.stopAll()
+		for _, name := range []string{"a", "b", "c"} {
+			c.start(name)
+		}
+		time.Sleep(20 * time.Second)
+		if diff := cmp.Diff(once, c.served()); diff != "" {
+			t.Error("before: " + diff)
+		}
+		c.kill("a")
+		time.Sleep(15 * time.Second)
+		if diff := cmp.Diff(once, c.served()); diff != "" {
+			t.Error("after: " + diff)
+		}
+		if diff := cmp.Diff([]string(nil), c.breaches()); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestDrainHandsAllShardsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(2)
+		defer c.stopAll()
+		for _, name := range []string{"a", "b", "c"} {
+			c.start(name)
+		}
+		time.Sleep(20 * time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		if err := c.get("a").placer.Drain(ctx); err != nil {
+			t.Error(err)
+		}
+		c.kill("a")
+		time.Sleep(2 * time.Second)
+		if diff := cmp.Diff(once, c.served()); diff != "" {
+			t.Error(diff)
+		}
+		if diff := cmp.Diff([]string(nil), c.breaches()); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- /dev/null
+++ b/internal/placer/release.go
@@ -0,0 +1,287 @@
+package placer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonstand/wigeonstand/internal/leaser"
+	"github.com/wigeonstand/wigeonstand/internal/storer"
+)
+
+const (
+	drainPoll = 20 * time.Millisecond
+	// releaseLimit bounds a handover while the instance is not leaving.
+	releaseLimit = 10 * time.Minute
+)
+
+// Drain hands all shards to other instances, cutting no work before ctx ends,
+// and then marks the lease released. Run must be running until it returns.
+func (p *Placer) Drain(ctx context.Context) error {
+	p.mu.Lock()
+	if p.draining == nil {
+		p.draining = ctx
+	}
+	p.mu.Unlock()
+	p.wakeUp()
+	// What is recorded after ctx has ended still saves the others a takeover.
+	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Until(deadline(ctx))+stepLimit)
+	defer cancel()
+	if err := p.commitState(limit, leaser.Leaving); err != nil {
+		return err
+	}
+	p.wakeUp()
+	if err := p.awaitEmpty(limit); err != nil {
+		return err
+	}
+	return p.commitState(limit, leaser.Released)
+}
+
+func deadline(ctx context.Context) time.Time {
+	if d, ok := ctx.Deadline(); ok {
+		return d
+	}
+	return time.Now().Add(releaseLimit)
+}
+
+func (p *Placer) commitState(ctx context.Context, state leaser.State) error {
+	for {
+		err := p.lease.Commit(storer.WithPriority(ctx, storer.PriorityLease), leaser.Change{State: state})
+		if err == nil || errors.Is(err, leaser.ErrFenced) {
+			return err
+		}
+		if !pause(ctx, drainPoll) {
+			return eris.Wrapf(err, "mark the lease %s", state)
+		}
+	}
+}
+
+func (p *Placer) awaitEmpty(ctx context.Context) error {
+	for {
+		p.mu.Lock()
+		n, fenced := len(p.held), p.fenced
+		p.mu.Unlock()
+		if fenced {
+			return leaser.ErrFenced
+		}
+		if n == 0 {
+			return nil
+		}
+		if !pause(ctx, drainPoll) {
+			return eris.Errorf("%d shards were not handed over", n)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// release starts to hand over the shards that other instances are to have.
+func (p *Placer) release(context.Context) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range p.leavingShards() {
+		h.state = releasing
+		p.startRelease(h)
+	}
+	return nil
+}
+
+// leavingShards returns the shards to hand over now, with their targets set.
+func (p *Placer) leavingShards() []*holding {
+	self := p.self()
+	room := p.moves
+	for _, h := range p.held {
+		if h.state != serving {
+			room--
+		}
+	}
+	settled := map[string]bool{}
+	for _, name := range p.live(true) {
+		settled[name] = true
+	}
+	all := newRing(p.live(false))
+	var leaving []*holding
+	for shard, h := range p.held {
+		if h.state != serving {
+			continue
+		}
+		owner := p.shardMap.Owner(shard)
+		target := all.place(shard)
+		switch {
+		case owner != self:
+			// The map was changed by an instance that took this one for gone.
+			h.target = owner.Instance
+		case p.draining != nil:
+			h.target = p.drainTarget(shard, self.Instance)
+		case room > 0 && target != "" && target != self.Instance && settled[target] && !p.silent(p.members[target]):
+			h.target = target
+			room--
+		default:
+			continue
+		}
+		leaving = append(leaving, h)
+	}
+	return leaving
+}
+
+// drainTarget returns the instance to have the shard once this one is gone.
+func (p *Placer) drainTarget(shard int, self string) string {
+	var others []string
+	for _, name := range p.live(false) {
+		if name != self && !p.silent(p.members[name]) {
+			others = append(others, name)
+		}
+	}
+	return newRing(others).place(shard)
+}
+
+// startRelease waits in the background for the machine to let go of the shard.
+func (p *Placer) startRelease(h *holding) {
+	bound := p.draining
+	if bound == nil {
+		bound = p.running
+	}
+	limited, cancel := context.WithDeadline(bound, deadline(bound))
+	go func() {
+		defer cancel()
+		if err := p.machine.Release(limited, h.shard); err != nil {
+			p.log.Log(eventReleaseCut, "Shard", h.shard, "Cause", err)
+		}
+		p.mu.Lock()
+		h.state = released
+		p.mu.Unlock()
+		p.wakeUp()
+	}()
+}
+
+// record closes the sources of the shards that were let go of and gives them to
+// their targets in the map, all in one transaction.
+func (p *Placer) record(ctx context.Context) error {
+	p.mu.Lock()
+	var done []*holding
+	for _, h := range p.held {
+		if h.state == released {
+			done = append(done, h)
+		}
+	}
+	p.mu.Unlock()
+	if len(done) == 0 {
+		return nil
+	}
+	if err := p.Refresh(ctx); err != nil {
+		return err
+	}
+	still, err := p.readRows(ctx, done)
+	if err != nil {
+		return err
+	}
+	if len(still) > 0 {
+		if err := p.lease.Commit(ctx, p.releaseChange(still)); err != nil {
+			return err
+		}
+	}
+	p.mu.Lock()
+	for _, h := range done {
+		delete(p.held, h.shard)
+		p.log.Log(eventShardReleased, "Shard", h.shard, "Target", h.target)
+	}
+	p.mu.Unlock()
+	return p.Refresh(ctx)
+}
+
+// owned is a shard held here with its row as just read.
+type owned struct {
+	holding *holding
+	row     Shard
+	version int64
+}
+
+// readRows reads the rows of the shards and leaves out those whose release is
+// already recorded, as after a lost answer.
+func (p *Placer) readRows(ctx context.Context, all []*holding) ([]owned, error) {
+	if len(all) == 0 {
+		return nil, nil
+	}
+	keys := make([]string, len(all))
+	for i, h := range all {
+		keys[i] = shardKey(h.shard)
+	}
+	rows, err := p.platform.Table.Read(ctx, keys...)
+	if err != nil {
+		return nil, err
+	}
+	self := p.self()
+	var found []owned
+	for i, row := range rows {
+		shard, err := decodeShard(row)
+		if err != nil {
+			return nil, err
+		}
+		if shard.ownedBy(self) {
+			found = append(found, owned{holding: all[i], row: shard, version: row.Version})
+		}
+	}
+	return found, nil
+}
+
+func (s Shard) ownedBy(owner Owner) bool {
+	if len(s.Sources) == 0 {
+		return false
+	}
+	last := s.Sources[len(s.Sources)-1]
+	return !last.Closed && last.Instance == owner.Instance && last.Generation == owner.Generation
+}
+
+func (p *Placer) releaseChange(done []owned) leaser.Change {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	lease := p.lease.Lease()
+	self := Owner{Instance: lease.Instance, Generation: lease.Generation}
+	owners := p.shardMap.owners(p.shards)
+	var change leaser.Change
+	moved := false
+	for _, o := range done {
+		shard := o.row.Shard
+		key := shardKey(shard)
+		change.Conditions = append(change.Conditions, storer.Condition{Key: key, Version: o.version})
+		change.Writes = append(change.Writes, storer.Write{Key: key, Value: encode(o.row.closed(lease.Head))})
+		if owners[shard] == self {
+			owners[shard] = p.ownerOf(o.holding.target)
+			moved = true
+		}
+	}
+	if moved {
+		change.Conditions = append(change.Conditions, storer.Condition{Key: MapKey, Version: p.version})
+		change.Writes = append(change.Writes, storer.Write{Key: MapKey, Value: encode(p.shardMap.next(owners))})
+	}
+	return change
+}
+
+// closed returns the row of a shard whose owner has let go of it at the head.
+func (s Shard) closed(head int64) Shard {
+	c := s
+	c.Sources = append([]Source(nil), s.Sources...)
+	last := &c.Sources[len(c.Sources)-1]
+	last.UpTo = head
+	last.Closed = true
+	return c
+}
+
+func (p *Placer) ownerOf(name string) Owner {
+	m, ok := p.members[name]
+	if !ok {
+		return Owner{}
+	}
+	return Owner{Instance: name, Generation: m.lease.Generation}
+}
