--- /dev/null
+++ b/cmd/wigeondemo/main.go
@@ -0,0 +1,39 @@
+// Command wigeondemo makes the files of the demonstration and plays its
+// callers. It starts no process; hack/demo.sh does.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := newRootCmd().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func newRootCmd() *cli.Command {
+	return &cli.Command{
+		Name:  "wigeondemo",
+		Usage: "make the demonstration's files and play its callers",
+		Description: `Examples:
+  wigeondemo prepare --directory run
+  wigeondemo register --directory run
+  wigeondemo ready --directory run
+  wigeondemo play --directory run`,
+		Commands: []*cli.Command{newPrepareCmd(), newRegisterCmd(), newReadyCmd(), newPlayCmd(), newEditCmd()},
+	}
+}
+
+func directoryFlag() cli.Flag {
+	return &cli.StringFlag{Name: "directory", Value: "run", Usage: "keep the demonstration's files in `DIR`"}
+}
--- /dev/null
+++ b/cmd/wigeonstand/cmd/check.go
@@ -0,0 +1,30 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/wigeonstand/wigeonstand/internal/configurer"
+)
+
+func newCheckCmd() *cli.Command {
+	return &cli.Command{
+		Name:  "check",
+		Usage: "check a settings file and do nothing else",
+		Description: `check reports every error of the file at once, each with its line and column.
+
+Example:
+  wigeonstand check -f ee-tln-1.yaml`,
+		Flags: []cli.Flag{fileFlag()},
+		Action: func(_ context.Context, c *cli.Command) error {
+			settings, err := configurer.Load(c.String("file"))
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(c.Root().Writer, "%s: settings of instance %s are valid\n", c.String("file"), settings.Instance)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/internal/assembler/daemon.go
@@ -0,0 +1,284 @@
+package assembler
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonstand/wigeonstand/internal/certifier"
+	"github.com/wigeonstand/wigeonstand/internal/compiler"
+	"github.com/wigeonstand/wigeonstand/internal/configurer"
+	"github.com/wigeonstand/wigeonstand/internal/connector"
+	"github.com/wigeonstand/wigeonstand/internal/decider"
+	"github.com/wigeonstand/wigeonstand/internal/dispatcher"
+	"github.com/wigeonstand/wigeonstand/internal/forwarder"
+	"github.com/wigeonstand/wigeonstand/internal/meter"
+	"github.com/wigeonstand/wigeonstand/internal/publisher"
+	"github.com/wigeonstand/wigeonstand/internal/receiver"
+	"github.com/wigeonstand/wigeonstand/internal/requester"
+)
+
+const (
+	// healthPeriod is how often the owner is told of the store and the endpoints.
+	healthPeriod = 200 * time.Millisecond
+	// shutdownTimeout bounds the end of a listener after its work is done.
+	shutdownTimeout = 5 * time.Second
+)
+
+var errNotReady = errors.New("no lease is held or the document is not known")
+
+func newDaemon(settings *configurer.Settings, w io.Writer) (*daemon, error) {
+	l, err := newLogger(settings.Log, w)
+	if err != nil {
+		return nil, err
+	}
+	d := &daemon{
+		settings: settings, meter: meter.New(),
+		log: l.With("Instance", settings.Instance, "DataCentre", settings.DataCentre),
+	}
+	for _, build := range []func() error{d.buildStore, d.buildFollower, d.buildPeers, d.buildEndpoints, d.buildReceiver} {
+		if err := build(); err != nil {
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+func (d *daemon) buildStore() error {
+	platform := d.settings.Platform
+	key, err := readKey(platform.KeyFile)
+	if err != nil {
+		return err
+	}
+	base := "http://" + platform.Address.String()
+	options := []connector.Option{
+		connector.WithKey(key), connector.WithMeter(d.meter),
+		connector.WithRates(float64(d.settings.Store.WritesPerSecond), float64(d.settings.Store.ReadsPerSecond)),
+	}
+	if platform.TLS {
+		base = "https://" + platform.Address.String()
+		certs, err := certifier.New(certifier.Files{Authority: platform.CAFile}, certifier.WithLogger(d.log))
+		if err != nil {
+			return eris.Wrap(err, "platform certificates")
+		}
+		options = append(options, connector.WithTLS(certs.Client()))
+	}
+	d.store = connector.New(base, options...)
+	d.store.SetInstances(d.settings.Store.ShareOf)
+	return nil
+}
+
+func (d *daemon) buildFollower() error {
+	d.addresses = newDirectory(d.settings.Instance, d.store)
+	d.follower = publisher.NewFollower(d.store, d.store,
+		publisher.WithInterval(d.settings.Document.PollInterval), publisher.WithLogger(d.log),
+		publisher.WithPeer(documentPeer{d}), publisher.WithNotify(d.versionChanged))
+	return nil
+}
+
+// versionChanged brings a newer document into force on this instance.
+func (d *daemon) versionChanged(version *compiler.Version) {
+	d.meter.DocumentVersion.Set(float64(version.Number))
+	d.log.Log(eventVersionInForce, "Version", version.Number)
+	if t := d.tenure.Load(); t != nil {
+		t.lease.SetDocumentVersion(version.Number)
+		t.owner.Tell(decider.VersionChanged{Version: version})
+	}
+}
+
+func (d *daemon) buildPeers() error {
+	certs, err := newCertifier(d.settings.PeerTLS, d.log)
+	if err != nil {
+		return eris.Wrap(err, "peer certificates")
+	}
+	var options []forwarder.ClientOption
+	if certs != nil {
+		options = append(options, forwarder.WithTLS(certs.Client()))
+		d.peerTLS = certs.MutualServer()
+	}
+	d.peers = forwarder.NewClient(options...)
+	d.forwarder = forwarder.New(places{d}, d.peers, local{d}, forwarder.WithMeter(d.meter), forwarder.WithLogger(d.log))
+	d.peerServer, err = forwarder.NewServer(local{d}, places{d}, documents{d})
+	return err
+}
+
+func (d *daemon) buildEndpoints() error {
+	certs, err := newCertifier(d.settings.EndpointTLS, d.log)
+	if err != nil {
+		return eris.Wrap(err, "endpoint certificates")
+	}
+	var options []dispatcher.Option
+	if certs != nil {
+		options = append(options, dispatcher.WithTLS(certs.Client))
+	}
+	d.dispatcher = dispatcher.New(options...)
+	return nil
+}
+
+func (d *daemon) buildReceiver() error {
+	certs, err := newCertifier(d.settings.CallerTLS, d.log)
+	if err != nil {
+		return eris.Wrap(err, "caller certificates")
+	}
+	limits := d.settings.Limits
+	options := []receiver.Option{
+		receiver.WithLogger(d.log), receiver.WithMeter(d.meter), receiver.WithDrainTimeout(d.settings.DrainTimeout),
+		receiver.WithBodyLimit(int64(limits.BodyBytes), limits.HeaderTimeout),
+		receiver.WithHeaderLimit(limits.HeaderBytes, limits.HeaderTimeout), receiver.WithIdleTimeout(limits.IdleTimeout),
+	}
+	if certs != nil {
+		options = append(options, receiver.WithTLS(certs.Server()))
+	}
+	d.receiver = receiver.New(entry{d.forwarder}, d.current, options...)
+	return nil
+}
+
+// current returns the document in force, or nil before there is one.
+func (d *daemon) current() *compiler.Version {
+	if !d.follower.Started() {
+		return nil
+	}
+	return d.follower.Current()
+}
+
+// entry makes every turn idempotent, so that it may be forwarded again.
+type entry struct{ next requester.Doer }
+
+// Do implements requester.Doer.
+func (e entry) Do(ctx context.Context, command requester.Command, sink requester.Sink) (requester.Reply, error) {
+	if turn := command.Turn; turn != nil && turn.Number == 0 && turn.Key == "" {
+		keyed := *turn
+		keyed.Key = command.Request
+		command.Turn = &keyed
+	}
+	return e.next.Do(ctx, command, sink)
+}
+
+// run starts the parts in order, serves until ctx ends, and stops them.
+func (d *daemon) run(ctx context.Context) error {
+	base, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer d.work.Wait()
+	defer stop()
+	if err := d.listenInternal(base); err != nil {
+		return err
+	}
+	if err := d.follower.Start(ctx); err != nil {
+		return err
+	}
+	d.work.Go(func() { d.follower.Run(base) })
+	d.work.Go(func() { d.serveTenures(base) })
+	d.work.Go(func() { d.watch(base) })
+	listener, err := net.Listen("tcp", d.settings.CallerListen.String())
+	if err != nil {
+		return eris.Wrap(err, "listen for callers")
+	}
+	serving, stopServing := context.WithCancel(base)
+	defer stopServing()
+	served := make(chan error, 1)
+	d.work.Go(func() { served <- d.receiver.Serve(serving, listener) })
+	d.log.Log(eventServing, "Address", d.settings.CallerListen)
+	select {
+	case err := <-served:
+		return err
+	case <-ctx.Done():
+	}
+	d.stop(base, stopServing, served)
+	return nil
+}
+
+// listenInternal starts the listeners for instances and for health and metrics.
+func (d *daemon) listenInternal(ctx context.Context) error {
+	peers, err := d.listen(d.settings.PeerListen, d.peerTLS)
+	if err != nil {
+		return eris.Wrap(err, "listen for instances")
+	}
+	d.work.Go(func() { _ = d.peerServer.Serve(ctx, peers) })
+	admin, err := net.Listen("tcp", d.settings.AdminListen.String())
+	if err != nil {
+		return eris.Wrap(err, "listen for health and metrics")
+	}
+	d.serveHTTP(ctx, admin, d.adminHandler())
+	return nil
+}
+
+func (d *daemon) listen(address netip.AddrPort, config *tls.Config) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil || config == nil {
+		return listener, err
+	}
+	return tls.NewListener(listener, config), nil
+}
+
+func (d *daemon) serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler) {
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: d.settings.Limits.HeaderTimeout,
+		MaxHeaderBytes: d.settings.Limits.HeaderBytes, IdleTimeout: d.settings.Limits.IdleTimeout,
+	}
+	d.work.Go(func() { _ = server.Serve(listener) })
+	d.work.Go(func() {
+		<-ctx.Done()
+		last, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+		defer cancel()
+		_ = server.Shutdown(last)
+	})
+}
+
+func (d *daemon) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", d.meter.Handler())
+	mux.Handle("GET /healthz", receiver.Healthz())
+	mux.Handle("GET /readyz", d.receiver.Readyz(d.ready))
+	return mux
+}
+
+func (d *daemon) ready() error {
+	t := d.tenure.Load()
+	if t == nil || d.current() == nil || t.placer.Epoch() == 0 {
+		return errNotReady
+	}
+	return nil
+}
+
+// watch tells the owner whether the store confirms the lease.
+func (d *daemon) watch(ctx context.Context) {
+	ticker := time.NewTicker(healthPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if t := d.tenure.Load(); t != nil {
+			t.owner.Tell(decider.StoreHealth{Down: !t.lease.Confirmed()})
+		}
+	}
+}
+
+// stop ends the instance as planned: it reports that it is not ready, hands its
+// shards over, finishes what is in flight and closes its listeners.
+func (d *daemon) stop(base context.Context, stopServing context.CancelFunc, served <-chan error) {
+	d.log.Log(eventStopping, "InFlight", d.receiver.InFlight())
+	d.receiver.SetStopping(true)
+	pause(base, d.settings.DrainGrace)
+	draining, cancel := context.WithTimeout(base, d.settings.DrainTimeout)
+	defer cancel()
+	if t := d.tenure.Load(); t != nil {
+		if err := t.placer.Drain(draining); err != nil {
+			d.log.Log(eventDrainCut, "Cause", err)
+		}
+	}
+	stopServing()
+	<-served
+	if t := d.tenure.Load(); t != nil {
+		t.owner.Stop()
+	}
+	d.log.Log(eventStopped)
+}
--- /dev/null
+++ b/internal/assembler/directory.go
@@ -0,0 +1,112 @@
+package assembler
+
+import (
+	"context"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonstand/wigeonstand/internal/forwarder"
+	"github.com/wigeonstand/wigeonstand/internal/storer"
+)
+
+// directory remembers the peer addresses of the instances that the platform
+// listed last; it still answers while the platform does not.
+type directory struct {
+	self   string
+	lister storer.Lister
+
+	mu        sync.Mutex
+	addresses map[string]string
+}
+
+func newDirectory(self string, lister storer.Lister) *directory {
+	return &directory{self: self, lister: lister, addresses: map[string]string{}}
+}
+
+func (d *directory) refresh(ctx context.Context) {
+	listings, err := d.lister.Instances(ctx)
+	if err != nil {
+		return
+	}
+	addresses := map[string]string{}
+	for _, listing := range listings {
+		if listing.Instance != d.self {
+			addresses[listing.Instance] = listing.Address
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.addresses = addresses
+}
+
+func (d *directory) address(ctx context.Context, instance string) (string, error) {
+	for range 2 {
+		d.mu.Lock()
+		address := d.addresses[instance]
+		d.mu.Unlock()
+		if address != "" {
+			return address, nil
+		}
+		d.refresh(ctx)
+	}
+	return "", eris.Errorf("instance %s is not listed", instance)
+}
+
+func (d *directory) instances() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	names := make([]string, 0, len(d.addresses))
+	for name := range d.addresses {
+		names = append(names, name)
+	}
+	return names
+}
+
+// documentPeer fetches the document from other instances.
+type documentPeer struct{ daemon *daemon }
+
+// FetchDocument implements publisher.Peer.
+func (p documentPeer) FetchDocument(ctx context.Context, instance string) ([]byte, error) {
+	address, err := p.daemon.addresses.address(ctx, instance)
+	if err != nil {
+		return nil, err
+	}
+	_, body, err := p.daemon.peers.FetchDocument(ctx, address, 0)
+	return body, err
+}
+
+// Instances implements publisher.Peer.
+func (p documentPeer) Instances() []string {
+	known := p.daemon.addresses.instances()
+	if len(known) == 0 {
+		p.daemon.addresses.refresh(context.Background())
+		known = p.daemon.addresses.instances()
+	}
+	return known
+}
+
+// documents gives other instances the document in force here.
+type documents struct{ daemon *daemon }
+
+// Document implements forwarder.Documents.
+func (s documents) Document(context.Context, int64) (int64, []byte, error) {
+	body, err := s.daemon.follower.Encode()
+	if err != nil {
+		return 0, nil, err
+	}
+	return s.daemon.follower.Current().Number, body, nil
+}
+
+// listeningPeers exchanges heartbeats and offers the versions that they tell
+// of to the follower.
+type listeningPeers struct{ daemon *daemon }
+
+// Heartbeat implements placer.Heartbeater.
+func (p listeningPeers) Heartbeat(ctx context.Context, address string, beat forwarder.Beat) (forwarder.Beat, error) {
+	answer, err := p.daemon.peers.Heartbeat(ctx, address, beat)
+	if err == nil {
+		p.daemon.follower.Offer(answer.DocumentVersion, answer.Instance)
+	}
+	return answer, err
+}
--- /dev/null
+++ b/internal/assembler/tenure.go
@@ -0,0 +1,180 @@
+package assembler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonstand/wigeonstand/internal/answerer"
+	"github.com/wigeonstand/wigeonstand/internal/committer"
+	"github.com/wigeonstand/wigeonstand/internal/decider"
+	"github.com/wigeonstand/wigeonstand/internal/escrower"
+	"github.com/wigeonstand/wigeonstand/internal/forwarder"
+	"github.com/wigeonstand/wigeonstand/internal/keeper"
+	"github.com/wigeonstand/wigeonstand/internal/leaser"
+	"github.com/wigeonstand/wigeonstand/internal/limiter"
+	"github.com/wigeonstand/wigeonstand/internal/owner"
+	"github.com/wigeonstand/wigeonstand/internal/placer"
+	"github.com/wigeonstand/wigeonstand/internal/queuer"
+	"github.com/wigeonstand/wigeonstand/internal/requester"
+	"github.com/wigeonstand/wigeonstand/internal/router"
+)
+
+const (
+	// acquireRetry is the time between attempts to take a lease.
+	acquireRetry = time.Second
+	// fencedLinger is how long calls that a replaced owner has sent may still take.
+	fencedLinger = 30 * time.Second
+)
+
+// tenure is what lives for one generation of the instance's lease.
+type tenure struct {
+	lease   *leaser.Leaser
+	journal *committer.Committer
+	owner   *owner.Owner
+	placer  *placer.Placer
+}
+
+// newTenure takes the lease under a new generation and builds what depends on it.
+func (d *daemon) newTenure(ctx context.Context) (*tenure, error) {
+	address := d.peerAddress()
+	lease := leaser.New(d.store, d.settings.Instance, address.String(), d.settings.DataCentre,
+		leaser.WithTTL(d.settings.Lease.TTL), leaser.WithLogger(d.log))
+	if err := lease.Acquire(ctx); err != nil {
+		return nil, eris.Wrap(err, "acquire lease")
+	}
+	held := lease.Lease()
+	holder := fmt.Sprintf("%s-%d", held.Instance, held.Generation)
+	journal := committer.New(lease, d.store,
+		committer.WithInterval(d.commitInterval), committer.WithLogger(d.log),
+		committer.WithBacklogBytes(d.settings.Limits.BacklogBytes))
+	version := d.follower.Current()
+	core := decider.New(version, queuer.New(version.Policy), router.New(version.Policy, uint64(held.Generation)),
+		limiter.NewRetryBudget(uint64(held.Generation)),
+		decider.WithName(holder), decider.WithDataCentre(d.settings.DataCentre))
+	work := owner.New(core, d.dispatcher, d.follower.Current,
+		owner.WithLogger(d.log), owner.WithMeter(d.meter),
+		owner.WithEscrow(escrower.New(d.store, holder)), owner.WithConfirmed(lease.Confirmed))
+	places := placer.New(lease, journal, placer.Platform{Table: d.store, Objects: d.store, Lister: d.store}, work, listeningPeers{d},
+		placer.WithLogger(d.log), placer.WithInstances(d.store.SetInstances),
+		placer.WithLeaseTimes(d.settings.Lease.TTL, d.settings.Lease.TTL/leaseMarginPart),
+		placer.WithDocumentVersion(func() int64 { return d.follower.Current().Number }))
+	return &tenure{lease: lease, journal: journal, owner: work, placer: places}, nil
+}
+
+// leaseMarginPart is the part of the TTL that a taker waits beyond it.
+const leaseMarginPart = 5
+
+func (d *daemon) peerAddress() netip.AddrPort {
+	if d.settings.PeerAddress.IsValid() {
+		return d.settings.PeerAddress
+	}
+	return d.settings.PeerListen
+}
+
+// commitInterval is the time between group commits: the setting, or what the
+// platform's write budget leaves to this instance if that is longer.
+func (d *daemon) commitInterval() time.Duration {
+	return max(d.settings.Commit.Interval, d.store.WriteInterval())
+}
+
+// run serves until ctx ends or the lease is taken away.
+func (t *tenure) run(ctx context.Context, d *daemon) error {
+	t.owner.Start(context.WithoutCancel(ctx), t.journal, t.journal.Full)
+	t.owner.Tell(decider.VersionChanged{Version: d.follower.Current()})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	errs := make(chan error, 3)
+	var work sync.WaitGroup
+	work.Go(func() { errs <- t.lease.Run(ctx) })
+	work.Go(func() { errs <- t.journal.Run(ctx, t.owner) })
+	work.Go(func() { errs <- t.placer.Run(ctx) })
+	err := <-errs
+	if errors.Is(err, leaser.ErrFenced) {
+		t.owner.Fenced()
+	}
+	cancel()
+	work.Wait()
+	return err
+}
+
+// serveTenures takes one lease after another until ctx ends.
+func (d *daemon) serveTenures(ctx context.Context) {
+	for ctx.Err() == nil {
+		t, err := d.newTenure(ctx)
+		if err != nil {
+			d.log.Log(eventLeaseFailed, "Cause", err)
+			pause(ctx, acquireRetry)
+			continue
+		}
+		d.tenure.Store(t)
+		d.log.Log(eventLeaseTaken, "Generation", t.lease.Lease().Generation)
+		err = t.run(ctx, d)
+		if ctx.Err() != nil {
+			return
+		}
+		d.tenure.CompareAndSwap(t, nil)
+		d.log.Log(eventTenureEnded, "Cause", err)
+		d.work.Go(func() { t.linger(ctx) })
+	}
+}
+
+// linger lets calls that were sent before the lease was lost end.
+func (t *tenure) linger(ctx context.Context) {
+	pause(ctx, fencedLinger)
+	t.owner.Stop()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// local serves commands by the owner of the present generation.
+type local struct{ daemon *daemon }
+
+// Do implements requester.Doer.
+func (l local) Do(ctx context.Context, command requester.Command, sink requester.Sink) (requester.Reply, error) {
+	t := l.daemon.tenure.Load()
+	if t == nil {
+		return requester.Reply{}, answerer.New(answerer.Moved, "the instance holds no lease")
+	}
+	return t.owner.Do(ctx, command, sink)
+}
+
+// places answers where shards are by the present generation.
+type places struct{ daemon *daemon }
+
+// Place implements forwarder.Placer.
+func (p places) Place(shard int) keeper.Placement {
+	if t := p.daemon.tenure.Load(); t != nil {
+		return t.placer.Place(shard)
+	}
+	return keeper.Placement{}
+}
+
+// Refresh implements forwarder.Placer.
+func (p places) Refresh(ctx context.Context) error {
+	if t := p.daemon.tenure.Load(); t != nil {
+		return t.placer.Refresh(ctx)
+	}
+	return nil
+}
+
+// Heard implements forwarder.Peers.
+func (p places) Heard(beat forwarder.Beat) forwarder.Beat {
+	p.daemon.follower.Offer(beat.DocumentVersion, beat.Instance)
+	if t := p.daemon.tenure.Load(); t != nil {
+		return t.placer.Heard(beat)
+	}
+	return forwarder.Beat{}
+}
--- a/internal/decider/call.go
+++ b/internal/decider/call.go
@@ -54,6 +54,7 @@
 		c.refuse(r, answerer.New(answerer.NotFound, "service %q is not known", command.Service))
 		return
 	}
+	c.retrier.Earn(time.Now(), r.business, c.retryShare(r.business))
 	i := &invocation{id: c.next(), business: r.business, command: *command, service: service, once: !service.Repeatable}
 	if !i.once {
 		i.wait(r)
@@ -246,7 +247,7 @@
 }
 
 func (c *Core) mayRetryCall(i *invocation) bool {
-	return i.tries < c.settings.maxAttempts && c.retrier.Allow(i.business, c.retryShare(i.business), time.Now())
+	return i.tries < c.settings.maxAttempts && c.retrier.Spend(time.Now(), i.business)
 }
 
 // giveUpCall ends a call without an answer from the service.
--- a/internal/decider/core.go
+++ b/internal/decider/core.go
@@ -22,10 +22,10 @@
 
 // Retrier bounds the attempts beyond the first, per business.
 type Retrier interface {
-	// Sent counts a first attempt.
-	Sent(business string, now time.Time)
-	// Allow says whether one more attempt may be made, and counts it.
-	Allow(business string, share float64, now time.Time) bool
+	// Earn counts a first attempt; share is the part of them that may be retried.
+	Earn(now time.Time, business string, share float64)
+	// Spend says whether one more attempt may be made, and counts it.
+	Spend(now time.Time, business string) bool
 }
 
 // Core holds the live and durable state of the shards that the instance owns.
--- a/internal/decider/endpoint.go
+++ b/internal/decider/endpoint.go
@@ -120,7 +120,7 @@
 		targets = append(targets, e)
 	}
 	if len(candidates) == 0 && t.resume > 0 {
-		t.resume = 0
+		t.restart()
 		return c.candidates(t, t.endpoint)
 	}
 	return candidates, targets
--- a/internal/decider/event.go
+++ b/internal/decider/event.go
@@ -56,8 +56,10 @@
 type GenerateFailed struct {
 	Attempt string
 	Cause   Cause
-	// Tokens were received before the failure.
+	// Tokens is the offset up to which the output was received, and Text the
+	// whole output up to there.
 	Tokens int
+	Text   string
 	// Usage is set if the endpoint accounted for the attempt.
 	Usage *generator.Usage
 }
--- a/internal/decider/fuzz_test.go
+++ b/internal/decider/fuzz_test.go
@@ -198,6 +198,8 @@
 	switch outcome {
 	case "Whole":
 		w.handle(decider.Generated{Attempt: attempt, Text: text, Usage: usage})
+	case "Truncated":
+		w.handle(decider.GenerateFailed{Attempt: attempt, Cause: decider.Truncated, Tokens: 0})
 	case "Accounted":
 		w.handle(decider.GenerateFailed{Attempt: attempt, Cause: decider.Failed, Usage: &usage})
 	default:
--- a/internal/decider/turn.go
+++ b/internal/decider/turn.go
@@ -45,6 +45,8 @@
 	tries    int
 	// resume is the offset at which a cut stream is continued at the same endpoint.
 	resume int
+	// text is the output before that offset.
+	text string
 	// ran is true once an attempt may have reached an endpoint.
 	ran bool
 	// abandoned turns are only billed.
@@ -181,7 +183,7 @@
 	p.live.active = t
 	r.turn = t
 	c.turns[t.id] = t
-	c.retrier.Sent(p.business, t.created)
+	c.retrier.Earn(t.created, p.business, c.retryShare(p.business))
 	c.reserve(t)
 }
 
@@ -263,6 +265,8 @@
 		return
 	}
 	p := t.program
+	e.Usage.Generated += t.resume
+	e.Text = t.text + e.Text
 	c.unreserve(t, e.Usage.Total())
 	if t.abandoned && p.ended {
 		c.settle(t, e.Usage.Total())
@@ -347,21 +351,27 @@
 
 // retry sends the turn again if that is safe and within bounds, or gives it up.
 func (c *Core) retry(t *activeTurn, e GenerateFailed) {
-	share := c.retryShare(t.program.business)
-	if t.tries >= c.settings.maxAttempts || !c.retrier.Allow(t.program.business, share, time.Now()) {
+	if t.tries >= c.settings.maxAttempts || !c.retrier.Spend(time.Now(), t.program.business) {
 		c.giveUp(t, e.Cause)
 		return
 	}
 	c.do(Retried{Reason: string(e.Cause), Target: "Engine"})
 	t.avoid = t.endpoint
-	t.resume = 0
+	t.restart()
 	if e.Cause == Truncated && e.Tokens > 0 {
 		t.avoid = ""
 		t.resume = e.Tokens
+		t.text = e.Text
 	}
 	c.reserve(t)
 }
 
+// restart forgets what a cut stream brought.
+func (t *activeTurn) restart() {
+	t.resume = 0
+	t.text = ""
+}
+
 func (c *Core) retryShare(business string) float64 {
 	if b := c.version.Businesses[business]; b != nil {
 		return b.RetryShare
--- a/internal/decider/world_test.go
+++ b/internal/decider/world_test.go
@@ -29,8 +29,8 @@
 // alwaysRetrier allows every retry.
 type alwaysRetrier struct{}
 
-func (alwaysRetrier) Sent(string, time.Time)                {}
-func (alwaysRetrier) Allow(string, float64, time.Time) bool { return true }
+func (alwaysRetrier) Earn(time.Time, string, float64) {}
+func (alwaysRetrier) Spend(time.Time, string) bool    { return true }
 
 // newVersion returns a document with one agent program a business, two engines
 // and a service of each kind.
--- /dev/null
+++ b/internal/owner/actions.go
@@ -0,0 +1,268 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/decider"
+	"github.com/wigeonstand/wigeonstand/internal/dispatcher"
+	"github.com/wigeonstand/wigeonstand/internal/generator"
+	"github.com/wigeonstand/wigeonstand/internal/requester"
+)
+
+// carryOut does what the core decided, in order; what takes time runs beside
+// the actor and reports back with an event.
+func (o *Owner) carryOut(actions []decider.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case decider.Append:
+			o.append(a)
+		case decider.Answer:
+			o.answer(a)
+		case decider.Generate:
+			o.startGenerate(a)
+		case decider.CancelGenerate:
+			o.work.Go(func() { o.cancelGenerate(a) })
+		case decider.Invoke:
+			o.work.Go(func() { o.invoke(a) })
+		case decider.AskStatus:
+			o.work.Go(func() { o.askStatus(a) })
+		case decider.ReleaseMemory:
+			o.work.Go(func() { o.releaseMemory(a) })
+		case decider.DrawEscrow:
+			o.work.Go(func() { o.draw(a) })
+		case decider.ShardGone:
+			o.shardGone(a.Shard)
+		case decider.Retried:
+			o.meter.Retries.WithLabelValues(a.Reason, a.Target).Inc()
+		}
+	}
+}
+
+func (o *Owner) append(a decider.Append) {
+	sequence := o.journal.Append(a.Entries)
+	o.tickets = append(o.tickets, ticket{number: a.Ticket, sequence: sequence})
+}
+
+func (o *Owner) answer(a decider.Answer) {
+	if w := o.waiter(a.Request); w != nil {
+		w.reply <- a
+	}
+}
+
+func (o *Owner) shardGone(shard int) {
+	for _, gone := range o.leaving[shard] {
+		close(gone)
+	}
+	delete(o.leaving, shard)
+}
+
+// startGenerate registers the attempt before it runs, so that a cancel finds it.
+func (o *Owner) startGenerate(a decider.Generate) {
+	ctx, cancel := context.WithCancel(o.ctx)
+	o.mu.Lock()
+	o.attempts[a.Attempt] = cancel
+	o.mu.Unlock()
+	o.work.Go(func() { o.generate(ctx, a) })
+}
+
+func (o *Owner) generate(ctx context.Context, a decider.Generate) {
+	defer o.endAttempt(a.Attempt)
+	endpoint := o.current().Endpoints[a.Endpoint]
+	if endpoint == nil {
+		o.Tell(decider.GenerateFailed{Attempt: a.Attempt, Cause: decider.NotSent})
+		return
+	}
+	began := time.Now()
+	text, usage, err := o.endpoints.Generate(ctx, endpoint, a.Request, o.newRelay(a))
+	if err == nil {
+		o.observer.Succeeded(a.Endpoint, time.Since(began))
+		o.countTokens(usage)
+		o.Tell(decider.Generated{Attempt: a.Attempt, Text: text, Usage: usage})
+		return
+	}
+	o.generateFailed(a, err)
+}
+
+func (o *Owner) generateFailed(a decider.Generate, err error) {
+	failed := decider.GenerateFailed{Attempt: a.Attempt, Cause: decider.Failed}
+	var failure *dispatcher.Failure
+	if errors.As(err, &failure) {
+		failed.Cause = causeOf(failure.Reason)
+		failed.Tokens = failure.Offset
+		failed.Text = failure.Text
+		if failure.Usage.Total() > 0 {
+			failed.Usage = &failure.Usage
+		}
+		if failure.Reason != dispatcher.Canceled {
+			o.observer.Failed(a.Endpoint, failure.Reason)
+		}
+	}
+	if failed.Cause != decider.Canceled {
+		o.log.Log(eventAttemptFailed, "Attempt", a.Attempt, "Program", a.Request.Program, "Endpoint", a.Endpoint, "Cause", err)
+	}
+	o.Tell(failed)
+}
+
+func causeOf(reason dispatcher.Reason) decider.Cause {
+	switch reason {
+	case dispatcher.NotSent:
+		return decider.NotSent
+	case dispatcher.Truncated:
+		return decider.Truncated
+	case dispatcher.Silent:
+		return decider.Silent
+	case dispatcher.Canceled:
+		return decider.Canceled
+	}
+	return decider.Failed
+}
+
+func (o *Owner) countTokens(usage generator.Usage) {
+	o.meter.Tokens.WithLabelValues("Prompt").Add(float64(usage.Prompt))
+	o.meter.Tokens.WithLabelValues("Cached").Add(float64(usage.Cached))
+	o.meter.Tokens.WithLabelValues("Generated").Add(float64(usage.Generated))
+}
+
+func (o *Owner) endAttempt(attempt string) {
+	o.mu.Lock()
+	cancel := o.attempts[attempt]
+	delete(o.attempts, attempt)
+	o.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+// cancelGenerate asks the engine to stop and cuts the stream if it goes on.
+func (o *Owner) cancelGenerate(a decider.CancelGenerate) {
+	endpoint := o.current().Endpoints[a.Endpoint]
+	if endpoint != nil {
+		ctx, cancel := context.WithTimeout(o.ctx, settleTime)
+		defer cancel()
+		_ = o.endpoints.Cancel(ctx, endpoint, a.Attempt)
+		o.pause(ctx, settleTime)
+	}
+	o.endAttempt(a.Attempt)
+}
+
+func (o *Owner) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (o *Owner) invoke(a decider.Invoke) {
+	version := o.current()
+	service, endpoint := version.Services[a.Service], version.Endpoints[a.Endpoint]
+	if service == nil || endpoint == nil || (a.Once && !o.confirmed()) {
+		o.Tell(decider.InvokeFailed{Attempt: a.Attempt, NotSent: true})
+		return
+	}
+	began := time.Now()
+	answer, err := o.endpoints.Call(o.ctx, service, endpoint, a.Call)
+	if err == nil {
+		o.observer.Succeeded(a.Endpoint, time.Since(began))
+		o.Tell(decider.Invoked{Attempt: a.Attempt, Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body})
+		return
+	}
+	reason := dispatcher.ReasonOf(err)
+	o.observer.Failed(a.Endpoint, reason)
+	o.log.Log(eventCallFailed, "Attempt", a.Attempt, "Service", a.Service, "Endpoint", a.Endpoint, "Cause", err)
+	o.Tell(decider.InvokeFailed{Attempt: a.Attempt, NotSent: reason == dispatcher.NotSent})
+}
+
+func (o *Owner) askStatus(a decider.AskStatus) {
+	version := o.current()
+	service, endpoint := version.Services[a.Service], version.Endpoints[a.Endpoint]
+	if service == nil || endpoint == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, controlTimeout)
+	defer cancel()
+	answer, err := o.endpoints.Status(ctx, service, endpoint, a.Key)
+	if err != nil {
+		return
+	}
+	var state callState
+	if answer.Status != http.StatusOK || json.Unmarshal(answer.Body, &state) != nil {
+		return
+	}
+	o.Tell(decider.StatusKnown{
+		Business: a.Business, Key: a.Key, Done: state.State == stateDone, Status: answer.Status, Body: answer.Body,
+	})
+}
+
+// callState is a service's answer to the question for a call's outcome.
+type callState struct {
+	// State is "Done" or "Absent".
+	State string
+}
+
+const stateDone = "Done"
+
+func (o *Owner) releaseMemory(a decider.ReleaseMemory) {
+	endpoint := o.current().Endpoints[a.Endpoint]
+	if endpoint == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, controlTimeout)
+	defer cancel()
+	if err := o.endpoints.Release(ctx, endpoint, a.Program); err == nil {
+		o.Tell(decider.MemoryReleased{Endpoint: a.Endpoint, Program: a.Program})
+	}
+}
+
+func (o *Owner) draw(a decider.DrawEscrow) {
+	ctx, cancel := context.WithTimeout(o.ctx, controlTimeout)
+	defer cancel()
+	tokens, err := o.escrow.Draw(ctx, a.Business, a.Tokens, a.Limit)
+	o.Tell(decider.EscrowDrawn{Business: a.Business, Tokens: tokens, Failed: err != nil})
+}
+
+// relay passes an attempt's chunks to the caller and observes the gaps between them.
+type relay struct {
+	owner   *Owner
+	attempt decider.Generate
+	last    time.Time
+}
+
+func (o *Owner) newRelay(a decider.Generate) requester.Sink { return &relay{owner: o, attempt: a} }
+
+// Chunk implements requester.Sink. A caller that cannot be written to does not
+// end the attempt; the core learns of its leaving by Gone.
+func (r *relay) Chunk(chunk generator.Chunk) error {
+	now := time.Now()
+	if !r.last.IsZero() {
+		r.owner.observer.Gap(r.attempt.Endpoint, now.Sub(r.last))
+	}
+	r.last = now
+	w := r.owner.waiter(r.attempt.Sink)
+	if w == nil || w.sink == nil {
+		return nil
+	}
+	w.first.Do(func() { r.owner.meter.FirstTokenSeconds.Observe(now.Sub(w.began).Seconds()) })
+	if chunk.Done {
+		return nil
+	}
+	_ = w.sink.Chunk(chunk)
+	return nil
+}
+
+type silentObserver struct{}
+
+func (silentObserver) Succeeded(string, time.Duration)  {}
+func (silentObserver) Failed(string, dispatcher.Reason) {}
+func (silentObserver) Gap(string, time.Duration)        {}
+
+type noEscrow struct{}
+
+func (noEscrow) Draw(context.Context, string, int, int) (int, error) {
+	return 0, errors.New("no escrow is configured")
+}
--- /dev/null
+++ b/internal/owner/actor.go
@@ -0,0 +1,176 @@
+package owner
+
+import (
+	"context"
+	"io"
+	"log/slog"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"github.com/wigeonstand/wigeonstand/internal/answerer"
+	"github.com/wigeonstand/wigeonstand/internal/decider"
+	"github.com/wigeonstand/wigeonstand/internal/keeper"
+)
+
+// The messages of the actor besides the core's events.
+type (
+	restoreShard struct {
+		shard    int
+		snapshot []byte
+		entries  []keeper.Entry
+		reply    chan error
+	}
+	takeSnapshot struct {
+		shard int
+		reply chan snapshot
+	}
+	releaseShard struct {
+		shard int
+		gone  chan struct{}
+	}
+	journaled struct{ sequence int64 }
+)
+
+func discardLogs(*actor.ActorSystem) *slog.Logger {
+	return slog.New(slog.NewTextHandler(io.Discard, nil))
+}
+
+// receive handles one message; the core is only used here.
+func (o *Owner) receive(c actor.Context) {
+	switch m := c.Message().(type) {
+	case decider.Event:
+		o.carryOut(o.core.Handle(m))
+	case restoreShard:
+		actions, err := o.core.Restore(m.shard, m.snapshot, m.entries)
+		o.carryOut(actions)
+		m.reply <- err
+	case takeSnapshot:
+		o.snapshot(m)
+	case releaseShard:
+		o.leaving[m.shard] = append(o.leaving[m.shard], m.gone)
+		o.carryOut(o.core.Handle(decider.Released{Shard: m.shard}))
+	case journaled:
+		o.journaled(m.sequence)
+	}
+}
+
+func (o *Owner) snapshot(m takeSnapshot) {
+	body, number, ok := o.core.Snapshot(m.shard)
+	if !ok {
+		m.reply <- snapshot{err: answerer.New(answerer.Moved, "shard %d is not served here", m.shard)}
+		return
+	}
+	v := viewer{ticket: number, reply: m.reply, result: snapshot{body: body, sequence: o.sequenceOf(number)}}
+	if number <= o.reached {
+		m.reply <- v.result
+		return
+	}
+	o.views = append(o.views, v)
+}
+
+// sequenceOf returns the journal's sequence of the append; the last durable one
+// if it is no longer remembered.
+func (o *Owner) sequenceOf(number int64) int64 {
+	sequence := o.durable.sequence
+	for _, t := range o.tickets {
+		if t.number <= number {
+			sequence = t.sequence
+		}
+	}
+	return sequence
+}
+
+// journaled tells the core which of its appends have become durable.
+func (o *Owner) journaled(sequence int64) {
+	done := 0
+	for done < len(o.tickets) && o.tickets[done].sequence <= sequence {
+		done++
+	}
+	if done == 0 {
+		return
+	}
+	o.durable = o.tickets[done-1]
+	o.tickets = append([]ticket(nil), o.tickets[done:]...)
+	o.reached = o.durable.number
+	o.carryOut(o.core.Handle(decider.Committed{Ticket: o.reached}))
+	o.showViews()
+}
+
+func (o *Owner) showViews() {
+	left := o.views[:0]
+	for _, v := range o.views {
+		if v.ticket > o.reached {
+			left = append(left, v)
+			continue
+		}
+		v.reply <- v.result
+	}
+	o.views = left
+}
+
+// Restore implements keeper.Machine.
+func (o *Owner) Restore(ctx context.Context, shard int, snapshot []byte, entries []keeper.Entry) error {
+	reply := make(chan error, 1)
+	o.system.Root.Send(o.pid, restoreShard{shard: shard, snapshot: snapshot, entries: entries, reply: reply})
+	return o.await(ctx, reply)
+}
+
+func (o *Owner) await(ctx context.Context, reply <-chan error) error {
+	select {
+	case err := <-reply:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-o.ctx.Done():
+		return o.ctx.Err()
+	}
+}
+
+// Snapshot implements keeper.Machine; it returns once all of it is durable.
+func (o *Owner) Snapshot(ctx context.Context, shard int) ([]byte, int64, error) {
+	reply := make(chan snapshot, 1)
+	o.system.Root.Send(o.pid, takeSnapshot{shard: shard, reply: reply})
+	select {
+	case s := <-reply:
+		return s.body, s.sequence, s.err
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	case <-o.ctx.Done():
+		return nil, 0, o.ctx.Err()
+	}
+}
+
+// Release implements keeper.Machine.
+func (o *Owner) Release(ctx context.Context, shard int) error {
+	gone := make(chan struct{})
+	o.system.Root.Send(o.pid, releaseShard{shard: shard, gone: gone})
+	select {
+	case <-gone:
+		return nil
+	case <-o.ctx.Done():
+		return o.ctx.Err()
+	case <-ctx.Done():
+	}
+	o.log.Log(eventShardCut, "Shard", shard)
+	o.Tell(decider.Cut{Shard: shard})
+	last, cancel := context.WithTimeout(o.ctx, cutTimeout)
+	defer cancel()
+	select {
+	case <-gone:
+		return nil
+	case <-last.Done():
+		return last.Err()
+	}
+}
+
+// Committed implements keeper.Machine.
+func (o *Owner) Committed(sequence int64) { o.system.Root.Send(o.pid, journaled{sequence: sequence}) }
+
+// Fenced implements keeper.Machine.
+func (o *Owner) Fenced() {
+	if o.fenced.Swap(true) {
+		return
+	}
+	o.log.Log(eventFenced)
+	o.Tell(decider.Fenced{})
+}
--- /dev/null
+++ b/internal/owner/owner.go
@@ -0,0 +1,256 @@
+// Package owner owns the actor that drives a decision core: it feeds events to
+// the core one at a time and carries out its actions through the journal, the
+// endpoints and the waiting callers. It does not own any decision, nor which
+// shards the instance serves.
+package owner
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"github.com/wigeonstand/wigeonstand/internal/answerer"
+	"github.com/wigeonstand/wigeonstand/internal/compiler"
+	"github.com/wigeonstand/wigeonstand/internal/decider"
+	"github.com/wigeonstand/wigeonstand/internal/dispatcher"
+	"github.com/wigeonstand/wigeonstand/internal/generator"
+	"github.com/wigeonstand/wigeonstand/internal/keeper"
+	"github.com/wigeonstand/wigeonstand/internal/logger"
+	"github.com/wigeonstand/wigeonstand/internal/meter"
+	"github.com/wigeonstand/wigeonstand/internal/requester"
+)
+
+// Endpoints sends requests to engines and services.
+type Endpoints interface {
+	Generate(ctx context.Context, endpoint *compiler.Endpoint, request generator.GenerateRequest, sink requester.Sink) (string, generator.Usage, error)
+	Cancel(ctx context.Context, endpoint *compiler.Endpoint, request string) error
+	Release(ctx context.Context, endpoint *compiler.Endpoint, program string) error
+	Call(ctx context.Context, service *compiler.Service, endpoint *compiler.Endpoint, call requester.Call) (dispatcher.Answer, error)
+	Status(ctx context.Context, service *compiler.Service, endpoint *compiler.Endpoint, key string) (dispatcher.Answer, error)
+}
+
+// Observer learns how requests to endpoints went.
+type Observer interface {
+	Succeeded(endpoint string, took time.Duration)
+	Failed(endpoint string, reason dispatcher.Reason)
+	Gap(endpoint string, gap time.Duration)
+}
+
+// Escrow draws tokens of a business's budget for this instance.
+type Escrow interface {
+	// Draw returns the tokens granted, zero if the budget is spent.
+	Draw(ctx context.Context, business string, tokens, limit int) (int, error)
+}
+
+const (
+	// tickPeriod is how often deadlines are looked at.
+	tickPeriod = 50 * time.Millisecond
+	// settleTime is how long a canceled stream may take to account for itself.
+	settleTime = 2 * time.Second
+	// controlTimeout bounds a cancel, a release, a status query and a draw.
+	controlTimeout = 5 * time.Second
+	// cutTimeout bounds the wait for a shard that was cut to become durable.
+	cutTimeout = 10 * time.Second
+)
+
+// Owner runs one decision core. It implements keeper.Machine and requester.Doer.
+type Owner struct {
+	core      *decider.Core
+	endpoints Endpoints
+	observer  Observer
+	escrow    Escrow
+	confirmed func() bool
+	current   func() *compiler.Version
+	log       *logger.Logger
+	meter     *meter.Meter
+
+	journal keeper.Journal
+	full    func() bool
+	system  *actor.ActorSystem
+	pid     *actor.PID
+	ctx     context.Context
+	cancel  context.CancelFunc
+	work    sync.WaitGroup
+	fenced  atomic.Bool
+
+	mu       sync.Mutex
+	waiting  map[string]*waiter
+	attempts map[string]context.CancelFunc
+
+	// The fields below belong to the actor.
+	tickets []ticket
+	durable ticket
+	reached int64
+	leaving map[int][]chan struct{}
+	views   []viewer
+}
+
+// ticket maps an append of the core to the journal's sequence.
+type ticket struct {
+	number   int64
+	sequence int64
+}
+
+// viewer waits for its snapshot to be durable.
+type viewer struct {
+	ticket int64
+	reply  chan<- snapshot
+	result snapshot
+}
+
+type snapshot struct {
+	body     []byte
+	sequence int64
+	err      error
+}
+
+// waiter is one caller that waits for the answer to a command.
+type waiter struct {
+	sink  requester.Sink
+	reply chan decider.Answer
+	began time.Time
+	first sync.Once
+}
+
+// Option sets one property of an Owner.
+type Option func(*Owner)
+
+// WithLogger sets where events are logged.
+func WithLogger(log *logger.Logger) Option { return func(o *Owner) { o.log = log } }
+
+// WithMeter sets where answers, retries and tokens are counted.
+func WithMeter(m *meter.Meter) Option { return func(o *Owner) { o.meter = m } }
+
+// WithObserver sets who learns how requests to endpoints went.
+func WithObserver(observer Observer) Option { return func(o *Owner) { o.observer = observer } }
+
+// WithEscrow sets who draws business budgets; without it every draw fails.
+func WithEscrow(escrow Escrow) Option { return func(o *Owner) { o.escrow = escrow } }
+
+// WithConfirmed sets the check that the lease is confirmed, asked before a call
+// that may not be repeated is sent.
+func WithConfirmed(confirmed func() bool) Option { return func(o *Owner) { o.confirmed = confirmed } }
+
+// New returns an Owner that serves nothing before Start.
+func New(core *decider.Core, endpoints Endpoints, current func() *compiler.Version, options ...Option) *Owner {
+	o := &Owner{
+		core: core, endpoints: endpoints, current: current, observer: silentObserver{}, escrow: noEscrow{},
+		confirmed: func() bool { return true }, full: func() bool { return false },
+		log: logger.Discard(), waiting: map[string]*waiter{},
+		attempts: map[string]context.CancelFunc{}, leaving: map[int][]chan struct{}{},
+	}
+	for _, option := range options {
+		option(o)
+	}
+	if o.meter == nil {
+		o.meter = meter.New()
+	}
+	return o
+}
+
+// Start runs the actor until ctx ends. Full says that the journal's backlog is
+// at its bound; new work is refused then.
+func (o *Owner) Start(ctx context.Context, journal keeper.Journal, full func() bool) {
+	o.journal = journal
+	if full != nil {
+		o.full = full
+	}
+	o.ctx, o.cancel = context.WithCancel(ctx)
+	o.system = actor.NewActorSystem(actor.WithLoggerFactory(discardLogs))
+	o.pid = o.system.Root.Spawn(actor.PropsFromFunc(o.receive))
+	o.work.Go(o.tick)
+}
+
+// Stop ends the actor and everything that it has in flight.
+func (o *Owner) Stop() {
+	o.cancel()
+	_ = o.system.Root.StopFuture(o.pid).Wait()
+	o.work.Wait()
+	o.system.Shutdown()
+}
+
+// Tell hands an event to the core.
+func (o *Owner) Tell(event decider.Event) { o.system.Root.Send(o.pid, event) }
+
+func (o *Owner) tick() {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-o.ctx.Done():
+			return
+		case <-ticker.C:
+			o.Tell(decider.Ticked{})
+		}
+	}
+}
+
+// Do implements requester.Doer for shards that this instance owns.
+func (o *Owner) Do(ctx context.Context, command requester.Command, sink requester.Sink) (requester.Reply, error) {
+	if admits(command) && o.full() {
+		return requester.Reply{}, answerer.New(answerer.BacklogFull, "too much waits to be made durable")
+	}
+	w := &waiter{sink: sink, reply: make(chan decider.Answer, 1), began: time.Now()}
+	if !o.enter(command.Request, w) {
+		return requester.Reply{}, answerer.New(answerer.BadRequest, "the request id is in use")
+	}
+	defer o.exit(command.Request)
+	o.Tell(decider.Arrived{Command: command, Deadline: deadline(command)})
+	select {
+	case answer := <-w.reply:
+		return o.deliver(w, command, answer)
+	case <-ctx.Done():
+		o.Tell(decider.Gone{Request: command.Request})
+		return requester.Reply{}, answerer.Wrap(answerer.Canceled, ctx.Err(), "the caller no longer waits")
+	case <-o.ctx.Done():
+		return requester.Reply{}, answerer.New(answerer.NotDurable, "the instance has stopped")
+	}
+}
+
+// admits says whether the command starts work that must become durable.
+func admits(command requester.Command) bool {
+	return command.Open != nil || command.Turn != nil || command.Call != nil
+}
+
+// deadline returns the time until which the caller waits; zero for no bound.
+func deadline(command requester.Command) time.Time {
+	if command.Left <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(command.Left)
+}
+
+func (o *Owner) enter(request string, w *waiter) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.waiting[request] != nil {
+		return false
+	}
+	o.waiting[request] = w
+	return true
+}
+
+func (o *Owner) exit(request string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.waiting, request)
+}
+
+func (o *Owner) waiter(request string) *waiter {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.waiting[request]
+}
+
+func (o *Owner) deliver(w *waiter, command requester.Command, answer decider.Answer) (requester.Reply, error) {
+	if answer.Err != nil {
+		return requester.Reply{}, answer.Err
+	}
+	if command.Turn != nil {
+		o.meter.TurnSeconds.WithLabelValues(command.Business).Observe(time.Since(w.began).Seconds())
+	}
+	return answer.Reply, nil
+}
