--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"fmt"
 	"reflect"
+	"slices"
 
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
@@ -65,7 +66,9 @@
 		t := &token.Token{Position: &token.Position{Line: line, Column: column}}
 		return nil, &Error{Position: source.position(t), Message: "the text holds a zero byte"}
 	}
-	file, err := parser.ParseBytes(source.Text, 0, parser.AllowDuplicateMapKey())
+	// A last line without its end is read differently by the parser.
+	text := append(slices.Clip(bytes.TrimRight(source.Text, "\r\n")), '\n')
+	file, err := parser.ParseBytes(text, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
 		return nil, source.syntaxFault(err)
 	}
