--- a/internal/compiler/compile.go
+++ b/internal/compiler/compile.go
@@ -22,7 +22,7 @@
 // error, of type loader.Errors, holds every fault that was found.
 func Compile(document Document) (*Version, error) {
 	c := &compiling{places: map[string]*loader.Places{}}
-	c.policyFile.Policy = policyEntry(DefaultPolicy())
+	c.Policy = policyEntry(DefaultPolicy())
 	c.loadSections(document)
 	c.checkBusinesses()
 	c.checkAgents()
--- /dev/null
+++ b/internal/publisher/bundle.go
@@ -0,0 +1,73 @@
+package publisher
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonstand/wigeonstand/internal/compiler"
+)
+
+// bundle is a whole version as one instance hands it to another.
+type bundle struct {
+	Manifest Manifest
+	Texts    []bundleText
+}
+
+type bundleText struct {
+	Section string
+	Text    string
+}
+
+func newBundle(ctx context.Context, texts *texts, manifest Manifest) (*bundle, error) {
+	b := &bundle{Manifest: manifest}
+	for _, state := range manifest.Sections {
+		text, err := texts.text(ctx, state)
+		if err != nil {
+			return nil, err
+		}
+		if text != "" {
+			b.Texts = append(b.Texts, bundleText{Section: state.Section, Text: text})
+		}
+	}
+	return b, nil
+}
+
+func decodeBundle(body []byte) (*bundle, error) {
+	var b bundle
+	if err := json.Unmarshal(body, &b); err != nil {
+		return nil, eris.Wrap(err, "decoding a document from another instance")
+	}
+	for _, state := range b.Manifest.Sections {
+		if compiledHash(b.text(state.Section)) != state.Hash {
+			return nil, eris.Errorf("section %s from another instance does not match its hash", state.Section)
+		}
+	}
+	return &b, nil
+}
+
+func compiledHash(text string) string {
+	if text == "" {
+		return ""
+	}
+	return compiler.HashKey(text)
+}
+
+func (b *bundle) text(section string) string {
+	for _, t := range b.Texts {
+		if t.Section == section {
+			return t.Text
+		}
+	}
+	return ""
+}
+
+// compile makes the version that the bundle holds.
+func (b *bundle) compile() (*compiler.Version, error) {
+	document := compiler.Document{Number: b.Manifest.Version}
+	for _, t := range b.Texts {
+		document.Sections = append(document.Sections, compiler.Section{Name: t.Section, File: t.Section, Text: t.Text})
+	}
+	return compiler.Compile(document)
+}
--- /dev/null
+++ b/internal/publisher/conflict.go
@@ -0,0 +1,186 @@
+package publisher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/diff"
+
+	"github.com/wigeonstand/wigeonstand/internal/answerer"
+	"github.com/wigeonstand/wigeonstand/internal/compiler"
+)
+
+// errStale means that the store answered with an older state than the caller
+// has seen; it is asked again.
+var errStale = errors.New("the store answered with an older document")
+
+// Conflict is the rival's change that an edit ran into. It is the cause of an
+// error of kind RevisionConflict.
+type Conflict struct {
+	// Section is empty for a rollback that ran into a newer version.
+	Section string
+	// Base is the revision the refused edit was made against, Revision the one in force.
+	Base     int64
+	Revision int64
+	// Author and EditID tell who made Revision, and At when.
+	Author string
+	EditID string
+	At     time.Time
+	// Diff shows the change from Base to Revision.
+	Diff string
+}
+
+// Error implements error.
+func (c *Conflict) Error() string {
+	what := "section " + c.Section
+	if c.Section == "" {
+		what = "the document"
+	}
+	return fmt.Sprintf("%s was changed by %s in version %d (edit %s), after revision %d", what, c.Author, c.Revision, c.EditID, c.Base)
+}
+
+func refuse(conflicts ...*Conflict) error {
+	causes := make([]error, len(conflicts))
+	texts := make([]string, len(conflicts))
+	for i, conflict := range conflicts {
+		causes[i] = conflict
+		texts[i] = conflict.Error()
+	}
+	return answerer.Wrap(answerer.RevisionConflict, errors.Join(causes...), "%s", strings.Join(texts, "; "))
+}
+
+// Conflicts returns the rivals' changes inside err.
+func Conflicts(err error) []*Conflict {
+	var conflict *Conflict
+	if !errors.As(err, &conflict) {
+		return nil
+	}
+	var refusal *answerer.Error
+	if !errors.As(err, &refusal) {
+		return []*Conflict{conflict}
+	}
+	joined, ok := refusal.Cause.(interface{ Unwrap() []error })
+	if !ok {
+		return []*Conflict{conflict}
+	}
+	var conflicts []*Conflict
+	for _, cause := range joined.Unwrap() {
+		if errors.As(cause, &conflict) {
+			conflicts = append(conflicts, conflict)
+		}
+	}
+	return conflicts
+}
+
+// checkBase refuses edits of sections that were changed since their base
+// revision, all at once.
+func (p *Publisher) checkBase(ctx context.Context, head *Manifest, edits []SectionEdit) error {
+	var conflicts []*Conflict
+	for _, edit := range edits {
+		current := head.Section(edit.Section)
+		if edit.BaseRevision > current.Revision {
+			return errStale
+		}
+		if edit.BaseRevision == current.Revision {
+			continue
+		}
+		conflict, err := p.sectionConflict(ctx, head, edit, current)
+		if err != nil {
+			return err
+		}
+		conflicts = append(conflicts, conflict)
+	}
+	if len(conflicts) > 0 {
+		return refuse(conflicts...)
+	}
+	return nil
+}
+
+func (p *Publisher) sectionConflict(ctx context.Context, head *Manifest, edit SectionEdit, current SectionState) (*Conflict, error) {
+	rival, err := p.manifestBefore(ctx, current.Revision, head)
+	if err != nil {
+		return nil, err
+	}
+	// A base that names no revision of the section is shown as it was then.
+	base, err := p.manifestBefore(ctx, edit.BaseRevision, head)
+	if err != nil {
+		return nil, err
+	}
+	shown, err := p.diffStates(ctx, base.Section(edit.Section), current)
+	if err != nil {
+		return nil, err
+	}
+	return &Conflict{
+		Section:  edit.Section,
+		Base:     edit.BaseRevision,
+		Revision: current.Revision,
+		Author:   current.Author,
+		EditID:   rival.EditID,
+		At:       current.At,
+		Diff:     shown,
+	}, nil
+}
+
+// versionConflict describes what was accepted since the base version.
+func (p *Publisher) versionConflict(ctx context.Context, base int64, head *Manifest) (error, error) {
+	older, err := p.manifestBefore(ctx, base, head)
+	if err != nil {
+		return nil, err
+	}
+	shown, err := p.diff(ctx, older, head)
+	if err != nil {
+		return nil, err
+	}
+	return refuse(&Conflict{
+		Base: base, Revision: head.Version, Author: head.Operator, EditID: head.EditID, At: head.At, Diff: shown,
+	}), nil
+}
+
+func (p *Publisher) diffStates(ctx context.Context, from, to SectionState) (string, error) {
+	older, err := p.texts.text(ctx, from)
+	if err != nil {
+		return "", err
+	}
+	newer, err := p.texts.text(ctx, to)
+	if err != nil {
+		return "", err
+	}
+	return showDiff(from.Section, from.Revision, older, to.Revision, newer), nil
+}
+
+func showDiff(section string, fromRevision int64, older string, toRevision int64, newer string) string {
+	from := fmt.Sprintf("%s@%d", section, fromRevision)
+	to := fmt.Sprintf("%s@%d", section, toRevision)
+	return string(diff.Diff(from, []byte(older), to, []byte(newer)))
+}
+
+// diff shows all sections that differ between two versions.
+func (p *Publisher) diff(ctx context.Context, from, to *Manifest) (string, error) {
+	var shown strings.Builder
+	for _, name := range compiler.SectionNames() {
+		if from.Section(name).Hash == to.Section(name).Hash {
+			continue
+		}
+		part, err := p.diffStates(ctx, from.Section(name), to.Section(name))
+		if err != nil {
+			return "", err
+		}
+		shown.WriteString(part)
+	}
+	return shown.String(), nil
+}
+
+// sectionsOf returns the names of the sections that are edited, in order.
+func sectionsOf(edits []SectionEdit) []string {
+	names := []string{}
+	for _, name := range compiler.SectionNames() {
+		if slices.ContainsFunc(edits, func(e SectionEdit) bool { return e.Section == name }) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
