--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,11 @@
 
 clean:
 	rm -rf $(BIN) run
+
+# Runs the whole path with stand-ins, three instances, and callers.
+demo: build
+	hack/demo.sh
+
+# Kills an instance between two turns of a session.
+demo-kill: build
+	hack/demo-kill.sh
--- /dev/null
+++ b/hack/demo.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Runs the whole path: stand-ins, three instances, a document, and callers.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+. hack/processes.sh
+trap 'finish $?' EXIT
+
+step="set up"
+set_up
+step="play"
+"$bin/wigeondemo" play
+step="status"
+"$bin/wigeonctl" --address https://127.0.0.1:17441 --key-file "$dir/operator.secret" --ca "$dir/authority.pem" status
