internal/assembler: join three instances in memory under a paused clock

Cause: a whole (not streamed) turn served by its entry crashed in the forwarder, which takes the sink for granted. Found by the new test. Change: the entry gives every command a sink; listeners and dials go through one Network, so that three instances with real adapters run in a bubble.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -39,14 +39,16 @@
 	addresses  *directory
 	forwarder  *forwarder.Forwarder
 	receiver   *receiver.Receiver
+	network    Network
+	life       context.Context
 
 	tenure atomic.Pointer[tenure]
 	work   sync.WaitGroup
 }
 
 // Run runs one instance until ctx ends, then stops it as planned. Logs go to w.
-func Run(ctx context.Context, settings *configurer.Settings, w io.Writer) error {
-	d, err := newDaemon(settings, w)
+func Run(ctx context.Context, settings *configurer.Settings, w io.Writer, options ...Option) error {
+	d, err := newDaemon(settings, w, options...)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/assembler/assembler_test.go
@@ -0,0 +1,78 @@
+package assembler_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/wigeonstand/wigeonstand/pkg/caller"
+)
+
+// TestSessionGoesOnAfterAKill takes turns through all instances, kills one,
+// and goes on through the others with the history whole.
+func TestSessionGoesOnAfterAKill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, logWriter())
+		defer f.close()
+		ctx := t.Context()
+		var programs []string
+		for range 6 {
+			p, err := f.client(-1).Open(ctx, "lyric-editor")
+			if err != nil {
+				t.Fatal(err)
+			}
+			programs = append(programs, p.ID())
+		}
+		for turn := 1; turn <= 4; turn++ {
+			if turn == 3 {
+				f.kill(1)
+			}
+			for n, id := range programs {
+				entry := []int{0, 2, 1}[(turn+n)%3]
+				if f.running[entry] == nil {
+					entry = 0
+				}
+				input := fmt.Sprintf("line %d of session %d", turn, n)
+				if _, err := f.client(entry).Program(id).Ask(ctx, input, caller.WithNumber(turn)); err != nil {
+					t.Fatalf("turn %d of session %d: %v", turn, n, err)
+				}
+			}
+		}
+		for _, id := range programs {
+			history, err := f.client(2).Program(id).History(ctx, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(4, len(history.Turns)); diff != "" {
+				t.Errorf("history of %s: %s", id, diff)
+			}
+		}
+	})
+}
+
+// TestPostingRunsOnce posts with one key through all instances around a kill.
+func TestPostingRunsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, logWriter())
+		defer f.close()
+		for n := range 5 {
+			if n == 3 {
+				f.kill(0)
+				time.Sleep(20 * time.Second)
+			}
+			entry := 1 + n%2
+			_, err := f.client(entry).Call(t.Context(), "fee-posting", http.MethodPost, "/postings",
+				caller.WithCallKey("fee-1"), caller.WithBody("application/json", []byte(`{"Cents":250}`)))
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		if diff := cmp.Diff(1, f.service.Counts().Executed); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/internal/assembler/daemon.go
+++ b/internal/assembler/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/decider"
 	"github.com/wigeonstand/wigeonstand/internal/dispatcher"
 	"github.com/wigeonstand/wigeonstand/internal/forwarder"
+	"github.com/wigeonstand/wigeonstand/internal/generator"
 	"github.com/wigeonstand/wigeonstand/internal/meter"
 	"github.com/wigeonstand/wigeonstand/internal/publisher"
 	"github.com/wigeonstand/wigeonstand/internal/receiver"
@@ -32,16 +33,22 @@
 	shutdownTimeout = 5 * time.Second
 )
 
-var errNotReady = errors.New("no lease is held or the document is not known")
+var (
+	errNotReady   = errors.New("no lease is held or the document is not known")
+	errNotServing = errors.New("the callers' listener has failed")
+)
 
-func newDaemon(settings *configurer.Settings, w io.Writer) (*daemon, error) {
+func newDaemon(settings *configurer.Settings, w io.Writer, options ...Option) (*daemon, error) {
 	l, err := newLogger(settings.Log, w)
 	if err != nil {
 		return nil, err
 	}
 	d := &daemon{
 		settings: settings, meter: meter.New(),
-		log: l.With("Instance", settings.Instance, "DataCentre", settings.DataCentre),
+		log: l.With("Instance", settings.Instance, "DataCentre", settings.DataCentre), network: &tcp{},
+	}
+	for _, option := range options {
+		option(d)
 	}
 	for _, build := range []func() error{d.buildStore, d.buildFollower, d.buildPeers, d.buildEndpoints, d.buildReceiver} {
 		if err := build(); err != nil {
@@ -59,7 +66,7 @@
 	}
 	base := "http://" + platform.Address.String()
 	options := []connector.Option{
-		connector.WithKey(key), connector.WithMeter(d.meter),
+		connector.WithKey(key), connector.WithMeter(d.meter), connector.WithDial(d.network.DialContext),
 		connector.WithRates(float64(d.settings.Store.WritesPerSecond), float64(d.settings.Store.ReadsPerSecond)),
 	}
 	if platform.TLS {
@@ -98,23 +105,51 @@
 	if err != nil {
 		return eris.Wrap(err, "peer certificates")
 	}
-	var options []forwarder.ClientOption
+	var client *tls.Config
 	if certs != nil {
-		options = append(options, forwarder.WithTLS(certs.Client()))
+		client = certs.Client()
 		d.peerTLS = certs.MutualServer()
 	}
-	d.peers = forwarder.NewClient(options...)
+	d.peers = forwarder.NewClient(forwarder.WithDial(d.dialPeer(client)))
 	d.forwarder = forwarder.New(places{d}, d.peers, local{d}, forwarder.WithMeter(d.meter), forwarder.WithLogger(d.log))
 	d.peerServer, err = forwarder.NewServer(local{d}, places{d}, documents{d})
 	return err
 }
 
+// dialPeer returns how other instances are dialled; config is nil without TLS.
+func (d *daemon) dialPeer(config *tls.Config) forwarder.Dial {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := d.network.DialContext(ctx, "tcp", address)
+		if err != nil || config == nil {
+			return conn, err
+		}
+		return d.secure(ctx, conn, address, config)
+	}
+}
+
+// secure makes a TLS connection of conn and closes it if that fails.
+func (d *daemon) secure(ctx context.Context, conn net.Conn, address string, config *tls.Config) (net.Conn, error) {
+	named := config.Clone()
+	if named.ServerName == "" {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, errors.Join(err, conn.Close())
+		}
+		named.ServerName = host
+	}
+	secured := tls.Client(conn, named)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
+	return secured, nil
+}
+
 func (d *daemon) buildEndpoints() error {
 	certs, err := newCertifier(d.settings.EndpointTLS, d.log)
 	if err != nil {
 		return eris.Wrap(err, "endpoint certificates")
 	}
-	var options []dispatcher.Option
+	options := []dispatcher.Option{dispatcher.WithDial(d.network.DialContext)}
 	if certs != nil {
 		options = append(options, dispatcher.WithTLS(certs.Client))
 	}
@@ -148,7 +183,14 @@
 	return d.follower.Current()
 }
 
-// entry makes every turn idempotent, so that it may be forwarded again.
+// discard is the sink of a caller that wants the whole answer at once.
+type discard struct{}
+
+// Chunk implements requester.Sink.
+func (discard) Chunk(generator.Chunk) error { return nil }
+
+// entry makes every turn idempotent, so that it may be forwarded again, and
+// gives every command a sink.
 type entry struct{ next requester.Doer }
 
 // Do implements requester.Doer.
@@ -158,13 +200,21 @@
 		keyed.Key = command.Request
 		command.Turn = &keyed
 	}
+	if sink == nil {
+		sink = discard{}
+	}
 	return e.next.Do(ctx, command, sink)
 }
 
 // run starts the parts in order, serves until ctx ends, and stops them.
 func (d *daemon) run(ctx context.Context) error {
-	base, stop := context.WithCancel(context.WithoutCancel(ctx))
+	life := d.life
+	if life == nil {
+		life = context.WithoutCancel(ctx)
+	}
+	base, stop := context.WithCancel(life)
 	defer d.work.Wait()
+	defer d.stopOwner()
 	defer stop()
 	if err := d.listenInternal(base); err != nil {
 		return err
@@ -175,24 +225,38 @@
 	d.work.Go(func() { d.follower.Run(base) })
 	d.work.Go(func() { d.serveTenures(base) })
 	d.work.Go(func() { d.watch(base) })
-	listener, err := net.Listen("tcp", d.settings.CallerListen.String())
+	listener, err := d.network.Listen(d.settings.CallerListen)
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
 	serving, stopServing := context.WithCancel(base)
 	defer stopServing()
-	served := make(chan error, 1)
-	d.work.Go(func() { served <- d.receiver.Serve(serving, listener) })
+	served := make(chan struct{})
+	d.work.Go(func() {
+		defer close(served)
+		if err := d.receiver.Serve(serving, listener); err != nil {
+			d.log.Log(eventServeFailed, "Cause", err)
+		}
+	})
 	d.log.Log(eventServing, "Address", d.settings.CallerListen)
 	select {
-	case err := <-served:
-		return err
+	case <-served:
+		return errNotServing
+	case <-base.Done():
+		return base.Err()
 	case <-ctx.Done():
 	}
 	d.stop(base, stopServing, served)
 	return nil
 }
 
+// stopOwner ends the owner of the last generation.
+func (d *daemon) stopOwner() {
+	if t := d.tenure.Load(); t != nil {
+		t.owner.Stop()
+	}
+}
+
 // listenInternal starts the listeners for instances and for health and metrics.
 func (d *daemon) listenInternal(ctx context.Context) error {
 	peers, err := d.listen(d.settings.PeerListen, d.peerTLS)
@@ -200,7 +264,7 @@
 		return eris.Wrap(err, "listen for instances")
 	}
 	d.work.Go(func() { _ = d.peerServer.Serve(ctx, peers) })
-	admin, err := net.Listen("tcp", d.settings.AdminListen.String())
+	admin, err := d.network.Listen(d.settings.AdminListen)
 	if err != nil {
 		return eris.Wrap(err, "listen for health and metrics")
 	}
@@ -209,7 +273,7 @@
 }
 
 func (d *daemon) listen(address netip.AddrPort, config *tls.Config) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address.String())
+	listener, err := d.network.Listen(address)
 	if err != nil || config == nil {
 		return listener, err
 	}
@@ -264,7 +328,7 @@
 
 // stop ends the instance as planned: it reports that it is not ready, hands its
 // shards over, finishes what is in flight and closes its listeners.
-func (d *daemon) stop(base context.Context, stopServing context.CancelFunc, served <-chan error) {
+func (d *daemon) stop(base context.Context, stopServing context.CancelFunc, served <-chan struct{}) {
 	d.log.Log(eventStopping, "InFlight", d.receiver.InFlight())
 	d.receiver.SetStopping(true)
 	pause(base, d.settings.DrainGrace)
@@ -277,8 +341,5 @@
 	}
 	stopServing()
 	<-served
-	if t := d.tenure.Load(); t != nil {
-		t.owner.Stop()
-	}
 	d.log.Log(eventStopped)
 }
--- /dev/null
+++ b/internal/assembler/network.go
@@ -0,0 +1,30 @@
+package assembler
+
+import (
+	"context"
+	"net"
+	"net/netip"
+)
+
+// Network opens the listeners and connections of one instance.
+type Network interface {
+	Listen(address netip.AddrPort) (net.Listener, error)
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// tcp is the machine's own network.
+type tcp struct{ net.Dialer }
+
+// Listen implements Network.
+func (*tcp) Listen(address netip.AddrPort) (net.Listener, error) {
+	return net.Listen("tcp", address.String())
+}
+
+// Option sets one property of an instance.
+type Option func(*daemon)
+
+// WithNetwork replaces the machine's network.
+func WithNetwork(n Network) Option { return func(d *daemon) { d.network = n } }
+
+// WithLife sets the context that ends the instance at once, without a planned stop.
+func WithLife(ctx context.Context) Option { return func(d *daemon) { d.life = ctx } }
--- a/internal/decider/fuzz_test.go
+++ b/internal/decider/fuzz_test.go
@@ -270,7 +270,7 @@
 		return
 	}
 	delete(w.held[a.Endpoint], a.Program)
-	w.handle(decider.MemoryReleased{Endpoint: a.Endpoint, Program: a.Program})
+	w.handle(decider.MemoryReleased(a))
 }
 
 func (w *world) stepDraw(t *rapid.T) {
@@ -409,7 +409,7 @@
 		a := w.releases[0]
 		w.releases = w.releases[1:]
 		delete(w.held[a.Endpoint], a.Program)
-		w.handle(decider.MemoryReleased{Endpoint: a.Endpoint, Program: a.Program})
+		w.handle(decider.MemoryReleased(a))
 	}
 	for engine, programs := range w.held {
 		if len(programs) > 0 {
--- a/internal/owner/actions.go
+++ b/internal/owner/actions.go
@@ -215,7 +215,7 @@
 	ctx, cancel := context.WithTimeout(o.ctx, controlTimeout)
 	defer cancel()
 	if err := o.endpoints.Release(ctx, endpoint, a.Program); err == nil {
-		o.Tell(decider.MemoryReleased{Endpoint: a.Endpoint, Program: a.Program})
+		o.Tell(decider.MemoryReleased(a))
 	}
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -74,6 +74,7 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	work    sync.WaitGroup
+	stop    sync.Once
 	fenced  atomic.Bool
 
 	mu       sync.Mutex
@@ -166,10 +167,12 @@
 
 // Stop ends the actor and everything that it has in flight.
 func (o *Owner) Stop() {
-	o.cancel()
-	_ = o.system.Root.StopFuture(o.pid).Wait()
-	o.work.Wait()
-	o.system.Shutdown()
+	o.stop.Do(func() {
+		o.cancel()
+		_ = o.system.Root.StopFuture(o.pid).Wait()
+		o.work.Wait()
+		o.system.Shutdown()
+	})
 }
 
 // Tell hands an event to the core.
