internal/decider: count only attempts in flight against a stale load report

Cause: an endpoint without load reports looked full for good once its slots' number of attempts had been sent, finished ones included; turns then waited to their deadline.

--- a/internal/decider/call.go
+++ b/internal/decider/call.go
@@ -23,6 +23,7 @@
 	sent     bool
 	endpoint string
 	avoid    string
+	report   int
 	tries    int
 	// reached is true once an attempt may have reached an endpoint.
 	reached bool
@@ -179,7 +180,8 @@
 		c.giveUpCall(i)
 		return
 	}
-	replica.outstanding++
+	i.report = replica.report
+	replica.sent()
 	i.sent = true
 	i.endpoint = replica.name
 	i.tries++
@@ -198,9 +200,7 @@
 	}
 	delete(c.calls, attempt)
 	i.sent = false
-	if replica := c.endpoints[i.endpoint]; replica != nil && replica.outstanding > 0 {
-		replica.outstanding--
-	}
+	c.endpoint(i.endpoint).landed(i.report)
 	return i
 }
 
--- a/internal/decider/endpoint.go
+++ b/internal/decider/endpoint.go
@@ -25,7 +25,23 @@
 	name        string
 	view        EndpointView
 	outstanding int
+	// sinceReport counts the attempts in flight that the last load report
+	// cannot know of; report numbers the reports.
 	sinceReport int
+	report      int
+}
+
+func (e *endpoint) sent() {
+	e.outstanding++
+	e.sinceReport++
+}
+
+// landed takes out an attempt that was sent after the report with the number.
+func (e *endpoint) landed(report int) {
+	e.outstanding = max(0, e.outstanding-1)
+	if report == e.report {
+		e.sinceReport = max(0, e.sinceReport-1)
+	}
 }
 
 // load orders replicas; one to be avoided comes last.
@@ -51,6 +67,7 @@
 		e.view = view
 		if view.Fresh {
 			e.sinceReport = 0
+			e.report++
 		}
 	}
 }
--- a/internal/decider/sweeper.go
+++ b/internal/decider/sweeper.go
@@ -133,7 +133,20 @@
 	case r.turn == nil && r.call == nil && r.line == nil:
 		return answerer.New(answerer.NotDurable, "the request was not durable by the deadline")
 	}
-	return answerer.New(answerer.DeadlineNotRun, "the request still waited at the deadline")
+	return answerer.New(answerer.DeadlineNotRun, "the request still waited at the deadline: %s", r.waitsFor())
+}
+
+// waitsFor says what a request that was not sent to an endpoint waits for.
+func (r *request) waitsFor() string {
+	switch {
+	case r.line != nil:
+		return "an earlier turn of the program is being taken"
+	case r.turn != nil && r.turn.phase == reserving:
+		return "its budget is being reserved"
+	case r.turn != nil:
+		return "no endpoint was free"
+	}
+	return "its record is being made durable"
 }
 
 // refuseUndurable answers finished turns that the store's outage holds back too long.
--- a/internal/decider/turn.go
+++ b/internal/decider/turn.go
@@ -42,7 +42,9 @@
 	attempt  string
 	endpoint string
 	avoid    string
-	tries    int
+	// report is the number of the endpoint's last load report when it was sent.
+	report int
+	tries  int
 	// resume is the offset at which a cut stream is continued at the same endpoint.
 	resume int
 	// text is the output before that offset.
@@ -223,8 +225,8 @@
 	t.endpoint = target.name
 	t.tries++
 	c.attempts[t.attempt] = t
-	target.outstanding++
-	target.sinceReport++
+	t.report = target.report
+	target.sent()
 	p := t.program
 	p.live.queued += now.Sub(t.queuedAt)
 	p.live.last = target.name
@@ -292,9 +294,7 @@
 	}
 	delete(c.attempts, attempt)
 	t.program.live.running += time.Since(t.sentAt)
-	if target := c.endpoints[t.endpoint]; target != nil && target.outstanding > 0 {
-		target.outstanding--
-	}
+	c.endpoint(t.endpoint).landed(t.report)
 	return t
 }
 
