--- a/internal/publisher/follower.go
+++ b/internal/publisher/follower.go
@@ -145,7 +145,8 @@
 }
 
 // Offer says that the source, another instance, has the version; if it is newer
-// than the one in force it is fetched at once. Offer does not wait for that.
+// than the one in force it is fetched at once. Offer does not wait for that. An
+// empty source stands for the store.
 func (f *Follower) Offer(number int64, source string) {
 	if number > f.number() {
 		f.offers.add(number, source)
--- /dev/null
+++ b/internal/publisher/fuzz_test.go
@@ -0,0 +1,338 @@
+package publisher_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/wigeonstand/wigeonstand/internal/answerer"
+	"github.com/wigeonstand/wigeonstand/internal/compiler"
+	"github.com/wigeonstand/wigeonstand/internal/publisher"
+)
+
+// fixedSeed makes runs repeat; give -rapid.seed for another one.
+const fixedSeed = "20260101"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		if err := f.Value.Set(fixedSeed); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	instances = 3
+	interval  = 2 * time.Second
+	runFor    = 30 * time.Second
+	// settleFor is enough for late writes to land and for all to poll again.
+	settleFor = 20 * time.Second
+)
+
+// step is one thing that happens in a run.
+type step struct {
+	at       time.Duration
+	kind     string
+	instance int
+	section  string
+	variant  int
+	think    time.Duration
+	faults   faults
+}
+
+func drawStep(t *rapid.T) step {
+	millis := func(label string, most int) time.Duration {
+		return time.Duration(rapid.IntRange(0, most).Draw(t, label)) * time.Millisecond
+	}
+	share := func(label string) float64 { return rapid.SampledFrom([]float64{0, 0, 0.2, 0.6}).Draw(t, label) }
+	return step{
+		at:       millis("at", int(runFor/time.Millisecond)),
+		kind:     rapid.SampledFrom([]string{"edit", "edit", "edit", "edit", "apply", "rollback", "restart", "outage", "faults"}).Draw(t, "kind"),
+		instance: rapid.IntRange(0, instances-1).Draw(t, "instance"),
+		section:  rapid.SampledFrom([]string{"Businesses", "Budgets", "Policy", "Operators"}).Draw(t, "section"),
+		variant:  rapid.IntRange(0, 2).Draw(t, "variant"),
+		think:    millis("think", 3000),
+		faults:   faults{lost: share("lost"), late: share("late"), stale: share("stale")},
+	}
+}
+
+// textOf returns one text of a section that no other edit has. Variant 0 of
+// Businesses and variant 1 of Budgets do not go together.
+func textOf(section string, variant int, id string) string {
+	body := map[string][]string{
+		"Businesses": {"[]", "[{Name: b-1, Weight: 1}]", "[{Name: b-1, Weight: 2}]"},
+		"Budgets":    {"[]", "[{Business: b-1, Tokens: 5}]", "[]"},
+		"Policy":     {"{QueueLimit: 1}", "{QueueLimit: 2}", "{QueueLimit: 0}"},
+		"Operators":  {"[]", "[]", "[]"},
+	}
+	return fmt.Sprintf("# %s\n%s: %s\n", id, section, body[section][variant])
+}
+
+// call is one request of an operator and its answer.
+type call struct {
+	id      string
+	edits   []publisher.SectionEdit
+	result  publisher.Result
+	err     error
+	doubted bool
+}
+
+// world is one run.
+type world struct {
+	store     *memory
+	publishes [instances]*publisher.Publisher
+	mu        sync.Mutex
+	calls     []call
+	followers [instances]*followed
+	faults    []error
+}
+
+// followed is one life of an instance's follower.
+type followed struct {
+	*publisher.Follower
+	stop     context.CancelFunc
+	versions []int64
+}
+
+func (w *world) fail(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = append(w.faults, fmt.Errorf(format, args...))
+}
+
+func (w *world) record(c call) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calls = append(w.calls, c)
+}
+
+// peers is an instance's way to the others.
+type peers struct {
+	*world
+	own int
+}
+
+func (p peers) Instances() []string {
+	var names []string
+	for i := range instances {
+		if i != p.own {
+			names = append(names, fmt.Sprint(i))
+		}
+	}
+	return names
+}
+
+func (p peers) FetchDocument(_ context.Context, instance string) ([]byte, error) {
+	var i int
+	if _, err := fmt.Sscan(instance, &i); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	f := p.followers[i]
+	p.mu.Unlock()
+	if f == nil {
+		return nil, errors.New("instance is down")
+	}
+	return f.Encode()
+}
+
+// start brings up an instance's follower and checks what Start promises.
+func (w *world) start(ctx context.Context, i int) {
+	ctx, cancel := context.WithCancel(ctx)
+	f := &followed{stop: cancel}
+	f.Follower = publisher.NewFollower(w.store, w.store, publisher.WithInterval(interval),
+		publisher.WithPeer(peers{w, i}), publisher.WithNotify(func(v *compiler.Version) {
+			f.versions = append(f.versions, v.Number)
+			w.offer(i, v.Number)
+		}))
+	known := w.highest(i)
+	if err := f.Start(ctx); err != nil {
+		return
+	}
+	if f.Current().Number < known {
+		w.fail("instance %d started with version %d although another one had %d", i, f.Current().Number, known)
+	}
+	w.mu.Lock()
+	w.followers[i] = f
+	w.mu.Unlock()
+	f.Run(ctx)
+}
+
+func (w *world) highest(except int) int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var highest int64
+	for i, f := range w.followers {
+		if i != except && f != nil {
+			highest = max(highest, f.Current().Number)
+		}
+	}
+	return highest
+}
+
+// offer tells the other instances of a version.
+func (w *world) offer(from int, number int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, f := range w.followers {
+		if i != from && f != nil {
+			f.Offer(number, fmt.Sprint(from))
+		}
+	}
+}
+
+// accepted tells an instance's follower of a version that its publisher made.
+func (w *world) accepted(i int, number int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if f := w.followers[i]; f != nil {
+		f.Offer(number, "")
+	}
+}
+
+func (w *world) restart(ctx context.Context, i int) {
+	w.mu.Lock()
+	f := w.followers[i]
+	w.followers[i] = nil
+	w.mu.Unlock()
+	if f == nil {
+		return
+	}
+	f.stop()
+	w.checkVersions(i, f)
+	w.start(ctx, i)
+}
+
+func (w *world) checkVersions(i int, f *followed) {
+	for n := 1; n < len(f.versions); n++ {
+		if f.versions[n] <= f.versions[n-1] {
+			w.fail("instance %d went from version %d to %d", i, f.versions[n-1], f.versions[n])
+		}
+	}
+}
+
+// head reads the newest version, as an operator does before an edit.
+func (w *world) head(ctx context.Context, s step) (*publisher.Manifest, bool) {
+	for range 10 {
+		head, err := w.publishes[s.instance].Head(ctx)
+		if err == nil {
+			return head, true
+		}
+		time.Sleep(time.Second)
+	}
+	return nil, false
+}
+
+// operate is an operator's whole work on one change: read, think, send, and
+// send again through another instance while the outcome is not known.
+func (w *world) operate(ctx context.Context, number int, s step) {
+	head, ok := w.head(ctx, s)
+	if !ok {
+		return
+	}
+	time.Sleep(s.think)
+	id := fmt.Sprintf("edit-%d", number)
+	c := call{id: id}
+	for round := range 3 {
+		p := w.publishes[(s.instance+round)%instances]
+		c.edits, c.result, c.err = w.send(ctx, p, id, head, s)
+		w.record(c)
+		kind := answerer.KindOf(c.err)
+		if c.err == nil || kind != answerer.OutcomeUnknown && kind != answerer.StoreUnavailable {
+			return
+		}
+		c.doubted = c.doubted || kind == answerer.OutcomeUnknown
+		time.Sleep(time.Second)
+	}
+}
+
+func (w *world) send(ctx context.Context, p *publisher.Publisher, id string, head *publisher.Manifest, s step) ([]publisher.SectionEdit, publisher.Result, error) {
+	request := publisher.Request{Operator: "ann", EditID: id}
+	edit := func(section string) publisher.SectionEdit {
+		return publisher.SectionEdit{
+			Section: section, BaseRevision: head.Section(section).Revision, Text: textOf(section, s.variant, id),
+		}
+	}
+	switch s.kind {
+	case "apply":
+		unchanged := publisher.SectionEdit{
+			Section: "Precedence", BaseRevision: head.Section("Precedence").Revision, Text: "Precedence: []\n",
+		}
+		edits := []publisher.SectionEdit{edit(s.section), unchanged}
+		result, err := p.Apply(ctx, publisher.Apply{Request: request, Sections: edits})
+		return edits[:1], result, err
+	case "rollback":
+		to := max(head.Version-int64(s.variant)-1, 0)
+		result, err := p.Rollback(ctx, publisher.Rollback{Request: request, To: to, Base: head.Version})
+		return nil, result, err
+	default:
+		e := edit(s.section)
+		result, err := p.Edit(ctx, publisher.Edit{Request: request, SectionEdit: e})
+		return []publisher.SectionEdit{e}, result, err
+	}
+}
+
+func (w *world) perform(ctx context.Context, number int, s step) {
+	time.Sleep(s.at)
+	switch s.kind {
+	case "restart":
+		w.restart(ctx, s.instance)
+	case "outage":
+		w.store.set(s.faults, true)
+		time.Sleep(2 * s.think)
+		w.store.set(s.faults, false)
+	case "faults":
+		w.store.set(s.faults, false)
+	default:
+		w.operate(ctx, number, s)
+	}
+}
+
+// run plays the steps and returns everything that was wrong.
+func run(seed uint64, steps []step) []error {
+	w := &world{store: newMemory(seed)}
+	ctx, cancel := context.WithCancel(context.Background())
+	var followers, work sync.WaitGroup
+	for i := range instances {
+		w.publishes[i] = publisher.New(w.store, w.store, publisher.WithTimeout(4*time.Second),
+			publisher.WithAccepted(func(version int64) { w.accepted(i, version) }))
+		followers.Go(func() { w.start(ctx, i) })
+	}
+	for number, s := range steps {
+		if s.kind == "restart" {
+			followers.Go(func() { w.perform(ctx, number, s) })
+			continue
+		}
+		work.Go(func() { w.perform(ctx, number, s) })
+	}
+	work.Wait()
+	time.Sleep(runFor)
+	w.store.set(faults{}, false)
+	time.Sleep(settleFor)
+	w.check(ctx)
+	cancel()
+	followers.Wait()
+	return w.faults
+}
+
+func TestFuzzPublishing(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		steps := rapid.SliceOfN(rapid.Custom(drawStep), 1, 24).Draw(rt, "steps")
+		var faults []error
+		synctest.Test(t, func(*testing.T) { faults = run(seed, steps) })
+		if len(faults) > 0 {
+			rt.Fatalf("%v", errors.Join(faults...))
+		}
+	})
+}
--- a/internal/publisher/offers.go
+++ b/internal/publisher/offers.go
@@ -5,6 +5,9 @@
 	"sync"
 )
 
+// fromStore is the source of an offer that the store alone can fulfil.
+const fromStore = ""
+
 // offers holds what other instances said of newer versions.
 type offers struct {
 	mu *sync.Mutex
@@ -50,7 +53,7 @@
 	defer o.mu.Unlock()
 	var sources []string
 	for source, offered := range o.versions {
-		if offered > number {
+		if offered > number && source != fromStore {
 			sources = append(sources, source)
 		}
 	}
--- /dev/null
+++ b/internal/publisher/store_test.go
@@ -0,0 +1,184 @@
+package publisher_test
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/storer"
+)
+
+// faults are the shares, 0 to 1, of requests that go wrong.
+type faults struct {
+	// lost writes take effect and are answered with ErrInDoubt.
+	lost float64
+	// late writes are answered with ErrInDoubt and tried again later.
+	late float64
+	// stale reads answer from an older state.
+	stale float64
+}
+
+// memory is a table and an object store that go wrong as they are told. All
+// draws come from one seeded source.
+type memory struct {
+	mu      sync.Mutex
+	random  *rand.Rand
+	faults  faults
+	outage  bool
+	rows    map[string]storer.Row
+	history []map[string]storer.Row
+	objects map[string][]byte
+	serial  int64
+}
+
+const (
+	latencyMost  = 30 * time.Millisecond
+	lateMost     = 3 * time.Second
+	historyDepth = 4
+)
+
+func newMemory(seed uint64) *memory {
+	return &memory{
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		rows:    map[string]storer.Row{},
+		objects: map[string][]byte{},
+	}
+}
+
+func (m *memory) set(f faults, outage bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.faults, m.outage = f, outage
+}
+
+// fate is what happens to one request.
+type fate struct {
+	faults
+	wait   time.Duration
+	roll   float64
+	outage bool
+}
+
+func (m *memory) draw() fate {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return fate{
+		faults: m.faults,
+		wait:   time.Duration(m.random.Int64N(int64(latencyMost))),
+		roll:   m.random.Float64(),
+		outage: m.outage,
+	}
+}
+
+func pause(ctx context.Context, wait time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(wait):
+		return nil
+	}
+}
+
+func (m *memory) Commit(ctx context.Context, commit storer.Commit) (storer.Result, error) {
+	f := m.draw()
+	if err := pause(ctx, f.wait); err != nil || f.outage {
+		return storer.Result{}, storer.ErrUnavailable
+	}
+	if f.roll < f.late {
+		time.AfterFunc(time.Duration(f.roll/f.late*float64(lateMost)), func() { _, _ = m.apply(commit) })
+		return storer.Result{}, storer.ErrInDoubt
+	}
+	result, err := m.apply(commit)
+	if f.roll < f.late+f.lost {
+		return storer.Result{}, storer.ErrInDoubt
+	}
+	return result, err
+}
+
+func (m *memory) apply(commit storer.Commit) (storer.Result, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, condition := range commit.Conditions {
+		if m.rows[condition.Key].Version != condition.Version {
+			return storer.Result{}, storer.ErrConflict
+		}
+	}
+	m.history = append(m.history, maps.Clone(m.rows))
+	result := storer.Result{Versions: map[string]int64{}}
+	for _, write := range commit.Writes {
+		m.serial++
+		m.rows[write.Key] = storer.Row{Key: write.Key, Value: write.Value, Version: m.serial}
+		result.Versions[write.Key] = m.serial
+	}
+	return result, nil
+}
+
+func (m *memory) Read(ctx context.Context, keys ...string) ([]storer.Row, error) {
+	f := m.draw()
+	if err := pause(ctx, f.wait); err != nil || f.outage {
+		return nil, storer.ErrUnavailable
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	rows := m.rows
+	if back := 1 + int(f.roll*1e6)%historyDepth; f.roll < f.stale && back <= len(m.history) {
+		rows = m.history[len(m.history)-back]
+	}
+	var found []storer.Row
+	for _, key := range keys {
+		row := rows[key]
+		row.Key = key
+		found = append(found, row)
+	}
+	return found, nil
+}
+
+func (m *memory) Scan(context.Context, string, string, int) ([]storer.Row, error) {
+	return nil, storer.ErrUnavailable
+}
+
+func (m *memory) Put(ctx context.Context, key string, body []byte) error {
+	f := m.draw()
+	if err := pause(ctx, f.wait); err != nil || f.outage {
+		return storer.ErrUnavailable
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.objects[key] = slices.Clone(body)
+	if f.roll < f.lost {
+		return storer.ErrInDoubt
+	}
+	return nil
+}
+
+func (m *memory) Get(ctx context.Context, key string) ([]byte, error) {
+	f := m.draw()
+	if err := pause(ctx, f.wait); err != nil || f.outage {
+		return nil, storer.ErrUnavailable
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	body, ok := m.objects[key]
+	if !ok {
+		return nil, storer.ErrNotFound
+	}
+	return body, nil
+}
+
+func (m *memory) Delete(context.Context, string) error { return storer.ErrUnavailable }
+
+func (m *memory) List(_ context.Context, prefix string, _ int) ([]string, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var keys []string
+	for key := range m.objects {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	return keys, nil
+}
