internal/publisher: confirm a refusal by a commit without writes

A refusal drawn from an old or torn read could have denied an edit that an earlier request had brought into force. The same conditions that accept an edit now confirm its refusal.

--- a/internal/publisher/change.go
+++ b/internal/publisher/change.go
@@ -68,8 +68,13 @@
 type attempt struct {
 	*Publisher
 	change
-	// doubted is the head row's version that a write in doubt was conditional
-	// on. While the head still has that version the write may yet take effect.
+	// row is the head row's version in the last snapshot; known says that the
+	// edit's row was found there.
+	row   int64
+	known bool
+	// doubted is the head row's version that the last write in doubt was
+	// conditional on. While the head still has that version the write may yet
+	// take effect.
 	doubted int64
 	inDoubt bool
 }
@@ -88,8 +93,11 @@
 	retry.MaxInterval = defaultRetryMost
 	for {
 		result, err := a.try(ctx)
-		if err == nil || !a.inDoubt && !isTransient(err) {
-			return result, err
+		if err == nil {
+			return result, nil
+		}
+		if !isTransient(err) && a.confirm(ctx) {
+			return Result{}, err
 		}
 		if !sleep(ctx, retry.NextBackOff()) {
 			return Result{}, a.giveUp(err)
@@ -103,6 +111,29 @@
 	return !errors.As(err, &refusal) || refusal.Kind == answerer.StoreUnavailable
 }
 
+// confirm says whether a refusal is final. It asks the table, by a commit that
+// writes nothing, whether the state that led to the refusal is the newest one,
+// so that no write in doubt and no earlier request of the same edit can be in
+// force or come into force.
+func (a *attempt) confirm(ctx context.Context) bool {
+	if a.known || a.request.DryRun {
+		return true
+	}
+	if a.inDoubt && a.row <= a.doubted {
+		return false
+	}
+	_, err := a.table.Commit(ctx, storer.Commit{ID: a.request.EditID, Conditions: a.conditions()})
+	return err == nil
+}
+
+// conditions hold while the last snapshot is the newest state.
+func (a *attempt) conditions() []storer.Condition {
+	return []storer.Condition{
+		{Key: keyHead, Version: a.row},
+		{Key: editKey(a.request.EditID)},
+	}
+}
+
 // sleep waits and says whether the context allows to go on.
 func sleep(ctx context.Context, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
@@ -120,7 +151,8 @@
 		return answerer.Wrap(answerer.OutcomeUnknown, cause,
 			"edit %s may be in force; send it again with the same EditID to learn its outcome", a.request.EditID)
 	}
-	return answerer.Wrap(answerer.StoreUnavailable, cause, "edit %s was not accepted, as the store cannot be reached", a.request.EditID)
+	return answerer.Wrap(answerer.StoreUnavailable, cause,
+		"this request for edit %s changed nothing, as the store cannot be reached", a.request.EditID)
 }
 
 // try makes one attempt. An error without a kind is transient.
@@ -129,17 +161,10 @@
 	if err != nil {
 		return Result{}, err
 	}
+	a.row, a.known = s.row, s.edited != nil
 	if s.edited != nil {
-		a.inDoubt = false
 		return a.replay(s.edited)
 	}
-	if a.inDoubt && s.row < a.doubted {
-		return Result{}, errStale
-	}
-	if a.inDoubt && s.row > a.doubted {
-		// The head moved on without the edit, so the write can no longer pass.
-		a.inDoubt = false
-	}
 	edits, err := a.plan(ctx, &s.head)
 	if err != nil {
 		return Result{}, err
@@ -208,12 +233,9 @@
 		return err
 	}
 	commit := storer.Commit{
-		ID: a.request.EditID,
-		Conditions: []storer.Condition{
-			{Key: keyHead, Version: s.row},
-			{Key: editKey(a.request.EditID)},
-		},
-		Writes: []storer.Write{{Key: editKey(a.request.EditID), Value: edit}},
+		ID:         a.request.EditID,
+		Conditions: a.conditions(),
+		Writes:     []storer.Write{{Key: editKey(a.request.EditID), Value: edit}},
 	}
 	if manifest.Version != s.head.Version {
 		head, err := encode(manifest)
@@ -227,7 +249,7 @@
 	_, err = a.table.Commit(ctx, commit)
 	if err != nil && !errors.Is(err, storer.ErrConflict) && !errors.Is(err, storer.ErrUnavailable) {
 		a.inDoubt = true
-		a.doubted = s.row
+		a.doubted = max(a.doubted, s.row)
 	}
 	return err
 }
--- a/internal/publisher/conflict.go
+++ b/internal/publisher/conflict.go
@@ -83,7 +83,8 @@
 	for _, edit := range edits {
 		current := head.Section(edit.Section)
 		if edit.BaseRevision > current.Revision {
-			return errStale
+			return answerer.New(answerer.BadRequest, "section %s has no revision %d; the newest is %d",
+				edit.Section, edit.BaseRevision, current.Revision)
 		}
 		if edit.BaseRevision == current.Revision {
 			continue
--- a/internal/publisher/fuzz_test.go
+++ b/internal/publisher/fuzz_test.go
@@ -54,7 +54,7 @@
 	millis := func(label string, most int) time.Duration {
 		return time.Duration(rapid.IntRange(0, most).Draw(t, label)) * time.Millisecond
 	}
-	share := func(label string) float64 { return rapid.SampledFrom([]float64{0, 0, 0.2, 0.6}).Draw(t, label) }
+	share := func(label string) float64 { return rapid.SampledFrom([]float64{0, 0, 0.2, 0.5}).Draw(t, label) }
 	return step{
 		at:       millis("at", int(runFor/time.Millisecond)),
 		kind:     rapid.SampledFrom([]string{"edit", "edit", "edit", "edit", "apply", "rollback", "restart", "outage", "faults"}).Draw(t, "kind"),
@@ -62,7 +62,7 @@
 		section:  rapid.SampledFrom([]string{"Businesses", "Budgets", "Policy", "Operators"}).Draw(t, "section"),
 		variant:  rapid.IntRange(0, 2).Draw(t, "variant"),
 		think:    millis("think", 3000),
-		faults:   faults{lost: share("lost"), late: share("late"), stale: share("stale")},
+		faults:   faults{lost: share("lost"), late: share("late"), cut: share("cut"), stale: share("stale")},
 	}
 }
 
@@ -80,11 +80,10 @@
 
 // call is one request of an operator and its answer.
 type call struct {
-	id      string
-	edits   []publisher.SectionEdit
-	result  publisher.Result
-	err     error
-	doubted bool
+	id     string
+	edits  []publisher.SectionEdit
+	result publisher.Result
+	err    error
 }
 
 // world is one run.
@@ -159,6 +158,9 @@
 	if err := f.Start(ctx); err != nil {
 		return
 	}
+	if !f.Started() {
+		w.fail("instance %d started without a document", i)
+	}
 	if f.Current().Number < known {
 		w.fail("instance %d started with version %d although another one had %d", i, f.Current().Number, known)
 	}
@@ -251,7 +253,6 @@
 		if c.err == nil || kind != answerer.OutcomeUnknown && kind != answerer.StoreUnavailable {
 			return
 		}
-		c.doubted = c.doubted || kind == answerer.OutcomeUnknown
 		time.Sleep(time.Second)
 	}
 }
--- a/internal/publisher/oracle_test.go
+++ b/internal/publisher/oracle_test.go
@@ -109,24 +109,27 @@
 	}
 	switch kind := answerer.KindOf(c.err); kind {
 	case answerer.OutcomeUnknown:
-	case answerer.RevisionConflict:
+	case answerer.RevisionConflict, answerer.DocumentInvalid:
 		if inChain {
-			w.fail("%s was refused as a conflict and is in force as version %d", c.id, landed.manifest.Version)
+			w.fail("%s was refused as %s and is in force as version %d", c.id, kind, landed.manifest.Version)
 		}
-		w.checkConflict(chain, c)
-	case answerer.DocumentInvalid, answerer.StoreUnavailable:
-		if inChain && !c.doubted && !w.laterLanded(c) {
-			w.fail("%s was reported as %s and is in force as version %d", c.id, kind, landed.manifest.Version)
+		if kind == answerer.RevisionConflict {
+			w.checkConflict(chain, c)
+		}
+	case answerer.StoreUnavailable:
+		// It speaks of one request alone; others of the same edit may have landed.
+		if inChain && !w.mayHaveLanded(c.id) {
+			w.fail("%s was reported as not run and is in force as version %d", c.id, landed.manifest.Version)
 		}
 	default:
 		w.fail("%s failed in an unexpected way: %v", c.id, c.err)
 	}
 }
 
-// laterLanded says whether a later call of the same edit had success or may have had.
-func (w *world) laterLanded(c call) bool {
-	return slices.ContainsFunc(w.calls, func(other call) bool {
-		return other.id == c.id && (other.err == nil || answerer.KindOf(other.err) == answerer.OutcomeUnknown)
+// mayHaveLanded says whether a request of the edit had success or may have had.
+func (w *world) mayHaveLanded(id string) bool {
+	return slices.ContainsFunc(w.calls, func(c call) bool {
+		return c.id == id && (c.err == nil || answerer.KindOf(c.err) == answerer.OutcomeUnknown)
 	})
 }
 
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -154,7 +154,7 @@
 
 func (p *Publisher) planRollback(ctx context.Context, head *Manifest, rollback Rollback) ([]SectionEdit, error) {
 	if rollback.Base > head.Version {
-		return nil, errStale
+		return nil, answerer.New(answerer.BadRequest, "there is no version %d; the newest is %d", rollback.Base, head.Version)
 	}
 	if rollback.Base < head.Version {
 		conflict, err := p.versionConflict(ctx, rollback.Base, head)
--- a/internal/publisher/store_test.go
+++ b/internal/publisher/store_test.go
@@ -18,7 +18,9 @@
 	lost float64
 	// late writes are answered with ErrInDoubt and tried again later.
 	late float64
-	// stale reads answer from an older state.
+	// cut writes take effect, and the store is then down for a while.
+	cut float64
+	// stale reads answer from older states, each row from its own.
 	stale float64
 }
 
@@ -38,6 +40,7 @@
 const (
 	latencyMost  = 30 * time.Millisecond
 	lateMost     = 3 * time.Second
+	cutLength    = 6 * time.Second
 	historyDepth = 4
 )
 
@@ -93,6 +96,11 @@
 		return storer.Result{}, storer.ErrInDoubt
 	}
 	result, err := m.apply(commit)
+	if f.roll > 1-f.cut {
+		m.set(f.faults, true)
+		time.AfterFunc(cutLength, func() { m.set(f.faults, false) })
+		return storer.Result{}, storer.ErrInDoubt
+	}
 	if f.roll < f.late+f.lost {
 		return storer.Result{}, storer.ErrInDoubt
 	}
@@ -124,19 +132,24 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	rows := m.rows
-	if back := 1 + int(f.roll*1e6)%historyDepth; f.roll < f.stale && back <= len(m.history) {
-		rows = m.history[len(m.history)-back]
-	}
 	var found []storer.Row
-	for _, key := range keys {
-		row := rows[key]
+	for i, key := range keys {
+		row := m.rowsAt(f, i)[key]
 		row.Key = key
 		found = append(found, row)
 	}
 	return found, nil
 }
 
+// rowsAt returns the state that the i-th row of a read is answered from.
+func (m *memory) rowsAt(f fate, i int) map[string]storer.Row {
+	back := (int(f.roll*1e6) + i) % (historyDepth + 1)
+	if f.roll >= f.stale || back == 0 || back > len(m.history) {
+		return m.rows
+	}
+	return m.history[len(m.history)-back]
+}
+
 func (m *memory) Scan(context.Context, string, string, int) ([]storer.Row, error) {
 	return nil, storer.ErrUnavailable
 }
