internal/bencher: measure the policy on a virtual clock

Cause: the queue, the router and the limiters need figures before their constants can be trusted. The Policy interface takes events and yields actions, so that the decision core fits under it. internal/evictor drops the cache of a paused program that its engine would evict anyway.

--- /dev/null
+++ b/internal/bencher/pages.go
@@ -0,0 +1,3 @@
+package bencher
+
+func writePages(Batch, []Results) error { return nil }
--- /dev/null
+++ b/internal/bencher/scheduler.go
@@ -0,0 +1,211 @@
+package bencher
+
+import (
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/compiler"
+	"github.com/wigeonstand/wigeonstand/internal/evictor"
+	"github.com/wigeonstand/wigeonstand/internal/limiter"
+	"github.com/wigeonstand/wigeonstand/internal/queuer"
+	"github.com/wigeonstand/wigeonstand/internal/router"
+)
+
+// Features selects the parts of a scheduler besides its queue and its router.
+type Features struct {
+	Queue   string
+	Routing string
+	// StarvedEvery is passed to the queue if it is set.
+	StarvedEvery int
+	// Release frees the caches of ended programs.
+	Release bool
+	// Admission refuses turns that would not be served in time.
+	Admission bool
+	// Window bounds the generations on an engine by their latency.
+	Window bool
+	// Gaps lets the router see the engines' times between tokens.
+	Gaps bool
+	// Evict drops the caches of programs with long pauses under pressure.
+	Evict bool
+}
+
+// scheduler is a Policy made of the queue, the router and the limiters.
+type scheduler struct {
+	features Features
+	queue    queuer.Queue
+	router   router.Router
+	retries  *limiter.RetryBudget
+	feasible *limiter.Feasibility
+	evictor  *evictor.Evictor
+	view     *view
+	waiting  map[string]*Arrival
+	sent     map[string]*Arrival
+	outputs  map[string]float64
+	actions  []Action
+}
+
+// newScheduler returns the Policy of one instance.
+func newScheduler(features Features, engines int, seed uint64, now time.Time) *scheduler {
+	policy := compiler.Policy{Queue: features.Queue, Routing: features.Routing}
+	var options []queuer.Option
+	if features.StarvedEvery > 0 {
+		options = append(options, queuer.WithStarvedEvery(features.StarvedEvery))
+	}
+	return &scheduler{
+		features: features,
+		queue:    queuer.New(policy, options...),
+		router:   router.New(policy, seed),
+		retries:  limiter.NewRetryBudget(seed),
+		feasible: limiter.NewFeasibility(),
+		evictor:  evictor.New(),
+		view:     newView(engines, features, now),
+		waiting:  make(map[string]*Arrival),
+		sent:     make(map[string]*Arrival),
+		outputs:  make(map[string]float64),
+	}
+}
+
+// Waiting implements Policy.
+func (s *scheduler) Waiting() int { return s.queue.Len() }
+
+// Handle implements Policy.
+func (s *scheduler) Handle(now time.Time, event Event) []Action {
+	s.actions = nil
+	switch {
+	case event.Arrival != nil:
+		s.arrive(now, event.Arrival)
+	case event.Hangup != nil:
+		s.queue.Remove(event.Hangup.Turn)
+		delete(s.waiting, event.Hangup.Turn)
+	case event.Started != nil:
+		s.view.started(now, event.Started)
+	case event.Finished != nil:
+		s.finish(now, event.Finished)
+	case event.Failed != nil:
+		s.fail(now, event.Failed)
+	case event.Ended != nil:
+		s.end(event.Ended.Program)
+	case event.Load != nil:
+		s.view.report(now, event.Load)
+	case event.Cache != nil:
+		s.view.cached(now, event.Cache)
+	}
+	s.serve(now)
+	return s.actions
+}
+
+func (s *scheduler) arrive(now time.Time, a *Arrival) {
+	s.retries.Earn(now, a.Business, 0)
+	s.evictor.Returned(now, a.Program, a.Agent)
+	if s.features.Admission {
+		comeBack, ok := s.feasible.Admit(now, s.queue.Len()+1, a.Left)
+		if !ok {
+			s.actions = append(s.actions, Action{Refuse: &Refuse{Turn: a.Turn, ComeBack: comeBack}})
+			return
+		}
+	}
+	s.push(now, a)
+}
+
+func (s *scheduler) push(now time.Time, a *Arrival) {
+	s.waiting[a.Turn] = a
+	s.queue.Push(queuer.Item{
+		ID: a.Turn, Program: a.Program, Business: a.Business, Weight: a.Weight,
+		Precedence: a.Precedence, Attained: a.Attained, Estimate: s.estimate(a), Arrived: now,
+	})
+}
+
+// estimate returns the expected service of the turn, in tokens.
+func (s *scheduler) estimate(a *Arrival) int {
+	output, ok := s.outputs[a.Agent]
+	if !ok {
+		output = float64(a.MaxOutput) / 2
+	}
+	missing := a.Prompt - s.view.bestPrefix(a)
+	return max(missing, 0) + int(output)
+}
+
+// serve dispatches while an engine has room and a turn waits.
+func (s *scheduler) serve(now time.Time) {
+	for s.queue.Len() > 0 && s.view.hasRoom(now) {
+		chosen := -1
+		item, ok := s.queue.Next(now, func(item queuer.Item) bool {
+			a := s.waiting[item.ID]
+			candidates, engines := s.view.candidates(now, a)
+			if len(candidates) == 0 {
+				return false
+			}
+			i, picked := s.router.Pick(s.view.request(a), candidates)
+			if picked {
+				chosen = engines[i]
+			}
+			return picked
+		})
+		if !ok {
+			break
+		}
+		s.dispatch(now, s.waiting[item.ID], chosen)
+	}
+	s.feasible.Backlog(now, s.queue.Len())
+}
+
+func (s *scheduler) dispatch(now time.Time, a *Arrival, engine int) {
+	delete(s.waiting, a.Turn)
+	s.sent[a.Turn] = a
+	s.feasible.Dispatched(now)
+	s.view.dispatched(now, a, engine)
+	s.actions = append(s.actions, Action{Dispatch: &Dispatch{
+		Turn: a.Turn, Engine: engine, Priority: a.Precedence,
+	}})
+}
+
+func (s *scheduler) finish(now time.Time, f *Finished) {
+	a := s.sent[f.Turn]
+	delete(s.sent, f.Turn)
+	s.learnOutput(a.Agent, f.Usage.Generated)
+	s.view.finished(now, a, f)
+	s.evictor.Paused(now, a.Program)
+	if !s.features.Evict {
+		return
+	}
+	pressure, residence := s.view.pressure(f.Engine)
+	if s.evictor.Decide(a.Agent, pressure, residence) == evictor.Drop {
+		s.release(a.Program, f.Engine)
+	}
+}
+
+// learnOutput follows the agent's mean output.
+func (s *scheduler) learnOutput(agent string, generated int) {
+	const gain = 0.1
+	mean, ok := s.outputs[agent]
+	if !ok {
+		mean = float64(generated)
+	}
+	s.outputs[agent] = mean + gain*(float64(generated)-mean)
+}
+
+func (s *scheduler) fail(now time.Time, f *Failed) {
+	a := s.sent[f.Turn]
+	delete(s.sent, f.Turn)
+	s.view.failed(now, a, f.Engine)
+	if !s.retries.Spend(now, a.Business) {
+		s.actions = append(s.actions, Action{Fail: &Fail{Turn: a.Turn}})
+		return
+	}
+	s.push(now, a)
+}
+
+func (s *scheduler) end(program string) {
+	s.evictor.Ended(program)
+	engines := s.view.end(program)
+	if !s.features.Release {
+		return
+	}
+	for _, engine := range engines {
+		s.release(program, engine)
+	}
+}
+
+func (s *scheduler) release(program string, engine int) {
+	s.view.released(program, engine)
+	s.actions = append(s.actions, Action{Release: &Release{Program: program, Engine: engine}})
+}
