--- a/cmd/wigeonbench/main.go
+++ b/cmd/wigeonbench/main.go
@@ -35,6 +35,7 @@
 				&cli.IntFlag{Name: "parallel", Value: 3, Usage: "runs at a time"},
 				&cli.StringFlag{Name: "out", Usage: "folder for MEASUREMENTS.md and plots; empty prints the tables only"},
 				&cli.StringSliceFlag{Name: "experiment", Usage: "names of the experiments to run; all if none is given"},
+				&cli.StringSliceFlag{Name: "case", Usage: "ends of the names of the cases to run; all if none is given"},
 			},
 		}},
 	}
@@ -45,6 +46,7 @@
 		Seeds:    c.Int("seeds"),
 		Parallel: c.Int("parallel"),
 		Only:     c.StringSlice("experiment"),
+		Cases:    c.StringSlice("case"),
 		Out:      c.String("out"),
 		Progress: os.Stdout,
 	}
--- a/internal/bencher/batch.go
+++ b/internal/bencher/batch.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 
 	"github.com/rotisserie/eris"
 )
@@ -16,6 +17,8 @@
 	Parallel int
 	// Only names the experiments to run; all if it is empty.
 	Only []string
+	// Cases keeps the cases whose name ends with one of these; all if it is empty.
+	Cases []string
 	// Out is the folder of the pages; nothing is written if it is empty.
 	Out string
 	// Progress gets each table as soon as it is known.
@@ -38,11 +41,9 @@
 			return eris.Wrapf(err, "experiment %s", e.Name)
 		}
 		all = append(all, r)
-		fmt.Fprintf(b.Progress, "%s (%s)\n\n", e.Title, e.Name)
-		if err := WriteTable(b.Progress, r); err != nil {
+		if err := b.print(r); err != nil {
 			return eris.Wrap(err, "write table")
 		}
-		fmt.Fprintln(b.Progress)
 	}
 	if b.Out == "" {
 		return nil
@@ -50,14 +51,29 @@
 	return writePages(b, all)
 }
 
+// print writes one experiment's table to Progress.
+func (b Batch) print(r Results) error {
+	if _, err := fmt.Fprintf(b.Progress, "%s (%s)\n\n", r.Experiment.Title, r.Experiment.Name); err != nil {
+		return err
+	}
+	if err := WriteTable(b.Progress, r); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(b.Progress)
+	return err
+}
+
 func (b Batch) selected() ([]Experiment, error) {
 	all := Experiments()
+	if b.Out != "" && len(b.Only)+len(b.Cases) > 0 {
+		return nil, eris.New("pages need all experiments: give either out or a selection")
+	}
+	for i := range all {
+		all[i].Cases = slices.DeleteFunc(all[i].Cases, func(c Case) bool { return !b.keeps(c) })
+	}
 	if len(b.Only) == 0 {
 		return all, nil
 	}
-	if b.Out != "" {
-		return nil, eris.New("pages need all experiments: give either out or experiment")
-	}
 	var selected []Experiment
 	for _, name := range b.Only {
 		i := slices.IndexFunc(all, func(e Experiment) bool { return e.Name == name })
@@ -68,3 +84,10 @@
 	}
 	return selected, nil
 }
+
+func (b Batch) keeps(c Case) bool {
+	if len(b.Cases) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(b.Cases, func(end string) bool { return strings.HasSuffix(c.Name, end) })
+}
