internal/router: let a program wait at the endpoint that holds its prefix

Cause: two dispatches in three moved, since the program's last endpoint was full for a moment; each move computed the history again and so kept the endpoints full.

--- a/internal/router/affinity.go
+++ b/internal/router/affinity.go
@@ -14,30 +14,36 @@
 	// moveMargin is the part of the cost at the last endpoint that a move must
 	// save.
 	moveMargin = 0.1
+	// lastExcess is the share of its slots up to which the endpoint that served the
+	// last turn is given the next one, if it holds a part of the prompt.
+	lastExcess = 3
 )
 
 // affinity weighs the prefill that a held prefix saves against the slower
 // decoding of a loaded endpoint. It compares the endpoints that hold a part of the prompt,
 // the one that served the last turn and two drawn at random, and moves a
-// program only for a clear saving.
+// program only for a clear saving. A program may wait at the endpoint that holds
+// its prefix even if all slots there are taken, since a slot becomes free sooner
+// than another endpoint has computed the prefix again.
 type affinity struct{ random *rand.Rand }
 
 // Pick implements Router.
 func (r *affinity) Pick(request Request, candidates []Candidate) (int, bool) {
-	indexes := free(candidates)
-	if len(indexes) == 0 {
-		return 0, false
-	}
-	i, j := draw(r.random, indexes)
-	best := cheaper(request, candidates, i, j)
+	best := r.drawn(request, candidates)
 	last := -1
-	for _, k := range indexes {
-		if candidates[k].Endpoint == request.Last {
-			last = k
+	for i, c := range candidates {
+		if !admits(request, c) {
+			continue
 		}
-		if candidates[k].PrefixTokens > 0 {
-			best = cheaper(request, candidates, best, k)
+		if c.Endpoint == request.Last {
+			last = i
 		}
+		if best < 0 || c.PrefixTokens > 0 {
+			best = cheaper(request, candidates, best, i)
+		}
+	}
+	if best < 0 {
+		return 0, false
 	}
 	if last >= 0 && stays(request, candidates[last], candidates[best]) {
 		best = last
@@ -45,14 +51,37 @@
 	return best, true
 }
 
+// drawn returns the cheaper of two free candidates drawn at random, or -1 if all are
+// full.
+func (r *affinity) drawn(request Request, candidates []Candidate) int {
+	indexes := free(candidates)
+	if len(indexes) == 0 {
+		return -1
+	}
+	i, j := draw(r.random, indexes)
+	return cheaper(request, candidates, i, j)
+}
+
+// admits says whether the candidate may be given the request.
+func admits(request Request, c Candidate) bool {
+	if !full(c) {
+		return true
+	}
+	holds := c.Endpoint == request.Last && c.PrefixTokens > 0
+	return holds && load(c) < lastExcess*capacity(c)
+}
+
 // stays says whether a move from last to best saves too little.
 func stays(request Request, last, best Candidate) bool {
 	return cost(request, best) > cost(request, last)*(1-moveMargin)
 }
 
 // cheaper returns whichever index costs less; equal costs go to the less
-// loaded.
+// loaded. An index of -1 stands for no candidate.
 func cheaper(request Request, candidates []Candidate, i, j int) int {
+	if i < 0 {
+		return j
+	}
 	a, b := cost(request, candidates[i]), cost(request, candidates[j])
 	switch {
 	case a < b:
@@ -65,10 +94,11 @@
 }
 
 // cost returns the expected time of the generation at the candidate, in
-// tokens of prefill.
+// tokens of prefill. Above its slots the wait for one is added.
 func cost(request Request, c Candidate) float64 {
 	missing := max(request.PromptTokens-c.PrefixTokens, 0)
 	output := min(max(request.MaxTokens, 1), expectedTokens)
 	step := stepTokens * (idleShare + (1-idleShare)*usage(c))
-	return (float64(missing) + float64(output)*step) * max(c.GapRatio, 1)
+	wait := max(usage(c)-1, 0)
+	return (float64(missing) + float64(output)*step*(1+wait)) * max(c.GapRatio, 1)
 }
