internal/router: count the delay that a prefill causes to the batch

Cause: computing a prefix again slows all sequences in the batch, but the cost counted it for the one request only, so moves looked cheap on a loaded engine. Change: a missing token costs 1 + 3 for each sequence in the batch.

--- a/internal/router/affinity.go
+++ b/internal/router/affinity.go
@@ -14,6 +14,9 @@
 	// moveMargin is the part of the cost at the last endpoint that a move must
 	// save.
 	moveMargin = 0.1
+	// batchWeight is the weight of the delay that a prefill causes to the others in
+	// the batch.
+	batchWeight = 3
 	// lastExcess is the share of its slots up to which the endpoint that served the
 	// last turn is given the next one, if it holds a part of the prompt.
 	lastExcess = 3
@@ -94,11 +97,13 @@
 }
 
 // cost returns the expected time of the generation at the candidate, in
-// tokens of prefill. Above its slots the wait for one is added.
+// tokens of prefill. Above its slots the wait for one is added. Each token to be
+// prefilled also delays the sequences that are in the batch.
 func cost(request Request, c Candidate) float64 {
 	missing := max(request.PromptTokens-c.PrefixTokens, 0)
+	batch := min(load(c), capacity(c))
 	output := min(max(request.MaxTokens, 1), expectedTokens)
 	step := stepTokens * (idleShare + (1-idleShare)*usage(c))
 	wait := max(usage(c)-1, 0)
-	return (float64(missing) + float64(output)*step*(1+wait)) * max(c.GapRatio, 1)
+	return (float64(missing*(1+batchWeight*batch)) + float64(output)*step*(1+wait)) * max(c.GapRatio, 1)
 }
