--- /dev/null
+++ b/internal/driver/verifier.go
@@ -0,0 +1,97 @@
+package driver
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonstand/wigeonstand/internal/fakeservice"
+)
+
+// ServiceCounts is what one replica of a service has counted.
+type ServiceCounts struct {
+	Service string
+	Page    fakeservice.CountsPage
+}
+
+// Verification compares a run's calls with what services have executed.
+type Verification struct {
+	// Calls counts the calls compared, Acknowledged those answered whole.
+	Calls        int
+	Acknowledged int
+	// Executed counts calls executed once.
+	Executed int
+	// Unsettled counts calls with neither an answer nor an execution.
+	Unsettled int
+	// Faults lists what breaks at-most-once or a promise to the caller.
+	Faults []string
+}
+
+// FetchCounts reads the counts of a service's replica.
+func FetchCounts(ctx context.Context, client *http.Client, base string) (fakeservice.CountsPage, error) {
+	var page fakeservice.CountsPage
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/counts", nil)
+	if err != nil {
+		return page, eris.Wrap(err, "fetch counts")
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return page, eris.Wrap(err, "fetch counts")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return page, eris.Errorf("fetch counts: %s answered %s", base, response.Status)
+	}
+	return page, eris.Wrap(json.NewDecoder(response.Body).Decode(&page), "decode counts")
+}
+
+// Verify checks that each call of the result was executed at most once, that an
+// acknowledged one was executed, and that one refused as not run was not.
+func Verify(result Result, counts []ServiceCounts) Verification {
+	executions := countExecutions(counts)
+	var v Verification
+	for _, call := range result.Calls {
+		v.compare(call, executions[executionKey{call.Service, call.Path}])
+	}
+	return v
+}
+
+// executionKey tells calls apart; a path is used for one call only.
+type executionKey struct{ service, path string }
+
+func countExecutions(counts []ServiceCounts) map[executionKey]int {
+	executions := map[executionKey]int{}
+	for _, service := range counts {
+		for _, e := range service.Page.Executions {
+			executions[executionKey{service.Service, e.Path}] += e.Count
+		}
+	}
+	return executions
+}
+
+// compare takes in one call and how often it was executed.
+func (v *Verification) compare(call Call, executed int) {
+	v.Calls++
+	if call.Outcome == Whole {
+		v.Acknowledged++
+	}
+	switch {
+	case executed > 1:
+		v.fault(call, fmt.Sprintf("was executed %d times", executed))
+	case executed == 0 && call.Outcome == Whole:
+		v.fault(call, "was acknowledged and not executed")
+	case executed == 1 && call.Outcome == NotRun:
+		v.fault(call, "was refused as not run and executed")
+	case executed == 1:
+		v.Executed++
+	case call.Outcome != NotRun:
+		v.Unsettled++
+	}
+}
+
+func (v *Verification) fault(call Call, text string) {
+	v.Faults = append(v.Faults, fmt.Sprintf("%s call %s (%s) %s", call.Service, call.Key, call.Outcome, text))
+}
