fakes: let one caller be cut off and pin what runs

One instance cut from the store while others reach it is among the failures that the scheduler must survive, so a View of the platform has faults of its own. A running generation's blocks could be evicted under it; they are pinned now. Prompts are hashed outside the engine's lock, and an engine tells how long after it was leaving it was still given work.

--- a/internal/fakeengine/batch.go
+++ b/internal/fakeengine/batch.go
@@ -120,31 +120,21 @@
 	counts   *Counts
 }
 
-// submit queues a generation by priority, then arrival.
-func (b *batch) submit(request generator.GenerateRequest) *sequence {
-	b.arrivals++
-	prompt := tokens(request.Messages)
+// newSequence returns a generation that is not queued yet.
+func newSequence(request generator.GenerateRequest, settings Settings) *sequence {
 	s := &sequence{
 		request:  request,
-		arrival:  b.arrivals,
-		prompt:   prompt,
+		prompt:   tokens(request.Messages),
 		produced: request.Offset,
-		total:    max(request.Offset, outputLength(request.Seed, b.settings.OutputTokens, request.MaxTokens)),
+		total:    max(request.Offset, outputLength(request.Seed, settings.OutputTokens, request.MaxTokens)),
 		changed:  make(chan struct{}, 1),
 	}
-	s.hashes = b.hash(s)
-	b.waiting = append(b.waiting, s)
-	slices.SortStableFunc(b.waiting, compareSequences)
+	s.hashes = s.hash(settings.BlockTokens)
 	return s
 }
 
-// compareSequences orders the queue.
-func compareSequences(x, y *sequence) int {
-	return cmp.Or(cmp.Compare(x.request.Priority, y.request.Priority), cmp.Compare(x.arrival, y.arrival))
-}
-
 // hash returns the blocks of the prompt and of the output produced so far.
-func (b *batch) hash(s *sequence) []uint64 {
+func (s *sequence) hash(blockTokens int) []uint64 {
 	all := s.prompt
 	if s.produced > 0 {
 		output := generator.Message{
@@ -153,7 +143,20 @@
 		}
 		all = slices.Concat(all, tokens([]generator.Message{output}))
 	}
-	return blockHashes(namespace(s.request), all, b.settings.BlockTokens)
+	return blockHashes(namespace(s.request), all, blockTokens)
+}
+
+// submit queues a generation by priority, then arrival.
+func (b *batch) submit(s *sequence) {
+	b.arrivals++
+	s.arrival = b.arrivals
+	b.waiting = append(b.waiting, s)
+	slices.SortStableFunc(b.waiting, compareSequences)
+}
+
+// compareSequences orders the queue.
+func compareSequences(x, y *sequence) int {
+	return cmp.Or(cmp.Compare(x.request.Priority, y.request.Priority), cmp.Compare(x.arrival, y.arrival))
 }
 
 // cancel stops the generation; a running one ends with a step.
@@ -206,6 +209,7 @@
 	b.counts.Cached += min(s.cached, len(s.prompt))
 	b.counts.Prefilled += s.prefill
 	b.counts.Recomputed += b.cache.recomputed(s.hashes)
+	b.cache.pin(s.hashes, 1)
 	b.running = append(b.running, s)
 }
 
@@ -268,8 +272,9 @@
 // retire gives the generation's slot back and caches what it has produced.
 func (b *batch) retire(s *sequence, failure string) {
 	b.running = slices.DeleteFunc(b.running, func(other *sequence) bool { return other == s })
+	b.cache.pin(s.hashes, -1)
 	if s.prefill == 0 {
-		b.cache.store(s.request.Program, b.hash(s))
+		b.cache.store(s.request.Program, s.hash(b.settings.BlockTokens))
 	}
 	b.end(s, failure)
 }
--- a/internal/fakeengine/cache.go
+++ b/internal/fakeengine/cache.go
@@ -25,6 +25,8 @@
 	blocks      map[uint64]*block
 	recency     *list.List // of *block, the most recently used first
 	holders     map[string]map[uint64]*block
+	// pins counts the running generations that use a block, cached or not yet.
+	pins map[uint64]int
 	// seen remembers blocks that were held once, to tell repeated prefills.
 	seen map[uint64]struct{}
 	// notify is told each change of a program's holding.
@@ -45,6 +47,7 @@
 		blocks:      map[uint64]*block{},
 		recency:     list.New(),
 		holders:     map[string]map[uint64]*block{},
+		pins:        map[uint64]int{},
 		seen:        map[uint64]struct{}{},
 		notify:      notify,
 	}
@@ -118,11 +121,36 @@
 	return true
 }
 
-// evict drops the least recently used blocks until the rest fits.
+// pin adds to the count of running generations that use the blocks. What is
+// pinned is not evicted.
+func (c *cache) pin(hashes []uint64, count int) {
+	for _, hash := range hashes {
+		c.pins[hash] += count
+		if c.pins[hash] == 0 {
+			delete(c.pins, hash)
+		}
+	}
+}
+
+// victim returns the least recently used block that is not pinned, or nil.
+func (c *cache) victim() *block {
+	for e := c.recency.Back(); e != nil; e = e.Prev() {
+		if b := e.Value.(*block); c.pins[b.hash] == 0 {
+			return b
+		}
+	}
+	return nil
+}
+
+// evict drops the least recently used blocks until the rest fits. Pinned
+// blocks may keep it above its limit.
 func (c *cache) evict() {
 	lost := map[string]int{}
 	for len(c.blocks) > c.limit {
-		b := c.recency.Back().Value.(*block)
+		b := c.victim()
+		if b == nil {
+			break
+		}
 		for program := range b.programs {
 			c.letGo(program, b)
 			lost[program]++
--- a/internal/fakeengine/engine.go
+++ b/internal/fakeengine/engine.go
@@ -35,11 +35,13 @@
 // Counts says what an engine has done.
 type Counts struct {
 	// Generates counts generations accepted, AfterLeaving those of them that
-	// arrived while the engine was leaving.
-	Generates    int
-	AfterLeaving int
-	Completed    int
-	Canceled     int
+	// arrived while the engine was leaving, the last LatestAfterLeaving after
+	// it was told to.
+	Generates          int
+	AfterLeaving       int
+	LatestAfterLeaving time.Duration
+	Completed          int
+	Canceled           int
 	// Prompt, Cached, Prefilled and Generated are in tokens. Recomputed is the
 	// part of Prefilled that this engine had held before.
 	Prompt     int
@@ -74,6 +76,7 @@
 	orders  orders
 	faults  Faults
 	leaving bool
+	left    time.Time
 	counts  Counts
 }
 
@@ -163,6 +166,7 @@
 
 // submit queues a generation.
 func (e *Engine) submit(request generator.GenerateRequest) (*sequence, error) {
+	s := newSequence(request, e.settings)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
@@ -176,8 +180,9 @@
 	e.counts.Generates++
 	if e.leaving {
 		e.counts.AfterLeaving++
+		e.counts.LatestAfterLeaving = time.Since(e.left)
 	}
-	s := e.batch.submit(request)
+	e.batch.submit(s)
 	e.sampleLoad()
 	e.signalWork()
 	return s, nil
@@ -269,6 +274,9 @@
 func (e *Engine) SetLeaving(leaving bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if leaving && !e.leaving {
+		e.left = time.Now()
+	}
 	e.leaving = leaving
 	e.log.Log(LeavingSet, "Engine", e.name, "Leaving", leaving)
 }
--- a/internal/fakeengine/engine_test.go
+++ b/internal/fakeengine/engine_test.go
@@ -248,6 +248,31 @@
 	})
 }
 
+func TestRunningGenerationKeepsItsPrefix(t *testing.T) {
+	withEngine(t, func(f face) {
+		long, big := request("long", 200), request("big", 1)
+		long.Messages[0].Text = strings.Repeat("long ", 16)
+		big.Messages[0].Text = strings.Repeat("big ", 64)
+		held := func() int {
+			for _, h := range f.engine.Holdings().Holdings {
+				if h.Program == long.Program {
+					return h.Tokens
+				}
+			}
+			return 0
+		}
+		done := make(chan stream)
+		go func() { done <- f.generate(f.Context(), long) }()
+		time.Sleep(10 * tokenTime)
+		f.generate(f.Context(), big)
+		f.same(16, held())
+		<-done
+		big.Request, big.Messages[0].Text = "bigger", strings.Repeat("bigger ", 64)
+		f.generate(f.Context(), big)
+		f.same(0, held())
+	})
+}
+
 func TestReleaseEmptiesHoldings(t *testing.T) {
 	withEngine(t, func(f face) {
 		f.generate(f.Context(), request("a", 8))
@@ -479,7 +504,11 @@
 	withEngine(t, func(f face) {
 		f.engine.SetLeaving(true)
 		f.same(true, f.engine.Load().Leaving)
+		time.Sleep(3 * time.Second)
+		f.engine.SetLeaving(true)
 		f.generate(f.Context(), request("a", 1))
-		f.same(1, f.engine.Counts().AfterLeaving)
+		counts := f.engine.Counts()
+		f.same(1, counts.AfterLeaving)
+		f.same(3*time.Second, counts.LatestAfterLeaving)
 	})
 }
--- a/internal/fakeplatform/handler_test.go
+++ b/internal/fakeplatform/handler_test.go
@@ -2,15 +2,21 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
+	"github.com/wigeonstand/wigeonstand/internal/faker"
+	"github.com/wigeonstand/wigeonstand/internal/logger"
 	"github.com/wigeonstand/wigeonstand/internal/storer"
 )
 
@@ -146,3 +152,55 @@
 		t.Error(diff)
 	}
 }
+
+func TestHandlerDelaysAndHangsOnThePausedClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := fakeplatform.New()
+		listener := faker.NewPipeListener()
+		transport := listener.Transport()
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() {
+			done <- faker.Server{Grace: time.Second}.ServeOn(ctx, logger.Discard(), listener, p.Handler(""))
+		}()
+		commit := func(key string) bool {
+			body, err := json.Marshal(set(key, "1", 0))
+			if err != nil {
+				t.Fatal(err)
+			}
+			client := &http.Client{Transport: transport, Timeout: time.Minute}
+			response, err := client.Post("http://platform"+storer.PathCommit, "application/json", bytes.NewReader(body))
+			if err != nil {
+				return false
+			}
+			return response.Body.Close() == nil
+		}
+		took := func(faults storer.Faults, key string) (bool, time.Duration) {
+			p.SetFaults(faults)
+			start := time.Now()
+			return commit(key), time.Since(start)
+		}
+		type answer struct {
+			Whole bool
+			Took  time.Duration
+		}
+		var got []answer
+		for _, faults := range []storer.Faults{{Delay: time.Second}, {Delay: 2 * time.Minute}, {Silent: true}} {
+			whole, d := took(faults, "key"+fmt.Sprint(len(got)))
+			got = append(got, answer{whole, d})
+		}
+		want := []answer{{true, time.Second}, {false, time.Minute}, {false, time.Minute}}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Error(diff)
+		}
+		// The slow write has taken effect though its caller gave up.
+		if diff := cmp.Diff(2, p.Counts().Commits); diff != "" {
+			t.Error(diff)
+		}
+		transport.CloseIdleConnections()
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/internal/fakeplatform/platform_test.go
+++ b/internal/fakeplatform/platform_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/goleak"
+	"pgregory.net/rapid"
 
 	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
 	"github.com/wigeonstand/wigeonstand/internal/storer"
@@ -272,3 +273,84 @@
 		}
 	})
 }
+
+func TestViewFailsAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := fakeplatform.New()
+		cut, whole := p.View(), p.View()
+		cut.SetFaults(storer.Faults{Outage: true})
+		_, err := cut.Commit(t.Context(), set("a", "1", 0))
+		wantErr(t, storer.ErrUnavailable, err)
+		_, err = whole.Commit(t.Context(), set("a", "2", 0))
+		wantErr(t, nil, err)
+		cut.SetFaults(storer.Faults{LoseAnswers: 1})
+		wantErr(t, storer.ErrInDoubt, cut.Put(t.Context(), "o", nil))
+		_, err = whole.Get(t.Context(), "o")
+		wantErr(t, nil, err)
+		cut.SetFaults(storer.Faults{Silent: true})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err = cut.Scan(ctx, "", "", 0)
+		wantErr(t, storer.ErrUnavailable, err)
+		wantErr(t, storer.ErrInDoubt, cut.Delete(ctx, "o"))
+		_, err = whole.List(t.Context(), "", 0)
+		wantErr(t, nil, err)
+		if diff := cmp.Diff(fakeplatform.Counts{Commits: 1, RowWrites: 1, Puts: 1, Gets: 1, ObjectLists: 1}, p.Counts()); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+// Against a plain map: a refused write changes nothing, one in doubt has taken
+// effect here, versions only rise, and reads see the newest state.
+func TestTableAgreesWithAMap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := fakeplatform.New(fakeplatform.WithSeed(rapid.Uint64().Draw(t, "seed")))
+		rows := map[string]storer.Row{}
+		highest := int64(0)
+		keys := rapid.SampledFrom([]string{"a", "b", "c"})
+		t.Repeat(map[string]func(*rapid.T){
+			"commit": func(t *rapid.T) {
+				key, other := keys.Draw(t, "key"), keys.Draw(t, "other")
+				version := rows[other].Version + rapid.SampledFrom([]int64{0, 0, 0, 1}).Draw(t, "stale")
+				remove := rapid.Bool().Draw(t, "delete")
+				value := rapid.SliceOfN(rapid.Byte(), 1, 4).Draw(t, "value")
+				_, err := p.Commit(context.Background(), storer.Commit{
+					Conditions: []storer.Condition{{Key: other, Version: version}},
+					Writes:     []storer.Write{{Key: key, Value: value, Delete: remove}},
+				})
+				refused := errors.Is(err, storer.ErrConflict) || errors.Is(err, storer.ErrUnavailable)
+				if refused || p.Faults().Outage || version != rows[other].Version {
+					return
+				}
+				read, _ := p.Read(context.Background(), key)
+				if delete(rows, key); !remove {
+					if read[0].Version <= highest {
+						t.Fatalf("version %d after %d", read[0].Version, highest)
+					}
+					highest = read[0].Version
+					rows[key] = storer.Row{Key: key, Value: value, Version: highest}
+				}
+			},
+			"faults": func(t *rapid.T) {
+				p.SetFaults(storer.Faults{
+					Outage:      rapid.Bool().Draw(t, "outage"),
+					LoseAnswers: rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "lose"),
+				})
+			},
+			"": func(t *rapid.T) {
+				found, err := p.Scan(context.Background(), "", "", 0)
+				if err != nil {
+					return
+				}
+				got := map[string]storer.Row{}
+				for _, row := range found {
+					got[row.Key] = row
+				}
+				if diff := cmp.Diff(rows, got); diff != "" {
+					t.Fatal(diff)
+				}
+			},
+		})
+	})
+}
--- a/internal/faker/faker_test.go
+++ b/internal/faker/faker_test.go
@@ -124,6 +124,38 @@
 	})
 }
 
+// A stream that is under way when its connection goes silent ends neither
+// whole nor cut.
+func TestStreamOnASilencedConnectionStalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stream := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			for range 10 {
+				_, _ = io.WriteString(w, "x")
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(time.Second)
+			}
+		})
+		listener, end := serve(t, stream)
+		old, fresh := listener.Transport(), listener.Transport()
+		defer fresh.CloseIdleConnections()
+		time.AfterFunc(2500*time.Millisecond, func() {
+			silence(t, &http.Client{Transport: fresh}, `{"Connections":1}`)
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		body, err := get(ctx, &http.Client{Transport: old}, "/")
+		if !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("the stream ended with %v", err)
+		}
+		if diff := cmp.Diff("xxx", body); diff != "" {
+			t.Error(diff)
+		}
+		if err := end(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 func silence(t *testing.T, client *http.Client, want string) {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://fake/silence", nil)
