driver: compare runs turn by turn and find leaked holdings

The users measure program latency and wasted cache. A result now tells the tokens prefilled again though the turn before had left them cached, keeps the turns of a seed for a paired comparison with a direct run, checks that a tree spends no more than its budget, and names the ended programs so that verify can find what engines still hold of them.

--- a/cmd/wigeonfakes/service.go
+++ b/cmd/wigeonfakes/service.go
@@ -30,6 +30,7 @@
   curl 127.0.0.1:9300/counts`,
 		Flags: serverFlags(
 			&cli.StringFlag{Name: "name", Value: "service", Usage: "log as `NAME`"},
+			&cli.DurationFlag{Name: "delay", Usage: "take `TIME` for an execution"},
 			&cli.BoolFlag{Name: "honour-key", Usage: "execute a repeated key once"},
 		),
 		Action: func(ctx context.Context, c *cli.Command) error { return runService(ctx, c, w) },
@@ -42,7 +43,10 @@
 		return err
 	}
 	log := newLogger(c, w).With("Fake", c.String("name"))
-	options := []fakeservice.Option{fakeservice.WithLogger(log)}
+	options := []fakeservice.Option{
+		fakeservice.WithLogger(log),
+		fakeservice.WithFaults(fakeservice.Faults{Delay: c.Duration("delay")}),
+	}
 	if c.Bool("honour-key") {
 		options = append(options, fakeservice.WithHonouredKeys())
 	}
--- a/cmd/wigeonload/report.go
+++ b/cmd/wigeonload/report.go
@@ -20,13 +20,19 @@
 		Usage:     "print results as a table and plot them",
 		ArgsUsage: "FILE...",
 		Description: `Each result is named after its file. With --plots, SVG plots of all results
-together are written into the directory.
+together are written into the directory. With --pair, two results of the same
+seed, both made with --samples, are compared turn by turn: what the second
+took less what the first took.
 
 Examples:
 
   wigeonload report run.json
-  wigeonload report --plots plots run.json direct.json`,
-		Flags:  []cli.Flag{&cli.StringFlag{Name: "plots", Usage: "write SVG plots into `DIR`"}},
+  wigeonload report --plots plots run.json direct.json
+  wigeonload report --pair direct.json run.json`,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "plots", Usage: "write SVG plots into `DIR`"},
+			&cli.BoolFlag{Name: "pair", Usage: "compare two results turn by turn"},
+		},
 		Action: func(_ context.Context, c *cli.Command) error { return report(c, out) },
 	}
 }
@@ -47,9 +53,30 @@
 	if err := driver.WriteTable(out, results...); err != nil {
 		return err
 	}
+	if err := pairs(c.Bool("pair"), out, results); err != nil {
+		return err
+	}
 	return plots(c.String("plots"), out, results)
 }
 
+// pairs prints the differences of two results, if that is asked for.
+func pairs(asked bool, out io.Writer, results []driver.Named) error {
+	if !asked {
+		return nil
+	}
+	if len(results) != 2 {
+		return eris.New("--pair takes two results")
+	}
+	differences := driver.Pair(results[0].Result, results[1].Result)
+	if len(differences) == 0 {
+		return eris.New("--pair: the results have no turn in common; were they made with --samples and one seed?")
+	}
+	if _, err := fmt.Fprintf(out, "\n%s less %s:\n", results[1].Name, results[0].Name); err != nil {
+		return eris.Wrap(err, "print the differences")
+	}
+	return driver.WritePairs(out, differences)
+}
+
 // plots writes the plots into the directory, if one is named.
 func plots(dir string, out io.Writer, results []driver.Named) error {
 	if dir == "" {
--- a/cmd/wigeonload/root.go
+++ b/cmd/wigeonload/root.go
@@ -32,14 +32,15 @@
 is whole, that it belongs to its request, that histories are what was received.
 
 Mixes: songs, editors, trays, trims (with sub-agents), fees (service calls).
-The agents are named as the mixes; the services are "fees" and "dockets".
+The agents are named as the mixes and belong to laulukaar (songs, editors) and
+binfold (trays, trims); the services are "fees" and "dockets".
 
 Examples:
 
   wigeonload run --entry http://127.0.0.1:8080 --key laulukaar=K1 --mix songs=5 --out run.json
   wigeonload direct --engine http://127.0.0.1:9200 --model songbird --mix songs=5 --out direct.json
   wigeonload report --plots plots run.json direct.json
-  wigeonload verify --service fees=http://127.0.0.1:9300 run.json`,
+  wigeonload verify --service fees=http://127.0.0.1:9300 --engine http://127.0.0.1:9200 run.json`,
 		Commands: []*cli.Command{newRunCmd(out, log), newDirectCmd(out, log), newReportCmd(out), newVerifyCmd(out)},
 	}
 }
@@ -54,6 +55,8 @@
 		&cli.FloatFlag{Name: "pauses", Value: 1, Usage: "multiply the pauses between turns by `FACTOR`"},
 		&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "draw arrivals and programs with the seed `N`"},
 		&cli.StringFlag{Name: "run", Usage: "begin all keys with `NAME`; a new one by default"},
+		&cli.IntFlag{Name: "programs", Usage: "let at most `N` programs of each mix arrive; 0 for no bound"},
+		&cli.BoolFlag{Name: "samples", Usage: "keep the latency of every turn, for report --pair"},
 		&cli.BoolFlag{Name: "no-echo", Usage: "drop the checks that need the stand-in engine"},
 		&cli.StringFlag{Name: "ca", Usage: "trust the certificates in `FILE`"},
 		&cli.StringFlag{Name: "out", Usage: "write the result to `FILE` as JSON"},
@@ -68,6 +71,9 @@
 	if err != nil {
 		return nil, err
 	}
+	for i := range mixes {
+		mixes[i].Limit = c.Int("programs")
+	}
 	options := []driver.Option{
 		driver.WithMixes(mixes...),
 		driver.WithDuration(c.Duration("duration")),
@@ -80,6 +86,9 @@
 	if c.String("run") != "" {
 		options = append(options, driver.WithRun(c.String("run")))
 	}
+	if c.Bool("samples") {
+		options = append(options, driver.WithSamples())
+	}
 	if c.Bool("no-echo") {
 		options = append(options, driver.WithoutEcho())
 	}
--- a/cmd/wigeonload/verify.go
+++ b/cmd/wigeonload/verify.go
@@ -17,16 +17,18 @@
 		Name:      "verify",
 		Usage:     "compare a run's service calls with what the services have executed",
 		ArgsUsage: "FILE",
-		Description: `Every call must have been executed at most once, an acknowledged one once,
+		Description: `Programs that have ended must hold nothing of the engines' caches; give the
+system the time to sweep before. Every call must have been executed at most once, an acknowledged one once,
 and one refused as not run never. Name all replicas of each service that the
 run has called. The exit status is 1 if a call was not.
 
 Examples:
 
   wigeonload verify --service fees=http://127.0.0.1:9300 \
-    --service fees=http://127.0.0.1:9301 run.json`,
+    --service fees=http://127.0.0.1:9301 --engine http://127.0.0.1:9200 run.json`,
 		Flags: []cli.Flag{
-			&cli.StringSliceFlag{Name: "service", Required: true, Usage: "a replica's base URL, as `NAME=URL`; may be repeated"},
+			&cli.StringSliceFlag{Name: "service", Usage: "a replica's base URL, as `NAME=URL`; may be repeated"},
+			&cli.StringSliceFlag{Name: "engine", Usage: "an engine's base `URL`; may be repeated"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error { return verify(ctx, c, out) },
 	}
@@ -37,30 +39,60 @@
 	if err != nil {
 		return err
 	}
+	counts, err := fetchCounts(ctx, c)
+	if err != nil {
+		return err
+	}
+	holdings, err := fetchHoldings(ctx, c)
+	if err != nil {
+		return err
+	}
+	var verification driver.Verification
+	if len(counts) > 0 {
+		verification = driver.Verify(result, counts)
+	}
+	return printVerification(out, verification, driver.VerifyHoldings(result, holdings))
+}
+
+// fetchCounts reads the counts of the services named.
+func fetchCounts(ctx context.Context, c *cli.Command) ([]driver.ServiceCounts, error) {
 	var counts []driver.ServiceCounts
 	for _, text := range c.StringSlice("service") {
 		name, base, err := pair("service", text)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		page, err := driver.FetchCounts(ctx, http.DefaultClient, base)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		counts = append(counts, driver.ServiceCounts{Service: name, Page: page})
 	}
-	return printVerification(out, driver.Verify(result, counts))
+	return counts, nil
+}
+
+// fetchHoldings reads the holdings of the engines named.
+func fetchHoldings(ctx context.Context, c *cli.Command) ([]driver.EngineHoldings, error) {
+	var holdings []driver.EngineHoldings
+	for _, base := range c.StringSlice("engine") {
+		report, err := driver.FetchHoldings(ctx, http.DefaultClient, base)
+		if err != nil {
+			return nil, err
+		}
+		holdings = append(holdings, driver.EngineHoldings{Engine: base, Report: report})
+	}
+	return holdings, nil
 }
 
 // printVerification prints the comparison; it is an error if there are faults.
-func printVerification(out io.Writer, v driver.Verification) error {
-	_, err := fmt.Fprintf(out, "%d calls, %d acknowledged, %d executed once, %d unsettled, %d faults\n",
-		v.Calls, v.Acknowledged, v.Executed, v.Unsettled, len(v.Faults))
-	for _, fault := range v.Faults {
+func printVerification(out io.Writer, v driver.Verification, held []string) error {
+	_, err := fmt.Fprintf(out, "%d calls, %d acknowledged, %d executed once, %d unsettled, %d faults; %d holdings of ended programs\n",
+		v.Calls, v.Acknowledged, v.Executed, v.Unsettled, len(v.Faults), len(held))
+	for _, fault := range append(v.Faults, held...) {
 		_, _ = fmt.Fprintln(out, " ", fault)
 	}
-	if len(v.Faults) > 0 {
-		return eris.Errorf("%d calls broke their promise", len(v.Faults))
+	if n := len(v.Faults) + len(held); n > 0 {
+		return eris.Errorf("%d faults", n)
 	}
 	return eris.Wrap(err, "print the comparison")
 }
--- a/cmd/wigeonload/wigeonload_test.go
+++ b/cmd/wigeonload/wigeonload_test.go
@@ -53,7 +53,7 @@
 	dir := t.TempDir()
 	file := filepath.Join(dir, "direct.json")
 	out, err := load(t, "direct", "--engine", engineServer.URL, "--model", "songbird", "--service", "fees="+serviceServer.URL,
-		"--mix", "songs=20,fees=50", "--duration", "500ms", "--pauses", "0", "--out", file)
+		"--mix", "songs=20,fees=50", "--duration", "500ms", "--pauses", "0", "--samples", "--out", file)
 	if err != nil {
 		t.Error(err)
 	}
@@ -63,11 +63,16 @@
 		t.Error(err)
 	}
 	wantIn(t, out, "songs", "Program.svg", "Seconds-direct.svg")
-	out, err = load(t, "verify", "--service", "fees="+serviceServer.URL, file)
+	out, err = load(t, "report", "--pair", file, file)
 	if err != nil {
 		t.Error(err)
 	}
-	wantIn(t, out, " 0 unsettled, 0 faults")
+	wantIn(t, out, "direct less direct", "FirstToken")
+	out, err = load(t, "verify", "--service", "fees="+serviceServer.URL, "--engine", engineServer.URL, file)
+	if err != nil {
+		t.Error(err)
+	}
+	wantIn(t, out, " 0 unsettled, 0 faults; 0 holdings")
 	for _, e := range service.Counts().Executions {
 		service.Execute(fakeservice.Request{Key: e.Key, Method: e.Method, Path: e.Path})
 	}
@@ -93,6 +98,7 @@
 		{"direct", "--engine", "http://127.0.0.1:1", "--model", "m", "--ca", broken},
 		{"report"},
 		{"report", broken},
+		{"report", "--pair", broken},
 		{"verify", "--service", "fees=http://127.0.0.1:1", broken},
 	}
 	for _, args := range tests {
--- a/internal/driver/check.go
+++ b/internal/driver/check.go
@@ -61,6 +61,13 @@
 	}
 }
 
+// checkBudget checks that the tree's answers cost no more than its budget.
+func (p *program) checkBudget() {
+	if p.parent == "" && p.budget > 0 && p.spent > p.budget {
+		p.violate("%d tokens were spent of a budget of %d", p.spent, p.budget)
+	}
+}
+
 // checkHistory compares the program's history with what was received. A turn
 // that was sent and not answered may be at its end.
 func (p *program) checkHistory(ctx context.Context) {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -33,6 +33,7 @@
 	drain    time.Duration
 	pauses   float64
 	echo     bool
+	samples  bool
 	log      *logger.Logger
 	recorder *recorder
 }
@@ -64,6 +65,9 @@
 // WithoutEcho drops the checks that rely on the stand-in engine's output.
 func WithoutEcho() Option { return func(d *Driver) { d.echo = false } }
 
+// WithSamples keeps the latency of every turn, for Pair.
+func WithSamples() Option { return func(d *Driver) { d.samples = true } }
+
 // WithLogger sets where violations are logged; they are not by default.
 func WithLogger(log *logger.Logger) Option { return func(d *Driver) { d.log = log } }
 
@@ -91,6 +95,7 @@
 func (d *Driver) Run(ctx context.Context) Result {
 	start := time.Now()
 	d.recorder = newRecorder(start, d.log)
+	d.recorder.sampled = d.samples
 	ctx, cancel := context.WithTimeout(ctx, d.duration+d.drain)
 	defer cancel()
 	var programs sync.WaitGroup
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -160,6 +160,7 @@
 		{"Turn", "forgotten", "history differs"},
 		{"Turn", "doubled", "history differs"},
 		{"Call", "crossed", "does not name it"},
+		{"Open", "small", "were spent of a budget of 1"},
 	}
 	for _, test := range tests {
 		t.Run(test.operation+" "+test.fault, func(t *testing.T) {
@@ -237,6 +238,7 @@
 		same(t, r.Mixes[0].Programs, r.Mixes[0].Finished)
 		same(t, len(want), engine.Counts().Completed)
 		same(t, 0, len(engine.Holdings().Holdings))
+		same(t, r.Mixes[0].Programs, len(r.Ended))
 		end()
 	})
 }
--- a/internal/driver/program.go
+++ b/internal/driver/program.go
@@ -16,15 +16,20 @@
 	driver *Driver
 	target Target
 	mix    Mix
-	// name is unique in the run and begins every key of the program.
-	name     string
-	arrived  time.Time
-	random   *rand.Rand
-	paused   time.Duration
-	parent   string
-	id       string
-	chain    string
+	// title is the program's name in every run of the seed. With the run before
+	// it, it is the name, which begins every key of the program.
+	title   string
+	name    string
+	arrived time.Time
+	random  *rand.Rand
+	paused  time.Duration
+	parent  string
+	id      string
+	chain   string
+	// budget is that of the program's tree, spent what the tree's answers cost,
+	// both in tokens.
 	budget   int
+	spent    int
 	received []requester.TurnView
 	// pending is the input of a turn that was sent and not answered whole.
 	pending string
@@ -33,11 +38,13 @@
 
 // newProgram returns the n-th program of the mix, due at the time.
 func (d *Driver) newProgram(m Mix, n int, arrived time.Time) *program {
+	title := fmt.Sprintf("%s-%d", m.Name, n)
 	return &program{
 		driver:  d,
 		target:  d.targets[m.Business],
 		mix:     m,
-		name:    fmt.Sprintf("%s-%s-%d", d.run, m.Name, n),
+		title:   title,
+		name:    d.run + "-" + title,
 		arrived: arrived,
 		random:  d.random(m.Name, n),
 	}
@@ -49,6 +56,7 @@
 		driver:  p.driver,
 		target:  p.target,
 		mix:     p.mix,
+		title:   fmt.Sprintf("%s.%d", p.title, n),
 		name:    fmt.Sprintf("%s.%d", p.name, n),
 		arrived: time.Now(),
 		random:  rand.New(rand.NewPCG(p.random.Uint64(), uint64(n))),
@@ -84,6 +92,7 @@
 			tools = p.delegate(ctx)
 		}
 	}
+	p.checkBudget()
 	p.checkHistory(ctx)
 	p.end(ctx)
 }
@@ -149,7 +158,7 @@
 		p.pending = request.Input
 		return
 	}
-	p.driver.recorder.stream(p.mix.Name, due, answer)
+	p.record(n, due, answer)
 	p.check(request, answer)
 	p.chain = answer.Chain
 	p.received = append(p.received, requester.TurnView{
@@ -161,6 +170,22 @@
 	})
 }
 
+// record records an answer that arrived just now.
+func (p *program) record(n int, due time.Time, answer TurnAnswer) {
+	held := 0
+	if len(p.received) > 0 {
+		held = p.received[len(p.received)-1].Usage.Total()
+	}
+	p.spent += answer.Usage.Total()
+	p.driver.recorder.stream(p.mix.Name, due, held, answer)
+	p.driver.recorder.sample(Sample{
+		Mix:        p.mix.Name,
+		Name:       fmt.Sprintf("%s/%d", p.title, n),
+		Turn:       time.Since(due),
+		FirstToken: answer.Stream.First.Sub(due),
+	})
+}
+
 // input returns the words of the n-th turn; no other turn has the same.
 func (p *program) input(n int, tools string) string {
 	words := []string{fmt.Sprintf("%s/%d", p.name, n)}
@@ -188,6 +213,7 @@
 	var paused time.Duration
 	for _, child := range children {
 		paused = max(paused, child.paused)
+		p.spent += child.spent
 		p.broken = p.broken || child.broken
 		if len(child.received) > 0 {
 			answers = append(answers, child.received[len(child.received)-1].Text)
@@ -199,9 +225,12 @@
 
 // end ends the program; it is tried also after a turn has failed.
 func (p *program) end(ctx context.Context) {
-	_ = p.operate(ctx, "End", time.Now(), func(ctx context.Context) error {
+	err := p.operate(ctx, "End", time.Now(), func(ctx context.Context) error {
 		return p.target.End(ctx, p.id)
 	})
+	if err == nil {
+		p.driver.recorder.end(p.id)
+	}
 }
 
 // callBody is the body of a service call.
--- a/internal/driver/recorder.go
+++ b/internal/driver/recorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -45,6 +46,10 @@
 	violations []Violation
 	violated   int
 	calls      []Call
+	ended      []string
+	// sampled says whether samples are kept.
+	sampled bool
+	samples []Sample
 }
 
 type mixRecord struct {
@@ -110,14 +115,16 @@
 	}
 }
 
-// stream records how a turn's answer arrived.
-func (r *recorder) stream(mix string, due time.Time, answer TurnAnswer) {
+// stream records how a turn's answer arrived. Held is what the turn before had
+// left in a cache, in tokens.
+func (r *recorder) stream(mix string, due time.Time, held int, answer TurnAnswer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m := r.mix(mix)
 	m.Prompt += answer.Usage.Prompt
 	m.Cached += answer.Usage.Cached
 	m.Generated += answer.Usage.Generated
+	m.Reprefilled += max(held-answer.Usage.Cached, 0)
 	if answer.Stream.Chunks > 0 {
 		m.record(measureFirstToken, answer.Stream.First.Sub(due))
 	}
@@ -138,6 +145,22 @@
 	}
 }
 
+// sample records one turn answered whole, if samples are kept.
+func (r *recorder) sample(s Sample) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.sampled {
+		r.samples = append(r.samples, s)
+	}
+}
+
+// end records a program whose end was acknowledged.
+func (r *recorder) end(program string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = append(r.ended, program)
+}
+
 func (r *recorder) call(call Call) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -173,6 +196,8 @@
 		ViolationCount: r.violated,
 		Violations:     slices.Clone(r.violations),
 		Calls:          slices.Clone(r.calls),
+		Ended:          slices.Clone(r.ended),
+		Samples:        slices.Clone(r.samples),
 	}
 	for _, m := range r.mixes {
 		result.Mixes = append(result.Mixes, m.result())
@@ -215,11 +240,12 @@
 	return l
 }
 
-// quantile returns the value below which the share of the values lies.
+// quantile returns the smallest value that the share of the values does not exceed.
 func quantile(values []time.Duration, share float64) time.Duration {
 	if len(values) == 0 {
 		return 0
 	}
 	sorted := slices.Sorted(slices.Values(values))
-	return sorted[int(share*float64(len(sorted)-1))]
+	rank := int(math.Ceil(share * float64(len(sorted))))
+	return sorted[max(rank, 1)-1]
 }
--- a/internal/driver/report.go
+++ b/internal/driver/report.go
@@ -47,11 +47,11 @@
 }
 
 func writeRequests(w io.Writer, results []Named) {
-	row(w, "Run", "Mix", "Programs", "Finished", "Sent", "Whole", "NotRun", "Failed", "Cut", "Unknown", "Prompt", "Cached", "Generated")
+	row(w, "Run", "Mix", "Programs", "Finished", "Sent", "Whole", "NotRun", "Failed", "Cut", "Unknown", "Prompt", "Cached", "Reprefilled", "Generated")
 	for _, n := range results {
 		for _, m := range n.Result.Mixes {
 			r := m.Requests
-			row(w, n.Name, m.Mix, m.Programs, m.Finished, r.Sent, r.Whole, r.NotRun, r.Failed, r.Cut, r.Unknown, m.Prompt, m.Cached, m.Generated)
+			row(w, n.Name, m.Mix, m.Programs, m.Finished, r.Sent, r.Whole, r.NotRun, r.Failed, r.Cut, r.Unknown, m.Prompt, m.Cached, m.Reprefilled, m.Generated)
 		}
 	}
 	row(w)
--- a/internal/driver/report_test.go
+++ b/internal/driver/report_test.go
@@ -6,11 +6,13 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/wigeonstand/wigeonstand/internal/driver"
 	"github.com/wigeonstand/wigeonstand/internal/fakeservice"
+	"github.com/wigeonstand/wigeonstand/internal/generator"
 )
 
 func TestVerifyTellsWhatBrokeItsPromise(t *testing.T) {
@@ -47,6 +49,26 @@
 	same(t, want, driver.Verify(result, counts))
 }
 
+func TestVerifyHoldingsTellsWhatEndedProgramsHold(t *testing.T) {
+	result := driver.Result{Ended: []string{"p-1", "p-2"}}
+	report := generator.HoldingReport{Holdings: []generator.Holding{{Program: "p-2", Tokens: 16}, {Program: "alive", Tokens: 32}}}
+	want := []string{"e-1 holds 16 tokens of p-2, which has ended"}
+	same(t, want, driver.VerifyHoldings(result, []driver.EngineHoldings{{Engine: "e-1", Report: report}}))
+}
+
+func TestPairComparesTheSameTurns(t *testing.T) {
+	sample := func(name string, turn, first time.Duration) driver.Sample {
+		return driver.Sample{Mix: "songs", Name: name, Turn: turn, FirstToken: first}
+	}
+	a := driver.Result{Samples: []driver.Sample{sample("songs-1/1", 100, 10), sample("songs-1/2", 100, 10), sample("songs-2/1", 1, 1)}}
+	b := driver.Result{Samples: []driver.Sample{sample("songs-1/2", 90, 12), sample("songs-1/1", 130, 14), sample("songs-3/1", 1, 1)}}
+	want := []driver.Difference{
+		{Mix: "songs", Measure: "Turn", Count: 2, Mean: 10, P05: -10, P50: -10, P95: 30},
+		{Mix: "songs", Measure: "FirstToken", Count: 2, Mean: 3, P05: 2, P50: 2, P95: 4},
+	}
+	same(t, want, driver.Pair(a, b))
+}
+
 func TestReportShowsEveryMixAndPlots(t *testing.T) {
 	var result driver.Result
 	s := &stub{strike: onFirst(1, "Turn", "crossed")}
--- a/internal/driver/result.go
+++ b/internal/driver/result.go
@@ -25,6 +25,10 @@
 	Violations     []Violation
 	// Calls lists every service call, for Verify.
 	Calls []Call
+	// Ended lists the programs whose end was acknowledged, for VerifyHoldings.
+	Ended []string
+	// Samples lists every turn answered whole, for Pair; only with WithSamples.
+	Samples []Sample `json:",omitempty"`
 }
 
 // MixResult is what came of one mix.
@@ -41,7 +45,10 @@
 	Prompt    int
 	Cached    int
 	Generated int
-	Latencies []Latency
+	// Reprefilled is the part of the prompts that the program's turn before
+	// had left in a cache and that was not found there.
+	Reprefilled int
+	Latencies   []Latency
 }
 
 // Tally counts requests.
@@ -122,6 +129,14 @@
 	Text string
 }
 
+// Sample is one turn answered whole. Its name does not depend on the run.
+type Sample struct {
+	Mix        string
+	Name       string
+	Turn       time.Duration
+	FirstToken time.Duration
+}
+
 // Call is one service call and what became of it.
 type Call struct {
 	Service string
--- a/internal/driver/stub_test.go
+++ b/internal/driver/stub_test.go
@@ -90,7 +90,7 @@
 	faker.WriteJSON(w, answerer.Lookup(kind).Status, refusalOf(kind))
 }
 
-func (s *stub) open(w http.ResponseWriter, r *http.Request, _ string) {
+func (s *stub) open(w http.ResponseWriter, r *http.Request, fault string) {
 	var request driver.OpenRequest
 	if !faker.ReadJSON(w, r, &request) {
 		return
@@ -101,7 +101,11 @@
 	if s.programs[id] == nil {
 		s.programs[id] = &stubProgram{page: requester.HistoryPage{Program: id, Agent: request.Agent, Chain: "root"}}
 	}
-	faker.WriteJSON(w, http.StatusCreated, requester.Opened{Program: id, Budget: 1000, Chain: "root"})
+	budget := 1_000_000
+	if fault == "small" {
+		budget = 1
+	}
+	faker.WriteJSON(w, http.StatusCreated, requester.Opened{Program: id, Budget: budget, Chain: "root"})
 }
 
 func (s *stub) turn(w http.ResponseWriter, r *http.Request, fault string) {
--- a/internal/driver/verifier.go
+++ b/internal/driver/verifier.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wigeonstand/wigeonstand/internal/fakeservice"
+	"github.com/wigeonstand/wigeonstand/internal/generator"
 )
 
 // ServiceCounts is what one replica of a service has counted.
@@ -32,20 +33,54 @@
 
 // FetchCounts reads the counts of a service's replica.
 func FetchCounts(ctx context.Context, client *http.Client, base string) (fakeservice.CountsPage, error) {
-	var page fakeservice.CountsPage
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/counts", nil)
+	return fetch[fakeservice.CountsPage](ctx, client, base+"/counts")
+}
+
+// fetch reads a JSON document.
+func fetch[T any](ctx context.Context, client *http.Client, url string) (T, error) {
+	var document T
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return page, eris.Wrap(err, "fetch counts")
+		return document, eris.Wrap(err, "fetch")
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		return page, eris.Wrap(err, "fetch counts")
+		return document, eris.Wrap(err, "fetch")
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return page, eris.Errorf("fetch counts: %s answered %s", base, response.Status)
+		return document, eris.Errorf("fetch: %s answered %s", url, response.Status)
+	}
+	return document, eris.Wrap(json.NewDecoder(response.Body).Decode(&document), "decode")
+}
+
+// EngineHoldings is what one engine holds of its cache.
+type EngineHoldings struct {
+	Engine string
+	Report generator.HoldingReport
+}
+
+// FetchHoldings reads what an engine holds.
+func FetchHoldings(ctx context.Context, client *http.Client, base string) (generator.HoldingReport, error) {
+	return fetch[generator.HoldingReport](ctx, client, base+"/v1/holdings")
+}
+
+// VerifyHoldings lists what engines hold for programs of the result that have
+// ended.
+func VerifyHoldings(result Result, engines []EngineHoldings) []string {
+	ended := map[string]bool{}
+	for _, program := range result.Ended {
+		ended[program] = true
+	}
+	var faults []string
+	for _, engine := range engines {
+		for _, h := range engine.Report.Holdings {
+			if ended[h.Program] {
+				faults = append(faults, fmt.Sprintf("%s holds %d tokens of %s, which has ended", engine.Engine, h.Tokens, h.Program))
+			}
+		}
 	}
-	return page, eris.Wrap(json.NewDecoder(response.Body).Decode(&page), "decode counts")
+	return faults
 }
 
 // Verify checks that each call of the result was executed at most once, that an
--- a/internal/fakeservice/service.go
+++ b/internal/fakeservice/service.go
@@ -91,6 +91,11 @@
 	return func(s *Service) { s.honoursKey = true }
 }
 
+// WithFaults sets the faults that the service starts with.
+func WithFaults(faults Faults) Option {
+	return func(s *Service) { s.faults = faults }
+}
+
 // WithLogger sets where the service logs; it logs nothing by default.
 func WithLogger(log *logger.Logger) Option {
 	return func(s *Service) { s.log = log }
