--- a/cmd/wigeonfakes/engine.go
+++ b/cmd/wigeonfakes/engine.go
@@ -49,6 +49,7 @@
 			&cli.FloatFlag{Name: "event-loss", Value: defaults.EventLoss, Usage: "lose this `SHARE` of cache events, 0 to 1"},
 			&cli.DurationFlag{Name: "order-time", Value: defaults.OrderTime, Usage: "take `TIME` for an order"},
 			&cli.DurationFlag{Name: "transfer-time", Value: defaults.TransferTime, Usage: "take `TIME` per exported or imported token"},
+			&cli.DurationFlag{Name: "leaving-grace", Usage: "refuse generations from `TIME` after it is leaving; 0 never does"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "draw lost cache events with the seed `N`"},
 		),
 		Action: func(ctx context.Context, c *cli.Command) error { return runEngine(ctx, c, w) },
@@ -102,5 +103,6 @@
 		EventLoss:       c.Float("event-loss"),
 		OrderTime:       c.Duration("order-time"),
 		TransferTime:    c.Duration("transfer-time"),
+		LeavingGrace:    c.Duration("leaving-grace"),
 	}
 }
--- a/cmd/wigeonfakes/service.go
+++ b/cmd/wigeonfakes/service.go
@@ -17,8 +17,9 @@
 told apart by key, method, path and body; the key is the Idempotency-Key
 header, else the Wigeonstand-Key header, else the Key field of a JSON body.
 
-It serves GET /counts, GET /status?Key=K, which answers {"State":"Done"} or
-{"State":"Absent"}, and GET and PUT /faults. The faults are {"Refuse","Fail",
+It serves GET /counts, GET /status?Key=K, which answers {"State":"Done"} with
+the recorded answer, or 404 and {"State":"Absent"}, PUT /leaving, after which
+requests are refused, and GET and PUT /faults. The faults are {"Refuse","Fail",
 "CloseBefore","CloseAfter","HangBefore","HangAfter","Delay","Times"}.
 
 Examples:
@@ -51,5 +52,6 @@
 		options = append(options, fakeservice.WithHonouredKeys())
 	}
 	service := fakeservice.New(c.String("name"), options...)
+	server.Stopping = func() { service.SetLeaving(true) }
 	return server.Serve(ctx, log, service.Handler())
 }
--- a/cmd/wigeonfakes/wigeonfakes_test.go
+++ b/cmd/wigeonfakes/wigeonfakes_test.go
@@ -79,17 +79,18 @@
 		args []string
 		path string
 		want string
+		code int
 	}{
-		{[]string{"platform", "--lose-answers", "0.25", "--list-lag", "1s"}, "/faults", `"LoseAnswers":0.25,"ListLag":1000000000`},
-		{[]string{"engine", "--name", "engine-7", "--model", "a", "--model", "b"}, "/v1/load", `"Endpoint":"engine-7"`},
-		{[]string{"service", "--honour-key"}, "/status?Key=k", `{"State":"Absent"}`},
+		{[]string{"platform", "--lose-answers", "0.25", "--list-lag", "1s"}, "/faults", `"LoseAnswers":0.25,"ListLag":1000000000`, http.StatusOK},
+		{[]string{"engine", "--name", "engine-7", "--model", "a", "--model", "b"}, "/v1/load", `"Endpoint":"engine-7"`, http.StatusOK},
+		{[]string{"service", "--honour-key"}, "/status?Key=k", `{"State":"Absent"}`, http.StatusNotFound},
 	}
 	for _, test := range tests {
 		t.Run(test.args[0], func(t *testing.T) {
 			address, end := start(t, test.args...)
 			transport := &http.Transport{}
 			status, body := get(t, &http.Client{Transport: transport}, "http://"+address+test.path)
-			if diff := cmp.Diff(http.StatusOK, status); diff != "" {
+			if diff := cmp.Diff(test.code, status); diff != "" {
 				t.Error(diff)
 			}
 			if !strings.Contains(body, test.want) {
--- a/internal/driver/client.go
+++ b/internal/driver/client.go
@@ -21,6 +21,14 @@
 const (
 	// answerLimit bounds the body of an answer, in bytes.
 	answerLimit = 64 << 20
+	// headerKey, headerTimeout, headerProgram and headerKind are headers of the API.
+	headerKey     = "Wigeonstand-Key"
+	headerTimeout = "Wigeonstand-Timeout"
+	headerProgram = "Wigeonstand-Program"
+	// headerKind is absent from a service's own answer.
+	headerKind = "Wigeonstand-Kind"
+	// answerMargin is the time left for a refusal to arrive.
+	answerMargin = 500 * time.Millisecond
 	// resendPause is the wait before an unanswered request is sent again.
 	resendPause = 250 * time.Millisecond
 	// defaultAttempts bounds the attempts at one request.
@@ -96,18 +104,30 @@
 // Call implements Target.
 func (c *Client) Call(ctx context.Context, request CallRequest) (CallAnswer, error) {
 	path := "/v1/services/" + url.PathEscape(request.Service) + "/" + request.Path
-	header := http.Header{"Wigeonstand-Key": {request.Key}}
+	header := http.Header{headerKey: {request.Key}}
+	if request.Program != "" {
+		header.Set(headerProgram, request.Program)
+	}
 	return retry(ctx, c, func(ctx context.Context) (CallAnswer, error) {
 		response, err := c.send(ctx, http.MethodPost, path, request.Body, header)
 		if err != nil {
 			return CallAnswer{}, err
 		}
 		defer func() { _ = response.Body.Close() }()
-		body, err := readAnswer(response)
-		return CallAnswer{Status: response.StatusCode, Body: body}, err
+		return readCall(response)
 	})
 }
 
+// readCall reads a service's own answer, whatever its status, or a refusal.
+func readCall(response *http.Response) (CallAnswer, error) {
+	body, err := readAnswer(response)
+	var refusal *Refusal
+	if errors.As(err, &refusal) && response.Header.Get(headerKind) == "" && refusal.Request == "" {
+		err = nil
+	}
+	return CallAnswer{Status: response.StatusCode, Body: body}, err
+}
+
 // History implements Target.
 func (c *Client) History(ctx context.Context, program string) (requester.HistoryPage, error) {
 	path := "/v1/programs/" + url.PathEscape(program) + "/history"
@@ -194,6 +214,9 @@
 	}
 	request.Header.Set("Authorization", "Bearer "+c.key)
 	request.Header.Set("Content-Type", "application/json")
+	if deadline, ok := ctx.Deadline(); ok {
+		request.Header.Set(headerTimeout, allowed(time.Until(deadline)).String())
+	}
 	c.sent.Add(1)
 	response, err := c.http.Do(request)
 	if err != nil {
@@ -202,6 +225,12 @@
 	return response, nil
 }
 
+// allowed returns the time that the scheduler is given out of the time left, so
+// that its refusal still arrives.
+func allowed(left time.Duration) time.Duration {
+	return max(left-answerMargin, left/2)
+}
+
 // notSent returns a refusal if no connection was made, so that nothing can
 // have run, and ErrCut otherwise.
 func notSent(err error) error {
@@ -227,9 +256,9 @@
 // readRefusal returns the refusal in a body. An answer without a known kind
 // comes from something else on the way, so that nothing is known of the request.
 func readRefusal(response *http.Response, body []byte) *Refusal {
-	var refusal Refusal
-	if json.Unmarshal(body, &refusal) == nil && refusal.Ran != "" {
-		return &refusal
+	var wire wireRefusal
+	if json.Unmarshal(body, &wire) == nil && wire.Ran != "" {
+		return wire.refusal()
 	}
 	return &Refusal{
 		Kind:   answerer.Kind(fmt.Sprintf("Status%d", response.StatusCode)),
--- a/internal/driver/direct.go
+++ b/internal/driver/direct.go
@@ -137,6 +137,13 @@
 		return Stream{}, generator.Usage{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return Stream{}, generator.Usage{}, &Refusal{
+			Kind:   answerer.EndpointFailed,
+			Ran:    answerer.RanAndFailed,
+			Detail: fmt.Sprintf("%s answered %s", p.engine, response.Status),
+		}
+	}
 	return readGeneration(response.Body)
 }
 
@@ -176,8 +183,7 @@
 		return CallAnswer{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := readAnswer(response)
-	return CallAnswer{Status: response.StatusCode, Body: body}, err
+	return readCall(response)
 }
 
 // History implements Target.
@@ -214,7 +220,7 @@
 	return nil, &Refusal{Kind: answerer.NotFound, Ran: answerer.NotRun, Detail: program}
 }
 
-// post sends a request; an answer with an error status becomes a Refusal.
+// post sends a request.
 func (d *Direct) post(ctx context.Context, url string, body []byte) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
@@ -225,13 +231,5 @@
 	if err != nil {
 		return nil, notSent(err)
 	}
-	if response.StatusCode < http.StatusBadRequest {
-		return response, nil
-	}
-	_ = response.Body.Close()
-	return nil, &Refusal{
-		Kind:   answerer.EndpointFailed,
-		Ran:    answerer.RanAndFailed,
-		Detail: fmt.Sprintf("%s answered %s", url, response.Status),
-	}
+	return response, nil
 }
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -136,6 +136,14 @@
 	})
 }
 
+func TestServicesOwnFailureIsAWholeAnswer(t *testing.T) {
+	s := &stub{strike: onFirst(1, "Call", "own 500")}
+	drive(t, s, []driver.Mix{posting(t)}, func(t *testing.T, r driver.Result) {
+		same(t, driver.Tally{Sent: 1, Whole: 1}, r.Mixes[0].Requests)
+		same(t, []int{http.StatusInternalServerError, 0}, []int{r.Calls[0].Status, r.ViolationCount})
+	})
+}
+
 func TestAttemptsAreBounded(t *testing.T) {
 	s := &stub{strike: onFirst(100, "Open", "refuse Overloaded")}
 	drive(t, s, []driver.Mix{talk(t)}, func(t *testing.T, r driver.Result) {
--- a/internal/driver/program.go
+++ b/internal/driver/program.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -69,17 +70,26 @@
 
 // run runs the program to its end and records it.
 func (p *program) run(ctx context.Context) {
-	p.talk(ctx)
+	if p.mix.Agent == "" {
+		p.callAll(ctx)
+	} else {
+		p.talk(ctx)
+	}
+	p.driver.recorder.program(p.mix.Name, !p.broken, time.Since(p.arrived)-p.paused)
+}
+
+// callAll makes the service calls of the program.
+func (p *program) callAll(ctx context.Context) {
 	calls := p.mix.Calls.draw(p.random)
 	for n := 1; n <= calls && !p.broken; n++ {
 		p.call(ctx, n)
 	}
-	p.driver.recorder.program(p.mix.Name, !p.broken, time.Since(p.arrived)-p.paused)
 }
 
-// talk opens the program, takes its turns, checks its history and ends it.
+// talk opens the program, takes its turns, makes its calls, checks its history
+// and ends it.
 func (p *program) talk(ctx context.Context) {
-	if p.mix.Agent == "" || !p.open(ctx) {
+	if !p.open(ctx) {
 		return
 	}
 	turns := p.mix.Turns.draw(p.random)
@@ -92,6 +102,7 @@
 			tools = p.delegate(ctx)
 		}
 	}
+	p.callAll(ctx)
 	p.checkBudget()
 	p.checkHistory(ctx)
 	p.end(ctx)
@@ -246,6 +257,7 @@
 		Service: p.mix.Service,
 		Path:    "postings/" + key,
 		Key:     key,
+		Program: p.id,
 		Body:    encode(callBody{Key: key, Cents: p.random.IntN(10000)}),
 	}
 	due := time.Now()
@@ -257,8 +269,14 @@
 		answer, err = p.target.Call(ctx, request)
 		return err
 	})
-	p.driver.recorder.call(Call{Service: request.Service, Path: "/" + request.Path, Key: key, Outcome: outcomeOf(err)})
-	if err == nil && !strings.Contains(string(answer.Body), key) {
+	p.driver.recorder.call(Call{
+		Service: request.Service,
+		Path:    "/" + request.Path,
+		Key:     key,
+		Outcome: outcomeOf(err),
+		Status:  answer.Status,
+	})
+	if err == nil && answer.Status < http.StatusMultipleChoices && !strings.Contains(string(answer.Body), key) {
 		p.violate("the answer to call %s does not name it: %.200s", key, answer.Body)
 	}
 }
--- a/internal/driver/report_test.go
+++ b/internal/driver/report_test.go
@@ -24,6 +24,7 @@
 		call("refused", driver.NotRun), call("refused-run", driver.NotRun),
 		call("unknown", driver.Unknown), call("unknown-run", driver.Unknown),
 		call("cut-twice", driver.Cut), call("failed", driver.Failed),
+		{Service: "fees", Path: "/postings/own-500", Outcome: driver.Whole, Status: 500},
 	}}
 	page := func(paths ...string) fakeservice.CountsPage {
 		var p fakeservice.CountsPage
@@ -38,7 +39,7 @@
 		{Service: "dockets", Page: page("lost")},
 	}
 	want := driver.Verification{
-		Calls: 9, Acknowledged: 3, Executed: 2, Unsettled: 2,
+		Calls: 10, Acknowledged: 3, Executed: 2, Unsettled: 3,
 		Faults: []string{
 			"fees call lost (Whole) was acknowledged and not executed",
 			"fees call twice (Whole) was executed 2 times",
--- a/internal/driver/result.go
+++ b/internal/driver/result.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"net/http"
 	"os"
 	"time"
 
@@ -143,6 +144,13 @@
 	Path    string
 	Key     string
 	Outcome Outcome
+	// Status is that of the service's own answer; zero if there is none.
+	Status int
+}
+
+// accepted says whether the service answered that it has executed the call.
+func (c Call) accepted() bool {
+	return c.Outcome == Whole && c.Status < http.StatusMultipleChoices
 }
 
 // Write writes the result as JSON.
--- a/internal/driver/stream.go
+++ b/internal/driver/stream.go
@@ -94,9 +94,9 @@
 
 // refusal returns the refusal that ends a stream.
 func (e serverEvent) refusal() error {
-	var refusal Refusal
-	if err := e.decode(&refusal); err != nil {
+	var wire wireRefusal
+	if err := e.decode(&wire); err != nil {
 		return err
 	}
-	return &refusal
+	return wire.refusal()
 }
--- a/internal/driver/stub_test.go
+++ b/internal/driver/stub_test.go
@@ -81,12 +81,21 @@
 	}
 }
 
-func refusalOf(kind answerer.Kind) driver.Refusal {
+// refusal is the body of a refusal.
+type refusal struct {
+	Kind       answerer.Kind
+	Ran        answerer.Ran
+	RetryAfter float64
+	Request    string
+}
+
+func refusalOf(kind answerer.Kind) refusal {
 	row := answerer.Lookup(kind)
-	return driver.Refusal{Kind: row.Kind, Ran: row.Ran, RetryAfter: row.After}
+	return refusal{Kind: row.Kind, Ran: row.Ran, RetryAfter: row.After.Seconds(), Request: "01"}
 }
 
 func refuse(w http.ResponseWriter, kind answerer.Kind) {
+	w.Header().Set("Wigeonstand-Kind", string(kind))
 	faker.WriteJSON(w, answerer.Lookup(kind).Status, refusalOf(kind))
 }
 
@@ -207,6 +216,9 @@
 		faker.Abort()
 	case "crossed":
 		body = []byte("another's answer")
+	case "own 500":
+		w.WriteHeader(http.StatusInternalServerError)
+		body = []byte("the service's own answer")
 	}
 	_, _ = w.Write(body)
 }
--- a/internal/driver/target.go
+++ b/internal/driver/target.go
@@ -35,6 +35,8 @@
 	Service string
 	Path    string
 	Key     string
+	// Program is set when the call belongs to a program.
+	Program string
 	Body    []byte
 }
 
@@ -73,7 +75,7 @@
 	s.last = now
 }
 
-// CallAnswer is the whole answer to a call.
+// CallAnswer is the service's own whole answer to a call, whatever its status.
 type CallAnswer struct {
 	Status int
 	Body   []byte
@@ -104,6 +106,26 @@
 	Request    string
 }
 
+// wireRefusal is the JSON form of a refusal.
+type wireRefusal struct {
+	Kind   answerer.Kind
+	Ran    answerer.Ran
+	Detail string
+	// RetryAfter is in seconds.
+	RetryAfter float64
+	Request    string
+}
+
+func (w wireRefusal) refusal() *Refusal {
+	return &Refusal{
+		Kind:       w.Kind,
+		Ran:        w.Ran,
+		Detail:     w.Detail,
+		RetryAfter: time.Duration(w.RetryAfter * float64(time.Second)),
+		Request:    w.Request,
+	}
+}
+
 // Error implements error.
 func (r *Refusal) Error() string {
 	return fmt.Sprintf("%s (%s): %s", r.Kind, r.Ran, r.Detail)
--- a/internal/driver/verifier.go
+++ b/internal/driver/verifier.go
@@ -20,12 +20,13 @@
 
 // Verification compares a run's calls with what services have executed.
 type Verification struct {
-	// Calls counts the calls compared, Acknowledged those answered whole.
+	// Calls counts the calls compared, Acknowledged those that a service
+	// answered with success.
 	Calls        int
 	Acknowledged int
 	// Executed counts calls executed once.
 	Executed int
-	// Unsettled counts calls with neither an answer nor an execution.
+	// Unsettled counts calls neither acknowledged, executed nor refused as not run.
 	Unsettled int
 	// Faults lists what breaks at-most-once or a promise to the caller.
 	Faults []string
@@ -110,13 +111,13 @@
 // compare takes in one call and how often it was executed.
 func (v *Verification) compare(call Call, executed int) {
 	v.Calls++
-	if call.Outcome == Whole {
+	if call.accepted() {
 		v.Acknowledged++
 	}
 	switch {
 	case executed > 1:
 		v.fault(call, fmt.Sprintf("was executed %d times", executed))
-	case executed == 0 && call.Outcome == Whole:
+	case executed == 0 && call.accepted():
 		v.fault(call, "was acknowledged and not executed")
 	case executed == 1 && call.Outcome == NotRun:
 		v.fault(call, "was refused as not run and executed")
--- a/internal/fakeengine/batch.go
+++ b/internal/fakeengine/batch.go
@@ -36,6 +36,9 @@
 	EventLoss  float64
 	// OrderTime is the time that an order takes before it is in effect.
 	OrderTime time.Duration
+	// LeavingGrace is how long a leaving engine still takes generations; zero
+	// means to its end.
+	LeavingGrace time.Duration
 	// TransferTime is the time to export or import one cached token.
 	TransferTime time.Duration
 }
--- a/internal/fakeengine/engine.go
+++ b/internal/fakeengine/engine.go
@@ -40,8 +40,10 @@
 	Generates          int
 	AfterLeaving       int
 	LatestAfterLeaving time.Duration
-	Completed          int
-	Canceled           int
+	// LeavingRefusals counts generations refused because the engine was leaving.
+	LeavingRefusals int
+	Completed       int
+	Canceled        int
 	// Prompt, Cached, Prefilled and Generated are in tokens. Recomputed is the
 	// part of Prefilled that this engine had held before.
 	Prompt     int
@@ -281,6 +283,19 @@
 	e.log.Log(LeavingSet, "Engine", e.name, "Leaving", leaving)
 }
 
+// refusesNew says whether the engine has been leaving for too long to take
+// another generation, and counts the refusal.
+func (e *Engine) refusesNew() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	grace := e.settings.LeavingGrace
+	refuses := e.leaving && grace > 0 && time.Since(e.left) > grace
+	if refuses {
+		e.counts.LeavingRefusals++
+	}
+	return refuses
+}
+
 // Counts returns the counters so far.
 func (e *Engine) Counts() Counts {
 	e.mu.Lock()
--- a/internal/fakeengine/engine_test.go
+++ b/internal/fakeengine/engine_test.go
@@ -500,6 +500,23 @@
 	})
 }
 
+func TestLeavingEngineRefusesAfterItsGrace(t *testing.T) {
+	grace := settings()
+	grace.LeavingGrace = 2 * time.Second
+	withEngine(t, func(f face) {
+		f.engine.SetLeaving(true)
+		f.same(http.StatusOK, f.generate(f.Context(), request("a", 1)).Status)
+		time.Sleep(2 * time.Second)
+		response, err := f.post(f.Context(), "/v1/generate", request("b", 1))
+		if err != nil {
+			f.Fatal(err)
+		}
+		_ = response.Body.Close()
+		f.same([]any{http.StatusServiceUnavailable, "true"}, []any{response.StatusCode, response.Header.Get(faker.HeaderLeaving)})
+		f.same(1, f.engine.Counts().LeavingRefusals)
+	}, fakeengine.WithSettings(grace))
+}
+
 func TestWorkGivenToALeavingEngineIsCounted(t *testing.T) {
 	withEngine(t, func(f face) {
 		f.engine.SetLeaving(true)
--- a/internal/fakeengine/handler.go
+++ b/internal/fakeengine/handler.go
@@ -13,9 +13,6 @@
 // handler serves an Engine over HTTP.
 type handler struct{ engine *Engine }
 
-// Leaving is the body of PUT /leaving.
-type Leaving struct{ Leaving bool }
-
 // Handler returns the engine's HTTP face. Beside the protocol it serves
 // GET and PUT /faults, PUT /leaving and GET /counts, which no fault touches.
 func (e *Engine) Handler() http.Handler {
@@ -36,7 +33,7 @@
 	mux.Handle("/", h.silenced(protocol))
 	mux.HandleFunc("GET /faults", h.faults)
 	mux.HandleFunc("PUT /faults", h.setFaults)
-	mux.HandleFunc("PUT /leaving", h.setLeaving)
+	mux.HandleFunc("PUT /leaving", faker.LeavingHandler(e.SetLeaving))
 	mux.HandleFunc("GET /counts", h.counts)
 	return mux
 }
@@ -171,12 +168,3 @@
 	h.engine.SetFaults(faults)
 	w.WriteHeader(http.StatusNoContent)
 }
-
-func (h *handler) setLeaving(w http.ResponseWriter, r *http.Request) {
-	var request Leaving
-	if !faker.ReadJSON(w, r, &request) {
-		return
-	}
-	h.engine.SetLeaving(request.Leaving)
-	w.WriteHeader(http.StatusNoContent)
-}
--- a/internal/fakeengine/stream.go
+++ b/internal/fakeengine/stream.go
@@ -16,6 +16,10 @@
 	if !faker.ReadJSON(w, r, &request) {
 		return
 	}
+	if h.engine.refusesNew() {
+		faker.RefuseLeaving(w)
+		return
+	}
 	faults := h.engine.takeFaults()
 	if faults.Refuse {
 		faker.WriteProblem(w, http.StatusServiceUnavailable, "the engine refuses for now")
--- a/internal/faker/faker.go
+++ b/internal/faker/faker.go
@@ -55,6 +55,30 @@
 	return body, true
 }
 
+// HeaderLeaving is set on a 503 by an endpoint that takes no new work.
+const HeaderLeaving = "Wigeonstand-Leaving"
+
+// RefuseLeaving answers that the endpoint is leaving and did not run the request.
+func RefuseLeaving(w http.ResponseWriter) {
+	w.Header().Set(HeaderLeaving, "true")
+	WriteProblem(w, http.StatusServiceUnavailable, "the endpoint is leaving")
+}
+
+// Leaving is the body of PUT /leaving.
+type Leaving struct{ Leaving bool }
+
+// LeavingHandler returns the handler of PUT /leaving.
+func LeavingHandler(set func(leaving bool)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var request Leaving
+		if !ReadJSON(w, r, &request) {
+			return
+		}
+		set(request.Leaving)
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
 // Abort closes the connection without an answer. It does not return.
 func Abort() { panic(http.ErrAbortHandler) }
 
--- a/internal/fakeservice/handler.go
+++ b/internal/fakeservice/handler.go
@@ -12,7 +12,7 @@
 type handler struct{ service *Service }
 
 // Handler returns the service's HTTP face: GET /counts, GET /status?Key=,
-// GET and PUT /faults, GET /healthz; any other request is executed.
+// GET and PUT /faults, PUT /leaving, GET /healthz; any other request is executed.
 func (s *Service) Handler() http.Handler {
 	h := &handler{service: s}
 	mux := http.NewServeMux()
@@ -20,6 +20,7 @@
 	mux.HandleFunc("GET /status", h.status)
 	mux.HandleFunc("GET /faults", h.faults)
 	mux.HandleFunc("PUT /faults", h.setFaults)
+	mux.HandleFunc("PUT /leaving", faker.LeavingHandler(s.SetLeaving))
 	mux.HandleFunc("GET /healthz", faker.Healthz)
 	mux.HandleFunc("/", h.execute)
 	return mux
@@ -30,7 +31,12 @@
 }
 
 func (h *handler) status(w http.ResponseWriter, r *http.Request) {
-	faker.WriteJSON(w, http.StatusOK, h.service.Status(r.URL.Query().Get("Key")))
+	status := h.service.Status(r.URL.Query().Get("Key"))
+	code := http.StatusOK
+	if status.State == StateAbsent {
+		code = http.StatusNotFound
+	}
+	faker.WriteJSON(w, code, status)
 }
 
 func (h *handler) faults(w http.ResponseWriter, _ *http.Request) {
@@ -52,7 +58,10 @@
 	if !ok {
 		return
 	}
-	h.service.receive()
+	if !h.service.receive() {
+		faker.RefuseLeaving(w)
+		return
+	}
 	faults := h.service.takeFaults()
 	before(r, faults)
 	if faults.Refuse {
--- a/internal/fakeservice/service.go
+++ b/internal/fakeservice/service.go
@@ -47,12 +47,18 @@
 	Received int
 	Executed int
 	// Repeated counts requests answered from an earlier execution.
-	Repeated   int
-	Executions []Execution
+	Repeated int
+	// AfterLeaving counts requests that arrived while the service was leaving.
+	AfterLeaving int
+	Executions   []Execution
 }
 
-// Status is the body of GET /status.
-type Status struct{ State string }
+// Status is the body of GET /status, sent with 404 while the key is absent.
+type Status struct {
+	State string
+	// Echo is the recorded answer once the state is Done.
+	*Echo
+}
 
 // Echo is the answer to an executed request.
 type Echo struct {
@@ -70,13 +76,16 @@
 	honoursKey bool
 	log        *logger.Logger
 
-	mu         sync.Mutex
-	faults     Faults
-	received   int
-	executed   int
-	repeated   int
-	executions map[identity]*Execution
-	answers    map[string]Echo
+	mu       sync.Mutex
+	faults   Faults
+	received int
+	executed int
+	repeated int
+	leaving  bool
+	// afterLeaving counts requests that arrived while leaving.
+	afterLeaving int
+	executions   map[identity]*Execution
+	answers      map[string]Echo
 }
 
 // identity tells requests apart.
@@ -151,19 +160,32 @@
 	return strconv.FormatUint(xxhash.Sum64String(body), 36)
 }
 
-// receive counts a request that was read.
-func (s *Service) receive() {
+// receive counts a request that was read and says whether it may be executed.
+func (s *Service) receive() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.received++
+	if s.leaving {
+		s.afterLeaving++
+	}
+	return !s.leaving
+}
+
+// SetLeaving sets whether the service has been told to stop; it then refuses
+// new requests.
+func (s *Service) SetLeaving(leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = leaving
+	s.log.Log(LeavingSet, "Service", s.name, "Leaving", leaving)
 }
 
 // Status says whether a request with the key has been executed.
 func (s *Service) Status(key string) Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, ok := s.answers[key]; ok {
-		return Status{State: StateDone}
+	if echo, ok := s.answers[key]; ok {
+		return Status{State: StateDone, Echo: &echo}
 	}
 	return Status{State: StateAbsent}
 }
@@ -173,10 +195,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	page := CountsPage{
-		Received:   s.received,
-		Executed:   s.executed,
-		Repeated:   s.repeated,
-		Executions: make([]Execution, 0, len(s.executions)),
+		Received:     s.received,
+		Executed:     s.executed,
+		Repeated:     s.repeated,
+		AfterLeaving: s.afterLeaving,
+		Executions:   make([]Execution, 0, len(s.executions)),
 	}
 	for _, e := range s.executions {
 		page.Executions = append(page.Executions, *e)
--- a/internal/fakeservice/service_test.go
+++ b/internal/fakeservice/service_test.go
@@ -113,15 +113,27 @@
 
 func TestStatusTellsDoneFromAbsent(t *testing.T) {
 	withService(t, func(f face) {
-		_, body := f.do("GET", "/status?Key=k", "", "")
-		f.same(`{"State":"Absent"}`+"\n", body)
-		_, _ = f.do("POST", "/postings", "Idempotency-Key", "x")
-		_, body = f.do("GET", "/status?Key=k", "", "")
-		f.same(`{"State":"Done"}`+"\n", body)
+		status, body := f.do("GET", "/status?Key=k", "", "")
+		f.same([]any{http.StatusNotFound, `{"State":"Absent"}` + "\n"}, []any{status, body})
+		_, echo := f.do("POST", "/postings", "Idempotency-Key", "x")
+		status, body = f.do("GET", "/status?Key=k", "", "")
+		f.same([]any{http.StatusOK, `{"State":"Done",` + echo[1:]}, []any{status, body})
 		f.same(1, f.executed())
 	})
 }
 
+func TestLeavingServiceRefusesNewRequests(t *testing.T) {
+	withService(t, func(f face) {
+		_, _ = f.do("PUT", "/leaving", "", `{"Leaving":true}`)
+		status, _ := f.do("POST", "/postings", "", "x")
+		counts := f.service.Counts()
+		f.same([]int{http.StatusServiceUnavailable, 0, 1}, []int{status, counts.Executed, counts.AfterLeaving})
+		_, _ = f.do("PUT", "/leaving", "", `{"Leaving":false}`)
+		status, _ = f.do("POST", "/postings", "", "x")
+		f.same([]int{http.StatusOK, 1}, []int{status, f.executed()})
+	})
+}
+
 func TestFaultsStrikeBeforeOrAfterExecution(t *testing.T) {
 	tests := []struct {
 		name     string
