--- a/cmd/wigeonload/root.go
+++ b/cmd/wigeonload/root.go
@@ -115,16 +115,16 @@
 	return &http.Client{Transport: transport}, nil
 }
 
-// finish prints and keeps the result; it is an error if there are violations.
+// finish keeps and prints the result; it is an error if there are violations.
 func finish(c *cli.Command, out io.Writer, name string, result driver.Result) error {
-	if err := printResult(c, out, name, result); err != nil {
-		return err
-	}
 	if file := c.String("out"); file != "" {
 		if err := result.WriteFile(file); err != nil {
 			return err
 		}
 	}
+	if err := printResult(c, out, name, result); err != nil {
+		return err
+	}
 	if result.ViolationCount > 0 {
 		return eris.Errorf("%d violations", result.ViolationCount)
 	}
