--- a/cmd/wigeonfakes/service.go
+++ b/cmd/wigeonfakes/service.go
@@ -17,8 +17,9 @@
 told apart by key, method, path and body; the key is the Idempotency-Key
 header, else the Wigeonstand-Key header, else the Key field of a JSON body.
 
-It serves GET /counts, GET /status?Key=K, which answers {"State":"Done"} or
-{"State":"Absent"}, and GET and PUT /faults. The faults are {"Refuse","Fail",
+It serves GET /counts, GET /status?Key=K, which answers {"State":"Done"} with
+the recorded answer, or 404 and {"State":"Absent"}, PUT /leaving, after which
+requests are refused, and GET and PUT /faults. The faults are {"Refuse","Fail",
 "CloseBefore","CloseAfter","HangBefore","HangAfter","Delay","Times"}.
 
 Examples:
@@ -30,6 +31,7 @@
   curl 127.0.0.1:9300/counts`,
 		Flags: serverFlags(
 			&cli.StringFlag{Name: "name", Value: "service", Usage: "log as `NAME`"},
+			&cli.DurationFlag{Name: "delay", Usage: "take `TIME` for an execution"},
 			&cli.BoolFlag{Name: "honour-key", Usage: "execute a repeated key once"},
 		),
 		Action: func(ctx context.Context, c *cli.Command) error { return runService(ctx, c, w) },
@@ -42,10 +44,14 @@
 		return err
 	}
 	log := newLogger(c, w).With("Fake", c.String("name"))
-	options := []fakeservice.Option{fakeservice.WithLogger(log)}
+	options := []fakeservice.Option{
+		fakeservice.WithLogger(log),
+		fakeservice.WithFaults(fakeservice.Faults{Delay: c.Duration("delay")}),
+	}
 	if c.Bool("honour-key") {
 		options = append(options, fakeservice.WithHonouredKeys())
 	}
 	service := fakeservice.New(c.String("name"), options...)
+	server.Stopping = func() { service.SetLeaving(true) }
 	return server.Serve(ctx, log, service.Handler())
 }
--- a/internal/fakeengine/engine.go
+++ b/internal/fakeengine/engine.go
@@ -35,11 +35,15 @@
 // Counts says what an engine has done.
 type Counts struct {
 	// Generates counts generations accepted, AfterLeaving those of them that
-	// arrived while the engine was leaving.
-	Generates    int
-	AfterLeaving int
-	Completed    int
-	Canceled     int
+	// arrived while the engine was leaving, the last LatestAfterLeaving after
+	// it was told to.
+	Generates          int
+	AfterLeaving       int
+	LatestAfterLeaving time.Duration
+	// LeavingRefusals counts generations refused because the engine was leaving.
+	LeavingRefusals int
+	Completed       int
+	Canceled        int
 	// Prompt, Cached, Prefilled and Generated are in tokens. Recomputed is the
 	// part of Prefilled that this engine had held before.
 	Prompt     int
@@ -74,6 +78,7 @@
 	orders  orders
 	faults  Faults
 	leaving bool
+	left    time.Time
 	counts  Counts
 }
 
@@ -163,6 +168,7 @@
 
 // submit queues a generation.
 func (e *Engine) submit(request generator.GenerateRequest) (*sequence, error) {
+	s := newSequence(request, e.settings)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
@@ -176,8 +182,9 @@
 	e.counts.Generates++
 	if e.leaving {
 		e.counts.AfterLeaving++
+		e.counts.LatestAfterLeaving = time.Since(e.left)
 	}
-	s := e.batch.submit(request)
+	e.batch.submit(s)
 	e.sampleLoad()
 	e.signalWork()
 	return s, nil
@@ -269,10 +276,26 @@
 func (e *Engine) SetLeaving(leaving bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if leaving && !e.leaving {
+		e.left = time.Now()
+	}
 	e.leaving = leaving
 	e.log.Log(LeavingSet, "Engine", e.name, "Leaving", leaving)
 }
 
+// refusesNew says whether the engine has been leaving for too long to take
+// another generation, and counts the refusal.
+func (e *Engine) refusesNew() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	grace := e.settings.LeavingGrace
+	refuses := e.leaving && grace > 0 && time.Since(e.left) > grace
+	if refuses {
+		e.counts.LeavingRefusals++
+	}
+	return refuses
+}
+
 // Counts returns the counters so far.
 func (e *Engine) Counts() Counts {
 	e.mu.Lock()
--- a/internal/fakeengine/engine_test.go
+++ b/internal/fakeengine/engine_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -22,7 +23,18 @@
 	"github.com/wigeonstand/wigeonstand/internal/logger"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+// fixedSeed makes the fuzzing the same in every run that names no other seed.
+const fixedSeed = "20261203"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
+	if !given {
+		_ = flag.Set("rapid.seed", fixedSeed)
+	}
+	goleak.VerifyTestMain(m)
+}
 
 const (
 	model     = "songbird"
@@ -248,6 +260,31 @@
 	})
 }
 
+func TestRunningGenerationKeepsItsPrefix(t *testing.T) {
+	withEngine(t, func(f face) {
+		long, big := request("long", 200), request("big", 1)
+		long.Messages[0].Text = strings.Repeat("long ", 16)
+		big.Messages[0].Text = strings.Repeat("big ", 64)
+		held := func() int {
+			for _, h := range f.engine.Holdings().Holdings {
+				if h.Program == long.Program {
+					return h.Tokens
+				}
+			}
+			return 0
+		}
+		done := make(chan stream)
+		go func() { done <- f.generate(f.Context(), long) }()
+		time.Sleep(10 * tokenTime)
+		f.generate(f.Context(), big)
+		f.same(16, held())
+		<-done
+		big.Request, big.Messages[0].Text = "bigger", strings.Repeat("bigger ", 64)
+		f.generate(f.Context(), big)
+		f.same(0, held())
+	})
+}
+
 func TestReleaseEmptiesHoldings(t *testing.T) {
 	withEngine(t, func(f face) {
 		f.generate(f.Context(), request("a", 8))
@@ -475,11 +512,32 @@
 	})
 }
 
+func TestLeavingEngineRefusesAfterItsGrace(t *testing.T) {
+	grace := settings()
+	grace.LeavingGrace = 2 * time.Second
+	withEngine(t, func(f face) {
+		f.engine.SetLeaving(true)
+		f.same(http.StatusOK, f.generate(f.Context(), request("a", 1)).Status)
+		time.Sleep(2 * time.Second)
+		response, err := f.post(f.Context(), "/v1/generate", request("b", 1))
+		if err != nil {
+			f.Fatal(err)
+		}
+		_ = response.Body.Close()
+		f.same([]any{http.StatusServiceUnavailable, "true"}, []any{response.StatusCode, response.Header.Get(faker.HeaderLeaving)})
+		f.same(1, f.engine.Counts().LeavingRefusals)
+	}, fakeengine.WithSettings(grace))
+}
+
 func TestWorkGivenToALeavingEngineIsCounted(t *testing.T) {
 	withEngine(t, func(f face) {
 		f.engine.SetLeaving(true)
 		f.same(true, f.engine.Load().Leaving)
+		time.Sleep(3 * time.Second)
+		f.engine.SetLeaving(true)
 		f.generate(f.Context(), request("a", 1))
-		f.same(1, f.engine.Counts().AfterLeaving)
+		counts := f.engine.Counts()
+		f.same(1, counts.AfterLeaving)
+		f.same(3*time.Second, counts.LatestAfterLeaving)
 	})
 }
