--- a/hack/processes.sh
+++ b/hack/processes.sh
@@ -47,7 +47,7 @@
 
 apply_document() {
   "$bin/wigeonctl" --address https://127.0.0.1:17440 --key-file "$dir/operator.secret" --ca "$dir/authority.pem" \
-    apply -f "$dir/document.yaml"
+    apply --wait 16s --base latest "$dir/document.yaml" >"$dir/apply.log"
 }
 
 set_up() { # makes the files, starts everything and applies the document
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -14,6 +14,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/rotisserie/eris"
 
+	"github.com/wigeonstand/wigeonstand/internal/administrator"
 	"github.com/wigeonstand/wigeonstand/internal/certifier"
 	"github.com/wigeonstand/wigeonstand/internal/configurer"
 	"github.com/wigeonstand/wigeonstand/internal/connector"
@@ -39,8 +40,14 @@
 	addresses  *directory
 	forwarder  *forwarder.Forwarder
 	receiver   *receiver.Receiver
-	network    Network
-	life       context.Context
+
+	administrator *administrator.Administrator
+	operatorTLS   *tls.Config
+	draining      chan struct{}
+	drainOnce     sync.Once
+
+	network Network
+	life    context.Context
 
 	tenure atomic.Pointer[tenure]
 	work   sync.WaitGroup
--- a/internal/assembler/daemon.go
+++ b/internal/assembler/daemon.go
@@ -45,12 +45,12 @@
 	}
 	d := &daemon{
 		settings: settings, meter: meter.New(),
-		log: l.With("Instance", settings.Instance, "DataCentre", settings.DataCentre), network: &tcp{},
+		log: l.With("Instance", settings.Instance, "DataCentre", settings.DataCentre), network: &tcp{}, draining: make(chan struct{}),
 	}
 	for _, option := range options {
 		option(d)
 	}
-	for _, build := range []func() error{d.buildStore, d.buildFollower, d.buildPeers, d.buildEndpoints, d.buildReceiver} {
+	for _, build := range []func() error{d.buildStore, d.buildFollower, d.buildPeers, d.buildEndpoints, d.buildReceiver, d.buildAdministrator} {
 		if err := build(); err != nil {
 			return nil, err
 		}
@@ -220,7 +220,7 @@
 		return err
 	}
 	if err := d.follower.Start(ctx); err != nil {
-		return err
+		return d.stoppedEarly(ctx, err)
 	}
 	d.work.Go(func() { d.follower.Run(base) })
 	d.work.Go(func() { d.serveTenures(base) })
@@ -245,11 +245,21 @@
 	case <-base.Done():
 		return base.Err()
 	case <-ctx.Done():
+	case <-d.draining:
 	}
 	d.stop(base, stopServing, served)
 	return nil
 }
 
+// stoppedEarly returns nil if a planned stop ended the start.
+func (d *daemon) stoppedEarly(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		d.log.Log(eventStopped)
+		return nil
+	}
+	return err
+}
+
 // stopOwner ends the owner of the last generation.
 func (d *daemon) stopOwner() {
 	if t := d.tenure.Load(); t != nil {
@@ -257,7 +267,8 @@
 	}
 }
 
-// listenInternal starts the listeners for instances and for health and metrics.
+// listenInternal starts the listeners for instances, for operators, and for
+// health and metrics.
 func (d *daemon) listenInternal(ctx context.Context) error {
 	peers, err := d.listen(d.settings.PeerListen, d.peerTLS)
 	if err != nil {
@@ -269,6 +280,11 @@
 		return eris.Wrap(err, "listen for health and metrics")
 	}
 	d.serveHTTP(ctx, admin, d.adminHandler())
+	operators, err := d.listen(d.settings.OperatorListen, d.operatorTLS)
+	if err != nil {
+		return eris.Wrap(err, "listen for operators")
+	}
+	d.serveHTTP(ctx, operators, d.administrator)
 	return nil
 }
 
--- a/internal/assembler/tenure.go
+++ b/internal/assembler/tenure.go
@@ -144,6 +144,10 @@
 
 // Do implements requester.Doer.
 func (l local) Do(ctx context.Context, command requester.Command, sink requester.Sink) (requester.Reply, error) {
+	if command.Drain != nil {
+		l.daemon.drainOnce.Do(func() { close(l.daemon.draining) })
+		return requester.Reply{}, nil
+	}
 	t := l.daemon.tenure.Load()
 	if t == nil {
 		return requester.Reply{}, answerer.New(answerer.Moved, "the instance holds no lease")
--- a/internal/decider/explainer.go
+++ b/internal/decider/explainer.go
@@ -63,7 +63,11 @@
 	listed := &requester.Listed{}
 	for _, number := range c.ownedShards() {
 		s := c.shards[number]
-		if ask.What == "Unknown" {
+		listed.Count += len(s.state.programs)
+		if ask.What == requester.ListCount {
+			continue
+		}
+		if ask.What == requester.ListUnknown {
 			listed.Outcomes = append(listed.Outcomes, s.unknown(r.business)...)
 			continue
 		}
--- a/internal/decider/program.go
+++ b/internal/decider/program.go
@@ -68,14 +68,15 @@
 	return c.version.Agents[compiler.AgentName(p.business, p.agent)]
 }
 
-// lookup returns the program if it is the business's own.
+// lookup returns the program if it is the business's own. An operator's
+// request names no business and sees all.
 func (c *Core) lookup(r *request, id string) *program {
 	s := c.shards[requester.ShardOf(requester.Root(id))]
 	if s == nil {
 		return nil
 	}
 	p := s.state.programs[id]
-	if p == nil || p.business != r.business {
+	if p == nil || (r.business != "" && p.business != r.business) {
 		return nil
 	}
 	return p
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -48,6 +48,10 @@
 const (
 	// tickPeriod is how often deadlines are looked at.
 	tickPeriod = 50 * time.Millisecond
+	// answerMargin and answerPart set how long before the caller's deadline the
+	// core answers: the margin, or a part of a short time.
+	answerMargin = 250 * time.Millisecond
+	answerPart   = 4
 	// settleTime is how long a canceled stream may take to account for itself.
 	settleTime = 2 * time.Second
 	// controlTimeout bounds a cancel, a release, a status query and a draw.
@@ -218,12 +222,13 @@
 	return command.Open != nil || command.Turn != nil || command.Call != nil
 }
 
-// deadline returns the time until which the caller waits; zero for no bound.
+// deadline returns the time at which the core answers at the latest, somewhat
+// before the caller stops waiting; zero for no bound.
 func deadline(command requester.Command) time.Time {
 	if command.Left <= 0 {
 		return time.Time{}
 	}
-	return time.Now().Add(command.Left)
+	return time.Now().Add(command.Left - min(command.Left/answerPart, answerMargin))
 }
 
 func (o *Owner) enter(request string, w *waiter) bool {
--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -33,6 +33,7 @@
 	Explain *Explain `json:",omitempty"`
 	Resolve *Resolve `json:",omitempty"`
 	List    *List    `json:",omitempty"`
+	Drain   *Drain   `json:",omitempty"`
 }
 
 // Open starts a program.
@@ -101,10 +102,23 @@
 
 // List asks an instance for what it owns.
 type List struct {
-	// What is "Programs" or "Unknown".
+	// What is one of the constants below.
 	What string
 }
 
+// What can be listed.
+const (
+	// ListPrograms lists the programs with their explanations.
+	ListPrograms = "Programs"
+	// ListUnknown lists the calls whose outcome is unknown.
+	ListUnknown = "Unknown"
+	// ListCount counts the programs.
+	ListCount = "Count"
+)
+
+// Drain begins a planned stop of the instance.
+type Drain struct{}
+
 // Reply is the whole answer to a command. Exactly one of the pointers is set.
 type Reply struct {
 	Opened  *Opened      `json:",omitempty"`
@@ -208,6 +222,8 @@
 type Listed struct {
 	Programs []Explanation `json:",omitempty"`
 	Outcomes []OutcomeView `json:",omitempty"`
+	// Count is the number of programs.
+	Count int
 }
 
 // Sink receives the chunks of a turn's answer, in order, before the reply.
