driver: keep a refusal after a doubtful attempt apart from not run

A turn refused as not run must not be in the history, which is checked too. The engine refuses adapters that are not loaded. Tests cover each; the whole repository passes twice under -race.

--- a/cmd/wigeonfakes/engine.go
+++ b/cmd/wigeonfakes/engine.go
@@ -34,6 +34,7 @@
 		Flags: serverFlags(
 			&cli.StringFlag{Name: "name", Value: "engine", Usage: "report itself as `NAME`"},
 			&cli.StringSliceFlag{Name: "model", Usage: "have the model `NAME` loaded; may be repeated"},
+			&cli.StringSliceFlag{Name: "adapter", Usage: "have the adapter `NAME` loaded; may be repeated"},
 			&cli.BoolFlag{Name: "ignore-fence", Usage: "carry out orders with old fencing numbers"},
 			&cli.IntFlag{Name: "slots", Value: defaults.Slots, Usage: "batch `N` generations"},
 			&cli.DurationFlag{Name: "token-time", Value: defaults.TokenTime, Usage: "take `TIME` for a step of one generation"},
@@ -66,6 +67,7 @@
 		fakeengine.WithLogger(log),
 		fakeengine.WithSeed(c.Uint64("seed")),
 		fakeengine.WithModels(c.StringSlice("model")...),
+		fakeengine.WithAdapters(c.StringSlice("adapter")...),
 		fakeengine.WithSettings(engineSettings(c)),
 	}
 	if c.Bool("ignore-fence") {
--- a/internal/driver/check.go
+++ b/internal/driver/check.go
@@ -69,7 +69,7 @@
 }
 
 // checkHistory compares the program's history with what was received. A turn
-// that was sent and not answered may be at its end.
+// that was not answered and may have run may be at its end.
 func (p *program) checkHistory(ctx context.Context) {
 	var page requester.HistoryPage
 	err := p.operate(ctx, "History", time.Now(), func(ctx context.Context) (err error) {
--- a/internal/driver/client.go
+++ b/internal/driver/client.go
@@ -145,16 +145,21 @@
 	return err
 }
 
-// retry makes attempts until one is answered whole or must not be repeated.
+// retry makes attempts until one is answered whole or must not be repeated. The
+// error is that of the last attempt that may have run, if any may have.
 func retry[T any](ctx context.Context, c *Client, attempt func(context.Context) (T, error)) (T, error) {
+	var ran error
 	for n := 1; ; n++ {
 		value, err := attempt(ctx)
-		if err == nil || n >= c.attempts {
-			return value, err
+		if err == nil {
+			return value, nil
+		}
+		if ran == nil || outcomeOf(ran) == NotRun || outcomeOf(err) != NotRun {
+			ran = err
 		}
 		wait, again := c.again(err)
-		if !again || pause(ctx, wait) != nil {
-			return value, err
+		if !again || n >= c.attempts || pause(ctx, wait) != nil {
+			return value, ran
 		}
 	}
 }
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -136,6 +136,19 @@
 	})
 }
 
+func TestRefusalAfterACutLeavesTheOutcomeOpen(t *testing.T) {
+	faults := []string{"refuse Overloaded", "cut", "refuse Overloaded"}
+	s := &stub{strike: func(string) string {
+		fault := faults[0]
+		faults = append(faults[1:], fault)
+		return fault
+	}}
+	drive(t, s, []driver.Mix{posting(t)}, func(t *testing.T, r driver.Result) {
+		same(t, driver.Tally{Sent: 1, Cut: 1}, r.Mixes[0].Requests)
+		same(t, 3, r.Attempts)
+	}, driver.WithResend(), driver.WithAttempts(3))
+}
+
 func TestServicesOwnFailureIsAWholeAnswer(t *testing.T) {
 	s := &stub{strike: onFirst(1, "Call", "own 500")}
 	drive(t, s, []driver.Mix{posting(t)}, func(t *testing.T, r driver.Result) {
@@ -167,6 +180,7 @@
 		{"Turn", "overdrawn", "left -1 tokens"},
 		{"Turn", "forgotten", "history differs"},
 		{"Turn", "doubled", "history differs"},
+		{"Turn", "take and refuse", "history differs"},
 		{"Call", "crossed", "does not name it"},
 		{"Open", "small", "were spent of a budget of 1"},
 	}
--- a/internal/driver/program.go
+++ b/internal/driver/program.go
@@ -32,7 +32,7 @@
 	budget   int
 	spent    int
 	received []requester.TurnView
-	// pending is the input of a turn that was sent and not answered whole.
+	// pending is the input of a turn that was not answered and may have run.
 	pending string
 	broken  bool
 }
@@ -166,7 +166,9 @@
 		return err
 	})
 	if err != nil {
-		p.pending = request.Input
+		if outcomeOf(err) != NotRun {
+			p.pending = request.Input
+		}
 		return
 	}
 	p.record(n, due, answer)
--- a/internal/driver/stub_test.go
+++ b/internal/driver/stub_test.go
@@ -123,6 +123,10 @@
 		return
 	}
 	turned, whole := s.take(r.PathValue("id"), request, fault)
+	if fault == "take and refuse" {
+		refuse(w, answerer.BudgetExhausted)
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	words := strings.Fields(whole)
 	half := len(words) / 2
--- a/internal/fakeengine/engine.go
+++ b/internal/fakeengine/engine.go
@@ -25,7 +25,7 @@
 
 // The errors of an engine.
 var (
-	errNoModel   = errors.New("the model is not loaded")
+	errNoModel   = errors.New("the model or the adapter is not loaded")
 	errDuplicate = errors.New("the request's id is in use")
 	errRange     = errors.New("MaxTokens must be above Offset")
 	errOldFence  = errors.New("the fencing number is old")
@@ -95,6 +95,11 @@
 	return func(e *Engine) { e.orders.models = slices.Clone(models) }
 }
 
+// WithAdapters sets the adapters that are loaded at the start.
+func WithAdapters(adapters ...string) Option {
+	return func(e *Engine) { e.orders.adapters = slices.Clone(adapters) }
+}
+
 // WithoutFenceCheck lets the engine carry out orders with old fencing numbers.
 func WithoutFenceCheck() Option {
 	return func(e *Engine) { e.checksFence = false }
@@ -172,7 +177,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
-	case !slices.Contains(e.orders.models, request.Model):
+	case !e.orders.serves(request):
 		return nil, errNoModel
 	case request.Offset < 0 || request.MaxTokens <= request.Offset:
 		return nil, errRange
--- a/internal/fakeengine/engine_test.go
+++ b/internal/fakeengine/engine_test.go
@@ -453,6 +453,9 @@
 		unknown := request("a", 1)
 		unknown.Model = "gone"
 		f.same(http.StatusNotFound, f.generate(f.Context(), unknown).Status)
+		adapted := request("a", 1)
+		adapted.Adapter = "karaoke"
+		f.same(http.StatusNotFound, f.generate(f.Context(), adapted).Status)
 		f.same(http.StatusBadRequest, f.generate(f.Context(), request("a", 0)).Status)
 		f.engine.SetFaults(fakeengine.Faults{Refuse: true, Times: 1})
 		f.same(http.StatusServiceUnavailable, f.generate(f.Context(), request("a", 1)).Status)
--- a/internal/fakeengine/orders.go
+++ b/internal/fakeengine/orders.go
@@ -27,6 +27,12 @@
 	}
 }
 
+// serves says whether the request's model and adapter are loaded.
+func (o *orders) serves(request generator.GenerateRequest) bool {
+	adapted := request.Adapter == "" || slices.Contains(o.adapters, request.Adapter)
+	return adapted && slices.Contains(o.models, request.Model)
+}
+
 // apply carries out the order, whatever its fencing number.
 func (o *orders) apply(order generator.Order) error {
 	switch order.Change {
