--- a/internal/decider/fuzz_test.go
+++ b/internal/decider/fuzz_test.go
@@ -6,7 +6,6 @@
 	"os"
 	"slices"
 	"strconv"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,12 +51,20 @@
 // loses answers, takeovers, handovers and late effects of replaced owners, and
 // checks order, history, budgets, at most one run, whole answers, not-run
 // refusals and memory against the books of world.
-func TestCoreKeepsItsPromises(t *testing.T) {
+func TestCoreKeepsItsPromises(t *testing.T) { fuzz(t, checkCore) }
+
+// TestBudgetsHold draws little but turns, failures, lost appends and takeovers
+// of two programs, so that budgets run out in most histories.
+func TestBudgetsHold(t *testing.T) { fuzz(t, checkBudgets) }
+
+func fuzz(t *testing.T, check func(*rapid.T)) {
+	t.Helper()
+	fuzzSteps = 0
 	first := number(t, "FUZZ_SEED", 1)
 	for seed := first; seed < first+number(t, "FUZZ_SEEDS", seeds); seed++ {
 		t.Run(strconv.Itoa(seed), func(t *testing.T) {
 			_ = flag.Set("rapid.seed", strconv.Itoa(seed))
-			synctest.Test(t, func(t *testing.T) { rapid.Check(bubbled{t}, checkCore) })
+			synctest.Test(t, func(t *testing.T) { rapid.Check(bubbled{t}, check) })
 		})
 	}
 	t.Logf("%d steps", fuzzSteps)
@@ -65,6 +72,7 @@
 
 func checkCore(t *rapid.T) {
 	w := newWorld(t)
+	w.start()
 	t.Repeat(map[string]func(*rapid.T){
 		"open":      w.stepOpen,
 		"turn":      w.stepTurn,
@@ -91,6 +99,34 @@
 	w.quiesce()
 }
 
+func checkBudgets(t *rapid.T) {
+	w := newWorld(t)
+	w.programLimit = 2
+	w.budgetChoices = []int{150, 250, 400}
+	w.tight = true
+	w.businessBudget = 450
+	w.start()
+	t.Repeat(map[string]func(*rapid.T){
+		"open":      w.stepOpen,
+		"turn":      w.stepTurn,
+		"turn2":     w.stepTurn,
+		"turn3":     w.stepTurn,
+		"hangup":    w.stepHangUp,
+		"commit":    w.stepCommit,
+		"commit2":   w.stepCommit,
+		"commit3":   w.stepCommit,
+		"generate":  w.stepGenerate,
+		"generate2": w.stepGenerate,
+		"generate3": w.stepGenerate,
+		"draw":      w.stepDraw,
+		"draw2":     w.stepDraw,
+		"takeover":  w.stepTakeover,
+		"snapshot":  w.stepSnapshot,
+		"":          func(*rapid.T) { fuzzSteps++ },
+	})
+	w.quiesce()
+}
+
 func (w *world) request(command requester.Command) {
 	w.serial++
 	command.Request = fmt.Sprintf("r%d", w.serial)
@@ -101,8 +137,8 @@
 
 func (w *world) stepOpen(t *rapid.T) {
 	name := rapid.SampledFrom([]string{business, rival}).Draw(t, "business")
-	id := fmt.Sprintf("p%d", rapid.IntRange(1, 6).Draw(t, "program"))
-	open := &requester.Open{Program: id, Agent: "editor", Budget: rapid.SampledFrom([]int{0, 300, 600}).Draw(t, "budget")}
+	id := fmt.Sprintf("p%d", rapid.IntRange(1, w.programLimit).Draw(t, "program"))
+	open := &requester.Open{Program: id, Agent: "editor", Budget: rapid.SampledFrom(w.budgetChoices).Draw(t, "budget")}
 	if rapid.Bool().Draw(t, "child") && len(w.programs) > 0 {
 		open.Parent = rapid.SampledFrom(w.programs).Draw(t, "parent")
 		open.Program = requester.NewChild(open.Parent, id)
@@ -124,6 +160,9 @@
 	}
 	program := rapid.SampledFrom(w.programs).Draw(t, "program")
 	number := rapid.SampledFrom([]int{0, 0, 1, 1, 2}).Draw(t, "number")
+	if w.tight {
+		number = 0
+	}
 	if number > 0 {
 		number += len(w.acked[program]) - 1
 	}
@@ -134,7 +173,11 @@
 	if rapid.Bool().Draw(t, "keyed") {
 		turn.Key = fmt.Sprintf("k%d", rapid.IntRange(1, 4).Draw(t, "key"))
 	}
-	w.request(requester.Command{Business: w.owners[program], Turn: turn})
+	caller := w.owners[program]
+	if rapid.IntRange(0, 9).Draw(t, "stranger") == 0 {
+		caller = rival
+	}
+	w.request(requester.Command{Business: caller, Turn: turn})
 }
 
 func (w *world) stepCall(t *rapid.T) {
@@ -183,7 +226,7 @@
 	attempt := rapid.SampledFrom(attempts).Draw(t, "attempt")
 	a := w.flights[attempt]
 	delete(w.flights, attempt)
-	generated := rapid.IntRange(1, a.Request.MaxTokens).Draw(t, "tokens")
+	generated := rapid.SampledFrom([]int{1, a.Request.MaxTokens, a.Request.MaxTokens}).Draw(t, "tokens")
 	outcome := rapid.SampledFrom([]string{"Whole", "Whole", "Whole", "NotSent", "Failed", "Truncated", "Silent", "Accounted"}).Draw(t, "outcome")
 	if outcome == "NotSent" {
 		w.handle(decider.GenerateFailed{Attempt: attempt, Cause: decider.NotSent})
@@ -193,8 +236,7 @@
 		generated += rapid.IntRange(0, overshoot).Draw(t, "overshoot")
 	}
 	usage := w.consume(a, generated)
-	input := a.Request.Messages[len(a.Request.Messages)-1].Text
-	text := a.Request.Program + " answers " + input + " " + strings.Repeat("word ", max(0, generated-5))
+	text := w.answer(a, generated)
 	switch outcome {
 	case "Whole":
 		w.handle(decider.Generated{Attempt: attempt, Text: text, Usage: usage})
@@ -279,7 +321,7 @@
 	}
 	d := w.draws[0]
 	w.draws = w.draws[1:]
-	tokens := min(1000, d.Limit-w.drawn[d.Business])
+	tokens := min(drawTokens, d.Limit-w.drawn[d.Business])
 	if rapid.IntRange(0, 4).Draw(t, "failed") == 0 {
 		w.handle(decider.EscrowDrawn{Business: d.Business, Failed: true})
 		return
@@ -364,12 +406,12 @@
 		for _, attempt := range sortedKeys(w.flights) {
 			a := w.flights[attempt]
 			delete(w.flights, attempt)
-			usage := w.consume(a, min(5, a.Request.MaxTokens))
-			input := a.Request.Messages[len(a.Request.Messages)-1].Text
-			w.handle(decider.Generated{Attempt: attempt, Text: a.Request.Program + " answers " + input + " ", Usage: usage})
+			generated := min(5, a.Request.MaxTokens)
+			usage := w.consume(a, generated)
+			w.handle(decider.Generated{Attempt: attempt, Text: w.answer(a, generated), Usage: usage})
 		}
 		for _, d := range w.draws {
-			tokens := min(1000, d.Limit-w.drawn[d.Business])
+			tokens := min(drawTokens, d.Limit-w.drawn[d.Business])
 			w.drawn[d.Business] += tokens
 			w.draws = w.draws[1:]
 			w.handle(decider.EscrowDrawn{Business: d.Business, Tokens: tokens})
--- /dev/null
+++ b/internal/decider/restore_test.go
@@ -0,0 +1,63 @@
+package decider_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/wigeonstand/wigeonstand/internal/compiler"
+	"github.com/wigeonstand/wigeonstand/internal/decider"
+	"github.com/wigeonstand/wigeonstand/internal/generator"
+	"github.com/wigeonstand/wigeonstand/internal/keeper"
+	"github.com/wigeonstand/wigeonstand/internal/queuer"
+	"github.com/wigeonstand/wigeonstand/internal/recorder"
+	"github.com/wigeonstand/wigeonstand/internal/requester"
+	"github.com/wigeonstand/wigeonstand/internal/router"
+)
+
+// history returns the records of a program with two turns.
+func history(program string) []recorder.Record {
+	first := recorder.Chain(recorder.FirstChain(program), 1, "one", "first")
+	second := recorder.Chain(first, 2, "two", "second")
+	usage := generator.Usage{Prompt: 3, Generated: 2}
+	return []recorder.Record{
+		{Opened: &recorder.Opened{Program: program, Business: business, Agent: "editor", Budget: 100}},
+		{Turned: &recorder.Turned{Program: program, Number: 1, Input: "one", Text: "first", Chain: first, Usage: usage}},
+		{Turned: &recorder.Turned{Program: program, Number: 2, Input: "two", Text: "second", Chain: second, Usage: usage}},
+	}
+}
+
+func TestRestoreRefuses(t *testing.T) {
+	changed := history("p1")
+	changed[1].Turned.Text = "another text"
+	tests := []struct {
+		name    string
+		records []recorder.Record
+		want    string
+	}{
+		{"a lost turn", append(history("p1")[:1], history("p1")[2]), "follows turn 0"},
+		{"a changed text", changed, "does not continue the history"},
+		{"another program's turn", append(history("p1"), history("p2")[1]), "was never opened"},
+		{"a turn twice", append(history("p1"), history("p1")[2]), "follows turn 2"},
+		{"a program opened twice", append(history("p1"), history("p1")[0]), "opened twice"},
+		{"an outcome without intent", []recorder.Record{{Concluded: &recorder.Concluded{Business: business, Key: "k"}}}, "without an intent"},
+		{"an empty record", []recorder.Record{{}}, "empty"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var entries []keeper.Entry
+			for _, r := range test.records {
+				entries = append(entries, keeper.Entry{Body: recorder.Encode(r)})
+			}
+			policy := compiler.Policy{}
+			core := decider.New(newVersion(0), queuer.New(policy), router.New(policy, 1), alwaysRetrier{})
+			shard := requester.ShardOf("p1")
+			_, err := core.Restore(shard, nil, entries)
+			if err == nil || !strings.Contains(err.Error(), test.want) {
+				t.Errorf("Restore returned %v, want an error with %q", err, test.want)
+			}
+			if core.Owns(shard) {
+				t.Error("the shard is served")
+			}
+		})
+	}
+}
--- a/internal/decider/world_test.go
+++ b/internal/decider/world_test.go
@@ -22,8 +22,10 @@
 	business      = "laulukaar"
 	rival         = "binfold"
 	programBudget = 900
-	maxOutput     = 40
-	overshoot     = 32
+	// drawTokens is small, so that draws run out.
+	drawTokens = 100
+	maxOutput      = 40
+	overshoot      = 32
 )
 
 // alwaysRetrier allows every retry.
@@ -34,13 +36,13 @@
 
 // newVersion returns a document with one agent program a business, two engines
 // and a service of each kind.
-func newVersion() *compiler.Version {
+func newVersion(budget int) *compiler.Version {
 	v := &compiler.Version{
 		Number: 1, Businesses: map[string]*compiler.Business{}, Agents: map[string]*compiler.Agent{},
 		Endpoints: map[string]*compiler.Endpoint{}, Services: map[string]*compiler.Service{},
 	}
 	for _, name := range []string{business, rival} {
-		v.Businesses[name] = &compiler.Business{Name: name, Weight: 1, Budget: 6000, RetryShare: 1}
+		v.Businesses[name] = &compiler.Business{Name: name, Weight: 1, Budget: budget, RetryShare: 1}
 		v.Agents[compiler.AgentName(name, "editor")] = &compiler.Agent{
 			Business: name, Name: "editor", Model: "m", Budget: programBudget, MaxTurns: 9, MaxOutput: maxOutput,
 			IdleTimeout: time.Hour, WallLimit: 24 * time.Hour,
@@ -78,6 +80,13 @@
 	t    *rapid.T
 	core *decider.Core
 
+	programLimit  int
+	budgetChoices []int
+	// businessBudget is of each business, in tokens.
+	businessBudget int
+	// tight asks for nothing but next turns.
+	tight bool
+
 	serial    int
 	snapshots map[int][]byte
 	journal   map[int][]keeper.Entry
@@ -102,20 +111,21 @@
 	acked    map[string]map[int]string
 	consumed map[string]int
 	billed   map[string]int
-	runs     map[string]int
-	held     map[string]map[string]bool
-	ended    map[string]bool
+	// lengths is what each generated text counts for in a prompt, in tokens.
+	lengths map[string]int
+	runs    map[string]int
+	held    map[string]map[string]bool
+	ended   map[string]bool
 }
 
 func newWorld(t *rapid.T) *world {
 	w := &world{
-		t: t, snapshots: map[int][]byte{}, journal: map[int][]keeper.Entry{}, requests: map[string]*asked{},
+		t: t, programLimit: 6, budgetChoices: []int{0, 300, 600}, businessBudget: 3000, snapshots: map[int][]byte{}, journal: map[int][]keeper.Entry{}, requests: map[string]*asked{},
 		owners: map[string]string{}, budgets: map[string]int{}, flights: map[string]decider.Generate{}, canceled: map[string]bool{},
 		invokes: map[string]decider.Invoke{}, drawn: map[string]int{}, gone: map[int]bool{},
-		acked: map[string]map[int]string{}, consumed: map[string]int{}, billed: map[string]int{}, runs: map[string]int{},
+		acked: map[string]map[int]string{}, consumed: map[string]int{}, billed: map[string]int{}, lengths: map[string]int{}, runs: map[string]int{},
 		held: map[string]map[string]bool{"engine-1": {}, "engine-2": {}}, ended: map[string]bool{},
 	}
-	w.start()
 	return w
 }
 
@@ -123,7 +133,7 @@
 func (w *world) start() {
 	w.serial++
 	policy := compiler.Policy{}
-	w.core = decider.New(newVersion(), queuer.New(policy), router.New(policy, 1), alwaysRetrier{},
+	w.core = decider.New(newVersion(w.businessBudget), queuer.New(policy), router.New(policy, 1), alwaysRetrier{},
 		decider.WithName(fmt.Sprintf("owner%d", w.serial)), decider.WithSlice(64))
 	w.pending = nil
 	w.durable = 0
@@ -160,11 +170,23 @@
 		case decider.DrawEscrow:
 			w.draws = append(w.draws, a)
 		case decider.ShardGone:
+			w.checkDurable(a.Shard)
 			w.gone[a.Shard] = true
 		}
 	}
 }
 
+// checkDurable fails if a shard is given up while its entries are not durable.
+func (w *world) checkDurable(shard int) {
+	for _, a := range w.pending {
+		for _, e := range a.entries {
+			if e.Shard == shard {
+				w.t.Fatalf("shard %d was given up before its entries were durable", shard)
+			}
+		}
+	}
+}
+
 // makeDurable lands the oldest appends; the core is told unless the answer is lost.
 func (w *world) makeDurable(count int, tell bool) {
 	for range min(count, len(w.pending)) {
@@ -260,6 +282,9 @@
 
 func (w *world) turned(q *asked, reply *requester.Turned) {
 	turn := q.command.Turn
+	if w.owners[turn.Program] != q.command.Business {
+		w.t.Fatalf("business %s continued %s, a program of %s", q.command.Business, turn.Program, w.owners[turn.Program])
+	}
 	if reply.Program != turn.Program || (turn.Number != 0 && turn.Number != reply.Number) {
 		w.t.Fatalf("turn %d of %s was answered with turn %d of %s", turn.Number, turn.Program, reply.Number, reply.Program)
 	}
@@ -325,10 +350,7 @@
 
 // consume books what an engine really spent on an attempt, in tokens.
 func (w *world) consume(a decider.Generate, generated int) generator.Usage {
-	prompt := 0
-	for _, message := range a.Request.Messages {
-		prompt += len(strings.Fields(message.Text)) + 1
-	}
+	prompt := w.promptTokens(a)
 	w.held[a.Endpoint][a.Request.Program] = true
 	root := requester.Root(a.Request.Program)
 	w.consumed[root] += prompt + generated
@@ -336,7 +358,7 @@
 	if w.consumed[root] > w.budgets[root] {
 		w.t.Fatalf("program %s spent %d tokens of %d", root, w.consumed[root], w.budgets[root])
 	}
-	if w.billed[w.owners[a.Request.Program]] > 6000 {
+	if w.billed[w.owners[a.Request.Program]] > w.businessBudget {
 		w.t.Fatalf("business %s spent beyond its budget", w.owners[a.Request.Program])
 	}
 	if q := w.requests[a.Sink]; q != nil {
@@ -345,6 +367,29 @@
 	return generator.Usage{Prompt: prompt, Generated: generated}
 }
 
+// promptTokens counts a prompt as the worst of tokenizers would: one token a
+// byte of what callers wrote, and some around each message.
+func (w *world) promptTokens(a decider.Generate) int {
+	const aroundMessage = 8
+	tokens := 0
+	for _, message := range a.Request.Messages {
+		generated, ok := w.lengths[message.Text]
+		if !ok {
+			generated = len(message.Text)
+		}
+		tokens += generated + aroundMessage
+	}
+	return tokens
+}
+
+// answer returns the text of an attempt's output.
+func (w *world) answer(a decider.Generate, generated int) string {
+	input := a.Request.Messages[len(a.Request.Messages)-1].Text
+	text := a.Request.Program + " answers " + input + " in " + a.Attempt
+	w.lengths[text] = generated
+	return text
+}
+
 func (w *world) execute(q *asked) {
 	q.executed = true
 	if q.notRun {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -211,12 +211,29 @@
 		return o.deliver(w, command, answer)
 	case <-ctx.Done():
 		o.Tell(decider.Gone{Request: command.Request})
-		return requester.Reply{}, answerer.Wrap(answerer.Canceled, ctx.Err(), "the caller no longer waits")
+		return requester.Reply{}, gone(command, ctx.Err())
 	case <-o.ctx.Done():
-		return requester.Reply{}, answerer.New(answerer.NotDurable, "the instance has stopped")
+		return requester.Reply{}, stopped(command)
 	}
 }
 
+// gone says what is known of a command whose caller no longer waits: a call may
+// have been dispatched, and a turn may still be completed.
+func gone(command requester.Command, cause error) error {
+	if command.Call != nil {
+		return answerer.Wrap(answerer.OutcomeUnknown, cause, "the caller no longer waits")
+	}
+	return answerer.Wrap(answerer.Canceled, cause, "the caller no longer waits")
+}
+
+// stopped says what is known of a command that the instance's end cut.
+func stopped(command requester.Command) error {
+	if command.Call != nil {
+		return answerer.New(answerer.OutcomeUnknown, "the instance has stopped")
+	}
+	return answerer.New(answerer.NotDurable, "the instance has stopped")
+}
+
 // admits says whether the command starts work that must become durable.
 func admits(command requester.Command) bool {
 	return command.Open != nil || command.Turn != nil || command.Call != nil
