--- a/cmd/wigeonctl/change.go
+++ b/cmd/wigeonctl/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"time"
 
@@ -82,6 +83,10 @@
 			p.printf("version %d is in force on all %d instances\n", version, len(status.Instances))
 			return p.err
 		}
+		var failed *failure
+		if errors.As(err, &failed) && failed.code == codeRefused {
+			return fail(codeRefused, "version %d is accepted; whether it is in force is not known: %w", version, err)
+		}
 		if !sleep(ctx, waitInterval) {
 			return fail(codeRefused, "version %d is accepted, but not yet in force on: %s", version, listOr(lagging, "(no answer)"))
 		}
--- a/cmd/wigeonctl/client.go
+++ b/cmd/wigeonctl/client.go
@@ -129,7 +129,7 @@
 		if s.round(ctx) {
 			return s.err
 		}
-		if round >= rounds && !s.inDoubt || !sleep(ctx, retry.NextBackOff()) {
+		if s.hopeless || round >= rounds && !s.inDoubt || !sleep(ctx, retry.NextBackOff()) {
 			return s.giveUp()
 		}
 	}
@@ -153,11 +153,14 @@
 	into any
 	// inDoubt is set once a request may have been carried out.
 	inDoubt bool
-	err     error
+	// hopeless is set once all addresses refuse without settling what is in doubt.
+	hopeless bool
+	err      error
 }
 
 // round tries each address once and says whether the request is settled.
 func (s *sending) round(ctx context.Context) bool {
+	s.hopeless = true
 	for _, address := range s.addresses {
 		s.err = s.send(ctx, address)
 		if s.err == nil {
@@ -166,12 +169,14 @@
 		var refused *refusal
 		if !errors.As(s.err, &refused) {
 			s.inDoubt = s.inDoubt || s.editID != "" && !isDialError(s.err)
+			s.hopeless = false
 			continue
 		}
 		if s.settledBy(refused) {
 			s.err = &failure{code: refused.code(), err: refused}
 			return true
 		}
+		s.hopeless = s.hopeless && refused.code() == codeRefused
 	}
 	return false
 }
--- a/internal/loader/bind.go
+++ b/internal/loader/bind.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/token"
 )
 
 var (
@@ -18,7 +19,7 @@
 
 // bind copies the node into the value and records every fault.
 func (l *loading) bind(path string, node ast.Node, into reflect.Value) {
-	l.places.paths[path] = l.source.position(node.GetToken())
+	l.places.paths[path] = l.source.position(firstToken(node))
 	switch n := node.(type) {
 	case *ast.AnchorNode, *ast.AliasNode, *ast.MergeKeyNode:
 		l.fail(path, node, "anchors, aliases and merge keys are not supported")
@@ -33,6 +34,20 @@
 	l.bindValue(path, node, into)
 }
 
+// firstToken returns the token that a node begins with; a mapping in block
+// style would otherwise stand at its first colon.
+func firstToken(node ast.Node) *token.Token {
+	switch n := node.(type) {
+	case *ast.MappingValueNode:
+		return n.Key.GetToken()
+	case *ast.MappingNode:
+		if !n.IsFlowStyle && len(n.Values) > 0 {
+			return n.Values[0].Key.GetToken()
+		}
+	}
+	return node.GetToken()
+}
+
 // bindNull leaves lists and structures as they are; other fields need a value.
 func (l *loading) bindNull(path string, node *ast.NullNode, into reflect.Value) {
 	if into.Kind() == reflect.Slice || into.Kind() == reflect.Struct && !isText(into) {
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -117,5 +117,5 @@
 // fail records that the value at the path could not be read.
 func (l *loading) fail(path string, node ast.Node, format string, args ...any) {
 	l.unread[path] = true
-	l.errors.Add(l.source.position(node.GetToken()), path, format, args...)
+	l.errors.Add(l.source.position(firstToken(node)), path, format, args...)
 }
--- a/internal/publisher/change.go
+++ b/internal/publisher/change.go
@@ -26,8 +26,9 @@
 	plan func(ctx context.Context, head *Manifest) ([]SectionEdit, error)
 }
 
-func digestOf(kind, operator string, edits []SectionEdit, to int64) string {
-	body, err := json.Marshal([]any{kind, operator, edits, to})
+// digestOf tells edits apart, whoever sends them.
+func digestOf(kind string, edits []SectionEdit, to int64) string {
+	body, err := json.Marshal([]any{kind, edits, to})
 	if err != nil {
 		panic(err)
 	}
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -94,7 +94,7 @@
 	return p.change(ctx, change{
 		request: edit.Request,
 		kind:    KindEdit,
-		digest:  digestOf(KindEdit, edit.Operator, edits, 0),
+		digest:  digestOf(KindEdit, edits, 0),
 		plan: func(_ context.Context, head *Manifest) ([]SectionEdit, error) {
 			return edits, p.checkBase(ctx, head, edits)
 		},
@@ -122,7 +122,7 @@
 	return p.change(ctx, change{
 		request: apply.Request,
 		kind:    KindApply,
-		digest:  digestOf(KindApply, apply.Operator, apply.Sections, 0),
+		digest:  digestOf(KindApply, apply.Sections, 0),
 		plan: func(ctx context.Context, head *Manifest) ([]SectionEdit, error) {
 			edits := differing(head, apply.Sections)
 			return edits, p.checkBase(ctx, head, edits)
@@ -145,7 +145,7 @@
 	return p.change(ctx, change{
 		request: rollback.Request,
 		kind:    KindRollback,
-		digest:  digestOf(KindRollback, rollback.Operator, nil, rollback.To),
+		digest:  digestOf(KindRollback, nil, rollback.To),
 		plan: func(ctx context.Context, head *Manifest) ([]SectionEdit, error) {
 			return p.planRollback(ctx, head, rollback)
 		},
