--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -64,7 +64,8 @@
 	Key         string
 	// CA holds the certificates that the other end's is checked against.
 	CA string
-	// Insecure turns TLS off.
+	// Insecure turns TLS off. For endpoints it permits those that the document
+	// says are dialled without TLS.
 	Insecure bool
 }
 
--- a/internal/loader/validate.go
+++ b/internal/loader/validate.go
@@ -64,7 +64,7 @@
 		if l.unreadAround(path) {
 			continue
 		}
-		l.errors.Add(l.places.At(path), path, "%s %s", name(path), rule(fault))
+		l.errors.Add(l.places.At(path), path, "%s %s", l.shortest(path), rule(fault))
 	}
 }
 
@@ -76,6 +76,15 @@
 	return l.unread[path]
 }
 
+// shortest returns the last part of the path, or the whole path if not even
+// the value around it is in the text.
+func (l *loading) shortest(path string) string {
+	if l.places.Holds(path) || l.places.Holds(parent(path)) {
+		return name(path)
+	}
+	return path
+}
+
 // rule says in words what a tag asks for.
 func rule(fault validator.FieldError) string {
 	if text, ok := fault.Value().(string); ok && text == "" {
