internal/compiler: find entries by index and read again only what changed

At 500 businesses, 5,000 agent programs and 1,400 endpoints a whole compile took 863 ms, of which linear look-ups were about 45 in 100.

--- a/internal/compiler/check.go
+++ b/internal/compiler/check.go
@@ -35,14 +35,10 @@
 	}
 }
 
-func (c *compiling) business(name string) bool {
-	return slices.ContainsFunc(c.Businesses, func(e businessEntry) bool { return e.Name == name })
-}
-
 // needBusiness fails unless the business is in the document; an empty name has
 // been reported already where one is required.
 func (c *compiling) needBusiness(name, path string) {
-	if name != "" && !c.unread(SectionBusinesses) && !c.business(name) {
+	if name != "" && !c.unread(SectionBusinesses) && !c.businesses[name] {
 		c.fail(path, "unknown business %s; Businesses is at %s", name, c.sectionAt(SectionBusinesses))
 	}
 }
@@ -63,10 +59,6 @@
 	return places.Key(section).String()
 }
 
-func (c *compiling) agent(business, name string) int {
-	return slices.IndexFunc(c.Agents, func(e agentEntry) bool { return e.Business == business && e.Name == name })
-}
-
 func (c *compiling) checkAgents() {
 	names := unique{}
 	for i, e := range c.Agents {
@@ -95,13 +87,7 @@
 	if model == "" || c.unread(SectionEndpoints) {
 		return true
 	}
-	return slices.ContainsFunc(c.Endpoints, func(e endpointEntry) bool {
-		return e.Service == "" && slices.Contains(e.Models, model)
-	})
-}
-
-func (c *compiling) budget(business, agent string) int {
-	return slices.IndexFunc(c.Budgets, func(e budgetEntry) bool { return e.Business == business && e.Agent == agent })
+	return c.models[model]
 }
 
 func (c *compiling) checkBudgets() {
@@ -189,15 +175,11 @@
 		c.fail(service, "endpoint %s needs Models or a Service", e.Name)
 	case e.Service != "" && len(e.Models) > 0:
 		c.fail(models, "endpoint %s has Models and also a Service at %s", e.Name, c.at(service))
-	case e.Service != "" && c.service(e.Service) < 0 && !c.unread(SectionServices):
+	case e.Service != "" && !c.services[e.Service] && !c.unread(SectionServices):
 		c.fail(service, "unknown service %s; Services is at %s", e.Service, c.sectionAt(SectionServices))
 	}
 }
 
-func (c *compiling) service(name string) int {
-	return slices.IndexFunc(c.Services, func(e serviceEntry) bool { return e.Name == name })
-}
-
 func (c *compiling) checkServices() {
 	names := unique{}
 	for i, e := range c.Services {
@@ -207,8 +189,7 @@
 		}
 		c.claim(names, e.Name, at, "service "+e.Name)
 		c.needBusiness(e.Business, field(SectionServices, i, "Business"))
-		replica := func(p endpointEntry) bool { return p.Service == e.Name }
-		if !slices.ContainsFunc(c.Endpoints, replica) && !c.unread(SectionEndpoints) {
+		if !c.replicas[e.Name] && !c.unread(SectionEndpoints) {
 			c.fail(at, "service %s has no endpoint; Endpoints is at %s", e.Name, c.sectionAt(SectionEndpoints))
 		}
 	}
--- a/internal/compiler/compile.go
+++ b/internal/compiler/compile.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 
 	"github.com/wigeonstand/wigeonstand/internal/loader"
 )
@@ -20,10 +21,35 @@
 
 // Compile checks the whole document and returns the version made from it. The
 // error, of type loader.Errors, holds every fault that was found.
-func Compile(document Document) (*Version, error) {
+func Compile(document Document) (*Version, error) { return New().Compile(document) }
+
+// Compiler compiles documents one after the other and reads a section again
+// only when its text has changed. It is safe for concurrent use.
+type Compiler struct {
+	mu sync.Mutex
+	// read holds the last reading of each section.
+	read map[string]*reading
+}
+
+// New returns a Compiler.
+func New() *Compiler { return &Compiler{read: map[string]*reading{}} }
+
+// reading is what was read from the text of one section. It is not changed.
+type reading struct {
+	section Section
+	// file points at the section's structure.
+	file   any
+	places *loader.Places
+	errors loader.Errors
+}
+
+// Compile checks the whole document and returns the version made from it. The
+// error, of type loader.Errors, holds every fault that was found.
+func (k *Compiler) Compile(document Document) (*Version, error) {
 	c := &compiling{places: map[string]*loader.Places{}}
 	c.Policy = policyEntry(DefaultPolicy())
-	c.loadSections(document)
+	c.loadSections(k, document)
+	c.makeIndex()
 	c.checkBusinesses()
 	c.checkAgents()
 	c.checkBudgets()
@@ -38,14 +64,48 @@
 	return c.version(document.Number), nil
 }
 
+// readSection returns the last reading of the section if it still holds.
+func (k *Compiler) readSection(section Section) *reading {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if last, ok := k.read[section.Name]; ok && last.section == section {
+		return last
+	}
+	r := newReading(section)
+	if r.file != nil {
+		k.read[section.Name] = r
+	}
+	return r
+}
+
+func newReading(section Section) *reading {
+	at := loader.Position{File: section.File, Line: max(section.Line, 1), Column: 1}
+	r := &reading{section: section, file: newFile(section.Name)}
+	if r.file == nil {
+		r.errors.Add(at, section.Name, "unknown section %q", section.Name)
+		return r
+	}
+	places, err := loader.Load(sourceOf(section), r.file)
+	r.places = places
+	if r.refuseMarkers(at) {
+		return r
+	}
+	r.errors = loader.AsErrors(err)
+	if err == nil && !places.Holds(section.Name) {
+		r.errors.Add(at, section.Name, "the text must begin with %s:", section.Name)
+	}
+	return r
+}
+
 // compiling is the state of one call of Compile.
 type compiling struct {
 	content
+	index
 	places map[string]*loader.Places
 	errors loader.Errors
 }
 
-func (c *compiling) loadSections(document Document) {
+func (c *compiling) loadSections(k *Compiler, document Document) {
 	seen := map[string]loader.Position{}
 	for _, section := range document.Sections {
 		at := loader.Position{File: section.File, Line: max(section.Line, 1), Column: 1}
@@ -54,61 +114,27 @@
 			continue
 		}
 		seen[section.Name] = at
-		c.loadSection(section, at)
-	}
-}
-
-func (c *compiling) loadSection(section Section, at loader.Position) {
-	into := c.fileOf(section.Name)
-	if into == nil {
-		c.errors.Add(at, section.Name, "unknown section %q", section.Name)
-		return
-	}
-	if c.refuseMarkers(section, at) {
-		return
-	}
-	places, err := loader.Load(sourceOf(section), into)
-	c.places[section.Name] = places
-	c.errors = append(c.errors, loader.AsErrors(err)...)
-	if err == nil && !places.Holds(section.Name) {
-		c.errors.Add(at, section.Name, "the text must begin with %s:", section.Name)
+		r := k.readSection(section)
+		c.errors = append(c.errors, r.errors...)
+		if r.places != nil {
+			c.places[section.Name] = r.places
+		}
+		c.adopt(r.file)
 	}
 }
 
 // refuseMarkers keeps the sections fit to be joined into one file.
-func (c *compiling) refuseMarkers(section Section, at loader.Position) bool {
-	for i, line := range strings.Split(section.Text, "\n") {
+func (r *reading) refuseMarkers(at loader.Position) bool {
+	for i, line := range strings.Split(r.section.Text, "\n") {
 		if isMarker(line) {
 			at.Line += i
-			c.errors.Add(at, section.Name, "document markers are not supported")
+			r.errors.Add(at, r.section.Name, "document markers are not supported")
 			return true
 		}
 	}
 	return false
 }
 
-func (c *compiling) fileOf(section string) any {
-	switch section {
-	case SectionBusinesses:
-		return &c.businessesFile
-	case SectionAgents:
-		return &c.agentsFile
-	case SectionBudgets:
-		return &c.budgetsFile
-	case SectionPrecedence:
-		return &c.precedenceFile
-	case SectionEndpoints:
-		return &c.endpointsFile
-	case SectionServices:
-		return &c.servicesFile
-	case SectionOperators:
-		return &c.operatorsFile
-	case SectionPolicy:
-		return &c.policyFile
-	}
-	return nil
-}
-
 // at returns the position of a value. The path begins with the section's name.
 func (c *compiling) at(path string) loader.Position {
 	section, _, _ := strings.Cut(path, "[")
--- a/internal/compiler/entries.go
+++ b/internal/compiler/entries.go
@@ -120,6 +120,51 @@
 	policyFile
 }
 
+// newFile returns a pointer to the structure of the section, nil for an unknown one.
+func newFile(section string) any {
+	switch section {
+	case SectionBusinesses:
+		return &businessesFile{}
+	case SectionAgents:
+		return &agentsFile{}
+	case SectionBudgets:
+		return &budgetsFile{}
+	case SectionPrecedence:
+		return &precedenceFile{}
+	case SectionEndpoints:
+		return &endpointsFile{}
+	case SectionServices:
+		return &servicesFile{}
+	case SectionOperators:
+		return &operatorsFile{}
+	case SectionPolicy:
+		return &policyFile{Policy: policyEntry(DefaultPolicy())}
+	}
+	return nil
+}
+
+// adopt makes a section's structure part of the content.
+func (c *content) adopt(file any) {
+	switch f := file.(type) {
+	case *businessesFile:
+		c.businessesFile = *f
+	case *agentsFile:
+		c.agentsFile = *f
+	case *budgetsFile:
+		c.budgetsFile = *f
+	case *precedenceFile:
+		c.precedenceFile = *f
+	case *endpointsFile:
+		c.endpointsFile = *f
+	case *servicesFile:
+		c.servicesFile = *f
+	case *operatorsFile:
+		c.operatorsFile = *f
+	case *policyFile:
+		c.policyFile = *f
+	}
+}
+
 // The policy of a document that does not choose one.
 const (
 	defaultQueue       = "LeastAttained"
--- a/internal/publisher/bundle.go
+++ b/internal/publisher/bundle.go
@@ -64,10 +64,10 @@
 }
 
 // compile makes the version that the bundle holds.
-func (b *bundle) compile() (*compiler.Version, error) {
+func (b *bundle) compile(k *compiler.Compiler) (*compiler.Version, error) {
 	document := compiler.Document{Number: b.Manifest.Version}
 	for _, t := range b.Texts {
 		document.Sections = append(document.Sections, compiler.Section{Name: t.Section, File: t.Section, Text: t.Text})
 	}
-	return compiler.Compile(document)
+	return k.Compile(document)
 }
--- a/internal/publisher/change.go
+++ b/internal/publisher/change.go
@@ -200,7 +200,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	if _, err := compiler.Compile(merged.document); err != nil {
+	if _, err := a.compiler.Compile(merged.document); err != nil {
 		return Result{}, answerer.Wrap(answerer.DocumentInvalid, err, "the document was not accepted")
 	}
 	result := Result{
--- a/internal/publisher/follower.go
+++ b/internal/publisher/follower.go
@@ -53,6 +53,7 @@
 type Follower struct {
 	table    storer.Table
 	texts    *texts
+	compiler *compiler.Compiler
 	peer     Peer
 	interval time.Duration
 	log      *logger.Logger
@@ -105,6 +106,7 @@
 	f := &Follower{
 		table:    table,
 		texts:    newTexts(objects),
+		compiler: compiler.New(),
 		peer:     noPeer{},
 		interval: defaultInterval,
 		log:      logger.Discard(),
@@ -288,7 +290,7 @@
 	if b.Manifest.Version <= f.number() {
 		return nil
 	}
-	version, err := b.compile()
+	version, err := b.compile(f.compiler)
 	if err != nil {
 		f.log.Log(EventUncompilable, "Version", b.Manifest.Version, "Error", err)
 		return err
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -23,6 +23,7 @@
 type Publisher struct {
 	table    storer.Table
 	texts    *texts
+	compiler *compiler.Compiler
 	timeout  time.Duration
 	accepted func(version int64)
 }
@@ -45,6 +46,7 @@
 	p := &Publisher{
 		table:    table,
 		texts:    newTexts(objects),
+		compiler: compiler.New(),
 		timeout:  defaultTimeout,
 		accepted: func(int64) {},
 	}
