internal/publisher: read back an object whose write is in doubt, and test single faults

A store that lost every answer could never accept an edit, as the object was written again and again; found by TestLostAnswerIsSettledByTheEditID.

--- a/internal/publisher/change.go
+++ b/internal/publisher/change.go
@@ -215,7 +215,7 @@
 		return result, nil
 	}
 	for _, object := range merged.objects {
-		if err := a.texts.objects.Put(ctx, object.key, []byte(object.text)); err != nil {
+		if err := a.texts.put(ctx, object); err != nil {
 			return Result{}, err
 		}
 	}
@@ -263,8 +263,6 @@
 	diff     string
 }
 
-type object struct{ key, text string }
-
 func (a *attempt) merge(ctx context.Context, head *Manifest, edits []SectionEdit) (merged, error) {
 	document, err := a.texts.document(ctx, head)
 	if err != nil {
--- /dev/null
+++ b/internal/publisher/publisher_test.go
@@ -0,0 +1,259 @@
+package publisher_test
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"github.com/wigeonstand/wigeonstand/internal/answerer"
+	"github.com/wigeonstand/wigeonstand/internal/compiler"
+	"github.com/wigeonstand/wigeonstand/internal/publisher"
+)
+
+func policy(id string, base int64, text string) publisher.Edit {
+	return publisher.Edit{
+		Request:     publisher.Request{Operator: "ann", EditID: id},
+		SectionEdit: publisher.SectionEdit{Section: "Policy", BaseRevision: base, Text: text},
+	}
+}
+
+func mustEdit(t *testing.T, p *publisher.Publisher, edit publisher.Edit) publisher.Result {
+	t.Helper()
+	result, err := p.Edit(t.Context(), edit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result
+}
+
+func TestLostAnswerIsSettledByTheEditID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemory(1)
+		p := publisher.New(m, m, publisher.WithTimeout(5*time.Second))
+		m.set(faults{lost: 1}, false)
+		result := mustEdit(t, p, policy("e-1", 0, "Policy: {QueueLimit: 1}"))
+		if diff := cmp.Diff([]any{int64(1), true}, []any{result.Version, result.Replayed}); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestEditCutOffFromTheStoreIsUnknownAndSettledLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemory(1)
+		p := publisher.New(m, m, publisher.WithTimeout(4*time.Second))
+		m.set(faults{cut: 1}, false)
+		_, err := p.Edit(t.Context(), policy("e-1", 0, "Policy: {QueueLimit: 1}"))
+		if diff := cmp.Diff(answerer.OutcomeUnknown, answerer.KindOf(err)); diff != "" {
+			t.Error(diff)
+		}
+		time.Sleep(cutLength)
+		m.set(faults{}, false)
+		mustEdit(t, p, policy("e-2", 1, "Policy: {QueueLimit: 2}"))
+		result := mustEdit(t, p, policy("e-1", 0, "Policy: {QueueLimit: 1}"))
+		if diff := cmp.Diff([]any{int64(1), true}, []any{result.Version, result.Replayed}); diff != "" {
+			t.Error(diff)
+		}
+		_, err = p.Edit(t.Context(), policy("e-1", 0, "Policy: {QueueLimit: 9}"))
+		if diff := cmp.Diff(answerer.KeyReused, answerer.KindOf(err)); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestStoreThatIsDownIsReportedAsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemory(1)
+		p := publisher.New(m, m)
+		m.set(faults{}, true)
+		begun := time.Now()
+		_, err := p.Edit(t.Context(), policy("e-1", 0, "Policy: {QueueLimit: 1}"))
+		if diff := cmp.Diff(answerer.StoreUnavailable, answerer.KindOf(err)); diff != "" {
+			t.Error(diff)
+		}
+		if waited := time.Since(begun); waited > 16*time.Second {
+			t.Errorf("waited %s", waited)
+		}
+	})
+}
+
+func TestRivalIsShown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemory(1)
+		p := publisher.New(m, m)
+		mustEdit(t, p, policy("e-1", 0, "Policy: {QueueLimit: 1}"))
+		mustEdit(t, p, policy("e-2", 1, "Policy: {QueueLimit: 2}"))
+		operators := publisher.SectionEdit{Section: "Operators", Text: "Operators: []"}
+		mustEdit(t, p, publisher.Edit{Request: publisher.Request{Operator: "bob", EditID: "e-3"}, SectionEdit: operators})
+		_, err := p.Edit(t.Context(), policy("e-4", 1, "Policy: {QueueLimit: 3}"))
+		if diff := cmp.Diff(answerer.RevisionConflict, answerer.KindOf(err)); diff != "" {
+			t.Error(diff)
+		}
+		want := []*publisher.Conflict{{
+			Section: "Policy", Base: 1, Revision: 2, Author: "ann", EditID: "e-2",
+			Diff: "diff Policy@1 Policy@2\n--- Policy@1\n+++ Policy@2\n@@ -1,1 +1,1 @@\n-Policy: {QueueLimit: 1}\n+Policy: {QueueLimit: 2}\n",
+		}}
+		if diff := cmp.Diff(want, publisher.Conflicts(err), cmpopts.IgnoreFields(publisher.Conflict{}, "At")); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestRollbackIsANewVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemory(1)
+		p := publisher.New(m, m)
+		mustEdit(t, p, policy("e-1", 0, "Policy: {QueueLimit: 1}"))
+		mustEdit(t, p, policy("e-2", 1, "Policy: {QueueLimit: 2}"))
+		rollback := publisher.Rollback{Request: publisher.Request{Operator: "ann", EditID: "e-3"}, To: 1, Base: 1}
+		_, err := p.Rollback(t.Context(), rollback)
+		if diff := cmp.Diff(answerer.RevisionConflict, answerer.KindOf(err)); diff != "" {
+			t.Error(diff)
+		}
+		rollback.Base, rollback.DryRun = 2, true
+		if _, err := p.Rollback(t.Context(), rollback); err != nil {
+			t.Fatal(err)
+		}
+		rollback.DryRun = false
+		result, err := p.Rollback(t.Context(), rollback)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, document, err := p.Show(t.Context(), 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		want := []any{int64(3), []string{"Policy"}, compiler.Revisions{Policy: 3}, "Policy: {QueueLimit: 1}\n"}
+		if diff := cmp.Diff(want, []any{result.Version, result.Changed, result.Revisions, document.Text()}); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+// onePeer is another instance that may be out of reach.
+type onePeer struct {
+	follower *publisher.Follower
+	tamper   atomic.Bool
+	down     atomic.Bool
+}
+
+func (o *onePeer) Instances() []string { return []string{"other"} }
+
+func (o *onePeer) FetchDocument(context.Context, string) ([]byte, error) {
+	if o.down.Load() {
+		return nil, errors.New("out of reach")
+	}
+	body, err := o.follower.Encode()
+	if o.tamper.Load() {
+		body = []byte(strings.Replace(string(body), "QueueLimit: 1", "QueueLimit: 7", 1))
+	}
+	return body, err
+}
+
+// startedPeer returns an instance that has version 1.
+func startedPeer(t *testing.T, m *memory) *onePeer {
+	t.Helper()
+	mustEdit(t, publisher.New(m, m), policy("e-1", 0, "Policy: {QueueLimit: 1}"))
+	other := publisher.NewFollower(m, m)
+	if err := other.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	return &onePeer{follower: other}
+}
+
+func TestStartWithoutTheStoreAsksOtherInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemory(1)
+		peer := startedPeer(t, m)
+		peer.down.Store(true)
+		m.set(faults{}, true)
+		f := publisher.NewFollower(m, m, publisher.WithPeer(peer))
+		started := make(chan error)
+		go func() { started <- f.Start(t.Context()) }()
+		time.Sleep(time.Hour)
+		if _, err := f.Encode(); f.Started() || !errors.Is(err, publisher.ErrNotStarted) {
+			t.Error("started without knowing the document")
+		}
+		peer.down.Store(false)
+		if err := <-started; err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff([]int64{1, 1}, []int64{f.Current().Number, int64(f.Current().Policy.QueueLimit)}); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestDocumentFromAnotherInstanceIsChecked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemory(1)
+		peer := startedPeer(t, m)
+		peer.tamper.Store(true)
+		m.set(faults{}, true)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		f := publisher.NewFollower(m, m, publisher.WithPeer(peer))
+		if err := f.Start(ctx); err == nil || f.Started() {
+			t.Error("a document that does not match its hash was taken")
+		}
+	})
+}
+
+func TestOfferIsFetchedAtOnceWhileTheStoreIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemory(1)
+		peer := &onePeer{}
+		peer.down.Store(true)
+		ctx, cancel := context.WithCancel(t.Context())
+		f := publisher.NewFollower(m, m, publisher.WithPeer(peer), publisher.WithInterval(time.Hour))
+		if err := f.Start(ctx); err != nil {
+			t.Fatal(err)
+		}
+		go f.Run(ctx)
+		peer.follower = startedPeer(t, m).follower
+		m.set(faults{}, true)
+		peer.down.Store(false)
+		f.Offer(1, "other")
+		time.Sleep(fetchMost)
+		if diff := cmp.Diff(int64(1), f.Current().Number); diff != "" {
+			t.Error(diff)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// fetchMost is longer than one round of requests to the stand-in store.
+const fetchMost = 2 * time.Second
+
+func TestVersionIsInForceEverywhereWithinTheInterval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemory(1)
+		ctx, cancel := context.WithCancel(t.Context())
+		var followers []*publisher.Follower
+		for range 12 {
+			f := publisher.NewFollower(m, m, publisher.WithInterval(interval))
+			if err := f.Start(ctx); err != nil {
+				t.Fatal(err)
+			}
+			go f.Run(ctx)
+			followers = append(followers, f)
+		}
+		mustEdit(t, publisher.New(m, m), policy("e-1", 0, "Policy: {QueueLimit: 1}"))
+		time.Sleep(interval + interval/10 + 2*latencyMost)
+		for i, f := range followers {
+			if diff := cmp.Diff(int64(1), f.Current().Number); diff != "" {
+				t.Errorf("instance %d: %s", i, diff)
+			}
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/publisher/texts.go
+++ b/internal/publisher/texts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	lru "github.com/hashicorp/golang-lru/v2"
@@ -46,6 +47,22 @@
 	return string(body), nil
 }
 
+// object is the text of a section as it is kept.
+type object struct{ key, text string }
+
+// put writes an object. If the answer is lost the object is read back.
+func (t *texts) put(ctx context.Context, o object) error {
+	err := t.objects.Put(ctx, o.key, []byte(o.text))
+	if !errors.Is(err, storer.ErrInDoubt) {
+		return err
+	}
+	body, readErr := t.objects.Get(ctx, o.key)
+	if readErr == nil && string(body) == o.text {
+		return nil
+	}
+	return err
+}
+
 // document returns the whole document of a version.
 func (t *texts) document(ctx context.Context, manifest *Manifest) (compiler.Document, error) {
 	document := compiler.Document{Number: manifest.Version}
