internal/placer: fuzz with wrong shard maps

Cause: the claim's own check of earlier owners was never put to the test, since the map waits too. Change: generated runs also write maps that give shards of live owners away.

--- a/internal/placer/fuzz_test.go
+++ b/internal/placer/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"os"
@@ -13,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/wigeonstand/wigeonstand/internal/placer"
+	"github.com/wigeonstand/wigeonstand/internal/storer"
 )
 
 const fixedSeed = "1"
@@ -38,7 +40,7 @@
 }
 
 var actions = []string{
-	"Wait", "Start", "Kill", "Restart", "Pause", "Resume", "Lose", "Late", "Cut", "Outage", "Drain", "Heal",
+	"Wait", "Start", "Kill", "Restart", "Pause", "Resume", "Lose", "Late", "Cut", "Outage", "Drain", "Heal", "Misplace",
 }
 
 var targets = []string{"a", "b", "c", "d"}
@@ -73,6 +75,8 @@
 		c.resume(i)
 	case "Lose", "Late", "Cut":
 		i.link.fault(s.Action, s.Count)
+	case "Misplace":
+		c.store.misplace(i.owner(), s.Count)
 	case "Outage":
 		c.store.setOutage(true)
 	case "Heal":
@@ -99,6 +103,26 @@
 	}
 }
 
+// misplace gives shards to an instance whoever has them, as would an instance
+// with a wrong view of the others.
+func (m *memory) misplace(owner placer.Owner, every int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	row, ok := m.rows[placer.MapKey]
+	if !ok {
+		return
+	}
+	value := decode[placer.Map](row.Value)
+	value.Epoch++
+	value.Members = append(value.Members, owner)
+	for shard := 0; shard < len(value.Owners); shard += every {
+		value.Owners[shard] = len(value.Members) - 1
+	}
+	m.versions++
+	body, _ := json.Marshal(value)
+	m.rows[placer.MapKey] = storer.Row{Key: placer.MapKey, Value: body, Version: m.versions}
+}
+
 func (m *memory) setOutage(on bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
