internal/leaser: settle lost answers, and test each part under faults

Change: a generation of a fenced row counts as over; a release is recorded only once the head has passed all that was appended by then; a redirected write is in doubt.

--- a/internal/committer/committer.go
+++ b/internal/committer/committer.go
@@ -139,6 +139,13 @@
 // is then to be refused.
 func (c *Committer) Full() bool { return c.Backlog() >= c.backlogBytes }
 
+// Last returns the sequence of the last Append.
+func (c *Committer) Last() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.last
+}
+
 // Batches returns the number of batches committed by this generation.
 func (c *Committer) Batches() int64 {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/connector/connector_test.go
@@ -0,0 +1,299 @@
+package connector_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/wigeonstand/wigeonstand/internal/connector"
+	"github.com/wigeonstand/wigeonstand/internal/storer"
+)
+
+// platform serves requests on in-memory connections.
+type platform struct {
+	mu       sync.Mutex
+	requests []string
+	bodies   []string
+	answer   func(n int, w *reply)
+	dials    int
+	refuse   bool
+	conns    sync.WaitGroup
+	open     []net.Conn
+}
+
+// reply is one answer. Hang sends nothing, Close ends the connection instead.
+type reply struct {
+	status int
+	body   any
+	hang   bool
+	close  bool
+	delay  time.Duration
+}
+
+func (p *platform) dial(context.Context, string, string) (net.Conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dials++
+	if p.refuse {
+		return nil, &net.OpError{Op: "dial", Err: errors.New("connection refused")}
+	}
+	near, far := net.Pipe()
+	p.open = append(p.open, far)
+	p.conns.Go(func() { p.serve(far) })
+	return near, nil
+}
+
+func (p *platform) serve(conn net.Conn) {
+	defer conn.Close() //nolint:errcheck // Nothing can be done about it.
+	in := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		p.mu.Lock()
+		p.requests = append(p.requests, request.Method+" "+request.URL.RequestURI())
+		p.bodies = append(p.bodies, string(body))
+		r := &reply{status: http.StatusOK, body: struct{}{}}
+		if p.answer != nil {
+			p.answer(len(p.requests), r)
+		}
+		p.mu.Unlock()
+		if r.close {
+			return
+		}
+		if r.hang {
+			_, _ = io.Copy(io.Discard, in)
+			return
+		}
+		time.Sleep(r.delay)
+		text, _ := json.Marshal(r.body)
+		answer := http.Response{
+			StatusCode: r.status, ProtoMajor: 1, ProtoMinor: 1,
+			ContentLength: int64(len(text)), Body: io.NopCloser(bytesReader(text)),
+		}
+		if answer.Write(conn) != nil {
+			return
+		}
+	}
+}
+
+func (p *platform) sent() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.requests)
+}
+
+func (p *platform) sentBodies() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.bodies)
+}
+
+func bytesReader(text []byte) io.Reader {
+	near, far := io.Pipe()
+	go func() {
+		_, _ = far.Write(text)
+		_ = far.Close()
+	}()
+	return near
+}
+
+func bubble(t *testing.T, answer func(n int, r *reply), test func(t *testing.T, p *platform, c *connector.Connector), options ...connector.Option) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		p := &platform{answer: answer}
+		c := connector.New("http://platform", append([]connector.Option{connector.WithDial(p.dial)}, options...)...)
+		test(t, p, c)
+		c.Close()
+		p.mu.Lock()
+		for _, conn := range p.open {
+			_ = conn.Close()
+		}
+		p.mu.Unlock()
+		p.conns.Wait()
+	})
+}
+
+var commit = storer.Commit{ID: "1", Writes: []storer.Write{{Key: "k", Value: []byte("v")}}}
+
+func TestErrorClassesOfAWrite(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		answer reply
+		want   error
+		sent   int
+	}{
+		{"OK", reply{status: 200, body: storer.Result{}}, nil, 1},
+		{"Conflict", reply{status: 409}, storer.ErrConflict, 1},
+		{"TooMany", reply{status: 429}, storer.ErrUnavailable, 1},
+		{"Outage", reply{status: 503}, storer.ErrUnavailable, 1},
+		{"Failed", reply{status: 500}, storer.ErrInDoubt, 1},
+		{"Gateway", reply{status: 504}, storer.ErrInDoubt, 1},
+		{"Redirect", reply{status: 307}, storer.ErrInDoubt, 1},
+		{"Garbage", reply{status: 200, body: "not a result"}, storer.ErrInDoubt, 1},
+		{"Closed", reply{close: true}, storer.ErrInDoubt, 1},
+		{"Silent", reply{hang: true}, storer.ErrInDoubt, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			answer := func(_ int, r *reply) { *r = test.answer }
+			bubble(t, answer, func(t *testing.T, p *platform, c *connector.Connector) {
+				_, err := c.Commit(t.Context(), commit)
+				if !errors.Is(err, test.want) {
+					t.Errorf("got %v, want %v", err, test.want)
+				}
+				if diff := cmp.Diff(test.sent, len(p.sent())); diff != "" {
+					t.Error("requests: " + diff)
+				}
+			})
+		})
+	}
+}
+
+func TestRefusedConnectionMeansNotSent(t *testing.T) {
+	bubble(t, nil, func(t *testing.T, p *platform, c *connector.Connector) {
+		p.refuse = true
+		if _, err := c.Commit(t.Context(), commit); !errors.Is(err, storer.ErrUnavailable) || errors.Is(err, storer.ErrInDoubt) {
+			t.Errorf("got %v, want ErrUnavailable", err)
+		}
+	})
+}
+
+// TestWriteOnAReusedConnectionIsSentOnce closes a connection after reading a
+// write on it, when net/http repeats a request that it takes for replayable.
+func TestWriteOnAReusedConnectionIsSentOnce(t *testing.T) {
+	answer := func(n int, r *reply) {
+		r.body = storer.Result{}
+		r.close = n == 2
+	}
+	bubble(t, answer, func(t *testing.T, p *platform, c *connector.Connector) {
+		for _, write := range []func() error{
+			func() error { _, err := c.Commit(t.Context(), commit); return err },
+			func() error { return c.Delete(t.Context(), "a/b") },
+		} {
+			p.mu.Lock()
+			p.requests = nil
+			p.mu.Unlock()
+			if _, err := c.Commit(t.Context(), commit); err != nil {
+				t.Fatal(err)
+			}
+			if err := write(); !errors.Is(err, storer.ErrInDoubt) {
+				t.Errorf("got %v, want ErrInDoubt", err)
+			}
+			if diff := cmp.Diff(2, len(p.sent())); diff != "" {
+				t.Error("requests: " + diff)
+			}
+		}
+	})
+}
+
+func TestSlowReadIsHedged(t *testing.T) {
+	answer := func(n int, r *reply) {
+		r.body = storer.ReadResponse{Rows: []storer.Row{{Key: "k", Version: 7}}}
+		r.hang = n == 1
+	}
+	bubble(t, answer, func(t *testing.T, p *platform, c *connector.Connector) {
+		started := time.Now()
+		rows, err := c.Read(t.Context(), "k")
+		if diff := cmp.Diff([]storer.Row{{Key: "k", Version: 7}}, rows); diff != "" || err != nil {
+			t.Error(diff, err)
+		}
+		if diff := cmp.Diff(connector.DefaultHedgeAfter, time.Since(started)); diff != "" {
+			t.Error(diff)
+		}
+		if diff := cmp.Diff(2, p.dials); diff != "" {
+			t.Error("dials: " + diff)
+		}
+	})
+}
+
+func TestBreakerOpensAndProbes(t *testing.T) {
+	out := true
+	answer := func(_ int, r *reply) {
+		if out {
+			r.status = http.StatusServiceUnavailable
+		}
+	}
+	bubble(t, answer, func(t *testing.T, p *platform, c *connector.Connector) {
+		for range 50 {
+			_, err := c.Commit(t.Context(), commit)
+			if !errors.Is(err, storer.ErrUnavailable) {
+				t.Fatalf("got %v, want ErrUnavailable", err)
+			}
+		}
+		if diff := cmp.Diff(5, len(p.sent())); diff != "" {
+			t.Error("requests: " + diff)
+		}
+		p.mu.Lock()
+		out = false
+		p.mu.Unlock()
+		time.Sleep(time.Second)
+		if _, err := c.Commit(t.Context(), commit); err != nil {
+			t.Error(err)
+		}
+	}, connector.WithRates(1000, 1000))
+}
+
+func TestShareOfTheRateAndPriorities(t *testing.T) {
+	bubble(t, nil, func(t *testing.T, p *platform, c *connector.Connector) {
+		c.SetInstances(12)
+		started := time.Now()
+		var calls sync.WaitGroup
+		put := func(key string, priority storer.Priority) {
+			calls.Go(func() {
+				if err := c.Put(storer.WithPriority(t.Context(), priority), key, []byte(key)); err != nil {
+					t.Error(err)
+				}
+			})
+			synctest.Wait()
+		}
+		for range 4 {
+			put("burst", storer.PriorityCommit)
+		}
+		for range 10 {
+			put("sweep", storer.PrioritySweep)
+		}
+		for range 5 {
+			put("lease", storer.PriorityLease)
+		}
+		calls.Wait()
+		// One second's share is 10 writes; the bucket began with 4.
+		elapsed := time.Since(started)
+		if elapsed < 1400*time.Millisecond || elapsed > 1600*time.Millisecond {
+			t.Errorf("19 writes took %v", elapsed)
+		}
+		want := []string{"burst", "burst", "burst", "burst", "lease", "lease", "lease", "lease", "lease", "sweep"}
+		if diff := cmp.Diff(want, p.sentBodies()[:10]); diff != "" {
+			t.Error(diff)
+		}
+		if diff := cmp.Diff(125*time.Millisecond, c.WriteInterval()); diff != "" {
+			t.Error(diff)
+		}
+	}, connector.WithRates(120, 1200))
+}
+
+func TestObjectKeysAreEscaped(t *testing.T) {
+	bubble(t, nil, func(t *testing.T, p *platform, c *connector.Connector) {
+		if err := c.Put(t.Context(), "journal/a b/1?", nil); err != nil {
+			t.Error(err)
+		}
+		if diff := cmp.Diff([]string{"PUT /objects/journal/a%20b/1%3F"}, p.sent()); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/internal/connector/request.go
+++ b/internal/connector/request.go
@@ -141,7 +141,7 @@
 		return storer.ErrNotFound
 	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
 		return fmt.Errorf("%w: status %d", storer.ErrUnavailable, status)
-	case status < http.StatusInternalServerError:
+	case status >= http.StatusBadRequest && status < http.StatusInternalServerError:
 		return fmt.Errorf("%w: %s: status %d", errRefused, r.operation, status)
 	case r.write:
 		return fmt.Errorf("%w: status %d", storer.ErrInDoubt, status)
--- /dev/null
+++ b/internal/leaser/leaser_test.go
@@ -0,0 +1,251 @@
+package leaser_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/wigeonstand/wigeonstand/internal/leaser"
+	"github.com/wigeonstand/wigeonstand/internal/storer"
+)
+
+// table is a store whose next commits fail in the given ways.
+type table struct {
+	storer.Table
+	mu       sync.Mutex
+	rows     map[string]storer.Row
+	versions int64
+	delay    time.Duration
+	fates    []string
+	readsOut int
+}
+
+func newTable() *table { return &table{rows: map[string]storer.Row{}} }
+
+func (s *table) apply(commit storer.Commit) (storer.Result, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range commit.Conditions {
+		if s.rows[c.Key].Version != c.Version {
+			return storer.Result{}, storer.ErrConflict
+		}
+	}
+	result := storer.Result{Versions: map[string]int64{}}
+	for _, w := range commit.Writes {
+		s.versions++
+		s.rows[w.Key] = storer.Row{Key: w.Key, Value: w.Value, Version: s.versions}
+		result.Versions[w.Key] = s.versions
+		if w.Delete {
+			delete(s.rows, w.Key)
+		}
+	}
+	return result, nil
+}
+
+func (s *table) Commit(_ context.Context, commit storer.Commit) (storer.Result, error) {
+	s.mu.Lock()
+	fate := ""
+	if len(s.fates) > 0 {
+		fate, s.fates = s.fates[0], s.fates[1:]
+	}
+	delay := s.delay
+	s.mu.Unlock()
+	switch fate {
+	case "Unavailable":
+		return storer.Result{}, storer.ErrUnavailable
+	case "Lost":
+		_, _ = s.apply(commit)
+		return storer.Result{}, storer.ErrInDoubt
+	case "Dropped":
+		return storer.Result{}, storer.ErrInDoubt
+	case "Late":
+		time.AfterFunc(time.Second, func() { _, _ = s.apply(commit) })
+		return storer.Result{}, storer.ErrInDoubt
+	}
+	// The write takes effect at once; its answer is slow.
+	result, err := s.apply(commit)
+	time.Sleep(delay)
+	return result, err
+}
+
+func (s *table) Read(_ context.Context, keys ...string) ([]storer.Row, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.readsOut > 0 {
+		s.readsOut--
+		return nil, storer.ErrUnavailable
+	}
+	rows := make([]storer.Row, len(keys))
+	for i, key := range keys {
+		rows[i] = s.rows[key]
+	}
+	return rows, nil
+}
+
+func (s *table) value(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.rows[key].Value)
+}
+
+func acquired(t *testing.T, s storer.Table, name string) *leaser.Leaser {
+	t.Helper()
+	l := leaser.New(s, name, "127.0.0.1:1", "dc")
+	if err := l.Acquire(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// TestCommitTakesEffectOnceWhateverBecomesOfItsAnswer appends with each commit
+// the number of times that it took effect to a row.
+func TestCommitTakesEffectOnceWhateverBecomesOfItsAnswer(t *testing.T) {
+	fates := []string{"", "Lost", "Dropped", "Late", "Lost Lost", "Dropped Lost", "Late Late", "Late Lost", "Late Dropped"}
+	for _, fate := range fates {
+		t.Run(fate, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newTable()
+				l := acquired(t, s, "a")
+				s.fates = strings.Fields(fate)
+				s.readsOut = 3
+				for n := range 3 {
+					change := leaser.Change{Head: int64(n + 1), Writes: []storer.Write{{Key: "row", Value: fmt.Append(nil, n)}}}
+					if err := l.Commit(t.Context(), change); err != nil {
+						t.Fatal(err)
+					}
+					if diff := cmp.Diff(fmt.Sprint(n), s.value("row")); diff != "" {
+						t.Error(diff)
+					}
+				}
+				time.Sleep(5 * time.Second)
+				if diff := cmp.Diff("2", s.value("row")); diff != "" {
+					t.Error("a late write took effect: " + diff)
+				}
+				if diff := cmp.Diff(int64(3), l.Head()); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
+
+func TestUnavailableAndConflictMeanNotWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTable()
+		l := acquired(t, s, "a")
+		s.fates = []string{"Unavailable"}
+		change := leaser.Change{Writes: []storer.Write{{Key: "row", Value: []byte("x")}}}
+		if err := l.Commit(t.Context(), change); !errors.Is(err, storer.ErrUnavailable) {
+			t.Errorf("got %v, want ErrUnavailable", err)
+		}
+		change.Conditions = []storer.Condition{{Key: "other", Version: 7}}
+		if err := l.Commit(t.Context(), change); !errors.Is(err, storer.ErrConflict) {
+			t.Errorf("got %v, want ErrConflict", err)
+		}
+		if diff := cmp.Diff("", s.value("row")); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestCommitAbandonedInDoubtIsSettledByTheNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTable()
+		l := acquired(t, s, "a")
+		s.fates = []string{"Lost"}
+		s.readsOut = 1000
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if err := l.Commit(ctx, leaser.Change{Head: 5}); !errors.Is(err, storer.ErrInDoubt) {
+			t.Errorf("got %v, want ErrInDoubt", err)
+		}
+		s.readsOut = 0
+		if err := l.Commit(t.Context(), leaser.Change{Head: 6}); err != nil {
+			t.Error(err)
+		}
+		if diff := cmp.Diff(int64(6), l.Head()); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+// TestTakenLeaseIsNoLongerConfirmed lets a rival take the lease as early as it
+// may while the holder's answers are as slow as its TTL.
+func TestTakenLeaseIsNoLongerConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTable()
+		holder, taker := acquired(t, s, "a"), acquired(t, s, "b")
+		observer := leaser.NewObserver(leaser.DefaultTTL, leaser.DefaultMargin)
+		s.delay = 4 * time.Second
+		go func() { _ = holder.Commit(t.Context(), leaser.Change{}) }()
+		synctest.Wait()
+		s.delay = 0
+		var row storer.Row
+		for !observer.Lapsed("a", row.Version) {
+			rows, _ := s.Read(t.Context(), leaser.Key("a"))
+			row = rows[0]
+			observer.See("a", row.Version)
+			time.Sleep(100 * time.Millisecond)
+		}
+		if err := taker.Fence(t.Context(), row); err != nil {
+			t.Fatal(err)
+		}
+		if holder.Confirmed() {
+			t.Error("the holder takes its lease for confirmed after it was taken")
+		}
+		change := leaser.Change{Writes: []storer.Write{{Key: "row", Value: []byte("x")}}}
+		if err := holder.Commit(t.Context(), change); !errors.Is(err, leaser.ErrFenced) {
+			t.Errorf("got %v, want ErrFenced", err)
+		}
+		if diff := cmp.Diff("", s.value("row")); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestRestartClosesTheEarlierGeneration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTable()
+		first := acquired(t, s, "a")
+		if err := first.Commit(t.Context(), leaser.Change{Head: 9}); err != nil {
+			t.Fatal(err)
+		}
+		s.fates = []string{"Lost"}
+		second := acquired(t, s, "a")
+		if second.Lease().Generation <= first.Lease().Generation {
+			t.Errorf("generation %d follows %d", second.Lease().Generation, first.Lease().Generation)
+		}
+		if err := first.Commit(t.Context(), leaser.Change{Head: 10}); !errors.Is(err, leaser.ErrFenced) {
+			t.Errorf("got %v, want ErrFenced", err)
+		}
+		got, closed, err := leaser.ReadClosed(t.Context(), s, "a", first.Lease().Generation)
+		want := leaser.Closed{Instance: "a", Generation: first.Lease().Generation, Head: 9}
+		if diff := cmp.Diff(want, got); diff != "" || !closed || err != nil {
+			t.Error(diff, closed, err)
+		}
+	})
+}
+
+func TestFenceSparesAHolderThatHasRenewed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTable()
+		holder, taker := acquired(t, s, "a"), acquired(t, s, "b")
+		rows, _ := s.Read(t.Context(), leaser.Key("a"))
+		if err := holder.Commit(t.Context(), leaser.Change{}); err != nil {
+			t.Fatal(err)
+		}
+		if err := taker.Fence(t.Context(), rows[0]); !errors.Is(err, storer.ErrConflict) {
+			t.Errorf("got %v, want ErrConflict", err)
+		}
+		if !holder.Confirmed() {
+			t.Error("the holder lost its lease")
+		}
+	})
+}
--- a/internal/placer/claim.go
+++ b/internal/placer/claim.go
@@ -56,6 +56,8 @@
 	state state
 	// target is the instance that the shard is handed over to.
 	target string
+	// last is the journal's last sequence when the machine let go of the shard.
+	last int64
 	// sources is the number of sources of the shard's row.
 	sources int
 	// batches is the journal's count when the last snapshot was taken.
--- a/internal/placer/cluster_test.go
+++ b/internal/placer/cluster_test.go
@@ -148,6 +148,10 @@
 		}
 		a.mu.Unlock()
 		if err := sleep(ctx, 5*time.Millisecond); err != nil {
+			// What waits is cut, but what was appended is still acknowledged.
+			a.mu.Lock()
+			delete(a.shards, shard)
+			a.mu.Unlock()
 			return err
 		}
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -51,9 +51,12 @@
 	Fenced() bool
 }
 
-// Journal tells how much was committed since a shard's last snapshot.
+// Journal tells how far the journal of this instance has come.
 type Journal interface {
+	// Batches returns the number of batches committed.
 	Batches() int64
+	// Last returns the last sequence that was given out.
+	Last() int64
 }
 
 // Heartbeater exchanges beats with another instance.
--- a/internal/placer/release.go
+++ b/internal/placer/release.go
@@ -158,20 +158,24 @@
 		if err := p.machine.Release(limited, h.shard); err != nil {
 			p.log.Log(eventReleaseCut, "Shard", h.shard, "Cause", err)
 		}
+		last := p.journal.Last()
 		p.mu.Lock()
 		h.state = released
+		h.last = last
 		p.mu.Unlock()
 		p.wakeUp()
 	}()
 }
 
 // record closes the sources of the shards that were let go of and gives them to
-// their targets in the map, all in one transaction.
+// their targets in the map, all in one transaction. It waits for all that had been
+// appended by then, so that entries of work that was cut are not left out.
 func (p *Placer) record(ctx context.Context) error {
+	head := p.lease.Lease().Head
 	p.mu.Lock()
 	var done []*holding
 	for _, h := range p.held {
-		if h.state == released {
+		if h.state == released && h.last <= head {
 			done = append(done, h)
 		}
 	}
@@ -280,7 +284,7 @@
 
 func (p *Placer) ownerOf(name string) Owner {
 	m, ok := p.members[name]
-	if !ok {
+	if !ok || m.lease.State != leaser.Live {
 		return Owner{}
 	}
 	return Owner{Instance: name, Generation: m.lease.Generation}
--- a/internal/placer/shardmap.go
+++ b/internal/placer/shardmap.go
@@ -233,5 +233,8 @@
 	if !ok {
 		return p.scanned.After(p.loaded)
 	}
-	return m.lease.Generation > owner.Generation || m.lease.State == leaser.Released
+	if m.lease.Generation != owner.Generation {
+		return m.lease.Generation > owner.Generation
+	}
+	return m.lease.State == leaser.Released || m.lease.State == leaser.Fenced
 }
