--- /dev/null
+++ b/internal/certifier/certifier_test.go
@@ -0,0 +1,243 @@
+package certifier_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+
+	"github.com/wigeonstand/wigeonstand/internal/certifier"
+	"github.com/wigeonstand/wigeonstand/internal/logger"
+	"github.com/wigeonstand/wigeonstand/internal/meter"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const life = 30 * 24 * time.Hour
+
+var home = netip.MustParseAddr("127.0.0.1")
+
+func newIssuer(t *testing.T) *certifier.Issuer {
+	t.Helper()
+	issuer, err := certifier.NewIssuer(t.TempDir(), life)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return issuer
+}
+
+func issue(t *testing.T, issuer *certifier.Issuer, name string, d time.Duration) certifier.Files {
+	t.Helper()
+	files, err := issuer.Issue(name, d, home)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return files
+}
+
+func newCertifier(t *testing.T, files certifier.Files, options ...certifier.Option) *certifier.Certifier {
+	t.Helper()
+	c, err := certifier.New(files, options...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// handshake connects the two and returns the errors of both sides and the
+// name that the server showed.
+func handshake(t *testing.T, server, client *tls.Config, name string) (shown string, serverErr, clientErr error) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		serverErr = greet(listener, server)
+	}()
+	client.ServerName = name
+	shown, clientErr = read(listener.Addr().String(), client)
+	<-done
+	return shown, serverErr, clientErr
+}
+
+// greet accepts one connection and writes a byte to it.
+func greet(listener net.Listener, config *tls.Config) error {
+	conn, err := listener.Accept()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	_, err = tls.Server(conn, config).Write([]byte{1})
+	return err
+}
+
+// read opens a connection, reads a byte from it and returns the server's name.
+func read(address string, config *tls.Config) (string, error) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = conn.Close() }()
+	secured := tls.Client(conn, config)
+	if _, err := secured.Read(make([]byte, 1)); err != nil {
+		return "", err
+	}
+	return secured.ConnectionState().PeerCertificates[0].Subject.CommonName, nil
+}
+
+func TestHandshakeNeedsTheRightCertificates(t *testing.T) {
+	own, other := newIssuer(t), newIssuer(t)
+	server := newCertifier(t, issue(t, own, "server", life))
+	client := newCertifier(t, issue(t, own, "client", life))
+	stranger := newCertifier(t, issue(t, other, "stranger", life))
+	ended := newCertifier(t, issue(t, own, "ended", -time.Second))
+	old := client.Client()
+	old.MinVersion, old.MaxVersion = tls.VersionTLS12, tls.VersionTLS12
+	nameless := client.Client()
+	nameless.GetClientCertificate = nil
+	mixed := stranger.Client()
+	mixed.RootCAs = client.Client().RootCAs
+	tests := []struct {
+		name   string
+		server *tls.Config
+		client *tls.Config
+		host   string
+		works  bool
+	}{
+		{"Server", server.Server(), client.Client(), "127.0.0.1", true},
+		{"ServerOfAnotherAuthority", stranger.Server(), client.Client(), "127.0.0.1", false},
+		{"ServerAtAnotherAddress", server.Server(), client.Client(), "127.0.0.2", false},
+		{"ServerEnded", ended.Server(), client.Client(), "127.0.0.1", false},
+		{"OldProtocol", server.Server(), old, "127.0.0.1", false},
+		{"Mutual", server.MutualServer(), client.Client(), "127.0.0.1", true},
+		{"MutualWithoutCertificate", server.MutualServer(), nameless, "127.0.0.1", false},
+		{"MutualOfAnotherAuthority", server.MutualServer(), mixed, "127.0.0.1", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, serverErr, clientErr := handshake(t, test.server, test.client, test.host)
+			works := serverErr == nil && clientErr == nil
+			if diff := cmp.Diff(test.works, works); diff != "" {
+				t.Errorf("server %v, client %v: %s", serverErr, clientErr, diff)
+			}
+		})
+	}
+}
+
+func TestRunTakesChangedFilesIntoUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		issuer := newIssuer(t)
+		files := issue(t, issuer, "server", life)
+		server := newCertifier(t, files, certifier.WithInterval(time.Second))
+		config, client := server.Server(), newCertifier(t, files)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- server.Run(ctx) }()
+
+		replacement := issue(t, issuer, "replacement", life)
+		copyFile(t, replacement.Key, files.Key)
+		settle()
+		expectShown(t, config, client, "server", "only the key was changed")
+		copyFile(t, replacement.Certificate, files.Certificate)
+		settle()
+		expectShown(t, config, client, "replacement", "both were changed")
+		if err := os.Remove(files.Certificate); err != nil {
+			t.Fatal(err)
+		}
+		settle()
+		expectShown(t, config, client, "replacement", "the certificate is gone")
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func settle() {
+	time.Sleep(2 * time.Second)
+	synctest.Wait()
+}
+
+func expectShown(t *testing.T, config *tls.Config, client *certifier.Certifier, want, state string) {
+	t.Helper()
+	shown, serverErr, clientErr := handshake(t, config, client.Client(), "127.0.0.1")
+	if diff := cmp.Diff(want, shown); diff != "" {
+		t.Errorf("%s: server %v, client %v: %s", state, serverErr, clientErr, diff)
+	}
+}
+
+func copyFile(t *testing.T, from, to string) {
+	t.Helper()
+	text, err := os.ReadFile(from)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(to, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestRunWarnsOfACertificateThatEndsSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log bytes.Buffer
+		m := meter.New()
+		files := issue(t, newIssuer(t), "server", 3*time.Hour)
+		c := newCertifier(t, files, certifier.WithWarning(2*time.Hour),
+			certifier.WithLogger(logger.New(&log)), certifier.WithMeter(m, "certificate_end"))
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Hour+time.Minute)
+		defer cancel()
+		if err := c.Run(ctx); err != nil {
+			t.Error(err)
+		}
+		if diff := cmp.Diff(2, strings.Count(log.String(), "CertificateExpiresSoon")); diff != "" {
+			t.Error(diff)
+		}
+		if diff := cmp.Diff(float64(c.Expires().Unix()), gauge(t, m, "wigeonstand_certificate_end")); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func gauge(t *testing.T, m *meter.Meter, name string) float64 {
+	t.Helper()
+	families, err := m.Registry().Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, family := range families {
+		if family.GetName() == name {
+			return family.GetMetric()[0].GetGauge().GetValue()
+		}
+	}
+	t.Fatalf("no metric %s", name)
+	return 0
+}
+
+func TestNewRefusesFilesThatCannotBeLoaded(t *testing.T) {
+	files := issue(t, newIssuer(t), "server", life)
+	stranger := issue(t, newIssuer(t), "server", life)
+	tests := map[string]certifier.Files{
+		"Missing":    {Certificate: "missing.pem", Key: "missing.pem"},
+		"WrongKey":   {Certificate: files.Certificate, Key: stranger.Key},
+		"NoCertInCA": {Certificate: files.Certificate, Key: files.Key, Authority: files.Key},
+		"OnlyKey":    {Key: files.Key},
+	}
+	for name, test := range tests {
+		if _, err := certifier.New(test); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -73,6 +73,7 @@
 	if err != nil {
 		return nil, x.broken(err, Unknown)
 	}
+	x.trace.answered()
 	return response, nil
 }
 
--- a/internal/dispatcher/sealed.go
+++ b/internal/dispatcher/sealed.go
@@ -55,7 +55,7 @@
 	reused bool
 	// unseen is set if the request got a connection that is not sealed.
 	unseen bool
-	// wrote is set if an earlier connection of the request was written to.
+	// wrote is set once the request is known to have been written to a connection.
 	wrote bool
 }
 
@@ -87,6 +87,15 @@
 	t.conn = nil
 }
 
+// answered notes that an answer began, so that the request was sent. The
+// connection may serve other requests from then on and is not sealed.
+func (t *sendTrace) answered() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.wrote = true
+	t.conn = nil
+}
+
 // sent ends the request: it reports whether a byte of it can have reached the
 // endpoint, and makes sure that none will if not. Call it only for a failed request.
 func (t *sendTrace) sent() bool {
