--- /dev/null
+++ b/pkg/caller/caller_test.go
@@ -0,0 +1,218 @@
+package caller_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"go.uber.org/goleak"
+
+	"github.com/wigeonstand/wigeonstand/pkg/caller"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// reply is what the fake system does with one request.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	// unconnected fails before a connection, broken after it.
+	unconnected bool
+	broken      bool
+}
+
+// system answers requests in turn; the last reply is repeated.
+type system struct {
+	replies []reply
+	hosts   []string
+	bodies  []string
+}
+
+func (s *system) RoundTrip(request *http.Request) (*http.Response, error) {
+	r := s.replies[min(len(s.hosts), len(s.replies)-1)]
+	body, _ := io.ReadAll(request.Body)
+	s.hosts = append(s.hosts, request.URL.Host)
+	s.bodies = append(s.bodies, string(body))
+	if r.unconnected {
+		return nil, errors.New("connection refused")
+	}
+	httptrace.ContextClientTrace(request.Context()).GotConn(httptrace.GotConnInfo{})
+	if r.broken {
+		return nil, io.ErrUnexpectedEOF
+	}
+	response := &http.Response{StatusCode: r.status, Header: r.header, Body: io.NopCloser(strings.NewReader(r.body))}
+	if response.Header == nil {
+		response.Header = http.Header{}
+	}
+	return response, nil
+}
+
+func newClient(t *testing.T, replies ...reply) (*caller.Client, *system) {
+	t.Helper()
+	s := &system{replies: replies}
+	c, err := caller.New([]string{"http://a/", "http://b"}, "key",
+		caller.WithHTTPClient(&http.Client{Transport: s}), caller.WithAttempts(3), caller.WithTimeout(20*time.Second))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c, s
+}
+
+func refusal(status int, kind string, ran caller.Ran, after float64) reply {
+	return reply{
+		status: status,
+		header: http.Header{"Wigeonstand-Kind": {kind}},
+		body:   fmt.Sprintf(`{"Kind":%q,"Ran":%q,"Detail":"d","RetryAfter":%v,"Request":"r"}`, kind, ran, after),
+	}
+}
+
+var (
+	whole    = reply{status: 200, body: `{"Text":"hi","Number":1,"Chain":"c1"}`}
+	overload = refusal(429, "Overloaded", caller.NotRun, 2)
+)
+
+func TestOnlyWhatWasNotRunIsRepeated(t *testing.T) {
+	tests := []struct {
+		name    string
+		replies []reply
+		sent    int
+		elapsed time.Duration
+		want    *caller.Error
+	}{
+		{"Whole", []reply{whole}, 1, 0, nil},
+		{"NotRunOnce", []reply{overload, whole}, 2, 2 * time.Second, nil},
+		{"NotRunAlways", []reply{overload}, 3, 4 * time.Second, &caller.Error{Status: 429, Kind: "Overloaded", Ran: caller.NotRun, RetryAfter: 2 * time.Second}},
+		{"LongPause", []reply{refusal(429, "Overloaded", caller.NotRun, 60)}, 1, 0, &caller.Error{Status: 429, Kind: "Overloaded", Ran: caller.NotRun, RetryAfter: time.Minute}},
+		{"NoUse", []reply{refusal(402, "BudgetExhausted", caller.NotRun, 0)}, 1, 0, &caller.Error{Status: 402, Kind: "BudgetExhausted", Ran: caller.NotRun}},
+		{"RanAndFailed", []reply{refusal(502, "EndpointFailed", caller.RanAndFailed, 1)}, 1, 0, &caller.Error{Status: 502, Kind: "EndpointFailed", Ran: caller.RanAndFailed, RetryAfter: time.Second}},
+		{"Unknown", []reply{refusal(502, "OutcomeUnknown", caller.Unknown, 1)}, 1, 0, &caller.Error{Status: 502, Kind: "OutcomeUnknown", Ran: caller.Unknown, RetryAfter: time.Second}},
+		{"Broken", []reply{{broken: true}}, 1, 0, &caller.Error{Kind: caller.KindCut, Ran: caller.Unknown}},
+		{"RefusalCut", []reply{{status: 429, header: http.Header{"Wigeonstand-Kind": {"Overloaded"}}, body: `{"Kind"`}}, 1, 0, &caller.Error{Status: 429, Kind: caller.KindCut, Ran: caller.Unknown}},
+		{"AnswerCut", []reply{{status: 200, body: `{"Text":"h`}}, 1, 0, &caller.Error{Status: 200, Kind: caller.KindCut, Ran: caller.Unknown}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, s := newClient(t, test.replies...)
+				started := time.Now()
+				_, err := c.Program("p1").Ask(t.Context(), "hello")
+				var got *caller.Error
+				errors.As(err, &got)
+				ignored := cmpopts.IgnoreFields(caller.Error{}, "Detail", "Request")
+				if diff := cmp.Diff(test.want, got, ignored, cmpopts.IgnoreUnexported(caller.Error{})); diff != "" {
+					t.Errorf("%v: %s", err, diff)
+				}
+				if diff := cmp.Diff(test.sent, len(s.hosts)); diff != "" {
+					t.Error(diff)
+				}
+				if diff := cmp.Diff(test.elapsed, time.Since(started)); diff != "" {
+					t.Error(diff)
+				}
+				for _, body := range s.bodies {
+					if diff := cmp.Diff(s.bodies[0], body); diff != "" {
+						t.Errorf("a repeat differs: %s", diff)
+					}
+				}
+			})
+		})
+	}
+}
+
+func TestUnreachableEntryIsLeftForTheNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, s := newClient(t, reply{unconnected: true}, whole)
+		if _, err := c.Program("p1").Ask(t.Context(), "hello"); err != nil {
+			t.Error(err)
+		}
+		if len(s.hosts) != 2 || s.hosts[0] == s.hosts[1] {
+			t.Errorf("asked %v", s.hosts)
+		}
+	})
+}
+
+func TestTurnsCarryTheChainOfTheLastAnswer(t *testing.T) {
+	c, s := newClient(t, reply{status: 201, body: `{"Program":"p1","Chain":"c0"}`}, whole)
+	p, err := c.Open(t.Context(), "host", caller.WithBudget(5))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if _, err := p.Ask(t.Context(), "hello"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i, chain := range []string{"c0", "c1"} {
+		if !strings.Contains(s.bodies[i+1], `"Chain":"`+chain+`"`) {
+			t.Errorf("turn %d: %s", i+1, s.bodies[i+1])
+		}
+	}
+}
+
+func TestStreamIsWholeOnlyWithItsLastEvent(t *testing.T) {
+	const chunks = "event: chunk\ndata: {\"Text\":\"h\",\"Tokens\":1}\n\nevent: chunk\ndata: {\"Offset\":1,\"Text\":\"i\",\"Tokens\":1}\n\n"
+	const complete = "event: complete\ndata: {\"Text\":\"hi\",\"Chain\":\"c1\"}\n\n"
+	tests := map[string]struct {
+		body string
+		kind string
+	}{
+		"Whole":   {chunks + complete, ""},
+		"Cut":     {chunks, caller.KindCut},
+		"HalfEnd": {chunks + complete[:len(complete)-1], caller.KindCut},
+		"Error":   {chunks + "event: error\ndata: {\"Kind\":\"AnswerTruncated\",\"Ran\":\"RanAndFailed\"}\n\n", "AnswerTruncated"},
+		"BadJSON": {chunks + "event: complete\ndata: {\n\n", caller.KindCut},
+	}
+	for name, test := range tests {
+		c, _ := newClient(t, reply{status: 200, body: test.body})
+		text, answer, err := readStream(t.Context(), c.Program("p1"))
+		if diff := cmp.Diff("hi", text); diff != "" {
+			t.Errorf("%s: %s", name, diff)
+		}
+		var got caller.Error
+		if e := (*caller.Error)(nil); errors.As(err, &e) {
+			got = *e
+		}
+		if diff := cmp.Diff(test.kind, got.Kind); diff != "" {
+			t.Errorf("%s: %v: %s", name, err, diff)
+		}
+		if diff := cmp.Diff(err == nil, answer.Text == "hi"); diff != "" {
+			t.Errorf("%s: %s", name, diff)
+		}
+	}
+}
+
+func readStream(ctx context.Context, p *caller.Program) (string, caller.Answer, error) {
+	s, err := p.Stream(ctx, "hello")
+	if err != nil {
+		return "", caller.Answer{}, err
+	}
+	defer s.Close()
+	text := ""
+	for s.Next() {
+		text += s.Chunk().Text
+	}
+	return text, s.Answer(), s.Err()
+}
+
+func TestCallKeepsItsKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, s := newClient(t, overload, reply{status: 503, body: "own", header: http.Header{"Wigeonstand-Replayed": {"true"}}})
+		got, err := c.Call(t.Context(), "fees", http.MethodPost, "/post", caller.WithCallKey("k1"), caller.WithBody("text/plain", []byte("x")))
+		want := caller.Result{Key: "k1", Status: 503, Body: []byte("own"), Replayed: true}
+		if diff := cmp.Diff(want, got); diff != "" || err != nil {
+			t.Errorf("error %v: %s", err, diff)
+		}
+		if diff := cmp.Diff([]string{"x", "x"}, s.bodies); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
