internal/prober: follow health, load, leaving and caches of endpoints

Cause: routing needs to know which endpoints to use, and not every instance can probe every endpoint. Change: own traffic and probes eject by failures in a row, bounded by a share of the group; new and returned endpoints ramp up; three signs of leaving; cache events with the whole list after a gap; a probe rate and a sample per instance. Tests: each sign of leaving within 2 s, a rapid property for the share, gaps, silent connections lost together.

--- /dev/null
+++ b/internal/prober/endpoint.go
@@ -0,0 +1,142 @@
+package prober
+
+import (
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/compiler"
+	"github.com/wigeonstand/wigeonstand/internal/generator"
+)
+
+const (
+	// firstRamp is the share that a new or returned endpoint starts with.
+	firstRamp = 0.1
+	// gapWeight is the weight of one gap in the moving average.
+	gapWeight = 0.05
+	// gapLife is how long gaps say anything about an endpoint.
+	gapLife = 30 * time.Second
+	// silentSpacing is the time in which silent connections count as one
+	// failure: all connections that were lost at one time go silent together.
+	silentSpacing = 5 * time.Second
+	// deniedSpacing is the time between two log events of a denied ejection.
+	deniedSpacing = 10 * time.Second
+	// leavingMargin is how much newer than the last sign of leaving a report
+	// must be to say that the endpoint stays.
+	leavingMargin = 10 * time.Second
+)
+
+// endpoint is what is known of one endpoint.
+type endpoint struct {
+	config *compiler.Endpoint
+	group  string
+	// sampled says that it is probed without being in use.
+	sampled bool
+	rank    uint64
+
+	// failures counts failures of own requests, and probeFailures of probes, in a row.
+	failures      int
+	probeFailures int
+	silentAt      time.Time
+	usedAt        time.Time
+
+	ejected      bool
+	ejectedUntil time.Time
+	ejections    int
+	deniedAt     time.Time
+	// rampFrom is zero for an endpoint that has its full share.
+	rampFrom time.Time
+	leaving  bool
+	leftAt   time.Time
+
+	report generator.LoadReport
+	// reportedAt is when the figures were true; zero if there are none.
+	reportedAt time.Time
+	reports    int64
+
+	gap   time.Duration
+	gapAt time.Time
+
+	probing   bool
+	urgent    bool
+	nextProbe time.Time
+	cache     cache
+}
+
+// begin marks the endpoint as being probed.
+func (e *endpoint) begin(now time.Time, interval time.Duration) probe {
+	begun := probe{config: e.config, fresh: e.urgent || e.ejected, at: now}
+	e.probing = true
+	e.urgent = false
+	e.nextProbe = now.Add(interval)
+	return begun
+}
+
+// inUse reports whether this instance sent it a request not long ago.
+func (e *endpoint) inUse(now time.Time) bool {
+	return !e.usedAt.IsZero() && now.Sub(e.usedAt) < usedFor
+}
+
+// isLeaving reports whether the document or the endpoint itself says so.
+func (e *endpoint) isLeaving() bool { return e.config.Leaving || e.leaving }
+
+// ramp returns the share of its slots that may be used.
+func (e *endpoint) ramp(now time.Time, full time.Duration) float64 {
+	if e.rampFrom.IsZero() || now.Sub(e.rampFrom) >= full {
+		return 1
+	}
+	return firstRamp + (1-firstRamp)*now.Sub(e.rampFrom).Seconds()/full.Seconds()
+}
+
+// addGap moves the average by one gap between tokens.
+func (e *endpoint) addGap(now time.Time, gap time.Duration) {
+	if e.gapAt.IsZero() || now.Sub(e.gapAt) > gapLife {
+		e.gap = gap
+	}
+	e.gap += time.Duration(gapWeight * float64(gap-e.gap))
+	e.gapAt = now
+}
+
+// countSilent reports whether a silent connection counts as a failure.
+func (e *endpoint) countSilent(now time.Time) bool {
+	if !e.silentAt.IsZero() && now.Sub(e.silentAt) < silentSpacing {
+		return false
+	}
+	e.silentAt = now
+	return true
+}
+
+// leave marks the endpoint as leaving.
+func (e *endpoint) leave(now time.Time) {
+	e.leaving = true
+	e.leftAt = now
+}
+
+// takeReport keeps a load report that was received now.
+func (e *endpoint) takeReport(now time.Time, report generator.LoadReport) {
+	e.report = report
+	e.reportedAt = now.Add(-report.Age)
+	e.reports++
+	if report.Leaving {
+		e.leave(now)
+		return
+	}
+	if e.leaving && e.reportedAt.Sub(e.leftAt) > leavingMargin {
+		e.leaving = false
+		e.rampFrom = now
+	}
+}
+
+// back ends an ejection once its time is over and a probe has worked.
+func (e *endpoint) back(now time.Time) bool {
+	if !e.ejected || now.Before(e.ejectedUntil) {
+		return false
+	}
+	e.takeBack(now)
+	return true
+}
+
+// takeBack gives an ejected endpoint a small share again.
+func (e *endpoint) takeBack(now time.Time) {
+	e.ejected = false
+	e.failures = 0
+	e.rampFrom = now
+}
--- /dev/null
+++ b/internal/prober/fake_test.go
@@ -0,0 +1,174 @@
+package prober_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/wigeonstand/wigeonstand/internal/compiler"
+	"github.com/wigeonstand/wigeonstand/internal/dispatcher"
+	"github.com/wigeonstand/wigeonstand/internal/generator"
+	"github.com/wigeonstand/wigeonstand/internal/prober"
+)
+
+func TestMain(m *testing.M) {
+	// The command line goes before this seed.
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	goleak.VerifyTestMain(m)
+}
+
+// fleet is a document and its endpoints.
+type fleet struct {
+	mutex    sync.Mutex
+	version  *compiler.Version
+	loads    map[string]generator.LoadReport
+	errs     map[string]error
+	pages    []generator.EventPage
+	holdings []generator.Holding
+	probes   map[string]int
+	asked    []int64
+	listed   int
+	evicted  []string
+	held     int
+}
+
+func newFleet(names ...string) *fleet {
+	f := &fleet{
+		version: &compiler.Version{Endpoints: map[string]*compiler.Endpoint{}},
+		loads:   map[string]generator.LoadReport{}, errs: map[string]error{}, probes: map[string]int{},
+	}
+	for i, name := range names {
+		f.version.Endpoints[name] = engineOf(name, i)
+	}
+	return f
+}
+
+func engineOf(name string, i int) *compiler.Endpoint {
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80)
+	return &compiler.Endpoint{Name: name, Address: address, Models: []string{"m"}, Slots: 4, DataCentre: "a"}
+}
+
+func (f *fleet) current() *compiler.Version {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.version
+}
+
+// edit brings a changed copy of the document into force.
+func (f *fleet) edit(change func(map[string]*compiler.Endpoint)) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	next := &compiler.Version{Number: f.version.Number + 1, Endpoints: map[string]*compiler.Endpoint{}}
+	for name, endpoint := range f.version.Endpoints {
+		copied := *endpoint
+		next.Endpoints[name] = &copied
+	}
+	change(next.Endpoints)
+	f.version = next
+}
+
+func (f *fleet) set(name string, report generator.LoadReport, err error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.loads[name], f.errs[name] = report, err
+}
+
+func (f *fleet) Ping(context.Context, *compiler.Endpoint) error { return nil }
+
+func (f *fleet) Load(_ context.Context, endpoint *compiler.Endpoint) (generator.LoadReport, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.probes[endpoint.Name]++
+	return f.loads[endpoint.Name], f.errs[endpoint.Name]
+}
+
+func (f *fleet) Events(_ context.Context, _ *compiler.Endpoint, after int64) (generator.EventPage, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.asked = append(f.asked, after)
+	if len(f.pages) == 0 {
+		return generator.EventPage{Next: after}, nil
+	}
+	page := f.pages[0]
+	f.pages = f.pages[1:]
+	return page, nil
+}
+
+func (f *fleet) Holdings(context.Context, *compiler.Endpoint) (generator.HoldingReport, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.listed++
+	return generator.HoldingReport{Holdings: f.holdings}, nil
+}
+
+func (f *fleet) Evicted(endpoint, program string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.evicted = append(f.evicted, endpoint+" "+program)
+}
+
+func (f *fleet) Held(string, []generator.Holding) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.held++
+}
+
+// run starts a prober of the fleet and ends it with the test.
+func (f *fleet) run(t *testing.T, options ...prober.Option) *prober.Prober {
+	t.Helper()
+	p := prober.New(f.current, f, append([]prober.Option{prober.WithInstance("i1", "a"), prober.WithWatcher(f)}, options...)...)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- p.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return p
+}
+
+func view(t *testing.T, p *prober.Prober, name string) prober.View {
+	t.Helper()
+	v, ok := p.View(name)
+	if !ok {
+		t.Fatalf("no endpoint %s", name)
+	}
+	return v
+}
+
+func fail(p *prober.Prober, name string, times int) {
+	for range times {
+		p.Failed(name, dispatcher.Failed)
+	}
+}
+
+func names(n int) []string {
+	all := make([]string, n)
+	for i := range all {
+		all[i] = fmt.Sprintf("e%d", i)
+	}
+	return all
+}
+
+func usable(p *prober.Prober) int {
+	n := 0
+	for _, v := range p.Endpoints() {
+		if v.Usable {
+			n++
+		}
+	}
+	return n
+}
+
+// leavingBound is the time in which a leaving endpoint gets no new work.
+const leavingBound = 2 * time.Second
--- /dev/null
+++ b/internal/prober/health.go
@@ -0,0 +1,134 @@
+package prober
+
+import (
+	"errors"
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/dispatcher"
+)
+
+// Succeeded says that a request of this instance was answered.
+func (p *Prober) Succeeded(name string, _ time.Duration) {
+	p.with(name, func(e *endpoint, now time.Time) {
+		e.usedAt = now
+		e.failures = 0
+		if e.ejections > 0 && !e.ejected && now.Sub(e.ejectedUntil) > p.rampTime {
+			e.ejections = 0
+		}
+	})
+}
+
+// Failed says that a request of this instance failed for the reason. What its
+// caller gave up says nothing of the endpoint.
+func (p *Prober) Failed(name string, reason dispatcher.Reason) {
+	if reason == dispatcher.Canceled {
+		return
+	}
+	p.with(name, func(e *endpoint, now time.Time) {
+		e.usedAt = now
+		e.urgent = true
+		if reason == dispatcher.Silent && !e.countSilent(now) {
+			return
+		}
+		e.failures++
+		if e.failures >= p.threshold {
+			p.eject(e, now)
+		}
+	})
+}
+
+// Left says that the endpoint answered that it takes no new work.
+func (p *Prober) Left(name string) {
+	p.with(name, func(e *endpoint, now time.Time) {
+		if !e.leaving {
+			p.log.Log(endpointLeaving, "Endpoint", name, "Sign", "Refusal")
+		}
+		e.leave(now)
+	})
+}
+
+// Report says how a request of this instance went; err is the dispatcher's.
+func (p *Prober) Report(name string, took time.Duration, err error) {
+	var failure *dispatcher.Failure
+	switch {
+	case err == nil:
+		p.Succeeded(name, took)
+	case errors.As(err, &failure) && failure.Leaving:
+		p.Left(name)
+	default:
+		p.Failed(name, dispatcher.ReasonOf(err))
+	}
+}
+
+// Gap says how long the endpoint took from one token to the next.
+func (p *Prober) Gap(name string, gap time.Duration) {
+	p.with(name, func(e *endpoint, now time.Time) {
+		e.usedAt = now
+		e.addGap(now, gap)
+	})
+}
+
+// with runs f on the endpoint, if it is in the document.
+func (p *Prober) with(name string, f func(*endpoint, time.Time)) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if e := p.endpoints[name]; e != nil {
+		f(e, time.Now())
+	}
+}
+
+// eject takes the endpoint out of use for a time, unless too many of its group
+// are out already.
+func (p *Prober) eject(e *endpoint, now time.Time) {
+	if e.ejected {
+		return
+	}
+	if size, ejected := p.count(e.group); ejected+1 > p.ejectable(size) {
+		p.logDenied(e, now)
+		return
+	}
+	e.ejected = true
+	e.ejections = min(e.ejections+1, longestEjection)
+	e.ejectedUntil = now.Add(p.ejection * time.Duration(e.ejections))
+	p.log.Log(endpointEjected, "Endpoint", e.config.Name, "Failures", e.failures, "Probes", e.probeFailures, "Until", e.ejectedUntil)
+}
+
+func (p *Prober) logDenied(e *endpoint, now time.Time) {
+	if !e.deniedAt.IsZero() && now.Sub(e.deniedAt) < deniedSpacing {
+		return
+	}
+	e.deniedAt = now
+	p.log.Log(ejectionDenied, "Endpoint", e.config.Name)
+}
+
+// ejectable returns how many of a group may be ejected at a time.
+func (p *Prober) ejectable(size int) int { return int(p.maximumShare * float64(size)) }
+
+// count returns how many of the group's endpoints are staying, and how many of
+// those are ejected.
+func (p *Prober) count(group string) (size, ejected int) {
+	for _, e := range p.ordered {
+		if e.group != group || e.isLeaving() {
+			continue
+		}
+		size++
+		if e.ejected {
+			ejected++
+		}
+	}
+	return size, ejected
+}
+
+// relax takes ejected endpoints back into use where so many of their group
+// have left meanwhile that the largest share is exceeded.
+func (p *Prober) relax(now time.Time) {
+	for _, e := range p.ordered {
+		if !e.ejected || e.isLeaving() {
+			continue
+		}
+		if size, ejected := p.count(e.group); ejected > p.ejectable(size) {
+			e.takeBack(now)
+			p.logDenied(e, now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/prober/prober.go
@@ -0,0 +1,188 @@
+// Package prober owns what this instance knows of the endpoints: their health
+// from its own traffic and from probes, their load reports, which of them are
+// leaving, and what their caches hold. It does not own the choice of an
+// endpoint, nor the requests whose results it is told.
+//
+// An instance does not probe every endpoint. It probes those it uses and a
+// sample of each group of equal endpoints, drawn by a hash of its own name, and
+// makes no more probes a second than the rate it is given.
+package prober
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/compiler"
+	"github.com/wigeonstand/wigeonstand/internal/generator"
+	"github.com/wigeonstand/wigeonstand/internal/logger"
+)
+
+const (
+	tickPeriod = 100 * time.Millisecond
+
+	defaultInterval     = time.Second
+	defaultRate         = 32
+	defaultLocalSample  = 8
+	defaultRemoteSample = 4
+	defaultThreshold    = 3
+	defaultEjection     = 5 * time.Second
+	defaultMaximumShare = 0.5
+	defaultRampTime     = 10 * time.Second
+	defaultResync       = 30 * time.Second
+
+	// usedFor is how long an endpoint counts as in use after its last request.
+	usedFor = 10 * time.Second
+	// longestEjection bounds the growth of repeated ejections, as a multiple.
+	longestEjection = 6
+	// probesAtOnce bounds the probes that wait for an answer.
+	probesAtOnce = 64
+)
+
+// Client asks an endpoint about itself; *dispatcher.Dispatcher is one.
+type Client interface {
+	Ping(ctx context.Context, endpoint *compiler.Endpoint) error
+	Load(ctx context.Context, endpoint *compiler.Endpoint) (generator.LoadReport, error)
+	Events(ctx context.Context, endpoint *compiler.Endpoint, after int64) (generator.EventPage, error)
+	Holdings(ctx context.Context, endpoint *compiler.Endpoint) (generator.HoldingReport, error)
+}
+
+// Watcher learns what engines' caches hold. Its methods are called from any
+// goroutine and must not wait.
+type Watcher interface {
+	// Evicted says that the engine holds nothing of the program any more.
+	Evicted(endpoint, program string)
+	// Held is the whole list of what the engine holds.
+	Held(endpoint string, holdings []generator.Holding)
+}
+
+// Prober follows the endpoints of the document in force. It is safe for
+// concurrent use.
+type Prober struct {
+	current func() *compiler.Version
+	client  Client
+	watcher Watcher
+	log     *logger.Logger
+
+	instance     string
+	dataCentre   string
+	interval     time.Duration
+	rate         int
+	localSample  int
+	remoteSample int
+	threshold    int
+	ejection     time.Duration
+	maximumShare float64
+	rampTime     time.Duration
+	resync       time.Duration
+
+	mutex     sync.Mutex
+	version   *compiler.Version
+	endpoints map[string]*endpoint
+	// ordered holds the endpoints by name.
+	ordered []*endpoint
+	allowed float64
+	probing int
+}
+
+// Option sets one property of a Prober.
+type Option func(*Prober)
+
+// WithInstance sets the instance's name and data centre, which decide its sample.
+func WithInstance(name, dataCentre string) Option {
+	return func(p *Prober) { p.instance, p.dataCentre = name, dataCentre }
+}
+
+// WithWatcher sets who learns what caches hold.
+func WithWatcher(w Watcher) Option { return func(p *Prober) { p.watcher = w } }
+
+// WithLogger sets where events are logged.
+func WithLogger(l *logger.Logger) Option { return func(p *Prober) { p.log = l } }
+
+// WithProbes sets the time between probes of one endpoint, and how many probes
+// are made a second in all.
+func WithProbes(interval time.Duration, rate int) Option {
+	return func(p *Prober) { p.interval, p.rate = interval, rate }
+}
+
+// WithSample sets how many endpoints of each group are probed without being in
+// use, in the own data centre and outside of it.
+func WithSample(local, remote int) Option {
+	return func(p *Prober) { p.localSample, p.remoteSample = local, remote }
+}
+
+// WithEjection sets after how many failures in a row an endpoint is ejected,
+// for how long at first, and the largest share of a group that may be.
+func WithEjection(threshold int, first time.Duration, share float64) Option {
+	return func(p *Prober) { p.threshold, p.ejection, p.maximumShare = threshold, first, share }
+}
+
+// WithRampTime sets how long a new or returned endpoint takes to get its full share.
+func WithRampTime(d time.Duration) Option { return func(p *Prober) { p.rampTime = d } }
+
+// WithResync sets the longest time between two whole lists of what an engine holds.
+func WithResync(d time.Duration) Option { return func(p *Prober) { p.resync = d } }
+
+// New returns a Prober of the endpoints in the version that current returns.
+// Current returns nil while no version is in force.
+func New(current func() *compiler.Version, client Client, options ...Option) *Prober {
+	p := &Prober{
+		current: current, client: client, watcher: noWatcher{}, log: logger.Discard(),
+		interval: defaultInterval, rate: defaultRate,
+		localSample: defaultLocalSample, remoteSample: defaultRemoteSample,
+		threshold: defaultThreshold, ejection: defaultEjection, maximumShare: defaultMaximumShare,
+		rampTime: defaultRampTime, resync: defaultResync,
+		endpoints: map[string]*endpoint{},
+	}
+	for _, option := range options {
+		option(p)
+	}
+	p.adopt(current(), time.Now())
+	return p
+}
+
+// Run probes until ctx ends and the last probe has returned.
+func (p *Prober) Run(ctx context.Context) error {
+	var probes sync.WaitGroup
+	defer probes.Wait()
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		for _, next := range p.tick() {
+			probes.Go(func() { p.probe(ctx, next) })
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// tick follows the document and returns the probes that are due.
+func (p *Prober) tick() []probe {
+	version := p.current()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := time.Now()
+	p.adopt(version, now)
+	p.relax(now)
+	p.allowed = min(p.allowed+float64(p.rate)*tickPeriod.Seconds(), float64(p.rate))
+	due := p.due(now)
+	room := min(int(p.allowed), probesAtOnce-p.probing, len(due))
+	if room <= 0 {
+		return nil
+	}
+	p.allowed -= float64(room)
+	p.probing += room
+	probes := make([]probe, 0, room)
+	for _, e := range due[:room] {
+		probes = append(probes, e.begin(now, p.interval))
+	}
+	return probes
+}
+
+type noWatcher struct{}
+
+func (noWatcher) Evicted(string, string)           {}
+func (noWatcher) Held(string, []generator.Holding) {}
--- /dev/null
+++ b/internal/prober/sample.go
@@ -0,0 +1,116 @@
+package prober
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonstand/wigeonstand/internal/compiler"
+)
+
+// adopt follows the document: it forgets endpoints that are gone and adds new
+// ones, which start with a small share unless they are in the first document.
+// A version that is not newer than the one adopted is passed over.
+func (p *Prober) adopt(version *compiler.Version, now time.Time) {
+	if version == nil || (p.version != nil && version.Number <= p.version.Number) {
+		return
+	}
+	first := p.version == nil
+	p.version = version
+	for name := range p.endpoints {
+		if version.Endpoints[name] == nil {
+			delete(p.endpoints, name)
+		}
+	}
+	for name, config := range version.Endpoints {
+		p.adoptOne(name, config, now, first)
+	}
+	p.ordered = slices.SortedFunc(maps.Values(p.endpoints), func(a, b *endpoint) int {
+		return cmp.Compare(a.config.Name, b.config.Name)
+	})
+	p.sample()
+}
+
+func (p *Prober) adoptOne(name string, config *compiler.Endpoint, now time.Time, first bool) {
+	e := p.endpoints[name]
+	if e == nil || e.config.Address != config.Address {
+		e = &endpoint{nextProbe: now}
+		if !first {
+			e.rampFrom = now
+		}
+		p.endpoints[name] = e
+	} else if e.config.Leaving && !config.Leaving {
+		e.rampFrom = now
+	}
+	if config.Leaving && (e.config == nil || !e.config.Leaving) {
+		p.log.Log(endpointLeaving, "Endpoint", name, "Sign", "Document")
+	}
+	e.config = config
+	e.group = groupOf(config)
+}
+
+// groupOf names the endpoints that can stand in for one another.
+func groupOf(config *compiler.Endpoint) string {
+	if config.Service != "" {
+		return "Service " + config.Service
+	}
+	models := slices.Sorted(slices.Values(config.Models))
+	return "Models " + strings.Join(models, ",")
+}
+
+// sample marks the endpoints that are probed without being in use. Instances
+// rank the endpoints differently, so that all endpoints are probed by some.
+func (p *Prober) sample() {
+	ranked := slices.Clone(p.ordered)
+	for _, e := range ranked {
+		e.rank = xxhash.Sum64String(p.instance + "\x00" + e.config.Name)
+	}
+	slices.SortStableFunc(ranked, func(a, b *endpoint) int { return cmp.Compare(a.rank, b.rank) })
+	taken := map[string]int{}
+	for _, e := range ranked {
+		key, limit := e.group+"\x00Remote", p.remoteSample
+		if e.config.DataCentre == p.dataCentre {
+			key, limit = e.group+"\x00Local", p.localSample
+		}
+		e.sampled = taken[key] < limit
+		taken[key]++
+	}
+}
+
+// due returns the endpoints to probe now: those that a failure has made
+// doubtful first, then those in use, then the sample; the longest overdue first.
+func (p *Prober) due(now time.Time) []*endpoint {
+	var due []*endpoint
+	for _, e := range p.ordered {
+		if !e.probing && p.isDue(e, now) {
+			due = append(due, e)
+		}
+	}
+	slices.SortStableFunc(due, func(a, b *endpoint) int {
+		return cmp.Or(cmp.Compare(class(a, now), class(b, now)), a.nextProbe.Compare(b.nextProbe))
+	})
+	return due
+}
+
+func (p *Prober) isDue(e *endpoint, now time.Time) bool {
+	if e.urgent {
+		return true
+	}
+	watched := e.sampled || e.inUse(now) || e.ejected || e.leaving
+	return watched && !now.Before(e.nextProbe)
+}
+
+// class orders the probes that are due.
+func class(e *endpoint, now time.Time) int {
+	switch {
+	case e.urgent || e.ejected:
+		return 0
+	case e.inUse(now):
+		return 1
+	}
+	return 2
+}
--- /dev/null
+++ b/internal/prober/share_test.go
@@ -0,0 +1,167 @@
+package prober_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/wigeonstand/wigeonstand/internal/compiler"
+	"github.com/wigeonstand/wigeonstand/internal/generator"
+	"github.com/wigeonstand/wigeonstand/internal/prober"
+)
+
+// The sizes of the target.
+const (
+	targetInstances   = 360
+	targetEndpoints   = 1400
+	targetModels      = 10
+	targetDataCentres = 18
+	// sampleTime is the time for a whole sample at the usual rate.
+	sampleTime = 4 * time.Second
+)
+
+func targetFleet() *fleet {
+	f := newFleet(names(targetEndpoints)...)
+	for i := range targetEndpoints {
+		endpoint := f.version.Endpoints[fmt.Sprintf("e%d", i)]
+		endpoint.Models = []string{fmt.Sprintf("m%d", i%targetModels)}
+		endpoint.DataCentre = fmt.Sprintf("d%d", i/targetModels%targetDataCentres)
+	}
+	return f
+}
+
+// TestProbesAreSharedAmongInstances runs each instance until it has probed its
+// whole sample.
+func TestProbesAreSharedAmongInstances(t *testing.T) {
+	f := targetFleet()
+	most := 0
+	for i := range targetInstances {
+		synctest.Test(t, func(t *testing.T) {
+			before := f.total()
+			ctx, cancel := context.WithTimeout(t.Context(), sampleTime)
+			defer cancel()
+			p := prober.New(f.current, f, prober.WithInstance(fmt.Sprintf("i%d", i), fmt.Sprintf("d%d", i%targetDataCentres)))
+			if err := p.Run(ctx); err != nil {
+				t.Error(err)
+			}
+			most = max(most, f.total()-before)
+		})
+	}
+	if most > 4*32+4 {
+		t.Errorf("an instance made %d probes in 4 s", most)
+	}
+	if diff := cmp.Diff(targetEndpoints, len(f.probes)); diff != "" {
+		t.Errorf("endpoints probed by any instance: %s", diff)
+	}
+	least, worst := f.total(), 0
+	for _, n := range f.probes {
+		least, worst = min(least, n), max(worst, n)
+	}
+	t.Logf("in 4 s an instance made at most %d probes; an endpoint got %d to %d, %.1f a second on average",
+		most, least, worst, float64(f.total())/sampleTime.Seconds()/targetEndpoints)
+}
+
+func (f *fleet) total() int {
+	n := 0
+	for _, probes := range f.probes {
+		n += probes
+	}
+	return n
+}
+
+func TestEndpointInUseIsProbedOutsideTheSample(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("e1", "e2")
+		p := f.run(t, prober.WithSample(0, 0))
+		p.Succeeded("e1", time.Millisecond)
+		time.Sleep(4500 * time.Millisecond)
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		if diff := cmp.Diff(map[string]int{"e1": 5}, f.probes); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestGapInCacheEventsAsksForTheWholeList(t *testing.T) {
+	stored := func(number int64, program string) generator.Event {
+		return generator.Event{Number: number, Program: program, Change: "Stored", Tokens: 16}
+	}
+	evicted := func(number int64, program string) generator.Event {
+		return generator.Event{Number: number, Program: program, Change: "Evicted", Tokens: 16}
+	}
+	tests := map[string]struct {
+		page    generator.EventPage
+		lists   int
+		after   int64
+		evicted []string
+		held    [2]int
+	}{
+		"None":    {generator.EventPage{Next: 9}, 1, 9, nil, [2]int{32, 0}},
+		"Next":    {generator.EventPage{Events: []generator.Event{stored(10, "p"), stored(11, "q")}, Next: 11}, 1, 11, nil, [2]int{48, 16}},
+		"Evicted": {generator.EventPage{Events: []generator.Event{evicted(10, "p"), evicted(11, "p")}, Next: 11}, 1, 11, []string{"e1 p"}, [2]int{0, 0}},
+		"Gap":     {generator.EventPage{Events: []generator.Event{stored(10, "p"), stored(12, "q")}, Next: 12}, 2, 12, nil, [2]int{32, 0}},
+		"LateGap": {generator.EventPage{Events: []generator.Event{stored(10, "p")}, Next: 13}, 2, 13, nil, [2]int{32, 0}},
+		"Restart": {generator.EventPage{Events: []generator.Event{stored(1, "p")}, Next: 1}, 2, 1, nil, [2]int{32, 0}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet("e1")
+				f.holdings = []generator.Holding{{Program: "p", Tokens: 32}}
+				f.pages = []generator.EventPage{
+					{Events: []generator.Event{stored(3, "old")}, Next: 9},
+					{Next: 9},
+					test.page,
+				}
+				p := f.run(t)
+				time.Sleep(2500 * time.Millisecond)
+				held := [2]int{p.HeldTokens("e1", "p"), p.HeldTokens("e1", "q")}
+				f.mutex.Lock()
+				defer f.mutex.Unlock()
+				if diff := cmp.Diff([2]int{test.lists, test.lists}, [2]int{f.listed, f.held}); diff != "" {
+					t.Error(diff)
+				}
+				if diff := cmp.Diff([]int64{0, 9, 9, test.after}, f.asked); diff != "" {
+					t.Error(diff)
+				}
+				if diff := cmp.Diff(test.evicted, f.evicted); diff != "" {
+					t.Error(diff)
+				}
+				if diff := cmp.Diff(test.held, held); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
+
+func TestWholeListIsAskedForAgainInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("e1")
+		f.run(t, prober.WithResync(10*time.Second))
+		time.Sleep(35 * time.Second)
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		if diff := cmp.Diff(4, f.listed); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestEndpointThatMovedStartsAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(names(4)...)
+		p := f.run(t)
+		fail(p, "e0", 3)
+		f.edit(func(all map[string]*compiler.Endpoint) { all["e0"].Address = engineOf("e0", 9).Address })
+		v := view(t, p, "e0")
+		if !v.Usable || v.Ramp >= 1 {
+			t.Errorf("%+v", v)
+		}
+	})
+}
--- /dev/null
+++ b/internal/prober/view.go
@@ -0,0 +1,132 @@
+package prober
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// gapPeers is the number of endpoints of a group that must have gaps
+	// before they are compared.
+	gapPeers = 3
+	// usualRatio is the ratio of an endpoint that can't be compared.
+	usualRatio = 1
+)
+
+// View is what is known of one endpoint now.
+type View struct {
+	Endpoint string
+	// Usable is false for an endpoint that is leaving or ejected.
+	Usable  bool
+	Leaving bool
+	Ejected bool
+	// Known says that there is a load report.
+	Known   bool
+	Running int
+	Waiting int
+	Slots   int
+	// ReportedAt is when the load figures were true, and Age how long ago that is.
+	ReportedAt time.Time
+	Age        time.Duration
+	// Reports counts the load reports, so that a new one is recognized.
+	Reports int64
+	// Ramp is the share of its slots that may be used, 0 to 1.
+	Ramp float64
+	// GapRatio is its time between tokens over the usual one of its group.
+	GapRatio float64
+}
+
+// View returns what is known of the endpoint; false if it isn't in the document.
+func (p *Prober) View(name string) (View, bool) {
+	version := p.current()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := time.Now()
+	p.adopt(version, now)
+	e := p.endpoints[name]
+	if e == nil {
+		return View{}, false
+	}
+	return p.view(e, now, p.usualGaps(now)), true
+}
+
+// Endpoints returns the views of all endpoints in the document, by name.
+func (p *Prober) Endpoints() []View {
+	version := p.current()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := time.Now()
+	p.adopt(version, now)
+	gaps := p.usualGaps(now)
+	views := make([]View, 0, len(p.ordered))
+	for _, e := range p.ordered {
+		views = append(views, p.view(e, now, gaps))
+	}
+	return views
+}
+
+// HeldTokens returns how much of the program the endpoint is believed to hold.
+func (p *Prober) HeldTokens(name, program string) int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	e := p.endpoints[name]
+	if e == nil {
+		return 0
+	}
+	return e.cache.tokens[program]
+}
+
+func (p *Prober) view(e *endpoint, now time.Time, gaps map[string]time.Duration) View {
+	v := View{
+		Endpoint: e.config.Name,
+		Usable:   !e.isLeaving() && !e.ejected,
+		Leaving:  e.isLeaving(),
+		Ejected:  e.ejected,
+		Slots:    e.config.Slots,
+		Ramp:     e.ramp(now, p.rampTime),
+		GapRatio: e.gapRatio(now, gaps[e.group]),
+		Reports:  e.reports,
+	}
+	if e.reportedAt.IsZero() {
+		return v
+	}
+	v.Known = true
+	v.Running = e.report.Running
+	v.Waiting = e.report.Waiting
+	if e.report.Slots > 0 {
+		v.Slots = e.report.Slots
+	}
+	v.ReportedAt = e.reportedAt
+	v.Age = now.Sub(e.reportedAt)
+	return v
+}
+
+func (e *endpoint) hasGap(now time.Time) bool {
+	return e.gap > 0 && now.Sub(e.gapAt) <= gapLife
+}
+
+func (e *endpoint) gapRatio(now time.Time, usual time.Duration) float64 {
+	if usual <= 0 || !e.hasGap(now) {
+		return usualRatio
+	}
+	return e.gap.Seconds() / usual.Seconds()
+}
+
+// usualGaps returns the median gap of each group that can be compared.
+func (p *Prober) usualGaps(now time.Time) map[string]time.Duration {
+	gaps := map[string][]time.Duration{}
+	for _, e := range p.ordered {
+		if e.hasGap(now) {
+			gaps[e.group] = append(gaps[e.group], e.gap)
+		}
+	}
+	usual := map[string]time.Duration{}
+	for group, all := range gaps {
+		if len(all) < gapPeers {
+			continue
+		}
+		slices.Sort(all)
+		usual[group] = all[len(all)/2]
+	}
+	return usual
+}
