internal/orderer: bring engines into line by orders under a fencing number

Cause: engines must serve what the document asks for, also where they ignore fencing numbers and a paused former holder's order comes late. Change: desired state against the state read back, until stable and at each interval; intents recorded first and waited out by a successor for engines that check nothing; reads from the weight store are rate limited. The dispatcher gives orders their own timeout and tells at once who is leaving. Tests: a paused holder's late order, the wait, no order without its intent, and a rapid property over up to four holders with late orders and lost answers.

--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -32,7 +32,7 @@
 // answer was cut, and Failed with Leaving set if the endpoint said that it
 // takes no new work.
 func (d *Dispatcher) Call(ctx context.Context, service *compiler.Service, endpoint *compiler.Endpoint, call requester.Call) (Answer, error) {
-	x := newExchange(ctx, endpoint, d.timeoutOf(service))
+	x := d.newExchange(ctx, endpoint, d.timeoutOf(service))
 	defer x.close()
 	if call.Key == "" && !service.Repeatable {
 		return Answer{}, x.fail(NotSent, ErrNoKey)
@@ -53,7 +53,7 @@
 // 404 says that the service has not seen the key; any other below 500 is the
 // recorded answer.
 func (d *Dispatcher) Status(ctx context.Context, service *compiler.Service, endpoint *compiler.Endpoint, key string) (Answer, error) {
-	x := newExchange(ctx, endpoint, d.controlTimeout)
+	x := d.newExchange(ctx, endpoint, d.controlTimeout)
 	defer x.close()
 	if service.StatusPath == "" {
 		return Answer{}, x.fail(NotSent, errNoStatus)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -20,6 +20,8 @@
 	defaultFirstByteTimeout = 30 * time.Second
 	defaultGapTimeout       = 10 * time.Second
 	defaultControlTimeout   = 2 * time.Second
+	defaultOrderTimeout     = 10 * time.Second
+	defaultCacheTimeout     = 30 * time.Second
 	defaultCallTimeout      = 30 * time.Second
 	defaultIdleTimeout      = 5 * time.Second
 	defaultIdlePerEndpoint  = 8
@@ -42,11 +44,14 @@
 	firstByteTimeout time.Duration
 	gapTimeout       time.Duration
 	controlTimeout   time.Duration
+	orderTimeout     time.Duration
+	cacheTimeout     time.Duration
 	callTimeout      time.Duration
 	idleTimeout      time.Duration
 	idlePerEndpoint  int
 	answerBytes      int64
 	cacheBytes       int64
+	leaving          func(endpoint string)
 
 	// pooled reuses connections; fresh never does.
 	pooled *http.Transport
@@ -74,7 +79,10 @@
 	return func(d *Dispatcher) { d.firstByteTimeout, d.gapTimeout = first, gap }
 }
 
-// WithControlTimeout bounds a whole request for reports, orders and cancels.
+// WithOrderTimeout bounds an order, which an engine answers once it is carried out.
+func WithOrderTimeout(t time.Duration) Option { return func(d *Dispatcher) { d.orderTimeout = t } }
+
+// WithControlTimeout bounds a whole request for reports and cancels.
 func WithControlTimeout(t time.Duration) Option {
 	return func(d *Dispatcher) { d.controlTimeout = t }
 }
@@ -90,6 +98,12 @@
 // WithAnswerLimit bounds the body of a service's answer, in bytes.
 func WithAnswerLimit(bytes int64) Option { return func(d *Dispatcher) { d.answerBytes = bytes } }
 
+// WithLeaving sets who is told at once when an endpoint answers that it takes
+// no new work; prober.Prober.Left fits.
+func WithLeaving(leaving func(endpoint string)) Option {
+	return func(d *Dispatcher) { d.leaving = leaving }
+}
+
 // New returns a Dispatcher. Close ends its idle connections.
 func New(options ...Option) *Dispatcher {
 	d := &Dispatcher{
@@ -98,11 +112,14 @@
 		firstByteTimeout: defaultFirstByteTimeout,
 		gapTimeout:       defaultGapTimeout,
 		controlTimeout:   defaultControlTimeout,
+		orderTimeout:     defaultOrderTimeout,
+		cacheTimeout:     defaultCacheTimeout,
 		callTimeout:      defaultCallTimeout,
 		idleTimeout:      defaultIdleTimeout,
 		idlePerEndpoint:  defaultIdlePerEndpoint,
 		answerBytes:      defaultAnswerBytes,
 		cacheBytes:       defaultCacheBytes,
+		leaving:          func(string) {},
 	}
 	for _, option := range options {
 		option(d)
--- a/internal/dispatcher/engine.go
+++ b/internal/dispatcher/engine.go
@@ -69,12 +69,18 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "encode request")
 	}
-	return d.fetch(ctx, endpoint, http.MethodPost, pathExport, contentJSON, body, d.cacheBytes)
+	return d.fetch(ctx, endpoint, short{
+		method: http.MethodPost, path: pathExport, contentType: contentJSON, body: body,
+		bound: d.cacheTimeout, limit: d.cacheBytes,
+	})
 }
 
 // Import adds cache entries that another engine exported.
 func (d *Dispatcher) Import(ctx context.Context, endpoint *compiler.Endpoint, body []byte) error {
-	_, err := d.fetch(ctx, endpoint, http.MethodPost, pathImport, contentBytes, body, d.answerBytes)
+	_, err := d.fetch(ctx, endpoint, short{
+		method: http.MethodPost, path: pathImport, contentType: contentBytes, body: body,
+		bound: d.cacheTimeout, limit: d.answerBytes,
+	})
 	return err
 }
 
@@ -82,7 +88,8 @@
 // has seen a higher fencing number.
 func (d *Dispatcher) SendOrder(ctx context.Context, endpoint *compiler.Endpoint, order generator.Order) (generator.OrderReport, error) {
 	var report generator.OrderReport
-	err := d.control(ctx, endpoint, http.MethodPost, pathOrders, order, &report)
+	send := short{method: http.MethodPost, path: pathOrders, bound: d.orderTimeout, limit: d.answerBytes}
+	err := d.exchangeJSON(ctx, endpoint, send, order, &report)
 	var failure *Failure
 	if errors.As(err, &failure) && failure.Status == http.StatusConflict {
 		failure.Cause = ErrFenced
--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -29,11 +29,12 @@
 	context  context.Context
 	cancel   context.CancelCauseFunc
 	watch    *time.Timer
+	leaving  func(endpoint string)
 }
 
 // newExchange returns an exchange that is silent if it isn't extended within the bound.
-func newExchange(ctx context.Context, endpoint *compiler.Endpoint, bound time.Duration) *exchange {
-	x := &exchange{endpoint: endpoint}
+func (d *Dispatcher) newExchange(ctx context.Context, endpoint *compiler.Endpoint, bound time.Duration) *exchange {
+	x := &exchange{endpoint: endpoint, leaving: d.leaving}
 	x.context, x.cancel = context.WithCancelCause(ctx)
 	x.watch = time.AfterFunc(bound, func() { x.cancel(errSilent) })
 	return x
@@ -112,24 +113,42 @@
 	failure.Status = response.StatusCode
 	failure.Leaving = response.StatusCode == http.StatusServiceUnavailable &&
 		response.Header.Get(LeavingHeader) != ""
+	if failure.Leaving {
+		x.leaving(x.endpoint.Name)
+	}
 	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil && seconds > 0 {
 		failure.RetryAfter = time.Duration(seconds) * time.Second
 	}
 	return failure
 }
 
+// short is a request whose answer is read whole. It may be repeated.
+type short struct {
+	method      string
+	path        string
+	contentType string
+	body        []byte
+	// bound is the time in all, and limit the size of the answer in bytes.
+	bound time.Duration
+	limit int64
+}
+
 // control sends a short request with an optional JSON body, and decodes the
-// answer into out unless it is nil. All of them may be repeated.
+// answer into out unless it is nil.
 func (d *Dispatcher) control(ctx context.Context, endpoint *compiler.Endpoint, method, path string, in, out any) error {
-	var body []byte
+	return d.exchangeJSON(ctx, endpoint, short{method: method, path: path, bound: d.controlTimeout, limit: d.answerBytes}, in, out)
+}
+
+func (d *Dispatcher) exchangeJSON(ctx context.Context, endpoint *compiler.Endpoint, s short, in, out any) error {
 	if in != nil {
 		encoded, err := json.Marshal(in)
 		if err != nil {
 			return eris.Wrap(err, "encode request")
 		}
-		body = encoded
+		s.body = encoded
+		s.contentType = contentJSON
 	}
-	answer, err := d.fetch(ctx, endpoint, method, path, contentJSON, body, d.answerBytes)
+	answer, err := d.fetch(ctx, endpoint, s)
 	if err != nil || out == nil {
 		return err
 	}
@@ -137,10 +156,10 @@
 }
 
 // fetch sends a short request and returns the whole body of its answer.
-func (d *Dispatcher) fetch(ctx context.Context, endpoint *compiler.Endpoint, method, path, contentType string, body []byte, limit int64) ([]byte, error) {
-	x := newExchange(ctx, endpoint, d.controlTimeout)
+func (d *Dispatcher) fetch(ctx context.Context, endpoint *compiler.Endpoint, s short) ([]byte, error) {
+	x := d.newExchange(ctx, endpoint, s.bound)
 	defer x.close()
-	request, err := x.newRequest(method, path, contentType, body)
+	request, err := x.newRequest(s.method, s.path, s.contentType, s.body)
 	if err != nil {
 		return nil, err
 	}
@@ -152,7 +171,7 @@
 	if response.StatusCode >= http.StatusMultipleChoices {
 		return nil, x.refused(response)
 	}
-	return x.readAll(response, limit)
+	return x.readAll(response, s.limit)
 }
 
 // readAll returns the whole body of the answer, or a failure if it is cut or too large.
--- a/internal/dispatcher/generate.go
+++ b/internal/dispatcher/generate.go
@@ -33,7 +33,7 @@
 // the text from request.Offset on, whole, once the last chunk came. Any error
 // is a *Failure; its Text and Offset say where another attempt may resume.
 func (d *Dispatcher) Generate(ctx context.Context, endpoint *compiler.Endpoint, request generator.GenerateRequest, sink requester.Sink) (string, generator.Usage, error) {
-	x := newExchange(ctx, endpoint, d.firstByteTimeout)
+	x := d.newExchange(ctx, endpoint, d.firstByteTimeout)
 	defer x.close()
 	g := &generation{request: request, sink: sink, next: request.Offset}
 	failure := d.generate(ctx, x, g)
--- a/internal/dispatcher/generate_test.go
+++ b/internal/dispatcher/generate_test.go
@@ -263,3 +263,19 @@
 		}
 	})
 }
+
+func TestLeavingIsToldAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var left []string
+		d := newEndpoint(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(dispatcher.LeavingHeader, "true")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, dispatcher.WithLeaving(func(name string) { left = append(left, name) }))
+		_, _, generateErr := d.Generate(t.Context(), engine, request, nil)
+		_, callErr := d.Call(t.Context(), docket, engine, lodge)
+		pingErr := d.Ping(t.Context(), engine)
+		if diff := cmp.Diff([]string{"e1", "e1", "e1"}, left); diff != "" {
+			t.Errorf("%v, %v, %v: %s", generateErr, callErr, pingErr, diff)
+		}
+	})
+}
--- /dev/null
+++ b/internal/orderer/desired.go
@@ -0,0 +1,140 @@
+package orderer
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/wigeonstand/wigeonstand/internal/compiler"
+	"github.com/wigeonstand/wigeonstand/internal/generator"
+)
+
+// The changes of orders.
+const (
+	loadModel     = "LoadModel"
+	unloadModel   = "UnloadModel"
+	loadAdapter   = "LoadAdapter"
+	unloadAdapter = "UnloadAdapter"
+	setRole       = "SetRole"
+	setVersion    = "SetVersion"
+)
+
+// Adapter is one adapter of a model.
+type Adapter struct {
+	Model string
+	Name  string
+}
+
+// Desired is what an engine is to serve.
+type Desired struct {
+	Models   []string
+	Adapters []Adapter
+	// Role is empty if it is left as it is.
+	Role string
+	// Version is empty if it is left as it is. An engine shows its version
+	// only as the id of the last order, so this order goes last.
+	Version string
+}
+
+// DesiredOf returns what the document asks of the engine: its models, and the
+// adapters of all agent programs that use one of them.
+func DesiredOf(version *compiler.Version, endpoint *compiler.Endpoint) Desired {
+	desired := Desired{Models: slices.Sorted(slices.Values(endpoint.Models))}
+	for _, agent := range version.Agents {
+		adapter := Adapter{Model: agent.Model, Name: agent.Adapter}
+		if agent.Adapter == "" || !slices.Contains(endpoint.Models, agent.Model) {
+			continue
+		}
+		if !slices.Contains(desired.Adapters, adapter) {
+			desired.Adapters = append(desired.Adapters, adapter)
+		}
+	}
+	slices.SortFunc(desired.Adapters, func(a, b Adapter) int {
+		return cmp.Or(compare(a.Model, b.Model), compare(a.Name, b.Name))
+	})
+	return desired
+}
+
+func compare(a, b string) int { return cmp.Compare(a, b) }
+
+// orders returns the orders that lead from the state to what is desired, under
+// the fencing number; none if the state is in line and was made under it.
+func (d Desired) orders(state generator.OrderReport, fence int64) []generator.Order {
+	orders := append(d.unloads(state), d.additions(state)...)
+	version := d.versionID(fence)
+	if d.Version != "" && (len(orders) > 0 || state.LastOrder != version) {
+		orders = append(orders, generator.Order{ID: version, Change: setVersion, Name: d.Version})
+	}
+	if len(orders) == 0 && state.Fence != fence {
+		orders = d.touch(state)
+	}
+	for i := range orders {
+		orders[i].Fence = fence
+		if orders[i].ID == "" {
+			orders[i].ID = ulid.Make().String()
+		}
+	}
+	return orders
+}
+
+// unloads come first: an engine's memory may not hold old and new models together.
+func (d Desired) unloads(state generator.OrderReport) []generator.Order {
+	var orders []generator.Order
+	for _, name := range state.Adapters {
+		if !slices.ContainsFunc(d.Adapters, func(a Adapter) bool { return a.Name == name }) {
+			orders = append(orders, generator.Order{Change: unloadAdapter, Name: name})
+		}
+	}
+	for _, model := range state.Models {
+		if !slices.Contains(d.Models, model) {
+			orders = append(orders, generator.Order{Change: unloadModel, Model: model})
+		}
+	}
+	return orders
+}
+
+func (d Desired) additions(state generator.OrderReport) []generator.Order {
+	var orders []generator.Order
+	for _, model := range d.Models {
+		if !slices.Contains(state.Models, model) {
+			orders = append(orders, generator.Order{Change: loadModel, Model: model})
+		}
+	}
+	for _, adapter := range d.Adapters {
+		if !slices.Contains(state.Adapters, adapter.Name) {
+			orders = append(orders, generator.Order{Change: loadAdapter, Model: adapter.Model, Name: adapter.Name})
+		}
+	}
+	if d.Role != "" && state.Role != d.Role {
+		orders = append(orders, generator.Order{Change: setRole, Name: d.Role})
+	}
+	return orders
+}
+
+// touch returns an order that changes nothing but the fencing number, so that
+// an engine which checks it refuses a former holder's orders from then on.
+func (d Desired) touch(state generator.OrderReport) []generator.Order {
+	switch {
+	case state.Role != "":
+		return []generator.Order{{Change: setRole, Name: state.Role}}
+	case len(d.Models) > 0:
+		return []generator.Order{{Change: loadModel, Model: d.Models[0]}}
+	}
+	return nil
+}
+
+// versionID is the same for every order of this version under the fencing number.
+func (d Desired) versionID(fence int64) string { return fmt.Sprintf("Version/%s/%d", d.Version, fence) }
+
+// readsWeights reports whether the order makes the engine read from the weight store.
+func readsWeights(order generator.Order, state generator.OrderReport) bool {
+	switch order.Change {
+	case loadModel:
+		return !slices.Contains(state.Models, order.Model)
+	case loadAdapter, setVersion:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/orderer/fake_test.go
@@ -0,0 +1,175 @@
+package orderer_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/wigeonstand/wigeonstand/internal/compiler"
+	"github.com/wigeonstand/wigeonstand/internal/dispatcher"
+	"github.com/wigeonstand/wigeonstand/internal/generator"
+	"github.com/wigeonstand/wigeonstand/internal/orderer"
+)
+
+func TestMain(m *testing.M) {
+	// The command line goes before this seed.
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	goleak.VerifyTestMain(m)
+}
+
+// engine is one engine that orders act on.
+type engine struct {
+	mutex   sync.Mutex
+	checks  bool
+	state   generator.OrderReport
+	highest int64
+	applied []generator.Order
+	times   []time.Time
+}
+
+func (e *engine) apply(order generator.Order) error {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.checks && order.Fence < e.highest {
+		return dispatcher.ErrFenced
+	}
+	s := &e.state
+	switch order.Change {
+	case "LoadModel":
+		s.Models = with(s.Models, order.Model)
+	case "UnloadModel":
+		s.Models = without(s.Models, order.Model)
+	case "LoadAdapter":
+		s.Adapters = with(s.Adapters, order.Name)
+	case "UnloadAdapter":
+		s.Adapters = without(s.Adapters, order.Name)
+	case "SetRole":
+		s.Role = order.Name
+	}
+	s.Fence, s.LastOrder = order.Fence, order.ID
+	e.highest = max(e.highest, order.Fence)
+	e.applied = append(e.applied, order)
+	e.times = append(e.times, time.Now())
+	return nil
+}
+
+func (e *engine) read() generator.OrderReport {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	s := e.state
+	s.Models, s.Adapters = slices.Clone(s.Models), slices.Clone(s.Adapters)
+	return s
+}
+
+func with(all []string, name string) []string {
+	all = append(without(all, name), name)
+	slices.Sort(all)
+	return all
+}
+
+func without(all []string, name string) []string {
+	return slices.DeleteFunc(slices.Clone(all), func(other string) bool { return other == name })
+}
+
+// instance is one instance's way to the engine and its belief of the lease.
+type instance struct {
+	engine *engine
+	fence  int64
+	held   bool
+	// late carries an order out this long after it was sent; the sender is
+	// told of a failure at once. Zero carries it out at once.
+	late time.Duration
+	// lose answers an order that was carried out with a failure.
+	lose bool
+	// pause stops the sender between its last check and the sending.
+	pause time.Duration
+	sent  int
+	wait  *sync.WaitGroup
+}
+
+func (i *instance) Fence(string) (int64, bool) { return i.fence, i.held }
+
+func (i *instance) State(context.Context, *compiler.Endpoint) (generator.OrderReport, error) {
+	return i.engine.read(), nil
+}
+
+var errLost = errors.New("answer lost")
+
+func (i *instance) SendOrder(_ context.Context, _ *compiler.Endpoint, order generator.Order) (generator.OrderReport, error) {
+	i.sent++
+	time.Sleep(i.pause)
+	if i.late > 0 {
+		after := i.late
+		i.wait.Go(func() {
+			time.Sleep(after)
+			_ = i.engine.apply(order)
+		})
+		return generator.OrderReport{}, errLost
+	}
+	err := i.engine.apply(order)
+	if i.lose {
+		err = errLost
+	}
+	return i.engine.read(), err
+}
+
+// store keeps intents; the newest fencing number may record.
+type store struct {
+	mutex  sync.Mutex
+	newest int64
+	down   bool
+	// recording is called while an intent is recorded.
+	recording func()
+	intents   []orderer.Intent
+}
+
+var errDown = errors.New("store is down")
+
+func (s *store) Record(_ context.Context, intent orderer.Intent) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down || intent.Order.Fence < s.newest {
+		return errDown
+	}
+	if s.recording != nil {
+		s.recording()
+	}
+	s.intents = append(s.intents, intent)
+	return nil
+}
+
+func (s *store) Open(context.Context, string) ([]orderer.Intent, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down {
+		return nil, errDown
+	}
+	return slices.Clone(s.intents), nil
+}
+
+func (s *store) Settle(_ context.Context, _ string, fence int64) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down {
+		return errDown
+	}
+	s.intents = slices.DeleteFunc(s.intents, func(i orderer.Intent) bool { return i.Order.Fence <= fence })
+	return nil
+}
+
+func endpoint(checks bool) *compiler.Endpoint {
+	return &compiler.Endpoint{Name: "e1", Address: netip.MustParseAddrPort("127.0.0.1:9"), Models: []string{"m"}, ChecksFence: checks}
+}
+
+func newOrderer(i *instance, s *store, options ...orderer.Option) *orderer.Orderer {
+	return orderer.New(func() *compiler.Version { return nil }, i, i, s, options...)
+}
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -151,8 +151,8 @@
 			} else {
 				p.Left(name)
 				leaving[name] = true
+				p.Tick()
 			}
-			p.Tick()
 			staying := size - len(leaving)
 			if got := usable(p); got < staying-staying/2 {
 				r.Fatalf("%d of %d staying endpoints are usable", got, staying)
