--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -27,6 +27,8 @@
 	defaultIdlePerEndpoint  = 8
 	defaultAnswerBytes      = 8 << 20
 	defaultCacheBytes       = 256 << 20
+	// maximumHeaderBytes bounds the header of an answer.
+	maximumHeaderBytes = 64 << 10
 	// maximumEventBytes bounds one server-sent event.
 	maximumEventBytes = 1 << 20
 	// initialEventBytes is the buffer that a stream starts with.
@@ -148,6 +150,8 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: d.idlePerEndpoint,
 		IdleConnTimeout:     d.idleTimeout,
+
+		MaxResponseHeaderBytes: maximumHeaderBytes,
 	}
 }
 
--- a/internal/dispatcher/generate.go
+++ b/internal/dispatcher/generate.go
@@ -139,17 +139,18 @@
 	return chunk.Done, nil
 }
 
-// add appends the chunk's text, which must start where the text so far ends.
+// add appends the chunk's text, which must start where the text so far ends. A
+// last chunk without text may leave its offset out.
 func (g *generation) add(x *exchange, chunk generator.Chunk) *Failure {
+	if chunk.Offset > g.next {
+		return x.fail(Truncated, eris.Wrapf(errProtocol, "offset %d after %d", chunk.Offset, g.next))
+	}
 	if chunk.Done && chunk.Tokens == 0 && chunk.Text == "" {
 		return g.deliver(x, chunk)
 	}
 	if chunk.Tokens < 0 || chunk.Offset < g.next {
 		return x.fail(Failed, eris.Wrapf(errProtocol, "offset %d after %d", chunk.Offset, g.next))
 	}
-	if chunk.Offset > g.next {
-		return x.fail(Truncated, eris.Wrapf(errProtocol, "offset %d after %d", chunk.Offset, g.next))
-	}
 	g.text.WriteString(chunk.Text)
 	g.next += chunk.Tokens
 	return g.deliver(x, chunk)
--- a/internal/dispatcher/generate_test.go
+++ b/internal/dispatcher/generate_test.go
@@ -71,6 +71,13 @@
 			},
 			dispatcher.Failure{Reason: dispatcher.Truncated, Offset: 1, Text: "a "},
 		},
+		{
+			"LastChunksMissing",
+			func(w http.ResponseWriter, _ *http.Request) {
+				stream(w, first+event(generator.Chunk{Request: "r1", Offset: 2, Done: true, Usage: &usage}))
+			},
+			dispatcher.Failure{Reason: dispatcher.Truncated, Offset: 1, Text: "a ", Usage: usage},
+		},
 		{
 			"ChunkTwice",
 			func(w http.ResponseWriter, _ *http.Request) { stream(w, first+first) },
--- a/internal/dispatcher/pipe_test.go
+++ b/internal/dispatcher/pipe_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/netip"
@@ -130,3 +131,5 @@
 	}
 	return asked
 }
+
+func quiet() *log.Logger { return log.New(io.Discard, "", 0) }
