--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -22,6 +22,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/forwarder"
 	"github.com/wigeonstand/wigeonstand/internal/logger"
 	"github.com/wigeonstand/wigeonstand/internal/meter"
+	"github.com/wigeonstand/wigeonstand/internal/prober"
 	"github.com/wigeonstand/wigeonstand/internal/publisher"
 	"github.com/wigeonstand/wigeonstand/internal/receiver"
 )
@@ -34,6 +35,7 @@
 	store      *connector.Connector
 	follower   *publisher.Follower
 	dispatcher *dispatcher.Dispatcher
+	prober     *prober.Prober
 	peers      *forwarder.Client
 	peerTLS    *tls.Config
 	peerServer *forwarder.Server
--- a/internal/assembler/daemon.go
+++ b/internal/assembler/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/forwarder"
 	"github.com/wigeonstand/wigeonstand/internal/generator"
 	"github.com/wigeonstand/wigeonstand/internal/meter"
+	"github.com/wigeonstand/wigeonstand/internal/prober"
 	"github.com/wigeonstand/wigeonstand/internal/publisher"
 	"github.com/wigeonstand/wigeonstand/internal/receiver"
 	"github.com/wigeonstand/wigeonstand/internal/requester"
@@ -154,6 +155,8 @@
 		options = append(options, dispatcher.WithTLS(certs.Client))
 	}
 	d.dispatcher = dispatcher.New(options...)
+	d.prober = prober.New(d.follower.Current, d.dispatcher,
+		prober.WithInstance(d.settings.Instance, d.settings.DataCentre), prober.WithWatcher(memory{d}), prober.WithLogger(d.log))
 	return nil
 }
 
@@ -219,11 +222,16 @@
 	if err := d.listenInternal(base); err != nil {
 		return err
 	}
-	if err := d.follower.Start(ctx); err != nil {
+	starting, started := context.WithCancel(ctx)
+	defer context.AfterFunc(base, started)()
+	err := d.follower.Start(starting)
+	started()
+	if err != nil {
 		return d.stoppedEarly(ctx, err)
 	}
 	d.work.Go(func() { d.follower.Run(base) })
 	d.work.Go(func() { d.serveTenures(base) })
+	d.work.Go(func() { _ = d.prober.Run(base) })
 	d.work.Go(func() { d.watch(base) })
 	listener, err := d.network.Listen(d.settings.CallerListen)
 	if err != nil {
@@ -326,22 +334,6 @@
 	return nil
 }
 
-// watch tells the owner whether the store confirms the lease.
-func (d *daemon) watch(ctx context.Context) {
-	ticker := time.NewTicker(healthPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		if t := d.tenure.Load(); t != nil {
-			t.owner.Tell(decider.StoreHealth{Down: !t.lease.Confirmed()})
-		}
-	}
-}
-
 // stop ends the instance as planned: it reports that it is not ready, hands its
 // shards over, finishes what is in flight and closes its listeners.
 func (d *daemon) stop(base context.Context, stopServing context.CancelFunc, served <-chan struct{}) {
--- a/internal/assembler/fuzz_test.go
+++ b/internal/assembler/fuzz_test.go
@@ -232,11 +232,11 @@
 	}
 	p, client := w.postings[key], w.client(t)
 	w.work.Go(func() {
-		_, err := client.Call(context.Background(), "fee-posting", http.MethodPost, "/postings",
+		result, err := client.Call(context.Background(), "fee-posting", http.MethodPost, "/postings",
 			caller.WithCallKey(key), caller.WithBody("application/json", []byte(`{"Key":"`+key+`"}`)))
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.done = p.done || err == nil
+		p.done = p.done || (err == nil && result.Status == http.StatusOK)
 	})
 }
 
--- a/internal/assembler/operators.go
+++ b/internal/assembler/operators.go
@@ -112,8 +112,9 @@
 			Name: described.Name, Address: described.Address, DataCentre: described.DataCentre,
 			Service: described.Service, Models: described.Models, State: "Healthy", Slots: described.Slots,
 		}
-		if described.Leaving {
-			endpoint.State = "Leaving"
+		if v, ok := e.daemon.prober.View(described.Name); ok {
+			endpoint.State = stateOf(v)
+			endpoint.Running, endpoint.Waiting, endpoint.ReportAge = v.Running, v.Waiting, v.Age
 		}
 		all = append(all, endpoint)
 	}
--- a/internal/assembler/tenure.go
+++ b/internal/assembler/tenure.go
@@ -58,7 +58,7 @@
 		limiter.NewRetryBudget(uint64(held.Generation)),
 		decider.WithName(holder), decider.WithDataCentre(d.settings.DataCentre))
 	work := owner.New(core, d.dispatcher, d.follower.Current,
-		owner.WithLogger(d.log), owner.WithMeter(d.meter),
+		owner.WithLogger(d.log), owner.WithMeter(d.meter), owner.WithObserver(d.prober),
 		owner.WithEscrow(escrower.New(d.store, holder)), owner.WithConfirmed(lease.Confirmed))
 	places := placer.New(lease, journal, placer.Platform{Table: d.store, Objects: d.store, Lister: d.store}, work, listeningPeers{d},
 		placer.WithLogger(d.log), placer.WithInstances(d.store.SetInstances),
@@ -84,9 +84,7 @@
 }
 
 // run serves until ctx ends or the lease is taken away.
-func (t *tenure) run(ctx context.Context, d *daemon) error {
-	t.owner.Start(context.WithoutCancel(ctx), t.journal, t.journal.Full)
-	t.owner.Tell(decider.VersionChanged{Version: d.follower.Current()})
+func (t *tenure) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	errs := make(chan error, 3)
@@ -112,9 +110,11 @@
 			pause(ctx, acquireRetry)
 			continue
 		}
+		t.owner.Start(context.WithoutCancel(ctx), t.journal, t.journal.Full)
 		d.tenure.Store(t)
+		t.owner.Tell(decider.VersionChanged{Version: d.follower.Current()})
 		d.log.Log(eventLeaseTaken, "Generation", t.lease.Lease().Generation)
-		err = t.run(ctx, d)
+		err = t.run(ctx)
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -100,7 +100,7 @@
 // Do implements framer.DRPCPeerServer.
 func (h handler) Do(in *framer.Command, stream framer.DRPCPeer_DoStream) error {
 	var command requester.Command
-	out := &frames{stream: stream}
+	out := newFrames(stream)
 	if err := json.Unmarshal(in.GetBody(), &command); err != nil {
 		return out.fail(answerer.Wrap(answerer.BadRequest, err, "the command is malformed"))
 	}
@@ -132,15 +132,23 @@
 // frames sends the parts of one answer. It implements requester.Sink.
 type frames struct {
 	stream framer.DRPCPeer_DoStream
+	// turn is held while a frame is sent, which may take long.
+	turn chan struct{}
 
 	mu   sync.Mutex
 	last time.Time
 }
 
+func newFrames(stream framer.DRPCPeer_DoStream) *frames {
+	return &frames{stream: stream, turn: make(chan struct{}, 1)}
+}
+
 func (f *frames) send(frame *framer.Frame) error {
+	f.turn <- struct{}{}
+	defer func() { <-f.turn }()
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.last = time.Now()
+	f.mu.Unlock()
 	return f.stream.Send(frame)
 }
 
--- a/internal/owner/actions.go
+++ b/internal/owner/actions.go
@@ -78,8 +78,8 @@
 	}
 	began := time.Now()
 	text, usage, err := o.endpoints.Generate(ctx, endpoint, a.Request, o.newRelay(a))
+	o.observer.Report(a.Endpoint, time.Since(began), err)
 	if err == nil {
-		o.observer.Succeeded(a.Endpoint, time.Since(began))
 		o.countTokens(usage)
 		o.Tell(decider.Generated{Attempt: a.Attempt, Text: text, Usage: usage})
 		return
@@ -97,9 +97,6 @@
 		if failure.Usage.Total() > 0 {
 			failed.Usage = &failure.Usage
 		}
-		if failure.Reason != dispatcher.Canceled {
-			o.observer.Failed(a.Endpoint, failure.Reason)
-		}
 	}
 	if failed.Cause != decider.Canceled {
 		o.log.Log(eventAttemptFailed, "Attempt", a.Attempt, "Program", a.Request.Program, "Endpoint", a.Endpoint, "Cause", err)
@@ -167,13 +164,12 @@
 	}
 	began := time.Now()
 	answer, err := o.endpoints.Call(o.ctx, service, endpoint, a.Call)
+	o.observer.Report(a.Endpoint, time.Since(began), err)
 	if err == nil {
-		o.observer.Succeeded(a.Endpoint, time.Since(began))
 		o.Tell(decider.Invoked{Attempt: a.Attempt, Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body})
 		return
 	}
 	reason := dispatcher.ReasonOf(err)
-	o.observer.Failed(a.Endpoint, reason)
 	o.log.Log(eventCallFailed, "Attempt", a.Attempt, "Service", a.Service, "Endpoint", a.Endpoint, "Cause", err)
 	o.Tell(decider.InvokeFailed{Attempt: a.Attempt, NotSent: reason == dispatcher.NotSent})
 }
@@ -235,8 +231,7 @@
 
 func (o *Owner) newRelay(a decider.Generate) requester.Sink { return &relay{owner: o, attempt: a} }
 
-// Chunk implements requester.Sink. A caller that cannot be written to does not
-// end the attempt; the core learns of its leaving by Gone.
+// Chunk implements requester.Sink. It never waits for the caller.
 func (r *relay) Chunk(chunk generator.Chunk) error {
 	now := time.Now()
 	if !r.last.IsZero() {
@@ -244,22 +239,20 @@
 	}
 	r.last = now
 	w := r.owner.waiter(r.attempt.Sink)
-	if w == nil || w.sink == nil {
+	if w == nil {
 		return nil
 	}
 	w.first.Do(func() { r.owner.meter.FirstTokenSeconds.Observe(now.Sub(w.began).Seconds()) })
-	if chunk.Done {
-		return nil
+	if !chunk.Done {
+		w.box.put(chunk)
 	}
-	_ = w.sink.Chunk(chunk)
 	return nil
 }
 
 type silentObserver struct{}
 
-func (silentObserver) Succeeded(string, time.Duration)  {}
-func (silentObserver) Failed(string, dispatcher.Reason) {}
-func (silentObserver) Gap(string, time.Duration)        {}
+func (silentObserver) Report(string, time.Duration, error) {}
+func (silentObserver) Gap(string, time.Duration)           {}
 
 type noEscrow struct{}
 
--- /dev/null
+++ b/internal/owner/outbox.go
@@ -0,0 +1,50 @@
+package owner
+
+import (
+	"sync"
+
+	"github.com/wigeonstand/wigeonstand/internal/generator"
+	"github.com/wigeonstand/wigeonstand/internal/requester"
+)
+
+// outbox holds the chunks that a caller has not taken yet, so that a slow or
+// silent caller never holds up an engine's stream. One turn's longest output
+// bounds it.
+type outbox struct {
+	sink  requester.Sink
+	ready chan struct{}
+
+	mu     sync.Mutex
+	chunks []generator.Chunk
+}
+
+func newOutbox(sink requester.Sink) *outbox {
+	return &outbox{sink: sink, ready: make(chan struct{}, 1)}
+}
+
+func (b *outbox) put(chunk generator.Chunk) {
+	if b.sink == nil {
+		return
+	}
+	b.mu.Lock()
+	b.chunks = append(b.chunks, chunk)
+	b.mu.Unlock()
+	select {
+	case b.ready <- struct{}{}:
+	default:
+	}
+}
+
+// forward hands everything that waits to the caller. A caller that cannot be
+// written to does not end the attempt; its leaving is told apart.
+func (b *outbox) forward() {
+	b.mu.Lock()
+	chunks := b.chunks
+	b.chunks = nil
+	b.mu.Unlock()
+	for _, chunk := range chunks {
+		if b.sink.Chunk(chunk) != nil {
+			return
+		}
+	}
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -34,8 +34,8 @@
 
 // Observer learns how requests to endpoints went.
 type Observer interface {
-	Succeeded(endpoint string, took time.Duration)
-	Failed(endpoint string, reason dispatcher.Reason)
+	// Report says how a request went; err is the dispatcher's.
+	Report(endpoint string, took time.Duration, err error)
 	Gap(endpoint string, gap time.Duration)
 }
 
@@ -114,7 +114,7 @@
 
 // waiter is one caller that waits for the answer to a command.
 type waiter struct {
-	sink  requester.Sink
+	box   *outbox
 	reply chan decider.Answer
 	began time.Time
 	first sync.Once
@@ -200,20 +200,25 @@
 	if admits(command) && o.full() {
 		return requester.Reply{}, answerer.New(answerer.BacklogFull, "too much waits to be made durable")
 	}
-	w := &waiter{sink: sink, reply: make(chan decider.Answer, 1), began: time.Now()}
+	w := &waiter{box: newOutbox(sink), reply: make(chan decider.Answer, 1), began: time.Now()}
 	if !o.enter(command.Request, w) {
 		return requester.Reply{}, answerer.New(answerer.BadRequest, "the request id is in use")
 	}
 	defer o.exit(command.Request)
 	o.Tell(decider.Arrived{Command: command, Deadline: deadline(command)})
-	select {
-	case answer := <-w.reply:
-		return o.deliver(w, command, answer)
-	case <-ctx.Done():
-		o.Tell(decider.Gone{Request: command.Request})
-		return requester.Reply{}, gone(command, ctx.Err())
-	case <-o.ctx.Done():
-		return requester.Reply{}, stopped(command)
+	defer context.AfterFunc(ctx, func() { o.Tell(decider.Gone{Request: command.Request}) })()
+	for {
+		select {
+		case <-w.box.ready:
+			w.box.forward()
+		case answer := <-w.reply:
+			w.box.forward()
+			return o.deliver(w, command, answer)
+		case <-ctx.Done():
+			return requester.Reply{}, gone(command, ctx.Err())
+		case <-o.ctx.Done():
+			return requester.Reply{}, stopped(command)
+		}
 	}
 }
 
