--- a/internal/publisher/change.go
+++ b/internal/publisher/change.go
@@ -103,9 +103,25 @@
 		if !sleep(ctx, retry.NextBackOff()) {
 			return Result{}, a.giveUp(err)
 		}
+		p.meter.Retries.WithLabelValues(retryReason(err), "Store").Inc()
 	}
 }
 
+// retryReason names the cause of another attempt, for the counters.
+func retryReason(err error) string {
+	switch {
+	case errors.Is(err, storer.ErrConflict):
+		return "Conflict"
+	case errors.Is(err, storer.ErrInDoubt):
+		return "InDoubt"
+	case errors.Is(err, errStale):
+		return "Stale"
+	case !isTransient(err):
+		return "Unconfirmed"
+	}
+	return "Unavailable"
+}
+
 // isTransient says whether trying again may settle the request.
 func isTransient(err error) bool {
 	var refusal *answerer.Error
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -10,6 +10,7 @@
 
 	"github.com/wigeonstand/wigeonstand/internal/answerer"
 	"github.com/wigeonstand/wigeonstand/internal/compiler"
+	"github.com/wigeonstand/wigeonstand/internal/meter"
 	"github.com/wigeonstand/wigeonstand/internal/storer"
 )
 
@@ -26,6 +27,7 @@
 	compiler *compiler.Compiler
 	timeout  time.Duration
 	accepted func(version int64)
+	meter    *meter.Meter
 }
 
 // Option sets one property of a Publisher.
@@ -41,6 +43,11 @@
 	return func(p *Publisher) { p.accepted = accepted }
 }
 
+// WithMeter sets where repeated attempts are counted.
+func WithMeter(m *meter.Meter) Option {
+	return func(p *Publisher) { p.meter = m }
+}
+
 // New returns a Publisher that keeps the document in the table and the objects.
 func New(table storer.Table, objects storer.Objects, options ...Option) *Publisher {
 	p := &Publisher{
@@ -49,6 +56,7 @@
 		compiler: compiler.New(),
 		timeout:  defaultTimeout,
 		accepted: func(int64) {},
+		meter:    meter.New(),
 	}
 	for _, option := range options {
 		option(p)
--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/wigeonstand/wigeonstand/internal/answerer"
 	"github.com/wigeonstand/wigeonstand/internal/compiler"
+	"github.com/wigeonstand/wigeonstand/internal/meter"
 	"github.com/wigeonstand/wigeonstand/internal/publisher"
 )
 
@@ -36,15 +37,38 @@
 func TestLostAnswerIsSettledByTheEditID(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := newMemory(1)
-		p := publisher.New(m, m, publisher.WithTimeout(5*time.Second))
+		counts := meter.New()
+		p := publisher.New(m, m, publisher.WithTimeout(5*time.Second), publisher.WithMeter(counts))
 		m.set(faults{lost: 1}, false)
 		result := mustEdit(t, p, policy("e-1", 0, "Policy: {QueueLimit: 1}"))
 		if diff := cmp.Diff([]any{int64(1), true}, []any{result.Version, result.Replayed}); diff != "" {
 			t.Error(diff)
 		}
+		if diff := cmp.Diff(map[string]float64{"InDoubt": 1}, retries(t, counts)); diff != "" {
+			t.Error(diff)
+		}
 	})
 }
 
+// retries returns the counted retries by reason.
+func retries(t *testing.T, m *meter.Meter) map[string]float64 {
+	t.Helper()
+	families, err := m.Registry().Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	counts := map[string]float64{}
+	for _, family := range families {
+		if family.GetName() != "wigeonstand_retries_total" {
+			continue
+		}
+		for _, metric := range family.GetMetric() {
+			counts[metric.GetLabel()[0].GetValue()] = metric.GetCounter().GetValue()
+		}
+	}
+	return counts
+}
+
 func TestEditCutOffFromTheStoreIsUnknownAndSettledLater(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := newMemory(1)
