--- a/internal/publisher/change.go
+++ b/internal/publisher/change.go
@@ -245,6 +245,8 @@
 // commit is the one conditional write that accepts a version. An edit that
 // changes nothing leaves the head alone and is still recorded.
 func (a *attempt) commit(ctx context.Context, s snapshot, manifest Manifest, result Result) error {
+	// Rows stay small; the change can be shown from the texts.
+	result.Diff = ""
 	edit, err := encode(edited{Digest: a.digest, Result: result})
 	if err != nil {
 		return err
--- a/internal/publisher/manifest.go
+++ b/internal/publisher/manifest.go
@@ -95,7 +95,7 @@
 	Version   int64
 	Changed   []string
 	Revisions compiler.Revisions
-	// Diff shows the change as unified text.
+	// Diff shows the change as unified text; it is empty if Replayed is set.
 	Diff string `json:",omitempty"`
 	// DryRun is set if nothing was accepted.
 	DryRun bool `json:",omitempty"`
--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -281,3 +281,53 @@
 		synctest.Wait()
 	})
 }
+
+func TestRefusalIsNotFinalWhileAWriteIsInDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemory(2)
+		p := publisher.New(m, m)
+		m.set(faults{late: 1}, false)
+		edit := policy("e-1", 0, "Policy: {QueueLimit: 1}")
+		asked := 0
+		edit.May = func(string) bool {
+			asked++
+			if asked == 2 {
+				m.set(faults{}, false)
+			}
+			return asked == 1
+		}
+		result, err := p.Edit(t.Context(), edit)
+		if err != nil {
+			t.Fatalf("reported as %v although the write took effect", err)
+		}
+		if asked < 2 || !result.Replayed {
+			t.Errorf("the write was not in doubt when the right was lost: %+v", result)
+		}
+	})
+}
+
+func TestStartWaitsForTheVersionOffered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemory(1)
+		peer := startedPeer(t, m)
+		peer.down.Store(true)
+		old := newMemory(1)
+		f := publisher.NewFollower(old, old, publisher.WithPeer(peer))
+		f.Offer(1, "other")
+		started := make(chan error)
+		go func() { started <- f.Start(t.Context()) }()
+		time.Sleep(time.Hour)
+		select {
+		case err := <-started:
+			t.Fatalf("started with an older document than another instance has (%v)", err)
+		default:
+		}
+		peer.down.Store(false)
+		if err := <-started; err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(int64(1), f.Current().Number); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
