internal/bencher: ask the router only about turns that can be placed

Ruled out: asking at most every 100 ms, which would add to the latency that is measured. Change: turns are counted by the engine that served their program last, and a full fleet is passed over if none of these engines may take one more.

--- a/internal/bencher/scheduler.go
+++ b/internal/bencher/scheduler.go
@@ -74,8 +74,7 @@
 	case event.Arrival != nil:
 		s.arrive(now, event.Arrival)
 	case event.Hangup != nil:
-		s.queue.Remove(event.Hangup.Turn)
-		delete(s.waiting, event.Hangup.Turn)
+		s.hangup(event.Hangup.Turn)
 	case event.Started != nil:
 		s.view.started(now, event.Started)
 	case event.Finished != nil:
@@ -89,7 +88,9 @@
 	case event.Cache != nil:
 		s.view.cached(now, event.Cache)
 	}
-	s.serve(now)
+	if event.Cache == nil && event.Started == nil {
+		s.serve(now)
+	}
 	return s.actions
 }
 
@@ -106,8 +107,19 @@
 	s.push(now, a)
 }
 
+func (s *scheduler) hangup(turn string) {
+	a, ok := s.waiting[turn]
+	if !ok {
+		return
+	}
+	s.queue.Remove(turn)
+	delete(s.waiting, turn)
+	s.view.waits(a, -1)
+}
+
 func (s *scheduler) push(now time.Time, a *Arrival) {
 	s.waiting[a.Turn] = a
+	s.view.waits(a, 1)
 	s.queue.Push(queuer.Item{
 		ID: a.Turn, Program: a.Program, Business: a.Business, Weight: a.Weight,
 		Precedence: a.Precedence, Attained: a.Attained, Estimate: s.estimate(a), Arrived: now,
@@ -126,19 +138,16 @@
 
 // serve dispatches while a waiting turn can be placed.
 func (s *scheduler) serve(now time.Time) {
+	s.view.refreshGap()
 	for s.queue.Len() > 0 {
+		room := s.view.hasRoom(now)
+		if !room && !s.view.anyAtLast(now) {
+			break
+		}
 		chosen := -1
 		item, ok := s.queue.Next(now, func(item queuer.Item) bool {
-			a := s.waiting[item.ID]
-			candidates, engines := s.view.candidates(now, a)
-			if len(candidates) == 0 {
-				return false
-			}
-			i, picked := s.router.Pick(s.view.request(a), candidates)
-			if picked {
-				chosen = engines[i]
-			}
-			return picked
+			chosen = s.place(now, item, room)
+			return chosen >= 0
 		})
 		if !ok {
 			break
@@ -148,8 +157,24 @@
 	s.feasible.Backlog(now, s.queue.Len())
 }
 
+// place returns the engine for the item, or -1. Without room anywhere only the
+// engine that served the program's last turn is tried.
+func (s *scheduler) place(now time.Time, item queuer.Item, room bool) int {
+	a := s.waiting[item.ID]
+	candidates, engines := s.view.candidates(now, a, !room)
+	if len(candidates) == 0 {
+		return -1
+	}
+	i, picked := s.router.Pick(s.view.request(a), candidates)
+	if !picked {
+		return -1
+	}
+	return engines[i]
+}
+
 func (s *scheduler) dispatch(now time.Time, a *Arrival, engine int) {
 	delete(s.waiting, a.Turn)
+	s.view.waits(a, -1)
 	s.sent[a.Turn] = a
 	s.feasible.Dispatched(now)
 	s.view.dispatched(now, a, engine)
--- a/internal/bencher/view.go
+++ b/internal/bencher/view.go
@@ -15,6 +15,9 @@
 	// suspectTime is how long an engine is not used after a failure, unless a
 	// report arrives that is younger than the failure.
 	suspectTime = 2 * time.Second
+	// lastExcess is the share of its slots up to which the router may give an
+	// engine the next turn of a program.
+	lastExcess = 3
 	// gapGain is the weight of the latest time between tokens in the mean.
 	gapGain = 0.1
 	// residenceGain is the weight of the latest eviction in the mean residence.
@@ -28,6 +31,10 @@
 	programs map[string]*programView
 	buffer   []router.Candidate
 	indexes  []int
+	// usual is the median time between tokens in seconds, zero if unknown or not
+	// used; known is its scratch space.
+	usual float64
+	known []float64
 }
 
 // engineView is what is believed about one engine.
@@ -41,11 +48,13 @@
 	suspect     time.Time
 	outstanding int
 	// sent holds the times of dispatches since the report was measured.
-	sent     []time.Time
-	gap      float64
-	window   *limiter.Window
-	shared   map[string]int
-	pressure float64
+	sent []time.Time
+	// waitingFor counts the waiting turns whose program was served here last.
+	waitingFor int
+	gap        float64
+	window     *limiter.Window
+	shared     map[string]int
+	pressure   float64
 	// residence is how long unused entries last before they are evicted.
 	residence time.Duration
 }
@@ -53,6 +62,8 @@
 // programView is where a program's prefix is believed to be held.
 type programView struct {
 	last string
+	// lastIndex is the index of the engine last, -1 before the first turn.
+	lastIndex int
 	// held is in tokens after the instructions, saved when a turn last ended there.
 	held  []int
 	saved []time.Time
@@ -77,9 +88,10 @@
 	p, ok := v.programs[id]
 	if !ok {
 		p = &programView{
-			held:    make([]int, len(v.engines)),
-			saved:   make([]time.Time, len(v.engines)),
-			touched: make([]bool, len(v.engines)),
+			lastIndex: -1,
+			held:      make([]int, len(v.engines)),
+			saved:     make([]time.Time, len(v.engines)),
+			touched:   make([]bool, len(v.engines)),
 		}
 		v.programs[id] = p
 	}
@@ -98,18 +110,50 @@
 	return e.slots
 }
 
-// candidates returns the usable engines and their indexes; both slices are
-// valid until the next call.
-func (v *view) candidates(now time.Time, a *Arrival) ([]router.Candidate, []int) {
+// hasRoom says whether any engine may be given work now.
+func (v *view) hasRoom(now time.Time) bool {
+	return slices.ContainsFunc(v.engines, func(e *engineView) bool {
+		return e.usable(now) && e.load() < v.limit(e)
+	})
+}
+
+func (e *engineView) load() int {
+	return max(e.running+e.waiting+len(e.sent), e.outstanding)
+}
+
+// waits counts a waiting turn for the engine that served its program last.
+func (v *view) waits(a *Arrival, by int) {
+	if p, ok := v.programs[a.Program]; ok && p.lastIndex >= 0 {
+		v.engines[p.lastIndex].waitingFor += by
+	}
+}
+
+// anyAtLast says whether a waiting turn may be placed on a full engine because
+// its program was served there last.
+func (v *view) anyAtLast(now time.Time) bool {
+	if routing := v.features.Routing; routing != "" && routing != router.Affinity {
+		return false
+	}
+	return slices.ContainsFunc(v.engines, func(e *engineView) bool {
+		return e.waitingFor > 0 && e.usable(now) && e.load() < lastExcess*v.limit(e)
+	})
+}
+
+// candidates returns the usable engines and their indexes, or only the one
+// that served the program's last turn; both slices are valid until the next call.
+func (v *view) candidates(now time.Time, a *Arrival, lastOnly bool) ([]router.Candidate, []int) {
 	v.buffer, v.indexes = v.buffer[:0], v.indexes[:0]
-	usual := v.usualGap()
+	last := ""
+	if p, ok := v.programs[a.Program]; ok {
+		last = p.last
+	}
 	for i, e := range v.engines {
-		if !e.usable(now) {
+		if lastOnly && e.name != last || !e.usable(now) {
 			continue
 		}
 		ratio := 1.0
-		if v.features.Gaps && usual > 0 && e.gap > 0 {
-			ratio = e.gap / usual
+		if v.usual > 0 && e.gap > 0 {
+			ratio = e.gap / v.usual
 		}
 		v.indexes = append(v.indexes, i)
 		v.buffer = append(v.buffer, router.Candidate{
@@ -121,23 +165,22 @@
 	return v.buffer, v.indexes
 }
 
-// usualGap returns the median of the engines' mean times between tokens, or
-// zero if none is known.
-func (v *view) usualGap() float64 {
+// refreshGap takes the median of the engines' mean times between tokens.
+func (v *view) refreshGap() {
 	if !v.features.Gaps {
-		return 0
+		return
 	}
-	var known []float64
+	v.known = v.known[:0]
 	for _, e := range v.engines {
 		if e.gap > 0 {
-			known = append(known, e.gap)
+			v.known = append(v.known, e.gap)
 		}
 	}
-	if len(known) == 0 {
-		return 0
+	if len(v.known) == 0 {
+		return
 	}
-	slices.Sort(known)
-	return known[len(known)/2]
+	slices.Sort(v.known)
+	v.usual = v.known[len(v.known)/2]
 }
 
 // prefix returns the part of the prompt that the engine is believed to hold.
@@ -173,7 +216,7 @@
 	e.window.Sent(e.outstanding)
 	e.shared[a.Agent] = a.Instructions
 	p := v.program(a.Program)
-	p.last = e.name
+	p.last, p.lastIndex = e.name, engine
 	p.touched[engine] = true
 }
 
