internal/queuer, internal/router: let urgent items go first within a bound

Ruled out: precedence before the businesses' shares, which lets a business that calls all its work urgent starve the others; keeping slots free for urgent work, which wastes them. Change: items of precedence 0 are asked about first and marked Urgent while their business is less than 2,048 tokens ahead of the others, and the router gives urgent requests up to 1.25 times the slots.

--- a/internal/bencher/view.go
+++ b/internal/bencher/view.go
@@ -201,8 +201,8 @@
 	return best
 }
 
-func (v *view) request(a *Arrival) router.Request {
-	r := router.Request{Program: a.Program, PromptTokens: a.Prompt, MaxTokens: a.MaxOutput}
+func (v *view) request(a *Arrival, urgent bool) router.Request {
+	r := router.Request{Program: a.Program, PromptTokens: a.Prompt, MaxTokens: a.MaxOutput, Urgent: urgent}
 	if p, ok := v.programs[a.Program]; ok {
 		r.Last = p.last
 	}
--- a/internal/queuer/leastattained.go
+++ b/internal/queuer/leastattained.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -15,6 +16,11 @@
 	// creditTokens bounds the service that a business may catch up on after a
 	// time in which none of its waiting items was admissible.
 	creditTokens = 65536
+	// urgentTokens bounds the service by which a business's urgent items may run
+	// ahead of the other businesses.
+	urgentTokens = 2048
+	// urgentPrecedence is the precedence whose items are urgent.
+	urgentPrecedence = 0
 )
 
 // leastAttained shares service between businesses by start-time fair queueing.
@@ -79,14 +85,19 @@
 	return true
 }
 
-// Next implements Queue.
+// Next implements Queue. Urgent items are asked about first, then all items
+// in the order of their lanes.
 func (q *leastAttained) Next(now time.Time, admissible func(Item) bool) (Item, bool) {
+	if item, ok := q.nextUrgent(now, admissible); ok {
+		return item, true
+	}
 	var asked map[*lane]bool
 	for range len(q.active) {
 		l := q.first(asked)
 		if e, starved := q.pick(l, now, admissible); e != nil {
+			item := q.item(l, e)
 			q.dispatch(l, e, starved)
-			return e.Item, true
+			return item, true
 		}
 		if asked == nil {
 			asked = make(map[*lane]bool, len(q.active))
@@ -96,6 +107,53 @@
 	return Item{}, false
 }
 
+// nextUrgent dispatches the first admissible urgent item.
+func (q *leastAttained) nextUrgent(now time.Time, admissible func(Item) bool) (Item, bool) {
+	for _, l := range q.urgentLanes(now) {
+		for _, e := range l.ranked.all() {
+			item := q.item(l, e)
+			if !item.Urgent {
+				break
+			}
+			if admissible(item) {
+				q.dispatch(l, e, false)
+				return item, true
+			}
+		}
+	}
+	return Item{}, false
+}
+
+// urgentLanes returns the lanes with urgent items in order of their tags, but
+// those whose turn it is to serve a starved item.
+func (q *leastAttained) urgentLanes(now time.Time) []*lane {
+	var lanes []*lane
+	for _, l := range q.active {
+		due := q.starvedTurn(l) && q.starved(l.aged.all()[0], now)
+		if !due && q.item(l, l.ranked.all()[0]).Urgent {
+			lanes = append(lanes, l)
+		}
+	}
+	slices.SortFunc(lanes, compareLanes)
+	return lanes
+}
+
+// item returns the entry's item with Urgent set.
+func (q *leastAttained) item(l *lane, e *entry) Item {
+	item := e.Item
+	item.Urgent = e.Precedence <= urgentPrecedence && !q.ahead(l, e.Weight)
+	return item
+}
+
+// ahead says whether the lane has run ahead of another one that waits.
+func (q *leastAttained) ahead(l *lane, weight int) bool {
+	least := l.tag
+	for _, other := range q.active {
+		least = min(least, other.tag)
+	}
+	return (l.tag-least)*float64(max(weight, 1)) > urgentTokens
+}
+
 // Position implements Queue.
 func (q *leastAttained) Position(now time.Time, id string) int {
 	if _, ok := q.entries[id]; !ok {
@@ -143,13 +201,13 @@
 // pick returns the lane's first admissible entry and whether it had the turn
 // kept for starved entries.
 func (q *leastAttained) pick(l *lane, now time.Time, admissible func(Item) bool) (*entry, bool) {
-	turn := l.sinceStarved+1 >= q.starvedEvery
+	turn := q.starvedTurn(l)
 	if turn {
 		for _, e := range l.aged.all() {
 			if !q.starved(e, now) {
 				break
 			}
-			if admissible(e.Item) {
+			if admissible(q.item(l, e)) {
 				return e, true
 			}
 		}
@@ -158,13 +216,18 @@
 		if turn && q.starved(e, now) {
 			continue
 		}
-		if admissible(e.Item) {
+		if admissible(q.item(l, e)) {
 			return e, false
 		}
 	}
 	return nil, false
 }
 
+// starvedTurn says whether the lane's next dispatch is kept for a starved item.
+func (q *leastAttained) starvedTurn(l *lane) bool {
+	return l.sinceStarved+1 >= q.starvedEvery
+}
+
 func (q *leastAttained) starved(e *entry, now time.Time) bool {
 	return now.Sub(e.Arrived) >= q.starveAfter
 }
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -22,6 +22,9 @@
 	Arrived  time.Time
 	// Deadline is zero if the caller gave none.
 	Deadline time.Time
+	// Urgent is set by Next in the item that it asks about and returns: the item
+	// has precedence 0 and its business has not run ahead of the others.
+	Urgent bool
 }
 
 // Queue holds waiting items. It is not safe for concurrent use.
--- a/internal/router/affinity.go
+++ b/internal/router/affinity.go
@@ -20,6 +20,9 @@
 	// lastExcess is the share of its slots up to which the endpoint that served the
 	// last turn is given the next one, if it holds a part of the prompt.
 	lastExcess = 3
+	// urgentExcess is the share of its slots up to which an endpoint is given urgent
+	// requests.
+	urgentExcess = 1.25
 )
 
 // affinity weighs the prefill that a held prefix saves against the slower
@@ -41,7 +44,7 @@
 		if c.Endpoint == request.Last {
 			last = i
 		}
-		if best < 0 || c.PrefixTokens > 0 {
+		if best < 0 || c.PrefixTokens > 0 || request.Urgent {
 			best = cheaper(request, candidates, best, i)
 		}
 	}
@@ -70,6 +73,9 @@
 	if !full(c) {
 		return true
 	}
+	if request.Urgent && float64(load(c)) < urgentExcess*float64(capacity(c)) {
+		return true
+	}
 	holds := c.Endpoint == request.Last && c.PrefixTokens > 0
 	return holds && load(c) < lastExcess*capacity(c)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -34,6 +34,9 @@
 	MaxTokens    int
 	// Last is the endpoint that served the program's last turn; empty if none.
 	Last string
+	// Urgent lets the request wait at an endpoint whose slots are taken, since
+	// the endpoint serves it first.
+	Urgent bool
 }
 
 // Router picks endpoints. It is not safe for concurrent use.
