internal/router: compare two endpoints drawn at random and those that hold more

Cause: every endpoint that held the agent's shared instructions was compared, so new programs went to the least loaded one on reports up to 0.8 s old, and instances chose the same one. Change: two choices among the endpoints that admit the request; beside them only endpoints that hold more of the prompt and the last one.

--- a/internal/bencher/bencher.go
+++ b/internal/bencher/bencher.go
@@ -37,6 +37,8 @@
 	Arrivals time.Duration
 	Warmup   time.Duration
 	Fault    Fault
+	// ReportPeriod is the time between two load reports of an engine.
+	ReportPeriod time.Duration
 	// Patience lets callers hang up and makes their bounds known.
 	Patience bool
 	// Flood is additional load of tallies, in the unit of Load.
@@ -65,7 +67,7 @@
 	return Config{
 		Seed: 1, Load: 0.9, Engines: defaultEngines, Schedulers: defaultSchedulers,
 		CacheTokens: ampleCache, Arrivals: defaultArrivals, Warmup: defaultWarmup,
-		Fault: NoFault, Features: Features{Release: true, Gaps: true},
+		Fault: NoFault, ReportPeriod: reportPeriod, Features: Features{Release: true, Gaps: true},
 	}
 }
 
--- a/internal/bencher/driver.go
+++ b/internal/bencher/driver.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// reportPeriod and reportLag are the engines' load reports' period and age
-	// on arrival.
+	// reportPeriod and reportLag are the usual period of the engines' load reports
+	// and their age on arrival.
 	reportPeriod = 500 * time.Millisecond
 	reportLag    = 300 * time.Millisecond
 	// eventDelayLow and eventDelayHigh bound the lateness of cache events.
@@ -79,7 +79,7 @@
 		d.arrivals(a, g, 0)
 	}
 	for i, e := range d.engines {
-		phase := time.Duration(i) * reportPeriod / time.Duration(len(d.engines))
+		phase := time.Duration(i) * d.config.ReportPeriod / time.Duration(len(d.engines))
 		d.clock.after(phase, func() { d.report(e) })
 	}
 	d.clock.after(time.Second, d.sample)
--- a/internal/bencher/experiments.go
+++ b/internal/bencher/experiments.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/wigeonstand/wigeonstand/internal/queuer"
 	"github.com/wigeonstand/wigeonstand/internal/router"
@@ -25,7 +26,7 @@
 	for _, load := range comparedLoads() {
 		all = append(all, policies(load))
 	}
-	return append(all, agentsApart(), faults(), overload(), flood(), memory(), starvation())
+	return append(all, agentsApart(), faults(), overload(), flood(), memory(), starvation(), telemetry())
 }
 
 func policies(load float64) Experiment {
@@ -185,3 +186,21 @@
 	}
 	return e
 }
+
+// telemetry shows what the age of the load reports costs.
+func telemetry() Experiment {
+	e := Experiment{
+		Name:    "telemetry",
+		Title:   fmt.Sprintf("Period of the load reports, at a load of %.1f", moderateLoad),
+		Columns: []Column{columnMean, columnP95, columnFirst, columnHost, columnAgain, columnMoves},
+	}
+	for _, p := range []pair{{queuer.FirstCome, router.LeastLoaded}, {queuer.FirstCome, router.TwoChoices}, product} {
+		for _, period := range []time.Duration{100 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second} {
+			c := policyCase(p, moderateLoad)
+			c.Name = fmt.Sprint(period, ", ", p.name())
+			c.Config.ReportPeriod = period
+			e.Cases = append(e.Cases, c)
+		}
+	}
+	return e
+}
--- a/internal/bencher/faults.go
+++ b/internal/bencher/faults.go
@@ -79,7 +79,7 @@
 	if e.gone {
 		return
 	}
-	d.clock.after(reportPeriod, func() { d.report(e) })
+	d.clock.after(d.config.ReportPeriod, func() { d.report(e) })
 	if e.silent {
 		return
 	}
--- a/internal/router/affinity.go
+++ b/internal/router/affinity.go
@@ -26,8 +26,8 @@
 )
 
 // affinity weighs the prefill that a held prefix saves against the slower
-// decoding of a loaded endpoint. It compares the endpoints that hold a part of the prompt,
-// the one that served the last turn and two drawn at random, and moves a
+// decoding of a loaded endpoint. It compares two endpoints drawn at random, those that
+// hold more of the prompt than these and the one that served the last turn, and moves a
 // program only for a clear saving. A program may wait at the endpoint that holds
 // its prefix even if all slots there are taken, since a slot becomes free sooner
 // than another endpoint has computed the prefix again.
@@ -36,7 +36,10 @@
 // Pick implements Router.
 func (r *affinity) Pick(request Request, candidates []Candidate) (int, bool) {
 	best := r.drawn(request, candidates)
-	last := -1
+	last, common := -1, 0
+	if best >= 0 {
+		common = candidates[best].PrefixTokens
+	}
 	for i, c := range candidates {
 		if !admits(request, c) {
 			continue
@@ -44,7 +47,7 @@
 		if c.Endpoint == request.Last {
 			last = i
 		}
-		if best < 0 || c.PrefixTokens > 0 || request.Urgent {
+		if c.PrefixTokens > common {
 			best = cheaper(request, candidates, best, i)
 		}
 	}
@@ -57,10 +60,16 @@
 	return best, true
 }
 
-// drawn returns the cheaper of two free candidates drawn at random, or -1 if all are
-// full.
+// drawn returns the cheaper of two candidates drawn at random from those that
+// admit any such request, or -1 if none does.
 func (r *affinity) drawn(request Request, candidates []Candidate) int {
-	indexes := free(candidates)
+	request.Last = ""
+	indexes := make([]int, 0, len(candidates))
+	for i, c := range candidates {
+		if admits(request, c) {
+			indexes = append(indexes, i)
+		}
+	}
 	if len(indexes) == 0 {
 		return -1
 	}
