internal/prober: bound what is read about caches

Cause: engines report on all their programs to each reader. Change: caches are followed under a bound of bytes a second, of engines in use first; of others only a list is read each minute.

--- a/internal/prober/cache.go
+++ b/internal/prober/cache.go
@@ -14,8 +14,17 @@
 	changeEvicted = "Evicted"
 )
 
+// The sizes of answers, for the bound on what is read about caches.
+const (
+	answerBytes  = 350
+	eventBytes   = 95
+	holdingBytes = 60
+	// followReserve is set aside while what a cache holds is being read.
+	followReserve = 1 << 10
+)
+
 // catchUpPages bounds the pages of old events that are read over at a time.
-const catchUpPages = 16
+const catchUpPages = 4
 
 // cache is what an engine is believed to hold. Events come late and a list
 // does not say which of them it includes, so the token counts are estimates
@@ -28,8 +37,13 @@
 
 // follow reads the engine's cache events, and its whole list after a gap or
 // when the last one is old. One probe of an endpoint runs at a time, so no
-// other call changes the cache meanwhile.
-func (p *Prober) follow(ctx context.Context, config *compiler.Endpoint) {
+// other call changes the cache meanwhile. An engine that doesn't answer is not
+// asked.
+func (p *Prober) follow(ctx context.Context, config *compiler.Endpoint, answers bool) {
+	defer p.spend(-followReserve)
+	if !answers {
+		return
+	}
 	after, listed, ok := p.position(config)
 	if !ok {
 		return
@@ -38,7 +52,7 @@
 		p.list(ctx, config, p.readOver(ctx, config, after))
 		return
 	}
-	page, err := p.client.Events(ctx, config, after)
+	page, err := p.events(ctx, config, after)
 	if err != nil {
 		return
 	}
@@ -53,10 +67,23 @@
 	}
 }
 
+// events reads one page and counts its size.
+func (p *Prober) events(ctx context.Context, config *compiler.Endpoint, after int64) (generator.EventPage, error) {
+	page, err := p.client.Events(ctx, config, after)
+	p.spend(answerBytes + len(page.Events)*eventBytes)
+	return page, err
+}
+
+func (p *Prober) spend(bytes int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.cacheAllowed -= float64(bytes)
+}
+
 // readOver returns the number of the last event there is.
 func (p *Prober) readOver(ctx context.Context, config *compiler.Endpoint, after int64) int64 {
 	for range catchUpPages {
-		page, err := p.client.Events(ctx, config, after)
+		page, err := p.events(ctx, config, after)
 		if err != nil || len(page.Events) == 0 || page.Next <= after {
 			break
 		}
@@ -93,6 +120,7 @@
 	if err != nil {
 		return
 	}
+	p.spend(answerBytes + len(report.Holdings)*holdingBytes)
 	tokens := make(map[string]int, len(report.Holdings))
 	for _, holding := range report.Holdings {
 		tokens[holding.Program] = holding.Tokens
--- a/internal/prober/endpoint.go
+++ b/internal/prober/endpoint.go
@@ -19,6 +19,8 @@
 	silentSpacing = 5 * time.Second
 	// deniedSpacing is the time between two log events of a denied ejection.
 	deniedSpacing = 10 * time.Second
+	// idleListing is the time between lists of an engine that is not in use.
+	idleListing = time.Minute
 	// leavingMargin is how much newer than the last sign of leaving a report
 	// must be to say that the endpoint stays.
 	leavingMargin = 10 * time.Second
@@ -62,14 +64,27 @@
 }
 
 // begin marks the endpoint as being probed.
-func (e *endpoint) begin(now time.Time, interval time.Duration) probe {
-	begun := probe{config: e.config, fresh: e.urgent || e.ejected, at: now}
+func (e *endpoint) begin(now time.Time, interval time.Duration, follow bool) probe {
+	begun := probe{
+		config: e.config,
+		fresh:  e.urgent || e.ejected,
+		follow: follow && e.followed(now),
+	}
 	e.probing = true
 	e.urgent = false
 	e.nextProbe = now.Add(interval)
 	return begun
 }
 
+// followed reports whether what its cache holds is to be read: all the time
+// while it is in use, and now and then otherwise.
+func (e *endpoint) followed(now time.Time) bool {
+	if e.config.Service != "" {
+		return false
+	}
+	return e.inUse(now) || now.Sub(e.cache.listed) >= idleListing
+}
+
 // inUse reports whether this instance sent it a request not long ago.
 func (e *endpoint) inUse(now time.Time) bool {
 	return !e.usedAt.IsZero() && now.Sub(e.usedAt) < usedFor
--- a/internal/prober/probe.go
+++ b/internal/prober/probe.go
@@ -16,7 +16,8 @@
 	config *compiler.Endpoint
 	// fresh asks for a connection of its own.
 	fresh bool
-	at    time.Time
+	// follow asks for what the cache holds too.
+	follow bool
 }
 
 // probe asks the endpoint about itself and keeps what it answers.
@@ -30,8 +31,8 @@
 		offered = false
 		err = p.client.Ping(ctx, next.config)
 	}
-	if err == nil && next.config.Service == "" {
-		p.follow(ctx, next.config)
+	if next.follow {
+		p.follow(ctx, next.config, err == nil)
 	}
 	p.probed(ctx, next, report, offered, err)
 }
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -30,6 +30,8 @@
 	defaultMaximumShare = 0.5
 	defaultRampTime     = 10 * time.Second
 	defaultResync       = 30 * time.Second
+	// defaultCacheRate is in bytes a second.
+	defaultCacheRate = 4 << 10
 
 	// usedFor is how long an endpoint counts as in use after its last request.
 	usedFor = 10 * time.Second
@@ -75,14 +77,18 @@
 	maximumShare float64
 	rampTime     time.Duration
 	resync       time.Duration
+	cacheRate    float64
 
 	mutex     sync.Mutex
 	version   *compiler.Version
 	endpoints map[string]*endpoint
 	// ordered holds the endpoints by name.
 	ordered []*endpoint
-	allowed float64
-	probing int
+	// allowed is the probes that may be begun, and cacheAllowed the bytes about
+	// caches that may be read; it is below zero after a large page.
+	allowed      float64
+	cacheAllowed float64
+	probing      int
 }
 
 // Option sets one property of a Prober.
@@ -123,6 +129,11 @@
 // WithResync sets the longest time between two whole lists of what an engine holds.
 func WithResync(d time.Duration) Option { return func(p *Prober) { p.resync = d } }
 
+// WithCacheRate bounds what is read about caches, in bytes a second. Engines
+// report on all their programs to each reader, so this grows with the load of
+// the whole system and not of the instance.
+func WithCacheRate(bytes int) Option { return func(p *Prober) { p.cacheRate = float64(bytes) } }
+
 // New returns a Prober of the endpoints in the version that current returns.
 // Current returns nil while no version is in force.
 func New(current func() *compiler.Version, client Client, options ...Option) *Prober {
@@ -131,7 +142,7 @@
 		interval: defaultInterval, rate: defaultRate,
 		localSample: defaultLocalSample, remoteSample: defaultRemoteSample,
 		threshold: defaultThreshold, ejection: defaultEjection, maximumShare: defaultMaximumShare,
-		rampTime: defaultRampTime, resync: defaultResync,
+		rampTime: defaultRampTime, resync: defaultResync, cacheRate: defaultCacheRate,
 		endpoints: map[string]*endpoint{},
 	}
 	for _, option := range options {
@@ -168,6 +179,7 @@
 	p.adopt(version, now)
 	p.relax(now)
 	p.allowed = min(p.allowed+float64(p.rate)*tickPeriod.Seconds(), float64(p.rate))
+	p.cacheAllowed = min(p.cacheAllowed+p.cacheRate*tickPeriod.Seconds(), p.cacheRate)
 	due := p.due(now)
 	room := min(int(p.allowed), probesAtOnce-p.probing, len(due))
 	if room <= 0 {
@@ -177,7 +189,11 @@
 	p.probing += room
 	probes := make([]probe, 0, room)
 	for _, e := range due[:room] {
-		probes = append(probes, e.begin(now, p.interval))
+		next := e.begin(now, p.interval, p.cacheAllowed > 0)
+		if next.follow {
+			p.cacheAllowed -= followReserve
+		}
+		probes = append(probes, next)
 	}
 	return probes
 }
