--- a/internal/dispatcher/pipe_test.go
+++ b/internal/dispatcher/pipe_test.go
@@ -113,6 +113,18 @@
 	_ = http.NewResponseController(w).Flush()
 }
 
+// sends answers with the text as a stream.
+func sends(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { stream(w, text) }
+}
+
+// leaves answers that the endpoint takes no new work.
+func leaves(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(dispatcher.LeavingHeader, "true")
+	w.Header().Set("Retry-After", "3")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // silence waits until the client gives up.
 func silence(r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -170,11 +170,13 @@
 	return x.write(status, contentJSON, body)
 }
 
-// write writes the whole body. A failed write is not an error of the request:
+// write writes the whole body. Without a content type none is sent, where
+// net/http would guess one. A failed write is not an error of the request:
 // the caller is gone and nothing more can be told to it.
 func (x *exchange) write(status int, contentType string, body []byte) error {
 	x.extendWrite()
 	header := x.writer.Header()
+	header["Content-Type"] = nil
 	if contentType != "" {
 		header.Set("Content-Type", contentType)
 	}
