--- a/hack/mutants/main.go
+++ b/hack/mutants/main.go
@@ -64,7 +64,7 @@
 		return err
 	}
 	for _, m := range mutations {
-		fmt.Fprintf(c.Root().Writer, "%s\t%s\t%s\n", m.Name, m.Package, m.Test)
+		_, _ = fmt.Fprintf(c.Root().Writer, "%s\t%s\t%s\n", m.Name, m.Package, m.Test)
 	}
 	return nil
 }
--- a/internal/assembler/daemon.go
+++ b/internal/assembler/daemon.go
@@ -46,7 +46,7 @@
 	}
 	d := &daemon{
 		settings: settings, meter: meter.New(),
-		log: l.With("Instance", settings.Instance, "DataCentre", settings.DataCentre), network: &tcp{}, draining: make(chan struct{}),
+		log: l.With("Instance", settings.Instance, "DataCentre", settings.DataCentre), network: newTCP(), draining: make(chan struct{}),
 	}
 	for _, option := range options {
 		option(d)
--- a/internal/assembler/network.go
+++ b/internal/assembler/network.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"time"
 )
 
 // Network opens the listeners and connections of one instance.
@@ -12,9 +13,14 @@
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
 }
 
+// dialTimeout bounds a connection's opening, whose context may have no end.
+const dialTimeout = 3 * time.Second
+
 // tcp is the machine's own network.
 type tcp struct{ net.Dialer }
 
+func newTCP() *tcp { return &tcp{net.Dialer{Timeout: dialTimeout}} }
+
 // Listen implements Network.
 func (*tcp) Listen(address netip.AddrPort) (net.Listener, error) {
 	return net.Listen("tcp", address.String())
--- a/internal/assembler/network_test.go
+++ b/internal/assembler/network_test.go
@@ -49,6 +49,8 @@
 	cut := f.cuts[pair(h.name, target)]
 	f.mu.Unlock()
 	if cut {
+		ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+		defer cancel()
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
@@ -66,6 +68,9 @@
 	return l, nil
 }
 
+// connectTimeout is when a connection's opening fails without an answer.
+const connectTimeout = 3 * time.Second
+
 func pair(a, b string) [2]string {
 	if a > b {
 		a, b = b, a
