--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(CURDIR)/bin
 LINT := $(BIN)/tools/golangci-lint
 
-.PHONY: all build test demo demo-kill lint format unit clean
+.PHONY: all build test demo demo-kill lint format unit clean fuzz mutants
 
 all: build
 
@@ -38,3 +38,12 @@
 # Kills an instance between two turns of a session.
 demo-kill: build
 	hack/demo-kill.sh
+
+# Goes on fuzzing with new seeds for FUZZ_TIME and prints what fails.
+FUZZ_TIME ?= 10m
+fuzz:
+	hack/fuzz.sh $(FUZZ_TIME)
+
+# Applies each listed mutation to a scratch copy and sees whether tests fail.
+mutants:
+	hack/mutants.sh
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -81,3 +81,18 @@
 
 // Registry returns the registry, for tests that gather from it.
 func (m *Meter) Registry() *prometheus.Registry { return m.registry }
+
+// Describe returns the descriptions of all metrics of this process, in the form
+// of prometheus.Desc.String.
+func (m *Meter) Describe() []string {
+	descriptions := make(chan *prometheus.Desc)
+	go func() {
+		defer close(descriptions)
+		m.registry.Describe(descriptions)
+	}()
+	var texts []string
+	for d := range descriptions {
+		texts = append(texts, d.String())
+	}
+	return texts
+}
