--- a/internal/assembler/daemon.go
+++ b/internal/assembler/daemon.go
@@ -346,6 +346,7 @@
 		if err := t.placer.Drain(draining); err != nil {
 			d.log.Log(eventDrainCut, "Cause", err)
 		}
+		t.owner.GiveBack(draining)
 	}
 	stopServing()
 	<-served
--- a/internal/decider/budget.go
+++ b/internal/decider/budget.go
@@ -101,6 +101,18 @@
 	}
 }
 
+// giveBack returns what this instance has drawn and neither spent nor reserved;
+// it is for a planned stop, after which nothing is sent.
+func (c *Core) giveBack() {
+	for _, business := range sortedKeys(c.escrows) {
+		e := c.escrows[business]
+		if e.free > 0 {
+			c.do(ReturnEscrow{Business: business, Tokens: e.free})
+			e.free = 0
+		}
+	}
+}
+
 func (c *Core) escrow(business string) *escrow {
 	e := c.escrows[business]
 	if e == nil {
--- a/internal/decider/core.go
+++ b/internal/decider/core.go
@@ -151,6 +151,25 @@
 	return c.take()
 }
 
+// Counts says how much the core holds.
+type Counts struct {
+	Shards   int
+	Programs int
+	Queued   int
+	// Attempts and Calls are in flight.
+	Attempts int
+	Calls    int
+}
+
+// Counts returns how much the core holds.
+func (c *Core) Counts() Counts {
+	counts := Counts{Shards: len(c.shards), Queued: c.queue.Len(), Attempts: len(c.attempts), Calls: len(c.calls)}
+	for _, s := range c.shards {
+		counts.Programs += len(s.state.programs)
+	}
+	return counts
+}
+
 func (c *Core) take() []Action {
 	actions := c.actions
 	c.actions = nil
@@ -195,6 +214,8 @@
 		c.release(e.Shard)
 	case Cut:
 		c.cut(e.Shard)
+	case Stopped:
+		c.giveBack()
 	case Ticked:
 		c.tick()
 	}
--- a/internal/decider/event.go
+++ b/internal/decider/event.go
@@ -146,6 +146,9 @@
 // Cut gives a shard up at once, whatever is in flight.
 type Cut struct{ Shard int }
 
+// Stopped says that a planned stop has given up all shards.
+type Stopped struct{}
+
 // Ticked says that time has passed.
 type Ticked struct{}
 
@@ -167,6 +170,7 @@
 func (StoreHealth) event()      {}
 func (Released) event()         {}
 func (Cut) event()              {}
+func (Stopped) event()          {}
 func (Ticked) event()           {}
 
 // Action is something to be done. The types below are all there are.
@@ -234,6 +238,12 @@
 	Limit    int
 }
 
+// ReturnEscrow gives unspent tokens of a business's budget back.
+type ReturnEscrow struct {
+	Business string
+	Tokens   int
+}
+
 // ShardGone says that a released shard is idle, durable and no longer served.
 type ShardGone struct{ Shard int }
 
@@ -251,5 +261,6 @@
 func (Answer) action()         {}
 func (ReleaseMemory) action()  {}
 func (DrawEscrow) action()     {}
+func (ReturnEscrow) action()   {}
 func (ShardGone) action()      {}
 func (Retried) action()        {}
--- a/internal/fakeservice/handler.go
+++ b/internal/fakeservice/handler.go
@@ -12,7 +12,8 @@
 type handler struct{ service *Service }
 
 // Handler returns the service's HTTP face: GET /counts, GET /status?Key=,
-// GET and PUT /faults, PUT /leaving, GET /healthz; any other request is executed.
+// GET and PUT /faults, PUT /leaving, GET /healthz, GET /v1/load; any other
+// request is executed.
 func (s *Service) Handler() http.Handler {
 	h := &handler{service: s}
 	mux := http.NewServeMux()
@@ -22,6 +23,7 @@
 	mux.HandleFunc("PUT /faults", h.setFaults)
 	mux.HandleFunc("PUT /leaving", faker.LeavingHandler(s.SetLeaving))
 	mux.HandleFunc("GET /healthz", faker.Healthz)
+	mux.HandleFunc("GET /v1/load", h.load)
 	mux.HandleFunc("/", h.execute)
 	return mux
 }
@@ -30,6 +32,10 @@
 	faker.WriteJSON(w, http.StatusOK, h.service.Counts())
 }
 
+func (h *handler) load(w http.ResponseWriter, _ *http.Request) {
+	faker.WriteJSON(w, http.StatusOK, h.service.Load())
+}
+
 func (h *handler) status(w http.ResponseWriter, r *http.Request) {
 	status := h.service.Status(r.URL.Query().Get("Key"))
 	code := http.StatusOK
@@ -62,6 +68,7 @@
 		faker.RefuseLeaving(w)
 		return
 	}
+	defer h.service.finish()
 	faults := h.service.takeFaults()
 	before(r, faults)
 	if faults.Refuse {
--- a/internal/fakeservice/service.go
+++ b/internal/fakeservice/service.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/wigeonstand/wigeonstand/internal/generator"
 	"github.com/wigeonstand/wigeonstand/internal/logger"
 )
 
@@ -81,6 +82,7 @@
 	received int
 	executed int
 	repeated int
+	running  int
 	leaving  bool
 	// afterLeaving counts requests that arrived while leaving.
 	afterLeaving int
@@ -124,6 +126,20 @@
 	return s
 }
 
+// Load reports the requests that are being executed.
+func (s *Service) Load() generator.LoadReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return generator.LoadReport{Endpoint: s.name, Running: s.running, Leaving: s.leaving}
+}
+
+// finish takes out a request that receive let in.
+func (s *Service) finish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
 // Execute runs the request and returns its answer.
 func (s *Service) Execute(request Request) Echo {
 	s.mu.Lock()
@@ -167,8 +183,10 @@
 	s.received++
 	if s.leaving {
 		s.afterLeaving++
+		return false
 	}
-	return !s.leaving
+	s.running++
+	return true
 }
 
 // SetLeaving sets whether the service has been told to stop; it then refuses
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -31,6 +31,14 @@
 	FirstTokenSeconds prometheus.Histogram
 	// Programs is the number of programs owned by this instance.
 	Programs prometheus.Gauge
+	// Shards, Queued, Attempts and Calls are what this instance owns, has
+	// waiting and has in flight.
+	Shards   prometheus.Gauge
+	Queued   prometheus.Gauge
+	Attempts prometheus.Gauge
+	Calls    prometheus.Gauge
+	// BacklogBytes is what waits to be made durable.
+	BacklogBytes prometheus.Gauge
 	// DocumentVersion is the version in force on this instance.
 	DocumentVersion prometheus.Gauge
 }
@@ -56,6 +64,11 @@
 	})
 	registry.MustRegister(m.TurnSeconds, m.FirstTokenSeconds)
 	m.Programs = m.NewGauge("programs", "Programs owned by this instance.")
+	m.Shards = m.NewGauge("shards", "Shards owned by this instance.")
+	m.Queued = m.NewGauge("queued", "Turns that wait for an endpoint.")
+	m.Attempts = m.NewGauge("attempts", "Generations in flight.")
+	m.Calls = m.NewGauge("calls", "Calls to services in flight.")
+	m.BacklogBytes = m.NewGauge("backlog_bytes", "Bytes of records that wait to become durable.")
 	m.DocumentVersion = m.NewGauge("document_version", "Document version in force.")
 	return m
 }
--- a/internal/owner/actions.go
+++ b/internal/owner/actions.go
@@ -256,6 +256,8 @@
 
 type noEscrow struct{}
 
+func (noEscrow) Return(context.Context, string, int) error { return nil }
+
 func (noEscrow) Draw(context.Context, string, int, int) (int, error) {
 	return 0, errors.New("no escrow is configured")
 }
--- a/internal/owner/actor.go
+++ b/internal/owner/actor.go
@@ -29,6 +29,7 @@
 		gone  chan struct{}
 	}
 	journaled struct{ sequence int64 }
+	giveBack  struct{ done chan struct{} }
 )
 
 func discardLogs(*actor.ActorSystem) *slog.Logger {
@@ -38,6 +39,9 @@
 // receive handles one message; the core is only used here.
 func (o *Owner) receive(c actor.Context) {
 	switch m := c.Message().(type) {
+	case decider.Ticked:
+		o.carryOut(o.core.Handle(m))
+		o.gauge()
 	case decider.Event:
 		o.carryOut(o.core.Handle(m))
 	case restoreShard:
@@ -51,6 +55,41 @@
 		o.carryOut(o.core.Handle(decider.Released{Shard: m.shard}))
 	case journaled:
 		o.journaled(m.sequence)
+	case giveBack:
+		o.giveBack(m)
+	}
+}
+
+// gauge shows what the core holds.
+func (o *Owner) gauge() {
+	counts := o.core.Counts()
+	o.meter.Shards.Set(float64(counts.Shards))
+	o.meter.Programs.Set(float64(counts.Programs))
+	o.meter.Queued.Set(float64(counts.Queued))
+	o.meter.Attempts.Set(float64(counts.Attempts))
+	o.meter.Calls.Set(float64(counts.Calls))
+	o.meter.BacklogBytes.Set(float64(o.journal.Backlog()))
+}
+
+// giveBack returns the escrows beside the actor.
+func (o *Owner) giveBack(m giveBack) {
+	actions := o.core.Handle(decider.Stopped{})
+	o.carryOut(actions)
+	o.work.Go(func() {
+		defer close(m.done)
+		for _, action := range actions {
+			if a, ok := action.(decider.ReturnEscrow); ok {
+				o.returnEscrow(a)
+			}
+		}
+	})
+}
+
+func (o *Owner) returnEscrow(a decider.ReturnEscrow) {
+	ctx, cancel := context.WithTimeout(o.ctx, controlTimeout)
+	defer cancel()
+	if err := o.escrow.Return(ctx, a.Business, a.Tokens); err != nil {
+		o.log.Log(eventEscrowKept, "Business", a.Business, "Tokens", a.Tokens, "Cause", err)
 	}
 }
 
--- a/internal/owner/events.go
+++ b/internal/owner/events.go
@@ -16,6 +16,9 @@
 	eventAttemptFailed = logger.Define(1003, "AttemptFailed", log.WarnLevel,
 		"a generation failed at an engine",
 		"Look at the engine if the same endpoint shows again and again.")
+	eventEscrowKept = logger.Define(1005, "EscrowKept", log.WarnLevel,
+		"unspent tokens of a business's budget could not be given back; they count as spent",
+		"Raise the business's budget by the tokens if it runs short.")
 	eventCallFailed = logger.Define(1004, "CallFailed", log.WarnLevel,
 		"a call got no whole answer from a service",
 		"List calls with an unknown outcome and resolve them after asking the service's team.")
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -43,6 +43,8 @@
 type Escrow interface {
 	// Draw returns the tokens granted, zero if the budget is spent.
 	Draw(ctx context.Context, business string, tokens, limit int) (int, error)
+	// Return gives unspent tokens back.
+	Return(ctx context.Context, business string, tokens int) error
 }
 
 const (
@@ -179,6 +181,17 @@
 	})
 }
 
+// GiveBack returns the unspent part of the businesses' budgets. It is for a
+// planned stop, once all shards are gone; Stop waits for it.
+func (o *Owner) GiveBack(ctx context.Context) {
+	done := make(chan struct{})
+	o.system.Root.Send(o.pid, giveBack{done: done})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 // Tell hands an event to the core.
 func (o *Owner) Tell(event decider.Event) { o.system.Root.Send(o.pid, event) }
 
