internal/intender, internal/assembler: order engines under a fencing number of their own row

The shard map's placement says which instance orders an engine; a row per engine gives the number and keeps the intents for engines that check none. Test: TestEnginesAreBroughtIntoLine kills two instances while an engine that ignores numbers is ordered to load its model.

--- a/internal/assembler/assembler_test.go
+++ b/internal/assembler/assembler_test.go
@@ -76,3 +76,20 @@
 		}
 	})
 }
+
+// TestEnginesAreBroughtIntoLine starts with an engine that lacks its model and
+// ignores fencing numbers, and kills instances while it is ordered to load it.
+func TestEnginesAreBroughtIntoLine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, logWriter())
+		defer f.close()
+		for n := range fleetSize - 1 {
+			time.Sleep(6 * time.Second)
+			f.kill(n)
+		}
+		time.Sleep(time.Minute)
+		if diff := cmp.Diff([]string{"songbird"}, f.engines[unloaded].State().Models); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/internal/assembler/events.go
+++ b/internal/assembler/events.go
@@ -19,5 +19,7 @@
 		"Raise DrainTimeout if turns or calls take longer than that.")
 	eventServeFailed = logger.Define(1109, "ServeFailed", log.ErrorLevel, "the callers' listener has failed",
 		"Look for another process on the address and restart the instance.")
+	eventHoldFailed = logger.Define(1110, "HoldFailed", log.WarnLevel,
+		"the right to order an engine could not be taken", "Look at the platform's store; it is tried again.")
 	eventStopped = logger.Define(1108, "Stopped", log.InfoLevel, "the instance has stopped as planned", "Nothing.")
 )
--- a/internal/assembler/fleet_test.go
+++ b/internal/assembler/fleet_test.go
@@ -28,7 +28,9 @@
 	callerKey   = "host-key"
 	platformKey = "platform-key"
 	fleetSize   = 3
-	leaseTTL    = 3 * time.Second
+	// unloaded is the engine that starts without its model and ignores fencing numbers.
+	unloaded = 1
+	leaseTTL = 3 * time.Second
 )
 
 var (
@@ -65,7 +67,11 @@
 	f.platform = fakeplatform.New()
 	f.serve("platform", platformAddress, f.platform.Handler(platformKey))
 	for n, address := range engineAddresses {
-		engine := fakeengine.New(fmt.Sprintf("engine-%d", n), fakeengine.WithModels("songbird"))
+		options := []fakeengine.Option{fakeengine.WithModels("songbird")}
+		if n == unloaded {
+			options = []fakeengine.Option{fakeengine.WithoutFenceCheck()}
+		}
+		engine := fakeengine.New(fmt.Sprintf("engine-%d", n), options...)
 		f.engines = append(f.engines, engine)
 		f.work.Go(func() { engine.Run(ctx) })
 		f.serve(fmt.Sprintf("engine-%d", n), address, engine.Handler())
--- a/internal/assembler/tenure.go
+++ b/internal/assembler/tenure.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,14 +16,17 @@
 	"github.com/wigeonstand/wigeonstand/internal/decider"
 	"github.com/wigeonstand/wigeonstand/internal/escrower"
 	"github.com/wigeonstand/wigeonstand/internal/forwarder"
+	"github.com/wigeonstand/wigeonstand/internal/intender"
 	"github.com/wigeonstand/wigeonstand/internal/keeper"
 	"github.com/wigeonstand/wigeonstand/internal/leaser"
 	"github.com/wigeonstand/wigeonstand/internal/limiter"
+	"github.com/wigeonstand/wigeonstand/internal/orderer"
 	"github.com/wigeonstand/wigeonstand/internal/owner"
 	"github.com/wigeonstand/wigeonstand/internal/placer"
 	"github.com/wigeonstand/wigeonstand/internal/queuer"
 	"github.com/wigeonstand/wigeonstand/internal/requester"
 	"github.com/wigeonstand/wigeonstand/internal/router"
+	"github.com/wigeonstand/wigeonstand/internal/storer"
 )
 
 const (
@@ -30,6 +34,10 @@
 	acquireRetry = time.Second
 	// fencedLinger is how long calls that a replaced owner has sent may still take.
 	fencedLinger = 30 * time.Second
+	// holdPeriod is how often the engines to be ordered are looked at.
+	holdPeriod = 2 * time.Second
+	// engineKey starts the routing key that places an engine's orders on a shard.
+	engineKey = "engine/"
 )
 
 // tenure is what lives for one generation of the instance's lease.
@@ -38,6 +46,9 @@
 	journal *committer.Committer
 	owner   *owner.Owner
 	placer  *placer.Placer
+	// intender says which engines this generation orders, and orderer does so.
+	intender *intender.Intender
+	orderer  *orderer.Orderer
 }
 
 // newTenure takes the lease under a new generation and builds what depends on it.
@@ -64,7 +75,11 @@
 		placer.WithLogger(d.log), placer.WithInstances(d.store.SetInstances),
 		placer.WithLeaseTimes(d.settings.Lease.TTL, d.settings.Lease.TTL/leaseMarginPart),
 		placer.WithDocumentVersion(func() int64 { return d.follower.Current().Number }))
-	return &tenure{lease: lease, journal: journal, owner: work, placer: places}, nil
+	intents := intender.New(d.store, holder)
+	return &tenure{
+		lease: lease, journal: journal, owner: work, placer: places, intender: intents,
+		orderer: orderer.New(d.follower.Current, d.dispatcher, intents, intents, orderer.WithLogger(d.log)),
+	}, nil
 }
 
 // leaseMarginPart is the part of the TTL that a taker waits beyond it.
@@ -84,7 +99,7 @@
 }
 
 // run serves until ctx ends or the lease is taken away.
-func (t *tenure) run(ctx context.Context) error {
+func (t *tenure) run(ctx context.Context, d *daemon) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	errs := make(chan error, 3)
@@ -92,6 +107,8 @@
 	work.Go(func() { errs <- t.lease.Run(ctx) })
 	work.Go(func() { errs <- t.journal.Run(ctx, t.owner) })
 	work.Go(func() { errs <- t.placer.Run(ctx) })
+	work.Go(func() { _ = t.orderer.Run(ctx) })
+	work.Go(func() { t.holdEngines(ctx, d) })
 	err := <-errs
 	if errors.Is(err, leaser.ErrFenced) {
 		t.owner.Fenced()
@@ -101,6 +118,35 @@
 	return err
 }
 
+// holdEngines takes the right to order the engines whose shard this instance
+// owns, and lets go of the others.
+func (t *tenure) holdEngines(ctx context.Context, d *daemon) {
+	ticker := time.NewTicker(holdPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if err := t.intender.Hold(storer.WithPriority(ctx, storer.PrioritySweep), t.engines(d)); err != nil {
+			d.log.Log(eventHoldFailed, "Cause", err)
+		}
+	}
+}
+
+// engines returns the names of the engines whose shard is served here.
+func (t *tenure) engines(d *daemon) []string {
+	var names []string
+	for name, endpoint := range d.follower.Current().Endpoints {
+		if endpoint.Service == "" && t.placer.Place(requester.ShardOf(engineKey+name)).Local {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // serveTenures takes one lease after another until ctx ends.
 func (d *daemon) serveTenures(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -114,7 +160,7 @@
 		d.tenure.Store(t)
 		t.owner.Tell(decider.VersionChanged{Version: d.follower.Current()})
 		d.log.Log(eventLeaseTaken, "Generation", t.lease.Lease().Generation)
-		err = t.run(ctx)
+		err = t.run(ctx, d)
 		if ctx.Err() != nil {
 			return
 		}
