--- a/internal/publisher/fuzz_test.go
+++ b/internal/publisher/fuzz_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -162,7 +163,7 @@
 	f := &followed{stop: cancel}
 	f.Follower = publisher.NewFollower(w.store, w.store, publisher.WithInterval(interval),
 		publisher.WithPeer(peers{w, i}), publisher.WithNotify(func(v *compiler.Version) {
-			f.versions = append(f.versions, v.Number)
+			w.noteVersion(f, v.Number)
 			w.offer(i, v.Number)
 		}))
 	known := w.highest(i)
@@ -181,6 +182,12 @@
 	f.Run(ctx)
 }
 
+func (w *world) noteVersion(f *followed, number int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f.versions = append(f.versions, number)
+}
+
 func (w *world) highest(except int) int64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -227,9 +234,12 @@
 }
 
 func (w *world) checkVersions(i int, f *followed) {
-	for n := 1; n < len(f.versions); n++ {
-		if f.versions[n] <= f.versions[n-1] {
-			w.fail("instance %d went from version %d to %d", i, f.versions[n-1], f.versions[n])
+	w.mu.Lock()
+	versions := slices.Clone(f.versions)
+	w.mu.Unlock()
+	for n := 1; n < len(versions); n++ {
+		if versions[n] <= versions[n-1] {
+			w.fail("instance %d went from version %d to %d", i, versions[n-1], versions[n])
 		}
 	}
 }
--- a/internal/publisher/oracle_test.go
+++ b/internal/publisher/oracle_test.go
@@ -31,7 +31,10 @@
 	}
 	w.checkRaces()
 	newest := chain[len(chain)-1]
-	for i, f := range w.followers {
+	w.mu.Lock()
+	followers := w.followers
+	w.mu.Unlock()
+	for i, f := range followers {
 		if f == nil {
 			w.fail("instance %d is not up at the end", i)
 			continue
