--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -366,6 +366,12 @@
 		if diff := cmp.Diff(answerer.Internal, answerer.KindOf(err)); diff != "" {
 			t.Error(diff)
 		}
+		if _, err = f.entry.Do(t.Context(), turn(1), &sink{}); err != nil {
+			t.Error(err)
+		}
+		if diff := cmp.Diff(1, f.network.dials); diff != "" {
+			t.Error("the connection was not used again: " + diff)
+		}
 	})
 }
 
--- a/internal/placer/fault_test.go
+++ b/internal/placer/fault_test.go
@@ -12,6 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/wigeonstand/wigeonstand/internal/committer"
+	"github.com/wigeonstand/wigeonstand/internal/leaser"
 	"github.com/wigeonstand/wigeonstand/internal/placer"
 	"github.com/wigeonstand/wigeonstand/internal/storer"
 )
@@ -37,10 +38,15 @@
 	})
 }
 
+// generations returns the generation in each lease row.
 func (c *cluster) generations() map[string]int64 {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
 	all := map[string]int64{}
-	for _, name := range c.names() {
-		all[name] = c.get(name).lease.Lease().Generation
+	for key, row := range c.store.rows {
+		if strings.HasPrefix(key, leaser.KeyPrefix) {
+			all[key] = decode[leaser.Lease](row.Value).Generation
+		}
 	}
 	return all
 }
@@ -113,14 +119,31 @@
 	})
 }
 
+// TestShardsGivenToAFencedRowAreServed gives shards to the generation that only
+// numbers a fence, as an instance may that reads the row after it.
+func TestShardsGivenToAFencedRowAreServed(t *testing.T) {
+	settled(t, func(t *testing.T, c *cluster) {
+		c.kill("b")
+		time.Sleep(15 * time.Second)
+		fence := c.generations()[leaser.Key("b")]
+		c.store.misplace(placer.Owner{Instance: "b", Generation: fence}, 2)
+		time.Sleep(15 * time.Second)
+		if diff := cmp.Diff(once, c.served()); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
 func TestOutageOfAnHourTakesNoLeaseAway(t *testing.T) {
 	settled(t, func(t *testing.T, c *cluster) {
 		before := c.generations()
 		for _, name := range c.names() {
-			c.get(name).pace.Store(int64(time.Minute))
+			c.get(name).pace.Store(int64(time.Hour))
 		}
+		// The outage begins and ends between two renewals.
+		time.Sleep(11300 * time.Millisecond)
 		c.store.setOutage(true)
-		time.Sleep(time.Hour)
+		time.Sleep(time.Hour + 700*time.Millisecond)
 		if c.get("a").lease.Confirmed() {
 			t.Error("a lease is confirmed though it was not renewed")
 		}
