--- a/internal/receiver/decode.go
+++ b/internal/receiver/decode.go
@@ -27,21 +27,23 @@
 )
 
 // boundBody sets the time within which the caller has to send the body. It
-// holds for a refused request too, whose body net/http reads to its end.
+// holds for a refused request too, whose body net/http reads to its end. A
+// handler that is driven without a connection has no deadline.
 func (x *exchange) boundBody() error {
 	if x.request.ContentLength == 0 {
 		return nil
 	}
 	control := http.NewResponseController(x.writer)
-	deadline := time.Now().Add(x.receiver.bodyTimeout)
-	if err := control.SetReadDeadline(deadline); err != nil {
+	err := control.SetReadDeadline(time.Now().Add(x.receiver.bodyTimeout))
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return answerer.Wrap(answerer.Internal, err, "the body's deadline could not be set")
 	}
 	return nil
 }
 
-// readBody returns the whole body. Reading to its end lets net/http watch the
-// connection, which ends the request's context when the caller hangs up.
+// readBody returns the whole body. Once it is read to its end, net/http lifts
+// the deadline and watches the connection, which ends the request's context
+// when the caller hangs up.
 func (x *exchange) readBody() ([]byte, error) {
 	if x.request.ContentLength == 0 {
 		return nil, nil
@@ -51,10 +53,6 @@
 	if err != nil {
 		return nil, x.bodyError(err)
 	}
-	control := http.NewResponseController(x.writer)
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		return nil, answerer.Wrap(answerer.Internal, err, "the body's deadline could not be cleared")
-	}
 	return body, nil
 }
 
--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"path"
 	"runtime/debug"
@@ -197,7 +198,8 @@
 // extendWrite gives the next write its own time.
 func (x *exchange) extendWrite() {
 	control := http.NewResponseController(x.writer)
-	if err := control.SetWriteDeadline(time.Now().Add(x.receiver.writeTimeout)); err != nil {
+	err := control.SetWriteDeadline(time.Now().Add(x.receiver.writeTimeout))
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
 		x.receiver.log.Log(connectionFailed, "Request", x.id, "Cause", err)
 	}
 }
