--- a/internal/orderer/fake_test.go
+++ b/internal/orderer/fake_test.go
@@ -173,3 +173,5 @@
 func newOrderer(i *instance, s *store, options ...orderer.Option) *orderer.Orderer {
 	return orderer.New(func() *compiler.Version { return nil }, i, i, s, options...)
 }
+
+var _ orderer.Client = (*dispatcher.Dispatcher)(nil)
--- a/internal/prober/probe.go
+++ b/internal/prober/probe.go
@@ -105,3 +105,5 @@
 	}
 	return e
 }
+
+var _ Client = (*dispatcher.Dispatcher)(nil)
