internal/queuer: order the businesses once a call

Ruled out: a heap of lanes, since a refused lane must stay while the next is asked. Change: the first lane is found in one pass and the rest sorted only if it is refused; the lowest tag is taken once a call.

--- a/internal/queuer/leastattained.go
+++ b/internal/queuer/leastattained.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"iter"
+	"math"
 	"slices"
 	"time"
 )
@@ -34,6 +36,8 @@
 	businesses map[string]*lane
 	// active holds the lanes that have waiting items, in no order.
 	active []*lane
+	// floor is the lowest tag of the active lanes at the latest call of Next.
+	floor float64
 	// virtual is the start tag of the item dispatched last.
 	virtual  float64
 	sequence uint64
@@ -88,28 +92,52 @@
 // Next implements Queue. Urgent items are asked about first, then all items
 // in the order of their lanes.
 func (q *leastAttained) Next(now time.Time, admissible func(Item) bool) (Item, bool) {
+	q.floor = q.leastTag()
 	if item, ok := q.nextUrgent(now, admissible); ok {
 		return item, true
 	}
-	var asked map[*lane]bool
-	for range len(q.active) {
-		l := q.first(asked)
+	for l := range q.lanes(func(*lane) bool { return true }) {
 		if e, starved := q.pick(l, now, admissible); e != nil {
 			item := q.item(l, e)
 			q.dispatch(l, e, starved)
 			return item, true
 		}
-		if asked == nil {
-			asked = make(map[*lane]bool, len(q.active))
-		}
-		asked[l] = true
 	}
 	return Item{}, false
 }
 
+// lanes yields the active lanes that are kept in the order of their tags. The
+// queue must not be changed before the last one that is taken.
+func (q *leastAttained) lanes(keep func(l *lane) bool) iter.Seq[*lane] {
+	return func(yield func(*lane) bool) {
+		lanes := make([]*lane, 0, len(q.active))
+		for _, l := range q.active {
+			if !keep(l) {
+				continue
+			}
+			lanes = append(lanes, l)
+			if last := len(lanes) - 1; compareLanes(lanes[last], lanes[0]) < 0 {
+				lanes[0], lanes[last] = lanes[last], lanes[0]
+			}
+		}
+		if len(lanes) == 0 || !yield(lanes[0]) {
+			return
+		}
+		// Most calls need the first lane only.
+		rest := lanes[1:]
+		slices.SortFunc(rest, compareLanes)
+		for _, l := range rest {
+			if !yield(l) {
+				return
+			}
+		}
+	}
+}
+
 // nextUrgent dispatches the first admissible urgent item.
 func (q *leastAttained) nextUrgent(now time.Time, admissible func(Item) bool) (Item, bool) {
-	for _, l := range q.urgentLanes(now) {
+	hasUrgent := func(l *lane) bool { return q.hasUrgent(l, now) }
+	for l := range q.lanes(hasUrgent) {
 		for _, e := range l.ranked.all() {
 			item := q.item(l, e)
 			if !item.Urgent {
@@ -124,34 +152,37 @@
 	return Item{}, false
 }
 
-// urgentLanes returns the lanes with urgent items in order of their tags, but
-// those whose turn it is to serve a starved item.
-func (q *leastAttained) urgentLanes(now time.Time) []*lane {
-	var lanes []*lane
-	for _, l := range q.active {
-		due := q.starvedTurn(l) && q.starved(l.aged.all()[0], now)
-		if !due && q.item(l, l.ranked.all()[0]).Urgent {
-			lanes = append(lanes, l)
-		}
+// hasUrgent says whether the lane's next item is urgent and it is not the turn
+// of a starved one.
+func (q *leastAttained) hasUrgent(l *lane, now time.Time) bool {
+	if !q.urgent(l, l.ranked.all()[0]) {
+		return false
 	}
-	slices.SortFunc(lanes, compareLanes)
-	return lanes
+	return !q.starvedTurn(l) || !q.starved(l.aged.all()[0], now)
 }
 
 // item returns the entry's item with Urgent set.
 func (q *leastAttained) item(l *lane, e *entry) Item {
 	item := e.Item
-	item.Urgent = e.Precedence <= urgentPrecedence && !q.ahead(l, e.Weight)
+	item.Urgent = q.urgent(l, e)
 	return item
 }
 
+func (q *leastAttained) urgent(l *lane, e *entry) bool {
+	return e.Precedence <= urgentPrecedence && !q.ahead(l, e.Weight)
+}
+
 // ahead says whether the lane has run ahead of another one that waits.
 func (q *leastAttained) ahead(l *lane, weight int) bool {
-	least := l.tag
-	for _, other := range q.active {
-		least = min(least, other.tag)
+	return (l.tag-q.floor)*float64(max(weight, 1)) > urgentTokens
+}
+
+func (q *leastAttained) leastTag() float64 {
+	least := math.Inf(1)
+	for _, l := range q.active {
+		least = min(least, l.tag)
 	}
-	return (l.tag-least)*float64(max(weight, 1)) > urgentTokens
+	return least
 }
 
 // Position implements Queue.
@@ -184,20 +215,6 @@
 	return l
 }
 
-// first returns the active lane with the lowest tag among those not asked yet.
-func (q *leastAttained) first(asked map[*lane]bool) *lane {
-	var best *lane
-	for _, l := range q.active {
-		if asked[l] {
-			continue
-		}
-		if best == nil || compareLanes(l, best) < 0 {
-			best = l
-		}
-	}
-	return best
-}
-
 // pick returns the lane's first admissible entry and whether it had the turn
 // kept for starved entries.
 func (q *leastAttained) pick(l *lane, now time.Time, admissible func(Item) bool) (*entry, bool) {
--- a/internal/queuer/queuer_test.go
+++ b/internal/queuer/queuer_test.go
@@ -329,16 +329,32 @@
 	}
 }
 
-func BenchmarkNextWithTenThousandWaiting(b *testing.B) {
-	queue := queuer.New(compiler.Policy{})
+// push10k fills a queue with 10,000 items of the businesses.
+func push10k(queue queuer.Queue, businesses int) {
 	for id := range 10000 {
 		queue.Push(queuer.Item{
-			ID: fmt.Sprint(id), Business: fmt.Sprint(id % 20), Precedence: id % 3,
+			ID: fmt.Sprint(id), Business: fmt.Sprint(id % businesses), Precedence: id % 3,
 			Attained: id * 7919 % 100000, Estimate: 100, Arrived: epoch.Add(time.Duration(id)),
 		})
 	}
-	for b.Loop() {
-		item, _ := queue.Next(epoch, always)
-		queue.Push(item)
+}
+
+func BenchmarkNext(b *testing.B) {
+	for _, businesses := range []int{2, 20, 500} {
+		b.Run(fmt.Sprint("Served", businesses), func(b *testing.B) {
+			queue := queuer.New(compiler.Policy{})
+			push10k(queue, businesses)
+			for b.Loop() {
+				item, _ := queue.Next(epoch, always)
+				queue.Push(item)
+			}
+		})
+		b.Run(fmt.Sprint("Refused", businesses), func(b *testing.B) {
+			queue := queuer.New(compiler.Policy{})
+			push10k(queue, businesses)
+			for b.Loop() {
+				queue.Next(epoch, func(queuer.Item) bool { return false })
+			}
+		})
 	}
 }
