--- a/internal/decider/budget.go
+++ b/internal/decider/budget.go
@@ -179,6 +179,9 @@
 		Precedence: t.agent.Precedence, Attained: p.root.spent, Estimate: t.worst,
 		Arrived: t.created, Deadline: t.latest(),
 	})
+	if err := c.infeasible(t); err != nil && !t.ran {
+		c.stop(t, err)
+	}
 }
 
 func (c *Core) weight(business string) int {
--- a/internal/decider/core.go
+++ b/internal/decider/core.go
@@ -14,6 +14,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/answerer"
 	"github.com/wigeonstand/wigeonstand/internal/compiler"
 	"github.com/wigeonstand/wigeonstand/internal/keeper"
+	"github.com/wigeonstand/wigeonstand/internal/limiter"
 	"github.com/wigeonstand/wigeonstand/internal/queuer"
 	"github.com/wigeonstand/wigeonstand/internal/recorder"
 	"github.com/wigeonstand/wigeonstand/internal/requester"
@@ -58,8 +59,7 @@
 	// holding are the ended programs whose memory is not yet released everywhere.
 	holding        map[string]bool
 	sweepTurn      int
-	drainSince     time.Time
-	drainCount     int
+	feasibility    *limiter.Feasibility
 	enginesOf      *compiler.Version
 	enginesByModel map[string][]*compiler.Endpoint
 }
@@ -115,7 +115,7 @@
 		version: version, queue: queue, router: routes, retrier: retrier,
 		shards: map[int]*shard{}, releasing: map[int]*shard{}, requests: map[string]*request{}, turns: map[string]*activeTurn{},
 		attempts: map[string]*activeTurn{}, calls: map[string]*invocation{},
-		endpoints: map[string]*endpoint{}, escrows: map[string]*escrow{}, holding: map[string]bool{},
+		endpoints: map[string]*endpoint{}, escrows: map[string]*escrow{}, holding: map[string]bool{}, feasibility: limiter.NewFeasibility(),
 	}
 	for _, option := range options {
 		option(&c.settings)
@@ -147,6 +147,7 @@
 	}
 	c.dispatch(event)
 	c.pump()
+	c.feasibility.Backlog(time.Now(), c.queue.Len())
 	c.finishReleases()
 	return c.take()
 }
--- a/internal/decider/endpoint.go
+++ b/internal/decider/endpoint.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/wigeonstand/wigeonstand/internal/answerer"
 	"github.com/wigeonstand/wigeonstand/internal/compiler"
 	"github.com/wigeonstand/wigeonstand/internal/queuer"
 	"github.com/wigeonstand/wigeonstand/internal/router"
@@ -13,8 +14,6 @@
 const (
 	// resolvedStatus is the status of a call that an operator says has landed.
 	resolvedStatus = http.StatusOK
-	// drainWindow is the period over which the queue's drain rate is counted.
-	drainWindow = 10 * time.Second
 	// shortestDrain and longestDrain bound the time to come back.
 	shortestDrain = time.Second
 	longestDrain  = 30 * time.Second
@@ -96,7 +95,7 @@
 		if !ok {
 			return
 		}
-		c.drained(now)
+		c.feasibility.Dispatched(now)
 		c.send(c.turns[item.ID], target)
 	}
 }
@@ -172,21 +171,30 @@
 	return c.enginesByModel[model]
 }
 
-// drained counts one turn that left the queue.
-func (c *Core) drained(now time.Time) {
-	if now.Sub(c.drainSince) > drainWindow {
-		c.drainSince = now
-		c.drainCount = 0
-	}
-	c.drainCount++
-}
-
 // drainTime returns when the queue that stands now should be served.
 func (c *Core) drainTime() time.Duration {
-	elapsed := time.Since(c.drainSince)
-	if c.drainCount == 0 || elapsed <= 0 {
+	wait, known := c.feasibility.Wait(time.Now(), c.queue.Len())
+	if !known {
 		return shortestDrain
 	}
-	wait := time.Duration(float64(c.queue.Len()) / float64(c.drainCount) * float64(elapsed))
 	return min(max(wait, shortestDrain), longestDrain)
 }
+
+// infeasible returns the refusal of a queued turn that would not be served by
+// its callers' deadline, or nil.
+func (c *Core) infeasible(t *activeTurn) *answerer.Error {
+	latest := t.latest()
+	if latest.IsZero() {
+		return nil
+	}
+	now := time.Now()
+	left := latest.Sub(now)
+	if _, ok := c.feasibility.Admit(now, c.queue.Len(), left); ok {
+		return nil
+	}
+	after, ok := c.feasibility.Admit(now, c.queue.Position(now, t.id), left)
+	if ok {
+		return nil
+	}
+	return answerer.New(answerer.Infeasible, "the turn would still wait at its deadline").After(after)
+}
