--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(CURDIR)/bin
 LINT := $(BIN)/tools/golangci-lint
 
-.PHONY: all build test demo demo-kill lint format unit clean fuzz mutants
+.PHONY: all build test demo demo-kill lint format unit clean fuzz mutants bench docs docs-check
 
 all: build
 
@@ -26,7 +26,7 @@
 unit:
 	go test -race -timeout 20m ./...
 
-test: lint unit
+test: lint docs-check unit
 
 clean:
 	rm -rf $(BIN) run
@@ -47,3 +47,15 @@
 # Applies each listed mutation to a scratch copy and sees whether tests fail.
 mutants:
 	hack/mutants.sh
+
+# Measures the policy against its baselines and renews docs/MEASUREMENTS.md.
+bench:
+	go run ./cmd/wigeonbench policy --seeds 5 --out docs
+
+# Renews the tables in docs/ that are made from the code.
+docs:
+	go run ./hack/docscheck --write
+
+# Fails on a dead link, or an event, error kind, metric or setting that docs/ lacks.
+docs-check:
+	go run ./hack/docscheck
