internal/owner: pass the tokens of an engine's last chunk to the caller

Cause: the relay dropped every chunk with Done set. An engine may put its last tokens into that chunk (the stand-in does), so that a streamed answer lacked its last word while the complete event had it. Ruled out: the dispatcher, which leaves out only a last chunk without tokens. Change: the relay passes the tokens and clears Done and Usage, because the caller's stream ends with the committed turn.

--- a/internal/owner/actions.go
+++ b/internal/owner/actions.go
@@ -248,13 +248,20 @@
 		return nil
 	}
 	w.first.Do(func() { r.owner.meter.FirstTokenSeconds.Observe(now.Sub(w.began).Seconds()) })
-	if chunk.Done {
+	if chunk.Done && chunk.Tokens == 0 && chunk.Text == "" {
 		return nil
 	}
-	_ = w.sink.Chunk(chunk)
+	_ = w.sink.Chunk(withoutEnd(chunk))
 	return nil
 }
 
+// withoutEnd returns the chunk's tokens alone: the caller's stream ends with
+// the committed turn, not with the engine's stream.
+func withoutEnd(chunk generator.Chunk) generator.Chunk {
+	chunk.Done, chunk.Usage = false, nil
+	return chunk
+}
+
 type silentObserver struct{}
 
 func (silentObserver) Succeeded(string, time.Duration)  {}
--- /dev/null
+++ b/internal/owner/relay_test.go
@@ -0,0 +1,44 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/wigeonstand/wigeonstand/internal/decider"
+	"github.com/wigeonstand/wigeonstand/internal/generator"
+	"github.com/wigeonstand/wigeonstand/internal/meter"
+)
+
+type recordingSink struct{ chunks []generator.Chunk }
+
+// Chunk implements requester.Sink.
+func (s *recordingSink) Chunk(chunk generator.Chunk) error {
+	s.chunks = append(s.chunks, chunk)
+	return nil
+}
+
+// TestRelayPassesLastTokens checks that tokens in the engine's last chunk reach
+// the caller, and that the engine's end does not.
+func TestRelayPassesLastTokens(t *testing.T) {
+	sink := &recordingSink{}
+	o := &Owner{
+		observer: silentObserver{}, meter: meter.New(),
+		waiting: map[string]*waiter{"request": {sink: sink, began: time.Now()}},
+	}
+	relay := o.newRelay(decider.Generate{Sink: "request"})
+	for _, chunk := range []generator.Chunk{
+		{Text: "one", Tokens: 1},
+		{Offset: 1, Text: " two", Tokens: 1, Done: true, Usage: &generator.Usage{Generated: 2}},
+		{Offset: 2, Done: true},
+	} {
+		if err := relay.Chunk(chunk); err != nil {
+			t.Fatalf("Chunk: %v", err)
+		}
+	}
+	want := []generator.Chunk{{Text: "one", Tokens: 1}, {Offset: 1, Text: " two", Tokens: 1}}
+	if diff := cmp.Diff(want, sink.chunks); diff != "" {
+		t.Errorf("chunks that reached the caller: %s", diff)
+	}
+}
