internal/driver: measure the last token apart from the complete answer

Cause: a turn's latency holds the wait for the group commit, which the table could not tell from a slow generation. wigeonload verify could not read the counts of a service behind TLS. Change: the measure LastToken beside FirstToken and Turn, P99 of differences, and the flag --ca of verify.

--- a/cmd/wigeonload/verify.go
+++ b/cmd/wigeonload/verify.go
@@ -29,6 +29,7 @@
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "service", Usage: "a replica's base URL, as `NAME=URL`; may be repeated"},
 			&cli.StringSliceFlag{Name: "engine", Usage: "an engine's base `URL`; may be repeated"},
+			&cli.StringFlag{Name: "ca", Usage: "trust the certificates in `FILE`"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error { return verify(ctx, c, out) },
 	}
@@ -39,11 +40,16 @@
 	if err != nil {
 		return err
 	}
-	counts, err := fetchCounts(ctx, c)
+	client, err := newHTTPClient(c)
 	if err != nil {
 		return err
 	}
-	holdings, err := fetchHoldings(ctx, c)
+	defer client.CloseIdleConnections()
+	counts, err := fetchCounts(ctx, c, client)
+	if err != nil {
+		return err
+	}
+	holdings, err := fetchHoldings(ctx, c, client)
 	if err != nil {
 		return err
 	}
@@ -55,14 +61,14 @@
 }
 
 // fetchCounts reads the counts of the services named.
-func fetchCounts(ctx context.Context, c *cli.Command) ([]driver.ServiceCounts, error) {
+func fetchCounts(ctx context.Context, c *cli.Command, client *http.Client) ([]driver.ServiceCounts, error) {
 	var counts []driver.ServiceCounts
 	for _, text := range c.StringSlice("service") {
 		name, base, err := pair("service", text)
 		if err != nil {
 			return nil, err
 		}
-		page, err := driver.FetchCounts(ctx, http.DefaultClient, base)
+		page, err := driver.FetchCounts(ctx, client, base)
 		if err != nil {
 			return nil, err
 		}
@@ -72,10 +78,10 @@
 }
 
 // fetchHoldings reads the holdings of the engines named.
-func fetchHoldings(ctx context.Context, c *cli.Command) ([]driver.EngineHoldings, error) {
+func fetchHoldings(ctx context.Context, c *cli.Command, client *http.Client) ([]driver.EngineHoldings, error) {
 	var holdings []driver.EngineHoldings
 	for _, base := range c.StringSlice("engine") {
-		report, err := driver.FetchHoldings(ctx, http.DefaultClient, base)
+		report, err := driver.FetchHoldings(ctx, client, base)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/driver/pair.go
+++ b/internal/driver/pair.go
@@ -13,13 +13,14 @@
 // the same turns of another one.
 type Difference struct {
 	Mix string
-	// Measure is "Turn" or "FirstToken".
+	// Measure is "Turn", "FirstToken" or "LastToken".
 	Measure string
 	Count   int
 	Mean    time.Duration
 	P05     time.Duration
 	P50     time.Duration
 	P95     time.Duration
+	P99     time.Duration
 }
 
 // pairKey names what is paired.
@@ -44,6 +45,7 @@
 		if other, ok := before[s.Name]; ok {
 			add(pairKey{s.Mix, measureTurn}, s.Turn-other.Turn)
 			add(pairKey{s.Mix, measureFirstToken}, s.FirstToken-other.FirstToken)
+			add(pairKey{s.Mix, measureLastToken}, s.LastToken-other.LastToken)
 		}
 	}
 	var differences []Difference
@@ -67,15 +69,16 @@
 		P05:     quantile(values, 0.05),
 		P50:     quantile(values, 0.5),
 		P95:     quantile(values, 0.95),
+		P99:     quantile(values, 0.99),
 	}
 }
 
 // WritePairs writes the differences as text.
 func WritePairs(w io.Writer, differences []Difference) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	row(t, "Mix", "Difference", "Count", "Mean", "P05", "P50", "P95")
+	row(t, "Mix", "Difference", "Count", "Mean", "P05", "P50", "P95", "P99")
 	for _, d := range differences {
-		row(t, d.Mix, d.Measure, d.Count, short(d.Mean), short(d.P05), short(d.P50), short(d.P95))
+		row(t, d.Mix, d.Measure, d.Count, short(d.Mean), short(d.P05), short(d.P50), short(d.P95), short(d.P99))
 	}
 	return eris.Wrap(t.Flush(), "write the differences")
 }
--- a/internal/driver/program.go
+++ b/internal/driver/program.go
@@ -196,6 +196,7 @@
 		Name:       fmt.Sprintf("%s/%d", p.title, n),
 		Turn:       time.Since(due),
 		FirstToken: answer.Stream.First.Sub(due),
+		LastToken:  answer.Stream.last.Sub(due),
 	})
 }
 
--- a/internal/driver/recorder.go
+++ b/internal/driver/recorder.go
@@ -18,6 +18,7 @@
 	measureProgram    = "Program"
 	measureTurn       = "Turn"
 	measureFirstToken = "FirstToken"
+	measureLastToken  = "LastToken"
 	measureTokenGap   = "TokenGap"
 	measureCall       = "Call"
 )
@@ -127,6 +128,7 @@
 	m.Reprefilled += max(held-answer.Usage.Cached, 0)
 	if answer.Stream.Chunks > 0 {
 		m.record(measureFirstToken, answer.Stream.First.Sub(due))
+		m.record(measureLastToken, answer.Stream.last.Sub(due))
 	}
 	for _, gap := range answer.Stream.Gaps {
 		m.record(measureTokenGap, gap)
@@ -216,7 +218,7 @@
 		result.Kinds = append(result.Kinds, KindCount{Kind: kind, Count: count})
 	}
 	slices.SortFunc(result.Kinds, func(a, b KindCount) int { return cmp.Compare(a.Kind, b.Kind) })
-	for _, measure := range []string{measureProgram, measureTurn, measureFirstToken, measureTokenGap, measureCall} {
+	for _, measure := range []string{measureProgram, measureTurn, measureFirstToken, measureLastToken, measureTokenGap, measureCall} {
 		if h := m.histograms[measure]; h != nil {
 			result.Latencies = append(result.Latencies, newLatency(measure, h))
 		}
--- a/internal/driver/report.go
+++ b/internal/driver/report.go
@@ -103,7 +103,7 @@
 // each second.
 func WritePlots(dir string, results ...Named) ([]string, error) {
 	var paths []string
-	for _, measure := range []string{measureProgram, measureTurn, measureFirstToken, measureTokenGap, measureCall} {
+	for _, measure := range []string{measureProgram, measureTurn, measureFirstToken, measureLastToken, measureTokenGap, measureCall} {
 		p, err := plotLatency(measure, results)
 		if err != nil {
 			return paths, err
--- a/internal/driver/result.go
+++ b/internal/driver/result.go
@@ -87,8 +87,8 @@
 
 // Latency is the distribution of one measure.
 type Latency struct {
-	// Measure is "Program" (pauses not counted), "Turn", "FirstToken",
-	// "TokenGap" or "Call".
+	// Measure is "Program" (pauses not counted), "Turn" (to the complete
+	// answer), "FirstToken", "LastToken", "TokenGap" or "Call".
 	Measure string
 	Count   int
 	Mean    time.Duration
@@ -136,6 +136,7 @@
 	Name       string
 	Turn       time.Duration
 	FirstToken time.Duration
+	LastToken  time.Duration
 }
 
 // Call is one service call and what became of it.
