hack, cmd/wigeondemo: stop and start each instance under load

Change: the base port (DEMO_PORT) and the number of instances (DEMO_INSTANCES) are options, so that several checkouts can run side by side; a document for the load tool's mixes; hack/rolling.sh stops each instance by SIGTERM in turn under open-loop load, waits for its own end, and starts it again. It fails unless no request is cut or unknown and every acknowledged posting has run exactly once.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(CURDIR)/bin
 LINT := $(BIN)/tools/golangci-lint
 
-.PHONY: all build test demo demo-kill lint format unit clean
+.PHONY: all build test demo demo-kill lint format unit clean rolling drills cost
 
 all: build
 
@@ -38,3 +38,15 @@
 # Kills an instance between two turns of a session.
 demo-kill: build
 	hack/demo-kill.sh
+
+# Stops and starts each of three real instances in turn under load.
+rolling: build
+	hack/rolling.sh
+
+# Provokes each failure on real processes; see docs/operators/drills.md.
+drills: build
+	hack/drills.sh
+
+# Measures the cost on real processes; see docs/CAPACITY.md.
+cost: build
+	hack/cost.sh
--- a/cmd/wigeondemo/edit.go
+++ b/cmd/wigeondemo/edit.go
@@ -19,14 +19,13 @@
 Example:
   wigeondemo edit --from 1 --to 3 --state run/sessions.json
   wigeondemo edit --from 4 --to 5 --entry 1 --entry 2 --state run/sessions.json`,
-		Flags: []cli.Flag{
-			directoryFlag(),
+		Flags: layoutFlags(
 			&cli.IntFlag{Name: "from", Value: 1, Usage: "begin with turn `N`"},
 			&cli.IntFlag{Name: "to", Value: 5, Usage: "end with turn `N`"},
 			&cli.IntFlag{Name: "sessions", Value: 6, Usage: "open `N` sessions"},
 			&cli.IntSliceFlag{Name: "entry", Value: []int{0, 1, 2}, Usage: "use the entry instance `N`, from 0; may be repeated"},
 			&cli.StringFlag{Name: "state", Value: "run/sessions.json", Usage: "keep the programs' ids in `FILE`"},
-		},
+		),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			p, err := newPlayer(c)
 			if err != nil {
--- a/cmd/wigeondemo/main.go
+++ b/cmd/wigeondemo/main.go
@@ -34,6 +34,17 @@
 	}
 }
 
-func directoryFlag() cli.Flag {
-	return &cli.StringFlag{Name: "directory", Value: "run", Usage: "keep the demonstration's files in `DIR`"}
+// layoutFlags returns the flags that say where the processes are, and those given.
+func layoutFlags(own ...cli.Flag) []cli.Flag {
+	return append([]cli.Flag{
+		&cli.StringFlag{Name: "directory", Value: "run", Usage: "keep the demonstration's files in `DIR`"},
+		&cli.IntFlag{
+			Name: "port", Value: defaultBasePort, Sources: cli.EnvVars("DEMO_PORT"),
+			Usage: "count the processes' ports from `PORT`",
+		},
+		&cli.IntFlag{
+			Name: "instances", Value: defaultInstances, Sources: cli.EnvVars("DEMO_INSTANCES"),
+			Usage: "have `N` instances",
+		},
+	}, own...)
 }
--- a/cmd/wigeondemo/play.go
+++ b/cmd/wigeondemo/play.go
@@ -27,19 +27,19 @@
 
 // player plays the callers of the demonstration.
 type player struct {
-	directory string
-	out       io.Writer
-	http      *http.Client
+	layout
+	out  io.Writer
+	http *http.Client
 }
 
 func newPlayer(c *cli.Command) (*player, error) {
-	directory := c.String("directory")
-	certs, err := certifier.New(certifier.Files{Authority: directory + "/authority.pem"})
+	l := layoutOf(c)
+	certs, err := certifier.New(certifier.Files{Authority: l.directory + "/authority.pem"})
 	if err != nil {
 		return nil, err
 	}
 	transport := &http.Transport{TLSClientConfig: certs.Client()}
-	return &player{directory: directory, out: c.Root().Writer, http: &http.Client{Transport: transport}}, nil
+	return &player{layout: l, out: c.Root().Writer, http: &http.Client{Transport: transport}}, nil
 }
 
 // secret returns the key of one party.
@@ -54,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	all := instances(p.directory)
+	all := p.all()
 	return caller.New([]string{"https://" + all[entry%len(all)].Caller.String()}, key,
 		caller.WithHTTPClient(p.http), caller.WithTimeout(callTimeout), caller.WithAttempts(50))
 }
@@ -65,7 +65,7 @@
 	return &cli.Command{
 		Name:  "register",
 		Usage: "enter the instances into the platform's list, as their launcher would",
-		Flags: []cli.Flag{directoryFlag()},
+		Flags: layoutFlags(),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			p, err := newPlayer(c)
 			if err != nil {
@@ -81,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	for _, i := range instances(p.directory) {
+	for _, i := range p.all() {
 		body, err := json.Marshal(storer.Listing{Instance: i.Name, Address: i.Peer.String(), DataCentre: i.DataCentre})
 		if err != nil {
 			return err
@@ -136,13 +136,13 @@
 	return &cli.Command{
 		Name:  "ready",
 		Usage: "wait until every instance is ready",
-		Flags: []cli.Flag{directoryFlag()},
+		Flags: layoutFlags(),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			p, err := newPlayer(c)
 			if err != nil {
 				return err
 			}
-			for _, i := range instances(p.directory) {
+			for _, i := range p.all() {
 				url := "http://" + i.Admin.String() + "/readyz"
 				if err := p.until(ctx, func() error { return p.send(ctx, http.MethodGet, url, "", nil) }); err != nil {
 					return err
@@ -157,7 +157,7 @@
 	return &cli.Command{
 		Name:  "play",
 		Usage: "play an editor's session, a chat with a sub-agent and a fee posting",
-		Flags: []cli.Flag{directoryFlag()},
+		Flags: layoutFlags(),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			p, err := newPlayer(c)
 			if err != nil {
@@ -197,11 +197,11 @@
 	if err != nil {
 		return "", eris.Wrapf(err, "open %s", agent)
 	}
-	p.say("  program %s opened through %s", program.ID(), entryName(entry))
+	p.say("  program %s opened through %s", program.ID(), p.entryName(entry))
 	return program.ID(), nil
 }
 
-func entryName(entry int) string { return dataCentres[entry%len(dataCentres)] + "-1" }
+func (p *player) entryName(entry int) string { return p.name(entry % p.instances) }
 
 // take streams one turn and counts the chunks that came before the end.
 func (p *player) take(ctx context.Context, business, id string, turn, entry int) error {
@@ -224,7 +224,7 @@
 	}
 	answer := stream.Answer()
 	p.say("  turn %d through %s: %d chunks, %d tokens of which %d were cached, chain %s",
-		answer.Number, entryName(entry), chunks, answer.Usage.Prompt+answer.Usage.Generated, answer.Usage.Cached, answer.Chain[:8])
+		answer.Number, p.entryName(entry), chunks, answer.Usage.Prompt+answer.Usage.Generated, answer.Usage.Cached, answer.Chain[:8])
 	return nil
 }
 
@@ -300,7 +300,7 @@
 		if result.Replayed != (entry == 1) {
 			return eris.Errorf("posting %d was replayed: %v", entry+1, result.Replayed)
 		}
-		p.say("  through %s: status %d, replayed %v", entryName(entry), result.Status, result.Replayed)
+		p.say("  through %s: status %d, replayed %v", p.entryName(entry), result.Status, result.Replayed)
 	}
 	return nil
 }
--- a/cmd/wigeondemo/prepare.go
+++ b/cmd/wigeondemo/prepare.go
@@ -21,22 +21,27 @@
 //go:embed templates/*.tmpl
 var templates embed.FS
 
-// The demonstration's addresses are ports of the loopback address.
+// The demonstration's addresses are ports of the loopback address, counted
+// from a base port.
 const (
-	portPlatform     = 17400
-	portEngine       = 17410
-	portService      = 17420
-	portCaller       = 17430
-	portOperator     = 17440
-	portPeer         = 17450
-	portAdmin        = 17460
+	defaultBasePort  = 17400
+	portPlatform     = 0
+	portEngine       = 10
+	portService      = 20
+	portCaller       = 100
+	portOperator     = 200
+	portPeer         = 300
+	portAdmin        = 400
+	engineCount      = 2
+	defaultSlots     = 16
+	defaultInstances = 3
 	certificateLife  = 24 * time.Hour
 	secretMode       = 0o600
 	directoryMode    = 0o755
 	secretCharacters = 26
 )
 
-// dataCentres are the demonstration's; each has one instance.
+// dataCentres are the demonstration's; its instances are spread over them.
 var dataCentres = []string{"ee-tln", "ee-trt", "ee-prn"}
 
 // loopback is the one address that the demonstration uses.
@@ -56,34 +61,67 @@
 	Admin       netip.AddrPort
 	Platform    netip.AddrPort
 	OperatorKey string
+	ShareOf     int
 }
 
-func at(port int) netip.AddrPort { return netip.AddrPortFrom(loopback, uint16(port)) }
+// layout says where the demonstration's processes are.
+type layout struct {
+	directory string
+	base      int
+	instances int
+}
+
+func layoutOf(c *cli.Command) layout {
+	return layout{directory: c.String("directory"), base: c.Int("port"), instances: c.Int("instances")}
+}
+
+func (l layout) at(port int) netip.AddrPort {
+	return netip.AddrPortFrom(loopback, uint16(l.base+port))
+}
+
+// name returns the name of instance n, from 0.
+func (l layout) name(n int) string {
+	return fmt.Sprintf("%s-%d", l.dataCentre(n), n/len(dataCentres)+1)
+}
+
+func (l layout) dataCentre(n int) string { return dataCentres[n%len(dataCentres)] }
 
-func instances(directory string) []instance {
+// all returns what the settings files say.
+func (l layout) all() []instance {
 	var all []instance
-	for n, centre := range dataCentres {
+	for n := range l.instances {
 		all = append(all, instance{
-			Directory: directory, Name: centre + "-1", DataCentre: centre,
-			Caller: at(portCaller + n), Operator: at(portOperator + n), Peer: at(portPeer + n),
-			Admin: at(portAdmin + n), Platform: at(portPlatform),
+			Directory: l.directory, Name: l.name(n), DataCentre: l.dataCentre(n),
+			Caller: l.at(portCaller + n), Operator: l.at(portOperator + n), Peer: l.at(portPeer + n),
+			Admin: l.at(portAdmin + n), Platform: l.at(portPlatform), ShareOf: l.instances,
 		})
 	}
 	return all
 }
 
+func (l layout) engines() []netip.AddrPort {
+	var all []netip.AddrPort
+	for n := range engineCount {
+		all = append(all, l.at(portEngine+n))
+	}
+	return all
+}
+
 func newPrepareCmd() *cli.Command {
 	return &cli.Command{
 		Name:  "prepare",
 		Usage: "make keys, certificates, settings and the document",
-		Flags: []cli.Flag{directoryFlag()},
+		Flags: layoutFlags(
+			&cli.IntFlag{Name: "slots", Value: defaultSlots, Usage: "say that an engine batches `N` generations"},
+		),
 		Action: func(_ context.Context, c *cli.Command) error {
-			return prepare(c.String("directory"))
+			return prepare(layoutOf(c), c.Int("slots"))
 		},
 	}
 }
 
-func prepare(directory string) error {
+func prepare(l layout, slots int) error {
+	directory := l.directory
 	if err := os.MkdirAll(directory, directoryMode); err != nil {
 		return eris.Wrap(err, "make directory")
 	}
@@ -101,24 +139,32 @@
 			return eris.Wrap(err, "write key")
 		}
 	}
-	for _, i := range instances(directory) {
+	for _, i := range l.all() {
 		i.OperatorKey = compiler.HashKey(keys["operator"])
 		if err := render(filepath.Join(directory, i.Name+".yaml"), "settings.yaml.tmpl", i); err != nil {
 			return err
 		}
 	}
-	return render(filepath.Join(directory, "document.yaml"), "document.yaml.tmpl", documentData{
+	data := documentData{
 		Operator: compiler.HashKey(keys["operator"]), Laulukaar: compiler.HashKey(keys["laulukaar"]),
-		Binfold: compiler.HashKey(keys["binfold"]), Engines: []netip.AddrPort{at(portEngine), at(portEngine + 1)},
-		Service: at(portService),
-	})
+		Binfold: compiler.HashKey(keys["binfold"]), Engines: l.engines(), Slots: slots,
+		Service: l.at(portService), Dockets: l.at(portService + 1),
+	}
+	for _, name := range []string{"document", "load"} {
+		if err := render(filepath.Join(directory, name+".yaml"), name+".yaml.tmpl", data); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // documentData is what the document's template names.
 type documentData struct {
 	Operator, Laulukaar, Binfold string
 	Engines                      []netip.AddrPort
+	Slots                        int
 	Service                      netip.AddrPort
+	Dockets                      netip.AddrPort
 }
 
 func keyFile(directory, name string) string { return filepath.Join(directory, name+".secret") }
--- a/hack/demo.sh
+++ b/hack/demo.sh
@@ -10,4 +10,4 @@
 step="play"
 "$bin/wigeondemo" play
 step="status"
-"$bin/wigeonctl" --address https://127.0.0.1:17441 --key-file "$dir/operator.secret" --ca "$dir/authority.pem" status
+control 1 status
