--- a/internal/driver/report_test.go
+++ b/internal/driver/report_test.go
@@ -59,13 +59,14 @@
 
 func TestPairComparesTheSameTurns(t *testing.T) {
 	sample := func(name string, turn, first time.Duration) driver.Sample {
-		return driver.Sample{Mix: "songs", Name: name, Turn: turn, FirstToken: first}
+		return driver.Sample{Mix: "songs", Name: name, Turn: turn, FirstToken: first, LastToken: turn - first}
 	}
 	a := driver.Result{Samples: []driver.Sample{sample("songs-1/1", 100, 10), sample("songs-1/2", 100, 10), sample("songs-2/1", 1, 1)}}
 	b := driver.Result{Samples: []driver.Sample{sample("songs-1/2", 90, 12), sample("songs-1/1", 130, 14), sample("songs-3/1", 1, 1)}}
 	want := []driver.Difference{
-		{Mix: "songs", Measure: "Turn", Count: 2, Mean: 10, P05: -10, P50: -10, P95: 30},
-		{Mix: "songs", Measure: "FirstToken", Count: 2, Mean: 3, P05: 2, P50: 2, P95: 4},
+		{Mix: "songs", Measure: "Turn", Count: 2, Mean: 10, P05: -10, P50: -10, P95: 30, P99: 30},
+		{Mix: "songs", Measure: "FirstToken", Count: 2, Mean: 3, P05: 2, P50: 2, P95: 4, P99: 4},
+		{Mix: "songs", Measure: "LastToken", Count: 2, Mean: 7, P05: -12, P50: -12, P95: 26, P99: 26},
 	}
 	same(t, want, driver.Pair(a, b))
 }
@@ -98,7 +99,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	same(t, 6, len(paths))
+	same(t, 7, len(paths))
 	for _, path := range paths {
 		body, err := os.ReadFile(path)
 		if err != nil {
