--- a/internal/driver/client.go
+++ b/internal/driver/client.go
@@ -29,6 +29,8 @@
 	headerKind = "Wigeonstand-Kind"
 	// answerMargin is the time left for a refusal to arrive.
 	answerMargin = 500 * time.Millisecond
+	// leastAttempt is the least time that is left for an attempt.
+	leastAttempt = 4 * answerMargin
 	// resendPause is the wait before an unanswered request is sent again.
 	resendPause = 250 * time.Millisecond
 	// defaultAttempts bounds the attempts at one request.
@@ -158,12 +160,19 @@
 			ran = err
 		}
 		wait, again := c.again(err)
-		if !again || n >= c.attempts || pause(ctx, wait) != nil {
+		if !again || n >= c.attempts || !leaves(ctx, wait) || pause(ctx, wait) != nil {
 			return value, ran
 		}
 	}
 }
 
+// leaves says whether an attempt after the wait leaves time for its refusal to
+// arrive; one without would end as cut by the tool itself.
+func leaves(ctx context.Context, wait time.Duration) bool {
+	deadline, ok := ctx.Deadline()
+	return !ok || time.Until(deadline)-wait >= leastAttempt
+}
+
 // again says whether the request may be sent again after the error, and when.
 func (c *Client) again(err error) (time.Duration, bool) {
 	var refusal *Refusal
