--- a/internal/publisher/change.go
+++ b/internal/publisher/change.go
@@ -26,8 +26,9 @@
 	plan func(ctx context.Context, head *Manifest) ([]SectionEdit, error)
 }
 
-func digestOf(kind, operator string, edits []SectionEdit, to int64) string {
-	body, err := json.Marshal([]any{kind, operator, edits, to})
+// digestOf tells edits apart, whoever sends them.
+func digestOf(kind string, edits []SectionEdit, to int64) string {
+	body, err := json.Marshal([]any{kind, edits, to})
 	if err != nil {
 		panic(err)
 	}
@@ -199,7 +200,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	if _, err := compiler.Compile(merged.document); err != nil {
+	if _, err := a.compiler.Compile(merged.document); err != nil {
 		return Result{}, answerer.Wrap(answerer.DocumentInvalid, err, "the document was not accepted")
 	}
 	result := Result{
@@ -214,7 +215,7 @@
 		return result, nil
 	}
 	for _, object := range merged.objects {
-		if err := a.texts.objects.Put(ctx, object.key, []byte(object.text)); err != nil {
+		if err := a.texts.put(ctx, object); err != nil {
 			return Result{}, err
 		}
 	}
@@ -262,8 +263,6 @@
 	diff     string
 }
 
-type object struct{ key, text string }
-
 func (a *attempt) merge(ctx context.Context, head *Manifest, edits []SectionEdit) (merged, error) {
 	document, err := a.texts.document(ctx, head)
 	if err != nil {
