internal/administrator: accept an operator of the newest document

Cause: after the first apply, an instance that does not have the version in force yet let only the bootstrap key in, and then refused it because the newest document had operators, also when the key belonged to one of them. Ruled out: the keys' hashes and the compiler's new cache, which is not used here. Change: the operators of the newest document count in the bootstrap's check.

--- a/internal/administrator/auth.go
+++ b/internal/administrator/auth.go
@@ -30,7 +30,7 @@
 		return operator, nil
 	}
 	if len(operators) == 0 && same(hash, a.bootstrap) {
-		return a.bootstrapOperator(r)
+		return a.bootstrapOperator(r, hash)
 	}
 	return nil, answerer.New(answerer.Unauthenticated, "the key is not an operator's")
 }
@@ -49,13 +49,18 @@
 func same(a, b string) bool { return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1 }
 
 // bootstrapOperator makes sure that the newest document, which this instance
-// may not have yet, has no operators either.
-func (a *Administrator) bootstrapOperator(r *http.Request) (*compiler.Operator, error) {
+// may not have yet, has no operators either. If it has, they count.
+func (a *Administrator) bootstrapOperator(r *http.Request, hash string) (*compiler.Operator, error) {
 	_, document, err := a.publisher.Show(r.Context(), 0)
 	if err != nil {
 		return nil, err
 	}
 	newest, err := compiler.Compile(document)
+	if err == nil {
+		if operator := holder(newest.Operators, hash); operator != nil {
+			return operator, nil
+		}
+	}
 	if err != nil || len(newest.Operators) > 0 {
 		return nil, answerer.Wrap(answerer.Unauthenticated, err, "the key is not an operator's")
 	}
