--- a/cmd/wigeondemo/main.go
+++ b/cmd/wigeondemo/main.go
@@ -37,7 +37,10 @@
 // layoutFlags returns the flags that say where the processes are, and those given.
 func layoutFlags(own ...cli.Flag) []cli.Flag {
 	return append([]cli.Flag{
-		&cli.StringFlag{Name: "directory", Value: "run", Usage: "keep the demonstration's files in `DIR`"},
+		&cli.StringFlag{
+			Name: "directory", Value: "run", Sources: cli.EnvVars("DEMO_DIRECTORY"),
+			Usage: "keep the demonstration's files in `DIR`",
+		},
 		&cli.IntFlag{
 			Name: "port", Value: defaultBasePort, Sources: cli.EnvVars("DEMO_PORT"),
 			Usage: "count the processes' ports from `PORT`",
--- a/hack/load.sh
+++ b/hack/load.sh
@@ -25,6 +25,7 @@
   local pid=${pid_of[load-$1]} status=0
   wait "$pid" || status=$?
   unset "pid_of[load-$1]"
+  grep "LoadAnswerCut" "$dir/load-$1.log" | head -10 || true
   grep -v "ERRO\|│\|^$" "$dir/load-$1.log" | head -40
   return "$status"
 }
--- a/hack/processes.sh
+++ b/hack/processes.sh
@@ -3,12 +3,13 @@
 # remembered by its id and stopped by it.
 #
 # DEMO_PORT is the port that the processes' ports are counted from, and
-# DEMO_INSTANCES the number of instances.
+# DEMO_INSTANCES the number of instances; DEMO_DIRECTORY keeps their files.
 
 export DEMO_PORT=${DEMO_PORT:-17400}
 export DEMO_INSTANCES=${DEMO_INSTANCES:-3}
 bin=bin
-dir=${DEMO_DIRECTORY:-run}
+export DEMO_DIRECTORY=${DEMO_DIRECTORY:-run}
+dir=$DEMO_DIRECTORY
 document=document
 title=demo
 engine_flags=(--token-time 5ms --output-tokens 20)
--- a/internal/decider/world_test.go
+++ b/internal/decider/world_test.go
@@ -24,8 +24,8 @@
 	programBudget = 900
 	// drawTokens is small, so that draws run out.
 	drawTokens = 100
-	maxOutput      = 40
-	overshoot      = 32
+	maxOutput  = 40
+	overshoot  = 32
 )
 
 // alwaysRetrier allows every retry.
--- a/internal/driver/events.go
+++ b/internal/driver/events.go
@@ -10,4 +10,6 @@
 var (
 	Violated = logger.Define(8400, "LoadViolated", log.ErrorLevel,
 		"An answer broke what must always hold.", "Keep the result and explain the program with wigeonctl.")
+	AnswerCut = logger.Define(8401, "LoadAnswerCut", log.WarnLevel,
+		"No whole answer to a request has arrived.", "Compare the time with the instances' logs.")
 )
--- a/internal/driver/program.go
+++ b/internal/driver/program.go
@@ -127,6 +127,9 @@
 	defer cancel()
 	err := send(ctx)
 	p.driver.recorder.operation(p.mix.Name, operation, outcomeOf(err), kindOf(err), time.Since(due))
+	if outcomeOf(err) == Cut {
+		p.driver.log.Log(AnswerCut, "Operation", operation, "Program", p.id, "Name", p.name, "Cause", err)
+	}
 	if err != nil {
 		p.broken = true
 	}
