internal/owner: stream a turn's tokens once across attempts

Cause: after a silent stream the core sends the turn again from its first token, and the relay gave the caller the repeated tokens a second time: a turn of hack/drill-silence.sh told 60 tokens for an answer of 32. Ruled out: the forwarder's resumer, which joins attempts between instances only. Change: a caller's waiter knows the offset that it has reached and leaves out what lies before it; attempts at one turn have the same seed.

--- a/internal/owner/actions.go
+++ b/internal/owner/actions.go
@@ -251,7 +251,7 @@
 	if chunk.Done && chunk.Tokens == 0 && chunk.Text == "" {
 		return nil
 	}
-	_ = w.sink.Chunk(withoutEnd(chunk))
+	_ = w.pass(withoutEnd(chunk))
 	return nil
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -118,6 +118,22 @@
 	reply chan decider.Answer
 	began time.Time
 	first sync.Once
+
+	// streaming guards next, the offset after the last token that sink was given.
+	streaming sync.Mutex
+	next      int
+}
+
+// pass gives the sink the chunk unless an attempt before has already sent its
+// tokens. Attempts at one turn have the same seed, so that they agree.
+func (w *waiter) pass(chunk generator.Chunk) error {
+	w.streaming.Lock()
+	defer w.streaming.Unlock()
+	if chunk.Offset < w.next {
+		return nil
+	}
+	w.next = chunk.Offset + chunk.Tokens
+	return w.sink.Chunk(chunk)
 }
 
 // Option sets one property of an Owner.
--- a/internal/owner/relay_test.go
+++ b/internal/owner/relay_test.go
@@ -42,3 +42,28 @@
 		t.Errorf("chunks that reached the caller: %s", diff)
 	}
 }
+
+// TestRelayResumesAfterSilentAttempt checks that the attempt after a silent one
+// gives the caller only the tokens that are missing.
+func TestRelayResumesAfterSilentAttempt(t *testing.T) {
+	sink := &recordingSink{}
+	o := &Owner{
+		observer: silentObserver{}, meter: meter.New(),
+		waiting: map[string]*waiter{"request": {sink: sink, began: time.Now()}},
+	}
+	words := []string{"one", " two", " three"}
+	for _, end := range []int{2, 3} {
+		relay := o.newRelay(decider.Generate{Sink: "request"})
+		for offset, word := range words[:end] {
+			if err := relay.Chunk(generator.Chunk{Offset: offset, Text: word, Tokens: 1}); err != nil {
+				t.Fatalf("Chunk: %v", err)
+			}
+		}
+	}
+	want := []generator.Chunk{
+		{Offset: 0, Text: "one", Tokens: 1}, {Offset: 1, Text: " two", Tokens: 1}, {Offset: 2, Text: " three", Tokens: 1},
+	}
+	if diff := cmp.Diff(want, sink.chunks); diff != "" {
+		t.Errorf("chunks that reached the caller: %s", diff)
+	}
+}
