--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(CURDIR)/bin
 LINT := $(BIN)/tools/golangci-lint
 
-.PHONY: all build test demo demo-kill lint format unit clean fuzz mutants bench docs docs-check
+.PHONY: all build test demo demo-kill lint format unit clean fuzz mutants bench docs docs-check rolling drills cost
 
 all: build
 
@@ -59,3 +59,15 @@
 # Fails on a dead link, or an event, error kind, metric or setting that docs/ lacks.
 docs-check:
 	go run ./hack/docscheck
+
+# Stops and starts each of three real instances in turn under load.
+rolling: build
+	hack/rolling.sh
+
+# Provokes each failure on real processes; see docs/operators/drills.md.
+drills: build
+	hack/drills.sh
+
+# Measures the cost on real processes; see docs/CAPACITY.md.
+cost: build
+	hack/cost.sh
--- a/cmd/wigeondemo/main.go
+++ b/cmd/wigeondemo/main.go
@@ -30,10 +30,24 @@
   wigeondemo register --directory run
   wigeondemo ready --directory run
   wigeondemo play --directory run`,
-		Commands: []*cli.Command{newPrepareCmd(), newRegisterCmd(), newReadyCmd(), newPlayCmd(), newEditCmd()},
+		Commands: []*cli.Command{newPrepareCmd(), newRegisterCmd(), newReadyCmd(), newPlayCmd(), newEditCmd(), newOwnerCmd()},
 	}
 }
 
-func directoryFlag() cli.Flag {
-	return &cli.StringFlag{Name: "directory", Value: "run", Usage: "keep the demonstration's files in `DIR`"}
+// layoutFlags returns the flags that say where the processes are, and those given.
+func layoutFlags(own ...cli.Flag) []cli.Flag {
+	return append([]cli.Flag{
+		&cli.StringFlag{
+			Name: "directory", Value: "run", Sources: cli.EnvVars("DEMO_DIRECTORY"),
+			Usage: "keep the demonstration's files in `DIR`",
+		},
+		&cli.IntFlag{
+			Name: "port", Value: defaultBasePort, Sources: cli.EnvVars("DEMO_PORT"),
+			Usage: "count the processes' ports from `PORT`",
+		},
+		&cli.IntFlag{
+			Name: "instances", Value: defaultInstances, Sources: cli.EnvVars("DEMO_INSTANCES"),
+			Usage: "have `N` instances",
+		},
+	}, own...)
 }
--- a/internal/driver/program.go
+++ b/internal/driver/program.go
@@ -127,6 +127,9 @@
 	defer cancel()
 	err := send(ctx)
 	p.driver.recorder.operation(p.mix.Name, operation, outcomeOf(err), kindOf(err), time.Since(due))
+	if outcomeOf(err) == Cut {
+		p.driver.log.Log(AnswerCut, "Operation", operation, "Program", p.id, "Name", p.name, "Cause", err)
+	}
 	if err != nil {
 		p.broken = true
 	}
@@ -196,6 +199,7 @@
 		Name:       fmt.Sprintf("%s/%d", p.title, n),
 		Turn:       time.Since(due),
 		FirstToken: answer.Stream.First.Sub(due),
+		LastToken:  answer.Stream.last.Sub(due),
 	})
 }
 
--- a/internal/owner/actions.go
+++ b/internal/owner/actions.go
@@ -243,12 +243,20 @@
 		return nil
 	}
 	w.first.Do(func() { r.owner.meter.FirstTokenSeconds.Observe(now.Sub(w.began).Seconds()) })
-	if !chunk.Done {
-		w.box.put(chunk)
+	if chunk.Done && chunk.Tokens == 0 && chunk.Text == "" {
+		return nil
 	}
+	w.box.put(withoutEnd(chunk))
 	return nil
 }
 
+// withoutEnd returns the chunk's tokens alone: the caller's stream ends with
+// the committed turn, not with the engine's stream.
+func withoutEnd(chunk generator.Chunk) generator.Chunk {
+	chunk.Done, chunk.Usage = false, nil
+	return chunk
+}
+
 type silentObserver struct{}
 
 func (silentObserver) Report(string, time.Duration, error) {}
--- a/internal/owner/outbox.go
+++ b/internal/owner/outbox.go
@@ -16,25 +16,37 @@
 
 	mu     sync.Mutex
 	chunks []generator.Chunk
+	// next is the offset after the last token that was put.
+	next int
 }
 
 func newOutbox(sink requester.Sink) *outbox {
 	return &outbox{sink: sink, ready: make(chan struct{}, 1)}
 }
 
+// put adds the chunk unless an earlier attempt has already brought its tokens;
+// attempts at one turn have the same seed, so that they agree.
 func (b *outbox) put(chunk generator.Chunk) {
-	if b.sink == nil {
+	if b.sink == nil || !b.add(chunk) {
 		return
 	}
-	b.mu.Lock()
-	b.chunks = append(b.chunks, chunk)
-	b.mu.Unlock()
 	select {
 	case b.ready <- struct{}{}:
 	default:
 	}
 }
 
+func (b *outbox) add(chunk generator.Chunk) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if chunk.Offset < b.next {
+		return false
+	}
+	b.next = chunk.Offset + chunk.Tokens
+	b.chunks = append(b.chunks, chunk)
+	return true
+}
+
 // forward hands everything that waits to the caller. A caller that cannot be
 // written to does not end the attempt; its leaving is told apart.
 func (b *outbox) forward() {
