internal/prober: sample small groups whole

Cause: with three data centres and 37 endpoints in four groups, 8 were sampled by nobody until they were used, so that a leaving one could get new work (TestLeavingIsSeenInTimeAtTheSizesOfToday fails without the change). Change: what the own data centre's part of the sample does not need goes to the other part, and the other way round.

--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -112,7 +112,8 @@
 }
 
 // WithSample sets how many endpoints of each group are probed without being in
-// use, in the own data centre and outside of it.
+// use, in the own data centre and outside of it. What one side does not need
+// goes to the other.
 func WithSample(local, remote int) Option {
 	return func(p *Prober) { p.localSample, p.remoteSample = local, remote }
 }
--- a/internal/prober/sample.go
+++ b/internal/prober/sample.go
@@ -70,15 +70,55 @@
 		e.rank = xxhash.Sum64String(p.instance + "\x00" + e.config.Name)
 	}
 	slices.SortStableFunc(ranked, func(a, b *endpoint) int { return cmp.Compare(a.rank, b.rank) })
-	taken := map[string]int{}
+	groups := map[string]*quota{}
 	for _, e := range ranked {
-		key, limit := e.group+"\x00Remote", p.remoteSample
-		if e.config.DataCentre == p.dataCentre {
-			key, limit = e.group+"\x00Local", p.localSample
+		q := groups[e.group]
+		if q == nil {
+			q = &quota{}
+			groups[e.group] = q
 		}
-		e.sampled = taken[key] < limit
-		taken[key]++
+		q.count(e.config.DataCentre == p.dataCentre)
 	}
+	for _, q := range groups {
+		q.divide(p.localSample, p.remoteSample)
+	}
+	for _, e := range ranked {
+		e.sampled = groups[e.group].take(e.config.DataCentre == p.dataCentre)
+	}
+}
+
+// quota is how many endpoints of a group are sampled, inside and outside of
+// the own data centre.
+type quota struct {
+	local  int
+	remote int
+}
+
+func (q *quota) count(local bool) {
+	if local {
+		q.local++
+	} else {
+		q.remote++
+	}
+}
+
+// divide bounds the counts by their samples. What one side leaves free goes to
+// the other, so that a small group is sampled whole.
+func (q *quota) divide(local, remote int) {
+	freeLocal := max(0, local-q.local)
+	freeRemote := max(0, remote-q.remote)
+	q.local = min(q.local, local+freeRemote)
+	q.remote = min(q.remote, remote+freeLocal)
+}
+
+// take uses up one of the counts and reports whether any was left.
+func (q *quota) take(local bool) bool {
+	left := &q.remote
+	if local {
+		left = &q.local
+	}
+	*left--
+	return *left >= 0
 }
 
 // due returns the endpoints to probe now: those that a failure has made
--- a/internal/prober/share_test.go
+++ b/internal/prober/share_test.go
@@ -73,6 +73,29 @@
 	return n
 }
 
+// TestLeavingIsSeenInTimeAtTheSizesOfToday has three data centres and four
+// groups of 10, 10, 10 and 7 endpoints, none of them in use.
+func TestLeavingIsSeenInTimeAtTheSizesOfToday(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(names(37)...)
+		f.edit(func(all map[string]*compiler.Endpoint) {
+			for i, name := range names(37) {
+				all[name].DataCentre = string("abc"[i%3])
+				all[name].Models = []string{[]string{"m0", "m1", "m2", "m3"}[min(i/10, 3)]}
+			}
+		})
+		p := f.run(t)
+		time.Sleep(4300 * time.Millisecond)
+		for _, name := range names(37) {
+			f.set(name, generator.LoadReport{Leaving: true}, nil)
+		}
+		time.Sleep(leavingBound)
+		if diff := cmp.Diff(0, usable(p)); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
 func TestEndpointInUseIsProbedOutsideTheSample(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet("e1", "e2")
