internal/prober: let failing endpoints not stop the probes of others

Cause: probes of doubtful and ejected endpoints went before all others, so with 50 of 100 endpoints failing the other 50 were not probed at all in 20 s (TestFailingEndpointsDoNotStopTheProbesOfOthers fails without the change). Change: the longest overdue is probed first; a failure brings the next probe forward to a quarter of the interval after the last.

--- a/internal/prober/endpoint.go
+++ b/internal/prober/endpoint.go
@@ -19,6 +19,8 @@
 	silentSpacing = 5 * time.Second
 	// deniedSpacing is the time between two log events of a denied ejection.
 	deniedSpacing = 10 * time.Second
+	// urgentPart is the part of the interval that is kept to an urgent probe.
+	urgentPart = 4
 	// idleListing is the time between lists of an engine that is not in use.
 	idleListing = time.Minute
 	// leavingMargin is how much newer than the last sign of leaving a report
@@ -57,8 +59,10 @@
 	gap   time.Duration
 	gapAt time.Time
 
-	probing   bool
+	probing bool
+	// urgent asks for a probe on a connection of its own, before the interval is over.
 	urgent    bool
+	lastProbe time.Time
 	nextProbe time.Time
 	cache     cache
 }
@@ -72,10 +76,20 @@
 	}
 	e.probing = true
 	e.urgent = false
+	e.lastProbe = now
 	e.nextProbe = now.Add(interval)
 	return begun
 }
 
+// hurry brings the next probe forward, to a part of the interval after the last.
+func (e *endpoint) hurry(interval time.Duration) {
+	e.urgent = true
+	soon := e.lastProbe.Add(interval / urgentPart)
+	if soon.Before(e.nextProbe) {
+		e.nextProbe = soon
+	}
+}
+
 // followed reports whether what its cache holds is to be read: all the time
 // while it is in use, and now and then otherwise.
 func (e *endpoint) followed(now time.Time) bool {
--- a/internal/prober/health.go
+++ b/internal/prober/health.go
@@ -26,7 +26,7 @@
 	}
 	p.with(name, func(e *endpoint, now time.Time) {
 		e.usedAt = now
-		e.urgent = true
+		e.hurry(p.interval)
 		if reason == dispatcher.Silent && !e.countSilent(now) {
 			return
 		}
--- a/internal/prober/probe.go
+++ b/internal/prober/probe.go
@@ -87,7 +87,7 @@
 			return
 		}
 		if failure.Reason == dispatcher.Silent && failure.Reused {
-			e.urgent = true
+			e.hurry(p.interval)
 			return
 		}
 	}
--- a/internal/prober/sample.go
+++ b/internal/prober/sample.go
@@ -121,36 +121,22 @@
 	return *left >= 0
 }
 
-// due returns the endpoints to probe now: those that a failure has made
-// doubtful first, then those in use, then the sample; the longest overdue first.
+// due returns the endpoints to probe now, the longest overdue first, so that
+// none waits for ever behind those that fail.
 func (p *Prober) due(now time.Time) []*endpoint {
 	var due []*endpoint
 	for _, e := range p.ordered {
-		if !e.probing && p.isDue(e, now) {
+		if e.isDue(now) {
 			due = append(due, e)
 		}
 	}
-	slices.SortStableFunc(due, func(a, b *endpoint) int {
-		return cmp.Or(cmp.Compare(class(a, now), class(b, now)), a.nextProbe.Compare(b.nextProbe))
-	})
+	slices.SortStableFunc(due, func(a, b *endpoint) int { return a.nextProbe.Compare(b.nextProbe) })
 	return due
 }
 
-func (p *Prober) isDue(e *endpoint, now time.Time) bool {
-	if e.urgent {
-		return true
-	}
-	watched := e.sampled || e.inUse(now) || e.ejected || e.leaving
-	return watched && !now.Before(e.nextProbe)
-}
-
-// class orders the probes that are due.
-func class(e *endpoint, now time.Time) int {
-	switch {
-	case e.urgent || e.ejected:
-		return 0
-	case e.inUse(now):
-		return 1
+func (e *endpoint) isDue(now time.Time) bool {
+	if e.probing || now.Before(e.nextProbe) {
+		return false
 	}
-	return 2
+	return e.urgent || e.sampled || e.inUse(now) || e.ejected || e.leaving
 }
--- a/internal/prober/share_test.go
+++ b/internal/prober/share_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/wigeonstand/wigeonstand/internal/compiler"
+	"github.com/wigeonstand/wigeonstand/internal/dispatcher"
 	"github.com/wigeonstand/wigeonstand/internal/generator"
 	"github.com/wigeonstand/wigeonstand/internal/prober"
 )
@@ -96,6 +97,26 @@
 	})
 }
 
+func TestFailingEndpointsDoNotStopTheProbesOfOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(names(100)...)
+		p := f.run(t, prober.WithSample(100, 0))
+		for range 200 {
+			for _, name := range names(50) {
+				p.Failed(name, dispatcher.Failed)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		for _, name := range names(100) {
+			if f.probes[name] < 4 {
+				t.Errorf("%s was probed %d times in 20 s", name, f.probes[name])
+			}
+		}
+	})
+}
+
 func TestEndpointInUseIsProbedOutsideTheSample(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet("e1", "e2")
