--- a/internal/prober/sample.go
+++ b/internal/prober/sample.go
@@ -70,47 +70,73 @@
 		e.rank = xxhash.Sum64String(p.instance + "\x00" + e.config.Name)
 	}
 	slices.SortStableFunc(ranked, func(a, b *endpoint) int { return cmp.Compare(a.rank, b.rank) })
-	taken := map[string]int{}
+	groups := map[string]*quota{}
 	for _, e := range ranked {
-		key, limit := e.group+"\x00Remote", p.remoteSample
-		if e.config.DataCentre == p.dataCentre {
-			key, limit = e.group+"\x00Local", p.localSample
+		q := groups[e.group]
+		if q == nil {
+			q = &quota{}
+			groups[e.group] = q
 		}
-		e.sampled = taken[key] < limit
-		taken[key]++
+		q.count(e.config.DataCentre == p.dataCentre)
 	}
+	for _, q := range groups {
+		q.divide(p.localSample, p.remoteSample)
+	}
+	for _, e := range ranked {
+		e.sampled = groups[e.group].take(e.config.DataCentre == p.dataCentre)
+	}
+}
+
+// quota is how many endpoints of a group are sampled, inside and outside of
+// the own data centre.
+type quota struct {
+	local  int
+	remote int
 }
 
-// due returns the endpoints to probe now: those that a failure has made
-// doubtful first, then those in use, then the sample; the longest overdue first.
+func (q *quota) count(local bool) {
+	if local {
+		q.local++
+	} else {
+		q.remote++
+	}
+}
+
+// divide bounds the counts by their samples. What one side leaves free goes to
+// the other, so that a small group is sampled whole.
+func (q *quota) divide(local, remote int) {
+	freeLocal := max(0, local-q.local)
+	freeRemote := max(0, remote-q.remote)
+	q.local = min(q.local, local+freeRemote)
+	q.remote = min(q.remote, remote+freeLocal)
+}
+
+// take uses up one of the counts and reports whether any was left.
+func (q *quota) take(local bool) bool {
+	left := &q.remote
+	if local {
+		left = &q.local
+	}
+	*left--
+	return *left >= 0
+}
+
+// due returns the endpoints to probe now, the longest overdue first, so that
+// none waits for ever behind those that fail.
 func (p *Prober) due(now time.Time) []*endpoint {
 	var due []*endpoint
 	for _, e := range p.ordered {
-		if !e.probing && p.isDue(e, now) {
+		if e.isDue(now) {
 			due = append(due, e)
 		}
 	}
-	slices.SortStableFunc(due, func(a, b *endpoint) int {
-		return cmp.Or(cmp.Compare(class(a, now), class(b, now)), a.nextProbe.Compare(b.nextProbe))
-	})
+	slices.SortStableFunc(due, func(a, b *endpoint) int { return a.nextProbe.Compare(b.nextProbe) })
 	return due
 }
 
-func (p *Prober) isDue(e *endpoint, now time.Time) bool {
-	if e.urgent {
-		return true
-	}
-	watched := e.sampled || e.inUse(now) || e.ejected || e.leaving
-	return watched && !now.Before(e.nextProbe)
-}
-
-// class orders the probes that are due.
-func class(e *endpoint, now time.Time) int {
-	switch {
-	case e.urgent || e.ejected:
-		return 0
-	case e.inUse(now):
-		return 1
+func (e *endpoint) isDue(now time.Time) bool {
+	if e.probing || now.Before(e.nextProbe) {
+		return false
 	}
-	return 2
+	return e.urgent || e.sampled || e.inUse(now) || e.ejected || e.leaving
 }
