--- a/internal/assembler/daemon.go
+++ b/internal/assembler/daemon.go
@@ -150,7 +150,10 @@
 	if err != nil {
 		return eris.Wrap(err, "endpoint certificates")
 	}
-	options := []dispatcher.Option{dispatcher.WithDial(d.network.DialContext)}
+	options := []dispatcher.Option{
+		dispatcher.WithDial(d.network.DialContext),
+		dispatcher.WithLeaving(func(endpoint string) { d.prober.Left(endpoint) }),
+	}
 	if certs != nil {
 		options = append(options, dispatcher.WithTLS(certs.Client))
 	}
