--- a/internal/publisher/change.go
+++ b/internal/publisher/change.go
@@ -26,9 +26,21 @@
 	plan func(ctx context.Context, head *Manifest) ([]SectionEdit, error)
 }
 
+// contents is what makes an edit the same as another one. Where the texts stand
+// and which revisions they were made from may differ when a command is repeated.
+type contents struct {
+	Kind  string
+	Edits []SectionEdit
+	To    int64
+}
+
 // digestOf tells edits apart, whoever sends them.
 func digestOf(kind string, edits []SectionEdit, to int64) string {
-	body, err := json.Marshal([]any{kind, edits, to})
+	same := contents{Kind: kind, To: to}
+	for _, edit := range edits {
+		same.Edits = append(same.Edits, SectionEdit{Section: edit.Section, Text: edit.Text})
+	}
+	body, err := json.Marshal(same)
 	if err != nil {
 		panic(err)
 	}
