internal/forwarder: drop idle connections to an instance when one fails

Cause: after a cut, each heartbeat or command spent one of the idle connections, up to 32 in a row. Change: a failed or silent connection takes the unused ones to its address with it. Generated runs of the placer also keep batches as objects; the committer's test store no longer keeps an object whose write was refused.

--- a/internal/committer/committer_test.go
+++ b/internal/committer/committer_test.go
@@ -65,8 +65,11 @@
 func (s *store) Put(_ context.Context, key string, body []byte) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.objects[key] = body
-	return s.fail()
+	err := s.fail()
+	if !errors.Is(err, storer.ErrUnavailable) {
+		s.objects[key] = body
+	}
+	return err
 }
 
 func (s *store) Get(_ context.Context, key string) ([]byte, error) {
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -210,12 +210,17 @@
 // finish gives a connection back after a call, unless the call failed.
 func (c *Client) finish(conn *conn, err error) {
 	if err != nil {
-		conn.discard()
+		c.abandon(conn)
 		return
 	}
 	c.pool.put(conn)
 }
 
+func (c *Client) abandon(conn *conn) {
+	conn.discard()
+	c.pool.drop(conn.address)
+}
+
 // finishDo keeps the connection if the command was answered.
 func (c *Client) finishDo(conn *conn, err error) {
 	var failure *answerer.Error
@@ -223,7 +228,12 @@
 		c.pool.put(conn)
 		return
 	}
-	conn.discard()
+	if failure != nil {
+		// Only the caller went away.
+		conn.discard()
+		return
+	}
+	c.abandon(conn)
 }
 
 func encodeBeat(b Beat) *framer.Beat {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -408,3 +408,30 @@
 		}
 	})
 }
+
+// TestOneSilentConnectionCondemnsTheIdleOnes cuts several idle connections: one
+// failure is enough for all of them to be replaced.
+func TestOneSilentConnectionCondemnsTheIdleOnes(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fixture) {
+		var calls sync.WaitGroup
+		for n := range 5 {
+			calls.Go(func() {
+				if _, err := f.entry.Do(t.Context(), turn(n+1), &sink{}); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		calls.Wait()
+		f.network.cutAll()
+		var failed []bool
+		for range 3 {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			_, err := f.client.Heartbeat(ctx, "owner", forwarder.Beat{})
+			failed = append(failed, err != nil)
+			cancel()
+		}
+		if diff := cmp.Diff([]bool{true, false, false}, failed); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -105,6 +105,17 @@
 	p.idle[address] = kept
 }
 
+// drop closes the unused connections to the address: when one has failed, the
+// others may have gone silent with it.
+func (p *pool) drop(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[address] {
+		go c.discard()
+	}
+	delete(p.idle, address)
+}
+
 func (p *pool) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/placer/cluster_test.go
+++ b/internal/placer/cluster_test.go
@@ -275,7 +275,9 @@
 		name: name, lease: lease, oracle: c.oracle,
 		random: rand.New(rand.NewPCG(c.seed, 1)), shards: map[int]*list{},
 	}
-	a.journal = committer.New(lease, l)
+	// Every other instance keeps its batches as objects.
+	inline := int(c.seed%2) * committer.DefaultInlineBytes
+	a.journal = committer.New(lease, l, committer.WithInlineBytes(inline))
 	a.pace.Store(int64(60 * time.Millisecond))
 	options = append([]placer.Option{placer.WithShards(testShards), placer.WithSnapshotBatches(20)}, options...)
 	platform := placer.Platform{Table: l, Objects: l, Lister: l}
--- a/internal/placer/fault_test.go
+++ b/internal/placer/fault_test.go
@@ -238,14 +238,14 @@
 		c.store.mu.Lock()
 		defer c.store.mu.Unlock()
 		kept := map[string]int{}
-		for key := range c.store.rows {
+		for key := range c.store.keys() {
 			prefix, _, _ := strings.Cut(key, "/")
 			kept[prefix]++
 		}
 		needed := c.store.neededBatches()
-		t.Logf("rows kept: %v, snapshots: %d, batches read by a takeover: %v", kept, len(c.store.objects), needed)
-		if len(c.store.objects) > 2*testShards {
-			t.Errorf("%d objects are kept", len(c.store.objects))
+		t.Logf("rows and objects kept: %v, batches read by a takeover: %v", kept, needed)
+		if kept["snapshot"] > 2*testShards {
+			t.Errorf("%d snapshots are kept", kept["snapshot"])
 		}
 		for owner, n := range needed {
 			// A round takes some of the snapshots that are due; rounds are short.
@@ -259,6 +259,18 @@
 	}, options...)
 }
 
+// keys returns the keys of all rows and objects.
+func (m *memory) keys() map[string]bool {
+	keys := map[string]bool{}
+	for key := range m.rows {
+		keys[key] = true
+	}
+	for key := range m.objects {
+		keys[key] = true
+	}
+	return keys
+}
+
 // neededBatches returns, by generation, the batches after the oldest snapshot.
 func (m *memory) neededBatches() map[string]int {
 	oldest := map[string]string{}
@@ -276,7 +288,7 @@
 	}
 	needed := map[string]int{}
 	for prefix, after := range oldest {
-		for key := range m.rows {
+		for key := range m.keys() {
 			if strings.HasPrefix(key, prefix) && key > after {
 				needed[prefix]++
 			}
@@ -295,9 +307,9 @@
 		c.get("c").pace.Store(int64(5 * time.Second))
 		time.Sleep(40 * time.Minute)
 		c.store.mu.Lock()
-		for key, row := range c.store.rows {
+		for key := range c.store.keys() {
 			if !strings.HasPrefix(key, placer.ShardPrefix) && key != placer.MapKey && !strings.Contains(key, "/c") {
-				t.Errorf("%s is kept: %s", key, row.Value)
+				t.Errorf("%s is kept", key)
 			}
 		}
 		c.store.mu.Unlock()
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -25,10 +25,14 @@
 			t.Error("before: " + diff)
 		}
 		c.kill("a")
-		time.Sleep(15 * time.Second)
+		killed := time.Now()
+		for time.Since(killed) < 15*time.Second && !cmp.Equal(once, c.served()) {
+			time.Sleep(10 * time.Millisecond)
+		}
 		if diff := cmp.Diff(once, c.served()); diff != "" {
 			t.Error("after: " + diff)
 		}
+		t.Logf("all shards were served again after %v", time.Since(killed))
 		if diff := cmp.Diff([]string(nil), c.breaches()); diff != "" {
 			t.Error(diff)
 		}
