--- a/internal/placer/fault_test.go
+++ b/internal/placer/fault_test.go
@@ -320,3 +320,31 @@
 		}
 	})
 }
+
+// TestIdleInstancesSpendLittleOfTheStore logs the writes and reads of idle
+// instances, which must not grow with their number.
+func TestIdleInstancesSpendLittleOfTheStore(t *testing.T) {
+	const writes, reads, span = 1, 6, 2 * time.Minute
+	for _, n := range []int{3, 12, 24} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(1)
+			defer c.stopAll()
+			for i := range n {
+				c.start(fmt.Sprintf("instance-%02d", i))
+			}
+			for _, name := range c.names() {
+				c.get(name).pace.Store(int64(time.Hour))
+			}
+			time.Sleep(time.Minute)
+			w0, r0 := c.store.counted()
+			time.Sleep(span)
+			w1, r1 := c.store.counted()
+			seconds := span.Seconds() * float64(n)
+			w, r := float64(w1-w0)/seconds, float64(r1-r0)/seconds
+			t.Logf("%d instances: %.2f writes and %.2f reads a second each", n, w, r)
+			if w > writes || r > reads {
+				t.Errorf("more than %d writes or %d reads a second each", writes, reads)
+			}
+		})
+	}
+}
--- a/internal/placer/store_test.go
+++ b/internal/placer/store_test.go
@@ -21,6 +21,8 @@
 	objects  map[string][]byte
 	versions int64
 	outage   bool
+	writes   int
+	reads    int
 	broken   []string
 }
 
@@ -191,7 +193,21 @@
 	l.before = before
 }
 
+func (m *memory) count(writes, reads int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.writes += writes
+	m.reads += reads
+}
+
+func (m *memory) counted() (writes, reads int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.writes, m.reads
+}
+
 func (l *link) Commit(ctx context.Context, commit storer.Commit) (storer.Result, error) {
+	l.count(1, 0)
 	if err := l.reach(ctx); err != nil {
 		return storer.Result{}, err
 	}
@@ -213,6 +229,7 @@
 }
 
 func (l *link) Read(ctx context.Context, keys ...string) ([]storer.Row, error) {
+	l.count(0, 1)
 	if err := l.reach(ctx); err != nil {
 		return nil, err
 	}
@@ -227,6 +244,7 @@
 }
 
 func (l *link) Scan(ctx context.Context, prefix, after string, limit int) ([]storer.Row, error) {
+	l.count(0, 1)
 	if err := l.reach(ctx); err != nil {
 		return nil, err
 	}
@@ -243,6 +261,7 @@
 }
 
 func (l *link) Put(ctx context.Context, key string, body []byte) error {
+	l.count(1, 0)
 	if err := l.reach(ctx); err != nil {
 		return err
 	}
@@ -260,6 +279,7 @@
 }
 
 func (l *link) Get(ctx context.Context, key string) ([]byte, error) {
+	l.count(0, 1)
 	if err := l.reach(ctx); err != nil {
 		return nil, err
 	}
@@ -273,6 +293,7 @@
 }
 
 func (l *link) Delete(ctx context.Context, key string) error {
+	l.count(1, 0)
 	if err := l.reach(ctx); err != nil {
 		return err
 	}
@@ -283,6 +304,7 @@
 }
 
 func (l *link) List(ctx context.Context, prefix string, limit int) ([]string, error) {
+	l.count(0, 1)
 	if err := l.reach(ctx); err != nil {
 		return nil, err
 	}
@@ -299,5 +321,6 @@
 }
 
 func (l *link) Instances(ctx context.Context) ([]storer.Listing, error) {
+	l.count(0, 1)
 	return nil, l.reach(ctx)
 }
