--- a/internal/placer/fault_test.go
+++ b/internal/placer/fault_test.go
@@ -238,14 +238,14 @@
 		c.store.mu.Lock()
 		defer c.store.mu.Unlock()
 		kept := map[string]int{}
-		for key := range c.store.rows {
+		for key := range c.store.keys() {
 			prefix, _, _ := strings.Cut(key, "/")
 			kept[prefix]++
 		}
 		needed := c.store.neededBatches()
-		t.Logf("rows kept: %v, snapshots: %d, batches read by a takeover: %v", kept, len(c.store.objects), needed)
-		if len(c.store.objects) > 2*testShards {
-			t.Errorf("%d objects are kept", len(c.store.objects))
+		t.Logf("rows and objects kept: %v, batches read by a takeover: %v", kept, needed)
+		if kept["snapshot"] > 2*testShards {
+			t.Errorf("%d snapshots are kept", kept["snapshot"])
 		}
 		for owner, n := range needed {
 			// A round takes some of the snapshots that are due; rounds are short.
@@ -259,6 +259,18 @@
 	}, options...)
 }
 
+// keys returns the keys of all rows and objects.
+func (m *memory) keys() map[string]bool {
+	keys := map[string]bool{}
+	for key := range m.rows {
+		keys[key] = true
+	}
+	for key := range m.objects {
+		keys[key] = true
+	}
+	return keys
+}
+
 // neededBatches returns, by generation, the batches after the oldest snapshot.
 func (m *memory) neededBatches() map[string]int {
 	oldest := map[string]string{}
@@ -276,7 +288,7 @@
 	}
 	needed := map[string]int{}
 	for prefix, after := range oldest {
-		for key := range m.rows {
+		for key := range m.keys() {
 			if strings.HasPrefix(key, prefix) && key > after {
 				needed[prefix]++
 			}
@@ -295,9 +307,9 @@
 		c.get("c").pace.Store(int64(5 * time.Second))
 		time.Sleep(40 * time.Minute)
 		c.store.mu.Lock()
-		for key, row := range c.store.rows {
+		for key := range c.store.keys() {
 			if !strings.HasPrefix(key, placer.ShardPrefix) && key != placer.MapKey && !strings.Contains(key, "/c") {
-				t.Errorf("%s is kept: %s", key, row.Value)
+				t.Errorf("%s is kept", key)
 			}
 		}
 		c.store.mu.Unlock()
@@ -308,3 +320,31 @@
 		}
 	})
 }
+
+// TestIdleInstancesSpendLittleOfTheStore logs the writes and reads of idle
+// instances, which must not grow with their number.
+func TestIdleInstancesSpendLittleOfTheStore(t *testing.T) {
+	const writes, reads, span = 1, 6, 2 * time.Minute
+	for _, n := range []int{3, 12, 24} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(1)
+			defer c.stopAll()
+			for i := range n {
+				c.start(fmt.Sprintf("instance-%02d", i))
+			}
+			for _, name := range c.names() {
+				c.get(name).pace.Store(int64(time.Hour))
+			}
+			time.Sleep(time.Minute)
+			w0, r0 := c.store.counted()
+			time.Sleep(span)
+			w1, r1 := c.store.counted()
+			seconds := span.Seconds() * float64(n)
+			w, r := float64(w1-w0)/seconds, float64(r1-r0)/seconds
+			t.Logf("%d instances: %.2f writes and %.2f reads a second each", n, w, r)
+			if w > writes || r > reads {
+				t.Errorf("more than %d writes or %d reads a second each", writes, reads)
+			}
+		})
+	}
+}
