internal/receiver: let callers close their idle connections at a planned stop

Cause: at the end of a planned stop the listener's idle connections were closed at once. Ruled out: the owner's handover (no refusal, no doubtful outcome was logged). Change: Serve closes the listener, then waits up to 5 s until callers have closed their connections or been told to by an answer, and only then shuts down. wigeonload keeps idle connections 3 s.

--- a/cmd/wigeonload/root.go
+++ b/cmd/wigeonload/root.go
@@ -20,6 +20,8 @@
 	// idleConnections is kept per host, so that an open loop seldom dials.
 	idleConnections = 4096
 	dialTimeout     = 5 * time.Second
+	// idleTimeout is shorter than a stopping instance leaves idle connections open.
+	idleTimeout = 3 * time.Second
 )
 
 // newRootCmd returns the command line; results go to out, logs to log.
@@ -101,6 +103,7 @@
 	transport.MaxIdleConns = 0
 	transport.MaxIdleConnsPerHost = idleConnections
 	transport.TLSHandshakeTimeout = dialTimeout
+	transport.IdleConnTimeout = idleTimeout
 	if file := c.String("ca"); file != "" {
 		pool := x509.NewCertPool()
 		pem, err := os.ReadFile(file)
--- a/internal/assembler/daemon.go
+++ b/internal/assembler/daemon.go
@@ -31,6 +31,8 @@
 	healthPeriod = 200 * time.Millisecond
 	// shutdownTimeout bounds the end of a listener after its work is done.
 	shutdownTimeout = 5 * time.Second
+	// callerLinger is how long a planned stop leaves callers' idle connections open.
+	callerLinger = 5 * time.Second
 )
 
 var (
@@ -164,7 +166,7 @@
 	}
 	limits := d.settings.Limits
 	options := []receiver.Option{
-		receiver.WithLogger(d.log), receiver.WithMeter(d.meter), receiver.WithDrainTimeout(d.settings.DrainTimeout),
+		receiver.WithLogger(d.log), receiver.WithMeter(d.meter), receiver.WithDrainTimeout(d.settings.DrainTimeout), receiver.WithLinger(callerLinger),
 		receiver.WithBodyLimit(int64(limits.BodyBytes), limits.HeaderTimeout),
 		receiver.WithHeaderLimit(limits.HeaderBytes, limits.HeaderTimeout), receiver.WithIdleTimeout(limits.IdleTimeout),
 	}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -31,6 +31,7 @@
 	defaultIdleTimeout   = 30 * time.Second
 	defaultDrainTimeout  = 30 * time.Second
 	defaultInFlight      = 8192
+	lingerPoll           = 20 * time.Millisecond
 	// answerGrace is how long past the caller's time the owner may take to say
 	// what became of the request.
 	answerGrace = 500 * time.Millisecond
@@ -56,8 +57,11 @@
 	drainTimeout   time.Duration
 	maximumFlight  int64
 
-	stopping atomic.Bool
-	inFlight atomic.Int64
+	linger time.Duration
+
+	stopping    atomic.Bool
+	inFlight    atomic.Int64
+	connections atomic.Int64
 }
 
 // Option sets one property of a Receiver.
@@ -96,6 +100,11 @@
 // WithDrainTimeout bounds how long Serve waits for requests in flight once its context has ended.
 func WithDrainTimeout(d time.Duration) Option { return func(r *Receiver) { r.drainTimeout = d } }
 
+// WithLinger sets how long a planned stop leaves idle connections open after the
+// listener is closed. A request that is on its way when its connection is closed
+// is cut, so callers close their idle connections sooner than that.
+func WithLinger(d time.Duration) Option { return func(r *Receiver) { r.linger = d } }
+
 // WithMaximumInFlight bounds the requests served at a time.
 func WithMaximumInFlight(n int) Option { return func(r *Receiver) { r.maximumFlight = int64(n) } }
 
@@ -141,8 +150,38 @@
 		return err
 	case <-ctx.Done():
 	}
+	r.SetStopping(true)
+	_ = listener.Close()
+	r.awaitCallers(ctx)
 	r.drain(ctx, server)
-	return <-failed
+	<-failed
+	return nil
+}
+
+// awaitCallers waits until callers have closed their connections, each of which
+// is closed by the next answer on it.
+func (r *Receiver) awaitCallers(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.linger)
+	defer cancel()
+	ticker := time.NewTicker(lingerPoll)
+	defer ticker.Stop()
+	for r.connections.Load() > 0 {
+		select {
+		case <-bounded.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// count keeps the number of open connections.
+func (r *Receiver) count(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		r.connections.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		r.connections.Add(-1)
+	}
 }
 
 func (r *Receiver) server() *http.Server {
@@ -152,6 +191,7 @@
 		IdleTimeout:       r.idleTimeout,
 		MaxHeaderBytes:    r.headerBytes,
 		TLSConfig:         r.tls,
+		ConnState:         r.count,
 		ErrorLog:          connectionLog(r.log),
 		TLSNextProto:      map[string]func(*http.Server, *tls.Conn, http.Handler){},
 	}
@@ -170,7 +210,6 @@
 }
 
 func (r *Receiver) drain(ctx context.Context, server *http.Server) {
-	r.SetStopping(true)
 	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.drainTimeout)
 	defer cancel()
 	if err := server.Shutdown(bounded); err == nil {
