--- a/cmd/wigeondemo/main.go
+++ b/cmd/wigeondemo/main.go
@@ -30,7 +30,7 @@
   wigeondemo register --directory run
   wigeondemo ready --directory run
   wigeondemo play --directory run`,
-		Commands: []*cli.Command{newPrepareCmd(), newRegisterCmd(), newReadyCmd(), newPlayCmd(), newEditCmd(), newOwnerCmd()},
+		Commands: []*cli.Command{newPrepareCmd(), newRegisterCmd(), newReadyCmd(), newPlayCmd(), newEditCmd(), newOwnerCmd(), newCrowdCmd()},
 	}
 }
 
--- a/cmd/wigeondemo/play.go
+++ b/cmd/wigeondemo/play.go
@@ -23,6 +23,7 @@
 	readyTimeout = 60 * time.Second
 	readyPoll    = 200 * time.Millisecond
 	callTimeout  = 30 * time.Second
+	idlePerHost  = 64
 )
 
 // player plays the callers of the demonstration.
@@ -38,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	transport := &http.Transport{TLSClientConfig: certs.Client()}
+	transport := &http.Transport{TLSClientConfig: certs.Client(), MaxIdleConnsPerHost: idlePerHost}
 	return &player{layout: l, out: c.Root().Writer, http: &http.Client{Transport: transport}}, nil
 }
 
