--- a/internal/assembler/daemon.go
+++ b/internal/assembler/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/forwarder"
 	"github.com/wigeonstand/wigeonstand/internal/generator"
 	"github.com/wigeonstand/wigeonstand/internal/meter"
+	"github.com/wigeonstand/wigeonstand/internal/prober"
 	"github.com/wigeonstand/wigeonstand/internal/publisher"
 	"github.com/wigeonstand/wigeonstand/internal/receiver"
 	"github.com/wigeonstand/wigeonstand/internal/requester"
@@ -47,7 +48,7 @@
 	}
 	d := &daemon{
 		settings: settings, meter: meter.New(),
-		log: l.With("Instance", settings.Instance, "DataCentre", settings.DataCentre), network: &tcp{}, draining: make(chan struct{}),
+		log: l.With("Instance", settings.Instance, "DataCentre", settings.DataCentre), network: newTCP(), draining: make(chan struct{}),
 	}
 	for _, option := range options {
 		option(d)
@@ -151,11 +152,16 @@
 	if err != nil {
 		return eris.Wrap(err, "endpoint certificates")
 	}
-	options := []dispatcher.Option{dispatcher.WithDial(d.network.DialContext)}
+	options := []dispatcher.Option{
+		dispatcher.WithDial(d.network.DialContext),
+		dispatcher.WithLeaving(func(endpoint string) { d.prober.Left(endpoint) }),
+	}
 	if certs != nil {
 		options = append(options, dispatcher.WithTLS(certs.Client))
 	}
 	d.dispatcher = dispatcher.New(options...)
+	d.prober = prober.New(d.follower.Current, d.dispatcher,
+		prober.WithInstance(d.settings.Instance, d.settings.DataCentre), prober.WithWatcher(memory{d}), prober.WithLogger(d.log))
 	return nil
 }
 
@@ -221,11 +227,16 @@
 	if err := d.listenInternal(base); err != nil {
 		return err
 	}
-	if err := d.follower.Start(ctx); err != nil {
+	starting, started := context.WithCancel(ctx)
+	defer context.AfterFunc(base, started)()
+	err := d.follower.Start(starting)
+	started()
+	if err != nil {
 		return d.stoppedEarly(ctx, err)
 	}
 	d.work.Go(func() { d.follower.Run(base) })
 	d.work.Go(func() { d.serveTenures(base) })
+	d.work.Go(func() { _ = d.prober.Run(base) })
 	d.work.Go(func() { d.watch(base) })
 	listener, err := d.network.Listen(d.settings.CallerListen)
 	if err != nil {
@@ -328,22 +339,6 @@
 	return nil
 }
 
-// watch tells the owner whether the store confirms the lease.
-func (d *daemon) watch(ctx context.Context) {
-	ticker := time.NewTicker(healthPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		if t := d.tenure.Load(); t != nil {
-			t.owner.Tell(decider.StoreHealth{Down: !t.lease.Confirmed()})
-		}
-	}
-}
-
 // stop ends the instance as planned: it reports that it is not ready, hands its
 // shards over, finishes what is in flight and closes its listeners.
 func (d *daemon) stop(base context.Context, stopServing context.CancelFunc, served <-chan struct{}) {
@@ -356,6 +351,7 @@
 		if err := t.placer.Drain(draining); err != nil {
 			d.log.Log(eventDrainCut, "Cause", err)
 		}
+		t.owner.GiveBack(draining)
 	}
 	stopServing()
 	<-served
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -34,8 +34,8 @@
 
 // Observer learns how requests to endpoints went.
 type Observer interface {
-	Succeeded(endpoint string, took time.Duration)
-	Failed(endpoint string, reason dispatcher.Reason)
+	// Report says how a request went; err is the dispatcher's.
+	Report(endpoint string, took time.Duration, err error)
 	Gap(endpoint string, gap time.Duration)
 }
 
@@ -43,6 +43,8 @@
 type Escrow interface {
 	// Draw returns the tokens granted, zero if the budget is spent.
 	Draw(ctx context.Context, business string, tokens, limit int) (int, error)
+	// Return gives unspent tokens back.
+	Return(ctx context.Context, business string, tokens int) error
 }
 
 const (
@@ -114,26 +116,10 @@
 
 // waiter is one caller that waits for the answer to a command.
 type waiter struct {
-	sink  requester.Sink
+	box   *outbox
 	reply chan decider.Answer
 	began time.Time
 	first sync.Once
-
-	// streaming guards next, the offset after the last token that sink was given.
-	streaming sync.Mutex
-	next      int
-}
-
-// pass gives the sink the chunk unless an attempt before has already sent its
-// tokens. Attempts at one turn have the same seed, so that they agree.
-func (w *waiter) pass(chunk generator.Chunk) error {
-	w.streaming.Lock()
-	defer w.streaming.Unlock()
-	if chunk.Offset < w.next {
-		return nil
-	}
-	w.next = chunk.Offset + chunk.Tokens
-	return w.sink.Chunk(chunk)
 }
 
 // Option sets one property of an Owner.
@@ -195,6 +181,17 @@
 	})
 }
 
+// GiveBack returns the unspent part of the businesses' budgets. It is for a
+// planned stop, once all shards are gone; Stop waits for it.
+func (o *Owner) GiveBack(ctx context.Context) {
+	done := make(chan struct{})
+	o.system.Root.Send(o.pid, giveBack{done: done})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 // Tell hands an event to the core.
 func (o *Owner) Tell(event decider.Event) { o.system.Root.Send(o.pid, event) }
 
@@ -216,20 +213,25 @@
 	if admits(command) && o.full() {
 		return requester.Reply{}, answerer.New(answerer.BacklogFull, "too much waits to be made durable")
 	}
-	w := &waiter{sink: sink, reply: make(chan decider.Answer, 1), began: time.Now()}
+	w := &waiter{box: newOutbox(sink), reply: make(chan decider.Answer, 1), began: time.Now()}
 	if !o.enter(command.Request, w) {
 		return requester.Reply{}, answerer.New(answerer.BadRequest, "the request id is in use")
 	}
 	defer o.exit(command.Request)
 	o.Tell(decider.Arrived{Command: command, Deadline: deadline(command)})
-	select {
-	case answer := <-w.reply:
-		return o.deliver(w, command, answer)
-	case <-ctx.Done():
-		o.Tell(decider.Gone{Request: command.Request})
-		return requester.Reply{}, gone(command, ctx.Err())
-	case <-o.ctx.Done():
-		return requester.Reply{}, stopped(command)
+	defer context.AfterFunc(ctx, func() { o.Tell(decider.Gone{Request: command.Request}) })()
+	for {
+		select {
+		case <-w.box.ready:
+			w.box.forward()
+		case answer := <-w.reply:
+			w.box.forward()
+			return o.deliver(w, command, answer)
+		case <-ctx.Done():
+			return requester.Reply{}, gone(command, ctx.Err())
+		case <-o.ctx.Done():
+			return requester.Reply{}, stopped(command)
+		}
 	}
 }
 
--- a/internal/prober/endpoint.go
+++ b/internal/prober/endpoint.go
@@ -19,6 +19,10 @@
 	silentSpacing = 5 * time.Second
 	// deniedSpacing is the time between two log events of a denied ejection.
 	deniedSpacing = 10 * time.Second
+	// urgentPart is the part of the interval that is kept to an urgent probe.
+	urgentPart = 4
+	// idleListing is the time between lists of an engine that is not in use.
+	idleListing = time.Minute
 	// leavingMargin is how much newer than the last sign of leaving a report
 	// must be to say that the endpoint stays.
 	leavingMargin = 10 * time.Second
@@ -55,21 +59,46 @@
 	gap   time.Duration
 	gapAt time.Time
 
-	probing   bool
+	probing bool
+	// urgent asks for a probe on a connection of its own, before the interval is over.
 	urgent    bool
+	lastProbe time.Time
 	nextProbe time.Time
 	cache     cache
 }
 
 // begin marks the endpoint as being probed.
-func (e *endpoint) begin(now time.Time, interval time.Duration) probe {
-	begun := probe{config: e.config, fresh: e.urgent || e.ejected, at: now}
+func (e *endpoint) begin(now time.Time, interval time.Duration, follow bool) probe {
+	begun := probe{
+		config: e.config,
+		fresh:  e.urgent || e.ejected,
+		follow: follow && e.followed(now),
+	}
 	e.probing = true
 	e.urgent = false
+	e.lastProbe = now
 	e.nextProbe = now.Add(interval)
 	return begun
 }
 
+// hurry brings the next probe forward, to a part of the interval after the last.
+func (e *endpoint) hurry(interval time.Duration) {
+	e.urgent = true
+	soon := e.lastProbe.Add(interval / urgentPart)
+	if soon.Before(e.nextProbe) {
+		e.nextProbe = soon
+	}
+}
+
+// followed reports whether what its cache holds is to be read: all the time
+// while it is in use, and now and then otherwise.
+func (e *endpoint) followed(now time.Time) bool {
+	if e.config.Service != "" {
+		return false
+	}
+	return e.inUse(now) || now.Sub(e.cache.listed) >= idleListing
+}
+
 // inUse reports whether this instance sent it a request not long ago.
 func (e *endpoint) inUse(now time.Time) bool {
 	return !e.usedAt.IsZero() && now.Sub(e.usedAt) < usedFor
--- a/internal/prober/probe.go
+++ b/internal/prober/probe.go
@@ -16,7 +16,8 @@
 	config *compiler.Endpoint
 	// fresh asks for a connection of its own.
 	fresh bool
-	at    time.Time
+	// follow asks for what the cache holds too.
+	follow bool
 }
 
 // probe asks the endpoint about itself and keeps what it answers.
@@ -30,8 +31,8 @@
 		offered = false
 		err = p.client.Ping(ctx, next.config)
 	}
-	if err == nil && next.config.Service == "" {
-		p.follow(ctx, next.config)
+	if next.follow {
+		p.follow(ctx, next.config, err == nil)
 	}
 	p.probed(ctx, next, report, offered, err)
 }
@@ -86,7 +87,7 @@
 			return
 		}
 		if failure.Reason == dispatcher.Silent && failure.Reused {
-			e.urgent = true
+			e.hurry(p.interval)
 			return
 		}
 	}
@@ -104,3 +105,5 @@
 	}
 	return e
 }
+
+var _ Client = (*dispatcher.Dispatcher)(nil)
--- a/internal/queuer/leastattained.go
+++ b/internal/queuer/leastattained.go
@@ -2,6 +2,9 @@
 
 import (
 	"cmp"
+	"iter"
+	"math"
+	"slices"
 	"time"
 )
 
@@ -15,6 +18,11 @@
 	// creditTokens bounds the service that a business may catch up on after a
 	// time in which none of its waiting items was admissible.
 	creditTokens = 65536
+	// urgentTokens bounds the service by which a business's urgent items may run
+	// ahead of the other businesses.
+	urgentTokens = 2048
+	// urgentPrecedence is the precedence whose items are urgent.
+	urgentPrecedence = 0
 )
 
 // leastAttained shares service between businesses by start-time fair queueing.
@@ -28,6 +36,8 @@
 	businesses map[string]*lane
 	// active holds the lanes that have waiting items, in no order.
 	active []*lane
+	// floor is the lowest tag of the active lanes at the latest call of Next.
+	floor float64
 	// virtual is the start tag of the item dispatched last.
 	virtual  float64
 	sequence uint64
@@ -79,23 +89,102 @@
 	return true
 }
 
-// Next implements Queue.
+// Next implements Queue. Urgent items are asked about first, then all items
+// in the order of their lanes.
 func (q *leastAttained) Next(now time.Time, admissible func(Item) bool) (Item, bool) {
-	var asked map[*lane]bool
-	for range len(q.active) {
-		l := q.first(asked)
+	q.floor = q.leastTag()
+	if item, ok := q.nextUrgent(now, admissible); ok {
+		return item, true
+	}
+	for l := range q.lanes(func(*lane) bool { return true }) {
 		if e, starved := q.pick(l, now, admissible); e != nil {
+			item := q.item(l, e)
 			q.dispatch(l, e, starved)
-			return e.Item, true
+			return item, true
 		}
-		if asked == nil {
-			asked = make(map[*lane]bool, len(q.active))
+	}
+	return Item{}, false
+}
+
+// lanes yields the active lanes that are kept in the order of their tags. The
+// queue must not be changed before the last one that is taken.
+func (q *leastAttained) lanes(keep func(l *lane) bool) iter.Seq[*lane] {
+	return func(yield func(*lane) bool) {
+		lanes := make([]*lane, 0, len(q.active))
+		for _, l := range q.active {
+			if !keep(l) {
+				continue
+			}
+			lanes = append(lanes, l)
+			if last := len(lanes) - 1; compareLanes(lanes[last], lanes[0]) < 0 {
+				lanes[0], lanes[last] = lanes[last], lanes[0]
+			}
+		}
+		if len(lanes) == 0 || !yield(lanes[0]) {
+			return
+		}
+		// Most calls need the first lane only.
+		rest := lanes[1:]
+		slices.SortFunc(rest, compareLanes)
+		for _, l := range rest {
+			if !yield(l) {
+				return
+			}
+		}
+	}
+}
+
+// nextUrgent dispatches the first admissible urgent item.
+func (q *leastAttained) nextUrgent(now time.Time, admissible func(Item) bool) (Item, bool) {
+	hasUrgent := func(l *lane) bool { return q.hasUrgent(l, now) }
+	for l := range q.lanes(hasUrgent) {
+		for _, e := range l.ranked.all() {
+			item := q.item(l, e)
+			if !item.Urgent {
+				break
+			}
+			if admissible(item) {
+				q.dispatch(l, e, false)
+				return item, true
+			}
 		}
-		asked[l] = true
 	}
 	return Item{}, false
 }
 
+// hasUrgent says whether the lane's next item is urgent and it is not the turn
+// of a starved one.
+func (q *leastAttained) hasUrgent(l *lane, now time.Time) bool {
+	if !q.urgent(l, l.ranked.all()[0]) {
+		return false
+	}
+	return !q.starvedTurn(l) || !q.starved(l.aged.all()[0], now)
+}
+
+// item returns the entry's item with Urgent set.
+func (q *leastAttained) item(l *lane, e *entry) Item {
+	item := e.Item
+	item.Urgent = q.urgent(l, e)
+	return item
+}
+
+func (q *leastAttained) urgent(l *lane, e *entry) bool {
+	return e.Precedence <= urgentPrecedence && !q.ahead(l, e.Weight)
+}
+
+// ahead says whether the lane has run ahead of another one that waits.
+func (q *leastAttained) ahead(l *lane, weight int) bool {
+	return (l.tag-q.floor)*float64(max(weight, 1)) > urgentTokens
+}
+
+func (q *leastAttained) leastTag() float64 {
+	least := math.Inf(1)
+	for _, l := range q.active {
+		least = min(least, l.tag)
+	}
+	return least
+}
+
 // Position implements Queue.
 func (q *leastAttained) Position(now time.Time, id string) int {
 	if _, ok := q.entries[id]; !ok {
@@ -126,30 +215,16 @@
 	return l
 }
 
-// first returns the active lane with the lowest tag among those not asked yet.
-func (q *leastAttained) first(asked map[*lane]bool) *lane {
-	var best *lane
-	for _, l := range q.active {
-		if asked[l] {
-			continue
-		}
-		if best == nil || compareLanes(l, best) < 0 {
-			best = l
-		}
-	}
-	return best
-}
-
 // pick returns the lane's first admissible entry and whether it had the turn
 // kept for starved entries.
 func (q *leastAttained) pick(l *lane, now time.Time, admissible func(Item) bool) (*entry, bool) {
-	turn := l.sinceStarved+1 >= q.starvedEvery
+	turn := q.starvedTurn(l)
 	if turn {
 		for _, e := range l.aged.all() {
 			if !q.starved(e, now) {
 				break
 			}
-			if admissible(e.Item) {
+			if admissible(q.item(l, e)) {
 				return e, true
 			}
 		}
@@ -158,13 +233,18 @@
 		if turn && q.starved(e, now) {
 			continue
 		}
-		if admissible(e.Item) {
+		if admissible(q.item(l, e)) {
 			return e, false
 		}
 	}
 	return nil, false
 }
 
+// starvedTurn says whether the lane's next dispatch is kept for a starved item.
+func (q *leastAttained) starvedTurn(l *lane) bool {
+	return l.sinceStarved+1 >= q.starvedEvery
+}
+
 func (q *leastAttained) starved(e *entry, now time.Time) bool {
 	return now.Sub(e.Arrived) >= q.starveAfter
 }
--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"path"
 	"runtime/debug"
@@ -170,11 +171,13 @@
 	return x.write(status, contentJSON, body)
 }
 
-// write writes the whole body. A failed write is not an error of the request:
+// write writes the whole body. Without a content type none is sent, where
+// net/http would guess one. A failed write is not an error of the request:
 // the caller is gone and nothing more can be told to it.
 func (x *exchange) write(status int, contentType string, body []byte) error {
 	x.extendWrite()
 	header := x.writer.Header()
+	header["Content-Type"] = nil
 	if contentType != "" {
 		header.Set("Content-Type", contentType)
 	}
@@ -195,7 +198,8 @@
 // extendWrite gives the next write its own time.
 func (x *exchange) extendWrite() {
 	control := http.NewResponseController(x.writer)
-	if err := control.SetWriteDeadline(time.Now().Add(x.receiver.writeTimeout)); err != nil {
+	err := control.SetWriteDeadline(time.Now().Add(x.receiver.writeTimeout))
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
 		x.receiver.log.Log(connectionFailed, "Request", x.id, "Cause", err)
 	}
 }
