--- a/hack/cost.sh
+++ b/hack/cost.sh
@@ -69,23 +69,23 @@
 loopback_bytes() { awk '$1 == "lo:" { print $2 }' /proc/net/dev; }
 
 cost_latency() {
-  local mix="songs=${COST_RATE:-40},editors=2" seed=1 direct=()
-  start_load path --mix "$mix" --duration 20s --seed "$seed" --samples
-  sleep 6
-  measure 12
+  local mix="songs=${COST_RATE:-40},editors=1" seed=1 direct=()
+  start_load path --mix "$mix" --duration 12s --pauses 0.1 --seed "$seed" --samples
+  sleep 3
+  measure 8
   await_load path
   for n in 0 1; do
     direct+=(--engine "https://$(address $((10 + n)))")
   done
-  "$bin/wigeonload" direct --ca "$dir/authority.pem" "${direct[@]}" --model songbird --mix "$mix" --duration 20s \
+  "$bin/wigeonload" direct --ca "$dir/authority.pem" "${direct[@]}" --model songbird --mix "$mix" --duration 12s --pauses 0.1 \
     --seed "$seed" --samples --out "$dir/direct.json" >"$dir/direct.log"
   "$bin/wigeonload" report --pair "$dir/direct.json" "$dir/path.json"
 }
 
 cost_throughput() { # raises the rate and prints the processor time per request
   local rate sent
-  for rate in ${COST_RATES:-100 300 600}; do
-    start_load "rate-$rate" --mix "songs=$rate" --duration 14s --pauses 0.2 --timeout 20s
+  for rate in ${COST_RATES:-100 300}; do
+    start_load "rate-$rate" --mix "songs=$rate" --duration 12s --pauses 0.1 --timeout 20s
     sleep 4
     sent=$(requests)
     echo "songs=$rate programs/s:"
@@ -130,12 +130,12 @@
 
 cost_control() { # prints the use of idle and of loaded instances
   echo "$DEMO_INSTANCES instances, idle:"
-  sleep 5
-  measure 15
-  start_load load --mix songs=10,fees=5 --duration 20s
-  sleep 6
+  sleep 4
+  measure 10
+  start_load load --mix songs=10,fees=5 --duration 14s
+  sleep 3
   echo "$DEMO_INSTANCES instances, songs=10, fees=5:"
-  measure 12
+  measure 9
   await_load load | grep -v TokenGap
 }
 
