hack: report a script that is ended by a signal as failed

Cause: bash runs the EXIT trap with the last command's status when SIGTERM ends it, so that a drill cut off by a time limit printed 'ok'. Change: TERM and INT end the scripts with status 143; cost.sh waits for its load in the shell that has started it.

--- a/hack/cost.sh
+++ b/hack/cost.sh
@@ -22,6 +22,7 @@
 . hack/load.sh
 title="cost $1"
 trap 'finish $?' EXIT
+trap 'exit 143' TERM INT
 
 # The engines take many generations at once and answer at once, so that what is
 # left is the path's own cost.
@@ -97,7 +98,8 @@
 print(f"{(total(sys.argv[2]) - total(sys.argv[1])) / 8 / max(int(sys.argv[3]), 1) * 1e6:.0f} us")
 P
 )"
-    await_load "rate-$rate" | grep -v TokenGap || true
+    await_load "rate-$rate" >"$dir/table" || true
+    grep -v TokenGap "$dir/table"
   done
 }
 
@@ -136,7 +138,8 @@
   sleep 3
   echo "$DEMO_INSTANCES instances, songs=10, fees=5:"
   measure 9
-  await_load load | grep -v TokenGap
+  await_load load >"$dir/table"
+  grep -v TokenGap "$dir/table"
 }
 
 set_up
--- a/hack/demo.sh
+++ b/hack/demo.sh
@@ -4,6 +4,7 @@
 cd "$(dirname "$0")/.."
 . hack/processes.sh
 trap 'finish $?' EXIT
+trap 'exit 143' TERM INT
 
 step="set up"
 set_up
--- a/hack/drill-lost-answers.sh
+++ b/hack/drill-lost-answers.sh
@@ -5,6 +5,7 @@
 . hack/processes.sh
 . hack/load.sh
 trap 'finish $?' EXIT
+trap 'exit 143' TERM INT
 title="drill lost-answers"
 
 set_up
--- a/hack/drill-silence.sh
+++ b/hack/drill-silence.sh
@@ -6,6 +6,7 @@
 . hack/processes.sh
 . hack/load.sh
 trap 'finish $?' EXIT
+trap 'exit 143' TERM INT
 title="drill silence"
 
 set_up
--- a/hack/rolling.sh
+++ b/hack/rolling.sh
@@ -7,6 +7,7 @@
 . hack/load.sh
 title=rolling
 trap 'finish $?' EXIT
+trap 'exit 143' TERM INT
 
 duration=${ROLLING_SECONDS:-60}
 mix=${ROLLING_MIX:-songs=4,editors=0.5,trims=0.4,fees=5}
