--- a/hack/cost.sh
+++ b/hack/cost.sh
@@ -29,31 +29,41 @@
 slots=4096
 engine_flags=(--token-time 100us --peer-time 1us --prefill-time 0 --slots 4096 --cache-tokens 2000000)
 
-usage() { # usage: a line of processor ticks, bytes of memory and bytes sent for each instance
-  local n name pid
+usage() { # usage: a line for each instance: time, processor seconds, resident and heap bytes, store requests, commits
+  local n pids=()
   for ((n = 0; n < DEMO_INSTANCES; n++)); do
-    name=${instances[$n]}
-    pid=${pid_of[$name]}
-    python3 - "$pid" "$(metric "$n" process_resident_memory_bytes)" "$(metric "$n" go_memstats_heap_alloc_bytes)" \
-      "$(metric "$n" process_network_transmit_bytes_total)" "$(metric "$n" wigeonstand_store_requests_total)" \
-      "$(metric "$n" wigeonstand_store_requests_total 'Operation="Commit"')" <<'P'
-import os, sys
-ticks = open(f"/proc/{sys.argv[1]}/stat").read().rsplit(")", 1)[1].split()
-print((int(ticks[11]) + int(ticks[12])) / os.sysconf("SC_CLK_TCK"), *sys.argv[2:])
-P
+    pids+=("${pid_of[${instances[$n]}]}")
   done
+  python3 - "$((DEMO_PORT + 400))" "${pids[@]}" <<'P'
+import os, sys, time, urllib.request
+def metrics(port):
+    totals = {}
+    for line in urllib.request.urlopen(f"http://127.0.0.1:{port}/metrics").read().decode().splitlines():
+        if not line.startswith("#"):
+            name, value = line.rsplit(" ", 1)
+            for key in {name, name.split("{")[0], name.split(",")[0]}:
+                totals[key] = totals.get(key, 0) + float(value)
+    return totals
+for n, pid in enumerate(sys.argv[2:]):
+    seen = metrics(int(sys.argv[1]) + n)
+    ticks = open(f"/proc/{pid}/stat").read().rsplit(")", 1)[1].split()
+    print(time.time(), (int(ticks[11]) + int(ticks[12])) / os.sysconf("SC_CLK_TCK"), seen["process_resident_memory_bytes"],
+          seen["go_memstats_heap_alloc_bytes"], seen["wigeonstand_store_requests_total"],
+          seen.get('wigeonstand_store_requests_total{Operation="Commit"', 0))
+P
 }
 
-compare() { # compare BEFORE AFTER SECONDS: means per instance
+compare() { # compare BEFORE AFTER: means per instance
   python3 - "$@" <<'P'
 import sys
 def read(path):
     return [[float(word) for word in line.split()] for line in open(path)]
-before, after, seconds = read(sys.argv[1]), read(sys.argv[2]), float(sys.argv[3])
+before, after = read(sys.argv[1]), read(sys.argv[2])
 n = len(before)
-mean = lambda i: sum(a[i] - b[i] for a, b in zip(after, before)) / n / seconds
-print(f"  per instance: {mean(0) * 100:.2f}% of a core, {sum(a[1] for a in after) / n / 1e6:.1f} MB resident,"
-      f" {sum(a[2] for a in after) / n / 1e6:.1f} MB heap, {mean(4):.2f} store requests/s of which {mean(5):.2f} commits")
+rate = lambda i: sum((a[i] - b[i]) / (a[0] - b[0]) for a, b in zip(after, before)) / n
+level = lambda i: sum(a[i] for a in after) / n / 1e6
+print(f"  per instance: {rate(1) * 100:.2f}% of a core, {level(2):.1f} MB resident, {level(3):.1f} MB heap,"
+      f" {rate(4):.2f} store requests/s of which {rate(5):.2f} commits")
 P
 }
 
@@ -63,7 +73,7 @@
   bytes=$(loopback_bytes)
   sleep "$1"
   usage >"$dir/after"
-  compare "$dir/before" "$dir/after" "$1"
+  compare "$dir/before" "$dir/after"
   echo "  loopback: $((($(loopback_bytes) - bytes) / $1 / 1000)) KB/s in all, other processes of the machine included"
 }
 
@@ -84,18 +94,20 @@
 }
 
 cost_throughput() { # raises the rate and prints the processor time per request
-  local rate sent
+  local rate sent began
   for rate in ${COST_RATES:-100 300}; do
     start_load "rate-$rate" --mix "songs=$rate" --duration 12s --pauses 0.1 --timeout 20s
     sleep 4
     sent=$(requests)
+    began=$SECONDS
     echo "songs=$rate programs/s:"
     measure 8
-    sent=$((($(requests) - sent) / 8))
+    sent=$((($(requests) - sent) / (SECONDS - began)))
     echo "  $sent requests/s; processor time per request: $(python3 - "$dir/before" "$dir/after" "$sent" <<'P'
 import sys
-total = lambda path: sum(float(line.split()[0]) for line in open(path))
-print(f"{(total(sys.argv[2]) - total(sys.argv[1])) / 8 / max(int(sys.argv[3]), 1) * 1e6:.0f} us")
+read = lambda path: [[float(word) for word in line.split()] for line in open(path)]
+used = sum((a[1] - b[1]) / (a[0] - b[0]) for a, b in zip(read(sys.argv[2]), read(sys.argv[1])))
+print(f"{used / max(int(sys.argv[3]), 1) * 1e6:.0f} us")
 P
 )"
     await_load "rate-$rate" >"$dir/table" || true
@@ -132,8 +144,9 @@
 
 cost_control() { # prints the use of idle and of loaded instances
   echo "$DEMO_INSTANCES instances, idle:"
-  sleep 4
+  sleep "${COST_SETTLE:-4}"
   measure 10
+  [ -z "${COST_IDLE:-}" ] || return 0
   start_load load --mix songs=10,fees=5 --duration 14s
   sleep 3
   echo "$DEMO_INSTANCES instances, songs=10, fees=5:"
