--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -154,7 +154,7 @@
 	_ = listener.Close()
 	r.awaitCallers(ctx)
 	r.drain(ctx, server)
-	_ = <-failed // The listener was closed above.
+	<-failed // The listener was closed above.
 	return nil
 }
 
