--- a/internal/decider/call.go
+++ b/internal/decider/call.go
@@ -23,7 +23,6 @@
 	sent     bool
 	endpoint string
 	avoid    string
-	report   int
 	tries    int
 	// reached is true once an attempt may have reached an endpoint.
 	reached bool
@@ -164,7 +163,7 @@
 			continue
 		}
 		candidate := c.endpoint(name)
-		if !candidate.view.Usable || (described.Slots > 0 && candidate.outstanding >= described.Slots) {
+		if !candidate.view.Usable || (described.Slots > 0 && len(candidate.flights) >= described.Slots) {
 			continue
 		}
 		if best == nil || candidate.load(i.avoid) < best.load(i.avoid) {
@@ -180,13 +179,12 @@
 		c.giveUpCall(i)
 		return
 	}
-	i.report = replica.report
-	replica.sent()
 	i.sent = true
 	i.endpoint = replica.name
 	i.tries++
 	attempt := c.next()
 	c.calls[attempt] = i
+	replica.flights[attempt] = time.Now()
 	c.do(Invoke{
 		Attempt: attempt, Endpoint: replica.name, Service: i.service.Name, Call: i.command,
 		Once: i.once, Deadline: i.latest(),
@@ -200,7 +198,7 @@
 	}
 	delete(c.calls, attempt)
 	i.sent = false
-	c.endpoint(i.endpoint).landed(i.report)
+	delete(c.endpoint(i.endpoint).flights, attempt)
 	return i
 }
 
--- a/internal/decider/endpoint.go
+++ b/internal/decider/endpoint.go
@@ -14,6 +14,10 @@
 const (
 	// resolvedStatus is the status of a call that an operator says has landed.
 	resolvedStatus = http.StatusOK
+	// refusalLimit is how many waiting turns of a model are offered to full
+	// endpoints at a time; a program may still wait at the one that holds its
+	// prefix.
+	refusalLimit = 64
 	// shortestDrain and longestDrain bound the time to come back.
 	shortestDrain = time.Second
 	longestDrain  = 30 * time.Second
@@ -21,26 +25,23 @@
 
 // endpoint is this instance's account of one endpoint.
 type endpoint struct {
-	name        string
-	view        EndpointView
-	outstanding int
-	// sinceReport counts the attempts in flight that the last load report
-	// cannot know of; report numbers the reports.
-	sinceReport int
-	report      int
+	name string
+	view EndpointView
+	// flights are the attempts in flight and when they were sent.
+	flights map[string]time.Time
+	// measured is when the last load report's figures were true.
+	measured time.Time
 }
 
-func (e *endpoint) sent() {
-	e.outstanding++
-	e.sinceReport++
-}
-
-// landed takes out an attempt that was sent after the report with the number.
-func (e *endpoint) landed(report int) {
-	e.outstanding = max(0, e.outstanding-1)
-	if report == e.report {
-		e.sinceReport = max(0, e.sinceReport-1)
+// sinceReport counts the attempts in flight that the last report cannot know of.
+func (e *endpoint) sinceReport() int {
+	count := 0
+	for _, sent := range e.flights {
+		if sent.After(e.measured) {
+			count++
+		}
 	}
+	return count
 }
 
 // load orders replicas; one to be avoided comes last.
@@ -48,13 +49,13 @@
 	if e.name == avoid {
 		return math.MaxInt
 	}
-	return e.outstanding
+	return len(e.flights)
 }
 
 func (c *Core) endpoint(name string) *endpoint {
 	e := c.endpoints[name]
 	if e == nil {
-		e = &endpoint{name: name, view: EndpointView{Name: name, Usable: true, Ramp: 1, GapRatio: 1}}
+		e = &endpoint{name: name, flights: map[string]time.Time{}, view: EndpointView{Name: name, Usable: true, Ramp: 1, GapRatio: 1}}
 		c.endpoints[name] = e
 	}
 	return e
@@ -65,8 +66,7 @@
 		e := c.endpoint(view.Name)
 		e.view = view
 		if view.Fresh {
-			e.sinceReport = 0
-			e.report++
+			e.measured = time.Now().Add(-view.Age)
 		}
 	}
 }
@@ -80,19 +80,21 @@
 // pump sends waiting turns for as long as endpoints take them.
 func (c *Core) pump() {
 	now := time.Now()
-	full := map[string]bool{}
+	refused := map[string]int{}
 	for c.queue.Len() > 0 {
 		var target *endpoint
 		item, ok := c.queue.Next(now, func(item queuer.Item) bool {
-			if full[item.Model] {
+			if refused[item.Model] >= refusalLimit {
 				return false
 			}
 			t := c.turns[item.ID]
 			if now.Before(t.readyAt) {
 				return false
 			}
-			target = c.pick(t)
-			full[item.Model] = target == nil && t.resume == 0 && t.avoid == ""
+			target = c.pick(t, item.Urgent)
+			if target == nil {
+				refused[item.Model]++
+			}
 			return target != nil
 		})
 		if !ok {
@@ -104,7 +106,7 @@
 }
 
 // pick returns the endpoint for the turn, or nil if it had better wait.
-func (c *Core) pick(t *activeTurn) *endpoint {
+func (c *Core) pick(t *activeTurn, urgent bool) *endpoint {
 	candidates, targets := c.candidates(t, t.avoid)
 	if len(candidates) == 0 {
 		candidates, targets = c.candidates(t, "")
@@ -113,7 +115,7 @@
 		return nil
 	}
 	index, ok := c.router.Pick(router.Request{
-		Program: t.program.id, PromptTokens: t.worst - t.maxTokens, MaxTokens: t.maxTokens, Last: t.program.live.last,
+		Program: t.program.id, PromptTokens: t.worst - t.maxTokens, MaxTokens: t.maxTokens, Last: t.program.live.last, Urgent: urgent,
 	}, candidates)
 	if !ok {
 		return nil
@@ -153,7 +155,7 @@
 	return router.Candidate{
 		Endpoint: e.name, Local: described.DataCentre == c.settings.dataCentre,
 		Running: e.view.Running, Waiting: e.view.Waiting, Slots: slots, ReportAge: e.view.Age,
-		Outstanding: e.outstanding, SinceReport: e.sinceReport, PrefixTokens: p.live.prefix[e.name],
+		Outstanding: len(e.flights), SinceReport: e.sinceReport(), PrefixTokens: p.live.prefix[e.name],
 		Ramp: e.view.Ramp, GapRatio: e.view.GapRatio,
 	}
 }
--- a/internal/decider/turn.go
+++ b/internal/decider/turn.go
@@ -42,9 +42,7 @@
 	attempt  string
 	endpoint string
 	avoid    string
-	// report is the number of the endpoint's last load report when it was sent.
-	report int
-	tries  int
+	tries    int
 	// resume is the offset at which a cut stream is continued at the same endpoint.
 	resume int
 	// text is the output before that offset.
@@ -227,8 +225,7 @@
 	t.endpoint = target.name
 	t.tries++
 	c.attempts[t.attempt] = t
-	t.report = target.report
-	target.sent()
+	target.flights[t.attempt] = now
 	p := t.program
 	p.live.queued += now.Sub(t.queuedAt)
 	p.live.last = target.name
@@ -296,7 +293,7 @@
 	}
 	delete(c.attempts, attempt)
 	t.program.live.running += time.Since(t.sentAt)
-	c.endpoint(t.endpoint).landed(t.report)
+	delete(c.endpoint(t.endpoint).flights, attempt)
 	return t
 }
 
