--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -25,7 +25,7 @@
 	DefaultSilence = 3 * time.Second
 	// DefaultMoves bounds the shards that an instance hands over at once while
 	// it is not leaving.
-	DefaultMoves = 8
+	DefaultMoves = 64
 	// DefaultSnapshotBatches is the number of journal objects after which a
 	// shard's snapshot is due.
 	DefaultSnapshotBatches = 256
@@ -98,6 +98,7 @@
 
 	mu       sync.Mutex
 	members  map[string]*member
+	rings    rings
 	scanned  time.Time
 	shardMap Map
 	version  int64
--- a/internal/placer/release.go
+++ b/internal/placer/release.go
@@ -110,7 +110,7 @@
 	for _, name := range p.live(true) {
 		settled[name] = true
 	}
-	all := newRing(p.live(false))
+	all := p.rings.of(p.live(false))
 	var leaving []*holding
 	for shard, h := range p.held {
 		if h.state != serving {
@@ -143,7 +143,7 @@
 			others = append(others, name)
 		}
 	}
-	return newRing(others).place(shard)
+	return p.rings.of(others).place(shard)
 }
 
 // startRelease waits in the background for the machine to let go of the shard.
--- a/internal/placer/shardmap.go
+++ b/internal/placer/shardmap.go
@@ -6,8 +6,6 @@
 	"errors"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/dgryski/go-rendezvous"
 	"github.com/oklog/ulid/v2"
 	"github.com/rotisserie/eris"
 
@@ -130,24 +128,6 @@
 	return p.Refresh(ctx)
 }
 
-// ring places shards on instances by rendezvous hashing.
-type ring struct {
-	table *rendezvous.Rendezvous
-	n     int
-}
-
-func newRing(names []string) ring {
-	return ring{table: rendezvous.New(names, xxhash.Sum64String), n: len(names)}
-}
-
-// place returns the instance for the shard, or "" if there is none.
-func (r ring) place(shard int) string {
-	if r.n == 0 {
-		return ""
-	}
-	return r.table.Lookup(shardKey(shard))
-}
-
 // live returns the names of the members that may own shards. If settled is
 // set, those seen for less than the settling time or now suspect are left out.
 func (p *Placer) live(settled bool) []string {
@@ -207,8 +187,8 @@
 		return nil, false
 	}
 	owners := p.shardMap.owners(p.shards)
-	settled := newRing(p.live(true))
-	all := newRing(p.live(false))
+	settled := p.rings.of(p.live(true))
+	all := p.rings.of(p.live(false))
 	changed := false
 	for shard, owner := range owners {
 		if owner.Instance != "" && !p.over(owner) {
