internal/assembler: test the store's outage and a cut between instances

What is stated in docs/operators/incidents.md is checked on three instances under a paused clock: kinds of refusal, nothing run that was refused as not run, and nothing acknowledged lost.

--- a/hack/mutants.sh
+++ b/hack/mutants.sh
@@ -9,6 +9,12 @@
 tool=$copy/mutants
 go build -o "$tool" ./hack/mutants
 caught=0 missed=0
+
+# why prints the failed check, without what rapid drew on the way to it.
+why() {
+  grep -E '^ +[a-z_]+_test.go:[0-9]+: [^[]' "$copy/log" | grep -v -E ': (no [a-z]+|nobody waits|[0-9]+ steps)' | tail -1 | sed 's/^ *//'
+}
+
 while IFS=$'\t' read -r name package test; do
   [ -z "$only" ] || [ "$only" = "$name" ] || continue
   rm -rf "$copy/tree"
@@ -22,7 +28,7 @@
     echo "MISSED $name"
     missed=$((missed + 1))
   else
-    echo "caught $name by $test: $(grep -m1 -E '^ +[a-z_]+_test.go:[0-9]+: [^\[]' "$copy/log" | sed 's/^ *//' || true)"
+    echo "caught $name by $test: $(why)"
     caught=$((caught + 1))
   fi
 done < <("$tool" list)
--- a/internal/assembler/assembler_test.go
+++ b/internal/assembler/assembler_test.go
@@ -15,6 +15,7 @@
 // TestSessionGoesOnAfterAKill takes turns through all instances, kills one,
 // and goes on through the others with the history whole.
 func TestSessionGoesOnAfterAKill(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, logWriter())
 		defer f.close()
@@ -56,6 +57,7 @@
 
 // TestPostingRunsOnce posts with one key through all instances around a kill.
 func TestPostingRunsOnce(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, logWriter())
 		defer f.close()
@@ -80,6 +82,7 @@
 // TestEnginesAreBroughtIntoLine starts with an engine that lacks its model and
 // ignores fencing numbers, and kills instances while it is ordered to load it.
 func TestEnginesAreBroughtIntoLine(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, logWriter())
 		defer f.close()
--- a/internal/assembler/fleet_test.go
+++ b/internal/assembler/fleet_test.go
@@ -188,8 +188,14 @@
 	f.work.Wait()
 }
 
-// client returns a client of the instance, or of all for a negative number.
-func (f *fleet) client(n int) *caller.Client {
+// client returns a client of the instance, or of all for a negative number. It
+// sends what was not run again.
+func (f *fleet) client(n int) *caller.Client { return f.clientOf(n, 200) }
+
+// single returns a client of the instance that sends each request once.
+func (f *fleet) single(n int) *caller.Client { return f.clientOf(n, 1) }
+
+func (f *fleet) clientOf(n, attempts int) *caller.Client {
 	transport := &http.Transport{DialContext: host{f.fabric, "caller"}.DialContext, IdleConnTimeout: time.Second}
 	var entries []string
 	for i := range fleetSize {
@@ -198,7 +204,7 @@
 		}
 	}
 	client, err := caller.New(entries, callerKey, caller.WithHTTPClient(&http.Client{Transport: transport}),
-		caller.WithTimeout(time.Minute), caller.WithAttempts(200))
+		caller.WithTimeout(time.Minute), caller.WithAttempts(attempts))
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/assembler/outage_test.go
@@ -0,0 +1,124 @@
+package assembler_test
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/wigeonstand/wigeonstand/internal/storer"
+	"github.com/wigeonstand/wigeonstand/pkg/caller"
+)
+
+// refusal is what a caller is told of a request that was not served.
+type refusal struct{ Kind, Ran string }
+
+func refusalOf(err error) refusal {
+	var refused *caller.Error
+	if !errors.As(err, &refused) {
+		return refusal{}
+	}
+	return refusal{Kind: string(refused.Kind), Ran: string(refused.Ran)}
+}
+
+// TestStoreIsGoneForTenMinutes checks what still works without the store, what is
+// refused and how, and that everything acknowledged is there afterwards.
+func TestStoreIsGoneForTenMinutes(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, logWriter())
+		defer f.close()
+		ctx := t.Context()
+		time.Sleep(10 * time.Second)
+		client := f.client(0)
+		session, err := client.Open(ctx, "lyric-editor")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := session.Ask(ctx, "the first line", caller.WithNumber(1)); err != nil {
+			t.Fatal(err)
+		}
+		f.platform.SetFaults(storer.Faults{Outage: true})
+		time.Sleep(time.Minute)
+
+		_, err = f.single(1).Program(session.ID()).Ask(ctx, "the second line", caller.WithNumber(2))
+		if diff := cmp.Diff(refusal{"NotDurable", "Unknown"}, refusalOf(err)); diff != "" {
+			t.Errorf("a turn within the allowance: %s", diff)
+		}
+		_, err = f.single(1).Call(ctx, "fee-posting", http.MethodPost, "/postings", caller.WithCallKey("fee-1"))
+		if diff := cmp.Diff(refusal{"StoreUnavailable", "NotRun"}, refusalOf(err)); diff != "" {
+			t.Errorf("a call that may not be repeated: %s", diff)
+		}
+		_, err = f.single(2).Open(ctx, "lyric-editor")
+		if diff := cmp.Diff(refusal{"StoreUnavailable", "NotRun"}, refusalOf(err)); diff != "" {
+			t.Errorf("a program to open: %s", diff)
+		}
+		time.Sleep(10 * time.Minute)
+		f.platform.SetFaults(storer.Faults{})
+		time.Sleep(30 * time.Second)
+
+		answer, err := f.client(2).Program(session.ID()).Ask(ctx, "the second line", caller.WithNumber(2))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !answer.Replayed {
+			t.Error("the turn that ran during the outage was run again")
+		}
+		history, err := f.client(1).Program(session.ID()).History(ctx, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(2, len(history.Turns)); diff != "" {
+			t.Error(diff)
+		}
+		if diff := cmp.Diff(0, f.service.Counts().Executed); diff != "" {
+			t.Errorf("executions of a call refused as not run: %s", diff)
+		}
+	})
+}
+
+// TestInstancesCutFromEachOther checks that a cut between two instances that
+// both reach the store moves no program, and that all are served again after it.
+func TestInstancesCutFromEachOther(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, logWriter())
+		defer f.close()
+		ctx := t.Context()
+		time.Sleep(10 * time.Second)
+		var sessions []string
+		for range 8 {
+			session, err := f.client(-1).Open(ctx, "lyric-editor")
+			if err != nil {
+				t.Fatal(err)
+			}
+			sessions = append(sessions, session.ID())
+		}
+		f.fabric.cut(instanceName(0), instanceName(1))
+		time.Sleep(time.Minute)
+		reached := 0
+		for _, id := range sessions {
+			_, err := f.single(0).Program(id).Ask(ctx, "a line", caller.WithNumber(1))
+			if err == nil {
+				reached++
+				continue
+			}
+			if diff := cmp.Diff(refusal{"OwnerUnavailable", "NotRun"}, refusalOf(err)); diff != "" {
+				t.Errorf("a program on the other side: %s", diff)
+			}
+		}
+		if reached == 0 {
+			t.Error("no program was reached from the cut instance")
+		}
+		f.fabric.heal()
+		time.Sleep(30 * time.Second)
+		for _, id := range sessions {
+			if _, err := f.client(0).Program(id).Ask(ctx, "a line", caller.WithNumber(1)); err != nil {
+				t.Errorf("after the cut: %v", err)
+			}
+		}
+	})
+}
