--- a/internal/assembler/outage_test.go
+++ b/internal/assembler/outage_test.go
@@ -21,7 +21,7 @@
 	if !errors.As(err, &refused) {
 		return refusal{}
 	}
-	return refusal{Kind: string(refused.Kind), Ran: string(refused.Ran)}
+	return refusal{Kind: refused.Kind, Ran: string(refused.Ran)}
 }
 
 // TestStoreIsGoneForTenMinutes checks what still works without the store, what is
