--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(CURDIR)/bin
 LINT := $(BIN)/tools/golangci-lint
 
-.PHONY: all build test demo demo-kill lint format unit clean fuzz mutants bench docs docs-check rolling drills cost
+.PHONY: all build test demo demo-kill lint format unit clean fuzz mutants bench docs docs-check rolling drills cost up api-check
 
 all: build
 
@@ -71,3 +71,11 @@
 # Measures the cost on real processes; see docs/CAPACITY.md.
 cost: build
 	hack/cost.sh
+
+# Keeps the demonstration's processes running, for the examples of docs/API.md.
+up: build
+	hack/up.sh
+
+# Runs the examples of docs/API.md.
+api-check: build
+	hack/api-check.sh
