--- a/internal/decider/budget.go
+++ b/internal/decider/budget.go
@@ -163,7 +163,7 @@
 		c.enqueue(t)
 		return
 	}
-	c.gateAt(root.allowedTicket, shardOf(root), func() {
+	c.gateAt(root.allowedTicket, func() {
 		if c.turns[t.id] == t && t.phase == reserving {
 			c.enqueue(t)
 		}
--- a/internal/decider/call.go
+++ b/internal/decider/call.go
@@ -11,7 +11,6 @@
 
 // invocation is one call in flight to a plain service.
 type invocation struct {
-	id       string
 	business string
 	command  requester.Call
 	service  *compiler.Service
@@ -55,7 +54,7 @@
 		return
 	}
 	c.retrier.Earn(time.Now(), r.business, c.retryShare(r.business))
-	i := &invocation{id: c.next(), business: r.business, command: *command, service: service, once: !service.Repeatable}
+	i := &invocation{business: r.business, command: *command, service: service, once: !service.Repeatable}
 	if !i.once {
 		i.wait(r)
 		c.dispatchCall(i)
--- a/internal/decider/core.go
+++ b/internal/decider/core.go
@@ -141,7 +141,6 @@
 // gate holds what may only happen once an append is durable.
 type gate struct {
 	ticket int64
-	shard  int
 	open   func()
 }
 
@@ -243,17 +242,17 @@
 	s.last = c.ticket
 	c.do(Append{Ticket: c.ticket, Entries: entries})
 	if then != nil {
-		c.gateAt(c.ticket, shardNumber, then)
+		c.gateAt(c.ticket, then)
 	}
 }
 
 // gateAt runs open once the ticket is durable, in the order of tickets.
-func (c *Core) gateAt(ticket int64, shardNumber int, open func()) {
+func (c *Core) gateAt(ticket int64, open func()) {
 	at := len(c.gated)
 	for at > 0 && c.gated[at-1].ticket > ticket {
 		at--
 	}
-	c.gated = slices.Insert(c.gated, at, gate{ticket: ticket, shard: shardNumber, open: open})
+	c.gated = slices.Insert(c.gated, at, gate{ticket: ticket, open: open})
 }
 
 func (c *Core) commit(ticket int64) {
--- a/internal/decider/program.go
+++ b/internal/decider/program.go
@@ -155,7 +155,7 @@
 		then()
 		return
 	}
-	c.gateAt(s.last, shardNumber, then)
+	c.gateAt(s.last, then)
 }
 
 func (c *Core) replyOpened(r *request, id string) {
