--- a/cmd/wigeonstand/cmd/root.go
+++ b/cmd/wigeonstand/cmd/root.go
@@ -55,7 +55,7 @@
 Examples:
   wigeonstand check -f ee-tln-1.yaml
   wigeonstand serve -f ee-tln-1.yaml`,
-		Commands: []*cli.Command{newServeCmd(), newCheckCmd(), newEventsCmd()},
+		Commands: []*cli.Command{newServeCmd(), newEntryCmd(), newCheckCmd(), newEventsCmd()},
 	}
 }
 
--- /dev/null
+++ b/internal/admitter/admitter.go
@@ -0,0 +1,61 @@
+// Package admitter owns whether a turn is taken now or turned away, and when
+// its caller may come back. It is pure: what it knows comes with the call.
+package admitter
+
+import (
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/registrar"
+)
+
+// Policy bounds the load up to which work is taken.
+type Policy struct {
+	// NewPrograms is the mean number of requests an endpoint has above which
+	// the first turns of programs are turned away; zero for no limit.
+	NewPrograms float64
+	// ReturnLeast and ReturnMost bound the time after which a caller that was
+	// turned away may come back.
+	ReturnLeast time.Duration
+	ReturnMost  time.Duration
+}
+
+// Turn is a turn that asks to be taken.
+type Turn struct {
+	// First is true for the first turn of a program.
+	First bool
+	// Left is the time until the caller's deadline.
+	Left time.Duration
+	// Chance is a random number in [0, 1) that spreads the callers' return.
+	Chance float64
+}
+
+// Decision is whether a turn is taken.
+type Decision struct {
+	Taken bool
+	// Mean is the mean load that decided.
+	Mean float64
+	// RetryAfter is when to come back if the turn is not taken.
+	RetryAfter time.Duration
+}
+
+// Admit answers a burst of programs on engines that are full already: each
+// program that begins takes engine time and cache from those under way, which
+// then all end late. So programs under way are always taken, and new ones wait
+// outside while the engines have more requests than they serve at a good rate.
+func Admit(policy Policy, turn Turn, candidates []registrar.Candidate) Decision {
+	d := Decision{Taken: true}
+	if len(candidates) == 0 {
+		return d
+	}
+	for _, c := range candidates {
+		d.Mean += c.Load
+	}
+	d.Mean /= float64(len(candidates))
+	if !turn.First || policy.NewPrograms <= 0 || d.Mean <= policy.NewPrograms {
+		return d
+	}
+	d.Taken = false
+	spread := time.Duration(turn.Chance * float64(policy.ReturnMost-policy.ReturnLeast))
+	d.RetryAfter = min(policy.ReturnLeast+spread, turn.Left/3)
+	return d
+}
--- /dev/null
+++ b/internal/bookkeeper/book.go
@@ -0,0 +1,143 @@
+package bookkeeper
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+)
+
+// Table is the table of the programs' rows.
+const Table = "programs"
+
+// row is a program's row: what each holder has taken from the budget. The sum
+// is never above the budget, and a holder hands out no more than its grant, so
+// that the budget holds over any instances and restarts.
+type row struct {
+	// Grants are in tokens, by holder; they never sink.
+	Grants map[string]int64 `cbor:"1,keyasint"`
+}
+
+func decodeRow(value []byte) (row, error) {
+	var r row
+	if len(value) == 0 {
+		return r, nil
+	}
+	if err := cbor.Unmarshal(value, &r); err != nil {
+		return row{}, eris.Wrap(err, "decode a program's row")
+	}
+	return r, nil
+}
+
+// verdict is what a book says to a reservation.
+type verdict int
+
+const (
+	// granted means that the tokens are reserved.
+	granted verdict = iota
+	// exhausted means that the budget does not hold the tokens.
+	exhausted
+	// pending means that the row must grow first.
+	pending
+)
+
+type openTurn struct {
+	tokens int64
+	since  time.Time
+}
+
+// book is what one holder knows of a program's budget. It is pure.
+type book struct {
+	holder string
+	// version and grants are those of the row; others is the sum of the grants
+	// of the other holders.
+	version int64
+	grants  map[string]int64
+	others  int64
+	// used is what ended turns handed out of this holder's grant.
+	used int64
+	open map[string]openTurn
+	// turns counts the turns that were opened here.
+	turns int
+	// isKnown is true once the row, or its absence, is certain.
+	isKnown bool
+}
+
+func newBook(holder string) *book {
+	return &book{holder: holder, open: map[string]openTurn{}}
+}
+
+// load takes the row as it is in the store.
+func (b *book) load(version int64, r row) {
+	b.version, b.grants, b.others, b.isKnown = version, r.Grants, 0, true
+	for holder, tokens := range r.Grants {
+		if holder != b.holder {
+			b.others += tokens
+		}
+	}
+}
+
+func (b *book) grant() int64 { return b.grants[b.holder] }
+
+// atMost returns what this holder may have handed out at most.
+func (b *book) atMost() int64 {
+	sum := b.used
+	for _, t := range b.open {
+		sum += t.tokens
+	}
+	return sum
+}
+
+// isUnderWay says whether the program had a turn before.
+func (b *book) isUnderWay() bool { return b.turns > 0 || b.others > 0 || b.grant() > 0 }
+
+// reserve reserves the tokens for a turn.
+func (b *book) reserve(turn string, tokens, budget int64, now time.Time) verdict {
+	if _, again := b.open[turn]; again {
+		return granted
+	}
+	switch {
+	case b.isKnown && b.atMost()+tokens <= b.grant():
+		b.open[turn] = openTurn{tokens: tokens, since: now}
+		b.turns++
+		return granted
+	case b.isKnown && b.others+b.atMost()+tokens > budget:
+		return exhausted
+	}
+	return pending
+}
+
+// settle replaces a turn's reservation by what the turn handed out.
+func (b *book) settle(turn string, used int64) {
+	t, found := b.open[turn]
+	if !found {
+		return
+	}
+	delete(b.open, turn)
+	b.used += min(used, t.tokens)
+}
+
+// expire settles turns that never ended at their most.
+func (b *book) expire(before time.Time) {
+	for id, t := range b.open {
+		if t.since.Before(before) {
+			b.settle(id, t.tokens)
+		}
+	}
+}
+
+// grown returns the row with a grant for the tokens and for aheadTurns further
+// turns of that size, as far as the budget holds them.
+func (b *book) grown(tokens, budget int64) row {
+	r := row{Grants: make(map[string]int64, len(b.grants)+1)}
+	for holder, taken := range b.grants {
+		r.Grants[holder] = taken
+	}
+	need := b.atMost() + tokens
+	ahead := need + aheadTurns*tokens
+	// The last part of a budget is not taken ahead of need, for another holder
+	// may need it.
+	room := (budget - b.others) * aheadShare / 100
+	r.Grants[b.holder] = max(b.grant(), need, min(ahead, room))
+	return r
+}
--- /dev/null
+++ b/internal/bookkeeper/bookkeeper.go
@@ -0,0 +1,338 @@
+// Package bookkeeper owns the token budgets of programs and the recording of
+// turns. One actor keeps the books of the programs that other instances bring
+// here; the rows in the platform's store decide, so that any other instance can
+// go on with a program at any time. It does not own which instance keeps which
+// books, nor how transactions are made.
+package bookkeeper
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/wigeonstand/wigeonstand/internal/joiner"
+	"github.com/wigeonstand/wigeonstand/internal/storer"
+	"github.com/wigeonstand/wigeonstand/internal/transcriber"
+)
+
+const (
+	// aheadTurns is for how many further turns a grant is taken, so that most
+	// turns need no write and a program outlives a short outage of the store.
+	aheadTurns = 4
+	// aheadShare is the part of a budget, in percent, that may be taken ahead.
+	aheadShare = 60
+	// turnLife is the time after which a turn that never ended is settled at
+	// its most; it is above the longest deadline of a turn.
+	turnLife = 15 * time.Second
+	// bookLife is how long an unused book is kept in memory.
+	bookLife = 90 * time.Second
+	// sweepInterval is the time between looks for old turns and books.
+	sweepInterval = 5 * time.Second
+)
+
+// Status is how a call to a bookkeeper ended.
+type Status int
+
+// The statuses.
+const (
+	// OK means done.
+	OK Status = iota
+	// Exhausted means that the budget does not hold the turn.
+	Exhausted
+	// Unavailable means that the store could not be reached; nothing was reserved.
+	Unavailable
+	// InDoubt means that a record may or may not be in the store.
+	InDoubt
+)
+
+// Opening asks for a reservation.
+type Opening struct {
+	Program string `cbor:"1,keyasint"`
+	// Turn names the reservation; the same name reserves once.
+	Turn string `cbor:"2,keyasint"`
+	// Tokens is the most that the turn may hand out.
+	Tokens int64 `cbor:"3,keyasint"`
+	// Budget is that of the whole program.
+	Budget int64 `cbor:"4,keyasint"`
+	// Wait is how long to wait for the store.
+	Wait time.Duration `cbor:"5,keyasint"`
+}
+
+// Opened answers an Opening.
+type Opened struct {
+	Status Status `cbor:"1,keyasint"`
+	// UnderWay is true if the program had a turn before.
+	UnderWay bool `cbor:"2,keyasint"`
+}
+
+// Closing ends a turn.
+type Closing struct {
+	Program string `cbor:"1,keyasint"`
+	Turn    string `cbor:"2,keyasint"`
+	// Used is what the turn handed out.
+	Used int64 `cbor:"3,keyasint"`
+	// Record is the turn to record; nil if it is not retained.
+	Record *transcriber.Turn `cbor:"4,keyasint,omitempty"`
+	// Wait is how long to wait for the store.
+	Wait time.Duration `cbor:"5,keyasint"`
+}
+
+// Closed answers a Closing.
+type Closed struct {
+	Status Status `cbor:"1,keyasint"`
+}
+
+// Submitter takes jobs to be joined into transactions.
+type Submitter interface {
+	Submit(job *joiner.Job)
+}
+
+// Bookkeeper keeps books. It is safe for concurrent use.
+type Bookkeeper struct {
+	holder string
+	jobs   Submitter
+	system *actor.ActorSystem
+	pid    *actor.PID
+}
+
+// New returns a Bookkeeper under a name that no other process ever had.
+func New(holder string, jobs Submitter) *Bookkeeper {
+	quiet := actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
+		return slog.New(slog.NewTextHandler(io.Discard, nil))
+	})
+	k := &Bookkeeper{holder: holder, jobs: jobs, system: actor.NewActorSystem(quiet)}
+	books := &shelf{holder: holder, jobs: jobs, accounts: map[string]*account{}, self: k.tell}
+	k.pid = k.system.Root.Spawn(actor.PropsFromFunc(books.receive))
+	return k
+}
+
+// Run settles old turns until ctx ends, and then stops the actor.
+func (k *Bookkeeper) Run(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			k.system.Root.Stop(k.pid)
+			k.system.Shutdown()
+			return
+		case <-ticker.C:
+			k.tell(sweep{})
+		}
+	}
+}
+
+func (k *Bookkeeper) tell(message any) { k.system.Root.Send(k.pid, message) }
+
+// Open reserves the tokens of a turn.
+func (k *Bookkeeper) Open(ctx context.Context, in Opening) (Opened, error) {
+	reply := make(chan Opened, 1)
+	k.tell(opening{Opening: in, deadline: time.Now().Add(in.Wait), reply: reply})
+	select {
+	case out := <-reply:
+		return out, nil
+	case <-ctx.Done():
+		return Opened{}, context.Cause(ctx)
+	}
+}
+
+// Close settles a turn and records it. It returns when the record is durable or
+// the wait is over.
+func (k *Bookkeeper) Close(ctx context.Context, in Closing) (Closed, error) {
+	k.tell(settling{program: in.Program, turn: in.Turn, used: in.Used})
+	if in.Record == nil {
+		return Closed{}, nil
+	}
+	changes, err := in.Record.Changes()
+	if err != nil {
+		return Closed{}, err
+	}
+	reply := make(chan Closed, 1)
+	k.jobs.Submit(&joiner.Job{
+		Changes: changes, Deadline: time.Now().Add(in.Wait),
+		Done: func(r joiner.Result) { reply <- Closed{Status: recorded(changes, r.Err)} },
+	})
+	select {
+	case out := <-reply:
+		return out, nil
+	case <-ctx.Done():
+		return Closed{}, context.Cause(ctx)
+	}
+}
+
+// recorded says whether the turn is in the store. A turn's rows are written
+// once: if they are there already, an earlier try has landed.
+func recorded(changes []storer.Change, err error) Status {
+	var conflict *storer.Conflict
+	switch {
+	case err == nil:
+		return OK
+	case errors.As(err, &conflict):
+		for i, c := range changes {
+			if i >= len(conflict.Current) || string(conflict.Current[i].Value) != string(c.Value) {
+				return InDoubt
+			}
+		}
+		return OK
+	case errors.Is(err, storer.ErrInDoubt):
+		return InDoubt
+	}
+	return Unavailable
+}
+
+// The messages of the actor.
+type (
+	opening struct {
+		Opening
+		deadline time.Time
+		reply    chan<- Opened
+	}
+	settling struct {
+		program string
+		turn    string
+		used    int64
+	}
+	written struct {
+		program string
+		row     row
+		result  joiner.Result
+	}
+	sweep struct{}
+)
+
+// account is a book with those that wait for it.
+type account struct {
+	book    *book
+	waiting []opening
+	// isWriting is true while the program's row is being written.
+	isWriting bool
+	touched   time.Time
+}
+
+// shelf is the state of the actor.
+type shelf struct {
+	holder   string
+	jobs     Submitter
+	accounts map[string]*account
+	self     func(message any)
+}
+
+func (s *shelf) receive(c actor.Context) {
+	switch m := c.Message().(type) {
+	case opening:
+		s.open(m)
+	case settling:
+		if a := s.accounts[m.program]; a != nil {
+			a.book.settle(m.turn, m.used)
+		}
+	case written:
+		s.written(m)
+	case sweep:
+		s.sweep()
+	}
+}
+
+func (s *shelf) open(m opening) {
+	a := s.accounts[m.Program]
+	if a == nil {
+		a = &account{book: newBook(s.holder)}
+		s.accounts[m.Program] = a
+	}
+	a.touched = time.Now()
+	a.waiting = append(a.waiting, m)
+	s.advance(m.Program, a)
+}
+
+// advance answers the waiting as far as the book allows, in order, and lets the
+// row grow for the first that needs it.
+func (s *shelf) advance(program string, a *account) {
+	now := time.Now()
+	for len(a.waiting) > 0 {
+		m := a.waiting[0]
+		if now.After(m.deadline) {
+			m.reply <- Opened{Status: Unavailable}
+			a.waiting = a.waiting[1:]
+			continue
+		}
+		underWay := a.book.isUnderWay()
+		switch a.book.reserve(m.Turn, m.Tokens, m.Budget, now) {
+		case granted:
+			m.reply <- Opened{UnderWay: underWay}
+		case exhausted:
+			m.reply <- Opened{Status: Exhausted, UnderWay: underWay}
+		case pending:
+			if !a.isWriting {
+				s.grow(program, a, m)
+			}
+			return
+		}
+		a.waiting = a.waiting[1:]
+	}
+}
+
+func (s *shelf) grow(program string, a *account, m opening) {
+	next := a.book.grown(m.Tokens, m.Budget)
+	value, err := cbor.Marshal(next)
+	if err != nil {
+		m.reply <- Opened{Status: Unavailable}
+		a.waiting = a.waiting[1:]
+		return
+	}
+	a.isWriting = true
+	s.jobs.Submit(&joiner.Job{
+		Changes: []storer.Change{{
+			RowKey: storer.RowKey{Table: Table, Name: program}, Expected: a.book.version, Value: value,
+		}},
+		Deadline: m.deadline,
+		Done:     func(r joiner.Result) { s.self(written{program: program, row: next, result: r}) },
+	})
+}
+
+func (s *shelf) written(m written) {
+	a := s.accounts[m.program]
+	if a == nil {
+		return
+	}
+	a.isWriting = false
+	var conflict *storer.Conflict
+	switch {
+	case m.result.Err == nil:
+		a.book.load(m.result.Version, m.row)
+	case errors.As(m.result.Err, &conflict):
+		current := conflict.Current[0]
+		r, err := decodeRow(current.Value)
+		if err != nil {
+			s.refuse(a)
+			return
+		}
+		a.book.load(current.Version, r)
+	default:
+		// The row keeps its expected version: a write in doubt either lands
+		// before the next one, which then conflicts, or never.
+		s.refuse(a)
+		return
+	}
+	s.advance(m.program, a)
+}
+
+func (s *shelf) refuse(a *account) {
+	for _, m := range a.waiting {
+		m.reply <- Opened{Status: Unavailable}
+	}
+	a.waiting = nil
+}
+
+func (s *shelf) sweep() {
+	now := time.Now()
+	for program, a := range s.accounts {
+		a.book.expire(now.Add(-turnLife))
+		if now.Sub(a.touched) > bookLife && len(a.waiting) == 0 && !a.isWriting {
+			delete(s.accounts, program)
+		}
+	}
+}
--- /dev/null
+++ b/internal/bookkeeper/desk.go
@@ -0,0 +1,106 @@
+package bookkeeper
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonstand/wigeonstand/internal/enlister"
+	"github.com/wigeonstand/wigeonstand/internal/messenger"
+)
+
+// The methods between instances.
+const (
+	methodOpen  = "Open"
+	methodClose = "Close"
+)
+
+// replyMargin is what a call between instances takes beside the wait for the
+// store; an instance that does not answer in that time is avoided.
+const replyMargin = 150 * time.Millisecond
+
+// Caller calls other instances.
+type Caller interface {
+	Call(ctx context.Context, address netip.AddrPort, method string, in, out any) error
+}
+
+// Members tells who keeps a program's books.
+type Members interface {
+	Bookkeepers(program string) []enlister.Member
+	Suspect(instance string)
+	Self() enlister.Member
+}
+
+// Handlers returns the handlers of the calls of other instances.
+func (k *Bookkeeper) Handlers() map[string]messenger.Handler {
+	return map[string]messenger.Handler{
+		methodOpen:  messenger.Handle(k.Open),
+		methodClose: messenger.Handle(k.Close),
+	}
+}
+
+// Desk brings turns to the bookkeeper of their program, here or on another
+// instance.
+type Desk struct {
+	local   *Bookkeeper
+	members Members
+	caller  Caller
+}
+
+// NewDesk returns a Desk.
+func NewDesk(local *Bookkeeper, members Members, caller Caller) *Desk {
+	return &Desk{local: local, members: members, caller: caller}
+}
+
+// Open reserves the tokens of a turn. It returns the instance that keeps the
+// books, for Close.
+func (d *Desk) Open(ctx context.Context, in Opening) (Opened, enlister.Member, error) {
+	deadline := time.Now().Add(in.Wait)
+	for _, m := range d.members.Bookkeepers(in.Program) {
+		if in.Wait = time.Until(deadline); in.Wait <= 0 {
+			break
+		}
+		out, err := ask(ctx, d, m, methodOpen, in.Wait, in, d.local.Open)
+		if err == nil && out.Status != Unavailable {
+			return out, m, nil
+		}
+		if ctx.Err() != nil {
+			return Opened{}, m, context.Cause(ctx)
+		}
+	}
+	return Opened{Status: Unavailable}, d.members.Self(), nil
+}
+
+// Close settles a turn with the instance that opened it and records it there,
+// or here if that instance does not answer.
+func (d *Desk) Close(ctx context.Context, keeper enlister.Member, in Closing) (Closed, error) {
+	deadline := time.Now().Add(in.Wait)
+	out, err := ask(ctx, d, keeper, methodClose, in.Wait, in, d.local.Close)
+	if (err == nil && out.Status == OK) || in.Record == nil {
+		return out, err
+	}
+	if in.Wait = time.Until(deadline); in.Wait <= 0 {
+		return Closed{Status: InDoubt}, nil
+	}
+	return d.local.Close(ctx, in)
+}
+
+// ask calls the member, or the local function if the member is this instance.
+func ask[In, Out any](ctx context.Context, d *Desk, m enlister.Member, method string, wait time.Duration,
+	in In, local func(context.Context, In) (Out, error),
+) (Out, error) {
+	if m.Instance == d.members.Self().Instance {
+		return local(ctx, in)
+	}
+	var out Out
+	bounded, cancel := context.WithTimeout(ctx, wait+replyMargin)
+	defer cancel()
+	err := d.caller.Call(bounded, m.Address, method, in, &out)
+	if err != nil && ctx.Err() == nil {
+		d.members.Suspect(m.Instance)
+		return out, eris.Wrapf(err, "bookkeeper %s", m.Instance)
+	}
+	return out, err
+}
--- /dev/null
+++ b/internal/composer/composer.go
@@ -0,0 +1,322 @@
+// Package composer owns the making of one instance for the users' platform out
+// of its parts, and the order in which they start and stop. It does not own
+// what the parts do, nor how the platform speaks.
+package composer
+
+import (
+	"context"
+	"errors"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/oklog/ulid/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonstand/wigeonstand/internal/admitter"
+	"github.com/wigeonstand/wigeonstand/internal/bookkeeper"
+	"github.com/wigeonstand/wigeonstand/internal/configurer"
+	"github.com/wigeonstand/wigeonstand/internal/courier"
+	"github.com/wigeonstand/wigeonstand/internal/enlister"
+	"github.com/wigeonstand/wigeonstand/internal/follower"
+	"github.com/wigeonstand/wigeonstand/internal/joiner"
+	"github.com/wigeonstand/wigeonstand/internal/logger"
+	"github.com/wigeonstand/wigeonstand/internal/messenger"
+	"github.com/wigeonstand/wigeonstand/internal/meter"
+	"github.com/wigeonstand/wigeonstand/internal/reacher"
+	"github.com/wigeonstand/wigeonstand/internal/registrar"
+	"github.com/wigeonstand/wigeonstand/internal/relayer"
+	"github.com/wigeonstand/wigeonstand/internal/storer"
+	"github.com/wigeonstand/wigeonstand/internal/transcriber"
+)
+
+const (
+	// memoryShare is the part of the memory limit, in percent, that the heap
+	// may fill before the collector works harder.
+	memoryShare = 60
+	// leaveAfter is how long the instance takes new connections after it
+	// reports that it is not ready: the balancer asks once a second and takes
+	// an instance out after two misses.
+	leaveAfter = 2500 * time.Millisecond
+	// endMargin is left of the grace period for the last steps.
+	endMargin = 700 * time.Millisecond
+	// lostAfter is how long the store may be out of reach before the instance
+	// reports that it is not ready.
+	lostAfter = 1500 * time.Millisecond
+	// headerTimeout bounds the reading of a request's header.
+	headerTimeout = 10 * time.Second
+	// idleTimeout closes callers' unused connections. It is above the limit
+	// that operators set for callers, who reuse connections up to four fifths
+	// of it.
+	idleTimeout = 40 * time.Second
+	// headerBytes is above the limit that operators set for callers.
+	headerBytes = 64 << 10
+	// withdrawTimeout bounds the removal of the instance's own row.
+	withdrawTimeout = 300 * time.Millisecond
+)
+
+var (
+	eventStarted = logger.Define(5020, "EntryStarted", log.InfoLevel,
+		"the instance has started", "None.")
+	eventStopping = logger.Define(5021, "EntryStopping", log.InfoLevel,
+		"the instance was told to stop and reports that it is not ready", "None, if it was planned.")
+	eventStopped = logger.Define(5022, "EntryStopped", log.InfoLevel,
+		"the instance has stopped", "None.")
+	eventListener = logger.Define(5023, "ListenerComplained", log.WarnLevel,
+		"the callers' listener reports an error", "None, unless it goes on.")
+	eventStoreWay = logger.Define(5024, "StoreWayChanged", log.WarnLevel,
+		"the way on which the store is reached has changed", "Look at the store, or at the network between, if it stays Relayed or Lost.")
+	eventMembers = logger.Define(5025, "MembersChanged", log.InfoLevel,
+		"instances came or went", "None, if it was planned.")
+	eventNotAnnounced = logger.Define(5026, "HeartbeatFailed", log.WarnLevel,
+		"the instance's heartbeat was not written", "Look at the store if it goes on.")
+	eventReady = logger.Define(5027, "ReadinessChanged", log.InfoLevel,
+		"the instance reports another readiness", "Look at the store's way if it stays not ready.")
+	eventReloaded = logger.Define(5028, "SettingsReread", log.InfoLevel,
+		"the settings were read anew; they apply at the next start", "None.")
+	eventCut = logger.Define(5029, "RequestsCut", log.WarnLevel,
+		"requests in flight were cut because the grace period was over", "Look at what took so long.")
+)
+
+// Platform is how the platform speaks.
+type Platform struct {
+	Rows    storer.Rows
+	Dialect relayer.Dialect
+	Source  follower.Source
+}
+
+// Entry is one instance.
+type Entry struct {
+	settings *configurer.Entry
+	log      *logger.Logger
+	lines    *logger.Bounded
+	meter    *meter.Meter
+
+	client    *messenger.Client
+	courier   *courier.Courier
+	reacher   *reacher.Reacher
+	enlister  *enlister.Enlister
+	registry  *registrar.Registry
+	follower  *follower.Follower
+	joiner    *joiner.Joiner
+	books     *bookkeeper.Bookkeeper
+	relayer   *relayer.Relayer
+	peers     *messenger.Server
+	isLeaving atomic.Bool
+	wasReady  atomic.Bool
+}
+
+// New returns an Entry.
+func New(settings *configurer.Entry, platform Platform, out io.Writer) (*Entry, error) {
+	e := &Entry{settings: settings, lines: logger.NewBounded(out), meter: meter.New(), registry: registrar.New()}
+	e.log = newLogger(settings.Log, e.lines).With("Instance", settings.Instance)
+	e.client, e.courier = messenger.NewClient(), courier.New()
+	counts := newCounts(e.meter, e.courier)
+	e.reacher = reacher.New(platform.Rows, e.client, reacher.WithCount(counts.store),
+		reacher.WithNotify(func(from, to reacher.Way, cause error) {
+			e.log.Log(eventStoreWay, "From", from, "To", to, "Cause", cause)
+		}))
+	self := enlister.Member{
+		Instance: settings.Instance, Incarnation: ulid.Make().String(),
+		Address: settings.PeerListen, DataCentre: settings.DataCentre,
+	}
+	e.enlister = enlister.New(self, e.reacher)
+	e.reacher.SetRelays(e.enlister)
+	platform.Source.EndpointForgone = func(gone registrar.Endpoint) { e.courier.Forget(gone.Address) }
+	e.follower = follower.New(platform.Source, e.reacher, e.registry, follower.WithLogger(e.log))
+	e.joiner = joiner.New(e.reacher)
+	e.books = bookkeeper.New(self.Incarnation, e.joiner)
+	e.relayer = relayer.New(relayer.Config{
+		Tables: e.follower, Endpoints: e.registry, Sender: e.courier, Dialect: platform.Dialect,
+		Books:       bookkeeper.NewDesk(e.books, e.enlister, e.client),
+		Transcripts: transcriber.New(e.reacher),
+		DataCentre:  settings.DataCentre, Log: e.log, Count: counts,
+		Policy: relayer.Policy{
+			Admission: admitter.Policy{
+				NewPrograms: settings.Admission.NewPrograms,
+				ReturnLeast: settings.Admission.ReturnLeast, ReturnMost: settings.Admission.ReturnMost,
+			},
+			Margin: settings.Placement.Margin,
+		},
+		IsStoreLost: e.isStoreLost,
+	})
+	handlers := map[string]messenger.Handler{}
+	for _, more := range []map[string]messenger.Handler{e.books.Handlers(), e.reacher.Handlers()} {
+		for name, handler := range more {
+			handlers[name] = handler
+		}
+	}
+	var err error
+	e.peers, err = messenger.NewServer(handlers)
+	return e, err
+}
+
+func newLogger(settings configurer.Log, out io.Writer) *logger.Logger {
+	levels := map[string]log.Level{"Debug": log.DebugLevel, "Info": log.InfoLevel, "Warn": log.WarnLevel, "Error": log.ErrorLevel}
+	options := []logger.Option{logger.WithLevel(levels[settings.Level])}
+	if settings.Format == configurer.LogJSON {
+		options = append(options, logger.WithJSON())
+	}
+	return logger.New(out, options...)
+}
+
+func (e *Entry) isStoreLost() bool {
+	way, answered := e.reacher.Way()
+	return way == reacher.Lost && time.Since(answered) > lostAfter
+}
+
+// isReady says whether the balancer may send new connections here.
+func (e *Entry) isReady() bool {
+	ready := !e.isLeaving.Load() && e.follower.Table() != nil && !e.isStoreLost()
+	if e.wasReady.Swap(ready) != ready {
+		way, answered := e.reacher.Way()
+		e.log.Log(eventReady, "Ready", ready, "Leaving", e.isLeaving.Load(), "Store", way, "StoreAnswered", time.Since(answered))
+	}
+	return ready
+}
+
+// Run runs the instance until ctx ends and then stops it within the grace
+// period. A value on reload makes it read its settings anew.
+func (e *Entry) Run(ctx context.Context, reload <-chan struct{}, reread func() error) error {
+	runtime.GOMAXPROCS(e.settings.Cores)
+	debug.SetMemoryLimit(int64(e.settings.MemoryMB) << 20 * memoryShare / 100)
+	// The parts outlive ctx, as requests go on while the instance stops.
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var parts sync.WaitGroup
+	defer parts.Wait()
+	defer stop()
+
+	listeners, err := listen(e.settings.CallerListen, e.settings.ReadyListen, e.settings.PeerListen, e.settings.AdminListen)
+	if err != nil {
+		return err
+	}
+	callers := &http.Server{
+		Handler: e.relayer, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		ErrorLog: stdlog.New(complaints{e.log}, "", 0),
+	}
+	ready := &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: headerTimeout}
+	admin := &http.Server{Handler: e.meter.Handler(), ReadHeaderTimeout: headerTimeout}
+	failed := make(chan error, 4)
+	serve := func(run func() error) {
+		parts.Go(func() {
+			if err := run(); err != nil && !errors.Is(err, http.ErrServerClosed) && work.Err() == nil {
+				failed <- err
+			}
+		})
+	}
+	serve(func() error { return callers.Serve(listeners[0]) })
+	serve(func() error { return ready.Serve(listeners[1]) })
+	serve(func() error { return e.peers.Serve(work, listeners[2]) })
+	serve(func() error { return admin.Serve(listeners[3]) })
+	for _, run := range []func(context.Context){e.lines.Run, e.joiner.Run, e.books.Run, e.follower.Run, e.enlist} {
+		parts.Go(func() { run(work) })
+	}
+	e.log.Log(eventStarted, "DataCentre", e.settings.DataCentre, "Incarnation", e.enlister.Self().Incarnation)
+
+	err = e.await(ctx, failed, reload, reread)
+	e.stop(callers)
+	// What these serve ends with the process.
+	_ = ready.Close()
+	_ = admin.Close()
+	e.log.Log(eventStopped)
+	return err
+}
+
+func (e *Entry) await(ctx context.Context, failed <-chan error, reload <-chan struct{}, reread func() error) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-failed:
+			return eris.Wrap(err, "a listener failed")
+		case <-reload:
+			e.log.Log(eventReloaded, "Fault", reread())
+		}
+	}
+}
+
+// stop lets the balancer take the instance out, answers what was read, and ends.
+func (e *Entry) stop(callers *http.Server) {
+	begun := time.Now()
+	e.isLeaving.Store(true)
+	e.log.Log(eventStopping)
+	// Idle connections are closed now, and each answer closes its connection.
+	callers.SetKeepAlivesEnabled(false)
+	time.Sleep(min(leaveAfter, e.settings.GracePeriod/2))
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(e.settings.GracePeriod-endMargin))
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		e.log.Log(eventCut, "Cause", err)
+		_ = callers.Close() // What is still open is cut by the end of the process anyway.
+	}
+	ctx, cancel = context.WithTimeout(context.Background(), withdrawTimeout)
+	defer cancel()
+	if err := e.enlister.Withdraw(ctx); err != nil {
+		e.log.Log(eventNotAnnounced, "Cause", err)
+	}
+	e.courier.Close()
+	e.client.Close()
+}
+
+// enlist keeps the membership.
+func (e *Entry) enlist(ctx context.Context) {
+	const refreshInterval = time.Second
+	var announced time.Time
+	for {
+		if time.Since(announced) >= enlister.HeartbeatInterval {
+			if err := e.enlister.Announce(ctx); err == nil {
+				announced = time.Now()
+			} else if ctx.Err() == nil {
+				e.log.Log(eventNotAnnounced, "Cause", err)
+			}
+		}
+		if came, went, err := e.enlister.Refresh(ctx); err == nil && len(came)+len(went) > 0 {
+			e.log.Log(eventMembers, "Came", came, "Went", went, "Living", e.enlister.Count())
+		}
+		timer := time.NewTimer(refreshInterval)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+	}
+}
+
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !e.isReady() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// complaints turns the lines of an http.Server into log events.
+type complaints struct{ log *logger.Logger }
+
+// Write implements io.Writer.
+func (c complaints) Write(line []byte) (int, error) {
+	c.log.Log(eventListener, "Text", string(line))
+	return len(line), nil
+}
+
+func listen(addresses ...netip.AddrPort) ([]net.Listener, error) {
+	var listeners []net.Listener
+	for _, address := range addresses {
+		listener, err := net.Listen("tcp", address.String())
+		if err != nil {
+			for _, l := range listeners {
+				_ = l.Close() // The error to report is the one before.
+			}
+			return nil, eris.Wrapf(err, "listen at %s", address)
+		}
+		listeners = append(listeners, listener)
+	}
+	return listeners, nil
+}
--- /dev/null
+++ b/internal/configurer/entry.go
@@ -0,0 +1,100 @@
+package configurer
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonstand/wigeonstand/internal/loader"
+)
+
+// Entry is what one instance on the users' platform is told when it starts.
+type Entry struct {
+	// Instance is the instance's name, unique among all that run at once.
+	Instance   string `validate:"name"`
+	DataCentre string `validate:"name"`
+	// CallerListen, ReadyListen, PeerListen and AdminListen are the addresses
+	// of the listeners for callers, the balancer's readiness checks, other
+	// instances, and metrics.
+	CallerListen netip.AddrPort `validate:"required"`
+	ReadyListen  netip.AddrPort `validate:"required"`
+	PeerListen   netip.AddrPort `validate:"required"`
+	AdminListen  netip.AddrPort `validate:"required"`
+	// StoreAddress is that of the platform's store.
+	StoreAddress netip.AddrPort `validate:"required"`
+	// MemoryMB is the memory that the process may use, in megabytes.
+	MemoryMB int `validate:"min=16"`
+	// Cores is the number of processor cores.
+	Cores int `validate:"min=1"`
+	// GracePeriod is the time between the order to stop and the process's end.
+	GracePeriod time.Duration `validate:"min=1s"`
+	Log         Log
+	Admission   Admission
+	Placement   Placement
+}
+
+// Admission is up to which load work is taken.
+type Admission struct {
+	// NewPrograms is the mean number of requests per endpoint above which new
+	// programs are turned away; 0 for no limit.
+	NewPrograms float64 `validate:"min=0"`
+	// ReturnLeast and ReturnMost bound the time after which they may come back.
+	ReturnLeast time.Duration `validate:"min=0s"`
+	ReturnMost  time.Duration `validate:"gtefield=ReturnLeast"`
+}
+
+// Placement is how an endpoint is chosen for a turn.
+type Placement struct {
+	// Margin is by how many requests a program's home may exceed the least
+	// loaded endpoint.
+	Margin float64 `validate:"min=0"`
+}
+
+// EntryDefaults returns the settings that a file need not give.
+func EntryDefaults() *Entry {
+	return &Entry{
+		MemoryMB: 128, Cores: 1, GracePeriod: 8 * time.Second,
+		Log:       Log{Format: LogJSON, Level: "Info"},
+		Admission: Admission{NewPrograms: 10, ReturnLeast: 200 * time.Millisecond, ReturnMost: 900 * time.Millisecond},
+		Placement: Placement{Margin: 30},
+	}
+}
+
+// LoadEntry reads a settings file. Faults in it are returned together as
+// loader.Errors.
+func LoadEntry(path string) (*Entry, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "reading the settings")
+	}
+	return ParseEntry(path, text)
+}
+
+// ParseEntry reads the text of a settings file; the name is for its errors.
+func ParseEntry(file string, text []byte) (*Entry, error) {
+	settings := EntryDefaults()
+	places, err := loader.Load(loader.Source{File: file, Text: text}, settings)
+	errors := loader.AsErrors(err)
+	taken := map[netip.AddrPort]string{}
+	for _, listener := range []struct {
+		path    string
+		address netip.AddrPort
+	}{
+		{"CallerListen", settings.CallerListen},
+		{"ReadyListen", settings.ReadyListen},
+		{"PeerListen", settings.PeerListen},
+		{"AdminListen", settings.AdminListen},
+	} {
+		rival, again := taken[listener.address]
+		if again && listener.address.IsValid() && !errors.Has(listener.path) {
+			errors.Add(places.At(listener.path), listener.path, "%s is given twice, first as %s", listener.address, rival)
+		}
+		taken[listener.address] = listener.path
+	}
+	if err := errors.Err(); err != nil {
+		return nil, err
+	}
+	return settings, nil
+}
--- /dev/null
+++ b/internal/enlister/enlister.go
@@ -0,0 +1,204 @@
+// Package enlister owns the membership: which instances live, which of them to
+// avoid after failed calls, and which instance a program's books are kept on by
+// preference. Membership never carries authority; rows under their versions do.
+package enlister
+
+import (
+	"context"
+	"net/netip"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonstand/wigeonstand/internal/storer"
+)
+
+// Table is the table of the members' rows.
+const Table = "members"
+
+const (
+	// HeartbeatInterval is the time between two writes of an instance's own
+	// row; at 300 instances that makes 60 writes a second.
+	HeartbeatInterval = 5 * time.Second
+	// staleAfter is how long a row may stay the same before its instance counts
+	// as gone: two heartbeats and some seconds of slow writes.
+	staleAfter = 13 * time.Second
+	// suspectFor is how long an instance is avoided after a failed call.
+	suspectFor = 2 * time.Second
+	// booksShare is the number of instances of a data centre for each of its
+	// bookkeepers: few bookkeepers join the changes of many programs.
+	booksShare = 6
+)
+
+// Member is one instance.
+type Member struct {
+	// Instance is the name; Incarnation tells its processes apart.
+	Instance    string         `cbor:"1,keyasint"`
+	Incarnation string         `cbor:"2,keyasint"`
+	Address     netip.AddrPort `cbor:"3,keyasint"`
+	DataCentre  string         `cbor:"4,keyasint"`
+	// Beat rises with each heartbeat.
+	Beat int64 `cbor:"5,keyasint"`
+}
+
+type seen struct {
+	Member
+	version int64
+	since   time.Time
+}
+
+// Enlister knows the members. It is safe for concurrent use.
+type Enlister struct {
+	self Member
+	rows storer.Rows
+
+	beats atomic.Int64
+
+	mu       sync.Mutex
+	members  map[string]*seen
+	suspects map[string]time.Time
+	listed   time.Time
+}
+
+// New returns an Enlister of the instance itself.
+func New(self Member, rows storer.Rows) *Enlister {
+	return &Enlister{self: self, rows: rows, members: map[string]*seen{}, suspects: map[string]time.Time{}}
+}
+
+// Announce writes the instance's own row.
+func (e *Enlister) Announce(ctx context.Context) error {
+	row := e.self
+	row.Beat = e.beats.Add(1)
+	value, err := cbor.Marshal(row)
+	if err != nil {
+		return eris.Wrap(err, "encode the member")
+	}
+	_, err = e.rows.Transact(ctx, []storer.Change{{RowKey: e.key(), Expected: storer.AnyVersion, Value: value}})
+	return err
+}
+
+// Withdraw removes the instance's own row.
+func (e *Enlister) Withdraw(ctx context.Context) error {
+	_, err := e.rows.Transact(ctx, []storer.Change{{RowKey: e.key(), Expected: storer.AnyVersion, Delete: true}})
+	return err
+}
+
+func (e *Enlister) key() storer.RowKey { return storer.RowKey{Table: Table, Name: e.self.Instance} }
+
+// Refresh reads the members. It returns the names of those that came and went.
+func (e *Enlister) Refresh(ctx context.Context) (came, went []string, err error) {
+	var records []storer.Record
+	next := storer.Range{Table: Table}
+	for more := true; more; {
+		var page []storer.Record
+		if page, more, err = e.rows.List(ctx, next); err != nil {
+			return nil, nil, err
+		}
+		records = append(records, page...)
+		if more {
+			next.From = page[len(page)-1].Name + "\x00"
+		}
+	}
+	came, went = e.take(records)
+	return came, went, nil
+}
+
+func (e *Enlister) take(records []storer.Record) (came, went []string) {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	// A row is not older than the time that nobody could write.
+	gap := time.Duration(0)
+	if !e.listed.IsZero() {
+		gap = max(now.Sub(e.listed)-HeartbeatInterval, 0)
+	}
+	e.listed = now
+	members := make(map[string]*seen, len(records))
+	for _, r := range records {
+		var m Member
+		if err := cbor.Unmarshal(r.Value, &m); err != nil || m.Instance != r.Name {
+			continue // Not a member's row; the table is the system's own, so an old format at most.
+		}
+		known := e.members[r.Name]
+		if known == nil || known.version != r.Version {
+			if known == nil {
+				came = append(came, r.Name)
+			}
+			known = &seen{Member: m, version: r.Version, since: now}
+		} else {
+			known.since = known.since.Add(gap)
+		}
+		members[r.Name] = known
+	}
+	for name := range e.members {
+		if members[name] == nil {
+			went = append(went, name)
+		}
+	}
+	e.members = members
+	return came, went
+}
+
+// Suspect avoids the instance for a while after a failed call.
+func (e *Enlister) Suspect(instance string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.suspects[instance] = time.Now().Add(suspectFor)
+}
+
+// Count returns the number of living members, this instance included.
+func (e *Enlister) Count() int { return 1 + len(e.others("")) }
+
+// others returns the other living members that are not avoided, of the data
+// centre if one is given.
+func (e *Enlister) others(dataCentre string) []Member {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var members []Member
+	for name, m := range e.members {
+		isLive := now.Sub(m.since) <= staleAfter && now.After(e.suspects[name])
+		if name != e.self.Instance && isLive && (dataCentre == "" || m.DataCentre == dataCentre) {
+			members = append(members, m.Member)
+		}
+	}
+	return members
+}
+
+// Bookkeepers returns the instances that may keep the program's books, the
+// preferred first; this instance is the last resort. All instances of a data
+// centre prefer the same few, so that these join the changes of all.
+func (e *Enlister) Bookkeepers(program string) []Member {
+	members := append(e.others(e.self.DataCentre), e.self)
+	sort.Slice(members, func(i, j int) bool { return rank("", members[i]) > rank("", members[j]) })
+	keepers := members[:(len(members)+booksShare-1)/booksShare]
+	sort.Slice(keepers, func(i, j int) bool { return rank(program, keepers[i]) > rank(program, keepers[j]) })
+	var preferred []Member
+	for _, m := range keepers {
+		if m.Instance == e.self.Instance {
+			break
+		}
+		preferred = append(preferred, m)
+	}
+	return append(preferred, e.self)
+}
+
+// Relays returns other instances that may reach the store in place of this
+// one, in an order of its own.
+func (e *Enlister) Relays() []Member {
+	members := e.others("")
+	sort.Slice(members, func(i, j int) bool {
+		return rank(e.self.Incarnation, members[i]) > rank(e.self.Incarnation, members[j])
+	})
+	return members
+}
+
+// Self returns the instance itself.
+func (e *Enlister) Self() Member { return e.self }
+
+func rank(key string, m Member) uint64 { return xxhash.Sum64String(key + "\x00" + m.Instance) }
--- /dev/null
+++ b/internal/joiner/joiner.go
@@ -0,0 +1,278 @@
+// Package joiner owns the joining of row changes of many requests into few
+// transactions, and their settlement: a transaction without an answer is sent
+// again under the same expectations, so that only one of the two can land. It
+// does not own what the rows hold.
+package joiner
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/storer"
+)
+
+const (
+	// DefaultInterval is the least time between the starts of two transactions,
+	// which bounds an instance to 50 a second at any load.
+	DefaultInterval = 20 * time.Millisecond
+	// DefaultParallel is how many transactions may be under way, so that one
+	// whose answer is lost does not hold up the others.
+	DefaultParallel = 3
+	// pauseLeast and pauseMost bound the wait before a transaction that failed
+	// is sent again; it doubles each time.
+	pauseLeast = 20 * time.Millisecond
+	pauseMost  = 320 * time.Millisecond
+)
+
+// Result is the end of a job.
+type Result struct {
+	// Version is that of the rows written.
+	Version int64
+	// Err is nil, a *storer.Conflict with the job's own rows,
+	// storer.ErrUnavailable if nothing was or will be written, or
+	// storer.ErrInDoubt.
+	Err error
+}
+
+// Job is a set of changes that take effect together.
+type Job struct {
+	Changes []storer.Change
+	// Deadline is when the job is given up; zero for never.
+	Deadline time.Time
+	// Done is called once, from a goroutine of the Joiner.
+	Done func(Result)
+
+	inDoubt bool
+}
+
+// Transactor writes rows.
+type Transactor interface {
+	Transact(ctx context.Context, changes []storer.Change) (int64, error)
+}
+
+// Joiner joins jobs. Jobs that are under way at once must not share rows.
+type Joiner struct {
+	rows     Transactor
+	interval time.Duration
+	parallel int
+
+	mu      sync.Mutex
+	waiting []*Job
+	wake    chan struct{}
+	slots   chan struct{}
+	work    sync.WaitGroup
+
+	transactions int64
+	jobs         int64
+}
+
+// Option sets one property of a Joiner.
+type Option func(*Joiner)
+
+// WithInterval sets the least time between the starts of two transactions.
+func WithInterval(d time.Duration) Option { return func(j *Joiner) { j.interval = d } }
+
+// New returns a Joiner; Run makes it work.
+func New(rows Transactor, options ...Option) *Joiner {
+	j := &Joiner{rows: rows, interval: DefaultInterval, parallel: DefaultParallel, wake: make(chan struct{}, 1)}
+	for _, option := range options {
+		option(j)
+	}
+	j.slots = make(chan struct{}, j.parallel)
+	return j
+}
+
+// Counts returns how many transactions carried how many jobs so far.
+func (j *Joiner) Counts() (transactions, jobs int64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.transactions, j.jobs
+}
+
+// Submit queues the job.
+func (j *Joiner) Submit(job *Job) {
+	j.mu.Lock()
+	j.waiting = append(j.waiting, job)
+	j.mu.Unlock()
+	select {
+	case j.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run writes jobs until ctx ends; what is under way is then given up.
+func (j *Joiner) Run(ctx context.Context) {
+	defer j.work.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			j.abandon()
+			return
+		case <-j.wake:
+		}
+		for {
+			batch := j.next()
+			if len(batch) == 0 {
+				break
+			}
+			select {
+			case j.slots <- struct{}{}:
+			case <-ctx.Done():
+				finish(batch, storer.ErrUnavailable)
+				j.abandon()
+				return
+			}
+			// Jobs that came while the slot was awaited join the batch.
+			batch = append(batch, j.fill(batch)...)
+			j.work.Go(func() {
+				defer func() { <-j.slots }()
+				j.write(ctx, batch)
+			})
+			pause(ctx, j.interval)
+		}
+	}
+}
+
+func (j *Joiner) abandon() {
+	for batch := j.next(); len(batch) > 0; batch = j.next() {
+		finish(batch, storer.ErrUnavailable)
+	}
+}
+
+func (j *Joiner) next() []*Job { return j.fill(nil) }
+
+// fill takes from the waiting jobs those that fit into one transaction beside the batch.
+func (j *Joiner) fill(batch []*Job) []*Job {
+	changes, bytes := 0, 0
+	for _, job := range batch {
+		changes, bytes = changes+len(job.Changes), bytes+size(job)
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	n := 0
+	for _, job := range j.waiting {
+		fits := changes+len(job.Changes) <= storer.MaxChanges && bytes+size(job) <= storer.MaxTransactionBytes
+		// A job that is too large by itself goes alone, for the store to refuse.
+		if !fits && (n > 0 || len(batch) > 0) {
+			break
+		}
+		changes, bytes = changes+len(job.Changes), bytes+size(job)
+		n++
+	}
+	taken := slices.Clone(j.waiting[:n])
+	j.waiting = append(j.waiting[:0], j.waiting[n:]...)
+	return taken
+}
+
+func size(job *Job) int {
+	n := 0
+	for _, c := range job.Changes {
+		n += len(c.Value) + len(c.Name)
+	}
+	return n
+}
+
+// write sends the batch until each job has ended.
+func (j *Joiner) write(ctx context.Context, batch []*Job) {
+	wait := pauseLeast
+	for {
+		batch = expire(ctx, batch)
+		if len(batch) == 0 {
+			return
+		}
+		j.mu.Lock()
+		j.transactions++
+		j.jobs += int64(len(batch))
+		j.mu.Unlock()
+		var changes []storer.Change
+		for _, job := range batch {
+			changes = append(changes, job.Changes...)
+		}
+		version, err := j.rows.Transact(ctx, changes)
+		var conflict *storer.Conflict
+		switch {
+		case err == nil:
+			for _, job := range batch {
+				job.Done(Result{Version: version})
+			}
+			return
+		case errors.As(err, &conflict):
+			rest := separate(batch, conflict)
+			if len(rest) < len(batch) {
+				batch = rest
+				continue
+			}
+		case errors.Is(err, storer.ErrInDoubt):
+			for _, job := range batch {
+				job.inDoubt = true
+			}
+		}
+		pause(ctx, wait)
+		wait = min(2*wait, pauseMost)
+	}
+}
+
+// separate ends the jobs whose expectations failed and returns the others.
+func separate(batch []*Job, conflict *storer.Conflict) []*Job {
+	current := make(map[storer.RowKey]storer.Record, len(conflict.Current))
+	for _, r := range conflict.Current {
+		current[r.RowKey] = r
+	}
+	var rest []*Job
+	for _, job := range batch {
+		var own []storer.Record
+		failed := false
+		for _, c := range job.Changes {
+			if c.Expected == storer.AnyVersion {
+				continue
+			}
+			record, found := current[c.RowKey]
+			if !found {
+				record = storer.Record{RowKey: c.RowKey}
+			}
+			own = append(own, record)
+			failed = failed || record.Version != c.Expected
+		}
+		if !failed {
+			rest = append(rest, job)
+			continue
+		}
+		job.Done(Result{Err: &storer.Conflict{Current: own}})
+	}
+	return rest
+}
+
+// expire ends the jobs that are past their deadline and returns the others.
+func expire(ctx context.Context, batch []*Job) []*Job {
+	now := time.Now()
+	var rest []*Job
+	for _, job := range batch {
+		if ctx.Err() == nil && (job.Deadline.IsZero() || now.Before(job.Deadline)) {
+			rest = append(rest, job)
+			continue
+		}
+		finish([]*Job{job}, storer.ErrUnavailable)
+	}
+	return rest
+}
+
+func finish(batch []*Job, err error) {
+	for _, job := range batch {
+		if job.inDoubt {
+			err = storer.ErrInDoubt
+		}
+		job.Done(Result{Err: err})
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -87,6 +87,20 @@
 	return gauge
 }
 
+// NewGaugeFunc registers a gauge whose value is read when it is scraped.
+func (m *Meter) NewGaugeFunc(name, help string, value func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value))
+}
+
+// NewHistogram registers a histogram of seconds, from 5 ms up, with the labels.
+func (m *Meter) NewHistogram(name, help string, labels ...string) *prometheus.HistogramVec {
+	histogram := prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+	}, labels)
+	m.registry.MustRegister(histogram)
+	return histogram
+}
+
 // Handler serves the metrics for scraping.
 func (m *Meter) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- /dev/null
+++ b/internal/reacher/reacher.go
@@ -0,0 +1,318 @@
+// Package reacher owns how this instance reaches the platform's store: directly,
+// through another instance while the store turns this one away, or not at all.
+// It does not own what is read or written.
+package reacher
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonstand/wigeonstand/internal/enlister"
+	"github.com/wigeonstand/wigeonstand/internal/messenger"
+	"github.com/wigeonstand/wigeonstand/internal/storer"
+)
+
+const (
+	// patienceLeast and patienceMost bound the wait for one answer. The usual
+	// answer takes 4 to 7 ms; a slow store some hundred.
+	patienceLeast = 150 * time.Millisecond
+	patienceMost  = 1200 * time.Millisecond
+	// patienceFactor is the wait for an answer over the time of the last one.
+	patienceFactor = 6
+	// probeInterval is the time between direct tries while the store is not
+	// reached directly.
+	probeInterval = 250 * time.Millisecond
+	// failuresToLose is how many direct calls in a row fail before the store
+	// counts as not reached directly.
+	failuresToLose = 2
+	// relayTries is how many other instances are asked for one call.
+	relayTries = 2
+	// relayMargin is what a relayed call takes beside the store's answer.
+	relayMargin = 100 * time.Millisecond
+)
+
+// Way is how the store is reached.
+type Way int
+
+// The ways.
+const (
+	// Direct calls are answered.
+	Direct Way = iota
+	// Relayed calls are answered through another instance.
+	Relayed
+	// Lost means that no call is answered.
+	Lost
+)
+
+// String implements fmt.Stringer.
+func (w Way) String() string { return [...]string{"Direct", "Relayed", "Lost"}[w] }
+
+// Relays lists instances that may reach the store.
+type Relays interface {
+	Relays() []enlister.Member
+	Suspect(instance string)
+}
+
+// Caller calls other instances.
+type Caller interface {
+	Call(ctx context.Context, address netip.AddrPort, method string, in, out any) error
+}
+
+// Reacher implements storer.Rows. It is safe for concurrent use.
+type Reacher struct {
+	direct storer.Rows
+	caller Caller
+	notify func(from, to Way, cause error)
+	count  func(operation, way, result string)
+
+	mu       sync.Mutex
+	relays   Relays
+	patience time.Duration
+	failures int
+	way      Way
+	probed   time.Time
+	answered time.Time
+}
+
+var _ storer.Rows = (*Reacher)(nil)
+
+// Option sets one property of a Reacher.
+type Option func(*Reacher)
+
+// WithNotify sets what is called when the way changes.
+func WithNotify(notify func(from, to Way, cause error)) Option {
+	return func(r *Reacher) { r.notify = notify }
+}
+
+// WithCount sets what counts each call.
+func WithCount(count func(operation, way, result string)) Option {
+	return func(r *Reacher) { r.count = count }
+}
+
+// New returns a Reacher. SetRelays must be called before it relays.
+func New(direct storer.Rows, caller Caller, options ...Option) *Reacher {
+	r := &Reacher{
+		direct: direct, caller: caller, patience: patienceLeast,
+		notify: func(Way, Way, error) {}, count: func(string, string, string) {},
+	}
+	for _, option := range options {
+		option(r)
+	}
+	return r
+}
+
+// SetRelays sets the instances that may reach the store in place of this one.
+func (r *Reacher) SetRelays(relays Relays) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.relays = relays
+}
+
+// Way returns how the store was reached last, and when it last answered.
+func (r *Reacher) Way() (Way, time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.way, r.answered
+}
+
+// Transact implements storer.Rows.
+func (r *Reacher) Transact(ctx context.Context, changes []storer.Change) (int64, error) {
+	var version int64
+	err := r.reach(ctx, "Transact", func(ctx context.Context) (err error) {
+		version, err = r.direct.Transact(ctx, changes)
+		return err
+	}, func(ctx context.Context, m enlister.Member) error {
+		var out relayedTransaction
+		if err := r.caller.Call(ctx, m.Address, methodTransact, relayTransaction{Changes: changes}, &out); err != nil {
+			return errors.Join(storer.ErrInDoubt, err)
+		}
+		version = out.Version
+		return out.err()
+	})
+	return version, err
+}
+
+// List implements storer.Rows.
+func (r *Reacher) List(ctx context.Context, list storer.Range) (records []storer.Record, more bool, err error) {
+	err = r.reach(ctx, "List", func(ctx context.Context) (err error) {
+		records, more, err = r.direct.List(ctx, list)
+		return err
+	}, func(ctx context.Context, m enlister.Member) error {
+		var out relayedList
+		if err := r.caller.Call(ctx, m.Address, methodList, relayList{Range: list}, &out); err != nil {
+			return errors.Join(storer.ErrUnavailable, err)
+		}
+		records, more = out.Records, out.More
+		return out.err()
+	})
+	return records, more, err
+}
+
+// reach makes one call: directly, and through others if that fails without an
+// answer. A transaction may be made twice, which its expectations allow.
+func (r *Reacher) reach(ctx context.Context, operation string,
+	direct func(context.Context) error, relayed func(context.Context, enlister.Member) error,
+) error {
+	var failure error = storer.ErrUnavailable
+	doubt := false
+	if r.mayTryDirect() {
+		failure = r.tryDirect(ctx, operation, direct)
+		if isAnswer(failure) {
+			return failure
+		}
+		doubt = errors.Is(failure, storer.ErrInDoubt)
+	}
+	if way, _ := r.Way(); way == Direct {
+		return failure
+	}
+	for _, m := range r.relayMembers() {
+		if ctx.Err() != nil {
+			break
+		}
+		bounded, cancel := context.WithTimeout(ctx, r.wait()+relayMargin)
+		err := relayed(bounded, m)
+		cancel()
+		r.count(operation, Relayed.String(), resultOf(err))
+		if isAnswer(err) {
+			r.turn(Relayed, nil)
+			return err
+		}
+		doubt = doubt || errors.Is(err, storer.ErrInDoubt)
+		failure = err
+	}
+	r.turn(Lost, failure)
+	if doubt {
+		return errors.Join(storer.ErrInDoubt, failure)
+	}
+	return failure
+}
+
+// relayMembers returns the instances to ask. While the store is lost, only
+// every probe asks them.
+func (r *Reacher) relayMembers() []enlister.Member {
+	r.mu.Lock()
+	relays := r.relays
+	lost := r.way == Lost && time.Since(r.probed) > probeInterval/2
+	r.mu.Unlock()
+	if relays == nil || lost {
+		return nil
+	}
+	members := relays.Relays()
+	return members[:min(len(members), relayTries)]
+}
+
+func (r *Reacher) mayTryDirect() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.way == Direct {
+		return true
+	}
+	if time.Since(r.probed) < probeInterval {
+		return false
+	}
+	r.probed = time.Now()
+	return true
+}
+
+func (r *Reacher) tryDirect(ctx context.Context, operation string, call func(context.Context) error) error {
+	start := time.Now()
+	bounded, cancel := context.WithTimeout(ctx, r.wait())
+	defer cancel()
+	err := call(bounded)
+	r.count(operation, Direct.String(), resultOf(err))
+	if ctx.Err() != nil {
+		return err // The caller's own limit says nothing about the store.
+	}
+	r.mu.Lock()
+	if isAnswer(err) {
+		r.failures = 0
+		r.patience = min(max(patienceFactor*time.Since(start), patienceLeast), patienceMost)
+		r.mu.Unlock()
+		r.turn(Direct, nil)
+		return err
+	}
+	r.failures++
+	if bounded.Err() != nil {
+		r.patience = min(2*r.patience, patienceMost)
+	}
+	lost := r.failures >= failuresToLose && r.way == Direct
+	r.mu.Unlock()
+	if lost {
+		r.turn(Lost, err)
+	}
+	return err
+}
+
+func (r *Reacher) wait() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.patience
+}
+
+// turn takes note of the way of the last call.
+func (r *Reacher) turn(to Way, cause error) {
+	r.mu.Lock()
+	from := r.way
+	r.way = to
+	if to != Lost {
+		r.answered = time.Now()
+	}
+	r.mu.Unlock()
+	if from != to {
+		r.notify(from, to, cause)
+	}
+}
+
+// isAnswer says whether the store itself answered.
+func isAnswer(err error) bool { return err == nil || errors.Is(err, storer.ErrConflict) }
+
+func resultOf(err error) string {
+	switch {
+	case err == nil:
+		return "OK"
+	case errors.Is(err, storer.ErrConflict):
+		return "Conflict"
+	case errors.Is(err, storer.ErrInDoubt):
+		return "InDoubt"
+	}
+	return "Unavailable"
+}
+
+// Handlers returns the handlers of calls that other instances relay here. They
+// reach the store directly only, so that no call travels in circles.
+func (r *Reacher) Handlers() map[string]messenger.Handler {
+	return map[string]messenger.Handler{
+		methodTransact: messenger.Handle(func(ctx context.Context, in relayTransaction) (relayedTransaction, error) {
+			var out relayedTransaction
+			err := r.serve(func() (err error) {
+				out.Version, err = r.direct.Transact(ctx, in.Changes)
+				return err
+			})
+			out.setErr(err)
+			return out, nil
+		}),
+		methodList: messenger.Handle(func(ctx context.Context, in relayList) (relayedList, error) {
+			var out relayedList
+			err := r.serve(func() (err error) {
+				out.Records, out.More, err = r.direct.List(ctx, in.Range)
+				return err
+			})
+			out.setErr(err)
+			return out, nil
+		}),
+	}
+}
+
+func (r *Reacher) serve(call func() error) error {
+	if way, _ := r.Way(); way != Direct {
+		return eris.Wrap(storer.ErrUnavailable, "not reached directly from here either")
+	}
+	err := call()
+	r.count("Relay", Direct.String(), resultOf(err))
+	return err
+}
--- /dev/null
+++ b/internal/reacher/wire.go
@@ -0,0 +1,60 @@
+package reacher
+
+import (
+	"errors"
+
+	"github.com/wigeonstand/wigeonstand/internal/storer"
+)
+
+// The methods between instances.
+const (
+	methodTransact = "RelayTransact"
+	methodList     = "RelayList"
+)
+
+type relayTransaction struct {
+	Changes []storer.Change `cbor:"1,keyasint"`
+}
+
+type relayList struct {
+	Range storer.Range `cbor:"1,keyasint"`
+}
+
+// outcome carries an error of storer in a reply.
+type outcome struct {
+	Kind    string          `cbor:"10,keyasint,omitempty"`
+	Current []storer.Record `cbor:"11,keyasint,omitempty"`
+}
+
+type relayedTransaction struct {
+	outcome
+	Version int64 `cbor:"1,keyasint"`
+}
+
+type relayedList struct {
+	outcome
+	Records []storer.Record `cbor:"1,keyasint"`
+	More    bool            `cbor:"2,keyasint"`
+}
+
+func (o *outcome) setErr(err error) {
+	var conflict *storer.Conflict
+	if errors.As(err, &conflict) {
+		o.Current = conflict.Current
+	}
+	if err != nil {
+		o.Kind = resultOf(err)
+	}
+}
+
+func (o *outcome) err() error {
+	switch o.Kind {
+	case "":
+		return nil
+	case resultOf(storer.ErrConflict):
+		return &storer.Conflict{Current: o.Current}
+	case resultOf(storer.ErrInDoubt):
+		return storer.ErrInDoubt
+	}
+	return storer.ErrUnavailable
+}
--- /dev/null
+++ b/internal/registrar/registrar.go
@@ -0,0 +1,192 @@
+// Package registrar owns what an instance knows of the endpoints: which are
+// registered, how loaded they are, and which to avoid after failures. It does
+// not own where the registrations come from, nor the choice of an endpoint.
+package registrar
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// loadLife is how long a reported load is used; at a few answers a second
+	// from each endpoint an older one says little.
+	loadLife = time.Second
+	// avoidLeast and avoidMost bound how long an endpoint is avoided after
+	// consecutive failures; the time doubles with each.
+	avoidLeast = 250 * time.Millisecond
+	avoidMost  = 4 * time.Second
+)
+
+// Load is what an endpoint says of itself with an answer.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Candidate is an endpoint as a choice needs it.
+type Candidate struct {
+	Endpoint
+	// Load estimates the requests that it has, running or waiting.
+	Load float64
+	// Own is the number of those that this instance sent.
+	Own int
+	// Age is that of the reported load that went into Load; negative if none did.
+	Age time.Duration
+	// Avoid is true while recent requests failed there.
+	Avoid bool
+}
+
+// Outcome is how a request to an endpoint ended.
+type Outcome int
+
+// The outcomes.
+const (
+	// Served means that the endpoint answered as it should.
+	Served Outcome = iota
+	// Failed means that it could not be reached or broke off.
+	Failed
+	// Neutral says nothing about the endpoint, such as a caller that left.
+	Neutral
+)
+
+type entry struct {
+	Endpoint
+	own int
+	// ownAtReport is own as of the report.
+	ownAtReport int
+	load        Load
+	reported    time.Time
+	failures    int
+	avoidUntil  time.Time
+}
+
+// Registry is the set of registered endpoints. It is safe for concurrent use.
+type Registry struct {
+	mu       sync.Mutex
+	byID     map[string]*entry
+	services map[string][]*entry
+}
+
+// New returns an empty Registry.
+func New() *Registry {
+	return &Registry{byID: map[string]*entry{}, services: map[string][]*entry{}}
+}
+
+// Changes tells endpoints that came from those that are gone or leaving.
+type Changes struct {
+	Came    []Endpoint
+	Leaving []Endpoint
+	Gone    []Endpoint
+}
+
+// Replace makes the endpoints the whole set. One that started anew under its
+// old ID keeps nothing of what was known of it.
+func (r *Registry) Replace(endpoints []Endpoint) Changes {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var changes Changes
+	byID := make(map[string]*entry, len(endpoints))
+	services := map[string][]*entry{}
+	for _, e := range endpoints {
+		known := r.byID[e.ID]
+		if known == nil || !known.Started.Equal(e.Started) || known.Address != e.Address {
+			changes.Came = append(changes.Came, e)
+			known = &entry{Endpoint: e}
+		} else if e.Leaving && !known.Leaving {
+			changes.Leaving = append(changes.Leaving, e)
+		}
+		known.Endpoint = e
+		byID[e.ID] = known
+		services[e.Service] = append(services[e.Service], known)
+	}
+	for id, known := range r.byID {
+		if byID[id] == nil {
+			changes.Gone = append(changes.Gone, known.Endpoint)
+		}
+	}
+	r.byID, r.services = byID, services
+	return changes
+}
+
+// Known returns the registered endpoints.
+func (r *Registry) Known() []Endpoint {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	endpoints := make([]Endpoint, 0, len(r.byID))
+	for _, e := range r.byID {
+		endpoints = append(endpoints, e.Endpoint)
+	}
+	return endpoints
+}
+
+// Candidates returns the service's endpoints that take new work.
+func (r *Registry) Candidates(service string) []Candidate {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	candidates := make([]Candidate, 0, len(r.services[service]))
+	for _, e := range r.services[service] {
+		if !e.Leaving {
+			candidates = append(candidates, e.candidate(now))
+		}
+	}
+	return candidates
+}
+
+func (e *entry) candidate(now time.Time) Candidate {
+	c := Candidate{Endpoint: e.Endpoint, Load: float64(e.own), Own: e.own, Age: -1, Avoid: now.Before(e.avoidUntil)}
+	if age := now.Sub(e.reported); !e.reported.IsZero() && age <= loadLife {
+		c.Age = age
+		c.Load = max(c.Load, float64(e.load.Running+e.load.Waiting+e.own-e.ownAtReport))
+	}
+	return c
+}
+
+// IsRegistered says whether the endpoint is still the one registered under its ID.
+func (r *Registry) IsRegistered(endpoint Endpoint) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.byID[endpoint.ID]
+	return e != nil && e.Started.Equal(endpoint.Started) && e.Address == endpoint.Address
+}
+
+// Begin counts a request that is being sent to the endpoint.
+func (r *Registry) Begin(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.byID[id]; e != nil {
+		e.own++
+	}
+}
+
+// End counts the end of a request that Begin counted.
+func (r *Registry) End(id string, outcome Outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.byID[id]
+	if e == nil {
+		return
+	}
+	// An endpoint that was registered anew meanwhile counts from zero.
+	e.own = max(e.own-1, 0)
+	switch outcome {
+	case Served:
+		e.failures = 0
+	case Failed:
+		e.failures++
+		pause := min(avoidLeast<<min(e.failures-1, 10), avoidMost)
+		e.avoidUntil = time.Now().Add(pause)
+	case Neutral:
+	}
+}
+
+// Report takes the load that an endpoint told with an answer.
+func (r *Registry) Report(id string, load Load) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.byID[id]; e != nil {
+		e.load, e.reported, e.ownAtReport = load, time.Now(), e.own
+	}
+}
--- /dev/null
+++ b/internal/relayer/relayer.go
@@ -0,0 +1,221 @@
+// Package relayer owns the way of one request: from the caller to an endpoint
+// and back. It opens the program's books, asks the deciding packages whether to
+// take the request and where to send it, and passes the answer on. It does not
+// own these decisions, nor connections, rows or headers.
+package relayer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonstand/wigeonstand/internal/admitter"
+	"github.com/wigeonstand/wigeonstand/internal/answerer"
+	"github.com/wigeonstand/wigeonstand/internal/bookkeeper"
+	"github.com/wigeonstand/wigeonstand/internal/courier"
+	"github.com/wigeonstand/wigeonstand/internal/enlister"
+	"github.com/wigeonstand/wigeonstand/internal/logger"
+	"github.com/wigeonstand/wigeonstand/internal/registrar"
+	"github.com/wigeonstand/wigeonstand/internal/tabler"
+	"github.com/wigeonstand/wigeonstand/internal/transcriber"
+)
+
+// Tables gives the routing table in force; nil before the first.
+type Tables interface{ Table() *tabler.Table }
+
+// Books keeps the budgets and the records of turns.
+type Books interface {
+	Open(ctx context.Context, in bookkeeper.Opening) (bookkeeper.Opened, enlister.Member, error)
+	Close(ctx context.Context, keeper enlister.Member, in bookkeeper.Closing) (bookkeeper.Closed, error)
+}
+
+// Transcripts gives the transcripts of recorded turns.
+type Transcripts interface {
+	Transcript(ctx context.Context, id string) (*transcriber.Turn, []byte, error)
+	Keep(turn *transcriber.Turn)
+}
+
+// Sender sends requests to endpoints.
+type Sender interface {
+	Send(ctx context.Context, r courier.Request) (*courier.Answer, error)
+}
+
+// Policy is what the decisions go by.
+type Policy struct {
+	Admission admitter.Policy
+	// Margin is by how many requests a program's home may exceed the least
+	// loaded endpoint.
+	Margin float64
+}
+
+// Config is what a Relayer works with.
+type Config struct {
+	Tables      Tables
+	Endpoints   *registrar.Registry
+	Books       Books
+	Transcripts Transcripts
+	Sender      Sender
+	Dialect     Dialect
+	Policy      Policy
+	DataCentre  string
+	Log         *logger.Logger
+	Count       Counter
+	// IsStoreLost says whether the store cannot be reached now.
+	IsStoreLost func() bool
+}
+
+// Counter counts what is answered and sent.
+type Counter interface {
+	Answered(route *tabler.Route, outcome string, total time.Duration)
+	FirstEvent(d time.Duration)
+	Refused(kind answerer.Kind, reason string)
+	Retried(reason string)
+}
+
+// Relayer is the handler of callers' requests.
+type Relayer struct{ Config }
+
+// New returns a Relayer.
+func New(config Config) *Relayer { return &Relayer{config} }
+
+const (
+	// defaultBody bounds a body while the configuration gives no limit.
+	defaultBody = 4 << 20
+	// defaultLeft is how long a caller waits that does not say.
+	defaultLeft = 30 * time.Second
+)
+
+// exchange is the state of one request.
+type exchange struct {
+	*Relayer
+	ctx     context.Context
+	writer  http.ResponseWriter
+	call    Call
+	table   *tabler.Table
+	route   *tabler.Route
+	service string
+	body    []byte
+	arrived time.Time
+	// until is when the answer must be given.
+	until time.Time
+	// story is what the closing log line tells.
+	story story
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Relayer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{Relayer: s, writer: w, arrived: time.Now(), table: s.Tables.Table()}
+	defer x.tell()
+	if x.table == nil {
+		x.refuse(answerer.New(answerer.StoreUnavailable, "no configuration is known yet").After(retrySoon), "NoConfiguration")
+		return
+	}
+	var err error
+	if x.call, err = s.Dialect.DecodeCall(r); err != nil {
+		x.refuse(answerer.Wrap(answerer.BadRequest, err, "%s", err), "Malformed")
+		return
+	}
+	if x.route = x.table.Match(x.call.Host, x.call.Path); x.route == nil {
+		x.refuse(answerer.New(answerer.NotFound, "no route takes the request"), "NoRoute")
+		return
+	}
+	if !x.readBody(r) {
+		return
+	}
+	left := x.call.Left
+	if left <= 0 {
+		left = defaultLeft
+	}
+	if x.route.Timeout > 0 {
+		left = min(left, x.route.Timeout)
+	}
+	x.until = x.arrived.Add(left)
+	ctx, cancel := context.WithDeadline(r.Context(), x.until)
+	defer cancel()
+	x.ctx = ctx
+	x.service = x.route.Service(xxhash.Sum64String(x.key()))
+	if x.route.Kind == tabler.Stream {
+		x.serveTurn()
+		return
+	}
+	x.servePlain()
+}
+
+// key is what the choice of a place goes by: the program, or the request itself.
+func (x *exchange) key() string {
+	if x.call.Program != "" {
+		return x.call.Program
+	}
+	return x.call.ID
+}
+
+func (x *exchange) readBody(r *http.Request) bool {
+	limit := x.table.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	if r.ContentLength > limit {
+		x.refuse(answerer.New(answerer.TooLarge, "the body has %d of at most %d bytes", r.ContentLength, limit), "BodyLength")
+		return false
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(x.writer, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		x.refuse(answerer.New(answerer.TooLarge, "the body has more than %d bytes", limit), "BodyLength")
+		return false
+	case err != nil:
+		// The caller stopped sending; the connection is of no more use.
+		x.story.outcome, x.story.cause = "Canceled", err
+		panic(http.ErrAbortHandler)
+	}
+	x.body = body
+	return true
+}
+
+// left is the time until the answer must be given.
+func (x *exchange) left() time.Duration { return time.Until(x.until) }
+
+// isCallerGone says whether the caller left before its deadline.
+func (x *exchange) isCallerGone() bool {
+	return errors.Is(context.Cause(x.ctx), context.Canceled)
+}
+
+// abort ends the connection so that the answer cannot look complete.
+func (x *exchange) abort(outcome string, cause error) {
+	x.story.outcome, x.story.cause = outcome, cause
+	panic(http.ErrAbortHandler)
+}
+
+// send sends the request to the candidate and judges the head of the answer.
+func (x *exchange) send(ctx context.Context, c registrar.Candidate, d Dispatch, body []byte) (*courier.Answer, error) {
+	d.Endpoint = c.ID
+	x.story.endpoint, x.story.load, x.story.loadAge = c.ID, c.Load, c.Age
+	x.story.sends++
+	return x.Sender.Send(ctx, courier.Request{
+		Address: c.Address, Method: x.call.Method, Target: x.call.Target, Host: x.call.Host,
+		Header: x.Dialect.EncodeDispatch(&x.call, d), Body: body,
+		IsAnswer: func(h http.Header) bool {
+			id := x.Dialect.DecodeHead(http.StatusOK, h).ID
+			return id == "" || id == x.call.ID
+		},
+	})
+}
+
+func (x *exchange) candidates(tried map[string]bool) []registrar.Candidate {
+	all := x.Endpoints.Candidates(x.service)
+	rest := all[:0]
+	for _, c := range all {
+		if !tried[c.ID] {
+			rest = append(rest, c)
+		}
+	}
+	return rest
+}
+
+func chance() float64 { return rand.Float64() }
--- /dev/null
+++ b/internal/relayer/story.go
@@ -0,0 +1,86 @@
+package relayer
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/wigeonstand/wigeonstand/internal/answerer"
+	"github.com/wigeonstand/wigeonstand/internal/logger"
+)
+
+var (
+	eventServed = logger.Define(5001, "RequestServed", log.InfoLevel,
+		"a request was answered by an endpoint", "None.")
+	eventFailed = logger.Define(5002, "RequestFailed", log.WarnLevel,
+		"a request was refused or broken off", "See docs/OPERATIONS.md for the way from Reason to the cause.")
+	eventRetried = logger.Define(5003, "RequestRetried", log.InfoLevel,
+		"a request goes on after a failed attempt", "None; look at the endpoint if it is always the same.")
+	eventUnsettled = logger.Define(5004, "TurnUnsettled", log.WarnLevel,
+		"a turn's unused tokens could not be given back", "None; the bookkeeper counts the turn at its most.")
+)
+
+// story is what the closing line of a request tells.
+type story struct {
+	outcome  string
+	status   int
+	kind     answerer.Kind
+	reason   string
+	cause    error
+	endpoint string
+	load     float64
+	loadAge  time.Duration
+	mean     float64
+	sends    int
+	first    time.Duration
+	held     time.Duration
+}
+
+// refuse answers with the error.
+func (x *exchange) refuse(e *answerer.Error, reason string) {
+	answer := e.Answer()
+	x.story.outcome, x.story.kind, x.story.reason = "Refused", e.Kind, reason
+	x.story.status, x.story.cause = answer.Status, e.Cause
+	x.Count.Refused(e.Kind, reason)
+	header := x.writer.Header()
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	x.Dialect.EncodeRefusal(header, x.call.ID, answer.After)
+	x.writer.WriteHeader(answer.Status)
+	if _, err := x.writer.Write([]byte(string(e.Kind) + ": " + e.Detail + "\n")); err != nil {
+		x.story.cause = err
+	}
+}
+
+// tell writes the closing line.
+func (x *exchange) tell() {
+	s, total := &x.story, time.Since(x.arrived)
+	x.Count.Answered(x.route, s.outcome, total)
+	pairs := make([]any, 0, 32)
+	pairs = append(pairs, "Request", x.call.ID, "Outcome", s.outcome, "Total", total)
+	add := func(isSet bool, name string, value any) {
+		if isSet {
+			pairs = append(pairs, name, value)
+		}
+	}
+	add(x.call.Program != "", "Program", x.call.Program)
+	add(x.call.Previous != "", "Previous", x.call.Previous)
+	if x.route != nil {
+		pairs = append(pairs, "Route", x.route.Name, "Version", x.table.Version)
+	}
+	add(s.status != 0, "Status", s.status)
+	add(s.kind != "", "Kind", s.kind)
+	add(s.reason != "", "Reason", s.reason)
+	if s.endpoint != "" {
+		pairs = append(pairs, "Endpoint", s.endpoint, "Load", s.load, "LoadAge", s.loadAge, "Sends", s.sends)
+	}
+	add(s.mean > 0, "MeanLoad", s.mean)
+	add(s.first > 0, "First", s.first)
+	add(s.held > 0, "Held", s.held)
+	add(s.cause != nil, "Cause", s.cause)
+	event := eventFailed
+	if s.outcome == "Served" && s.status < http.StatusBadRequest {
+		event = eventServed
+	}
+	x.Log.Log(event, pairs...)
+}
--- /dev/null
+++ b/internal/relayer/turn.go
@@ -0,0 +1,354 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/admitter"
+	"github.com/wigeonstand/wigeonstand/internal/answerer"
+	"github.com/wigeonstand/wigeonstand/internal/bookkeeper"
+	"github.com/wigeonstand/wigeonstand/internal/chooser"
+	"github.com/wigeonstand/wigeonstand/internal/courier"
+	"github.com/wigeonstand/wigeonstand/internal/enlister"
+	"github.com/wigeonstand/wigeonstand/internal/registrar"
+	"github.com/wigeonstand/wigeonstand/internal/splitter"
+	"github.com/wigeonstand/wigeonstand/internal/transcriber"
+)
+
+const (
+	// openWait is how long a turn waits for its reservation; a write takes some
+	// ten milliseconds, some hundred while the store is slow.
+	openWait = 900 * time.Millisecond
+	// recordWait is how long the end of a retained turn is held back for its
+	// record; callers give a silent stream up after two seconds.
+	recordWait = 1900 * time.Millisecond
+	// settleWait bounds the settlement of a turn whose caller is gone.
+	settleWait = 2 * time.Second
+	// maxResumes bounds how often one stream is taken up again.
+	maxResumes = 3
+)
+
+// turn is the state of one turn.
+type turn struct {
+	*exchange
+	keeper   enlister.Member
+	isOpen   bool
+	first    bool
+	previous *transcriber.Turn
+	prompt   []byte
+	// output is what a retained turn generated.
+	output []byte
+	events int
+	// lastEvent is the number of the last event that was passed on.
+	lastEvent int64
+	isBegun   bool
+}
+
+func (x *exchange) serveTurn() {
+	t := &turn{exchange: x, first: x.call.Previous == "", prompt: x.body}
+	defer t.settle()
+	if !t.prepare() {
+		return
+	}
+	candidates := x.candidates(nil)
+	if len(candidates) == 0 {
+		x.refuse(answerer.New(answerer.NoEndpoint, "the service has no endpoint").After(min(retrySoon, x.left()/3)), "NoEndpoint")
+		return
+	}
+	decision := admitter.Admit(x.Policy.Admission, admitter.Turn{First: t.first, Left: x.left(), Chance: chance()}, candidates)
+	x.story.mean = decision.Mean
+	if !decision.Taken {
+		x.refuse(answerer.New(answerer.Overloaded, "the engines are full").After(decision.RetryAfter), "NewProgram")
+		return
+	}
+	t.run()
+}
+
+// prepare opens the books and reads the transcript, both at once.
+func (t *turn) prepare() bool {
+	opened := make(chan error, 1)
+	go func() { opened <- t.open() }()
+	var err error
+	if t.route.Retained && t.call.Previous != "" {
+		var text []byte
+		t.previous, text, err = t.Transcripts.Transcript(t.ctx, t.call.Previous)
+		t.prompt = append(text, t.body...)
+	}
+	openErr := <-opened
+	switch {
+	case t.isCallerGone():
+		t.story.outcome = "Canceled"
+		return false
+	case errors.Is(err, transcriber.ErrNoTurn):
+		t.refuse(answerer.New(answerer.NotFound, "there is no turn %s", t.call.Previous), "NoTurn")
+		return false
+	case err != nil:
+		t.refuse(answerer.Wrap(answerer.StoreUnavailable, err, "the transcript cannot be read").After(t.storeRetry()), "Transcript")
+		return false
+	case openErr != nil:
+		t.refuse(answerer.As(openErr), "Books")
+		return false
+	}
+	return true
+}
+
+// open reserves the turn's tokens.
+func (t *turn) open() error {
+	if t.call.Budget <= 0 {
+		return nil
+	}
+	wait := min(openWait, t.left()/2)
+	out, keeper, err := t.Books.Open(t.ctx, bookkeeper.Opening{
+		Program: t.call.Program, Turn: t.call.ID, Tokens: t.call.MaxTokens, Budget: t.call.Budget, Wait: wait,
+	})
+	t.keeper = keeper
+	switch {
+	case err != nil:
+		return answerer.Wrap(answerer.StoreUnavailable, err, "the books cannot be reached").After(t.storeRetry())
+	case out.Status == bookkeeper.Exhausted:
+		return answerer.New(answerer.BudgetExhausted, "the budget of %d tokens is spent", t.call.Budget)
+	case out.Status != bookkeeper.OK:
+		return answerer.New(answerer.StoreUnavailable, "the reservation cannot be recorded").After(t.storeRetry())
+	}
+	t.isOpen, t.first = true, !out.UnderWay
+	return nil
+}
+
+// storeRetry is when a caller may come back that needs the store: outages last
+// seconds, so late within what the caller accepts.
+func (t *turn) storeRetry() time.Duration { return t.left() / 3 }
+
+// settle gives back what the turn did not use, unless finish did.
+func (t *turn) settle() {
+	if !t.isOpen {
+		return
+	}
+	t.isOpen = false
+	in := bookkeeper.Closing{Program: t.call.Program, Turn: t.call.ID, Used: t.used(), Wait: settleWait}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), settleWait)
+		defer cancel()
+		if _, err := t.Books.Close(ctx, t.keeper, in); err != nil {
+			// The bookkeeper settles it at its most.
+			t.Log.Log(eventUnsettled, "Request", t.call.ID, "Program", t.call.Program, "Cause", err)
+		}
+	}()
+}
+
+// used is what the turn handed out, in tokens.
+func (t *turn) used() int64 {
+	return int64(t.events) * int64(t.table.Services[t.service].EventTokens)
+}
+
+// run sends the turn and passes its events on; a resumable stream that breaks
+// off goes on where it broke.
+func (t *turn) run() {
+	t.lastEvent = t.call.LastEvent
+	tried := map[string]bool{}
+	sent, dials := 0, 0
+	var resumeAt *registrar.Candidate
+	for {
+		c, ok := t.place(tried, sent, resumeAt)
+		if !ok {
+			t.giveUp(sent, nil)
+			return
+		}
+		err := t.relay(c)
+		if err == nil {
+			t.finish()
+			return
+		}
+		if errors.Is(err, courier.ErrNotSent) {
+			tried[c.ID] = true
+			if dials++; dials < maxDials && t.ctx.Err() == nil && !t.isBegun {
+				continue
+			}
+			t.giveUp(sent, err)
+			return
+		}
+		sent++
+		isNotRun := errors.Is(err, errNotRun)
+		mayGoOn := t.ctx.Err() == nil && sent <= maxResumes && !errors.Is(err, errCaller)
+		switch {
+		case mayGoOn && isNotRun && !t.isBegun && sent < t.route.Attempts:
+			tried[c.ID] = true
+			resumeAt = nil
+		case mayGoOn && !isNotRun && t.route.Resumable:
+			resumeAt = &c
+		default:
+			t.giveUp(sent, err)
+			return
+		}
+		t.Count.Retried(reasonOf(err))
+		t.Log.Log(eventRetried, "Request", t.call.ID, "Program", t.call.Program, "Endpoint", c.ID,
+			"Reason", reasonOf(err), "Cause", err, "LastEvent", t.lastEvent)
+	}
+}
+
+// place chooses where the turn goes. A stream goes on at the endpoint that broke
+// it off, which has its prompt and keeps to the route's attempts; at another one
+// only if that endpoint is gone.
+func (t *turn) place(tried map[string]bool, sent int, resumeAt *registrar.Candidate) (registrar.Candidate, bool) {
+	if resumeAt != nil && t.Endpoints.IsRegistered(resumeAt.Endpoint) {
+		return *resumeAt, true
+	}
+	candidates := t.candidates(tried)
+	i := chooser.ForProgram(t.key(), candidates, t.Policy.Margin)
+	if i < 0 {
+		return registrar.Candidate{}, false
+	}
+	return candidates[i], true
+}
+
+// errCaller means that the caller took no more of the answer.
+var errCaller = errors.New("the caller is gone")
+
+// relay sends the turn to the endpoint and passes its events on. It returns nil
+// if the stream ended as it should.
+func (t *turn) relay(c registrar.Candidate) error {
+	t.Endpoints.Begin(c.ID)
+	outcome := registrar.Failed
+	defer func() { t.Endpoints.End(c.ID, outcome) }()
+	dispatch := Dispatch{Left: t.left(), Priority: admitter.Priority(t.route.Priority, t.first), LastEvent: t.lastEvent}
+	answer, err := t.send(t.ctx, c, dispatch, t.prompt)
+	if err != nil {
+		if t.ctx.Err() != nil {
+			outcome = registrar.Neutral
+		}
+		return err
+	}
+	defer answer.Close()
+	head := t.Dialect.DecodeHead(answer.Status, answer.Header)
+	if head.Load != nil {
+		t.Endpoints.Report(c.ID, *head.Load)
+	}
+	switch {
+	case head.IsNotRun:
+		outcome = registrar.Neutral
+		return errNotRun
+	case answer.Status >= http.StatusMultipleChoices:
+		outcome = registrar.Neutral
+		return t.passFailure(answer)
+	case !head.IsSigned:
+		return errNotOurs
+	}
+	err = t.passEvents(answer)
+	switch {
+	case err == nil:
+		outcome = registrar.Served
+	case t.ctx.Err() != nil || errors.Is(err, errCaller):
+		outcome = registrar.Neutral
+	}
+	return err
+}
+
+// passEvents passes the events on as they arrive.
+func (t *turn) passEvents(answer *courier.Answer) error {
+	events := splitter.New(answer.Body)
+	controller := http.NewResponseController(t.writer)
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if event.ID > 0 && event.ID <= t.lastEvent {
+			continue // A resumed stream may repeat what was passed on.
+		}
+		if event.ID > 0 && t.lastEvent > 0 && event.ID != t.lastEvent+1 {
+			return errNotOurs
+		}
+		t.begin(answer)
+		if _, err := t.writer.Write(event.Raw); err != nil {
+			return errors.Join(errCaller, err)
+		}
+		t.events++
+		if event.ID > 0 {
+			t.lastEvent = event.ID
+		}
+		if t.route.Retained {
+			t.output = append(append(t.output, event.Data...), '\n')
+		}
+		if err := controller.Flush(); err != nil {
+			return errors.Join(errCaller, err)
+		}
+	}
+}
+
+// begin writes the head of the answer, which is that of the first endpoint.
+func (t *turn) begin(answer *courier.Answer) {
+	if t.isBegun {
+		return
+	}
+	t.isBegun = true
+	t.story.first = time.Since(t.arrived)
+	t.Count.FirstEvent(t.story.first)
+	t.Dialect.EncodeAnswer(answer.Header, t.writer.Header())
+	t.writer.WriteHeader(answer.Status)
+	t.story.status = answer.Status
+}
+
+// passFailure passes an endpoint's own failure on.
+func (t *turn) passFailure(answer *courier.Answer) error {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, answerBytes))
+	if err != nil {
+		return err
+	}
+	if t.isBegun {
+		return errNotOurs
+	}
+	t.isBegun = true
+	t.Dialect.EncodeAnswer(answer.Header, t.writer.Header())
+	t.writer.WriteHeader(answer.Status)
+	t.story.outcome, t.story.status = "EndpointFailure", answer.Status
+	if _, err := t.writer.Write(body); err != nil {
+		return errors.Join(errCaller, err)
+	}
+	return nil
+}
+
+// finish records a retained turn before its answer ends.
+func (t *turn) finish() {
+	if t.story.outcome != "" {
+		return // An endpoint's failure was passed on; there is nothing to record.
+	}
+	t.story.outcome = "Served"
+	if !t.isBegun {
+		t.giveUp(1, io.ErrUnexpectedEOF)
+		return
+	}
+	if !t.route.Retained || t.call.ID == "" {
+		return
+	}
+	record := transcriber.Next(t.previous, t.call.ID, t.body, t.output)
+	keeper := t.keeper
+	t.isOpen = false
+	start := time.Now()
+	out, err := t.Books.Close(t.ctx, keeper, bookkeeper.Closing{
+		Program: t.call.Program, Turn: t.call.ID, Used: t.used(), Record: record, Wait: min(recordWait, t.left()),
+	})
+	t.story.held = time.Since(start)
+	if err != nil || out.Status != bookkeeper.OK {
+		t.abort("NotRecorded", err)
+	}
+	t.Transcripts.Keep(record)
+}
+
+// giveUp ends a turn that cannot be completed.
+func (t *turn) giveUp(sent int, err error) {
+	switch {
+	case errors.Is(err, errCaller) || t.isCallerGone():
+		t.abort("Canceled", err)
+	case t.isBegun:
+		t.abort("BrokenOff", err)
+	case err == nil || errors.Is(err, courier.ErrNotSent) || errors.Is(err, errNotRun):
+		t.refuseUnserved(sent, err)
+	default:
+		t.refuseRun(err)
+	}
+}
--- /dev/null
+++ b/internal/storer/rows.go
@@ -0,0 +1,72 @@
+package storer
+
+import "context"
+
+// RowKey names one row of a store that keeps rows in tables.
+type RowKey struct {
+	Table string
+	Name  string
+}
+
+// Record is one row as of a read. Version is zero for an absent row.
+type Record struct {
+	RowKey
+	Value   []byte
+	Version int64
+}
+
+// AnyVersion is the expectation of a Change that holds whatever the row is.
+const AnyVersion int64 = -1
+
+// Change is the write of one row, provided that it has the version expected.
+type Change struct {
+	RowKey
+	// Expected is the version that the row must have: zero for an absent row,
+	// AnyVersion for no condition.
+	Expected int64
+	Value    []byte
+	Delete   bool
+}
+
+// Conflict is the error of a transaction whose expectations did not hold.
+// Nothing was written. Current has the rows that were expected.
+type Conflict struct{ Current []Record }
+
+// Error implements error.
+func (c *Conflict) Error() string { return ErrConflict.Error() }
+
+// Is makes a Conflict an ErrConflict.
+func (c *Conflict) Is(target error) bool { return target == ErrConflict }
+
+// Range asks for the rows of a table with From <= name < To, in the order of
+// the names; an empty bound is none.
+type Range struct {
+	Table string
+	From  string
+	To    string
+	Limit int
+}
+
+// Only returns the range that holds just the named row.
+func Only(key RowKey) Range {
+	return Range{Table: key.Table, From: key.Name, To: key.Name + "\x00", Limit: 1}
+}
+
+// The bounds of one transaction.
+const (
+	// MaxChanges is the number of rows that one transaction may write.
+	MaxChanges = 100
+	// MaxTransactionBytes leaves room for the encoding within 1 MB.
+	MaxTransactionBytes = 600 << 10
+)
+
+// Rows is a store of rows. All changes of a transaction take effect together,
+// or none does.
+type Rows interface {
+	// Transact returns the version that all written rows have. Its errors are
+	// a *Conflict, ErrUnavailable if nothing was written and nothing will be,
+	// and ErrInDoubt if the transaction may take effect, now or later.
+	Transact(ctx context.Context, changes []Change) (int64, error)
+	// List returns rows as of one moment, and whether there are more.
+	List(ctx context.Context, r Range) (records []Record, more bool, err error)
+}
