internal/joiner, storer: count expectations towards a transaction's 100 entries

Change: entries are counted as the store counts them, and a transaction that is refused as such is halved. Refusals for a spent budget now say what they went by: nearly all false ones are grants taken by another bookkeeper.

--- a/internal/bookkeeper/bookkeeper.go
+++ b/internal/bookkeeper/bookkeeper.go
@@ -68,6 +68,12 @@
 	Status Status `cbor:"1,keyasint"`
 	// UnderWay is true if the program had a turn before.
 	UnderWay bool `cbor:"2,keyasint"`
+	// Used, Reserved and Elsewhere are what the decision went by, in tokens:
+	// what ended turns handed out and open turns may hand out of the grants of
+	// this bookkeeper, and what other bookkeepers were granted.
+	Used      int64 `cbor:"3,keyasint,omitempty"`
+	Reserved  int64 `cbor:"4,keyasint,omitempty"`
+	Elsewhere int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Closing ends a turn.
@@ -264,7 +270,10 @@
 		case granted:
 			m.reply <- Opened{UnderWay: underWay}
 		case exhausted:
-			m.reply <- Opened{Status: Exhausted, UnderWay: underWay}
+			m.reply <- Opened{
+				Status: Exhausted, UnderWay: underWay,
+				Used: a.book.used, Reserved: a.book.atMost() - a.book.used, Elsewhere: a.book.others,
+			}
 		case pending:
 			if !a.isWriting {
 				s.grow(program, a, m)
--- a/internal/joiner/joiner.go
+++ b/internal/joiner/joiner.go
@@ -146,20 +146,22 @@
 
 // fill takes from the waiting jobs those that fit into one transaction beside the batch.
 func (j *Joiner) fill(batch []*Job) []*Job {
-	changes, bytes := 0, 0
+	entries, bytes := 0, 0
 	for _, job := range batch {
-		changes, bytes = changes+len(job.Changes), bytes+size(job)
+		e, b := job.size()
+		entries, bytes = entries+e, bytes+b
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	n := 0
 	for _, job := range j.waiting {
-		fits := changes+len(job.Changes) <= storer.MaxChanges && bytes+size(job) <= storer.MaxTransactionBytes
+		e, b := job.size()
+		entries, bytes = entries+e, bytes+b
+		fits := entries <= storer.MaxEntries && bytes <= storer.MaxTransactionBytes
 		// A job that is too large by itself goes alone, for the store to refuse.
 		if !fits && (n > 0 || len(batch) > 0) {
 			break
 		}
-		changes, bytes = changes+len(job.Changes), bytes+size(job)
 		n++
 	}
 	taken := slices.Clone(j.waiting[:n])
@@ -167,12 +169,12 @@
 	return taken
 }
 
-func size(job *Job) int {
-	n := 0
+func (job *Job) size() (entries, bytes int) {
 	for _, c := range job.Changes {
-		n += len(c.Value) + len(c.Name)
+		entries += c.Entries()
+		bytes += len(c.Value) + len(c.Name)
 	}
-	return n
+	return entries, bytes
 }
 
 // write sends the batch until each job has ended.
@@ -205,6 +207,16 @@
 				batch = rest
 				continue
 			}
+		case errors.Is(err, storer.ErrInvalid):
+			if len(batch) == 1 {
+				batch[0].Done(Result{Err: err})
+				return
+			}
+			// One of the jobs is at fault: the halves go on by themselves.
+			half := len(batch) / 2
+			j.write(ctx, batch[:half])
+			batch = batch[half:]
+			continue
 		case errors.Is(err, storer.ErrInDoubt):
 			for _, job := range batch {
 				job.inDoubt = true
--- a/internal/reacher/reacher.go
+++ b/internal/reacher/reacher.go
@@ -269,7 +269,9 @@
 }
 
 // isAnswer says whether the store itself answered.
-func isAnswer(err error) bool { return err == nil || errors.Is(err, storer.ErrConflict) }
+func isAnswer(err error) bool {
+	return err == nil || errors.Is(err, storer.ErrConflict) || errors.Is(err, storer.ErrInvalid)
+}
 
 func resultOf(err error) string {
 	switch {
@@ -277,6 +279,8 @@
 		return "OK"
 	case errors.Is(err, storer.ErrConflict):
 		return "Conflict"
+	case errors.Is(err, storer.ErrInvalid):
+		return "Invalid"
 	case errors.Is(err, storer.ErrInDoubt):
 		return "InDoubt"
 	}
--- a/internal/reacher/wire.go
+++ b/internal/reacher/wire.go
@@ -53,6 +53,8 @@
 		return nil
 	case resultOf(storer.ErrConflict):
 		return &storer.Conflict{Current: o.Current}
+	case resultOf(storer.ErrInvalid):
+		return storer.ErrInvalid
 	case resultOf(storer.ErrInDoubt):
 		return storer.ErrInDoubt
 	}
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/wigeonstand/wigeonstand/internal/admitter"
 	"github.com/wigeonstand/wigeonstand/internal/answerer"
 	"github.com/wigeonstand/wigeonstand/internal/bookkeeper"
@@ -109,7 +111,10 @@
 	case err != nil:
 		return answerer.Wrap(answerer.StoreUnavailable, err, "the books cannot be reached").After(t.storeRetry())
 	case out.Status == bookkeeper.Exhausted:
-		return answerer.New(answerer.BudgetExhausted, "the budget of %d tokens is spent", t.call.Budget)
+		return answerer.Wrap(answerer.BudgetExhausted,
+			eris.Errorf("%d tokens used, %d reserved, %d granted elsewhere, %d asked for",
+				out.Used, out.Reserved, out.Elsewhere, t.call.MaxTokens),
+			"the budget of %d tokens is spent", t.call.Budget)
 	case out.Status != bookkeeper.OK:
 		return answerer.New(answerer.StoreUnavailable, "the reservation cannot be recorded").After(t.storeRetry())
 	}
--- a/internal/storer/rows.go
+++ b/internal/storer/rows.go
@@ -1,6 +1,9 @@
 package storer
 
-import "context"
+import (
+	"context"
+	"errors"
+)
 
 // RowKey names one row of a store that keeps rows in tables.
 type RowKey struct {
@@ -47,6 +50,18 @@
 	Limit int
 }
 
+// Entries is what the change counts for towards MaxEntries.
+func (c *Change) Entries() int {
+	if c.Expected == AnyVersion {
+		return 1
+	}
+	return 2
+}
+
+// ErrInvalid means that the store does not take such a transaction, whatever
+// the rows are. Nothing was written.
+var ErrInvalid = errors.New("not a transaction that the store takes")
+
 // Only returns the range that holds just the named row.
 func Only(key RowKey) Range {
 	return Range{Table: key.Table, From: key.Name, To: key.Name + "\x00", Limit: 1}
@@ -54,8 +69,8 @@
 
 // The bounds of one transaction.
 const (
-	// MaxChanges is the number of rows that one transaction may write.
-	MaxChanges = 100
+	// MaxEntries is the number of expectations and writes of one transaction.
+	MaxEntries = 100
 	// MaxTransactionBytes leaves room for the encoding within 1 MB.
 	MaxTransactionBytes = 600 << 10
 )
@@ -64,8 +79,8 @@
 // or none does.
 type Rows interface {
 	// Transact returns the version that all written rows have. Its errors are
-	// a *Conflict, ErrUnavailable if nothing was written and nothing will be,
-	// and ErrInDoubt if the transaction may take effect, now or later.
+	// a *Conflict, ErrInvalid, ErrUnavailable if nothing was written and nothing
+	// will be, and ErrInDoubt if the transaction may take effect, now or later.
 	Transact(ctx context.Context, changes []Change) (int64, error)
 	// List returns rows as of one moment, and whether there are more.
 	List(ctx context.Context, r Range) (records []Record, more bool, err error)
