internal/enlister, joiner: few bookkeepers, all within one partition's rate

Change: one bookkeeper for 20 instances of a data centre, larger instances preferred, their rate shared out. Also grants are reclaimed from other bookkeepers before a budget counts as spent, loads travel with calls to bookkeepers, limits are per slot, and programs that are late rank last at the engine.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -10,8 +10,8 @@
 
 // Policy bounds the load up to which work is taken.
 type Policy struct {
-	// NewPrograms is the mean number of requests an endpoint has above which
-	// the first turns of programs are turned away; zero for no limit.
+	// NewPrograms is the mean load of the endpoints, in requests per slot, above
+	// which the first turns of programs are turned away; zero for no limit.
 	NewPrograms float64
 	// ReturnLeast and ReturnMost bound the time after which a caller that was
 	// turned away may come back.
@@ -32,7 +32,7 @@
 // Decision is whether a turn is taken.
 type Decision struct {
 	Taken bool
-	// Mean is the mean load that decided.
+	// Mean is the mean load that decided, in requests per slot.
 	Mean float64
 	// RetryAfter is when to come back if the turn is not taken.
 	RetryAfter time.Duration
@@ -48,7 +48,7 @@
 		return d
 	}
 	for _, c := range candidates {
-		d.Mean += c.Load
+		d.Mean += c.Load / float64(max(c.Slots, 1))
 	}
 	d.Mean /= float64(len(candidates))
 	if !turn.First || policy.NewPrograms <= 0 || d.Mean <= policy.NewPrograms {
--- a/internal/bookkeeper/book.go
+++ b/internal/bookkeeper/book.go
@@ -14,7 +14,7 @@
 // is never above the budget, and a holder hands out no more than its grant, so
 // that the budget holds over any instances and restarts.
 type row struct {
-	// Grants are in tokens, by holder; they never sink.
+	// Grants are in tokens, by holder.
 	Grants map[string]int64 `cbor:"1,keyasint"`
 }
 
@@ -59,6 +59,10 @@
 	open map[string]openTurn
 	// turns counts the turns that were opened here.
 	turns int
+	// yielded is true from when the holder gave back what it does not need until
+	// it has written the row itself; its grant is then ceiling at most.
+	yielded bool
+	ceiling int64
 	// isKnown is true once the row, or its absence, is certain.
 	isKnown bool
 }
@@ -77,7 +81,39 @@
 	}
 }
 
-func (b *book) grant() int64 { return b.grants[b.holder] }
+// grant returns what this holder may hand out.
+func (b *book) grant() int64 {
+	if b.yielded {
+		return min(b.ceiling, b.grants[b.holder])
+	}
+	return b.grants[b.holder]
+}
+
+// yield gives back what the turns of this holder do not need, and returns what
+// they do. Another holder may write that into the row at any time, so that more
+// is used only after a write of this holder, which shuts that one out.
+func (b *book) yield() int64 {
+	b.yielded, b.ceiling = true, b.atMost()
+	return b.ceiling
+}
+
+// landed takes the row that this holder wrote.
+func (b *book) landed(version int64, r row) {
+	b.yielded = false
+	b.load(version, r)
+}
+
+// lower takes what other holders gave back.
+func (b *book) lower(keeps map[string]int64) {
+	lowered := row{Grants: make(map[string]int64, len(b.grants))}
+	for holder, taken := range b.grants {
+		if kept, given := keeps[holder]; given {
+			taken = min(taken, kept)
+		}
+		lowered.Grants[holder] = taken
+	}
+	b.load(b.version, lowered)
+}
 
 // atMost returns what this holder may have handed out at most.
 func (b *book) atMost() int64 {
--- a/internal/bookkeeper/bookkeeper.go
+++ b/internal/bookkeeper/bookkeeper.go
@@ -16,14 +16,16 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/wigeonstand/wigeonstand/internal/joiner"
+	"github.com/wigeonstand/wigeonstand/internal/registrar"
 	"github.com/wigeonstand/wigeonstand/internal/storer"
 	"github.com/wigeonstand/wigeonstand/internal/transcriber"
 )
 
 const (
-	// aheadTurns is for how many further turns a grant is taken, so that most
-	// turns need no write and a program outlives a short outage of the store.
-	aheadTurns = 4
+	// aheadTurns is for how many further turns a grant is taken. Turns use a
+	// fraction of their most, so that one more lasts for several; what a
+	// bookkeeper that dies had taken is lost to the program.
+	aheadTurns = 1
 	// aheadShare is the part of a budget, in percent, that may be taken ahead.
 	aheadShare = 60
 	// turnLife is the time after which a turn that never ended is settled at
@@ -61,6 +63,8 @@
 	Budget int64 `cbor:"4,keyasint"`
 	// Wait is how long to wait for the store.
 	Wait time.Duration `cbor:"5,keyasint"`
+	// Notes are loads of endpoints that the caller heard of.
+	Notes []registrar.Note `cbor:"6,keyasint,omitempty"`
 }
 
 // Opened answers an Opening.
@@ -74,6 +78,21 @@
 	Used      int64 `cbor:"3,keyasint,omitempty"`
 	Reserved  int64 `cbor:"4,keyasint,omitempty"`
 	Elsewhere int64 `cbor:"5,keyasint,omitempty"`
+	// Notes are loads of endpoints that the bookkeeper heard of.
+	Notes []registrar.Note `cbor:"6,keyasint,omitempty"`
+}
+
+// Reclaiming asks a bookkeeper to give back what it does not need of a
+// program's budget.
+type Reclaiming struct {
+	Program string `cbor:"1,keyasint"`
+}
+
+// Reclaimed answers a Reclaiming.
+type Reclaimed struct {
+	// Keeps is what the bookkeeper's turns handed out or may still hand out; it
+	// uses no more of its grant until it has written the row anew.
+	Keeps int64 `cbor:"1,keyasint"`
 }
 
 // Closing ends a turn.
@@ -98,6 +117,9 @@
 	Submit(job *joiner.Job)
 }
 
+// Reclaimer asks the bookkeeper that holds a grant to give it back.
+type Reclaimer func(ctx context.Context, holder, program string) (Reclaimed, error)
+
 // Bookkeeper keeps books. It is safe for concurrent use.
 type Bookkeeper struct {
 	holder string
@@ -107,12 +129,12 @@
 }
 
 // New returns a Bookkeeper under a name that no other process ever had.
-func New(holder string, jobs Submitter) *Bookkeeper {
+func New(holder string, jobs Submitter, reclaim Reclaimer) *Bookkeeper {
 	quiet := actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
 		return slog.New(slog.NewTextHandler(io.Discard, nil))
 	})
 	k := &Bookkeeper{holder: holder, jobs: jobs, system: actor.NewActorSystem(quiet)}
-	books := &shelf{holder: holder, jobs: jobs, accounts: map[string]*account{}, self: k.tell}
+	books := &shelf{holder: holder, jobs: jobs, accounts: map[string]*account{}, self: k.tell, reclaim: reclaim}
 	k.pid = k.system.Root.Spawn(actor.PropsFromFunc(books.receive))
 	return k
 }
@@ -147,6 +169,18 @@
 	}
 }
 
+// Reclaim gives back what this bookkeeper does not need of a program's budget.
+func (k *Bookkeeper) Reclaim(ctx context.Context, in Reclaiming) (Reclaimed, error) {
+	reply := make(chan Reclaimed, 1)
+	k.tell(yielding{program: in.Program, reply: reply})
+	select {
+	case out := <-reply:
+		return out, nil
+	case <-ctx.Done():
+		return Reclaimed{}, context.Cause(ctx)
+	}
+}
+
 // Close settles a turn and records it. It returns when the record is durable or
 // the wait is over.
 func (k *Bookkeeper) Close(ctx context.Context, in Closing) (Closed, error) {
@@ -208,6 +242,15 @@
 		row     row
 		result  joiner.Result
 	}
+	yielding struct {
+		program string
+		reply   chan<- Reclaimed
+	}
+	reclaimed struct {
+		program string
+		version int64
+		keeps   map[string]int64
+	}
 	sweep struct{}
 )
 
@@ -217,7 +260,11 @@
 	waiting []opening
 	// isWriting is true while the program's row is being written.
 	isWriting bool
-	touched   time.Time
+	// isReclaiming is true while other bookkeepers are asked for tokens;
+	// reclaimedAt is the row's version at which they were asked last.
+	isReclaiming bool
+	reclaimedAt  int64
+	touched      time.Time
 }
 
 // shelf is the state of the actor.
@@ -226,6 +273,7 @@
 	jobs     Submitter
 	accounts map[string]*account
 	self     func(message any)
+	reclaim  Reclaimer
 }
 
 func (s *shelf) receive(c actor.Context) {
@@ -238,6 +286,10 @@
 		}
 	case written:
 		s.written(m)
+	case yielding:
+		s.yield(m)
+	case reclaimed:
+		s.reclaimed(m)
 	case sweep:
 		s.sweep()
 	}
@@ -270,6 +322,9 @@
 		case granted:
 			m.reply <- Opened{UnderWay: underWay}
 		case exhausted:
+			if s.askOthers(m.Program, a) {
+				return
+			}
 			m.reply <- Opened{
 				Status: Exhausted, UnderWay: underWay,
 				Used: a.book.used, Reserved: a.book.atMost() - a.book.used, Elsewhere: a.book.others,
@@ -311,7 +366,7 @@
 	var conflict *storer.Conflict
 	switch {
 	case m.result.Err == nil:
-		a.book.load(m.result.Version, m.row)
+		a.book.landed(m.result.Version, m.row)
 	case errors.As(m.result.Err, &conflict):
 		current := conflict.Current[0]
 		r, err := decodeRow(current.Value)
@@ -329,6 +384,61 @@
 	s.advance(m.program, a)
 }
 
+// yield gives back what the open turns do not need.
+func (s *shelf) yield(m yielding) {
+	a := s.accounts[m.program]
+	if a == nil || a.isWriting {
+		// Without a book nothing can be said; a row that is being written may
+		// grow beyond what would be said now.
+		return
+	}
+	m.reply <- Reclaimed{Keeps: a.book.yield()}
+}
+
+// askOthers asks the other holders of grants for what they do not need, once
+// for each version of the row. It returns true while an answer is awaited.
+func (s *shelf) askOthers(program string, a *account) bool {
+	if a.isReclaiming || a.isWriting {
+		return true
+	}
+	if a.book.others == 0 || a.reclaimedAt == a.book.version {
+		return false
+	}
+	a.isReclaiming, a.reclaimedAt = true, a.book.version
+	version := a.book.version
+	var holders []string
+	for holder := range a.book.grants {
+		if holder != s.holder {
+			holders = append(holders, holder)
+		}
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), reclaimWait)
+		defer cancel()
+		keeps := map[string]int64{}
+		for _, holder := range holders {
+			// A holder that cannot be asked keeps its grant.
+			if out, err := s.reclaim(ctx, holder, program); err == nil {
+				keeps[holder] = out.Keeps
+			}
+		}
+		s.self(reclaimed{program: program, version: version, keeps: keeps})
+	}()
+	return true
+}
+
+func (s *shelf) reclaimed(m reclaimed) {
+	a := s.accounts[m.program]
+	if a == nil {
+		return
+	}
+	a.isReclaiming = false
+	if m.version == a.book.version {
+		a.book.lower(m.keeps)
+	}
+	s.advance(m.program, a)
+}
+
 func (s *shelf) refuse(a *account) {
 	for _, m := range a.waiting {
 		m.reply <- Opened{Status: Unavailable}
--- a/internal/bookkeeper/desk.go
+++ b/internal/bookkeeper/desk.go
@@ -9,14 +9,19 @@
 
 	"github.com/wigeonstand/wigeonstand/internal/enlister"
 	"github.com/wigeonstand/wigeonstand/internal/messenger"
+	"github.com/wigeonstand/wigeonstand/internal/registrar"
 )
 
 // The methods between instances.
 const (
-	methodOpen  = "Open"
-	methodClose = "Close"
+	methodOpen    = "Open"
+	methodClose   = "Close"
+	methodReclaim = "Reclaim"
 )
 
+// reclaimWait bounds the call that asks another bookkeeper for tokens.
+const reclaimWait = 200 * time.Millisecond
+
 // replyMargin is what a call between instances takes beside the wait for the
 // store; an instance that does not answer in that time is avoided.
 const replyMargin = 150 * time.Millisecond
@@ -33,11 +38,24 @@
 	Self() enlister.Member
 }
 
+// Loads tells and takes the loads of endpoints, which travel with the calls to
+// bookkeepers: no instance by itself hears often enough from each endpoint.
+type Loads interface {
+	Notes() []registrar.Note
+	Take(notes []registrar.Note)
+}
+
 // Handlers returns the handlers of the calls of other instances.
-func (k *Bookkeeper) Handlers() map[string]messenger.Handler {
+func (k *Bookkeeper) Handlers(loads Loads) map[string]messenger.Handler {
 	return map[string]messenger.Handler{
-		methodOpen:  messenger.Handle(k.Open),
-		methodClose: messenger.Handle(k.Close),
+		methodOpen: messenger.Handle(func(ctx context.Context, in Opening) (Opened, error) {
+			loads.Take(in.Notes)
+			out, err := k.Open(ctx, in)
+			out.Notes = loads.Notes()
+			return out, err
+		}),
+		methodClose:   messenger.Handle(k.Close),
+		methodReclaim: messenger.Handle(k.Reclaim),
 	}
 }
 
@@ -47,11 +65,12 @@
 	local   *Bookkeeper
 	members Members
 	caller  Caller
+	loads   Loads
 }
 
 // NewDesk returns a Desk.
-func NewDesk(local *Bookkeeper, members Members, caller Caller) *Desk {
-	return &Desk{local: local, members: members, caller: caller}
+func NewDesk(local *Bookkeeper, members Members, caller Caller, loads Loads) *Desk {
+	return &Desk{local: local, members: members, caller: caller, loads: loads}
 }
 
 // Open reserves the tokens of a turn. It returns the instance that keeps the
@@ -62,7 +81,9 @@
 		if in.Wait = time.Until(deadline); in.Wait <= 0 {
 			break
 		}
+		in.Notes = d.loads.Notes()
 		out, err := ask(ctx, d, m, methodOpen, in.Wait, in, d.local.Open)
+		d.loads.Take(out.Notes)
 		if err == nil && out.Status != Unavailable {
 			return out, m, nil
 		}
@@ -104,3 +125,21 @@
 	}
 	return out, err
 }
+
+// Finder finds the instance of a holder.
+type Finder interface {
+	Find(incarnation string) (enlister.Member, bool)
+}
+
+// NewReclaimer returns a Reclaimer that calls the holder's instance.
+func NewReclaimer(members Finder, caller Caller) Reclaimer {
+	return func(ctx context.Context, holder, program string) (Reclaimed, error) {
+		m, found := members.Find(holder)
+		if !found {
+			return Reclaimed{}, eris.Errorf("holder %s is not a living instance", holder)
+		}
+		var out Reclaimed
+		err := caller.Call(ctx, m.Address, methodReclaim, Reclaiming{Program: program}, &out)
+		return out, err
+	}
+}
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -21,8 +21,8 @@
 // ForProgram chooses the endpoint for a turn. It answers sustained overload, in
 // which most of an engine's time goes to reading prompts that another engine
 // has in its cache: a program stays on its home, the endpoint with the highest
-// rendezvous hash, unless the home has more than margin requests above the
-// least loaded endpoint. The home depends on the program and the endpoints
+// rendezvous hash, unless the home has more requests above the least loaded
+// endpoint than margin times its slots. The home depends on the program and the endpoints
 // alone, so that all instances agree on it without talking.
 func ForProgram(program string, candidates []registrar.Candidate, margin float64) int {
 	home, least := -1, -1
@@ -41,7 +41,7 @@
 	if home < 0 {
 		return LeastLoaded(program, "", candidates)
 	}
-	if candidates[home].Load > candidates[least].Load+margin {
+	if candidates[home].Load > candidates[least].Load+margin*float64(max(candidates[home].Slots, 1)) {
 		return least
 	}
 	return home
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -59,6 +59,9 @@
 	idleTimeout = 40 * time.Second
 	// headerBytes is above the limit that operators set for callers.
 	headerBytes = 64 << 10
+	// storeShare is the part of a partition's rate that bookkeepers use; the
+	// rest is for heartbeats and for instances that stand in for a bookkeeper.
+	storeShare = 0.6
 	// withdrawTimeout bounds the removal of the instance's own row.
 	withdrawTimeout = 300 * time.Millisecond
 )
@@ -127,16 +130,17 @@
 	self := enlister.Member{
 		Instance: settings.Instance, Incarnation: ulid.Make().String(),
 		Address: settings.PeerListen, DataCentre: settings.DataCentre,
+		Cores: settings.CoreShare * float64(settings.Cores),
 	}
 	e.enlister = enlister.New(self, e.reacher)
 	e.reacher.SetRelays(e.enlister)
 	platform.Source.EndpointForgone = func(gone registrar.Endpoint) { e.courier.Forget(gone.Address) }
 	e.follower = follower.New(platform.Source, e.reacher, e.registry, follower.WithLogger(e.log))
 	e.joiner = joiner.New(e.reacher)
-	e.books = bookkeeper.New(self.Incarnation, e.joiner)
+	e.books = bookkeeper.New(self.Incarnation, e.joiner, bookkeeper.NewReclaimer(e.enlister, e.client))
 	e.relayer = relayer.New(relayer.Config{
 		Tables: e.follower, Endpoints: e.registry, Sender: e.courier, Dialect: platform.Dialect,
-		Books:       bookkeeper.NewDesk(e.books, e.enlister, e.client),
+		Books:       bookkeeper.NewDesk(e.books, e.enlister, e.client, e.registry),
 		Transcripts: transcriber.New(e.reacher),
 		DataCentre:  settings.DataCentre, Log: e.log, Count: counts,
 		Policy: relayer.Policy{
@@ -149,7 +153,7 @@
 		IsStoreLost: e.isStoreLost,
 	})
 	handlers := map[string]messenger.Handler{}
-	for _, more := range []map[string]messenger.Handler{e.books.Handlers(), e.reacher.Handlers()} {
+	for _, more := range []map[string]messenger.Handler{e.books.Handlers(e.registry), e.reacher.Handlers()} {
 		for name, handler := range more {
 			handlers[name] = handler
 		}
@@ -281,6 +285,7 @@
 		if came, went, err := e.enlister.Refresh(ctx); err == nil && len(came)+len(went) > 0 {
 			e.log.Log(eventMembers, "Came", came, "Went", went, "Living", e.enlister.Count())
 		}
+		e.joiner.SetRate(storeShare * e.settings.StoreWrites / float64(e.enlister.BookkeeperCount()))
 		timer := time.NewTimer(refreshInterval)
 		select {
 		case <-ctx.Done():
--- a/internal/configurer/entry.go
+++ b/internal/configurer/entry.go
@@ -26,8 +26,13 @@
 	StoreAddress netip.AddrPort `validate:"required"`
 	// MemoryMB is the memory that the process may use, in megabytes.
 	MemoryMB int `validate:"min=16"`
-	// Cores is the number of processor cores.
-	Cores int `validate:"min=1"`
+	// StoreWrites is the number of transactions that one partition of the store
+	// takes in a second, from all instances.
+	StoreWrites float64 `validate:"min=1"`
+	// Cores is the number of processor cores, and CoreShare the part of each
+	// that the process may use.
+	Cores     int     `validate:"min=1"`
+	CoreShare float64 `validate:"gt=0,max=1"`
 	// GracePeriod is the time between the order to stop and the process's end.
 	GracePeriod time.Duration `validate:"min=1s"`
 	Log         Log
@@ -37,8 +42,8 @@
 
 // Admission is up to which load work is taken.
 type Admission struct {
-	// NewPrograms is the mean number of requests per endpoint above which new
-	// programs are turned away; 0 for no limit.
+	// NewPrograms is the mean load of the engines, in requests per slot, above
+	// which new programs are turned away; 0 for no limit.
 	NewPrograms float64 `validate:"min=0"`
 	// ReturnLeast and ReturnMost bound the time after which they may come back.
 	ReturnLeast time.Duration `validate:"min=0s"`
@@ -47,18 +52,18 @@
 
 // Placement is how an endpoint is chosen for a turn.
 type Placement struct {
-	// Margin is by how many requests a program's home may exceed the least
-	// loaded endpoint.
+	// Margin is by how many requests per slot a program's home may exceed the
+	// least loaded endpoint.
 	Margin float64 `validate:"min=0"`
 }
 
 // EntryDefaults returns the settings that a file need not give.
 func EntryDefaults() *Entry {
 	return &Entry{
-		MemoryMB: 128, Cores: 1, GracePeriod: 8 * time.Second,
+		MemoryMB: 128, Cores: 1, CoreShare: 1, StoreWrites: 300, GracePeriod: 8 * time.Second,
 		Log:       Log{Format: LogJSON, Level: "Info"},
-		Admission: Admission{NewPrograms: 10, ReturnLeast: 200 * time.Millisecond, ReturnMost: 900 * time.Millisecond},
-		Placement: Placement{Margin: 30},
+		Admission: Admission{NewPrograms: 0.62, ReturnLeast: 200 * time.Millisecond, ReturnMost: 900 * time.Millisecond},
+		Placement: Placement{Margin: 1.9},
 	}
 }
 
--- a/internal/enlister/enlister.go
+++ b/internal/enlister/enlister.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"sort"
 	"sync"
@@ -31,10 +32,14 @@
 	// suspectFor is how long an instance is avoided after a failed call.
 	suspectFor = 2 * time.Second
 	// booksShare is the number of instances of a data centre for each of its
-	// bookkeepers: few bookkeepers join the changes of many programs.
-	booksShare = 6
+	// bookkeepers: few bookkeepers join the changes of many programs, and all
+	// of them share the rate of one partition of the store.
+	booksShare = 20
 )
 
+// leastCores stands for the cores of a member that does not tell them.
+const leastCores = 0.01
+
 // Member is one instance.
 type Member struct {
 	// Instance is the name; Incarnation tells its processes apart.
@@ -44,6 +49,9 @@
 	DataCentre  string         `cbor:"4,keyasint"`
 	// Beat rises with each heartbeat.
 	Beat int64 `cbor:"5,keyasint"`
+	// Cores is the processor share of the instance; larger instances are
+	// preferred as bookkeepers.
+	Cores float64 `cbor:"6,keyasint"`
 }
 
 type seen struct {
@@ -176,7 +184,7 @@
 func (e *Enlister) Bookkeepers(program string) []Member {
 	members := append(e.others(e.self.DataCentre), e.self)
 	sort.Slice(members, func(i, j int) bool { return rank("", members[i]) > rank("", members[j]) })
-	keepers := members[:(len(members)+booksShare-1)/booksShare]
+	keepers := members[:keepersOf(len(members))]
 	sort.Slice(keepers, func(i, j int) bool { return rank(program, keepers[i]) > rank(program, keepers[j]) })
 	var preferred []Member
 	for _, m := range keepers {
@@ -188,6 +196,32 @@
 	return append(preferred, e.self)
 }
 
+func keepersOf(members int) int { return (members + booksShare - 1) / booksShare }
+
+// BookkeeperCount returns the number of preferred bookkeepers of all data
+// centres.
+func (e *Enlister) BookkeeperCount() int {
+	members := map[string]int{e.self.DataCentre: 1}
+	for _, m := range e.others("") {
+		members[m.DataCentre]++
+	}
+	count := 0
+	for _, n := range members {
+		count += keepersOf(n)
+	}
+	return count
+}
+
+// Find returns the living member whose process has the incarnation.
+func (e *Enlister) Find(incarnation string) (Member, bool) {
+	for _, m := range e.others("") {
+		if m.Incarnation == incarnation {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
 // Relays returns other instances that may reach the store in place of this
 // one, in an order of its own.
 func (e *Enlister) Relays() []Member {
@@ -201,4 +235,10 @@
 // Self returns the instance itself.
 func (e *Enlister) Self() Member { return e.self }
 
-func rank(key string, m Member) uint64 { return xxhash.Sum64String(key + "\x00" + m.Instance) }
+// rank is the weighted rendezvous score of the member for the key: of two
+// members, one with twice the cores ranks first for twice as many keys.
+func rank(key string, m Member) float64 {
+	hash := xxhash.Sum64String(key + "\x00" + m.Instance)
+	unit := (float64(hash>>11) + 0.5) / (1 << 53)
+	return -max(m.Cores, leastCores) / math.Log(unit)
+}
--- a/internal/joiner/joiner.go
+++ b/internal/joiner/joiner.go
@@ -9,6 +9,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wigeonstand/wigeonstand/internal/storer"
@@ -16,7 +17,7 @@
 
 const (
 	// DefaultInterval is the least time between the starts of two transactions,
-	// which bounds an instance to 50 a second at any load.
+	// unless SetRate sets a longer one; it bounds an instance to 50 a second.
 	DefaultInterval = 20 * time.Millisecond
 	// DefaultParallel is how many transactions may be under way, so that one
 	// whose answer is lost does not hold up the others.
@@ -56,7 +57,7 @@
 // Joiner joins jobs. Jobs that are under way at once must not share rows.
 type Joiner struct {
 	rows     Transactor
-	interval time.Duration
+	interval atomic.Int64
 	parallel int
 
 	mu      sync.Mutex
@@ -73,11 +74,12 @@
 type Option func(*Joiner)
 
 // WithInterval sets the least time between the starts of two transactions.
-func WithInterval(d time.Duration) Option { return func(j *Joiner) { j.interval = d } }
+func WithInterval(d time.Duration) Option { return func(j *Joiner) { j.interval.Store(int64(d)) } }
 
 // New returns a Joiner; Run makes it work.
 func New(rows Transactor, options ...Option) *Joiner {
-	j := &Joiner{rows: rows, interval: DefaultInterval, parallel: DefaultParallel, wake: make(chan struct{}, 1)}
+	j := &Joiner{rows: rows, parallel: DefaultParallel, wake: make(chan struct{}, 1)}
+	j.interval.Store(int64(DefaultInterval))
 	for _, option := range options {
 		option(j)
 	}
@@ -92,6 +94,12 @@
 	return j.transactions, j.jobs
 }
 
+// SetRate bounds the transactions to so many a second, and to those that
+// DefaultInterval allows.
+func (j *Joiner) SetRate(perSecond float64) {
+	j.interval.Store(int64(max(DefaultInterval, time.Duration(float64(time.Second)/perSecond))))
+}
+
 // Submit queues the job.
 func (j *Joiner) Submit(job *Job) {
 	j.mu.Lock()
@@ -131,7 +139,7 @@
 				defer func() { <-j.slots }()
 				j.write(ctx, batch)
 			})
-			pause(ctx, j.interval)
+			pause(ctx, time.Duration(j.interval.Load()))
 		}
 	}
 }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -9,9 +9,11 @@
 )
 
 const (
-	// loadLife is how long a reported load is used; at a few answers a second
-	// from each endpoint an older one says little.
-	loadLife = time.Second
+	// loadLife is how long a reported load is used; an endpoint that serves
+	// answers several times a second, so that an older one says little.
+	loadLife = 2 * time.Second
+	// noteLife is how old a reported load may be that is told to other instances.
+	noteLife = 500 * time.Millisecond
 	// avoidLeast and avoidMost bound how long an endpoint is avoided after
 	// consecutive failures; the time doubles with each.
 	avoidLeast = 250 * time.Millisecond
@@ -190,3 +192,42 @@
 		e.load, e.reported, e.ownAtReport = load, time.Now(), e.own
 	}
 }
+
+// Note is a reported load as one instance tells it to another.
+type Note struct {
+	ID      string        `cbor:"1,keyasint"`
+	Running int           `cbor:"2,keyasint"`
+	Waiting int           `cbor:"3,keyasint"`
+	Slots   int           `cbor:"4,keyasint"`
+	Age     time.Duration `cbor:"5,keyasint"`
+}
+
+// Notes returns the loads that were reported lately.
+func (r *Registry) Notes() []Note {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var notes []Note
+	for id, e := range r.byID {
+		if age := now.Sub(e.reported); age <= noteLife {
+			notes = append(notes, Note{
+				ID: id, Running: e.load.Running, Waiting: e.load.Waiting, Slots: e.load.Slots, Age: age,
+			})
+		}
+	}
+	return notes
+}
+
+// Take takes the notes of another instance where they are newer.
+func (r *Registry) Take(notes []Note) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, n := range notes {
+		e := r.byID[n.ID]
+		if at := now.Add(-n.Age); e != nil && at.After(e.reported) {
+			e.load = Load{Running: n.Running, Waiting: n.Waiting, Slots: n.Slots}
+			e.reported, e.ownAtReport = at, e.own
+		}
+	}
+}
--- a/internal/relayer/call.go
+++ b/internal/relayer/call.go
@@ -23,8 +23,10 @@
 
 	// Program names the program; empty for a request without one.
 	Program string
-	// ProgramLeft is the time until the program should end; zero if unknown.
-	ProgramLeft time.Duration
+	// ProgramLeft is the time until the program should end, if HasProgramLeft;
+	// negative for one that is late.
+	ProgramLeft    time.Duration
+	HasProgramLeft bool
 	// Budget is the number of tokens that all turns of the program may
 	// generate; zero for a request without a budget.
 	Budget int64
@@ -38,6 +40,9 @@
 	LastEvent int64
 }
 
+// IsLate says whether the program is past the time at which it should end.
+func (c *Call) IsLate() bool { return c.HasProgramLeft && c.ProgramLeft <= 0 }
+
 // Dispatch is what the system adds for the endpoint.
 type Dispatch struct {
 	// Endpoint is the ID of the endpoint that must answer.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -48,8 +48,8 @@
 // Policy is what the decisions go by.
 type Policy struct {
 	Admission admitter.Policy
-	// Margin is by how many requests a program's home may exceed the least
-	// loaded endpoint.
+	// Margin is by how many requests per slot a program's home may exceed the
+	// least loaded endpoint.
 	Margin float64
 }
 
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -217,7 +217,7 @@
 	t.Endpoints.Begin(c.ID)
 	outcome := registrar.Failed
 	defer func() { t.Endpoints.End(c.ID, outcome) }()
-	dispatch := Dispatch{Left: t.left(), Priority: admitter.Priority(t.route.Priority, t.first), LastEvent: t.lastEvent}
+	dispatch := Dispatch{Left: t.left(), Priority: admitter.Priority(t.route.Priority, t.first, t.call.IsLate()), LastEvent: t.lastEvent}
 	answer, err := t.send(t.ctx, c, dispatch, t.prompt)
 	if err != nil {
 		if t.ctx.Err() != nil {
