internal/relayer: hold a turn for its reservation while it can still be served

Cause: with the store away, a turn without a grant was refused after 0.9 s and its program failed although the store returned soon after. Grants are taken a quarter of the budget ahead.

--- a/internal/bookkeeper/book.go
+++ b/internal/bookkeeper/book.go
@@ -162,18 +162,15 @@
 	}
 }
 
-// grown returns the row with a grant for the tokens and for aheadTurns further
-// turns of that size, as far as the budget holds them.
+// grown returns the row with a grant for the tokens and for aheadShare of the
+// budget beyond them, as far as the budget holds that.
 func (b *book) grown(tokens, budget int64) row {
 	r := row{Grants: make(map[string]int64, len(b.grants)+1)}
 	for holder, taken := range b.grants {
 		r.Grants[holder] = taken
 	}
 	need := b.atMost() + tokens
-	ahead := need + aheadTurns*tokens
-	// The last part of a budget is not taken ahead of need, for another holder
-	// may need it.
-	room := (budget - b.others) * aheadShare / 100
-	r.Grants[b.holder] = max(b.grant(), need, min(ahead, room))
+	ahead := need + budget*aheadShare/100
+	r.Grants[b.holder] = max(b.grant(), need, min(ahead, budget-b.others))
 	return r
 }
--- a/internal/bookkeeper/bookkeeper.go
+++ b/internal/bookkeeper/bookkeeper.go
@@ -22,12 +22,11 @@
 )
 
 const (
-	// aheadTurns is for how many further turns a grant is taken. Turns use a
-	// fraction of their most, so that one more lasts for several; what a
-	// bookkeeper that dies had taken is lost to the program.
-	aheadTurns = 1
-	// aheadShare is the part of a budget, in percent, that may be taken ahead.
-	aheadShare = 60
+	// aheadShare is the part of a budget, in percent, that a grant is taken ahead
+	// of need, so that most turns need no write and a program outlives a short
+	// outage of the store. What a bookkeeper that dies had taken is lost to the
+	// program.
+	aheadShare = 25
 	// turnLife is the time after which a turn that never ended is settled at
 	// its most; it is above the longest deadline of a turn.
 	turnLife = 15 * time.Second
--- a/internal/bookkeeper/desk.go
+++ b/internal/bookkeeper/desk.go
@@ -22,6 +22,10 @@
 // reclaimWait bounds the call that asks another bookkeeper for tokens.
 const reclaimWait = 200 * time.Millisecond
 
+// keeperWait is how long another bookkeeper may wait for the store before this
+// instance takes the books over; a slow store answers within it.
+const keeperWait = 800 * time.Millisecond
+
 // replyMargin is what a call between instances takes beside the wait for the
 // store; an instance that does not answer in that time is avoided.
 const replyMargin = 150 * time.Millisecond
@@ -81,6 +85,9 @@
 		if in.Wait = time.Until(deadline); in.Wait <= 0 {
 			break
 		}
+		if m.Instance != d.members.Self().Instance {
+			in.Wait = min(in.Wait, keeperWait)
+		}
 		in.Notes = d.loads.Notes()
 		out, err := ask(ctx, d, m, methodOpen, in.Wait, in, d.local.Open)
 		d.loads.Take(out.Notes)
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -150,7 +150,7 @@
 			},
 			Margin: settings.Placement.Margin,
 		},
-		IsStoreLost: e.isStoreLost,
+		IsStoreLost: func() bool { way, _ := e.reacher.Way(); return way == reacher.Lost },
 	})
 	handlers := map[string]messenger.Handler{}
 	for _, more := range []map[string]messenger.Handler{e.books.Handlers(e.registry), e.reacher.Handlers()} {
--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -226,7 +226,7 @@
 		}()
 	}
 	for range strays + 1 {
-		response, err := http.ReadResponse(cn.reader, &http.Request{Method: r.Method})
+		response, err := http.ReadResponse(cn.reader, &http.Request{Method: r.Method}) //nolint:bodyclose // Answer.Close ends it with its connection.
 		if err != nil {
 			return nil, eris.Wrap(err, "read the answer's head")
 		}
--- a/internal/reacher/reacher.go
+++ b/internal/reacher/reacher.go
@@ -158,7 +158,7 @@
 func (r *Reacher) reach(ctx context.Context, operation string,
 	direct func(context.Context) error, relayed func(context.Context, enlister.Member) error,
 ) error {
-	var failure error = storer.ErrUnavailable
+	failure := storer.ErrUnavailable
 	doubt := false
 	if r.mayTryDirect() {
 		failure = r.tryDirect(ctx, operation, direct)
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -62,7 +62,7 @@
 		}
 		x.Count.Retried(reasonOf(err))
 	}
-	x.refuseUnserved(sent, last)
+	x.refuseUnserved(last)
 }
 
 // errNotRun means that the endpoint states that it did not run the request.
@@ -116,7 +116,7 @@
 }
 
 // refuseUnserved answers when no endpoint gave an answer.
-func (x *exchange) refuseUnserved(sent int, last error) {
+func (x *exchange) refuseUnserved(last error) {
 	switch {
 	case x.isCallerGone():
 		x.story.outcome, x.story.cause = "Canceled", last
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -21,9 +21,9 @@
 )
 
 const (
-	// openWait is how long a turn waits for its reservation; a write takes some
-	// ten milliseconds, some hundred while the store is slow.
-	openWait = 900 * time.Millisecond
+	// leastService is the time that a turn needs at an endpoint at least; what
+	// is left of the caller's time beyond it may be spent on a reservation.
+	leastService = 500 * time.Millisecond
 	// recordWait is how long the end of a retained turn is held back for its
 	// record; callers give a silent stream up after two seconds.
 	recordWait = 1900 * time.Millisecond
@@ -102,7 +102,8 @@
 	if t.call.Budget <= 0 {
 		return nil
 	}
-	wait := min(openWait, t.left()/2)
+	// A turn whose reservation comes too late for an answer is not held for it.
+	wait := max(t.left()-leastService, 0)
 	out, keeper, err := t.Books.Open(t.ctx, bookkeeper.Opening{
 		Program: t.call.Program, Turn: t.call.ID, Tokens: t.call.MaxTokens, Budget: t.call.Budget, Wait: wait,
 	})
@@ -156,9 +157,9 @@
 	sent, dials := 0, 0
 	var resumeAt *registrar.Candidate
 	for {
-		c, ok := t.place(tried, sent, resumeAt)
+		c, ok := t.place(tried, resumeAt)
 		if !ok {
-			t.giveUp(sent, nil)
+			t.giveUp(nil)
 			return
 		}
 		err := t.relay(c)
@@ -171,7 +172,7 @@
 			if dials++; dials < maxDials && t.ctx.Err() == nil && !t.isBegun {
 				continue
 			}
-			t.giveUp(sent, err)
+			t.giveUp(err)
 			return
 		}
 		sent++
@@ -184,7 +185,7 @@
 		case mayGoOn && !isNotRun && t.route.Resumable:
 			resumeAt = &c
 		default:
-			t.giveUp(sent, err)
+			t.giveUp(err)
 			return
 		}
 		t.Count.Retried(reasonOf(err))
@@ -196,7 +197,7 @@
 // place chooses where the turn goes. A stream goes on at the endpoint that broke
 // it off, which has its prompt and keeps to the route's attempts; at another one
 // only if that endpoint is gone.
-func (t *turn) place(tried map[string]bool, sent int, resumeAt *registrar.Candidate) (registrar.Candidate, bool) {
+func (t *turn) place(tried map[string]bool, resumeAt *registrar.Candidate) (registrar.Candidate, bool) {
 	if resumeAt != nil && t.Endpoints.IsRegistered(resumeAt.Endpoint) {
 		return *resumeAt, true
 	}
@@ -324,7 +325,7 @@
 	}
 	t.story.outcome = "Served"
 	if !t.isBegun {
-		t.giveUp(1, io.ErrUnexpectedEOF)
+		t.giveUp(io.ErrUnexpectedEOF)
 		return
 	}
 	if !t.route.Retained || t.call.ID == "" {
@@ -345,14 +346,14 @@
 }
 
 // giveUp ends a turn that cannot be completed.
-func (t *turn) giveUp(sent int, err error) {
+func (t *turn) giveUp(err error) {
 	switch {
 	case errors.Is(err, errCaller) || t.isCallerGone():
 		t.abort("Canceled", err)
 	case t.isBegun:
 		t.abort("BrokenOff", err)
 	case err == nil || errors.Is(err, courier.ErrNotSent) || errors.Is(err, errNotRun):
-		t.refuseUnserved(sent, err)
+		t.refuseUnserved(err)
 	default:
 		t.refuseRun(err)
 	}
