--- /dev/null
+++ b/internal/bookkeeper/bookkeeper_test.go
@@ -0,0 +1,291 @@
+package bookkeeper_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/wigeonstand/wigeonstand/internal/bookkeeper"
+	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
+	"github.com/wigeonstand/wigeonstand/internal/joiner"
+	"github.com/wigeonstand/wigeonstand/internal/storer"
+	"github.com/wigeonstand/wigeonstand/internal/transcriber"
+)
+
+// fleet is some bookkeepers before one store.
+type fleet struct {
+	rows *fakeplatform.Rows
+
+	mu      sync.Mutex
+	keepers map[string]*bookkeeper.Bookkeeper
+	work    sync.WaitGroup
+	ctx     context.Context
+	kills   map[string]context.CancelFunc
+}
+
+func newFleet(ctx context.Context, seed uint64) *fleet {
+	return &fleet{
+		rows: fakeplatform.NewRows(seed), ctx: ctx,
+		keepers: map[string]*bookkeeper.Bookkeeper{}, kills: map[string]context.CancelFunc{},
+	}
+}
+
+// start starts a bookkeeper under a name that was not used before.
+func (f *fleet) start(name string) *bookkeeper.Bookkeeper {
+	ctx, cancel := context.WithCancel(f.ctx)
+	j := joiner.New(f.rows.For(name))
+	k := bookkeeper.New(name, j, f.reclaim)
+	f.work.Go(func() { j.Run(ctx) })
+	f.work.Go(func() { k.Run(ctx) })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.keepers[name], f.kills[name] = k, cancel
+	return k
+}
+
+// kill ends a bookkeeper without a word to the others.
+func (f *fleet) kill(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.kills[name]()
+	delete(f.keepers, name)
+}
+
+func (f *fleet) keeper(name string) *bookkeeper.Bookkeeper {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.keepers[name]
+}
+
+func (f *fleet) reclaim(ctx context.Context, holder, program string) (bookkeeper.Reclaimed, error) {
+	k := f.keeper(holder)
+	if k == nil {
+		return bookkeeper.Reclaimed{}, errors.New("gone")
+	}
+	return k.Reclaim(ctx, bookkeeper.Reclaiming{Program: program})
+}
+
+// play runs the test in a bubble and ends all bookkeepers.
+func play(t *testing.T, seed uint64, test func(t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFleet(ctx, seed)
+		test(t, f)
+		cancel()
+		f.work.Wait()
+	})
+}
+
+const turnTokens = 288
+
+func open(t *testing.T, k *bookkeeper.Bookkeeper, turn string, budget int64) bookkeeper.Opened {
+	t.Helper()
+	out, err := k.Open(t.Context(), bookkeeper.Opening{
+		Program: "p", Turn: turn, Tokens: turnTokens, Budget: budget, Wait: 2 * time.Second,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+func settle(t *testing.T, k *bookkeeper.Bookkeeper, turn string, used int64) {
+	t.Helper()
+	if _, err := k.Close(t.Context(), bookkeeper.Closing{Program: "p", Turn: turn, Used: used}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestBudgetIsSpentToItsLastTurn(t *testing.T) {
+	play(t, 1, func(t *testing.T, f *fleet) {
+		k := f.start("a")
+		const budget = 5 * turnTokens
+		for i := range 5 {
+			if out := open(t, k, fmt.Sprint(i), budget); out.Status != bookkeeper.OK {
+				t.Fatalf("turn %d: status %v", i, out.Status)
+			}
+			settle(t, k, fmt.Sprint(i), turnTokens)
+		}
+		if out := open(t, k, "6", budget); out.Status != bookkeeper.Exhausted {
+			t.Errorf("status %v beyond the budget", out.Status)
+		}
+	})
+}
+
+func TestUnusedTokensComeBack(t *testing.T) {
+	play(t, 1, func(t *testing.T, f *fleet) {
+		k := f.start("a")
+		for i := range 40 {
+			if out := open(t, k, fmt.Sprint(i), 5*turnTokens); out.Status != bookkeeper.OK {
+				t.Fatalf("turn %d: status %v", i, out.Status)
+			}
+			settle(t, k, fmt.Sprint(i), 10)
+		}
+	})
+}
+
+func TestSpentStaysSpentAfterARestart(t *testing.T) {
+	play(t, 1, func(t *testing.T, f *fleet) {
+		k := f.start("a")
+		const budget = 2 * turnTokens
+		for i := range 2 {
+			open(t, k, fmt.Sprint(i), budget)
+			settle(t, k, fmt.Sprint(i), turnTokens)
+		}
+		f.kill("a")
+		if out := open(t, f.start("b"), "again", budget); out.Status != bookkeeper.Exhausted {
+			t.Errorf("status %v after the restart", out.Status)
+		}
+	})
+}
+
+// A line of turns that moves between data centres has its books on two
+// instances. Hunted as refusals for budgets of which little was used.
+func TestGrantIsReclaimedFromAnotherBookkeeper(t *testing.T) {
+	play(t, 1, func(t *testing.T, f *fleet) {
+		a, b := f.start("a"), f.start("b")
+		const budget = 4 * turnTokens
+		for i := range 20 {
+			k := a
+			if i%2 == 1 {
+				k = b
+			}
+			if out := open(t, k, fmt.Sprint(i), budget); out.Status != bookkeeper.OK {
+				t.Fatalf("turn %d: status %v", i, out.Status)
+			}
+			settle(t, k, fmt.Sprint(i), 30)
+		}
+	})
+}
+
+func TestOpeningTwiceReservesOnce(t *testing.T) {
+	play(t, 1, func(t *testing.T, f *fleet) {
+		k := f.start("a")
+		for range 10 {
+			if out := open(t, k, "same", turnTokens); out.Status != bookkeeper.OK {
+				t.Fatalf("status %v", out.Status)
+			}
+		}
+	})
+}
+
+func TestGrantOutlivesAnOutage(t *testing.T) {
+	play(t, 1, func(t *testing.T, f *fleet) {
+		k := f.start("a")
+		const budget = 16 * turnTokens
+		open(t, k, "first", budget)
+		settle(t, k, "first", 70)
+		f.rows.SetFaults(fakeplatform.RowFaults{Outage: true})
+		for i := range 8 {
+			if out := open(t, k, fmt.Sprint(i), budget); out.Status != bookkeeper.OK {
+				t.Fatalf("turn %d during the outage: status %v", i, out.Status)
+			}
+			settle(t, k, fmt.Sprint(i), 70)
+		}
+		if out, err := k.Open(t.Context(), bookkeeper.Opening{
+			Program: "new", Turn: "x", Tokens: turnTokens, Budget: budget, Wait: 100 * time.Millisecond,
+		}); err != nil || out.Status != bookkeeper.Unavailable {
+			t.Errorf("a program without a grant: %v, %v", out.Status, err)
+		}
+	})
+}
+
+func TestRecordIsDurableBeforeItIsAcknowledged(t *testing.T) {
+	play(t, 1, func(t *testing.T, f *fleet) {
+		k := f.start("a")
+		f.rows.SetFaults(fakeplatform.RowFaults{LoseAnswers: 0.5, LandLate: time.Second})
+		reader := transcriber.New(f.rows.For("reader"))
+		var previous *transcriber.Turn
+		want := ""
+		for i := range 20 {
+			id := fmt.Sprintf("turn-%02d", i)
+			turn := transcriber.Next(previous, id, []byte("in "+id+"\n"), []byte("out\n"))
+			want += "in " + id + "\nout\n"
+			out, err := k.Close(t.Context(), bookkeeper.Closing{Program: "p", Turn: id, Record: turn, Wait: 30 * time.Second})
+			if err != nil || out.Status != bookkeeper.OK {
+				t.Fatalf("%s: %v, %v", id, out.Status, err)
+			}
+			_, text, err := reader.Transcript(t.Context(), id)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(want, string(text)); diff != "" {
+				t.Fatal(diff)
+			}
+			previous = turn
+		}
+	})
+}
+
+// TestBudgetHoldsUnderFaults lets several bookkeepers serve one program while
+// the store fails and bookkeepers die, and counts what they let out.
+func TestBudgetHoldsUnderFaults(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			play(t, seed, func(t *testing.T, f *fleet) { budgetUnderFaults(t, f, seed) })
+		})
+	}
+}
+
+func budgetUnderFaults(t *testing.T, f *fleet, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 7))
+	const budget = 20 * turnTokens
+	names := []string{"a0", "b0", "c0"}
+	for _, name := range names {
+		f.start(name)
+	}
+	var (
+		mu  sync.Mutex
+		out int64
+	)
+	var turns sync.WaitGroup
+	for step := range 150 {
+		switch random.IntN(12) {
+		case 0:
+			f.rows.SetFaults(fakeplatform.RowFaults{
+				LoseAnswers: random.Float64(), LandLate: time.Duration(random.IntN(2000)) * time.Millisecond,
+			})
+		case 1:
+			f.rows.SetFaults(fakeplatform.RowFaults{Outage: random.IntN(2) == 0, Delay: time.Duration(random.IntN(200)) * time.Millisecond})
+		case 2:
+			f.rows.SetFaults(fakeplatform.RowFaults{})
+		case 3:
+			i := random.IntN(len(names))
+			f.kill(names[i])
+			names[i] = fmt.Sprintf("%c%d", names[i][0], step)
+			f.start(names[i])
+		}
+		k, turn := f.keeper(names[random.IntN(len(names))]), fmt.Sprint(step)
+		used := int64(random.IntN(turnTokens + 1))
+		forget := random.IntN(8) == 0
+		turns.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			opened, err := k.Open(ctx, bookkeeper.Opening{Program: "p", Turn: turn, Tokens: turnTokens, Budget: budget, Wait: time.Second})
+			if err != nil || opened.Status != bookkeeper.OK {
+				return
+			}
+			mu.Lock()
+			out += used
+			mu.Unlock()
+			if !forget {
+				_, _ = k.Close(ctx, bookkeeper.Closing{Program: "p", Turn: turn, Used: used}) // Its loss is one of the faults.
+			}
+		})
+		time.Sleep(time.Duration(random.IntN(100)) * time.Millisecond)
+	}
+	turns.Wait()
+	if out > budget {
+		t.Errorf("%d tokens of %d were handed out", out, budget)
+	}
+	if _, _, err := f.rows.For("x").List(t.Context(), storer.Range{Table: bookkeeper.Table}); err != nil && !errors.Is(err, storer.ErrUnavailable) {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/fakeplatform/rows.go
@@ -0,0 +1,203 @@
+package fakeplatform
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/storer"
+)
+
+// RowFaults sets how a Rows fails from now on.
+type RowFaults struct {
+	// Outage refuses every call.
+	Outage bool
+	// Silent never answers; calls end with their context.
+	Silent bool
+	// Delay is added to every answer.
+	Delay time.Duration
+	// LoseAnswers is the share of transactions, 0 to 1, that take effect and are
+	// not answered.
+	LoseAnswers float64
+	// LandLate is how long after its lost answer a transaction takes effect, if
+	// its expectations still hold then.
+	LandLate time.Duration
+	// Refused are callers that are turned away while others are served.
+	Refused map[string]bool
+}
+
+// RowCounts says how many calls a Rows has seen.
+type RowCounts struct {
+	Transactions int
+	Changes      int
+	Conflicts    int
+	Lists        int
+	Lost         int
+	Refused      int
+}
+
+// Rows is an in-memory stand-in for a store of rows. It starts a goroutine only
+// for a transaction that lands late, and takes its time from the runtime, so
+// that it may be used inside a testing/synctest bubble.
+type Rows struct {
+	mu      sync.Mutex
+	rows    map[storer.RowKey]storer.Record
+	version int64
+	faults  RowFaults
+	counts  RowCounts
+	random  *rand.Rand
+}
+
+// NewRows returns an empty Rows whose faults are drawn from the seed.
+func NewRows(seed uint64) *Rows {
+	return &Rows{rows: map[storer.RowKey]storer.Record{}, random: rand.New(rand.NewPCG(seed, streamSeed))}
+}
+
+// SetFaults sets the faults.
+func (r *Rows) SetFaults(faults RowFaults) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = faults
+}
+
+// Counts returns the counts so far.
+func (r *Rows) Counts() RowCounts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.counts
+}
+
+// Put writes a row, as the platform's operator and endpoints do.
+func (r *Rows) Put(key storer.RowKey, value []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version++
+	r.rows[key] = storer.Record{RowKey: key, Value: value, Version: r.version}
+}
+
+// Remove removes a row.
+func (r *Rows) Remove(key storer.RowKey) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version++
+	delete(r.rows, key)
+}
+
+// For returns the store as the caller sees it.
+func (r *Rows) For(caller string) storer.Rows { return &rowsOf{Rows: r, caller: caller} }
+
+type rowsOf struct {
+	*Rows
+	caller string
+}
+
+// Transact implements storer.Rows.
+func (r *rowsOf) Transact(ctx context.Context, changes []storer.Change) (int64, error) {
+	if err := r.enter(ctx, r.caller); err != nil {
+		return 0, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	entries := 0
+	for _, c := range changes {
+		entries += c.Entries()
+	}
+	if entries > storer.MaxEntries {
+		return 0, storer.ErrInvalid
+	}
+	if r.faults.LoseAnswers > 0 && r.random.Float64() < r.faults.LoseAnswers {
+		r.counts.Lost++
+		if late := r.faults.LandLate; late > 0 {
+			time.AfterFunc(late, func() {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				// The late end of a transaction is nobody's to hear.
+				_, _ = r.apply(changes)
+			})
+		} else {
+			_, _ = r.apply(changes) // As above.
+		}
+		return 0, storer.ErrInDoubt
+	}
+	return r.apply(changes)
+}
+
+func (r *Rows) apply(changes []storer.Change) (int64, error) {
+	var current []storer.Record
+	failed := false
+	for _, c := range changes {
+		if c.Expected == storer.AnyVersion {
+			continue
+		}
+		record := r.rows[c.RowKey]
+		record.RowKey = c.RowKey
+		current = append(current, record)
+		failed = failed || record.Version != c.Expected
+	}
+	if failed {
+		r.counts.Conflicts++
+		return 0, &storer.Conflict{Current: current}
+	}
+	r.counts.Transactions++
+	r.counts.Changes += len(changes)
+	r.version++
+	for _, c := range changes {
+		if c.Delete {
+			delete(r.rows, c.RowKey)
+			continue
+		}
+		r.rows[c.RowKey] = storer.Record{RowKey: c.RowKey, Value: c.Value, Version: r.version}
+	}
+	return r.version, nil
+}
+
+// List implements storer.Rows.
+func (r *rowsOf) List(ctx context.Context, list storer.Range) ([]storer.Record, bool, error) {
+	if err := r.enter(ctx, r.caller); err != nil {
+		return nil, false, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts.Lists++
+	var records []storer.Record
+	for key, record := range r.rows {
+		if key.Table == list.Table && key.Name >= list.From && (list.To == "" || key.Name < list.To) {
+			records = append(records, record)
+		}
+	}
+	sort.Slice(records, func(i, j int) bool { return records[i].Name < records[j].Name })
+	if list.Limit > 0 && len(records) > list.Limit {
+		return records[:list.Limit], true, nil
+	}
+	return records, false, nil
+}
+
+// enter applies the faults that come before a call takes effect.
+func (r *Rows) enter(ctx context.Context, caller string) error {
+	r.mu.Lock()
+	faults := r.faults
+	refused := faults.Outage || faults.Refused[caller]
+	if refused {
+		r.counts.Refused++
+	}
+	r.mu.Unlock()
+	if refused {
+		return storer.ErrUnavailable
+	}
+	if faults.Silent {
+		<-ctx.Done()
+		return storer.ErrInDoubt
+	}
+	if faults.Delay > 0 {
+		timer := time.NewTimer(faults.Delay)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+			return storer.ErrInDoubt
+		case <-timer.C:
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/joiner/joiner_test.go
@@ -0,0 +1,181 @@
+package joiner_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
+	"github.com/wigeonstand/wigeonstand/internal/joiner"
+	"github.com/wigeonstand/wigeonstand/internal/storer"
+)
+
+func key(i int) storer.RowKey { return storer.RowKey{Table: "t", Name: fmt.Sprintf("row-%04d", i)} }
+
+// insert submits a job that inserts one row and returns where its end arrives.
+func insert(j *joiner.Joiner, i int, wait time.Duration) <-chan joiner.Result {
+	done := make(chan joiner.Result, 1)
+	j.Submit(&joiner.Job{
+		Changes:  []storer.Change{{RowKey: key(i), Value: []byte("v")}},
+		Deadline: time.Now().Add(wait), Done: func(r joiner.Result) { done <- r },
+	})
+	return done
+}
+
+// run plays the test in a bubble with a running Joiner.
+func run(t *testing.T, f func(t *testing.T, rows *fakeplatform.Rows, j *joiner.Joiner)) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fakeplatform.NewRows(1)
+		j := joiner.New(rows.For("a"))
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			j.Run(ctx)
+		}()
+		f(t, rows, j)
+		cancel()
+		<-ended
+	})
+}
+
+func TestManyJobsBecomeFewTransactions(t *testing.T) {
+	run(t, func(t *testing.T, rows *fakeplatform.Rows, j *joiner.Joiner) {
+		var ends []<-chan joiner.Result
+		for i := range 200 {
+			ends = append(ends, insert(j, i, time.Second))
+		}
+		for _, end := range ends {
+			if r := <-end; r.Err != nil {
+				t.Fatal(r.Err)
+			}
+		}
+		// Each conditional insert counts for two of a transaction's 100 entries.
+		if counts := rows.Counts(); counts.Changes != 200 || counts.Transactions > 5 {
+			t.Errorf("%d changes in %d transactions", counts.Changes, counts.Transactions)
+		}
+	})
+}
+
+func TestRateIsBoundedAtAnyLoad(t *testing.T) {
+	run(t, func(t *testing.T, rows *fakeplatform.Rows, j *joiner.Joiner) {
+		j.SetRate(10)
+		begun := time.Now()
+		var ends []<-chan joiner.Result
+		for i := range 100 {
+			ends = append(ends, insert(j, i, 30*time.Second))
+			time.Sleep(20 * time.Millisecond)
+		}
+		for _, end := range ends {
+			<-end
+		}
+		most := int(time.Since(begun).Seconds()*10) + 1
+		if got := rows.Counts().Transactions; got > most {
+			t.Errorf("%d transactions, at most %d", got, most)
+		}
+	})
+}
+
+func TestOneConflictDoesNotFailTheOthers(t *testing.T) {
+	run(t, func(t *testing.T, rows *fakeplatform.Rows, j *joiner.Joiner) {
+		rows.Put(key(1), []byte("taken"))
+		first, second, third := insert(j, 0, time.Second), insert(j, 1, time.Second), insert(j, 2, time.Second)
+		if r := <-first; r.Err != nil {
+			t.Error(r.Err)
+		}
+		var conflict *storer.Conflict
+		if r := <-second; !errors.As(r.Err, &conflict) {
+			t.Errorf("got %v", r.Err)
+		} else if diff := cmp.Diff("taken", string(conflict.Current[0].Value)); diff != "" {
+			t.Error(diff)
+		}
+		if r := <-third; r.Err != nil {
+			t.Error(r.Err)
+		}
+	})
+}
+
+// A write without an answer lands later; sent again under the same expectation
+// it either lands first or finds the earlier one there. It lands once.
+func TestWriteInDoubtIsSettled(t *testing.T) {
+	for _, late := range []time.Duration{0, 5 * time.Millisecond, 3 * time.Second} {
+		t.Run(late.String(), func(t *testing.T) {
+			run(t, func(t *testing.T, rows *fakeplatform.Rows, j *joiner.Joiner) {
+				rows.SetFaults(fakeplatform.RowFaults{LoseAnswers: 1, LandLate: late})
+				end := insert(j, 0, 10*time.Second)
+				time.Sleep(2 * time.Millisecond)
+				rows.SetFaults(fakeplatform.RowFaults{})
+				r := <-end
+				var conflict *storer.Conflict
+				isLanded := r.Err == nil || errors.As(r.Err, &conflict) && string(conflict.Current[0].Value) == "v"
+				if !isLanded {
+					t.Errorf("got %v", r.Err)
+				}
+				time.Sleep(5 * time.Second)
+				if got := rows.Counts().Transactions; got != 1 {
+					t.Errorf("landed %d times", got)
+				}
+			})
+		})
+	}
+}
+
+func TestGivenUpJobSaysWhetherItMayLand(t *testing.T) {
+	run(t, func(t *testing.T, rows *fakeplatform.Rows, j *joiner.Joiner) {
+		rows.SetFaults(fakeplatform.RowFaults{Outage: true})
+		if r := <-insert(j, 0, 300*time.Millisecond); !errors.Is(r.Err, storer.ErrUnavailable) {
+			t.Errorf("refused: got %v", r.Err)
+		}
+		rows.SetFaults(fakeplatform.RowFaults{LoseAnswers: 1, LandLate: time.Minute})
+		if r := <-insert(j, 1, 300*time.Millisecond); !errors.Is(r.Err, storer.ErrInDoubt) {
+			t.Errorf("not answered: got %v", r.Err)
+		}
+	})
+}
+
+func TestJobThatTheStoreNeverTakesFailsAlone(t *testing.T) {
+	run(t, func(t *testing.T, _ *fakeplatform.Rows, j *joiner.Joiner) {
+		var changes []storer.Change
+		for i := range storer.MaxEntries {
+			changes = append(changes, storer.Change{RowKey: key(1000 + i)})
+		}
+		done := make(chan joiner.Result, 1)
+		first := insert(j, 0, time.Second)
+		j.Submit(&joiner.Job{Changes: changes, Done: func(r joiner.Result) { done <- r }})
+		last := insert(j, 1, time.Second)
+		if r := <-done; !errors.Is(r.Err, storer.ErrInvalid) {
+			t.Errorf("got %v", r.Err)
+		}
+		for _, end := range []<-chan joiner.Result{first, last} {
+			if r := <-end; r.Err != nil {
+				t.Error(r.Err)
+			}
+		}
+	})
+}
+
+// No storm after an outage: what waited goes out joined.
+func TestOutageIsFollowedByJoinedWrites(t *testing.T) {
+	run(t, func(t *testing.T, rows *fakeplatform.Rows, j *joiner.Joiner) {
+		rows.SetFaults(fakeplatform.RowFaults{Outage: true})
+		var ends []<-chan joiner.Result
+		for i := range 200 {
+			ends = append(ends, insert(j, i, 20*time.Second))
+			time.Sleep(20 * time.Millisecond)
+		}
+		rows.SetFaults(fakeplatform.RowFaults{})
+		for _, end := range ends {
+			if r := <-end; r.Err != nil {
+				t.Fatal(r.Err)
+			}
+		}
+		if got := rows.Counts().Transactions; got > 8 {
+			t.Errorf("%d transactions for 200 jobs", got)
+		}
+	})
+}
