--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -46,8 +46,10 @@
 	// reports that it is not ready: the balancer asks once a second and takes
 	// an instance out after two misses.
 	leaveAfter = 2500 * time.Millisecond
-	// endMargin is left of the grace period for the last steps.
-	endMargin = 700 * time.Millisecond
+	// leaveShare is the part of the grace period that leaveAfter takes at most,
+	// and endShare the part that is left for the last steps, both as divisors.
+	leaveShare = 3
+	endShare   = 10
 	// lostAfter is how long the store may be out of reach before the instance
 	// reports that it is not ready.
 	lostAfter = 1500 * time.Millisecond
@@ -254,8 +256,8 @@
 	e.log.Log(eventStopping)
 	// Idle connections are closed now, and each answer closes its connection.
 	callers.SetKeepAlivesEnabled(false)
-	time.Sleep(min(leaveAfter, e.settings.GracePeriod/2))
-	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(e.settings.GracePeriod-endMargin))
+	time.Sleep(min(leaveAfter, e.settings.GracePeriod/leaveShare))
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(e.settings.GracePeriod-e.settings.GracePeriod/endShare))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		e.log.Log(eventCut, "Cause", err)
--- /dev/null
+++ b/internal/composer/composer_test.go
@@ -0,0 +1,292 @@
+package composer_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
+	"github.com/wigeonstand/wigeonstand/platform/standin"
+)
+
+func TestAnyInstanceContinuesAnyTurn(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3, 3, 1)
+	previous, transcript := "", ""
+	for i := range 6 {
+		id, input := fmt.Sprintf("turn-%d", i), fmt.Sprintf("input %d\n", i)
+		reply := f.do(f.instances[i%3], turnCall(id, "p", previous, input))
+		if reply.Status != http.StatusOK || !reply.Whole || !reply.IsSigned() {
+			t.Fatalf("turn %d: %+v", i, reply)
+		}
+		if diff := cmp.Diff([]int{1, 2, 3, 4, 5}, reply.Events()); diff != "" {
+			t.Error(diff)
+		}
+		body, ran := f.ranBody(id)
+		if !ran {
+			t.Fatalf("turn %d ran nowhere", i)
+		}
+		if diff := cmp.Diff(transcript+input, body); diff != "" {
+			t.Errorf("turn %d: %s", i, diff)
+		}
+		transcript += input + reply.Outputs()
+		previous = id
+	}
+	if reply := f.do(f.instances[0], turnCall("t-x", "p", "never-was", "in")); reply.Status != http.StatusNotFound {
+		t.Errorf("a turn that never was: %d", reply.Status)
+	}
+}
+
+// Several turns may continue the same one, also of another program.
+func TestTurnsFormATree(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 2, 0)
+	root := f.do(f.instances[0], turnCall("root", "p", "", "start\n"))
+	each(4, func(i int) {
+		id := fmt.Sprintf("child-%d", i)
+		reply := f.do(f.instances[i%2], turnCall(id, fmt.Sprintf("program-%d", i), "root", "go on\n"))
+		if reply.Status != http.StatusOK || !reply.Whole {
+			t.Errorf("%s: %+v", id, reply)
+		}
+		body, _ := f.ranBody(id)
+		if diff := cmp.Diff("start\n"+root.Outputs()+"go on\n", body); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestTurnIsFoundAfterAllInstancesDied(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 2, 0)
+	first := f.do(f.instances[0], turnCall("kept", "p", "", "start\n"))
+	if !first.Whole {
+		t.Fatalf("%+v", first)
+	}
+	each(2, func(i int) { f.stop(f.instances[i]) })
+	again := f.start("entry-9")
+	f.awaitReady(again)
+	reply := f.do(again, turnCall("next", "q", "kept", "go on\n"))
+	if reply.Status != http.StatusOK || !reply.Whole {
+		t.Fatalf("%+v", reply)
+	}
+	body, _ := f.ranBody("next")
+	if diff := cmp.Diff("start\n"+first.Outputs()+"go on\n", body); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestBudgetHoldsOverInstances(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3, 2, 0)
+	const budget, most = 300, 100
+	var mu sync.Mutex
+	tokens, refused := 0, 0
+	each(30, func(i int) {
+		reply := f.do(f.instances[i%3], standin.Call{
+			ID: fmt.Sprintf("s-%d", i), Path: standin.PathSession + "x", Body: "in", Program: "p", Budget: budget, MaxTokens: most,
+		})
+		mu.Lock()
+		defer mu.Unlock()
+		tokens += len(reply.Events()) * standin.EventTokens
+		if reply.Status == http.StatusPaymentRequired {
+			refused++
+		}
+	})
+	if tokens > budget+most || refused == 0 {
+		t.Errorf("%d tokens of a budget of %d, %d refused", tokens, budget, refused)
+	}
+}
+
+// Whatever endpoints do, an unsafe request runs once at most, no answer that
+// the caller takes for whole is another's, and "not run" is true.
+func TestFaultyEndpoints(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 2, 3)
+	for _, e := range f.services {
+		e.SetFaults(standin.EndpointFaults{Lose: 0.1, Break: 0.1, Shed: 0.2, Extra: 0.2})
+	}
+	for _, e := range f.engines {
+		e.SetFaults(standin.EndpointFaults{Lose: 0.05, Break: 0.2, Shed: 0.1, Extra: 0})
+	}
+	runs := func(id string) int {
+		n := 0
+		for _, e := range append(f.services, f.engines...) {
+			n += len(e.Runs(id))
+		}
+		return n
+	}
+	each(8, func(worker int) {
+		for i := range 25 {
+			id := fmt.Sprintf("r-%d-%d", worker, i)
+			path := []string{standin.PathPost, standin.PathLookup, standin.PathSession, standin.PathRetained}[i%4]
+			call := standin.Call{ID: id, Path: path + "x", Body: "in " + id + "\n"}
+			if i%4 >= 2 {
+				call.Program, call.Budget, call.MaxTokens = id, 1000, 100
+			}
+			reply := f.do(f.instances[worker%2], call)
+			checkReply(t, id, path, reply, runs(id))
+		}
+	})
+}
+
+func checkReply(t *testing.T, id, path string, reply standin.Reply, runs int) {
+	t.Helper()
+	if path != standin.PathLookup && path != standin.PathSession && runs > 1 {
+		t.Errorf("%s ran %d times", id, runs)
+	}
+	if reply.IsNotRun() && runs > 0 && path != standin.PathLookup && path != standin.PathSession {
+		t.Errorf("%s was answered %d, but ran", id, reply.Status)
+	}
+	if reply.Status == http.StatusOK && reply.Whole {
+		isStream := path == standin.PathSession || path == standin.PathRetained
+		switch {
+		case !reply.IsSigned():
+			t.Errorf("%s: a success without a signature", id)
+		case isStream && !cmp.Equal([]int{1, 2, 3, 4, 5}, reply.Events()):
+			t.Errorf("%s: events %v", id, reply.Events())
+		case !isStream && reply.Body != "answer to "+id+"\n":
+			t.Errorf("%s: got %q", id, reply.Body)
+		}
+	}
+}
+
+func TestInstanceWithoutStoreGoesThroughAnother(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3, 2, 0)
+	<-time.After(1200 * time.Millisecond) // The members know each other.
+	f.rows.SetFaults(fakeplatform.RowFaults{Refused: map[string]bool{"entry-0": true}})
+	previous := ""
+	for i := range 4 {
+		id := fmt.Sprintf("turn-%d", i)
+		reply := f.do(f.instances[0], turnCall(id, "p", previous, "in\n"))
+		if reply.Status != http.StatusOK || !reply.Whole {
+			t.Fatalf("turn %d: %+v", i, reply)
+		}
+		previous = id
+	}
+	if !f.isReady(f.instances[0]) {
+		t.Error("the instance is not ready although another reaches the store")
+	}
+}
+
+func TestOutageOfTheStore(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 2, 1)
+	first := f.do(f.instances[0], turnCall("before", "p", "", "in\n"))
+	if !first.Whole {
+		t.Fatalf("%+v", first)
+	}
+	f.rows.SetFaults(fakeplatform.RowFaults{Outage: true})
+	if reply := f.do(f.instances[0], standin.Call{ID: "safe", Path: standin.PathLookup + "x"}); reply.Status != http.StatusOK {
+		t.Errorf("a plain request during the outage: %+v", reply)
+	}
+	back := time.AfterFunc(1500*time.Millisecond, func() { f.rows.SetFaults(fakeplatform.RowFaults{}) })
+	defer back.Stop()
+	// The turn of a program under way is served; its end waits for the record.
+	begun := time.Now()
+	reply := f.do(f.instances[0], turnCall("during", "p", "before", "in\n"))
+	if reply.Status != http.StatusOK || !reply.Whole {
+		t.Errorf("a turn during the outage: %+v", reply)
+	}
+	if took := time.Since(begun); took < time.Second {
+		t.Errorf("the turn ended after %v, before it can have been recorded", took)
+	}
+}
+
+func TestConfigurationComesIntoForceAndNeverGoesBack(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 1, 1)
+	isServed := func(in *instance, path string) bool {
+		return f.do(in, standin.Call{ID: fmt.Sprint(time.Now().UnixNano()), Path: path}).Status == http.StatusOK
+	}
+	if err := standin.Configure(f.rows, 5, "/new/"); err != nil {
+		t.Fatal(err)
+	}
+	begun := time.Now()
+	for _, in := range f.instances {
+		f.await("the new route is served", func() bool { return isServed(in, "/new/x") })
+	}
+	if took := time.Since(begun); took > 2*time.Second {
+		t.Errorf("in force after %v", took)
+	}
+	if err := standin.Configure(f.rows, 4); err != nil {
+		t.Fatal(err)
+	}
+	<-time.After(1200 * time.Millisecond)
+	for _, in := range f.instances {
+		if !isServed(in, "/new/x") {
+			t.Error("an older configuration came into force")
+		}
+	}
+}
+
+func TestForgedRegistrationsAreLeftOut(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 1, 1)
+	for i, forged := range []string{"{", `{"service":"app"}`, `{"service":7,"address":"127.0.0.1:1","zone":"z","batch_slots":1,"state":"ready"}`,
+		`{"service":"app","address":"127.0.0.1:1","zone":"z","batch_slots":1,"state":"odd"}`,
+		`{"service":"app","address":"nowhere","zone":"z","batch_slots":1,"state":"ready"}`} {
+		f.rows.Put(rowOfEndpoint(fmt.Sprintf("forged-%d", i)), []byte(forged))
+	}
+	<-time.After(700 * time.Millisecond)
+	for i := range 20 {
+		if reply := f.do(f.instances[0], standin.Call{ID: fmt.Sprint("c", i), Path: standin.PathPost + "x"}); reply.Status != http.StatusOK {
+			t.Errorf("%+v", reply)
+		}
+	}
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 2, 1)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		<-time.After(200 * time.Millisecond)
+		f.stop(f.instances[0])
+	}()
+	each(6, func(worker int) {
+		for i := 0; ; i++ {
+			select {
+			case <-done:
+				return
+			default:
+			}
+			id := fmt.Sprintf("d-%d-%d", worker, i)
+			reply := f.do(f.instances[0], turnCall(id, id, "", "in\n"))
+			if _, ran := f.ranBody(id); ran && (reply.Status != http.StatusOK || !reply.Whole) {
+				t.Errorf("%s was cut: %+v", id, reply)
+			}
+			if reply.Err != nil && strings.Contains(reply.Err.Error(), "refused") {
+				return
+			}
+		}
+	})
+}
+
+func TestRefusalsTellTheirReason(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 1, 1)
+	for _, tc := range []struct {
+		name   string
+		call   standin.Call
+		status int
+	}{
+		{"no route", standin.Call{ID: "a", Path: "/nowhere/x"}, http.StatusNotFound},
+		{"no ID", standin.Call{Path: standin.PathPost + "x"}, http.StatusBadRequest},
+		{"too large", standin.Call{ID: "b", Path: standin.PathPost + "x", Body: strings.Repeat("x", 2<<20)}, http.StatusRequestEntityTooLarge},
+		{"no such turn", turnCall("c", "p", "never", "in"), http.StatusNotFound},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			reply := f.do(f.instances[0], tc.call)
+			if reply.Status != tc.status || reply.IsSigned() {
+				t.Errorf("%+v", reply)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/composer/fleet_test.go
@@ -0,0 +1,205 @@
+package composer_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/composer"
+	"github.com/wigeonstand/wigeonstand/internal/configurer"
+	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
+	"github.com/wigeonstand/wigeonstand/internal/follower"
+	"github.com/wigeonstand/wigeonstand/internal/storer"
+	"github.com/wigeonstand/wigeonstand/platform"
+	"github.com/wigeonstand/wigeonstand/platform/standin"
+)
+
+// fleet is some real instances on loopback before stand-ins.
+type fleet struct {
+	t         *testing.T
+	rows      *fakeplatform.Rows
+	engines   []*standin.Endpoint
+	services  []*standin.Endpoint
+	instances []*instance
+	client    *http.Client
+	log       io.Writer
+}
+
+type instance struct {
+	name     string
+	settings *configurer.Entry
+	entry    *composer.Entry
+	cancel   context.CancelFunc
+	ended    chan error
+}
+
+func newFleet(t *testing.T, instances, engines, services int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, rows: fakeplatform.NewRows(1), client: &http.Client{Transport: &http.Transport{}}, log: io.Discard}
+	t.Cleanup(f.client.CloseIdleConnections)
+	for i := range engines {
+		e := standin.NewEndpoint(fmt.Sprintf("engine-%d", i), 5, 10*time.Millisecond, uint64(i))
+		f.engines = append(f.engines, e)
+		f.register(e, standin.ServiceEngine)
+	}
+	for i := range services {
+		e := standin.NewEndpoint(fmt.Sprintf("service-%d", i), 0, 5*time.Millisecond, uint64(100+i))
+		f.services = append(f.services, e)
+		f.register(e, standin.ServicePlain)
+	}
+	if err := standin.Configure(f.rows, 1); err != nil {
+		t.Fatal(err)
+	}
+	for i := range instances {
+		f.instances = append(f.instances, f.start(fmt.Sprintf("entry-%d", i)))
+	}
+	for _, in := range f.instances {
+		f.awaitReady(in)
+	}
+	return f
+}
+
+func (f *fleet) register(e *standin.Endpoint, service string) {
+	f.t.Helper()
+	server := httptest.NewServer(e)
+	f.t.Cleanup(server.Close)
+	if err := standin.Register(f.rows, standin.Registration{
+		ID: e.ID, Service: service, Address: netip.MustParseAddrPort(server.Listener.Addr().String()),
+		DataCentre: "dc-1", Slots: e.Slots,
+	}); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// hosts counts the loopback hosts given to instances, so that their ports are
+// nobody else's.
+var hosts atomic.Uint32
+
+// ownAddresses returns addresses of a loopback host of its own.
+func ownAddresses(n int) []netip.AddrPort {
+	host := hosts.Add(1)
+	var addresses []netip.AddrPort
+	for i := range n {
+		ip := netip.AddrFrom4([4]byte{127, 77, byte(host >> 8), byte(host)})
+		addresses = append(addresses, netip.AddrPortFrom(ip, uint16(7101+i)))
+	}
+	return addresses
+}
+
+// start starts an instance with a way of its own to the store.
+func (f *fleet) start(name string) *instance {
+	f.t.Helper()
+	store := httptest.NewServer(standin.NewStore(f.rows.For(name)))
+	f.t.Cleanup(store.Close)
+	addresses := ownAddresses(4)
+	settings := configurer.EntryDefaults()
+	settings.Instance, settings.DataCentre = name, "dc-1"
+	settings.CallerListen, settings.ReadyListen = addresses[0], addresses[1]
+	settings.PeerListen, settings.AdminListen = addresses[2], addresses[3]
+	settings.StoreAddress = netip.MustParseAddrPort(store.Listener.Addr().String())
+	settings.GracePeriod = 1500 * time.Millisecond
+	return f.launch(settings)
+}
+
+func (f *fleet) launch(settings *configurer.Entry) *instance {
+	f.t.Helper()
+	rows := platform.NewStore(settings.StoreAddress)
+	entry, err := composer.New(settings, composer.Platform{
+		Rows: rows, Dialect: platform.Dialect{}, Source: follower.Source{
+			Configuration: storer.RowKey{Table: platform.TableOperator, Name: platform.KeyConfiguration},
+			Endpoints:     platform.TableEndpoints,
+			DecodeTable:   platform.DecodeConfiguration, DecodeEndpoint: platform.DecodeEndpoint,
+		},
+	}, f.log)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	in := &instance{name: settings.Instance, settings: settings, entry: entry, cancel: cancel, ended: make(chan error, 1)}
+	go func() {
+		defer rows.Close()
+		in.ended <- entry.Run(ctx, nil, nil)
+	}()
+	f.t.Cleanup(func() { f.stop(in) })
+	return in
+}
+
+// stop stops the instance as planned and waits for its end.
+func (f *fleet) stop(in *instance) {
+	in.cancel()
+	if err, first := <-in.ended; first {
+		if err != nil {
+			f.t.Errorf("%s: %v", in.name, err)
+		}
+		close(in.ended)
+	}
+}
+
+func (f *fleet) isReady(in *instance) bool {
+	response, err := http.Get("http://" + in.settings.ReadyListen.String() + "/") //nolint:noctx // The test's own end bounds it.
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close() // The status is all.
+	return response.StatusCode == http.StatusOK
+}
+
+func (f *fleet) awaitReady(in *instance) { f.await(in.name+" is ready", func() bool { return f.isReady(in) }) }
+
+func (f *fleet) await(what string, holds func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for !holds() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("not within 10 s: %s", what)
+		}
+		<-time.After(20 * time.Millisecond)
+	}
+}
+
+func (f *fleet) do(in *instance, c standin.Call) standin.Reply {
+	if c.Method == "" {
+		c.Method = http.MethodPost
+	}
+	if c.Deadline == 0 {
+		c.Deadline = 5 * time.Second
+	}
+	c.Host = standin.Host
+	return standin.Do(f.t.Context(), f.client, in.settings.CallerListen.String(), c)
+}
+
+func turnCall(id, program, previous, body string) standin.Call {
+	return standin.Call{
+		ID: id, Path: standin.PathRetained + "x", Body: body, Program: program, Budget: 2000, MaxTokens: 100, Previous: previous,
+	}
+}
+
+// ranBody returns the body with which an engine ran the request.
+func (f *fleet) ranBody(id string) (string, bool) {
+	for _, e := range f.engines {
+		if runs := e.Runs(id); len(runs) > 0 {
+			return runs[0].Body, true
+		}
+	}
+	return "", false
+}
+
+// each calls the function for n numbers at once.
+func each(n int, f func(i int)) {
+	var work sync.WaitGroup
+	for i := range n {
+		work.Go(func() { f(i) })
+	}
+	work.Wait()
+}
+
+func rowOfEndpoint(id string) storer.RowKey {
+	return storer.RowKey{Table: platform.TableEndpoints, Name: id}
+}
