--- /dev/null
+++ b/internal/admitter/admitter_test.go
@@ -0,0 +1,90 @@
+package admitter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/wigeonstand/wigeonstand/internal/admitter"
+	"github.com/wigeonstand/wigeonstand/internal/registrar"
+)
+
+var policy = admitter.Policy{NewPrograms: 0.6, ReturnLeast: 200 * time.Millisecond, ReturnMost: 900 * time.Millisecond}
+
+func engines(loads ...float64) []registrar.Candidate {
+	var out []registrar.Candidate
+	for _, load := range loads {
+		out = append(out, registrar.Candidate{Endpoint: registrar.Endpoint{Slots: 16}, Load: load})
+	}
+	return out
+}
+
+func TestAdmit(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		turn  admitter.Turn
+		loads []float64
+		want  admitter.Decision
+	}{
+		{"idle", admitter.Turn{First: true, Left: 3 * time.Second}, []float64{0, 0}, admitter.Decision{Taken: true}},
+		{"new at the limit", admitter.Turn{First: true, Left: 3 * time.Second}, []float64{8, 8}, admitter.Decision{Taken: true, Mean: 0.5}},
+		{
+			"new above the limit", admitter.Turn{First: true, Left: 3 * time.Second, Chance: 0.5}, []float64{16, 16},
+			admitter.Decision{Mean: 1, RetryAfter: 550 * time.Millisecond},
+		},
+		{
+			"no later than the caller accepts", admitter.Turn{First: true, Left: 600 * time.Millisecond, Chance: 0.9}, []float64{16, 16},
+			admitter.Decision{Mean: 1, RetryAfter: 200 * time.Millisecond},
+		},
+		{"under way above the limit", admitter.Turn{Left: 3 * time.Second}, []float64{40, 40}, admitter.Decision{Taken: true, Mean: 2.5}},
+		{"no engine known", admitter.Turn{First: true}, nil, admitter.Decision{Taken: true}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if diff := cmp.Diff(tc.want, admitter.Admit(policy, tc.turn, engines(tc.loads...))); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// Replays a burst of programs that were refused at one moment: they come back
+// spread over the whole time that callers accept, not together.
+func TestRefusedProgramsDoNotReturnTogether(t *testing.T) {
+	var last time.Duration
+	for i := range 10 {
+		d := admitter.Admit(policy, admitter.Turn{First: true, Left: 3 * time.Second, Chance: float64(i) / 10}, engines(16))
+		if d.Taken || d.RetryAfter <= last {
+			t.Fatalf("chance %d: %+v after %v", i, d, last)
+		}
+		last = d.RetryAfter
+	}
+}
+
+// Replays the inside of a burst: what can still end in time goes first, and
+// routes keep their order.
+func TestPriority(t *testing.T) {
+	order := []struct {
+		route       int
+		first, late bool
+	}{
+		{0, false, false},
+		{1, false, false},
+		{0, true, false},
+		{1, true, false},
+		{0, false, true},
+		{1, false, true},
+		{0, true, true},
+	}
+	last := -1
+	for _, o := range order {
+		rank := admitter.Priority(o.route, o.first, o.late)
+		if rank <= last || rank > 9 {
+			t.Errorf("%+v has rank %d after %d", o, rank, last)
+		}
+		last = rank
+	}
+	if got := admitter.Priority(50, true, true); got != 9 {
+		t.Errorf("the lowest rank is %d", got)
+	}
+}
--- /dev/null
+++ b/internal/registrar/registrar_test.go
@@ -0,0 +1,123 @@
+package registrar_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/wigeonstand/wigeonstand/internal/registrar"
+)
+
+func one(id string) registrar.Endpoint {
+	return registrar.Endpoint{ID: id, Service: "s", Slots: 8, Started: time.UnixMilli(1)}
+}
+
+func only(t *testing.T, r *registrar.Registry) registrar.Candidate {
+	t.Helper()
+	candidates := r.Candidates("s")
+	if len(candidates) != 1 {
+		t.Fatalf("%d candidates", len(candidates))
+	}
+	return candidates[0]
+}
+
+func TestLoadCountsWhatWasSentSinceTheReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := registrar.New()
+		r.Replace([]registrar.Endpoint{one("a")})
+		r.Begin("a")
+		if got := only(t, r); got.Load != 1 || got.Age != -1 {
+			t.Errorf("without a report: %+v", got)
+		}
+		r.Report("a", registrar.Load{Running: 5, Waiting: 2, Slots: 8})
+		r.Begin("a")
+		if got := only(t, r).Load; got != 8 {
+			t.Errorf("load %v after a report of 7 and one more", got)
+		}
+		time.Sleep(3 * time.Second)
+		if got := only(t, r); got.Load != 2 || got.Age != -1 {
+			t.Errorf("an old report still counts: %+v", got)
+		}
+	})
+}
+
+func TestNotesCarryLoadsToOtherInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := registrar.New(), registrar.New()
+		for _, r := range []*registrar.Registry{a, b} {
+			r.Replace([]registrar.Endpoint{one("a")})
+		}
+		a.Report("a", registrar.Load{Running: 6, Slots: 8})
+		time.Sleep(100 * time.Millisecond)
+		b.Take(a.Notes())
+		if got := only(t, b); got.Load != 6 || got.Age != 100*time.Millisecond {
+			t.Errorf("got %+v", got)
+		}
+		b.Report("a", registrar.Load{Running: 1, Slots: 8})
+		b.Take(a.Notes())
+		if got := only(t, b).Load; got != 1 {
+			t.Errorf("an older note replaced a newer report: %v", got)
+		}
+		time.Sleep(time.Second)
+		if diff := cmp.Diff(0, len(a.Notes())); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestFailuresAreAvoidedForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := registrar.New()
+		r.Replace([]registrar.Endpoint{one("a")})
+		for range 3 {
+			r.Begin("a")
+			r.End("a", registrar.Failed)
+		}
+		if !only(t, r).Avoid {
+			t.Error("not avoided after three failures")
+		}
+		time.Sleep(5 * time.Second)
+		if only(t, r).Avoid {
+			t.Error("avoided for good")
+		}
+		r.Begin("a")
+		r.End("a", registrar.Neutral)
+		if got := only(t, r); got.Avoid || got.Own != 0 {
+			t.Errorf("got %+v", got)
+		}
+	})
+}
+
+// An endpoint that starts again under its ID holds nothing of before.
+func TestRestartedEndpointIsNew(t *testing.T) {
+	r := registrar.New()
+	before, after := one("a"), one("a")
+	after.Started = time.UnixMilli(2)
+	r.Replace([]registrar.Endpoint{before})
+	r.Begin("a")
+	r.Report("a", registrar.Load{Running: 8})
+	changes := r.Replace([]registrar.Endpoint{after})
+	if len(changes.Came) != 1 || r.IsRegistered(before) || !r.IsRegistered(after) {
+		t.Errorf("%+v", changes)
+	}
+	if got := only(t, r); got.Load != 0 {
+		t.Errorf("load %v of the process before", got.Load)
+	}
+	r.End("a", registrar.Served)
+	if got := only(t, r).Own; got != 0 {
+		t.Errorf("own count %d", got)
+	}
+}
+
+func TestLeavingEndpointsGetNoWork(t *testing.T) {
+	r := registrar.New()
+	leaving := one("a")
+	leaving.Leaving = true
+	r.Replace([]registrar.Endpoint{one("a"), one("b")})
+	changes := r.Replace([]registrar.Endpoint{leaving})
+	if len(changes.Leaving) != 1 || len(changes.Gone) != 1 || len(r.Candidates("s")) != 0 {
+		t.Errorf("%+v, %d candidates", changes, len(r.Candidates("s")))
+	}
+}
