internal/reacher: look for the way to the store in the background, fail calls at once meanwhile

Cause: a test found that with a silent store each call became a probe of up to four seconds (9 calls in 10 s). Now one probe runs in the background every 250 ms and calls fail at once while the store is lost.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -222,7 +222,7 @@
 	serve(func() error { return ready.Serve(listeners[1]) })
 	serve(func() error { return e.peers.Serve(work, listeners[2]) })
 	serve(func() error { return admin.Serve(listeners[3]) })
-	for _, run := range []func(context.Context){e.lines.Run, e.joiner.Run, e.books.Run, e.follower.Run, e.enlist} {
+	for _, run := range []func(context.Context){e.lines.Run, e.reacher.Run, e.joiner.Run, e.books.Run, e.follower.Run, e.enlist} {
 		parts.Go(func() { run(work) })
 	}
 	e.log.Log(eventStarted, "DataCentre", e.settings.DataCentre, "Incarnation", e.enlister.Self().Incarnation)
--- a/internal/composer/fleet_test.go
+++ b/internal/composer/fleet_test.go
@@ -151,7 +151,9 @@
 	return response.StatusCode == http.StatusOK
 }
 
-func (f *fleet) awaitReady(in *instance) { f.await(in.name+" is ready", func() bool { return f.isReady(in) }) }
+func (f *fleet) awaitReady(in *instance) {
+	f.await(in.name+" is ready", func() bool { return f.isReady(in) })
+}
 
 func (f *fleet) await(what string, holds func() bool) {
 	f.t.Helper()
--- /dev/null
+++ b/internal/enlister/enlister_test.go
@@ -0,0 +1,181 @@
+package enlister_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/wigeonstand/wigeonstand/internal/enlister"
+	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
+)
+
+func member(i int, cores float64) enlister.Member {
+	return enlister.Member{
+		Instance: fmt.Sprintf("entry-%02d", i), Incarnation: fmt.Sprintf("process-%02d", i),
+		DataCentre: fmt.Sprintf("dc-%d", i%3), Cores: cores,
+	}
+}
+
+func fleet(t *testing.T, rows *fakeplatform.Rows, n int) []*enlister.Enlister {
+	t.Helper()
+	var all []*enlister.Enlister
+	for i := range n {
+		e := enlister.New(member(i, 0.8), rows.For(fmt.Sprint(i)))
+		if err := e.Announce(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, e)
+	}
+	refresh(t, all...)
+	return all
+}
+
+func refresh(t *testing.T, all ...*enlister.Enlister) {
+	t.Helper()
+	for _, e := range all {
+		if _, _, err := e.Refresh(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func names(members []enlister.Member) []string {
+	var out []string
+	for _, m := range members {
+		out = append(out, m.Instance)
+	}
+	return out
+}
+
+func TestDataCentreAgreesOnFewBookkeepers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := fleet(t, fakeplatform.NewRows(1), 12)
+		keepers := map[string]map[string]bool{}
+		for p := range 100 {
+			program := fmt.Sprint("program-", p)
+			for i, e := range all {
+				dc := fmt.Sprintf("dc-%d", i%3)
+				if keepers[dc] == nil {
+					keepers[dc] = map[string]bool{}
+				}
+				keepers[dc][e.Bookkeepers(program)[0].Instance] = true
+			}
+		}
+		for dc, of := range keepers {
+			if len(of) != 1 {
+				t.Errorf("%s has the bookkeepers %v", dc, of)
+			}
+		}
+		if diff := cmp.Diff(3, all[0].BookkeeperCount()); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestLargeInstancesKeepMoreBooks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		large := 0
+		for round := range 60 {
+			rows := fakeplatform.NewRows(1)
+			var self *enlister.Enlister
+			for i := range 20 {
+				m := enlister.Member{Instance: fmt.Sprintf("r%d-%d", round, i), DataCentre: "dc", Cores: 0.2}
+				if i < 4 {
+					m.Cores = 0.8
+				}
+				self = enlister.New(m, rows.For("x"))
+				if err := self.Announce(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			refresh(t, self)
+			if self.Bookkeepers("p")[0].Cores == 0.8 {
+				large++
+			}
+		}
+		// A fifth of the instances has half of the cores.
+		if large < 18 || large > 42 {
+			t.Errorf("a large instance keeps the books in %d of 60 fleets", large)
+		}
+	})
+}
+
+func TestFailedInstanceIsAvoidedAndComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := fleet(t, fakeplatform.NewRows(1), 9)
+		keeper := all[0].Bookkeepers("p")[0].Instance
+		asker := all[0]
+		if keeper == "entry-00" {
+			asker = all[3]
+		}
+		asker.Suspect(keeper)
+		if got := asker.Bookkeepers("p")[0].Instance; got == keeper {
+			t.Error("a suspect keeps the books")
+		}
+		time.Sleep(3 * time.Second)
+		if diff := cmp.Diff(keeper, asker.Bookkeepers("p")[0].Instance); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestSilentMemberCountsAsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := fleet(t, fakeplatform.NewRows(1), 3)
+		for range 20 {
+			time.Sleep(time.Second)
+			for _, e := range all[:2] {
+				if err := e.Announce(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			refresh(t, all[0])
+		}
+		if diff := cmp.Diff(2, all[0].Count()); diff != "" {
+			t.Error(diff)
+		}
+		if _, found := all[0].Find("process-02"); found {
+			t.Error("a silent process is found")
+		}
+		if _, found := all[0].Find("process-01"); !found {
+			t.Error("a living process is not found")
+		}
+	})
+}
+
+// While nobody can write to the store, rows stay as they are and say nothing.
+func TestOutageMakesNobodyGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fakeplatform.NewRows(1)
+		all := fleet(t, rows, 3)
+		rows.SetFaults(fakeplatform.RowFaults{Outage: true})
+		time.Sleep(30 * time.Second)
+		rows.SetFaults(fakeplatform.RowFaults{})
+		refresh(t, all[0])
+		if diff := cmp.Diff(3, all[0].Count()); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestWithdrawnMemberIsGoneAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := fleet(t, fakeplatform.NewRows(1), 3)
+		if err := all[1].Withdraw(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		_, went, err := all[0].Refresh(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff([]string{"entry-01"}, went); diff != "" {
+			t.Error(diff)
+		}
+		if diff := cmp.Diff([]string{"entry-02"}, names(all[0].Relays())); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- /dev/null
+++ b/internal/follower/follower_test.go
@@ -0,0 +1,136 @@
+package follower_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
+	"github.com/wigeonstand/wigeonstand/internal/follower"
+	"github.com/wigeonstand/wigeonstand/internal/registrar"
+	"github.com/wigeonstand/wigeonstand/internal/storer"
+	"github.com/wigeonstand/wigeonstand/internal/tabler"
+)
+
+var (
+	configuration = storer.RowKey{Table: "configuration", Name: "newest"}
+	malformed     = "malformed"
+)
+
+type malformedError struct{}
+
+func (malformedError) Error() string { return malformed }
+
+// source decodes texts of one byte: a version, or a state of an endpoint.
+func source() follower.Source {
+	return follower.Source{
+		Configuration: configuration, Endpoints: "endpoints",
+		DecodeTable: func(text []byte) (*tabler.Table, error) {
+			if string(text) == malformed {
+				return nil, malformedError{}
+			}
+			return tabler.New(int64(text[0]-'0'), tabler.Limits{}, nil, nil), nil
+		},
+		DecodeEndpoint: func(id string, text []byte) (registrar.Endpoint, error) {
+			if string(text) == malformed {
+				return registrar.Endpoint{}, malformedError{}
+			}
+			return registrar.Endpoint{ID: id, Service: "s", Leaving: string(text) == "leaving"}, nil
+		},
+	}
+}
+
+func endpoint(id string) storer.RowKey { return storer.RowKey{Table: "endpoints", Name: id} }
+
+func play(t *testing.T, test func(t *testing.T, rows *fakeplatform.Rows, f *follower.Follower, r *registrar.Registry)) {
+	synctest.Test(t, func(t *testing.T) {
+		rows, registry := fakeplatform.NewRows(1), registrar.New()
+		rows.Put(configuration, []byte("1"))
+		rows.Put(endpoint("a"), []byte("ready"))
+		rows.Put(endpoint("b"), []byte("ready"))
+		f := follower.New(source(), rows.For("x"), registry)
+		poll(t, f)
+		test(t, rows, f, registry)
+	})
+}
+
+func poll(t *testing.T, f *follower.Follower) {
+	t.Helper()
+	if err := f.Poll(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func count(r *registrar.Registry) int { return len(r.Candidates("s")) }
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	play(t, func(t *testing.T, rows *fakeplatform.Rows, f *follower.Follower, _ *registrar.Registry) {
+		for _, step := range []struct {
+			text string
+			want int64
+		}{{"3", 3}, {"2", 3}, {malformed, 3}, {"4", 4}} {
+			rows.Put(configuration, []byte(step.text))
+			poll(t, f)
+			if diff := cmp.Diff(step.want, f.Table().Version); diff != "" {
+				t.Errorf("after %s: %s", step.text, diff)
+			}
+		}
+	})
+}
+
+func TestEndpointsComeLeaveAndGo(t *testing.T) {
+	play(t, func(t *testing.T, rows *fakeplatform.Rows, f *follower.Follower, r *registrar.Registry) {
+		if diff := cmp.Diff(2, count(r)); diff != "" {
+			t.Fatal(diff)
+		}
+		rows.Put(endpoint("a"), []byte("leaving"))
+		rows.Put(endpoint("c"), []byte(malformed))
+		time.Sleep(time.Second)
+		poll(t, f)
+		if diff := cmp.Diff(1, count(r)); diff != "" {
+			t.Error(diff)
+		}
+		rows.Remove(endpoint("b"))
+		time.Sleep(time.Second)
+		poll(t, f)
+		if diff := cmp.Diff(0, count(r)); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+// Registrations lapse while the store is away and are back soon after; one that
+// is not back by then is gone.
+func TestLapsedRegistrationsAreKeptForTwoSeconds(t *testing.T) {
+	play(t, func(t *testing.T, rows *fakeplatform.Rows, f *follower.Follower, r *registrar.Registry) {
+		rows.Remove(endpoint("a"))
+		rows.Remove(endpoint("b"))
+		time.Sleep(5 * time.Second)
+		poll(t, f)
+		if diff := cmp.Diff(2, count(r)); diff != "" {
+			t.Fatal(diff)
+		}
+		rows.Put(endpoint("a"), []byte("ready"))
+		for range 5 {
+			time.Sleep(500 * time.Millisecond)
+			poll(t, f)
+		}
+		if diff := cmp.Diff(1, count(r)); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestOutageKeepsWhatIsKnown(t *testing.T) {
+	play(t, func(t *testing.T, rows *fakeplatform.Rows, f *follower.Follower, r *registrar.Registry) {
+		rows.SetFaults(fakeplatform.RowFaults{Outage: true})
+		if err := f.Poll(t.Context()); err == nil {
+			t.Error("no error")
+		}
+		if f.Table() == nil || count(r) != 2 {
+			t.Error("an outage took away what was known")
+		}
+	})
+}
--- a/internal/reacher/reacher.go
+++ b/internal/reacher/reacher.go
@@ -27,6 +27,8 @@
 	// probeInterval is the time between direct tries while the store is not
 	// reached directly.
 	probeInterval = 250 * time.Millisecond
+	// probeTable is the table that probes read; it may be empty.
+	probeTable = "probe"
 	// failuresToLose is how many direct calls in a row fail before the store
 	// counts as not reached directly.
 	failuresToLose = 2
@@ -75,7 +77,6 @@
 	patience time.Duration
 	failures int
 	way      Way
-	probed   time.Time
 	answered time.Time
 }
 
@@ -142,48 +143,71 @@
 	err = r.reach(ctx, "List", func(ctx context.Context) (err error) {
 		records, more, err = r.direct.List(ctx, list)
 		return err
-	}, func(ctx context.Context, m enlister.Member) error {
+	}, r.relayList(list, &records, &more))
+	return records, more, err
+}
+
+func (r *Reacher) relayList(list storer.Range, records *[]storer.Record, more *bool) func(context.Context, enlister.Member) error {
+	return func(ctx context.Context, m enlister.Member) error {
 		var out relayedList
 		if err := r.caller.Call(ctx, m.Address, methodList, relayList{Range: list}, &out); err != nil {
 			return errors.Join(storer.ErrUnavailable, err)
 		}
-		records, more = out.Records, out.More
+		*records, *more = out.Records, out.More
 		return out.err()
-	})
-	return records, more, err
+	}
 }
 
-// reach makes one call: directly, and through others if that fails without an
-// answer. A transaction may be made twice, which its expectations allow.
+// reach makes one call on the way that is known to work. A transaction may be
+// made twice, directly and through another instance, which its expectations
+// allow. While the store is lost, calls fail at once and Run looks for a way.
 func (r *Reacher) reach(ctx context.Context, operation string,
 	direct func(context.Context) error, relayed func(context.Context, enlister.Member) error,
 ) error {
-	failure := storer.ErrUnavailable
+	way, _ := r.Way()
+	if way == Lost {
+		return storer.ErrUnavailable
+	}
+	var failure error
 	doubt := false
-	if r.mayTryDirect() {
+	if way == Direct {
 		failure = r.tryDirect(ctx, operation, direct)
-		if isAnswer(failure) {
+		if way, _ = r.Way(); isAnswer(failure) || way == Direct || ctx.Err() != nil {
 			return failure
 		}
 		doubt = errors.Is(failure, storer.ErrInDoubt)
 	}
-	if way, _ := r.Way(); way == Direct {
-		return failure
+	err := r.tryRelays(ctx, operation, relayed)
+	if doubt && !isAnswer(err) {
+		return errors.Join(storer.ErrInDoubt, failure)
 	}
-	for _, m := range r.relayMembers() {
-		if ctx.Err() != nil {
-			break
-		}
-		bounded, cancel := context.WithTimeout(ctx, r.wait()+relayMargin)
-		err := relayed(bounded, m)
-		cancel()
-		r.count(operation, Relayed.String(), resultOf(err))
-		if isAnswer(err) {
-			r.turn(Relayed, nil)
-			return err
+	return err
+}
+
+// tryRelays asks other instances in turn.
+func (r *Reacher) tryRelays(ctx context.Context, operation string, relayed func(context.Context, enlister.Member) error) error {
+	r.mu.Lock()
+	relays := r.relays
+	r.mu.Unlock()
+	failure := storer.ErrUnavailable
+	doubt := false
+	if relays != nil {
+		members := relays.Relays()
+		for _, m := range members[:min(len(members), relayTries)] {
+			bounded, cancel := context.WithTimeout(ctx, r.wait()+relayMargin)
+			err := relayed(bounded, m)
+			cancel()
+			r.count(operation, Relayed.String(), resultOf(err))
+			if isAnswer(err) {
+				r.turn(Relayed, nil)
+				return err
+			}
+			if ctx.Err() != nil {
+				return err
+			}
+			doubt = doubt || errors.Is(err, storer.ErrInDoubt)
+			failure = err
 		}
-		doubt = doubt || errors.Is(err, storer.ErrInDoubt)
-		failure = err
 	}
 	r.turn(Lost, failure)
 	if doubt {
@@ -192,31 +216,34 @@
 	return failure
 }
 
-// relayMembers returns the instances to ask. While the store is lost, only
-// every probe asks them.
-func (r *Reacher) relayMembers() []enlister.Member {
-	r.mu.Lock()
-	relays := r.relays
-	lost := r.way == Lost && time.Since(r.probed) > probeInterval/2
-	r.mu.Unlock()
-	if relays == nil || lost {
-		return nil
+// Run looks for a better way to the store until ctx ends.
+func (r *Reacher) Run(ctx context.Context) {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if way, _ := r.Way(); way != Direct {
+			r.probe(ctx)
+		}
 	}
-	members := relays.Relays()
-	return members[:min(len(members), relayTries)]
 }
 
-func (r *Reacher) mayTryDirect() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.way == Direct {
-		return true
-	}
-	if time.Since(r.probed) < probeInterval {
-		return false
+// probe reads a row that need not exist.
+func (r *Reacher) probe(ctx context.Context) {
+	list := storer.Range{Table: probeTable, Limit: 1}
+	err := r.tryDirect(ctx, "Probe", func(ctx context.Context) error {
+		_, _, err := r.direct.List(ctx, list)
+		return err
+	})
+	if way, _ := r.Way(); isAnswer(err) || way != Lost || ctx.Err() != nil {
+		return
 	}
-	r.probed = time.Now()
-	return true
+	// Its failure leaves the way as it is: lost.
+	_ = r.tryRelays(ctx, "Probe", r.relayList(list, new([]storer.Record), new(bool)))
 }
 
 func (r *Reacher) tryDirect(ctx context.Context, operation string, call func(context.Context) error) error {
--- /dev/null
+++ b/internal/reacher/reacher_test.go
@@ -0,0 +1,183 @@
+package reacher_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/wigeonstand/wigeonstand/internal/enlister"
+	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
+	"github.com/wigeonstand/wigeonstand/internal/messenger"
+	"github.com/wigeonstand/wigeonstand/internal/reacher"
+	"github.com/wigeonstand/wigeonstand/internal/storer"
+)
+
+// others is the other instances of a fleet: it carries calls to their handlers.
+type others struct {
+	members  []enlister.Member
+	handlers map[netip.AddrPort]map[string]messenger.Handler
+	silent   bool
+}
+
+func (o *others) Relays() []enlister.Member { return o.members }
+
+func (o *others) Suspect(string) {}
+
+func (o *others) Call(ctx context.Context, address netip.AddrPort, method string, in, out any) error {
+	if o.silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	body, err := cbor.Marshal(in)
+	if err != nil {
+		return err
+	}
+	reply, err := o.handlers[address][method](ctx, body)
+	if err != nil {
+		return err
+	}
+	if body, err = cbor.Marshal(reply); err != nil {
+		return err
+	}
+	return cbor.Unmarshal(body, out)
+}
+
+// fleet returns a running Reacher named self with two others.
+func fleet(t *testing.T, rows *fakeplatform.Rows) (*reacher.Reacher, *others) {
+	t.Helper()
+	o := &others{handlers: map[netip.AddrPort]map[string]messenger.Handler{}}
+	for i := range 2 {
+		name := fmt.Sprintf("other-%d", i)
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)
+		o.members = append(o.members, enlister.Member{Instance: name, Address: address})
+		o.handlers[address] = reacher.New(rows.For(name), o).Handlers()
+	}
+	r := reacher.New(rows.For("self"), o)
+	r.SetRelays(o)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		r.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return r, o
+}
+
+var row = storer.RowKey{Table: "t", Name: "r"}
+
+func insert(ctx context.Context, r storer.Rows) error {
+	_, err := r.Transact(ctx, []storer.Change{{RowKey: row, Value: []byte("v")}})
+	return err
+}
+
+func wayOf(r *reacher.Reacher) reacher.Way {
+	way, _ := r.Way()
+	return way
+}
+
+func TestRelaysWhileTurnedAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fakeplatform.NewRows(1)
+		r, _ := fleet(t, rows)
+		rows.SetFaults(fakeplatform.RowFaults{Refused: map[string]bool{"self": true}})
+		for range 5 {
+			_, _, _ = r.List(t.Context(), storer.Only(row)) // The first calls find out.
+		}
+		if err := insert(t.Context(), r); err != nil {
+			t.Fatal(err)
+		}
+		var conflict *storer.Conflict
+		if err := insert(t.Context(), r); !errors.As(err, &conflict) {
+			t.Errorf("a conflict came back as %v", err)
+		} else if diff := cmp.Diff("v", string(conflict.Current[0].Value)); diff != "" {
+			t.Error(diff)
+		}
+		if diff := cmp.Diff(reacher.Relayed, wayOf(r)); diff != "" {
+			t.Error(diff)
+		}
+		rows.SetFaults(fakeplatform.RowFaults{})
+		time.Sleep(time.Second)
+		if err := insert(t.Context(), r); !errors.Is(err, storer.ErrConflict) {
+			t.Error(err)
+		}
+		if diff := cmp.Diff(reacher.Direct, wayOf(r)); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestLostStoreIsKnownAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fakeplatform.NewRows(1)
+		r, _ := fleet(t, rows)
+		rows.SetFaults(fakeplatform.RowFaults{Silent: true})
+		for range 6 {
+			_, _, _ = r.List(t.Context(), storer.Only(row)) // The first calls find out.
+		}
+		if diff := cmp.Diff(reacher.Lost, wayOf(r)); diff != "" {
+			t.Error(diff)
+		}
+		begun, failed := time.Now(), 0
+		for time.Since(begun) < 10*time.Second {
+			if err := insert(t.Context(), r); err == nil {
+				t.Fatal("a write succeeded")
+			}
+			failed++
+			time.Sleep(10 * time.Millisecond)
+		}
+		// Most calls fail without being sent.
+		if failed < 100 {
+			t.Errorf("%d calls in 10 s", failed)
+		}
+		rows.SetFaults(fakeplatform.RowFaults{})
+		time.Sleep(time.Second)
+		if err := insert(t.Context(), r); err != nil && !errors.Is(err, storer.ErrConflict) {
+			t.Error(err)
+		}
+	})
+}
+
+func TestSlowStoreIsNotLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fakeplatform.NewRows(1)
+		r, _ := fleet(t, rows)
+		rows.SetFaults(fakeplatform.RowFaults{Delay: 400 * time.Millisecond})
+		ok := 0
+		for range 20 {
+			if _, _, err := r.List(t.Context(), storer.Only(row)); err == nil {
+				ok++
+			}
+		}
+		if ok < 15 {
+			t.Errorf("%d of 20 calls were answered by a store that takes 400 ms", ok)
+		}
+	})
+}
+
+// A relayed write whose answer is lost may have landed.
+func TestRelayedWriteMayBeInDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fakeplatform.NewRows(1)
+		r, o := fleet(t, rows)
+		rows.SetFaults(fakeplatform.RowFaults{Refused: map[string]bool{"self": true}})
+		for range 5 {
+			_, _, _ = r.List(t.Context(), storer.Only(row)) // The first calls find out.
+		}
+		o.silent = true
+		time.Sleep(300 * time.Millisecond)
+		if err := insert(t.Context(), r); !errors.Is(err, storer.ErrInDoubt) {
+			t.Errorf("got %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/transcriber/transcriber_test.go
@@ -0,0 +1,111 @@
+package transcriber_test
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
+	"github.com/wigeonstand/wigeonstand/internal/storer"
+	"github.com/wigeonstand/wigeonstand/internal/transcriber"
+)
+
+func record(t *testing.T, rows *fakeplatform.Rows, turn *transcriber.Turn) {
+	t.Helper()
+	changes, err := turn.Changes()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := rows.For("writer").Transact(t.Context(), changes); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range changes {
+		if len(c.Value) > 64<<10 {
+			t.Errorf("a row of %d bytes", len(c.Value))
+		}
+	}
+}
+
+// A chain is put together whole whatever the sizes of its turns, and a row
+// never grows with the length of the chain.
+func TestTranscriptOfAnyLength(t *testing.T) {
+	for _, size := range []int{1, 100, 5_000, 30_000, 200_000} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			rows := fakeplatform.NewRows(1)
+			var previous *transcriber.Turn
+			var want strings.Builder
+			for i := range 30 {
+				input := strings.Repeat(string(rune('a'+i%26)), size)
+				turn := transcriber.Next(previous, fmt.Sprintf("%016x", i), []byte(input), []byte("out\n"))
+				record(t, rows, turn)
+				want.WriteString(input + "out\n")
+				previous = turn
+			}
+			last, text, err := transcriber.New(rows.For("reader")).Transcript(t.Context(), previous.ID)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(previous.ID, last.ID); diff != "" {
+				t.Error(diff)
+			}
+			if want.String() != string(text) {
+				t.Errorf("%d bytes, want %d", len(text), want.Len())
+			}
+		})
+	}
+}
+
+func TestAbsentTurn(t *testing.T) {
+	rows := fakeplatform.NewRows(1)
+	record(t, rows, transcriber.Next(nil, "abc", []byte("in"), nil))
+	reader := transcriber.New(rows.For("reader"))
+	for _, id := range []string{"ab", "abcd", "x"} {
+		if _, _, err := reader.Transcript(t.Context(), id); !errors.Is(err, transcriber.ErrNoTurn) {
+			t.Errorf("%s: got %v", id, err)
+		}
+	}
+}
+
+// While the store is away nobody knows that a turn does not exist.
+func TestOutageIsNotAbsence(t *testing.T) {
+	rows := fakeplatform.NewRows(1)
+	rows.SetFaults(fakeplatform.RowFaults{Outage: true})
+	_, _, err := transcriber.New(rows.For("reader")).Transcript(t.Context(), "x")
+	if errors.Is(err, transcriber.ErrNoTurn) || !errors.Is(err, storer.ErrUnavailable) {
+		t.Errorf("got %v", err)
+	}
+}
+
+// An earlier part that is missing does not make the turn itself absent.
+func TestMissingPartIsNotAbsence(t *testing.T) {
+	rows := fakeplatform.NewRows(1)
+	big := strings.Repeat("x", 30_000)
+	first := transcriber.Next(nil, "first", []byte(big), nil)
+	second := transcriber.Next(first, "second", []byte(big), nil)
+	record(t, rows, second)
+	if _, _, err := transcriber.New(rows.For("reader")).Transcript(t.Context(), "second"); err == nil || errors.Is(err, transcriber.ErrNoTurn) {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestCacheIsBounded(t *testing.T) {
+	rows := fakeplatform.NewRows(1)
+	reader := transcriber.New(rows.For("reader"))
+	for i := range 400 {
+		turn := transcriber.Next(nil, fmt.Sprint(i), []byte(strings.Repeat("x", 50_000)), nil)
+		record(t, rows, turn)
+		reader.Keep(turn)
+	}
+	before := rows.Counts().Lists
+	for i := range 400 {
+		if _, _, err := reader.Transcript(t.Context(), fmt.Sprint(i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if read := rows.Counts().Lists - before; read < 200 {
+		t.Errorf("only %d of 400 turns of 20 MB were read anew", read)
+	}
+}
