internal/bookkeeper, enlister, joiner, reacher: few writers in and after an outage

Change: all instances of a data centre turn to the same next bookkeeper; writers back off when the store fails; reads alone decide whether the store is reached; a planned stop hands books over.

--- a/internal/bookkeeper/book.go
+++ b/internal/bookkeeper/book.go
@@ -63,6 +63,9 @@
 	// it has written the row itself; its grant is then ceiling at most.
 	yielded bool
 	ceiling int64
+	// inherited is what other holders, which have retired, keep of their grants;
+	// the rest of them is this holder's.
+	inherited map[string]int64
 	// isKnown is true once the row, or its absence, is certain.
 	isKnown bool
 }
@@ -73,14 +76,33 @@
 
 // load takes the row as it is in the store.
 func (b *book) load(version int64, r row) {
-	b.version, b.grants, b.others, b.isKnown = version, r.Grants, 0, true
-	for holder, tokens := range r.Grants {
+	b.version, b.others, b.isKnown = version, 0, true
+	b.grants = make(map[string]int64, len(r.Grants)+1)
+	for holder, taken := range r.Grants {
+		if kept, found := b.inherited[holder]; found && kept < taken {
+			b.grants[b.holder] += taken - kept
+			taken = kept
+		}
+		b.grants[holder] += taken
+	}
+	for holder, taken := range b.grants {
 		if holder != b.holder {
-			b.others += tokens
+			b.others += taken
 		}
 	}
 }
 
+// inherit takes over what the retired holder does not keep of its grant.
+func (b *book) inherit(version int64, r row, holder string, keeps int64) {
+	if b.inherited == nil {
+		b.inherited = map[string]int64{}
+	}
+	b.inherited[holder] = keeps
+	if !b.isKnown || version >= b.version {
+		b.load(version, r)
+	}
+}
+
 // grant returns what this holder may hand out.
 func (b *book) grant() int64 {
 	if b.yielded {
@@ -170,7 +192,9 @@
 		r.Grants[holder] = taken
 	}
 	need := b.atMost() + tokens
-	ahead := need + budget*aheadShare/100
+	// A budget of few turns is not taken ahead of need: were the bookkeeper to
+	// die, the rest would not hold a turn.
+	ahead := need + max(budget*aheadShare/100-tokens/2, 0)
 	r.Grants[b.holder] = max(b.grant(), need, min(ahead, budget-b.others))
 	return r
 }
--- a/internal/bookkeeper/bookkeeper.go
+++ b/internal/bookkeeper/bookkeeper.go
@@ -49,6 +49,8 @@
 	Unavailable
 	// InDoubt means that a record may or may not be in the store.
 	InDoubt
+	// Retired means that the bookkeeper has handed its books over.
+	Retired
 )
 
 // Opening asks for a reservation.
@@ -92,6 +94,8 @@
 	// Keeps is what the bookkeeper's turns handed out or may still hand out; it
 	// uses no more of its grant until it has written the row anew.
 	Keeps int64 `cbor:"1,keyasint"`
+	// Refused is true if it cannot tell.
+	Refused bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Closing ends a turn.
@@ -250,7 +254,9 @@
 		version int64
 		keeps   map[string]int64
 	}
-	sweep struct{}
+	retiring struct{ reply chan<- []Handover }
+	adopting struct{ books []Handover }
+	sweep    struct{}
 )
 
 // account is a book with those that wait for it.
@@ -273,6 +279,8 @@
 	accounts map[string]*account
 	self     func(message any)
 	reclaim  Reclaimer
+	// isRetired is true once the books were handed over.
+	isRetired bool
 }
 
 func (s *shelf) receive(c actor.Context) {
@@ -289,12 +297,20 @@
 		s.yield(m)
 	case reclaimed:
 		s.reclaimed(m)
+	case retiring:
+		m.reply <- s.retire()
+	case adopting:
+		s.adopt(m.books)
 	case sweep:
 		s.sweep()
 	}
 }
 
 func (s *shelf) open(m opening) {
+	if s.isRetired {
+		m.reply <- Opened{Status: Retired}
+		return
+	}
 	a := s.accounts[m.Program]
 	if a == nil {
 		a = &account{book: newBook(s.holder)}
@@ -358,7 +374,7 @@
 
 func (s *shelf) written(m written) {
 	a := s.accounts[m.program]
-	if a == nil {
+	if a == nil || s.isRetired {
 		return
 	}
 	a.isWriting = false
@@ -386,9 +402,10 @@
 // yield gives back what the open turns do not need.
 func (s *shelf) yield(m yielding) {
 	a := s.accounts[m.program]
-	if a == nil || a.isWriting {
+	if a == nil || a.isWriting || s.isRetired {
 		// Without a book nothing can be said; a row that is being written may
 		// grow beyond what would be said now.
+		m.reply <- Reclaimed{Refused: true}
 		return
 	}
 	m.reply <- Reclaimed{Keeps: a.book.yield()}
@@ -417,7 +434,7 @@
 		keeps := map[string]int64{}
 		for _, holder := range holders {
 			// A holder that cannot be asked keeps its grant.
-			if out, err := s.reclaim(ctx, holder, program); err == nil {
+			if out, err := s.reclaim(ctx, holder, program); err == nil && !out.Refused {
 				keeps[holder] = out.Keeps
 			}
 		}
@@ -432,6 +449,9 @@
 		return
 	}
 	a.isReclaiming = false
+	if s.isRetired {
+		return
+	}
 	if m.version == a.book.version {
 		a.book.lower(m.keeps)
 	}
--- a/internal/bookkeeper/desk.go
+++ b/internal/bookkeeper/desk.go
@@ -17,6 +17,7 @@
 	methodOpen    = "Open"
 	methodClose   = "Close"
 	methodReclaim = "Reclaim"
+	methodAdopt   = "Adopt"
 )
 
 // reclaimWait bounds the call that asks another bookkeeper for tokens.
@@ -60,6 +61,7 @@
 		}),
 		methodClose:   messenger.Handle(k.Close),
 		methodReclaim: messenger.Handle(k.Reclaim),
+		methodAdopt:   messenger.Handle(k.Adopt),
 	}
 }
 
@@ -78,41 +80,47 @@
 }
 
 // Open reserves the tokens of a turn. It returns the instance that keeps the
-// books, for Close.
+// books, for Close. All instances of a data centre turn to the same next
+// bookkeeper when one fails, so that few instances write to the store.
 func (d *Desk) Open(ctx context.Context, in Opening) (Opened, enlister.Member, error) {
 	deadline := time.Now().Add(in.Wait)
-	for _, m := range d.members.Bookkeepers(in.Program) {
-		if in.Wait = time.Until(deadline); in.Wait <= 0 {
-			break
-		}
-		if m.Instance != d.members.Self().Instance {
-			in.Wait = min(in.Wait, keeperWait)
-		}
+	for {
+		m := d.members.Bookkeepers(in.Program)[0]
 		in.Notes = d.loads.Notes()
+		in.Wait = min(time.Until(deadline), keeperWait)
 		out, err := ask(ctx, d, m, methodOpen, in.Wait, in, d.local.Open)
 		d.loads.Take(out.Notes)
-		if err == nil && out.Status != Unavailable {
+		switch {
+		case ctx.Err() != nil:
+			return Opened{}, m, context.Cause(ctx)
+		case err == nil && out.Status == Retired:
+			d.members.Suspect(m.Instance)
+		case err == nil && out.Status != Unavailable:
 			return out, m, nil
 		}
-		if ctx.Err() != nil {
-			return Opened{}, m, context.Cause(ctx)
+		if !time.Now().Before(deadline) {
+			return Opened{Status: Unavailable}, m, nil
 		}
 	}
-	return Opened{Status: Unavailable}, d.members.Self(), nil
 }
 
 // Close settles a turn with the instance that opened it and records it there,
-// or here if that instance does not answer.
+// or with the next bookkeeper if that instance does not answer.
 func (d *Desk) Close(ctx context.Context, keeper enlister.Member, in Closing) (Closed, error) {
 	deadline := time.Now().Add(in.Wait)
-	out, err := ask(ctx, d, keeper, methodClose, in.Wait, in, d.local.Close)
-	if (err == nil && out.Status == OK) || in.Record == nil {
-		return out, err
-	}
-	if in.Wait = time.Until(deadline); in.Wait <= 0 {
-		return Closed{Status: InDoubt}, nil
+	for {
+		in.Wait = min(time.Until(deadline), keeperWait)
+		out, err := ask(ctx, d, keeper, methodClose, in.Wait, in, d.local.Close)
+		if in.Record == nil || ctx.Err() != nil || (err == nil && out.Status == OK) {
+			return out, err
+		}
+		if !time.Now().Before(deadline) {
+			return Closed{Status: InDoubt}, err
+		}
+		if err != nil {
+			keeper = d.members.Bookkeepers(in.Program)[0]
+		}
 	}
-	return d.local.Close(ctx, in)
 }
 
 // ask calls the member, or the local function if the member is this instance.
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -64,8 +64,9 @@
 	// storeShare is the part of a partition's rate that bookkeepers use; the
 	// rest is for heartbeats and for instances that stand in for a bookkeeper.
 	storeShare = 0.6
-	// withdrawTimeout bounds the removal of the instance's own row.
-	withdrawTimeout = 300 * time.Millisecond
+	// retireTimeout bounds the removal of the instance's own row and the
+	// handover of its books.
+	retireTimeout = 1500 * time.Millisecond
 )
 
 var (
@@ -87,6 +88,8 @@
 		"the instance reports another readiness", "Look at the store's way if it stays not ready.")
 	eventReloaded = logger.Define(5028, "SettingsReread", log.InfoLevel,
 		"the settings were read anew; they apply at the next start", "None.")
+	eventNotHandedOver = logger.Define(5030, "BooksNotHandedOver", log.WarnLevel,
+		"books could not be handed over; what was granted ahead of need is lost to their programs", "Look at the instances that should have taken them.")
 	eventCut = logger.Define(5029, "RequestsCut", log.WarnLevel,
 		"requests in flight were cut because the grace period was over", "Look at what took so long.")
 )
@@ -113,6 +116,7 @@
 	follower  *follower.Follower
 	joiner    *joiner.Joiner
 	books     *bookkeeper.Bookkeeper
+	desk      *bookkeeper.Desk
 	relayer   *relayer.Relayer
 	peers     *messenger.Server
 	isLeaving atomic.Bool
@@ -140,9 +144,10 @@
 	e.follower = follower.New(platform.Source, e.reacher, e.registry, follower.WithLogger(e.log))
 	e.joiner = joiner.New(e.reacher)
 	e.books = bookkeeper.New(self.Incarnation, e.joiner, bookkeeper.NewReclaimer(e.enlister, e.client))
+	e.desk = bookkeeper.NewDesk(e.books, e.enlister, e.client, e.registry)
 	e.relayer = relayer.New(relayer.Config{
 		Tables: e.follower, Endpoints: e.registry, Sender: e.courier, Dialect: platform.Dialect,
-		Books:       bookkeeper.NewDesk(e.books, e.enlister, e.client, e.registry),
+		Books:       e.desk,
 		Transcripts: transcriber.New(e.reacher),
 		DataCentre:  settings.DataCentre, Log: e.log, Count: counts,
 		Policy: relayer.Policy{
@@ -254,6 +259,7 @@
 	begun := time.Now()
 	e.isLeaving.Store(true)
 	e.log.Log(eventStopping)
+	go e.retire()
 	// Idle connections are closed now, and each answer closes its connection.
 	callers.SetKeepAlivesEnabled(false)
 	time.Sleep(min(leaveAfter, e.settings.GracePeriod/leaveShare))
@@ -263,13 +269,20 @@
 		e.log.Log(eventCut, "Cause", err)
 		_ = callers.Close() // What is still open is cut by the end of the process anyway.
 	}
-	ctx, cancel = context.WithTimeout(context.Background(), withdrawTimeout)
+	e.courier.Close()
+	e.client.Close()
+}
+
+// retire leaves the membership and hands the books over.
+func (e *Entry) retire() {
+	ctx, cancel := context.WithTimeout(context.Background(), retireTimeout)
 	defer cancel()
 	if err := e.enlister.Withdraw(ctx); err != nil {
 		e.log.Log(eventNotAnnounced, "Cause", err)
 	}
-	e.courier.Close()
-	e.client.Close()
+	if err := e.desk.HandOver(ctx); err != nil {
+		e.log.Log(eventNotHandedOver, "Cause", err)
+	}
 }
 
 // enlist keeps the membership.
@@ -277,7 +290,7 @@
 	const refreshInterval = time.Second
 	var announced time.Time
 	for {
-		if time.Since(announced) >= enlister.HeartbeatInterval {
+		if time.Since(announced) >= enlister.HeartbeatInterval && !e.isLeaving.Load() {
 			if err := e.enlister.Announce(ctx); err == nil {
 				announced = time.Now()
 			} else if ctx.Err() == nil {
--- a/internal/enlister/enlister.go
+++ b/internal/enlister/enlister.go
@@ -65,7 +65,8 @@
 	self Member
 	rows storer.Rows
 
-	beats atomic.Int64
+	beats     atomic.Int64
+	isRetired atomic.Bool
 
 	mu       sync.Mutex
 	members  map[string]*seen
@@ -90,8 +91,9 @@
 	return err
 }
 
-// Withdraw removes the instance's own row.
+// Withdraw removes the instance's own row; it keeps no more books.
 func (e *Enlister) Withdraw(ctx context.Context) error {
+	e.isRetired.Store(true)
 	_, err := e.rows.Transact(ctx, []storer.Change{{RowKey: e.key(), Expected: storer.AnyVersion, Delete: true}})
 	return err
 }
@@ -154,6 +156,9 @@
 
 // Suspect avoids the instance for a while after a failed call.
 func (e *Enlister) Suspect(instance string) {
+	if instance == e.self.Instance {
+		return
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.suspects[instance] = time.Now().Add(suspectFor)
@@ -178,22 +183,18 @@
 	return members
 }
 
-// Bookkeepers returns the instances that may keep the program's books, the
-// preferred first; this instance is the last resort. All instances of a data
-// centre prefer the same few, so that these join the changes of all.
+// Bookkeepers returns the instances that keep the program's books, the preferred
+// first. All instances of a data centre prefer the same few, so that these join
+// the changes of all. There is one at least: this instance, if it knows no other.
 func (e *Enlister) Bookkeepers(program string) []Member {
-	members := append(e.others(e.self.DataCentre), e.self)
+	members := e.others(e.self.DataCentre)
+	if !e.isRetired.Load() || len(members) == 0 {
+		members = append(members, e.self)
+	}
 	sort.Slice(members, func(i, j int) bool { return rank("", members[i]) > rank("", members[j]) })
 	keepers := members[:keepersOf(len(members))]
 	sort.Slice(keepers, func(i, j int) bool { return rank(program, keepers[i]) > rank(program, keepers[j]) })
-	var preferred []Member
-	for _, m := range keepers {
-		if m.Instance == e.self.Instance {
-			break
-		}
-		preferred = append(preferred, m)
-	}
-	return append(preferred, e.self)
+	return keepers
 }
 
 func keepersOf(members int) int { return (members + booksShare - 1) / booksShare }
--- a/internal/joiner/joiner.go
+++ b/internal/joiner/joiner.go
@@ -22,6 +22,9 @@
 	// DefaultParallel is how many transactions may be under way, so that one
 	// whose answer is lost does not hold up the others.
 	DefaultParallel = 3
+	// slowest is the longest time between two transactions to which failures of
+	// the store stretch the interval; each success takes a quarter off.
+	slowest = 640 * time.Millisecond
 	// pauseLeast and pauseMost bound the wait before a transaction that failed
 	// is sent again; it doubles each time.
 	pauseLeast = 20 * time.Millisecond
@@ -58,7 +61,10 @@
 type Joiner struct {
 	rows     Transactor
 	interval atomic.Int64
-	parallel int
+	// stretched is the interval while the store fails, which keeps many
+	// instances from pressing on a store that is overloaded.
+	stretched atomic.Int64
+	parallel  int
 
 	mu      sync.Mutex
 	waiting []*Job
@@ -139,11 +145,25 @@
 				defer func() { <-j.slots }()
 				j.write(ctx, batch)
 			})
-			pause(ctx, time.Duration(j.interval.Load()))
+			pause(ctx, j.gap())
 		}
 	}
 }
 
+// gap is the time to leave between the starts of two transactions.
+func (j *Joiner) gap() time.Duration {
+	return time.Duration(max(j.interval.Load(), j.stretched.Load()))
+}
+
+// adapt stretches the gap after a failure and relaxes it after a success.
+func (j *Joiner) adapt(ok bool) {
+	if ok {
+		j.stretched.Store(j.stretched.Load() * 3 / 4)
+		return
+	}
+	j.stretched.Store(int64(min(2*j.gap(), slowest)))
+}
+
 func (j *Joiner) abandon() {
 	for batch := j.next(); len(batch) > 0; batch = j.next() {
 		finish(batch, storer.ErrUnavailable)
@@ -202,6 +222,7 @@
 			changes = append(changes, job.Changes...)
 		}
 		version, err := j.rows.Transact(ctx, changes)
+		j.adapt(err == nil || errors.Is(err, storer.ErrConflict) || errors.Is(err, storer.ErrInvalid))
 		var conflict *storer.Conflict
 		switch {
 		case err == nil:
@@ -230,7 +251,7 @@
 				job.inDoubt = true
 			}
 		}
-		pause(ctx, wait)
+		pause(ctx, max(wait, j.gap()))
 		wait = min(2*wait, pauseMost)
 	}
 }
--- a/internal/reacher/reacher.go
+++ b/internal/reacher/reacher.go
@@ -22,6 +22,8 @@
 	// answer takes 4 to 7 ms; a slow store some hundred.
 	patienceLeast = 150 * time.Millisecond
 	patienceMost  = 1200 * time.Millisecond
+	// writePatienceLeast is patienceLeast of writes, which wait for one another.
+	writePatienceLeast = 300 * time.Millisecond
 	// patienceFactor is the wait for an answer over the time of the last one.
 	patienceFactor = 6
 	// probeInterval is the time between direct tries while the store is not
@@ -38,6 +40,9 @@
 	relayMargin = 100 * time.Millisecond
 )
 
+// operationWrite counts writes.
+const operationWrite = "Transact"
+
 // Way is how the store is reached.
 type Way int
 
@@ -72,9 +77,15 @@
 	notify func(from, to Way, cause error)
 	count  func(operation, way, result string)
 
-	mu       sync.Mutex
-	relays   Relays
-	patience time.Duration
+	// doubtful is signalled by a write that failed, for a probe to decide.
+	doubtful chan struct{}
+
+	mu     sync.Mutex
+	relays Relays
+	// reads and writes are the waits for the answer to a call. Writes queue in
+	// their partition when it is pressed, so that the two differ.
+	reads    time.Duration
+	writes   time.Duration
 	failures int
 	way      Way
 	answered time.Time
@@ -98,8 +109,9 @@
 // New returns a Reacher. SetRelays must be called before it relays.
 func New(direct storer.Rows, caller Caller, options ...Option) *Reacher {
 	r := &Reacher{
-		direct: direct, caller: caller, patience: patienceLeast,
-		notify: func(Way, Way, error) {}, count: func(string, string, string) {},
+		direct: direct, caller: caller, reads: patienceLeast, writes: writePatienceLeast,
+		doubtful: make(chan struct{}, 1),
+		notify:   func(Way, Way, error) {}, count: func(string, string, string) {},
 	}
 	for _, option := range options {
 		option(r)
@@ -124,7 +136,7 @@
 // Transact implements storer.Rows.
 func (r *Reacher) Transact(ctx context.Context, changes []storer.Change) (int64, error) {
 	var version int64
-	err := r.reach(ctx, "Transact", func(ctx context.Context) (err error) {
+	err := r.reach(ctx, operationWrite, func(ctx context.Context) (err error) {
 		version, err = r.direct.Transact(ctx, changes)
 		return err
 	}, func(ctx context.Context, m enlister.Member) error {
@@ -194,7 +206,7 @@
 	if relays != nil {
 		members := relays.Relays()
 		for _, m := range members[:min(len(members), relayTries)] {
-			bounded, cancel := context.WithTimeout(ctx, r.wait()+relayMargin)
+			bounded, cancel := context.WithTimeout(ctx, r.wait(operation == operationWrite)+relayMargin)
 			err := relayed(bounded, m)
 			cancel()
 			r.count(operation, Relayed.String(), resultOf(err))
@@ -225,60 +237,95 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			if way, _ := r.Way(); way == Direct {
+				continue
+			}
+		case <-r.doubtful:
 		}
-		if way, _ := r.Way(); way != Direct {
-			r.probe(ctx)
-		}
+		r.probe(ctx)
 	}
 }
 
 // probe reads a row that need not exist.
 func (r *Reacher) probe(ctx context.Context) {
 	list := storer.Range{Table: probeTable, Limit: 1}
-	err := r.tryDirect(ctx, "Probe", func(ctx context.Context) error {
-		_, _, err := r.direct.List(ctx, list)
-		return err
-	})
-	if way, _ := r.Way(); isAnswer(err) || way != Lost || ctx.Err() != nil {
+	for range failuresToLose {
+		err := r.tryDirect(ctx, "Probe", func(ctx context.Context) error {
+			_, _, err := r.direct.List(ctx, list)
+			return err
+		})
+		if isAnswer(err) || ctx.Err() != nil {
+			return
+		}
+		if way, _ := r.Way(); way != Direct {
+			break
+		}
+	}
+	if way, _ := r.Way(); way != Lost {
 		return
 	}
 	// Its failure leaves the way as it is: lost.
 	_ = r.tryRelays(ctx, "Probe", r.relayList(list, new([]storer.Record), new(bool)))
 }
 
+// tryDirect calls the store itself. Only reads decide whether it is reached: a
+// write may fail because its partition is pressed.
 func (r *Reacher) tryDirect(ctx context.Context, operation string, call func(context.Context) error) error {
+	isWrite := operation == operationWrite
 	start := time.Now()
-	bounded, cancel := context.WithTimeout(ctx, r.wait())
+	bounded, cancel := context.WithTimeout(ctx, r.wait(isWrite))
 	defer cancel()
 	err := call(bounded)
 	r.count(operation, Direct.String(), resultOf(err))
 	if ctx.Err() != nil {
 		return err // The caller's own limit says nothing about the store.
 	}
-	r.mu.Lock()
-	if isAnswer(err) {
-		r.failures = 0
-		r.patience = min(max(patienceFactor*time.Since(start), patienceLeast), patienceMost)
-		r.mu.Unlock()
+	ok := isAnswer(err)
+	r.adapt(isWrite, ok, bounded.Err() != nil, time.Since(start))
+	switch {
+	case ok:
 		r.turn(Direct, nil)
-		return err
+	case isWrite:
+		select {
+		case r.doubtful <- struct{}{}:
+		default:
+		}
+	default:
+		r.mu.Lock()
+		r.failures++
+		lost := r.failures >= failuresToLose && r.way == Direct
+		r.mu.Unlock()
+		if lost {
+			r.turn(Lost, err)
+		}
 	}
-	r.failures++
-	if bounded.Err() != nil {
-		r.patience = min(2*r.patience, patienceMost)
+	return err
+}
+
+// adapt sets the wait for the next answer by how the last call went.
+func (r *Reacher) adapt(isWrite, ok, timedOut bool, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	wait, least := &r.reads, patienceLeast
+	if isWrite {
+		wait, least = &r.writes, writePatienceLeast
 	}
-	lost := r.failures >= failuresToLose && r.way == Direct
-	r.mu.Unlock()
-	if lost {
-		r.turn(Lost, err)
+	switch {
+	case ok:
+		r.failures = 0
+		*wait = min(max(patienceFactor*took, least), patienceMost)
+	case timedOut:
+		*wait = min(2**wait, patienceMost)
 	}
-	return err
 }
 
-func (r *Reacher) wait() time.Duration {
+func (r *Reacher) wait(isWrite bool) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.patience
+	if isWrite {
+		return r.writes
+	}
+	return r.reads
 }
 
 // turn takes note of the way of the last call.
