--- a/internal/bookkeeper/bookkeeper_test.go
+++ b/internal/bookkeeper/bookkeeper_test.go
@@ -289,3 +289,5 @@
 		t.Error(err)
 	}
 }
+
+func setOutage(f *fleet, outage bool) { f.rows.SetFaults(fakeplatform.RowFaults{Outage: outage}) }
