--- a/cmd/wigeonctl/root.go
+++ b/cmd/wigeonctl/root.go
@@ -65,7 +65,7 @@
 		Commands: []*cli.Command{
 			newCheckCmd(), newApplyCmd(), newEditCmd(), newShowCmd(), newHistoryCmd(), newDiffCmd(),
 			newRollbackCmd(), newStatusCmd(), newInstancesCmd(), newEndpointsCmd(), newProgramsCmd(),
-			newExplainCmd(), newEndCmd(), newOutcomesCmd(), newDrainCmd(), newHashKeyCmd(), newEventsCmd(),
+			newExplainCmd(), newEndCmd(), newOutcomesCmd(), newDrainCmd(), newHashKeyCmd(), newEventsCmd(), newStoryCmd(),
 		},
 	}
 	for _, command := range root.Commands {
--- a/hack/docscheck/main.go
+++ b/hack/docscheck/main.go
@@ -18,6 +18,7 @@
 
 	"github.com/wigeonstand/wigeonstand/internal/answerer"
 	_ "github.com/wigeonstand/wigeonstand/internal/assembler" // Declares the daemon's log events.
+	"github.com/wigeonstand/wigeonstand/internal/composer"
 	"github.com/wigeonstand/wigeonstand/internal/configurer"
 	_ "github.com/wigeonstand/wigeonstand/internal/fakeengine"   // Declares log events.
 	_ "github.com/wigeonstand/wigeonstand/internal/fakeplatform" // Declares log events.
@@ -43,6 +44,7 @@
 	{"docs/ERRORS.md", kinds},
 	{"docs/METRICS.md", metrics},
 	{"docs/SETTINGS.md", settings},
+	{"docs/ENTRY.md", entrySettings},
 }
 
 func main() {
@@ -80,7 +82,7 @@
 
 func metrics() string {
 	rows := map[string]string{}
-	for _, text := range meter.New().Describe() {
+	for _, text := range append(meter.New().Describe(), composer.Metrics()...) {
 		parts := description.FindStringSubmatch(text)
 		if parts != nil {
 			rows[parts[1]] = fmt.Sprintf("| %s | %s | %s |\n", parts[1], strings.ReplaceAll(parts[3], ",", ", "), parts[2])
@@ -106,6 +108,13 @@
 	return b.String()
 }
 
+func entrySettings() string {
+	var b strings.Builder
+	b.WriteString("| Setting | Type | Default |\n| --- | --- | --- |\n")
+	describe(&b, "", reflect.ValueOf(*configurer.EntryDefaults()))
+	return b.String()
+}
+
 // describe writes a row for each field that an operator may set.
 func describe(b *strings.Builder, prefix string, v reflect.Value) {
 	for i := range v.NumField() {
--- a/internal/bookkeeper/book.go
+++ b/internal/bookkeeper/book.go
@@ -175,13 +175,16 @@
 	b.used += min(used, t.tokens)
 }
 
-// expire settles turns that never ended at their most.
-func (b *book) expire(before time.Time) {
+// expire settles turns that never ended at their most, and returns their number.
+func (b *book) expire(before time.Time) int {
+	expired := 0
 	for id, t := range b.open {
 		if t.since.Before(before) {
 			b.settle(id, t.tokens)
+			expired++
 		}
 	}
+	return expired
 }
 
 // grown returns the row with a grant for the tokens and for aheadShare of the
--- a/internal/bookkeeper/bookkeeper.go
+++ b/internal/bookkeeper/bookkeeper.go
@@ -13,9 +13,11 @@
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
+	"github.com/charmbracelet/log"
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/wigeonstand/wigeonstand/internal/joiner"
+	"github.com/wigeonstand/wigeonstand/internal/logger"
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
 	"github.com/wigeonstand/wigeonstand/internal/storer"
 	"github.com/wigeonstand/wigeonstand/internal/transcriber"
@@ -131,13 +133,33 @@
 	pid    *actor.PID
 }
 
+var (
+	eventReclaimed = logger.Define(5040, "GrantReclaimed", log.InfoLevel,
+		"other bookkeepers were asked for tokens of a program's budget", "None; it happens when a program moves between data centres.")
+	eventAdopted = logger.Define(5041, "BooksAdopted", log.InfoLevel,
+		"books of a bookkeeper that retires were taken over", "None.")
+	eventNotGrown = logger.Define(5042, "GrantNotWritten", log.WarnLevel,
+		"a program's row could not be written; its turns are refused", "Look at the store's way (event 5024).")
+	eventExpired = logger.Define(5043, "TurnsExpired", log.WarnLevel,
+		"turns never ended and count at their most", "Look at the instance that served them.")
+)
+
+// Option sets one property of a Bookkeeper.
+type Option func(*shelf)
+
+// WithLogger sets where events are logged.
+func WithLogger(l *logger.Logger) Option { return func(s *shelf) { s.log = l } }
+
 // New returns a Bookkeeper under a name that no other process ever had.
-func New(holder string, jobs Submitter, reclaim Reclaimer) *Bookkeeper {
+func New(holder string, jobs Submitter, reclaim Reclaimer, options ...Option) *Bookkeeper {
 	quiet := actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
 		return slog.New(slog.NewTextHandler(io.Discard, nil))
 	})
 	k := &Bookkeeper{holder: holder, jobs: jobs, system: actor.NewActorSystem(quiet)}
-	books := &shelf{holder: holder, jobs: jobs, accounts: map[string]*account{}, self: k.tell, reclaim: reclaim}
+	books := &shelf{holder: holder, jobs: jobs, accounts: map[string]*account{}, self: k.tell, reclaim: reclaim, log: logger.Discard()}
+	for _, option := range options {
+		option(books)
+	}
 	k.pid = k.system.Root.Spawn(actor.PropsFromFunc(books.receive))
 	return k
 }
@@ -279,6 +301,7 @@
 	accounts map[string]*account
 	self     func(message any)
 	reclaim  Reclaimer
+	log      *logger.Logger
 	// isRetired is true once the books were handed over.
 	isRetired bool
 }
@@ -393,6 +416,7 @@
 	default:
 		// The row keeps its expected version: a write in doubt either lands
 		// before the next one, which then conflicts, or never.
+		s.log.Log(eventNotGrown, "Program", m.program, "Row", a.book.version, "Waiting", len(a.waiting), "Cause", m.result.Err)
 		s.refuse(a)
 		return
 	}
@@ -449,6 +473,7 @@
 		return
 	}
 	a.isReclaiming = false
+	s.log.Log(eventReclaimed, "Program", m.program, "Row", m.version, "Keeps", m.keeps, "Elsewhere", a.book.others)
 	if s.isRetired {
 		return
 	}
@@ -468,7 +493,9 @@
 func (s *shelf) sweep() {
 	now := time.Now()
 	for program, a := range s.accounts {
-		a.book.expire(now.Add(-turnLife))
+		if n := a.book.expire(now.Add(-turnLife)); n > 0 {
+			s.log.Log(eventExpired, "Program", program, "Turns", n)
+		}
 		if now.Sub(a.touched) > bookLife && len(a.waiting) == 0 && !a.isWriting {
 			delete(s.accounts, program)
 		}
--- a/internal/bookkeeper/handover.go
+++ b/internal/bookkeeper/handover.go
@@ -76,6 +76,9 @@
 	if s.isRetired {
 		return
 	}
+	if len(books) > 0 {
+		s.log.Log(eventAdopted, "From", books[0].Holder, "Books", len(books))
+	}
 	for _, h := range books {
 		a := s.accounts[h.Program]
 		if a == nil {
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -143,7 +143,8 @@
 	platform.Source.EndpointForgone = func(gone registrar.Endpoint) { e.courier.Forget(gone.Address) }
 	e.follower = follower.New(platform.Source, e.reacher, e.registry, follower.WithLogger(e.log))
 	e.joiner = joiner.New(e.reacher)
-	e.books = bookkeeper.New(self.Incarnation, e.joiner, bookkeeper.NewReclaimer(e.enlister, e.client))
+	e.books = bookkeeper.New(self.Incarnation, e.joiner, bookkeeper.NewReclaimer(e.enlister, e.client),
+		bookkeeper.WithLogger(e.log))
 	e.desk = bookkeeper.NewDesk(e.books, e.enlister, e.client, e.registry)
 	e.relayer = relayer.New(relayer.Config{
 		Tables: e.follower, Endpoints: e.registry, Sender: e.courier, Dialect: platform.Dialect,
@@ -172,7 +173,7 @@
 
 func newLogger(settings configurer.Log, out io.Writer) *logger.Logger {
 	levels := map[string]log.Level{"Debug": log.DebugLevel, "Info": log.InfoLevel, "Warn": log.WarnLevel, "Error": log.ErrorLevel}
-	options := []logger.Option{logger.WithLevel(levels[settings.Level])}
+	options := []logger.Option{logger.WithLevel(levels[settings.Level]), logger.WithMilliseconds()}
 	if settings.Format == configurer.LogJSON {
 		options = append(options, logger.WithJSON())
 	}
--- a/internal/composer/counts.go
+++ b/internal/composer/counts.go
@@ -34,6 +34,14 @@
 	return out
 }
 
+// Metrics returns the descriptions of an entry's metrics, in the form of
+// prometheus.Desc.String.
+func Metrics() []string {
+	m := meter.New()
+	newCounts(m, courier.New())
+	return m.Describe()
+}
+
 // Answered implements relayer.Counter.
 func (c *counts) Answered(route *tabler.Route, outcome string, total time.Duration) {
 	name := "None"
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -71,6 +71,12 @@
 	return func(o *log.Options) { o.Level = level }
 }
 
+// WithMilliseconds writes the time to the millisecond, for lines of several
+// instances that are read together.
+func WithMilliseconds() Option {
+	return func(o *log.Options) { o.TimeFormat = "2006-01-02T15:04:05.000Z07:00" }
+}
+
 // New returns a Logger that writes to w.
 func New(w io.Writer, options ...Option) *Logger {
 	settings := log.Options{ReportTimestamp: true, Level: log.InfoLevel}
