--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -135,7 +135,7 @@
 		}))
 	self := enlister.Member{
 		Instance: settings.Instance, Incarnation: ulid.Make().String(),
-		Address: settings.PeerListen, DataCentre: settings.DataCentre,
+		Address: settings.PeerAddress, DataCentre: settings.DataCentre,
 		Cores: settings.CoreShare * float64(settings.Cores),
 	}
 	e.enlister = enlister.New(self, e.reacher)
--- a/internal/composer/fleet_test.go
+++ b/internal/composer/fleet_test.go
@@ -103,6 +103,7 @@
 	settings.Instance, settings.DataCentre = name, "dc-1"
 	settings.CallerListen, settings.ReadyListen = addresses[0], addresses[1]
 	settings.PeerListen, settings.AdminListen = addresses[2], addresses[3]
+	settings.PeerAddress = settings.PeerListen
 	settings.StoreAddress = netip.MustParseAddrPort(store.Listener.Addr().String())
 	settings.GracePeriod = 1500 * time.Millisecond
 	return f.launch(settings)
--- a/internal/configurer/entry.go
+++ b/internal/configurer/entry.go
@@ -22,6 +22,8 @@
 	ReadyListen  netip.AddrPort `validate:"required"`
 	PeerListen   netip.AddrPort `validate:"required"`
 	AdminListen  netip.AddrPort `validate:"required"`
+	// PeerAddress is where other instances reach PeerListen; PeerListen if absent.
+	PeerAddress netip.AddrPort
 	// StoreAddress is that of the platform's store.
 	StoreAddress netip.AddrPort `validate:"required"`
 	// MemoryMB is the memory that the process may use, in megabytes.
@@ -98,6 +100,12 @@
 		}
 		taken[listener.address] = listener.path
 	}
+	if !settings.PeerAddress.IsValid() {
+		settings.PeerAddress = settings.PeerListen
+	}
+	if settings.PeerAddress.IsValid() && settings.PeerAddress.Addr().IsUnspecified() && !errors.Has("PeerAddress") {
+		errors.Add(places.At("PeerAddress"), "PeerAddress", "PeerAddress must be given, as other instances cannot dial %s", settings.PeerAddress)
+	}
 	if err := errors.Err(); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/soaker/soak_caller.go
@@ -0,0 +1,203 @@
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/platform/standin"
+)
+
+var listenConfig net.ListenConfig
+
+const (
+	callerBudget = 900
+	callerMost   = 100
+	turnTries    = 3
+	maxTurns     = 8
+	callDeadline = 3 * time.Second
+	// lastTries is how often a kept turn is asked for after the faults.
+	lastTries = 4
+)
+
+// caller plays programs, one after the other, and keeps its own books.
+type caller struct {
+	*soak
+	index    int
+	random   *rand.Rand
+	client   *http.Client
+	requests int
+	sent     []sentCall
+	kept     []keptTurn
+}
+
+// sentCall is a call with the answer that it got.
+type sentCall struct {
+	call  standin.Call
+	reply standin.Reply
+}
+
+// keptTurn is a turn whose answer came whole, with its transcript.
+type keptTurn struct{ id, program, transcript string }
+
+func newCaller(s *soak, index int) *caller {
+	return &caller{
+		soak: s, index: index, random: rand.New(rand.NewPCG(s.Seed, uint64(1000+index))),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+	}
+}
+
+func (c *caller) run(ctx context.Context) {
+	for program := 0; ctx.Err() == nil; program++ {
+		c.play(ctx, fmt.Sprintf("p-%d-%d", c.index, program))
+	}
+}
+
+// play plays one program: a chain of turns with calls of services between them.
+func (c *caller) play(ctx context.Context, program string) {
+	retained := c.random.IntN(2) == 0
+	previous := keptTurn{}
+	tokens := 0
+	turns := 1 + c.random.IntN(maxTurns)
+	if c.random.IntN(8) == 0 {
+		turns = 1000 // Ends by its budget.
+	}
+	for range turns {
+		if ctx.Err() != nil {
+			break
+		}
+		reply, kept := c.turn(ctx, program, retained, previous, &tokens)
+		if reply.Status != http.StatusOK || !reply.Whole {
+			break
+		}
+		previous = kept
+		for range c.random.IntN(3) {
+			path := []string{standin.PathLookup, standin.PathPost}[c.random.IntN(2)]
+			c.do(ctx, standin.Call{Path: path + "x", Body: program, Program: program})
+		}
+	}
+	c.count(c.report.Checks, "budget")
+	if tokens > callerBudget+callerMost {
+		c.violate("BUDGET: program %s got %d tokens of a budget of %d", program, tokens, callerBudget)
+	}
+}
+
+// turn plays one turn, up to three times.
+func (c *caller) turn(ctx context.Context, program string, retained bool, previous keptTurn, tokens *int) (standin.Reply, keptTurn) {
+	path := standin.PathSession
+	if retained {
+		path = standin.PathRetained
+	}
+	var reply standin.Reply
+	for try := range turnTries {
+		input := fmt.Sprintf("input %d of %s\n", c.requests, program)
+		call := standin.Call{Path: path + "x", Body: input, Program: program, Budget: callerBudget, MaxTokens: callerMost}
+		if retained {
+			call.Previous = previous.id
+		}
+		var id string
+		reply, id = c.do(ctx, call)
+		*tokens += len(reply.Events()) * standin.EventTokens
+		if reply.Status == http.StatusOK && reply.Whole {
+			kept := keptTurn{id: id, program: program, transcript: previous.transcript + input + reply.Outputs()}
+			if retained {
+				c.kept = append(c.kept, kept)
+				c.checkBody(id, previous.transcript+input)
+			}
+			return reply, kept
+		}
+		if reply.Status == http.StatusNotFound && call.Previous != "" {
+			c.violate("LOST: turn %s was answered 404, but %s was answered whole", id, call.Previous)
+		}
+		if reply.Status == http.StatusPaymentRequired || ctx.Err() != nil {
+			break
+		}
+		sleep(ctx, time.Duration(try+1)*100*time.Millisecond)
+	}
+	return reply, keptTurn{}
+}
+
+func (c *caller) checkBody(id, want string) {
+	c.count(c.report.Checks, "transcript")
+	if runs, body := c.runsOf(id); runs > 0 && body != want {
+		c.violate("UNASKED: turn %s ran with %q, not %q", id, body, want)
+	}
+}
+
+// do sends a call to an instance of chance and checks the answer by itself.
+func (c *caller) do(ctx context.Context, call standin.Call) (standin.Reply, string) {
+	in := c.instances[c.random.IntN(len(c.instances))]
+	c.requests++
+	call.ID = fmt.Sprintf("r-%d-%d", c.index, c.requests)
+	call.Method, call.Host, call.Deadline = http.MethodPost, standin.Host, callDeadline
+	// The end of the run does not cut a request short.
+	reply := standin.Do(context.WithoutCancel(ctx), c.client, in.callers(), call)
+	c.sent = append(c.sent, sentCall{call, reply})
+	name := fmt.Sprint(reply.Status)
+	if reply.Status == http.StatusOK && !reply.Whole {
+		name = "200 broken off"
+	}
+	c.count(c.report.Answers, name)
+	c.checkAnswer(call, reply)
+	return reply, call.ID
+}
+
+func (c *caller) checkAnswer(call standin.Call, reply standin.Reply) {
+	if reply.Status != http.StatusOK || !reply.Whole {
+		return
+	}
+	c.count(c.report.Checks, "answer")
+	if reply.Header.Get("Server-Signature") != "signed-"+call.ID {
+		c.violate("MIXED: %s was answered with the signature %q", call.ID, reply.Header.Get("Server-Signature"))
+	}
+	if call.MaxTokens > 0 {
+		if !slices.Equal([]int{1, 2, 3, 4, 5}, reply.Events()) {
+			c.violate("ORDER: %s got the events %v", call.ID, reply.Events())
+		}
+		return
+	}
+	if want := "answer to " + call.ID + "\n"; reply.Body != want {
+		c.violate("MIXED: %s was answered %q", call.ID, reply.Body)
+	}
+}
+
+// check checks what can be said only when everything has ended: how often each
+// request ran, and that each kept turn is found again.
+func (c *caller) check(ctx context.Context) {
+	for _, s := range c.sent {
+		runs, _ := c.runsOf(s.call.ID)
+		idempotent := s.call.Path == standin.PathLookup+"x" || s.call.Path == standin.PathSession+"x"
+		c.count(c.report.Checks, "at most once")
+		if runs > 1 && !idempotent {
+			c.violate("TWICE: %s ran %d times", s.call.ID, runs)
+		}
+		if s.reply.IsNotRun() && runs > 0 && !idempotent {
+			c.violate("REFUSED: %s was answered %d, but ran", s.call.ID, s.reply.Status)
+		}
+	}
+	for _, kept := range c.kept[max(0, len(c.kept)-lastTries):] {
+		c.count(c.report.Checks, "kept turn")
+		if !c.isFound(ctx, kept) {
+			c.violate("LOST: turn %s is not found after the faults", kept.id)
+		}
+	}
+}
+
+func (c *caller) isFound(ctx context.Context, kept keptTurn) bool {
+	for try := range lastTries {
+		reply, id := c.do(ctx, standin.Call{
+			Path: standin.PathRetained + "x", Body: "again\n", Program: fmt.Sprintf("new-%d-%d", c.index, c.requests),
+			Budget: callerBudget, MaxTokens: callerMost, Previous: kept.id,
+		})
+		if reply.Status == http.StatusOK && reply.Whole {
+			c.checkBody(id, kept.transcript+"again\n")
+			return true
+		}
+		sleep(ctx, time.Duration(try+1)*300*time.Millisecond)
+	}
+	return false
+}
--- /dev/null
+++ b/internal/soaker/soak_instance.go
@@ -0,0 +1,133 @@
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// instance is one real process with its links.
+type instance struct {
+	name    string
+	host    string
+	binary  string
+	folder  string
+	store   *link
+	peers   *link
+	command *exec.Cmd
+	ended   chan struct{}
+
+	mu      sync.Mutex
+	frozen  bool
+	stopped bool
+}
+
+func (in *instance) callers() string { return in.host + ":7101" }
+
+// settings writes the settings file.
+func (in *instance) settings() error {
+	text := fmt.Sprintf(`Instance: %s
+DataCentre: dc-1
+CallerListen: %[2]s:7101
+ReadyListen: %[2]s:7102
+PeerListen: %[2]s:7103
+PeerAddress: %[3]s
+AdminListen: %[2]s:7104
+StoreAddress: %[4]s
+GracePeriod: 6s
+`, in.name, in.host, in.peers.address(), in.store.address())
+	return os.WriteFile(in.file("yaml"), []byte(text), 0o600)
+}
+
+func (in *instance) file(kind string) string { return filepath.Join(in.folder, in.name+"."+kind) }
+
+// start starts the process; its log is appended to.
+func (in *instance) start() error {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	log, err := os.OpenFile(in.file("log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()                                 // The process has it.
+	command := exec.Command(in.binary, "entry", "-f", in.file("yaml")) //nolint:noctx // Ended by its ID.
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	in.command, in.ended, in.frozen, in.stopped = command, ended, false, false
+	go func() {
+		_ = command.Wait() // How it ended is in its log.
+		close(ended)
+	}()
+	return nil
+}
+
+// signal sends the signal to the process, if it runs.
+func (in *instance) signal(s syscall.Signal) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.isRunning() {
+		_ = in.command.Process.Signal(s) // It may end at this moment.
+		in.frozen = s == syscall.SIGSTOP || (in.frozen && s != syscall.SIGCONT)
+		in.stopped = in.stopped || s == syscall.SIGTERM
+	}
+}
+
+func (in *instance) isRunning() bool {
+	if in.command == nil {
+		return false
+	}
+	select {
+	case <-in.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// kill ends the process at once and waits for it.
+func (in *instance) kill() {
+	in.signal(syscall.SIGKILL)
+	if in.ended != nil {
+		<-in.ended
+	}
+}
+
+// restart makes sure that a process runs and is not frozen.
+func (in *instance) restart() error {
+	in.mu.Lock()
+	running, stopped, ended := in.isRunning(), in.stopped, in.ended
+	in.mu.Unlock()
+	if running && !stopped {
+		in.signal(syscall.SIGCONT)
+		return nil
+	}
+	if running {
+		in.signal(syscall.SIGCONT)
+		<-ended
+	}
+	return in.start()
+}
+
+func (in *instance) isReady(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+in.host+":7102/", http.NoBody)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close() // The status is all.
+	return response.StatusCode == http.StatusOK
+}
