internal/joiner, reacher, bookkeeper: writes under a slow store

Change: one transaction at a time while the store is slow; a late write is watched by a read that tells a slow store from a lost answer; heartbeats have a partition of their own; a bookkeeper that answers a ping is not given up; pauses end when the way to the store is back.

--- a/internal/bookkeeper/bookkeeper.go
+++ b/internal/bookkeeper/bookkeeper.go
@@ -10,6 +10,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -131,6 +132,12 @@
 	jobs   Submitter
 	system *actor.ActorSystem
 	pid    *actor.PID
+
+	ending   sync.RWMutex
+	hasEnded bool
+
+	mu         sync.Mutex
+	recordings map[string]*recording
 }
 
 var (
@@ -155,7 +162,9 @@
 	quiet := actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
 		return slog.New(slog.NewTextHandler(io.Discard, nil))
 	})
-	k := &Bookkeeper{holder: holder, jobs: jobs, system: actor.NewActorSystem(quiet)}
+	k := &Bookkeeper{
+		holder: holder, jobs: jobs, system: actor.NewActorSystem(quiet), recordings: map[string]*recording{},
+	}
 	books := &shelf{holder: holder, jobs: jobs, accounts: map[string]*account{}, self: k.tell, reclaim: reclaim, log: logger.Discard()}
 	for _, option := range options {
 		option(books)
@@ -171,6 +180,9 @@
 	for {
 		select {
 		case <-ctx.Done():
+			k.ending.Lock()
+			k.hasEnded = true
+			k.ending.Unlock()
 			k.system.Root.Stop(k.pid)
 			k.system.Shutdown()
 			return
@@ -180,15 +192,27 @@
 	}
 }
 
-func (k *Bookkeeper) tell(message any) { k.system.Root.Send(k.pid, message) }
+// tell sends the actor a message, unless it has ended.
+func (k *Bookkeeper) tell(message any) {
+	k.ending.RLock()
+	defer k.ending.RUnlock()
+	if !k.hasEnded {
+		k.system.Root.Send(k.pid, message)
+	}
+}
 
 // Open reserves the tokens of a turn.
 func (k *Bookkeeper) Open(ctx context.Context, in Opening) (Opened, error) {
 	reply := make(chan Opened, 1)
 	k.tell(opening{Opening: in, deadline: time.Now().Add(in.Wait), reply: reply})
+	timer := time.NewTimer(in.Wait)
+	defer timer.Stop()
 	select {
 	case out := <-reply:
 		return out, nil
+	case <-timer.C:
+		// The reservation may still be made; the same turn then finds it.
+		return Opened{Status: Unavailable}, nil
 	case <-ctx.Done():
 		return Opened{}, context.Cause(ctx)
 	}
@@ -213,23 +237,55 @@
 	if in.Record == nil {
 		return Closed{}, nil
 	}
-	changes, err := in.Record.Changes()
+	r, err := k.record(in)
 	if err != nil {
 		return Closed{}, err
 	}
-	reply := make(chan Closed, 1)
-	k.jobs.Submit(&joiner.Job{
-		Changes: changes, Deadline: time.Now().Add(in.Wait),
-		Done: func(r joiner.Result) { reply <- Closed{Status: recorded(changes, r.Err)} },
-	})
+	timer := time.NewTimer(in.Wait)
+	defer timer.Stop()
 	select {
-	case out := <-reply:
-		return out, nil
+	case <-r.done:
+		return Closed{Status: r.status}, nil
+	case <-timer.C:
+		return Closed{Status: InDoubt}, nil
 	case <-ctx.Done():
 		return Closed{}, context.Cause(ctx)
 	}
 }
 
+// recording is a turn that is being recorded.
+type recording struct {
+	done   chan struct{}
+	status Status
+}
+
+// record records the turn; a turn that is being recorded already is not
+// submitted again.
+func (k *Bookkeeper) record(in Closing) (*recording, error) {
+	changes, err := in.Record.Changes()
+	if err != nil {
+		return nil, err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if r := k.recordings[in.Record.ID]; r != nil {
+		return r, nil
+	}
+	r := &recording{done: make(chan struct{})}
+	k.recordings[in.Record.ID] = r
+	k.jobs.Submit(&joiner.Job{
+		Changes: changes, Deadline: time.Now().Add(in.Wait),
+		Done: func(result joiner.Result) {
+			k.mu.Lock()
+			delete(k.recordings, in.Record.ID)
+			k.mu.Unlock()
+			r.status = recorded(changes, result.Err)
+			close(r.done)
+		},
+	})
+	return r, nil
+}
+
 // recorded says whether the turn is in the store. A turn's rows are written
 // once: if they are there already, an earlier try has landed.
 func recorded(changes []storer.Change, err error) Status {
--- a/internal/bookkeeper/desk.go
+++ b/internal/bookkeeper/desk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -18,6 +19,7 @@
 	methodClose   = "Close"
 	methodReclaim = "Reclaim"
 	methodAdopt   = "Adopt"
+	methodPing    = "Ping"
 )
 
 // reclaimWait bounds the call that asks another bookkeeper for tokens.
@@ -25,7 +27,14 @@
 
 // keeperWait is how long another bookkeeper may wait for the store before this
 // instance takes the books over; a slow store answers within it.
-const keeperWait = 800 * time.Millisecond
+const keeperWait = 1500 * time.Millisecond
+
+// pingAfter is how long a bookkeeper may be silent before it is asked whether it
+// lives, and pingWait how long it may take to say so.
+const (
+	pingAfter = 250 * time.Millisecond
+	pingWait  = 200 * time.Millisecond
+)
 
 // replyMargin is what a call between instances takes beside the wait for the
 // store; an instance that does not answer in that time is avoided.
@@ -62,6 +71,7 @@
 		methodClose:   messenger.Handle(k.Close),
 		methodReclaim: messenger.Handle(k.Reclaim),
 		methodAdopt:   messenger.Handle(k.Adopt),
+		methodPing:    messenger.Handle(func(context.Context, Ping) (Ping, error) { return Ping{}, nil }),
 	}
 }
 
@@ -123,24 +133,40 @@
 	}
 }
 
-// ask calls the member, or the local function if the member is this instance.
+// ask calls the member, or the local function if the member is this instance. A
+// member may wait long for the store; one that does not even answer a ping is
+// given up at once.
 func ask[In, Out any](ctx context.Context, d *Desk, m enlister.Member, method string, wait time.Duration,
 	in In, local func(context.Context, In) (Out, error),
 ) (Out, error) {
 	if m.Instance == d.members.Self().Instance {
 		return local(ctx, in)
 	}
-	var out Out
 	bounded, cancel := context.WithTimeout(ctx, wait+replyMargin)
 	defer cancel()
+	var lives atomic.Bool
+	watch := time.AfterFunc(pingAfter, func() {
+		short, stop := context.WithTimeout(bounded, pingWait)
+		defer stop()
+		if err := d.caller.Call(short, m.Address, methodPing, Ping{}, &Ping{}); err != nil {
+			cancel()
+			return
+		}
+		lives.Store(true)
+	})
+	defer watch.Stop()
+	var out Out
 	err := d.caller.Call(bounded, m.Address, method, in, &out)
-	if err != nil && ctx.Err() == nil {
+	if err != nil && ctx.Err() == nil && !lives.Load() {
 		d.members.Suspect(m.Instance)
 		return out, eris.Wrapf(err, "bookkeeper %s", m.Instance)
 	}
 	return out, err
 }
 
+// Ping asks whether an instance lives, and answers that it does.
+type Ping struct{}
+
 // Finder finds the instance of a holder.
 type Finder interface {
 	Find(incarnation string) (enlister.Member, bool)
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -132,6 +132,9 @@
 	e.reacher = reacher.New(platform.Rows, e.client, reacher.WithCount(counts.store),
 		reacher.WithNotify(func(from, to reacher.Way, cause error) {
 			e.log.Log(eventStoreWay, "From", from, "To", to, "Cause", cause)
+			if from == reacher.Lost {
+				e.joiner.Resume()
+			}
 		}))
 	self := enlister.Member{
 		Instance: settings.Instance, Incarnation: ulid.Make().String(),
--- a/internal/enlister/enlister.go
+++ b/internal/enlister/enlister.go
@@ -22,6 +22,9 @@
 // Table is the table of the members' rows.
 const Table = "members"
 
+// partition keeps heartbeats from queueing with the rows of programs.
+const partition = "members"
+
 const (
 	// HeartbeatInterval is the time between two writes of an instance's own
 	// row; at 300 instances that makes 60 writes a second.
@@ -98,12 +101,14 @@
 	return err
 }
 
-func (e *Enlister) key() storer.RowKey { return storer.RowKey{Table: Table, Name: e.self.Instance} }
+func (e *Enlister) key() storer.RowKey {
+	return storer.RowKey{Table: Table, Partition: partition, Name: e.self.Instance}
+}
 
 // Refresh reads the members. It returns the names of those that came and went.
 func (e *Enlister) Refresh(ctx context.Context) (came, went []string, err error) {
 	var records []storer.Record
-	next := storer.Range{Table: Table}
+	next := storer.Range{Table: Table, Partition: partition}
 	for more := true; more; {
 		var page []storer.Record
 		if page, more, err = e.rows.List(ctx, next); err != nil {
--- a/internal/fakeplatform/rows.go
+++ b/internal/fakeplatform/rows.go
@@ -163,7 +163,7 @@
 	r.counts.Lists++
 	var records []storer.Record
 	for key, record := range r.rows {
-		if key.Table == list.Table && key.Name >= list.From && (list.To == "" || key.Name < list.To) {
+		if key.Table == list.Table && key.Partition == list.Partition && key.Name >= list.From && (list.To == "" || key.Name < list.To) {
 			records = append(records, record)
 		}
 	}
--- a/internal/joiner/joiner.go
+++ b/internal/joiner/joiner.go
@@ -21,10 +21,13 @@
 	DefaultInterval = 20 * time.Millisecond
 	// DefaultParallel is how many transactions may be under way, so that one
 	// whose answer is lost does not hold up the others.
-	DefaultParallel = 3
+	DefaultParallel = 2
 	// slowest is the longest time between two transactions to which failures of
 	// the store stretch the interval; each success takes a quarter off.
 	slowest = 640 * time.Millisecond
+	// slowTransaction is the time of a transaction above which the store counts
+	// as slow; the usual one takes 7 ms, and some tens while others wait.
+	slowTransaction = 100 * time.Millisecond
 	// pauseLeast and pauseMost bound the wait before a transaction that failed
 	// is sent again; it doubles each time.
 	pauseLeast = 20 * time.Millisecond
@@ -64,10 +67,14 @@
 	// stretched is the interval while the store fails, which keeps many
 	// instances from pressing on a store that is overloaded.
 	stretched atomic.Int64
-	parallel  int
+	// took is the time of the last transaction.
+	took     atomic.Int64
+	parallel int
 
 	mu      sync.Mutex
 	waiting []*Job
+	// resumed is closed, and replaced, by Resume.
+	resumed chan struct{}
 	wake    chan struct{}
 	slots   chan struct{}
 	work    sync.WaitGroup
@@ -84,7 +91,7 @@
 
 // New returns a Joiner; Run makes it work.
 func New(rows Transactor, options ...Option) *Joiner {
-	j := &Joiner{rows: rows, parallel: DefaultParallel, wake: make(chan struct{}, 1)}
+	j := &Joiner{rows: rows, parallel: DefaultParallel, wake: make(chan struct{}, 1), resumed: make(chan struct{})}
 	j.interval.Store(int64(DefaultInterval))
 	for _, option := range options {
 		option(j)
@@ -132,9 +139,8 @@
 			if len(batch) == 0 {
 				break
 			}
-			select {
-			case j.slots <- struct{}{}:
-			case <-ctx.Done():
+			taken, ok := j.acquire(ctx)
+			if !ok {
 				finish(batch, storer.ErrUnavailable)
 				j.abandon()
 				return
@@ -142,14 +148,42 @@
 			// Jobs that came while the slot was awaited join the batch.
 			batch = append(batch, j.fill(batch)...)
 			j.work.Go(func() {
-				defer func() { <-j.slots }()
+				defer j.release(taken)
 				j.write(ctx, batch)
 			})
-			pause(ctx, j.gap())
+			j.pause(ctx, j.gap())
 		}
 	}
 }
 
+// acquire takes the slots that the next transaction needs: all of them while the
+// store is slow or fails, for transactions beside each other would only queue
+// there, and a larger one later carries more.
+func (j *Joiner) acquire(ctx context.Context) (taken int, ok bool) {
+	for {
+		select {
+		case j.slots <- struct{}{}:
+			taken++
+		case <-ctx.Done():
+			j.release(taken)
+			return 0, false
+		}
+		if taken == j.parallel || !j.isSlow() {
+			return taken, true
+		}
+	}
+}
+
+func (j *Joiner) release(taken int) {
+	for range taken {
+		<-j.slots
+	}
+}
+
+func (j *Joiner) isSlow() bool {
+	return j.stretched.Load() > int64(DefaultInterval) || j.took.Load() > int64(slowTransaction)
+}
+
 // gap is the time to leave between the starts of two transactions.
 func (j *Joiner) gap() time.Duration {
 	return time.Duration(max(j.interval.Load(), j.stretched.Load()))
@@ -205,7 +239,7 @@
 	return entries, bytes
 }
 
-// write sends the batch until each job has ended.
+// write sends the batch until each job has ended or waits again.
 func (j *Joiner) write(ctx context.Context, batch []*Job) {
 	wait := pauseLeast
 	for {
@@ -213,16 +247,7 @@
 		if len(batch) == 0 {
 			return
 		}
-		j.mu.Lock()
-		j.transactions++
-		j.jobs += int64(len(batch))
-		j.mu.Unlock()
-		var changes []storer.Change
-		for _, job := range batch {
-			changes = append(changes, job.Changes...)
-		}
-		version, err := j.rows.Transact(ctx, changes)
-		j.adapt(err == nil || errors.Is(err, storer.ErrConflict) || errors.Is(err, storer.ErrInvalid))
+		version, err := j.transact(ctx, batch)
 		var conflict *storer.Conflict
 		switch {
 		case err == nil:
@@ -251,11 +276,45 @@
 				job.inDoubt = true
 			}
 		}
-		pause(ctx, max(wait, j.gap()))
+		j.pause(ctx, max(wait, j.gap()))
+		if !errors.Is(err, storer.ErrInDoubt) {
+			// Nothing was written: the jobs join those that came meanwhile.
+			j.putBack(batch)
+			return
+		}
 		wait = min(2*wait, pauseMost)
 	}
 }
 
+func (j *Joiner) transact(ctx context.Context, batch []*Job) (int64, error) {
+	j.mu.Lock()
+	j.transactions++
+	j.jobs += int64(len(batch))
+	j.mu.Unlock()
+	var changes []storer.Change
+	for _, job := range batch {
+		changes = append(changes, job.Changes...)
+	}
+	start := time.Now()
+	version, err := j.rows.Transact(ctx, changes)
+	j.took.Store(int64(time.Since(start)))
+	if !errors.Is(err, storer.ErrLost) {
+		j.adapt(err == nil || errors.Is(err, storer.ErrConflict) || errors.Is(err, storer.ErrInvalid))
+	}
+	return version, err
+}
+
+// putBack puts jobs before the waiting ones.
+func (j *Joiner) putBack(batch []*Job) {
+	j.mu.Lock()
+	j.waiting = append(slices.Clone(batch), j.waiting...)
+	j.mu.Unlock()
+	select {
+	case j.wake <- struct{}{}:
+	default:
+	}
+}
+
 // separate ends the jobs whose expectations failed and returns the others.
 func separate(batch []*Job, conflict *storer.Conflict) []*Job {
 	current := make(map[storer.RowKey]storer.Record, len(conflict.Current))
@@ -309,11 +368,24 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
+// Resume ends the pauses after failures: the store is reached again.
+func (j *Joiner) Resume() {
+	j.stretched.Store(0)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	close(j.resumed)
+	j.resumed = make(chan struct{})
+}
+
+func (j *Joiner) pause(ctx context.Context, d time.Duration) {
+	j.mu.Lock()
+	resumed := j.resumed
+	j.mu.Unlock()
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
+	case <-resumed:
 	case <-timer.C:
 	}
 }
--- a/internal/reacher/reacher.go
+++ b/internal/reacher/reacher.go
@@ -21,9 +21,12 @@
 	// patienceLeast and patienceMost bound the wait for one answer. The usual
 	// answer takes 4 to 7 ms; a slow store some hundred.
 	patienceLeast = 150 * time.Millisecond
-	patienceMost  = 1200 * time.Millisecond
+	patienceMost  = 1600 * time.Millisecond
 	// writePatienceLeast is patienceLeast of writes, which wait for one another.
 	writePatienceLeast = 300 * time.Millisecond
+	// writeMost bounds the wait for a write: a partition queues for a second,
+	// and a slow store takes some hundred milliseconds beside.
+	writeMost = 2500 * time.Millisecond
 	// patienceFactor is the wait for an answer over the time of the last one.
 	patienceFactor = 6
 	// probeInterval is the time between direct tries while the store is not
@@ -137,6 +140,8 @@
 func (r *Reacher) Transact(ctx context.Context, changes []storer.Change) (int64, error) {
 	var version int64
 	err := r.reach(ctx, operationWrite, func(ctx context.Context) (err error) {
+		ctx, stop := r.watch(ctx)
+		defer stop()
 		version, err = r.direct.Transact(ctx, changes)
 		return err
 	}, func(ctx context.Context, m enlister.Member) error {
@@ -150,6 +155,34 @@
 	return version, err
 }
 
+// watch returns a context for a write. When the answer is late, a read tells a
+// lost answer from a slow store: if it is answered in time, the context ends, and
+// the write can be sent again; else the write is waited for, as sending it again
+// would only press on the store.
+func (r *Reacher) watch(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		for {
+			timer := time.NewTimer(r.wait(true))
+			select {
+			case <-ctx.Done():
+				timer.Stop()
+				return
+			case <-timer.C:
+			}
+			probe, stop := context.WithTimeout(ctx, patienceLeast)
+			_, _, err := r.direct.List(probe, storer.Range{Table: probeTable, Limit: 1})
+			stop()
+			r.count("Watch", Direct.String(), resultOf(err))
+			if err == nil {
+				cancel()
+				return
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
 // List implements storer.Rows.
 func (r *Reacher) List(ctx context.Context, list storer.Range) (records []storer.Record, more bool, err error) {
 	err = r.reach(ctx, "List", func(ctx context.Context) (err error) {
@@ -178,7 +211,7 @@
 ) error {
 	way, _ := r.Way()
 	if way == Lost {
-		return storer.ErrUnavailable
+		return storer.ErrLost
 	}
 	var failure error
 	doubt := false
@@ -273,7 +306,11 @@
 func (r *Reacher) tryDirect(ctx context.Context, operation string, call func(context.Context) error) error {
 	isWrite := operation == operationWrite
 	start := time.Now()
-	bounded, cancel := context.WithTimeout(ctx, r.wait(isWrite))
+	limit := r.wait(isWrite)
+	if isWrite {
+		limit = writeMost
+	}
+	bounded, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	err := call(bounded)
 	r.count(operation, Direct.String(), resultOf(err))
@@ -281,7 +318,7 @@
 		return err // The caller's own limit says nothing about the store.
 	}
 	ok := isAnswer(err)
-	r.adapt(isWrite, ok, bounded.Err() != nil, time.Since(start))
+	r.adapt(isWrite, ok, errors.Is(err, storer.ErrInDoubt) && time.Since(start) >= limit, time.Since(start))
 	switch {
 	case ok:
 		r.turn(Direct, nil)
@@ -302,20 +339,22 @@
 	return err
 }
 
-// adapt sets the wait for the next answer by how the last call went.
+// adapt sets the waits for the next answers by how the last call went. A store
+// that is slow with one kind of call is slow with the other.
 func (r *Reacher) adapt(isWrite, ok, timedOut bool, took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	wait, least := &r.reads, patienceLeast
-	if isWrite {
-		wait, least = &r.writes, writePatienceLeast
-	}
 	switch {
+	case ok && isWrite:
+		r.failures = 0
+		r.writes = min(max(patienceFactor*took, writePatienceLeast), patienceMost)
 	case ok:
 		r.failures = 0
-		*wait = min(max(patienceFactor*took, least), patienceMost)
+		r.reads = min(max(patienceFactor*took, patienceLeast), patienceMost)
+		r.writes = max(r.writes, r.reads)
 	case timedOut:
-		*wait = min(2**wait, patienceMost)
+		r.reads = min(2*r.reads, patienceMost)
+		r.writes = min(2*r.writes, patienceMost)
 	}
 }
 
--- a/internal/storer/rows.go
+++ b/internal/storer/rows.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 )
 
-// RowKey names one row of a store that keeps rows in tables.
+// RowKey names one row of a store that keeps rows in tables. All rows of one
+// transaction are of one partition, whose transactions run one after another.
 type RowKey struct {
-	Table string
-	Name  string
+	Table     string
+	Partition string
+	Name      string
 }
 
 // Record is one row as of a read. Version is zero for an absent row.
@@ -41,13 +44,14 @@
 // Is makes a Conflict an ErrConflict.
 func (c *Conflict) Is(target error) bool { return target == ErrConflict }
 
-// Range asks for the rows of a table with From <= name < To, in the order of
+// Range asks for the rows of a table's partition with From <= name < To, in the order of
 // the names; an empty bound is none.
 type Range struct {
-	Table string
-	From  string
-	To    string
-	Limit int
+	Table     string
+	Partition string
+	From      string
+	To        string
+	Limit     int
 }
 
 // Entries is what the change counts for towards MaxEntries.
@@ -58,13 +62,17 @@
 	return 2
 }
 
+// ErrLost is an ErrUnavailable of a caller that knows no way to the store; it
+// did not try.
+var ErrLost = fmt.Errorf("no way to the store: %w", ErrUnavailable)
+
 // ErrInvalid means that the store does not take such a transaction, whatever
 // the rows are. Nothing was written.
 var ErrInvalid = errors.New("not a transaction that the store takes")
 
 // Only returns the range that holds just the named row.
 func Only(key RowKey) Range {
-	return Range{Table: key.Table, From: key.Name, To: key.Name + "\x00", Limit: 1}
+	return Range{Table: key.Table, Partition: key.Partition, From: key.Name, To: key.Name + "\x00", Limit: 1}
 }
 
 // The bounds of one transaction.
