--- a/cmd/wigeonsoak/main.go
+++ b/cmd/wigeonsoak/main.go
@@ -45,6 +45,7 @@
 			&cli.IntFlag{Name: "engines", Value: 3},
 			&cli.IntFlag{Name: "services", Value: 3},
 			&cli.IntFlag{Name: "callers", Value: 12},
+			&cli.BoolFlag{Name: "calm", Usage: "inject no faults"},
 		},
 		Action: run,
 	}
@@ -57,7 +58,7 @@
 		report, err := soaker.Run(ctx, soaker.Config{
 			Binary: c.String("binary"), Folder: filepath.Join(c.String("folder"), fmt.Sprint(seed)), Seed: seed,
 			Length: c.Duration("length"), Instances: c.Int("instances"), Engines: c.Int("engines"),
-			Services: c.Int("services"), Callers: c.Int("callers"),
+			Services: c.Int("services"), Callers: c.Int("callers"), Calm: c.Bool("calm"),
 		})
 		if err != nil {
 			return fmt.Errorf("seed %d: %w", seed, err)
--- a/hack/demo.sh
+++ b/hack/demo.sh
@@ -12,3 +12,5 @@
 "$bin/wigeondemo" play
 step="status"
 control 1 status
+step="entries on the users' platform"
+"$bin/wigeonsoak" --binary "$bin/wigeonstand" --folder run/entries --calm --length 3s
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -30,11 +30,15 @@
 		{"idle", admitter.Turn{First: true, Left: 3 * time.Second}, []float64{0, 0}, admitter.Decision{Taken: true}},
 		{"new at the limit", admitter.Turn{First: true, Left: 3 * time.Second}, []float64{8, 8}, admitter.Decision{Taken: true, Mean: 0.5}},
 		{
-			"new above the limit", admitter.Turn{First: true, Left: 3 * time.Second, Chance: 0.5}, []float64{16, 16},
+			"new above the limit",
+			admitter.Turn{First: true, Left: 3 * time.Second, Chance: 0.5},
+			[]float64{16, 16},
 			admitter.Decision{Mean: 1, RetryAfter: 550 * time.Millisecond},
 		},
 		{
-			"no later than the caller accepts", admitter.Turn{First: true, Left: 600 * time.Millisecond, Chance: 0.9}, []float64{16, 16},
+			"no later than the caller accepts",
+			admitter.Turn{First: true, Left: 600 * time.Millisecond, Chance: 0.9},
+			[]float64{16, 16},
 			admitter.Decision{Mean: 1, RetryAfter: 200 * time.Millisecond},
 		},
 		{"under way above the limit", admitter.Turn{Left: 3 * time.Second}, []float64{40, 40}, admitter.Decision{Taken: true, Mean: 2.5}},
--- a/internal/composer/composer_test.go
+++ b/internal/composer/composer_test.go
@@ -228,9 +228,7 @@
 func TestForgedRegistrationsAreLeftOut(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 1, 1, 1)
-	for i, forged := range []string{"{", `{"service":"app"}`, `{"service":7,"address":"127.0.0.1:1","zone":"z","batch_slots":1,"state":"ready"}`,
-		`{"service":"app","address":"127.0.0.1:1","zone":"z","batch_slots":1,"state":"odd"}`,
-		`{"service":"app","address":"nowhere","zone":"z","batch_slots":1,"state":"ready"}`} {
+	for i, forged := range standin.Forged() {
 		f.rows.Put(rowOfEndpoint(fmt.Sprintf("forged-%d", i)), []byte(forged))
 	}
 	<-time.After(700 * time.Millisecond)
--- a/internal/soaker/soak_caller.go
+++ b/internal/soaker/soak_caller.go
@@ -151,8 +151,8 @@
 		return
 	}
 	c.count(c.report.Checks, "answer")
-	if reply.Header.Get("Server-Signature") != "signed-"+call.ID {
-		c.violate("MIXED: %s was answered with the signature %q", call.ID, reply.Header.Get("Server-Signature"))
+	if reply.Signature() != standin.SignatureOf(call.ID) {
+		c.violate("MIXED: %s was answered with the signature %q", call.ID, reply.Signature())
 	}
 	if call.MaxTokens > 0 {
 		if !slices.Equal([]int{1, 2, 3, 4, 5}, reply.Events()) {
--- a/internal/soaker/soak_proxy.go
+++ b/internal/soaker/soak_proxy.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -98,8 +97,8 @@
 			if fault == linkSlow {
 				time.Sleep(slowDelay)
 			}
-			if _, err := to.Write(buffer[:n]); err != nil {
-				err = io.ErrClosedPipe
+			if _, failure := to.Write(buffer[:n]); failure != nil {
+				err = failure
 			}
 		}
 		if err != nil {
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -31,6 +31,8 @@
 	Engines   int
 	Services  int
 	Callers   int
+	// Calm leaves the faults out.
+	Calm bool
 }
 
 // Report is what a run found.
@@ -93,7 +95,9 @@
 		callers[i] = newCaller(s, i)
 		work.Go(func() { callers[i].run(playing) })
 	}
-	s.injectFaults(playing)
+	if !s.Calm {
+		s.injectFaults(playing)
+	}
 	work.Wait()
 	if err := s.heal(); err != nil {
 		return s.report, err
