--- a/internal/logger/bounded.go
+++ b/internal/logger/bounded.go
@@ -1,6 +1,7 @@
 package logger
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -15,6 +16,9 @@
 	boundedBuffer = 256 << 10
 	// boundedRate is the ceiling of what is written in a second.
 	boundedRate = 128 << 10
+	// atomicWrite is the size up to which a write to a pipe is not mixed with the
+	// writes of other processes (PIPE_BUF on Linux).
+	atomicWrite = 4096
 	// boundedFlush joins the lines of this time into one write.
 	boundedFlush = 200 * time.Millisecond
 )
@@ -94,11 +98,31 @@
 	if len(out) == 0 {
 		return 0
 	}
-	// There is nowhere to report a failed write to.
-	_, _ = b.out.Write(out)
+	for rest := out; len(rest) > 0; {
+		piece := wholeLines(rest)
+		// There is nowhere to report a failed write to.
+		_, _ = b.out.Write(piece)
+		rest = rest[len(piece):]
+	}
 	return len(out)
 }
 
+// wholeLines returns as many of the first lines as fit into one atomic write, or
+// the first line alone if it is longer.
+func wholeLines(text []byte) []byte {
+	if len(text) <= atomicWrite {
+		return text
+	}
+	end := bytes.LastIndexByte(text[:atomicWrite], '\n')
+	if end < 0 {
+		end = bytes.IndexByte(text, '\n')
+	}
+	if end < 0 {
+		return text
+	}
+	return text[:end+1]
+}
+
 var eventDropped = Define(5000, "LinesDropped", log.WarnLevel,
 	"log lines were dropped because the ceiling of the log was reached",
 	"None; the counters count every request.")
