internal/storer, joiner, reacher: spread rows over partitions, tell lost answers from slow ones

Change: rows are spread over 64 partitions, transactions go over several where the store permits it; a read 0.1 s after a write without an answer tells a lost answer, which is sent again at once.

--- a/internal/bookkeeper/bookkeeper.go
+++ b/internal/bookkeeper/bookkeeper.go
@@ -449,7 +449,7 @@
 	a.isWriting = true
 	s.jobs.Submit(&joiner.Job{
 		Changes: []storer.Change{{
-			RowKey: storer.RowKey{Table: Table, Name: program}, Expected: a.book.version, Value: value,
+			RowKey: storer.SpreadKey(Table, program), Expected: a.book.version, Value: value,
 		}},
 		Deadline: m.deadline,
 		Done:     func(r joiner.Result) { s.self(written{program: program, row: next, result: r}) },
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -61,9 +61,9 @@
 	idleTimeout = 40 * time.Second
 	// headerBytes is above the limit that operators set for callers.
 	headerBytes = 64 << 10
-	// storeShare is the part of a partition's rate that bookkeepers use; the
-	// rest is for heartbeats and for instances that stand in for a bookkeeper.
-	storeShare = 0.6
+	// storeShare is the part of the store's rate that bookkeepers use; the rest
+	// is for heartbeats and for instances that stand in for a bookkeeper.
+	storeShare = 0.4
 	// retireTimeout bounds the removal of the instance's own row and the
 	// handover of its books.
 	retireTimeout = 1500 * time.Millisecond
@@ -145,7 +145,11 @@
 	e.reacher.SetRelays(e.enlister)
 	platform.Source.EndpointForgone = func(gone registrar.Endpoint) { e.courier.Forget(gone.Address) }
 	e.follower = follower.New(platform.Source, e.reacher, e.registry, follower.WithLogger(e.log))
-	e.joiner = joiner.New(e.reacher)
+	var joining []joiner.Option
+	if settings.OnePartition {
+		joining = append(joining, joiner.WithOnePartition())
+	}
+	e.joiner = joiner.New(e.reacher, joining...)
 	e.books = bookkeeper.New(self.Incarnation, e.joiner, bookkeeper.NewReclaimer(e.enlister, e.client),
 		bookkeeper.WithLogger(e.log))
 	e.desk = bookkeeper.NewDesk(e.books, e.enlister, e.client, e.registry)
--- a/internal/configurer/entry.go
+++ b/internal/configurer/entry.go
@@ -28,9 +28,11 @@
 	StoreAddress netip.AddrPort `validate:"required"`
 	// MemoryMB is the memory that the process may use, in megabytes.
 	MemoryMB int `validate:"min=16"`
-	// StoreWrites is the number of transactions that one partition of the store
-	// takes in a second, from all instances.
+	// StoreWrites is the number of transactions that the store takes in a second
+	// from all instances.
 	StoreWrites float64 `validate:"min=1"`
+	// OnePartition is true for a store whose transactions are of one partition.
+	OnePartition bool
 	// Cores is the number of processor cores, and CoreShare the part of each
 	// that the process may use.
 	Cores     int     `validate:"min=1"`
@@ -62,7 +64,7 @@
 // EntryDefaults returns the settings that a file need not give.
 func EntryDefaults() *Entry {
 	return &Entry{
-		MemoryMB: 128, Cores: 1, CoreShare: 1, StoreWrites: 300, GracePeriod: 8 * time.Second,
+		MemoryMB: 128, Cores: 1, CoreShare: 1, StoreWrites: 800, GracePeriod: 8 * time.Second,
 		Log:       Log{Format: LogJSON, Level: "Info"},
 		Admission: Admission{NewPrograms: 0.62, ReturnLeast: 200 * time.Millisecond, ReturnMost: 900 * time.Millisecond},
 		Placement: Placement{Margin: 1.9},
--- a/internal/joiner/joiner.go
+++ b/internal/joiner/joiner.go
@@ -21,13 +21,10 @@
 	DefaultInterval = 20 * time.Millisecond
 	// DefaultParallel is how many transactions may be under way, so that one
 	// whose answer is lost does not hold up the others.
-	DefaultParallel = 2
+	DefaultParallel = 4
 	// slowest is the longest time between two transactions to which failures of
 	// the store stretch the interval; each success takes a quarter off.
 	slowest = 640 * time.Millisecond
-	// slowTransaction is the time of a transaction above which the store counts
-	// as slow; the usual one takes 7 ms, and some tens while others wait.
-	slowTransaction = 100 * time.Millisecond
 	// pauseLeast and pauseMost bound the wait before a transaction that failed
 	// is sent again; it doubles each time.
 	pauseLeast = 20 * time.Millisecond
@@ -67,9 +64,9 @@
 	// stretched is the interval while the store fails, which keeps many
 	// instances from pressing on a store that is overloaded.
 	stretched atomic.Int64
-	// took is the time of the last transaction.
-	took     atomic.Int64
-	parallel int
+	parallel  int
+	// onePartition is true for a store without transactions over several.
+	onePartition bool
 
 	mu      sync.Mutex
 	waiting []*Job
@@ -86,6 +83,10 @@
 // Option sets one property of a Joiner.
 type Option func(*Joiner)
 
+// WithOnePartition keeps the rows of a transaction in one partition, for stores
+// that take no others.
+func WithOnePartition() Option { return func(j *Joiner) { j.onePartition = true } }
+
 // WithInterval sets the least time between the starts of two transactions.
 func WithInterval(d time.Duration) Option { return func(j *Joiner) { j.interval.Store(int64(d)) } }
 
@@ -157,8 +158,7 @@
 }
 
 // acquire takes the slots that the next transaction needs: all of them while the
-// store is slow or fails, for transactions beside each other would only queue
-// there, and a larger one later carries more.
+// store refuses, for transactions beside each other would only press on it.
 func (j *Joiner) acquire(ctx context.Context) (taken int, ok bool) {
 	for {
 		select {
@@ -168,7 +168,7 @@
 			j.release(taken)
 			return 0, false
 		}
-		if taken == j.parallel || !j.isSlow() {
+		if taken == j.parallel || j.stretched.Load() <= int64(DefaultInterval) {
 			return taken, true
 		}
 	}
@@ -180,10 +180,6 @@
 	}
 }
 
-func (j *Joiner) isSlow() bool {
-	return j.stretched.Load() > int64(DefaultInterval) || j.took.Load() > int64(slowTransaction)
-}
-
 // gap is the time to leave between the starts of two transactions.
 func (j *Joiner) gap() time.Duration {
 	return time.Duration(max(j.interval.Load(), j.stretched.Load()))
@@ -216,10 +212,16 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	n := 0
+	first := ""
+	if len(batch) > 0 {
+		first = batch[0].partition()
+	} else if len(j.waiting) > 0 {
+		first = j.waiting[0].partition()
+	}
 	for _, job := range j.waiting {
 		e, b := job.size()
 		entries, bytes = entries+e, bytes+b
-		fits := entries <= storer.MaxEntries && bytes <= storer.MaxTransactionBytes
+		fits := (!j.onePartition || job.partition() == first) && entries <= storer.MaxEntries && bytes <= storer.MaxTransactionBytes
 		// A job that is too large by itself goes alone, for the store to refuse.
 		if !fits && (n > 0 || len(batch) > 0) {
 			break
@@ -231,6 +233,8 @@
 	return taken
 }
 
+func (job *Job) partition() string { return job.Changes[0].Partition }
+
 func (job *Job) size() (entries, bytes int) {
 	for _, c := range job.Changes {
 		entries += c.Entries()
@@ -275,6 +279,9 @@
 			for _, job := range batch {
 				job.inDoubt = true
 			}
+			if errors.Is(err, storer.ErrAnswerLost) {
+				continue
+			}
 		}
 		j.pause(ctx, max(wait, j.gap()))
 		if !errors.Is(err, storer.ErrInDoubt) {
@@ -295,9 +302,10 @@
 	for _, job := range batch {
 		changes = append(changes, job.Changes...)
 	}
-	start := time.Now()
 	version, err := j.rows.Transact(ctx, changes)
-	j.took.Store(int64(time.Since(start)))
+	if errors.Is(err, storer.ErrAnswerLost) {
+		return version, err // It says nothing about how the store bears the load.
+	}
 	if !errors.Is(err, storer.ErrLost) {
 		j.adapt(err == nil || errors.Is(err, storer.ErrConflict) || errors.Is(err, storer.ErrInvalid))
 	}
--- a/internal/reacher/reacher.go
+++ b/internal/reacher/reacher.go
@@ -22,8 +22,9 @@
 	// answer takes 4 to 7 ms; a slow store some hundred.
 	patienceLeast = 150 * time.Millisecond
 	patienceMost  = 1600 * time.Millisecond
-	// writePatienceLeast is patienceLeast of writes, which wait for one another.
-	writePatienceLeast = 300 * time.Millisecond
+	// writePatienceLeast is how long a write is waited for before a read tells
+	// whether its answer was lost.
+	writePatienceLeast = 100 * time.Millisecond
 	// writeMost bounds the wait for a write: a partition queues for a second,
 	// and a slow store takes some hundred milliseconds beside.
 	writeMost = 2500 * time.Millisecond
@@ -140,9 +141,12 @@
 func (r *Reacher) Transact(ctx context.Context, changes []storer.Change) (int64, error) {
 	var version int64
 	err := r.reach(ctx, operationWrite, func(ctx context.Context) (err error) {
-		ctx, stop := r.watch(ctx)
+		watched, stop := r.watch(ctx)
 		defer stop()
-		version, err = r.direct.Transact(ctx, changes)
+		version, err = r.direct.Transact(watched, changes)
+		if errors.Is(err, storer.ErrInDoubt) && errors.Is(context.Cause(watched), storer.ErrAnswerLost) {
+			return storer.ErrAnswerLost
+		}
 		return err
 	}, func(ctx context.Context, m enlister.Member) error {
 		var out relayedTransaction
@@ -160,10 +164,10 @@
 // the write can be sent again; else the write is waited for, as sending it again
 // would only press on the store.
 func (r *Reacher) watch(ctx context.Context) (context.Context, func()) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
 	go func() {
-		for {
-			timer := time.NewTimer(r.wait(true))
+		for wait := r.wait(true); ; wait *= 2 {
+			timer := time.NewTimer(wait)
 			select {
 			case <-ctx.Done():
 				timer.Stop()
@@ -175,12 +179,12 @@
 			stop()
 			r.count("Watch", Direct.String(), resultOf(err))
 			if err == nil {
-				cancel()
+				cancel(storer.ErrAnswerLost)
 				return
 			}
 		}
 	}()
-	return ctx, cancel
+	return ctx, func() { cancel(nil) }
 }
 
 // List implements storer.Rows.
@@ -351,7 +355,6 @@
 	case ok:
 		r.failures = 0
 		r.reads = min(max(patienceFactor*took, patienceLeast), patienceMost)
-		r.writes = max(r.writes, r.reads)
 	case timedOut:
 		r.reads = min(2*r.reads, patienceMost)
 		r.writes = min(2*r.writes, patienceMost)
--- a/internal/storer/rows.go
+++ b/internal/storer/rows.go
@@ -4,16 +4,27 @@
 	"context"
 	"errors"
 	"fmt"
+
+	"github.com/cespare/xxhash/v2"
 )
 
-// RowKey names one row of a store that keeps rows in tables. All rows of one
-// transaction are of one partition, whose transactions run one after another.
+// RowKey names one row of a store that keeps rows in tables. The transactions of
+// one partition run one after another; one over several partitions takes longer.
 type RowKey struct {
 	Table     string
 	Partition string
 	Name      string
 }
 
+// Partitions is the number of partitions that rows are spread over by name. A
+// store that is slow takes some five transactions a second in each.
+const Partitions = 64
+
+// SpreadKey returns the key of a row in the partition that its name falls to.
+func SpreadKey(table, name string) RowKey {
+	return RowKey{Table: table, Partition: fmt.Sprintf("p%02d", xxhash.Sum64String(name)%Partitions), Name: name}
+}
+
 // Record is one row as of a read. Version is zero for an absent row.
 type Record struct {
 	RowKey
@@ -62,6 +73,10 @@
 	return 2
 }
 
+// ErrAnswerLost is an ErrInDoubt of a write whose answer did not come although
+// the store answers others in time.
+var ErrAnswerLost = fmt.Errorf("answer lost: %w", ErrInDoubt)
+
 // ErrLost is an ErrUnavailable of a caller that knows no way to the store; it
 // did not try.
 var ErrLost = fmt.Errorf("no way to the store: %w", ErrUnavailable)
--- a/internal/transcriber/transcriber.go
+++ b/internal/transcriber/transcriber.go
@@ -78,10 +78,13 @@
 	return append(changes, storer.Change{RowKey: key(t.ID), Value: value}), nil
 }
 
-func key(id string) storer.RowKey { return storer.RowKey{Table: Table, Name: id} }
+func key(id string) storer.RowKey { return storer.SpreadKey(Table, id) }
 
+// partKey is in the partition of the turn's first row.
 func partKey(id string, n int) storer.RowKey {
-	return storer.RowKey{Table: Table, Name: id + "/" + string(rune('A'+n))}
+	k := key(id)
+	k.Name += "/" + string(rune('A'+n))
+	return k
 }
 
 // Reader reads rows.
@@ -138,7 +141,7 @@
 
 func (t *Transcriber) read(ctx context.Context, id string) (*Turn, error) {
 	// The name range holds the row and its further parts.
-	records, _, err := t.rows.List(ctx, storer.Range{Table: Table, From: id, To: id + "0"})
+	records, _, err := t.rows.List(ctx, storer.Range{Table: Table, Partition: key(id).Partition, From: id, To: id + "0"})
 	if err != nil {
 		return nil, err
 	}
