internal/joiner: write in many partitions at once while the store is slow

Change: while the last answer took over 0.1 s, a transaction covers one partition, and 32 may be under way.

--- a/internal/fakeplatform/rows.go
+++ b/internal/fakeplatform/rows.go
@@ -18,6 +18,9 @@
 	Silent bool
 	// Delay is added to every answer.
 	Delay time.Duration
+	// Service is the time for which a transaction occupies each of its
+	// partitions; others wait for their turn.
+	Service time.Duration
 	// LoseAnswers is the share of transactions, 0 to 1, that take effect and are
 	// not answered.
 	LoseAnswers float64
@@ -48,11 +51,13 @@
 	faults  RowFaults
 	counts  RowCounts
 	random  *rand.Rand
+	// busy is until when each partition is occupied.
+	busy map[string]time.Time
 }
 
 // NewRows returns an empty Rows whose faults are drawn from the seed.
 func NewRows(seed uint64) *Rows {
-	return &Rows{rows: map[storer.RowKey]storer.Record{}, random: rand.New(rand.NewPCG(seed, streamSeed))}
+	return &Rows{rows: map[storer.RowKey]storer.Record{}, busy: map[string]time.Time{}, random: rand.New(rand.NewPCG(seed, streamSeed))}
 }
 
 // SetFaults sets the faults.
@@ -98,6 +103,9 @@
 	if err := r.enter(ctx, r.caller); err != nil {
 		return 0, err
 	}
+	if err := r.occupy(ctx, changes); err != nil {
+		return 0, err
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	entries := 0
@@ -124,6 +132,35 @@
 	return r.apply(changes)
 }
 
+// occupy waits until the transaction's partitions have served it.
+func (r *Rows) occupy(ctx context.Context, changes []storer.Change) error {
+	r.mu.Lock()
+	service := r.faults.Service
+	if service == 0 {
+		r.mu.Unlock()
+		return nil
+	}
+	end := time.Now()
+	for _, c := range changes {
+		if r.busy[c.Partition].After(end) {
+			end = r.busy[c.Partition]
+		}
+	}
+	end = end.Add(service)
+	for _, c := range changes {
+		r.busy[c.Partition] = end
+	}
+	r.mu.Unlock()
+	timer := time.NewTimer(time.Until(end))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return storer.ErrInDoubt
+	case <-timer.C:
+		return nil
+	}
+}
+
 func (r *Rows) apply(changes []storer.Change) (int64, error) {
 	var current []storer.Record
 	failed := false
--- a/internal/joiner/joiner.go
+++ b/internal/joiner/joiner.go
@@ -25,6 +25,13 @@
 	// slowest is the longest time between two transactions to which failures of
 	// the store stretch the interval; each success takes a quarter off.
 	slowest = 640 * time.Millisecond
+	// slowTransaction is the time of a transaction above which the store counts
+	// as slow; the usual one takes 7 to 20 ms.
+	slowTransaction = 100 * time.Millisecond
+	// slowParallel and slowInterval are the transactions under way and the time
+	// between their starts while the store is slow, each for one partition.
+	slowParallel = 32
+	slowInterval = 2 * time.Millisecond
 	// pauseLeast and pauseMost bound the wait before a transaction that failed
 	// is sent again; it doubles each time.
 	pauseLeast = 20 * time.Millisecond
@@ -64,7 +71,9 @@
 	// stretched is the interval while the store fails, which keeps many
 	// instances from pressing on a store that is overloaded.
 	stretched atomic.Int64
-	parallel  int
+	// took is the time of the last transaction that was answered.
+	took     atomic.Int64
+	parallel int
 	// onePartition is true for a store without transactions over several.
 	onePartition bool
 
@@ -73,8 +82,10 @@
 	// resumed is closed, and replaced, by Resume.
 	resumed chan struct{}
 	wake    chan struct{}
-	slots   chan struct{}
-	work    sync.WaitGroup
+	// inFlight counts the transactions under way; freed tells that one ended.
+	inFlight int
+	freed    chan struct{}
+	work     sync.WaitGroup
 
 	transactions int64
 	jobs         int64
@@ -92,12 +103,11 @@
 
 // New returns a Joiner; Run makes it work.
 func New(rows Transactor, options ...Option) *Joiner {
-	j := &Joiner{rows: rows, parallel: DefaultParallel, wake: make(chan struct{}, 1), resumed: make(chan struct{})}
+	j := &Joiner{rows: rows, parallel: DefaultParallel, wake: make(chan struct{}, 1), resumed: make(chan struct{}), freed: make(chan struct{}, 1)}
 	j.interval.Store(int64(DefaultInterval))
 	for _, option := range options {
 		option(j)
 	}
-	j.slots = make(chan struct{}, j.parallel)
 	return j
 }
 
@@ -140,8 +150,7 @@
 			if len(batch) == 0 {
 				break
 			}
-			taken, ok := j.acquire(ctx)
-			if !ok {
+			if !j.acquire(ctx) {
 				finish(batch, storer.ErrUnavailable)
 				j.abandon()
 				return
@@ -149,7 +158,7 @@
 			// Jobs that came while the slot was awaited join the batch.
 			batch = append(batch, j.fill(batch)...)
 			j.work.Go(func() {
-				defer j.release(taken)
+				defer j.release()
 				j.write(ctx, batch)
 			})
 			j.pause(ctx, j.gap())
@@ -157,31 +166,53 @@
 	}
 }
 
-// acquire takes the slots that the next transaction needs: all of them while the
-// store refuses, for transactions beside each other would only press on it.
-func (j *Joiner) acquire(ctx context.Context) (taken int, ok bool) {
+// acquire waits until another transaction may be under way.
+func (j *Joiner) acquire(ctx context.Context) bool {
 	for {
+		j.mu.Lock()
+		if j.inFlight < j.limit() {
+			j.inFlight++
+			j.mu.Unlock()
+			return true
+		}
+		j.mu.Unlock()
 		select {
-		case j.slots <- struct{}{}:
-			taken++
+		case <-j.freed:
 		case <-ctx.Done():
-			j.release(taken)
-			return 0, false
-		}
-		if taken == j.parallel || j.stretched.Load() <= int64(DefaultInterval) {
-			return taken, true
+			return false
 		}
 	}
 }
 
-func (j *Joiner) release(taken int) {
-	for range taken {
-		<-j.slots
+func (j *Joiner) release() {
+	j.mu.Lock()
+	j.inFlight--
+	j.mu.Unlock()
+	select {
+	case j.freed <- struct{}{}:
+	default:
 	}
 }
 
+// limit is how many transactions may be under way: one while the store refuses,
+// as more would only press on it, and one for many partitions while it is slow.
+func (j *Joiner) limit() int {
+	switch {
+	case j.stretched.Load() > int64(DefaultInterval):
+		return 1
+	case j.isSlow():
+		return slowParallel
+	}
+	return j.parallel
+}
+
+func (j *Joiner) isSlow() bool { return j.took.Load() > int64(slowTransaction) }
+
 // gap is the time to leave between the starts of two transactions.
 func (j *Joiner) gap() time.Duration {
+	if j.isSlow() && j.stretched.Load() <= int64(DefaultInterval) {
+		return slowInterval
+	}
 	return time.Duration(max(j.interval.Load(), j.stretched.Load()))
 }
 
@@ -202,7 +233,9 @@
 
 func (j *Joiner) next() []*Job { return j.fill(nil) }
 
-// fill takes from the waiting jobs those that fit into one transaction beside the batch.
+// fill takes from the waiting jobs those that fit into one transaction beside the
+// batch. While the store is slow they are of one partition: a transaction over
+// several would hold all of these up.
 func (j *Joiner) fill(batch []*Job) []*Job {
 	entries, bytes := 0, 0
 	for _, job := range batch {
@@ -211,28 +244,37 @@
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	n := 0
-	first := ""
-	if len(batch) > 0 {
-		first = batch[0].partition()
-	} else if len(j.waiting) > 0 {
-		first = j.waiting[0].partition()
-	}
-	for _, job := range j.waiting {
+	one := j.onePartition || j.isSlow()
+	var taken, rest []*Job
+	for i, job := range j.waiting {
+		if first := firstOf(batch, taken); one && first != nil && job.partition() != first.partition() {
+			rest = append(rest, job)
+			continue
+		}
 		e, b := job.size()
 		entries, bytes = entries+e, bytes+b
-		fits := (!j.onePartition || job.partition() == first) && entries <= storer.MaxEntries && bytes <= storer.MaxTransactionBytes
+		isAlone := len(batch)+len(taken) == 0
 		// A job that is too large by itself goes alone, for the store to refuse.
-		if !fits && (n > 0 || len(batch) > 0) {
+		if !isAlone && (entries > storer.MaxEntries || bytes > storer.MaxTransactionBytes) {
+			rest = append(rest, j.waiting[i:]...)
 			break
 		}
-		n++
+		taken = append(taken, job)
 	}
-	taken := slices.Clone(j.waiting[:n])
-	j.waiting = append(j.waiting[:0], j.waiting[n:]...)
+	j.waiting = rest
 	return taken
 }
 
+func firstOf(batch, taken []*Job) *Job {
+	if len(batch) > 0 {
+		return batch[0]
+	}
+	if len(taken) > 0 {
+		return taken[0]
+	}
+	return nil
+}
+
 func (job *Job) partition() string { return job.Changes[0].Partition }
 
 func (job *Job) size() (entries, bytes int) {
@@ -302,10 +344,14 @@
 	for _, job := range batch {
 		changes = append(changes, job.Changes...)
 	}
+	start := time.Now()
 	version, err := j.rows.Transact(ctx, changes)
 	if errors.Is(err, storer.ErrAnswerLost) {
 		return version, err // It says nothing about how the store bears the load.
 	}
+	if err == nil || errors.Is(err, storer.ErrConflict) {
+		j.took.Store(int64(time.Since(start)))
+	}
 	if !errors.Is(err, storer.ErrLost) {
 		j.adapt(err == nil || errors.Is(err, storer.ErrConflict) || errors.Is(err, storer.ErrInvalid))
 	}
--- a/internal/joiner/joiner_test.go
+++ b/internal/joiner/joiner_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -210,6 +212,46 @@
 	})
 }
 
+// Replays three seconds of a slow store, as three bookkeepers met it: each
+// transaction occupies its partitions for 0.2 s. Transactions over many
+// partitions would take turns.
+func TestSlowStoreIsWrittenInManyPartitionsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fakeplatform.NewRows(1)
+		rows.SetFaults(fakeplatform.RowFaults{Service: 200 * time.Millisecond})
+		ctx, cancel := context.WithCancel(t.Context())
+		var runs, work sync.WaitGroup
+		var joiners []*joiner.Joiner
+		for range 3 {
+			j := joiner.New(rows.For("a"))
+			joiners = append(joiners, j)
+			runs.Go(func() { j.Run(ctx) })
+		}
+		var late atomic.Int64
+		for i := range 450 {
+			done, begun := make(chan joiner.Result, 1), time.Now()
+			joiners[i%3].Submit(&joiner.Job{
+				Changes: []storer.Change{{RowKey: storer.SpreadKey("t", fmt.Sprint(i))}}, Done: func(r joiner.Result) { done <- r },
+			})
+			work.Go(func() {
+				if r := <-done; r.Err != nil {
+					t.Error(r.Err)
+				}
+				if time.Since(begun) > time.Second {
+					late.Add(1)
+				}
+			})
+			time.Sleep(7 * time.Millisecond)
+		}
+		work.Wait()
+		cancel()
+		runs.Wait()
+		if got := late.Load(); got > 90 {
+			t.Errorf("%d of 450 rows took more than a second", got)
+		}
+	})
+}
+
 func TestOnePartition(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rows := fakeplatform.NewRows(1)
