internal/closer: a connection is either closed or read from at a planned stop

Change: unused connections are closed by a read that gives no more bytes. The test fails with a plain close.

--- /dev/null
+++ b/internal/closer/closer.go
@@ -0,0 +1,151 @@
+// Package closer owns the closing of an HTTP server's unused connections at a
+// planned stop. The server's own way closes a connection that it takes for
+// unused although the bytes of a request were just read from it; the request is
+// then carried out and its answer lost. Here a connection is either closed or
+// read from, never both.
+package closer
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Closer keeps the connections of one server.
+type Closer struct {
+	mu      sync.Mutex
+	conns   map[*conn]bool
+	closing bool
+}
+
+// New returns a Closer.
+func New() *Closer { return &Closer{conns: map[*conn]bool{}} }
+
+// Listener returns a listener whose connections the Closer keeps.
+func (c *Closer) Listener(l net.Listener) net.Listener { return listener{Listener: l, closer: c} }
+
+// ConnState is for the server's ConnState.
+func (c *Closer) ConnState(nc net.Conn, state http.ConnState) {
+	cn, ok := nc.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		cn.setUnused()
+		c.mu.Lock()
+		closing := c.closing
+		c.mu.Unlock()
+		if closing {
+			cn.closeUnused(false)
+		}
+	case http.StateClosed, http.StateHijacked:
+		c.mu.Lock()
+		delete(c.conns, cn)
+		c.mu.Unlock()
+	case http.StateNew, http.StateActive:
+	}
+}
+
+// Handler adds to each answer, once CloseUnused was called, that the connection
+// closes after it.
+func (c *Closer) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c.mu.Lock()
+		closing := c.closing
+		c.mu.Unlock()
+		if closing {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// CloseUnused closes the connections that wait for a further request, now and
+// from now on, and also those that never had one if fresh is true.
+func (c *Closer) CloseUnused(fresh bool) {
+	c.mu.Lock()
+	c.closing = true
+	conns := make([]*conn, 0, len(c.conns))
+	for cn := range c.conns {
+		conns = append(conns, cn)
+	}
+	c.mu.Unlock()
+	for _, cn := range conns {
+		cn.closeUnused(fresh)
+	}
+}
+
+type listener struct {
+	net.Listener
+	closer *Closer
+}
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	cn := &conn{Conn: nc, use: fresh}
+	l.closer.mu.Lock()
+	l.closer.conns[cn] = true
+	l.closer.mu.Unlock()
+	return cn, nil
+}
+
+// use is what a connection is used for.
+type use int
+
+const (
+	// fresh connections never had a byte of a request.
+	fresh use = iota
+	// unused connections wait for a further request.
+	unused
+	// used connections carry a request.
+	used
+	// closed connections give no more bytes.
+	closed
+)
+
+type conn struct {
+	net.Conn
+
+	mu  sync.Mutex
+	use use
+}
+
+// Read implements net.Conn. Bytes that came too late are not given out.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.use == closed {
+		return 0, io.EOF
+	}
+	if n > 0 {
+		c.use = used
+	}
+	return n, err
+}
+
+func (c *conn) setUnused() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.use == used {
+		c.use = unused
+	}
+}
+
+func (c *conn) closeUnused(andFresh bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.use == unused || (andFresh && c.use == fresh) {
+		c.use = closed
+		// The read that waits ends, and the server closes the connection. A
+		// connection without deadlines is closed by its peer or the process's end.
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+	}
+}
--- /dev/null
+++ b/internal/closer/closer_test.go
@@ -0,0 +1,130 @@
+package closer_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/closer"
+)
+
+// server runs a server and returns its address and a count of carried out requests.
+func server(t *testing.T, c *closer.Closer) (address string, ran *sync.Map) {
+	t.Helper()
+	ran = &sync.Map{}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{
+		Handler: c.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			ran.Store(r.URL.Path, true)
+			_, _ = io.WriteString(w, "ok") // Whether it arrives is what the test is about.
+		})),
+		ConnState: c.ConnState, ReadHeaderTimeout: time.Minute,
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Serve(c.Listener(l)) // Ends by Close.
+	}()
+	t.Cleanup(func() {
+		_ = s.Close() // The test is over.
+		<-done
+	})
+	return l.Addr().String(), ran
+}
+
+// Replays a stop under load, as hunted on Laulukaar (mix, seed 366059745364): a
+// request that was read as its connection was closed for being unused ran, and
+// its answer was lost.
+func TestRequestThatWasReadIsAnswered(t *testing.T) {
+	for round := range 40 {
+		c := closer.New()
+		address, ran := server(t, c)
+		var (
+			work sync.WaitGroup
+			stop atomic.Bool
+		)
+		for i := range 8 {
+			work.Go(func() { send(t, address, fmt.Sprintf("/%d-%d", round, i), ran, &stop) })
+		}
+		time.AfterFunc(time.Duration(round)*200*time.Microsecond+5*time.Millisecond, func() { c.CloseUnused(false) })
+		time.AfterFunc(60*time.Millisecond, func() { stop.Store(true) })
+		work.Wait()
+	}
+}
+
+// send sends requests on kept connections until one closes.
+func send(t *testing.T, address, prefix string, ran *sync.Map, stop *atomic.Bool) {
+	nc, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer func() { _ = nc.Close() }() // The test has what it needs.
+	r := bufio.NewReader(nc)
+	for i := 0; !stop.Load(); i++ {
+		path := fmt.Sprintf("%s-%d", prefix, i)
+		if _, err := fmt.Fprintf(nc, "GET %s HTTP/1.1\r\nHost: x\r\n\r\n", path); err != nil {
+			return
+		}
+		response, err := http.ReadResponse(r, nil)
+		if err != nil {
+			time.Sleep(5 * time.Millisecond) // Its handler may be about to run.
+			if _, found := ran.Load(path); found {
+				t.Errorf("%s ran, but got no answer: %v", path, err)
+			}
+			return
+		}
+		_, _ = io.Copy(io.Discard, response.Body) // "ok".
+		_ = response.Body.Close()
+		if response.Close {
+			return
+		}
+	}
+}
+
+func TestUnusedConnectionsClose(t *testing.T) {
+	c := closer.New()
+	address, _ := server(t, c)
+	dial := func() net.Conn {
+		nc, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return nc
+	}
+	unused, fresh := dial(), dial()
+	if _, err := io.WriteString(unused, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	r := bufio.NewReader(unused)
+	if _, err := http.ReadResponse(r, nil); err != nil { //nolint:bodyclose // The connection is read on.
+		t.Fatal(err)
+	}
+	isClosed := func(nc net.Conn) bool {
+		_ = nc.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+		_, err := io.Copy(io.Discard, nc)
+		return err == nil
+	}
+	time.Sleep(20 * time.Millisecond)
+	c.CloseUnused(false)
+	if !isClosed(unused) {
+		t.Error("the unused connection stays open")
+	}
+	if isClosed(fresh) {
+		t.Error("the fresh connection was closed")
+	}
+	c.CloseUnused(true)
+	if !isClosed(fresh) {
+		t.Error("the fresh connection stays open")
+	}
+}
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -23,6 +23,7 @@
 
 	"github.com/wigeonstand/wigeonstand/internal/admitter"
 	"github.com/wigeonstand/wigeonstand/internal/bookkeeper"
+	"github.com/wigeonstand/wigeonstand/internal/closer"
 	"github.com/wigeonstand/wigeonstand/internal/configurer"
 	"github.com/wigeonstand/wigeonstand/internal/courier"
 	"github.com/wigeonstand/wigeonstand/internal/enlister"
@@ -217,8 +218,9 @@
 	if err != nil {
 		return err
 	}
+	conns := closer.New()
 	callers := &http.Server{
-		Handler: e.relayer, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		Handler: conns.Handler(e.relayer), ConnState: conns.ConnState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
 		ErrorLog: stdlog.New(complaints{e.log}, "", 0),
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: headerTimeout}
@@ -231,7 +233,7 @@
 			}
 		})
 	}
-	serve(func() error { return callers.Serve(listeners[0]) })
+	serve(func() error { return callers.Serve(conns.Listener(listeners[0])) })
 	serve(func() error { return ready.Serve(listeners[1]) })
 	serve(func() error { return e.peers.Serve(work, listeners[2]) })
 	serve(func() error { return admin.Serve(listeners[3]) })
@@ -241,7 +243,7 @@
 	e.log.Log(eventStarted, "DataCentre", e.settings.DataCentre, "Incarnation", e.enlister.Self().Incarnation)
 
 	err = e.await(ctx, failed, reload, reread)
-	e.stop(callers)
+	e.stop(callers, conns)
 	// What these serve ends with the process.
 	_ = ready.Close()
 	_ = admin.Close()
@@ -263,14 +265,15 @@
 }
 
 // stop lets the balancer take the instance out, answers what was read, and ends.
-func (e *Entry) stop(callers *http.Server) {
+func (e *Entry) stop(callers *http.Server, conns *closer.Closer) {
 	begun := time.Now()
 	e.isLeaving.Store(true)
 	e.log.Log(eventStopping)
 	go e.retire()
-	// Idle connections are closed now, and each answer closes its connection.
-	callers.SetKeepAlivesEnabled(false)
+	// Unused connections are closed now, and each answer closes its connection.
+	conns.CloseUnused(false)
 	time.Sleep(min(leaveAfter, e.settings.GracePeriod/leaveShare))
+	conns.CloseUnused(true)
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(e.settings.GracePeriod-e.settings.GracePeriod/endShare))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
