internal/relayer: read a transcript again while the turn can be served

Change: the read is made again while half a second of the caller's time is left, as a reservation is waited for. The new test failed before (503).

--- a/internal/composer/composer_test.go
+++ b/internal/composer/composer_test.go
@@ -198,6 +198,23 @@
 	}
 }
 
+// A read of the transcript that is not answered at once is made again while the
+// turn can still be served.
+func TestTurnOutlivesAMomentWithoutStore(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 2, 0)
+	if first := f.do(f.instances[0], turnCall("first", "p", "", "in\n")); !first.Whole {
+		t.Fatalf("%+v", first)
+	}
+	f.rows.SetFaults(fakeplatform.RowFaults{Outage: true})
+	back := time.AfterFunc(600*time.Millisecond, func() { f.rows.SetFaults(fakeplatform.RowFaults{}) })
+	defer back.Stop()
+	// The other instance has not got the transcript in its memory.
+	if reply := f.do(f.instances[1], turnCall("second", "p", "first", "in\n")); reply.Status != http.StatusOK || !reply.Whole {
+		t.Errorf("%+v", reply)
+	}
+}
+
 func TestConfigurationComesIntoForceAndNeverGoesBack(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 2, 1, 1)
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -24,6 +24,8 @@
 	// leastService is the time that a turn needs at an endpoint at least; what
 	// is left of the caller's time beyond it may be spent on a reservation.
 	leastService = 500 * time.Millisecond
+	// transcriptPause is the time between two reads of a transcript.
+	transcriptPause = 50 * time.Millisecond
 	// recordWait is how long the end of a retained turn is held back for its
 	// record; callers give a silent stream up after two seconds.
 	recordWait = 1900 * time.Millisecond
@@ -75,9 +77,7 @@
 	go func() { opened <- t.open() }()
 	var err error
 	if t.route.Retained && t.call.Previous != "" {
-		var text []byte
-		t.previous, text, err = t.Transcripts.Transcript(t.ctx, t.call.Previous)
-		t.prompt = append(text, t.body...)
+		err = t.readTranscript()
 	}
 	openErr := <-opened
 	switch {
@@ -97,6 +97,28 @@
 	return true
 }
 
+// readTranscript reads what precedes the turn, again while the store does not
+// answer and the turn can still be served.
+func (t *turn) readTranscript() error {
+	for {
+		previous, text, err := t.Transcripts.Transcript(t.ctx, t.call.Previous)
+		if err == nil {
+			t.previous, t.prompt = previous, append(text, t.body...)
+			return nil
+		}
+		if errors.Is(err, transcriber.ErrNoTurn) || t.left() < leastService {
+			return err
+		}
+		timer := time.NewTimer(transcriptPause)
+		select {
+		case <-t.ctx.Done():
+			timer.Stop()
+			return err
+		case <-timer.C:
+		}
+	}
+}
+
 // open reserves the turn's tokens.
 func (t *turn) open() error {
 	if t.call.Budget <= 0 {
