internal/closer, follower: requests after old answers, readiness with the endpoints known

An answer that began before the stop did not announce its close; the connection was closed as soon as the server called it idle, and the request that followed was dropped after it was read. Change: only connections that were unused for 0.1 s are closed, in passes; others serve one more request.

--- a/internal/closer/closer.go
+++ b/internal/closer/closer.go
@@ -33,19 +33,15 @@
 		return
 	}
 	switch state {
+	case http.StateActive:
+		cn.setUse(used)
 	case http.StateIdle:
-		cn.setUnused()
-		c.mu.Lock()
-		closing := c.closing
-		c.mu.Unlock()
-		if closing {
-			cn.closeUnused(false)
-		}
+		cn.setUse(unused)
 	case http.StateClosed, http.StateHijacked:
 		c.mu.Lock()
 		delete(c.conns, cn)
 		c.mu.Unlock()
-	case http.StateNew, http.StateActive:
+	case http.StateNew:
 	}
 }
 
@@ -63,8 +59,15 @@
 	})
 }
 
-// CloseUnused closes the connections that wait for a further request, now and
-// from now on, and also those that never had one if fresh is true.
+// settled is how long a connection must have been unused to be closed. The
+// server may have read the first byte of the next request before it calls the
+// connection idle; it then goes on with that request at once. The peer of an
+// answer that did not announce the close may send its next request as well.
+const settled = 100 * time.Millisecond
+
+// CloseUnused closes the connections that have waited for a further request for
+// some time, and also those that never had one if fresh is true. From now on
+// each answer announces the close of its connection.
 func (c *Closer) CloseUnused(fresh bool) {
 	c.mu.Lock()
 	c.closing = true
@@ -113,8 +116,9 @@
 type conn struct {
 	net.Conn
 
-	mu  sync.Mutex
-	use use
+	mu    sync.Mutex
+	use   use
+	since time.Time
 }
 
 // Read implements net.Conn. Bytes that came too late are not given out.
@@ -131,18 +135,19 @@
 	return n, err
 }
 
-func (c *conn) setUnused() {
+func (c *conn) setUse(u use) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.use == used {
-		c.use = unused
+	if c.use != closed {
+		c.use, c.since = u, time.Now()
 	}
 }
 
 func (c *conn) closeUnused(andFresh bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.use == unused || (andFresh && c.use == fresh) {
+	isSettled := c.use == unused && time.Since(c.since) >= settled
+	if isSettled || (andFresh && c.use == fresh) {
 		c.use = closed
 		// The read that waits ends, and the server closes the connection. A
 		// connection without deadlines is closed by its peer or the process's end.
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -47,6 +47,8 @@
 	// reports that it is not ready: the balancer asks once a second and takes
 	// an instance out after two misses.
 	leaveAfter = 2500 * time.Millisecond
+	// closeInterval is the time between two closings of unused connections.
+	closeInterval = 100 * time.Millisecond
 	// leaveShare is the part of the grace period that leaveAfter takes at most,
 	// and endShare the part that is left for the last steps, both as divisors.
 	leaveShare = 3
@@ -170,7 +172,7 @@
 
 // isReady says whether the balancer may send new connections here.
 func (e *Entry) isReady() bool {
-	ready := !e.isLeaving.Load() && e.follower.Table() != nil && !e.isStoreLost()
+	ready := !e.isLeaving.Load() && e.follower.IsComplete() && !e.isStoreLost()
 	if e.wasReady.Swap(ready) != ready {
 		way, answered := e.reacher.Way()
 		e.log.Log(eventReady, "Ready", ready, "Leaving", e.isLeaving.Load(), "Store", way, "StoreAnswered", time.Since(answered))
@@ -245,9 +247,11 @@
 	e.isLeaving.Store(true)
 	e.log.Log(eventStopping)
 	go e.retire()
-	// Unused connections are closed now, and each answer closes its connection.
-	conns.CloseUnused(false)
-	time.Sleep(min(leaveAfter, e.settings.GracePeriod/leaveShare))
+	// Unused connections are closed, and each answer closes its connection.
+	for leave := begun.Add(min(leaveAfter, e.settings.GracePeriod/leaveShare)); time.Now().Before(leave); {
+		conns.CloseUnused(false)
+		time.Sleep(closeInterval)
+	}
 	conns.CloseUnused(true)
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(e.settings.GracePeriod-e.settings.GracePeriod/endShare))
 	defer cancel()
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -71,6 +71,7 @@
 	interval time.Duration
 
 	table        atomic.Pointer[tabler.Table]
+	isComplete   atomic.Bool
 	tableVersion int64
 	malformed    map[string]int64
 	answered     time.Time
@@ -103,6 +104,9 @@
 // Table returns the routing table in force; nil before the first.
 func (f *Follower) Table() *tabler.Table { return f.table.Load() }
 
+// IsComplete says whether both the configuration and the endpoints were read.
+func (f *Follower) IsComplete() bool { return f.isComplete.Load() && f.Table() != nil }
+
 // Run polls until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for {
@@ -182,6 +186,7 @@
 		}
 	}
 	f.replace(f.withLapsed(endpoints, present))
+	f.isComplete.Store(true)
 	return nil
 }
 
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -1,6 +1,7 @@
 package follower_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -123,6 +124,28 @@
 	})
 }
 
+// An instance that knows the configuration but no endpoint would refuse all.
+func TestIsCompleteOnlyWithTheEndpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fakeplatform.NewRows(1)
+		rows.Put(configuration, []byte("1"))
+		f := follower.New(source(), half{rows.For("x")}, registrar.New())
+		if err := f.Poll(t.Context()); err == nil || f.Table() == nil || f.IsComplete() {
+			t.Errorf("table %v, complete %v, %v", f.Table(), f.IsComplete(), err)
+		}
+	})
+}
+
+// half answers for the configuration only.
+type half struct{ storer.Rows }
+
+func (h half) List(ctx context.Context, r storer.Range) ([]storer.Record, bool, error) {
+	if r.Table != configuration.Table {
+		return nil, false, storer.ErrUnavailable
+	}
+	return h.Rows.List(ctx, r)
+}
+
 func TestOutageKeepsWhatIsKnown(t *testing.T) {
 	play(t, func(t *testing.T, rows *fakeplatform.Rows, f *follower.Follower, r *registrar.Registry) {
 		rows.SetFaults(fakeplatform.RowFaults{Outage: true})
