internal/closer: a request read while its connection is told to close is served

No log line of the request exists, so it never reached the relayer. Ruled out: the relayer's aborts, the idle time limit, the close of the listener. Change: the bytes win; a connection closes only if its read ends without any. The new test failed before (read "", EOF).

--- a/internal/closer/closer.go
+++ b/internal/closer/closer.go
@@ -2,10 +2,11 @@
 // planned stop. The server's own way closes a connection that it takes for
 // unused although the bytes of a request were just read from it; the request is
 // then carried out and its answer lost. Here a connection is either closed or
-// read from, never both.
+// read from, never both: whichever comes first.
 package closer
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -109,8 +110,9 @@
 	unused
 	// used connections carry a request.
 	used
-	// closed connections give no more bytes.
-	closed
+	// closing connections are closed by the server once their read has ended,
+	// unless that read still brings a request.
+	closing
 )
 
 type conn struct {
@@ -121,16 +123,23 @@
 	since time.Time
 }
 
-// Read implements net.Conn. Bytes that came too late are not given out.
+// Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.use == closed {
-		return 0, io.EOF
-	}
+	wasClosing := c.use == closing
 	if n > 0 {
+		// A read that was about to return as the connection was told to close
+		// brings a request, which is served like any other.
 		c.use = used
+		if wasClosing {
+			return n, errors.Join(err, c.SetReadDeadline(time.Time{}))
+		}
+		return n, err
+	}
+	if wasClosing {
+		return 0, io.EOF
 	}
 	return n, err
 }
@@ -138,7 +147,7 @@
 func (c *conn) setUse(u use) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.use != closed {
+	if c.use != closing {
 		c.use, c.since = u, time.Now()
 	}
 }
@@ -148,7 +157,7 @@
 	defer c.mu.Unlock()
 	isSettled := c.use == unused && time.Since(c.since) >= settled
 	if isSettled || (andFresh && c.use == fresh) {
-		c.use = closed
+		c.use = closing
 		// The read that waits ends, and the server closes the connection. A
 		// connection without deadlines is closed by its peer or the process's end.
 		_ = c.SetReadDeadline(time.Unix(1, 0))
--- a/internal/closer/closer_test.go
+++ b/internal/closer/closer_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/wigeonstand/wigeonstand/internal/closer"
@@ -160,3 +161,58 @@
 		t.Error("the fresh connection stays open")
 	}
 }
+
+// slowRead is a connection whose Read has its bytes before a deadline can end
+// it, but returns them only once it is told to.
+type slowRead struct {
+	net.Conn
+	bytes chan string
+}
+
+func (s *slowRead) Read(b []byte) (int, error) { return copy(b, <-s.bytes), nil }
+
+func (*slowRead) SetReadDeadline(time.Time) error { return nil }
+
+type oneConn struct{ net.Conn }
+
+func (o oneConn) Accept() (net.Conn, error) { return o.Conn, nil }
+func (oneConn) Close() error                { return nil }
+func (oneConn) Addr() net.Addr              { return nil }
+
+// Replays rolls of all instances of Laulukaar at 1.4 times its load (seed 4): a
+// busy process had read a request, closed its connection for being unused
+// before the read returned, and dropped the request.
+func TestRequestReadWhileClosingIsGivenOut(t *testing.T) {
+	for name, isFresh := range map[string]bool{"Unused": false, "Fresh": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := closer.New()
+				slow := &slowRead{bytes: make(chan string)}
+				nc, err := c.Listener(oneConn{slow}).Accept()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if !isFresh {
+					c.ConnState(nc, http.StateActive)
+					c.ConnState(nc, http.StateIdle)
+				}
+				type result struct {
+					text string
+					err  error
+				}
+				read := make(chan result)
+				go func() {
+					b := make([]byte, 16)
+					n, err := nc.Read(b)
+					read <- result{string(b[:n]), err}
+				}()
+				time.Sleep(time.Second)
+				c.CloseUnused(isFresh)
+				slow.bytes <- "GET / HTTP/1.1"
+				if got := <-read; got.text != "GET / HTTP/1.1" || got.err != nil {
+					t.Errorf("read %q, %v; want the request", got.text, got.err)
+				}
+			})
+		})
+	}
+}
