internal/relayer: a caller that left gets no answer instead of an empty success

Change: such an exchange ends its connection. The new test failed before for plain requests and turns (status 200, Content-Length 0).

--- a/internal/composer/composer_test.go
+++ b/internal/composer/composer_test.go
@@ -1,7 +1,10 @@
 package composer_test
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -305,3 +308,39 @@
 		})
 	}
 }
+
+// halfClosing is a caller's connection that is closed for writing as soon as
+// the request is written.
+type halfClosing struct{ *net.TCPConn }
+
+func (h halfClosing) Write(b []byte) (int, error) {
+	n, err := h.TCPConn.Write(b)
+	return n, errors.Join(err, h.CloseWrite())
+}
+
+// An answer that nobody waits for must not look like an empty success.
+func TestCallerThatLeavesGetsNoAnswer(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 1, 1)
+	f.engines[0].Pace, f.services[0].Pace = 400*time.Millisecond, 400*time.Millisecond
+	f.client = &http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			nc, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return halfClosing{nc.(*net.TCPConn)}, nil
+		},
+	}}
+	calls := []standin.Call{
+		{ID: "lookup", Path: standin.PathLookup + "x"},
+		{ID: "post", Path: standin.PathPost + "x"},
+		turnCall("turn", "p", "", "in"),
+	}
+	for _, call := range calls {
+		if reply := f.do(f.instances[0], call); reply.Err == nil && reply.Status == http.StatusOK {
+			t.Errorf("%s: %+v", call.ID, reply)
+		}
+	}
+}
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -119,7 +119,7 @@
 func (x *exchange) refuseUnserved(last error) {
 	switch {
 	case x.isCallerGone():
-		x.story.outcome, x.story.cause = "Canceled", last
+		x.abort("Canceled", last)
 	case last == nil || errors.Is(last, courier.ErrNotSent) || errors.Is(last, errNotRun):
 		after := min(retrySoon, x.left()/3)
 		x.refuse(answerer.Wrap(answerer.NoEndpoint, last, "no endpoint took the request").After(after), "NoEndpoint")
@@ -132,7 +132,7 @@
 func (x *exchange) refuseRun(err error) {
 	switch {
 	case x.isCallerGone():
-		x.story.outcome, x.story.cause = "Canceled", err
+		x.abort("Canceled", err)
 	case x.ctx.Err() != nil:
 		x.refuse(answerer.Wrap(answerer.DeadlineRan, err, "no answer in time"), "Deadline")
 	default:
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -171,8 +171,7 @@
 		return false
 	case err != nil:
 		// The caller stopped sending; the connection is of no more use.
-		x.story.outcome, x.story.cause = "Canceled", err
-		panic(http.ErrAbortHandler)
+		x.abort("Canceled", err)
 	}
 	x.body = body
 	return true
@@ -186,7 +185,8 @@
 	return errors.Is(context.Cause(x.ctx), context.Canceled)
 }
 
-// abort ends the connection so that the answer cannot look complete.
+// abort ends the connection so that no answer, and no part of one, looks
+// complete.
 func (x *exchange) abort(outcome string, cause error) {
 	x.story.outcome, x.story.cause = outcome, cause
 	panic(http.ErrAbortHandler)
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -82,8 +82,7 @@
 	openErr := <-opened
 	switch {
 	case t.isCallerGone():
-		t.story.outcome = "Canceled"
-		return false
+		t.abort("Canceled", err)
 	case errors.Is(err, transcriber.ErrNoTurn):
 		t.refuse(answerer.New(answerer.NotFound, "there is no turn %s", t.call.Previous), "NoTurn")
 		return false
