internal/tracker: follow the store's tables by their changes

Change: the tables are read once and then only what changed, with a full read now and then; unchanged registrations are not decoded again. Ruled out: one reader a data centre that tells the others, as the changes alone suffice.

--- a/internal/bookkeeper/bookkeeper_test.go
+++ b/internal/bookkeeper/bookkeeper_test.go
@@ -285,7 +285,7 @@
 	if out > budget {
 		t.Errorf("%d tokens of %d were handed out", out, budget)
 	}
-	if _, _, err := f.rows.For("x").List(t.Context(), storer.Range{Table: bookkeeper.Table}); err != nil && !errors.Is(err, storer.ErrUnavailable) {
+	if _, err := f.rows.For("x").List(t.Context(), storer.Range{Table: bookkeeper.Table}); err != nil && !errors.Is(err, storer.ErrUnavailable) {
 		t.Error(err)
 	}
 }
--- a/internal/enlister/enlister.go
+++ b/internal/enlister/enlister.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wigeonstand/wigeonstand/internal/storer"
+	"github.com/wigeonstand/wigeonstand/internal/tracker"
 )
 
 // Table is the table of the members' rows.
@@ -65,8 +66,9 @@
 
 // Enlister knows the members. It is safe for concurrent use.
 type Enlister struct {
-	self Member
-	rows storer.Rows
+	self    Member
+	rows    storer.Rows
+	tracker *tracker.Tracker
 
 	beats     atomic.Int64
 	isRetired atomic.Bool
@@ -79,7 +81,10 @@
 
 // New returns an Enlister of the instance itself.
 func New(self Member, rows storer.Rows) *Enlister {
-	return &Enlister{self: self, rows: rows, members: map[string]*seen{}, suspects: map[string]time.Time{}}
+	return &Enlister{
+		self: self, rows: rows, tracker: tracker.New(rows, Table, partition),
+		members: map[string]*seen{}, suspects: map[string]time.Time{},
+	}
 }
 
 // Announce writes the instance's own row.
@@ -106,20 +111,12 @@
 }
 
 // Refresh reads the members. It returns the names of those that came and went.
+// It is for one goroutine.
 func (e *Enlister) Refresh(ctx context.Context) (came, went []string, err error) {
-	var records []storer.Record
-	next := storer.Range{Table: Table, Partition: partition}
-	for more := true; more; {
-		var page []storer.Record
-		if page, more, err = e.rows.List(ctx, next); err != nil {
-			return nil, nil, err
-		}
-		records = append(records, page...)
-		if more {
-			next.From = page[len(page)-1].Name + "\x00"
-		}
+	if _, err := e.tracker.Refresh(ctx); err != nil {
+		return nil, nil, err
 	}
-	came, went = e.take(records)
+	came, went = e.take(e.tracker.Records())
 	return came, went, nil
 }
 
--- a/internal/fakeplatform/rows.go
+++ b/internal/fakeplatform/rows.go
@@ -37,6 +37,7 @@
 	Changes      int
 	Conflicts    int
 	Lists        int
+	Feeds        int
 	Lost         int
 	Refused      int
 }
@@ -51,6 +52,9 @@
 	faults  RowFaults
 	counts  RowCounts
 	random  *rand.Rand
+	// history has every write and deletion after the version forgotten.
+	history   []storer.Record
+	forgotten int64
 	// busy is until when each partition is occupied.
 	busy map[string]time.Time
 }
@@ -79,7 +83,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.version++
-	r.rows[key] = storer.Record{RowKey: key, Value: value, Version: r.version}
+	r.set(storer.Record{RowKey: key, Value: value, Version: r.version})
 }
 
 // Remove removes a row.
@@ -87,7 +91,24 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.version++
-	delete(r.rows, key)
+	r.set(storer.Record{RowKey: key, Version: r.version, Deleted: true})
+}
+
+// Forget drops the history of changes.
+func (r *Rows) Forget() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history, r.forgotten = nil, r.version
+}
+
+// set writes or deletes a row.
+func (r *Rows) set(record storer.Record) {
+	r.history = append(r.history, record)
+	if record.Deleted {
+		delete(r.rows, record.RowKey)
+		return
+	}
+	r.rows[record.RowKey] = record
 }
 
 // For returns the store as the caller sees it.
@@ -181,19 +202,15 @@
 	r.counts.Changes += len(changes)
 	r.version++
 	for _, c := range changes {
-		if c.Delete {
-			delete(r.rows, c.RowKey)
-			continue
-		}
-		r.rows[c.RowKey] = storer.Record{RowKey: c.RowKey, Value: c.Value, Version: r.version}
+		r.set(storer.Record{RowKey: c.RowKey, Value: c.Value, Version: r.version, Deleted: c.Delete})
 	}
 	return r.version, nil
 }
 
 // List implements storer.Rows.
-func (r *rowsOf) List(ctx context.Context, list storer.Range) ([]storer.Record, bool, error) {
+func (r *rowsOf) List(ctx context.Context, list storer.Range) (storer.Page, error) {
 	if err := r.enter(ctx, r.caller); err != nil {
-		return nil, false, err
+		return storer.Page{}, err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -206,9 +223,30 @@
 	}
 	sort.Slice(records, func(i, j int) bool { return records[i].Name < records[j].Name })
 	if list.Limit > 0 && len(records) > list.Limit {
-		return records[:list.Limit], true, nil
+		return storer.Page{Records: records[:list.Limit], More: true, Version: r.version}, nil
+	}
+	return storer.Page{Records: records, Version: r.version}, nil
+}
+
+// Changes implements storer.Rows.
+func (r *rowsOf) Changes(ctx context.Context, table string, after int64) (storer.Page, error) {
+	if err := r.enter(ctx, r.caller); err != nil {
+		return storer.Page{}, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts.Feeds++
+	if after < r.forgotten {
+		return storer.Page{}, storer.ErrForgotten
+	}
+	page := storer.Page{Version: r.version}
+	begin := sort.Search(len(r.history), func(i int) bool { return r.history[i].Version > after })
+	for _, record := range r.history[begin:] {
+		if record.Table == table {
+			page.Records = append(page.Records, record)
+		}
 	}
-	return records, false, nil
+	return page, nil
 }
 
 // enter applies the faults that come before a call takes effect.
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -1,7 +1,7 @@
 // Package follower owns the watch on what the platform tells: the operators'
-// configuration and the registrations of endpoints. It polls, because a poll
-// notices by itself when it is not answered, and never goes back to an older
-// configuration. It does not own their formats.
+// configuration and the registrations of endpoints. It polls for changes,
+// because a poll notices by itself when it is not answered, and never goes back
+// to an older configuration. It does not own their formats.
 package follower
 
 import (
@@ -16,6 +16,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
 	"github.com/wigeonstand/wigeonstand/internal/storer"
 	"github.com/wigeonstand/wigeonstand/internal/tabler"
+	"github.com/wigeonstand/wigeonstand/internal/tracker"
 )
 
 const (
@@ -57,15 +58,11 @@
 	EndpointForgone func(e registrar.Endpoint)
 }
 
-// Reader reads rows.
-type Reader interface {
-	List(ctx context.Context, r storer.Range) ([]storer.Record, bool, error)
-}
-
 // Follower follows the platform.
 type Follower struct {
 	source   Source
-	rows     Reader
+	tables   *tracker.Tracker
+	rows     *tracker.Tracker
 	registry *registrar.Registry
 	log      *logger.Logger
 	interval time.Duration
@@ -73,13 +70,20 @@
 	table        atomic.Pointer[tabler.Table]
 	isComplete   atomic.Bool
 	tableVersion int64
-	malformed    map[string]int64
+	endpoints    map[string]registration
 	answered     time.Time
 	// graceUntil is until when missing registrations are kept.
 	graceUntil time.Time
 	isFailing  bool
 }
 
+// registration is what was decoded of a row, or why it cannot be used.
+type registration struct {
+	version  int64
+	endpoint registrar.Endpoint
+	err      error
+}
+
 // Option sets one property of a Follower.
 type Option func(*Follower)
 
@@ -90,10 +94,12 @@
 func WithLogger(l *logger.Logger) Option { return func(f *Follower) { f.log = l } }
 
 // New returns a Follower that keeps the registry.
-func New(source Source, rows Reader, registry *registrar.Registry, options ...Option) *Follower {
+func New(source Source, rows tracker.Reader, registry *registrar.Registry, options ...Option) *Follower {
 	f := &Follower{
-		source: source, rows: rows, registry: registry, log: logger.Discard(),
-		interval: DefaultInterval, malformed: map[string]int64{},
+		source: source, registry: registry, log: logger.Discard(),
+		tables:   tracker.New(rows, source.Configuration.Table, source.Configuration.Partition),
+		rows:     tracker.New(rows, source.Endpoints, ""),
+		interval: DefaultInterval, endpoints: map[string]registration{},
 	}
 	for _, option := range options {
 		option(f)
@@ -142,11 +148,13 @@
 }
 
 func (f *Follower) pollTable(ctx context.Context) error {
-	records, _, err := f.rows.List(ctx, storer.Only(f.source.Configuration))
-	if err != nil || len(records) == 0 || records[0].Version == f.tableVersion {
+	if _, err := f.tables.Refresh(ctx); err != nil {
 		return err
 	}
-	record := records[0]
+	record, found := f.tables.Get(f.source.Configuration.Name)
+	if !found || record.Version == f.tableVersion {
+		return nil
+	}
 	f.tableVersion = record.Version
 	table, err := f.source.DecodeTable(record.Value)
 	if err != nil {
@@ -162,43 +170,47 @@
 }
 
 func (f *Follower) pollEndpoints(ctx context.Context) error {
-	var endpoints []registrar.Endpoint
-	present := map[string]bool{}
-	next := storer.Range{Table: f.source.Endpoints}
-	for more := true; more; {
-		records, further, err := f.rows.List(ctx, next)
-		if err != nil {
-			return err
-		}
-		more = further && len(records) > 0
-		for _, r := range records {
-			present[r.Name] = true
-			endpoint, err := f.source.DecodeEndpoint(r.Name, r.Value)
-			if err != nil {
-				f.complain(r, err)
-				continue
+	changed, err := f.rows.Refresh(ctx)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	if !f.answered.IsZero() && now.Sub(f.answered) > outage {
+		f.graceUntil = now.Add(lapseGrace)
+	}
+	f.answered = now
+	if changed || !f.isComplete.Load() || !f.graceUntil.IsZero() {
+		f.replace(f.withLapsed(f.decode()))
+	}
+	f.isComplete.Store(true)
+	return nil
+}
+
+// decode decodes the registrations that changed, and returns all.
+func (f *Follower) decode() (endpoints []registrar.Endpoint, present map[string]bool) {
+	known := f.endpoints
+	f.endpoints, present = map[string]registration{}, map[string]bool{}
+	for _, r := range f.rows.Records() {
+		decoded, found := known[r.Name]
+		if !found || decoded.version != r.Version {
+			decoded = registration{version: r.Version}
+			if decoded.endpoint, decoded.err = f.source.DecodeEndpoint(r.Name, r.Value); decoded.err != nil {
+				f.log.Log(eventEndpointMalformed, "Endpoint", r.Name, "Row", r.Version, "Cause", decoded.err)
 			}
-			endpoints = append(endpoints, endpoint)
-			next.From = r.Name + "\x00"
 		}
-		if more {
-			next.From = records[len(records)-1].Name + "\x00"
+		f.endpoints[r.Name], present[r.Name] = decoded, true
+		if decoded.err == nil {
+			endpoints = append(endpoints, decoded.endpoint)
 		}
 	}
-	f.replace(f.withLapsed(endpoints, present))
-	f.isComplete.Store(true)
-	return nil
+	return endpoints, present
 }
 
 // withLapsed adds the registrations that may have lapsed only because the store
 // was away.
 func (f *Follower) withLapsed(endpoints []registrar.Endpoint, present map[string]bool) []registrar.Endpoint {
-	now := time.Now()
-	if !f.answered.IsZero() && now.Sub(f.answered) > outage {
-		f.graceUntil = now.Add(lapseGrace)
-	}
-	f.answered = now
-	if now.After(f.graceUntil) {
+	if time.Now().After(f.graceUntil) {
+		f.graceUntil = time.Time{}
 		return endpoints
 	}
 	for _, known := range f.registry.Known() {
@@ -224,12 +236,3 @@
 		}
 	}
 }
-
-// complain logs a registration that cannot be used, once for each version.
-func (f *Follower) complain(r storer.Record, cause error) {
-	if f.malformed[r.Name] == r.Version {
-		return
-	}
-	f.malformed[r.Name] = r.Version
-	f.log.Log(eventEndpointMalformed, "Endpoint", r.Name, "Row", r.Version, "Cause", cause)
-}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -139,9 +140,9 @@
 // half answers for the configuration only.
 type half struct{ storer.Rows }
 
-func (h half) List(ctx context.Context, r storer.Range) ([]storer.Record, bool, error) {
+func (h half) List(ctx context.Context, r storer.Range) (storer.Page, error) {
 	if r.Table != configuration.Table {
-		return nil, false, storer.ErrUnavailable
+		return storer.Page{}, storer.ErrUnavailable
 	}
 	return h.Rows.List(ctx, r)
 }
@@ -157,3 +158,32 @@
 		}
 	})
 }
+
+// Replays a deployment of 300 instances: each read and decoded its 2,998
+// registrations twice a second, and the store was overloaded.
+func TestUnchangedRegistrationsAreReadOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const registrations, polls = 2998, 20
+		rows, registry := fakeplatform.NewRows(1), registrar.New()
+		rows.Put(configuration, []byte("1"))
+		for i := range registrations {
+			rows.Put(endpoint(fmt.Sprint(i)), []byte("ready"))
+		}
+		decoded := 0
+		s := source()
+		decode := s.DecodeEndpoint
+		s.DecodeEndpoint = func(id string, text []byte) (registrar.Endpoint, error) {
+			decoded++
+			return decode(id, text)
+		}
+		f := follower.New(s, rows.For("x"), registry)
+		for range polls {
+			poll(t, f)
+		}
+		rows.Put(endpoint("0"), []byte("leaving"))
+		poll(t, f)
+		if lists := rows.Counts().Lists; lists != 2 || decoded != registrations+1 {
+			t.Errorf("%d lists, %d registrations decoded; want 2 and %d", lists, decoded, registrations+1)
+		}
+	})
+}
--- a/internal/reacher/reacher.go
+++ b/internal/reacher/reacher.go
@@ -175,7 +175,7 @@
 			case <-timer.C:
 			}
 			probe, stop := context.WithTimeout(ctx, patienceLeast)
-			_, _, err := r.direct.List(probe, storer.Range{Table: probeTable, Limit: 1})
+			_, err := r.direct.List(probe, storer.Range{Table: probeTable, Limit: 1})
 			stop()
 			r.count("Watch", Direct.String(), resultOf(err))
 			if err == nil {
@@ -188,21 +188,30 @@
 }
 
 // List implements storer.Rows.
-func (r *Reacher) List(ctx context.Context, list storer.Range) (records []storer.Record, more bool, err error) {
+func (r *Reacher) List(ctx context.Context, list storer.Range) (page storer.Page, err error) {
 	err = r.reach(ctx, "List", func(ctx context.Context) (err error) {
-		records, more, err = r.direct.List(ctx, list)
+		page, err = r.direct.List(ctx, list)
 		return err
-	}, r.relayList(list, &records, &more))
-	return records, more, err
+	}, r.relayRead(methodList, relayList{Range: list}, &page))
+	return page, err
 }
 
-func (r *Reacher) relayList(list storer.Range, records *[]storer.Record, more *bool) func(context.Context, enlister.Member) error {
+// Changes implements storer.Rows.
+func (r *Reacher) Changes(ctx context.Context, table string, after int64) (page storer.Page, err error) {
+	err = r.reach(ctx, "Changes", func(ctx context.Context) (err error) {
+		page, err = r.direct.Changes(ctx, table, after)
+		return err
+	}, r.relayRead(methodChanges, relayChanges{Table: table, After: after}, &page))
+	return page, err
+}
+
+func (r *Reacher) relayRead(method string, in any, page *storer.Page) func(context.Context, enlister.Member) error {
 	return func(ctx context.Context, m enlister.Member) error {
-		var out relayedList
-		if err := r.caller.Call(ctx, m.Address, methodList, relayList{Range: list}, &out); err != nil {
+		var out relayedPage
+		if err := r.caller.Call(ctx, m.Address, method, in, &out); err != nil {
 			return errors.Join(storer.ErrUnavailable, err)
 		}
-		*records, *more = out.Records, out.More
+		*page = out.Page
 		return out.err()
 	}
 }
@@ -288,7 +297,7 @@
 	list := storer.Range{Table: probeTable, Limit: 1}
 	for range failuresToLose {
 		err := r.tryDirect(ctx, "Probe", func(ctx context.Context) error {
-			_, _, err := r.direct.List(ctx, list)
+			_, err := r.direct.List(ctx, list)
 			return err
 		})
 		if isAnswer(err) || ctx.Err() != nil {
@@ -302,7 +311,7 @@
 		return
 	}
 	// Its failure leaves the way as it is: lost.
-	_ = r.tryRelays(ctx, "Probe", r.relayList(list, new([]storer.Record), new(bool)))
+	_ = r.tryRelays(ctx, "Probe", r.relayRead(methodList, relayList{Range: list}, new(storer.Page)))
 }
 
 // tryDirect calls the store itself. Only reads decide whether it is reached: a
@@ -386,7 +395,7 @@
 
 // isAnswer says whether the store itself answered.
 func isAnswer(err error) bool {
-	return err == nil || errors.Is(err, storer.ErrConflict) || errors.Is(err, storer.ErrInvalid)
+	return err == nil || errors.Is(err, storer.ErrConflict) || errors.Is(err, storer.ErrInvalid) || errors.Is(err, storer.ErrForgotten)
 }
 
 func resultOf(err error) string {
@@ -395,6 +404,8 @@
 		return "OK"
 	case errors.Is(err, storer.ErrConflict):
 		return "Conflict"
+	case errors.Is(err, storer.ErrForgotten):
+		return "Forgotten"
 	case errors.Is(err, storer.ErrInvalid):
 		return "Invalid"
 	case errors.Is(err, storer.ErrInDoubt):
@@ -416,10 +427,19 @@
 			out.setErr(err)
 			return out, nil
 		}),
-		methodList: messenger.Handle(func(ctx context.Context, in relayList) (relayedList, error) {
-			var out relayedList
+		methodList: messenger.Handle(func(ctx context.Context, in relayList) (relayedPage, error) {
+			var out relayedPage
+			err := r.serve(func() (err error) {
+				out.Page, err = r.direct.List(ctx, in.Range)
+				return err
+			})
+			out.setErr(err)
+			return out, nil
+		}),
+		methodChanges: messenger.Handle(func(ctx context.Context, in relayChanges) (relayedPage, error) {
+			var out relayedPage
 			err := r.serve(func() (err error) {
-				out.Records, out.More, err = r.direct.List(ctx, in.Range)
+				out.Page, err = r.direct.Changes(ctx, in.Table, in.After)
 				return err
 			})
 			out.setErr(err)
--- a/internal/reacher/reacher_test.go
+++ b/internal/reacher/reacher_test.go
@@ -92,7 +92,7 @@
 		r, _ := fleet(t, rows)
 		rows.SetFaults(fakeplatform.RowFaults{Refused: map[string]bool{"self": true}})
 		for range 5 {
-			_, _, _ = r.List(t.Context(), storer.Only(row)) // The first calls find out.
+			_, _ = r.List(t.Context(), storer.Only(row)) // The first calls find out.
 		}
 		if err := insert(t.Context(), r); err != nil {
 			t.Fatal(err)
@@ -123,7 +123,7 @@
 		r, _ := fleet(t, rows)
 		rows.SetFaults(fakeplatform.RowFaults{Silent: true})
 		for range 6 {
-			_, _, _ = r.List(t.Context(), storer.Only(row)) // The first calls find out.
+			_, _ = r.List(t.Context(), storer.Only(row)) // The first calls find out.
 		}
 		if diff := cmp.Diff(reacher.Lost, wayOf(r)); diff != "" {
 			t.Error(diff)
@@ -155,7 +155,7 @@
 		rows.SetFaults(fakeplatform.RowFaults{Delay: 400 * time.Millisecond})
 		ok := 0
 		for range 20 {
-			if _, _, err := r.List(t.Context(), storer.Only(row)); err == nil {
+			if _, err := r.List(t.Context(), storer.Only(row)); err == nil {
 				ok++
 			}
 		}
@@ -172,7 +172,7 @@
 		r, o := fleet(t, rows)
 		rows.SetFaults(fakeplatform.RowFaults{Refused: map[string]bool{"self": true}})
 		for range 5 {
-			_, _, _ = r.List(t.Context(), storer.Only(row)) // The first calls find out.
+			_, _ = r.List(t.Context(), storer.Only(row)) // The first calls find out.
 		}
 		o.silent = true
 		time.Sleep(300 * time.Millisecond)
--- a/internal/reacher/wire.go
+++ b/internal/reacher/wire.go
@@ -10,6 +10,7 @@
 const (
 	methodTransact = "RelayTransact"
 	methodList     = "RelayList"
+	methodChanges  = "RelayChanges"
 )
 
 type relayTransaction struct {
@@ -20,6 +21,11 @@
 	Range storer.Range `cbor:"1,keyasint"`
 }
 
+type relayChanges struct {
+	Table string `cbor:"1,keyasint"`
+	After int64  `cbor:"2,keyasint"`
+}
+
 // outcome carries an error of storer in a reply.
 type outcome struct {
 	Kind    string          `cbor:"10,keyasint,omitempty"`
@@ -31,10 +37,9 @@
 	Version int64 `cbor:"1,keyasint"`
 }
 
-type relayedList struct {
+type relayedPage struct {
 	outcome
-	Records []storer.Record `cbor:"1,keyasint"`
-	More    bool            `cbor:"2,keyasint"`
+	Page storer.Page `cbor:"1,keyasint"`
 }
 
 func (o *outcome) setErr(err error) {
@@ -53,6 +58,8 @@
 		return nil
 	case resultOf(storer.ErrConflict):
 		return &storer.Conflict{Current: o.Current}
+	case resultOf(storer.ErrForgotten):
+		return storer.ErrForgotten
 	case resultOf(storer.ErrInvalid):
 		return storer.ErrInvalid
 	case resultOf(storer.ErrInDoubt):
--- a/internal/storer/rows.go
+++ b/internal/storer/rows.go
@@ -30,6 +30,8 @@
 	RowKey
 	Value   []byte
 	Version int64
+	// Deleted marks a row among changes that is gone since Version.
+	Deleted bool `cbor:",omitempty"`
 }
 
 // AnyVersion is the expectation of a Change that holds whatever the row is.
@@ -81,6 +83,9 @@
 // did not try.
 var ErrLost = fmt.Errorf("no way to the store: %w", ErrUnavailable)
 
+// ErrForgotten means that the store no longer knows the changes asked for.
+var ErrForgotten = errors.New("changes no longer known")
+
 // ErrInvalid means that the store does not take such a transaction, whatever
 // the rows are. Nothing was written.
 var ErrInvalid = errors.New("not a transaction that the store takes")
@@ -105,6 +110,19 @@
 	// a *Conflict, ErrInvalid, ErrUnavailable if nothing was written and nothing
 	// will be, and ErrInDoubt if the transaction may take effect, now or later.
 	Transact(ctx context.Context, changes []Change) (int64, error)
-	// List returns rows as of one moment, and whether there are more.
-	List(ctx context.Context, r Range) (records []Record, more bool, err error)
+	// List returns rows as of one moment.
+	List(ctx context.Context, r Range) (Page, error)
+	// Changes returns the rows of a table, of any partition, that were written
+	// or deleted after the version, in that order. ErrForgotten means that the
+	// store no longer knows, and the table must be listed.
+	Changes(ctx context.Context, table string, after int64) (Page, error)
+}
+
+// Page is the answer to a read.
+type Page struct {
+	Records []Record
+	// More says whether the range goes on after the last record.
+	More bool
+	// Version is that of the store when it answered; changes go on from it.
+	Version int64
 }
--- /dev/null
+++ b/internal/tracker/tracker.go
@@ -0,0 +1,116 @@
+// Package tracker owns a copy of one partition of a table of the store. It
+// reads the table once and then only what changed, so that many instances may
+// follow a large table. It does not own what the rows mean.
+package tracker
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/storer"
+)
+
+// relistInterval is the time after which the table is read in full again, so
+// that a change that the store failed to tell does not stay unknown.
+const relistInterval = 30 * time.Second
+
+// Reader reads rows.
+type Reader interface {
+	List(ctx context.Context, r storer.Range) (storer.Page, error)
+	Changes(ctx context.Context, table string, after int64) (storer.Page, error)
+}
+
+// Tracker has the copy. It is for one goroutine.
+type Tracker struct {
+	rows      Reader
+	table     string
+	partition string
+
+	records map[string]storer.Record
+	// version is that of the store up to which the copy is complete.
+	version int64
+	// relist is when the table is read in full again; zero before the first time.
+	relist time.Time
+}
+
+// New returns a Tracker of the partition of the table.
+func New(rows Reader, table, partition string) *Tracker {
+	return &Tracker{rows: rows, table: table, partition: partition, records: map[string]storer.Record{}}
+}
+
+// Refresh brings the copy up to date and says whether it changed.
+func (t *Tracker) Refresh(ctx context.Context) (changed bool, err error) {
+	if time.Now().Before(t.relist) {
+		page, err := t.rows.Changes(ctx, t.table, t.version)
+		// A store that went back to an older version has lost rows.
+		if err == nil && page.Version >= t.version {
+			return t.apply(page), nil
+		}
+		if err != nil && !errors.Is(err, storer.ErrForgotten) {
+			return false, err
+		}
+	}
+	return t.list(ctx)
+}
+
+// Get returns the named row.
+func (t *Tracker) Get(name string) (storer.Record, bool) {
+	record, found := t.records[name]
+	return record, found
+}
+
+// Records returns all rows in the order of their names.
+func (t *Tracker) Records() []storer.Record {
+	return slices.SortedFunc(maps.Values(t.records), func(a, b storer.Record) int {
+		return strings.Compare(a.Name, b.Name)
+	})
+}
+
+func (t *Tracker) apply(page storer.Page) (changed bool) {
+	for _, r := range page.Records {
+		// Rows of later pages of a list may be newer than the changes.
+		if r.Partition != t.partition || r.Version <= t.records[r.Name].Version {
+			continue
+		}
+		changed = true
+		if r.Deleted {
+			delete(t.records, r.Name)
+			continue
+		}
+		t.records[r.Name] = r
+	}
+	t.version = page.Version
+	return changed
+}
+
+func (t *Tracker) list(ctx context.Context) (changed bool, err error) {
+	records := map[string]storer.Record{}
+	version := int64(-1)
+	next := storer.Range{Table: t.table, Partition: t.partition}
+	for more := true; more; {
+		page, err := t.rows.List(ctx, next)
+		if err != nil {
+			return false, err
+		}
+		if version < 0 {
+			// Changes after the first page are told again by the feed.
+			version = page.Version
+		}
+		for _, r := range page.Records {
+			records[r.Name] = r
+		}
+		if more = page.More && len(page.Records) > 0; more {
+			next.From = page.Records[len(page.Records)-1].Name + "\x00"
+		}
+	}
+	changed = !maps.EqualFunc(t.records, records, func(a, b storer.Record) bool { return a.Version == b.Version })
+	t.records, t.version = records, version
+	// The spread keeps instances that start together from listing together.
+	t.relist = time.Now().Add(relistInterval*3/4 + rand.N(relistInterval/2))
+	return changed, nil
+}
--- /dev/null
+++ b/internal/tracker/tracker_test.go
@@ -0,0 +1,159 @@
+package tracker_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
+	"github.com/wigeonstand/wigeonstand/internal/storer"
+	"github.com/wigeonstand/wigeonstand/internal/tracker"
+)
+
+const table = "things"
+
+func key(name string) storer.RowKey { return storer.RowKey{Table: table, Name: name} }
+
+func values(t *tracker.Tracker) map[string]string {
+	out := map[string]string{}
+	for _, r := range t.Records() {
+		out[r.Name] = string(r.Value)
+	}
+	return out
+}
+
+func refresh(t *testing.T, tr *tracker.Tracker, wantChanged bool) {
+	t.Helper()
+	changed, err := tr.Refresh(t.Context())
+	if err != nil || changed != wantChanged {
+		t.Errorf("changed %v, %v; want %v", changed, err, wantChanged)
+	}
+}
+
+func TestCopyFollowsChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fakeplatform.NewRows(1)
+		rows.Put(key("a"), []byte("1"))
+		rows.Put(key("b"), []byte("1"))
+		tr := tracker.New(rows.For("x"), table, "")
+		refresh(t, tr, true)
+		refresh(t, tr, false)
+		rows.Put(key("a"), []byte("2"))
+		rows.Put(key("c"), []byte("1"))
+		rows.Remove(key("b"))
+		rows.Put(storer.RowKey{Table: table, Partition: "other", Name: "d"}, []byte("1"))
+		refresh(t, tr, true)
+		if diff := cmp.Diff(map[string]string{"a": "2", "c": "1"}, values(tr)); diff != "" {
+			t.Error(diff)
+		}
+		refresh(t, tr, false)
+		if got := rows.Counts(); got.Lists != 1 || got.Feeds != 3 {
+			t.Errorf("%d lists, %d feeds; want 1 and 3", got.Lists, got.Feeds)
+		}
+	})
+}
+
+func TestForgottenChangesAreListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fakeplatform.NewRows(1)
+		rows.Put(key("a"), []byte("1"))
+		tr := tracker.New(rows.For("x"), table, "")
+		refresh(t, tr, true)
+		rows.Remove(key("a"))
+		rows.Put(key("b"), []byte("1"))
+		rows.Forget()
+		refresh(t, tr, true)
+		if diff := cmp.Diff(map[string]string{"b": "1"}, values(tr)); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestOutageKeepsTheCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fakeplatform.NewRows(1)
+		rows.Put(key("a"), []byte("1"))
+		tr := tracker.New(rows.For("x"), table, "")
+		refresh(t, tr, true)
+		rows.SetFaults(fakeplatform.RowFaults{Outage: true})
+		for range 2 {
+			if _, err := tr.Refresh(t.Context()); err == nil {
+				t.Error("no error")
+			}
+			time.Sleep(time.Minute)
+		}
+		if diff := cmp.Diff(map[string]string{"a": "1"}, values(tr)); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+// mute tells no changes.
+type mute struct{ storer.Rows }
+
+func (m mute) Changes(ctx context.Context, table string, after int64) (storer.Page, error) {
+	page, err := m.Rows.Changes(ctx, table, after)
+	page.Records = nil
+	return page, err
+}
+
+func TestChangeThatWasNotToldIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fakeplatform.NewRows(1)
+		tr := tracker.New(mute{rows.For("x")}, table, "")
+		refresh(t, tr, false)
+		rows.Put(key("a"), []byte("1"))
+		refresh(t, tr, false)
+		time.Sleep(time.Minute)
+		refresh(t, tr, true)
+		if diff := cmp.Diff(map[string]string{"a": "1"}, values(tr)); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+// paged lists two rows at a time and writes between the pages.
+type paged struct {
+	storer.Rows
+	between func()
+}
+
+func (p paged) List(ctx context.Context, r storer.Range) (storer.Page, error) {
+	r.Limit = 2
+	page, err := p.Rows.List(ctx, r)
+	p.between()
+	return page, err
+}
+
+// Replays a list of several pages during which rows of earlier and of later
+// pages change.
+func TestChangesBetweenPagesAreNotLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fakeplatform.NewRows(1)
+		for i := range 6 {
+			rows.Put(key(fmt.Sprint(i)), []byte("old"))
+		}
+		n := 0
+		between := func() {
+			if n++; n != 1 {
+				return
+			}
+			rows.Put(key("0"), []byte("new"))
+			rows.Remove(key("1"))
+			rows.Remove(key("4"))
+			rows.Put(key("4"), []byte("new"))
+			rows.Remove(key("5"))
+		}
+		tr := tracker.New(paged{rows.For("x"), between}, table, "")
+		refresh(t, tr, true)
+		refresh(t, tr, true)
+		want := map[string]string{"0": "new", "2": "old", "3": "old", "4": "new"}
+		if diff := cmp.Diff(want, values(tr)); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/internal/transcriber/transcriber.go
+++ b/internal/transcriber/transcriber.go
@@ -89,7 +89,7 @@
 
 // Reader reads rows.
 type Reader interface {
-	List(ctx context.Context, r storer.Range) ([]storer.Record, bool, error)
+	List(ctx context.Context, r storer.Range) (storer.Page, error)
 }
 
 // Transcriber reads transcripts and keeps recent turns.
@@ -141,10 +141,11 @@
 
 func (t *Transcriber) read(ctx context.Context, id string) (*Turn, error) {
 	// The name range holds the row and its further parts.
-	records, _, err := t.rows.List(ctx, storer.Range{Table: Table, Partition: key(id).Partition, From: id, To: id + "0"})
+	page, err := t.rows.List(ctx, storer.Range{Table: Table, Partition: key(id).Partition, From: id, To: id + "0"})
 	if err != nil {
 		return nil, err
 	}
+	records := page.Records
 	if len(records) == 0 || records[0].Name != id {
 		return nil, ErrNoTurn
 	}
