internal/reacher: go through whoever the store serves

Its store turns away four of ten instances for 9 s. In the log of the 0.731 one of them, a bookkeeper, counted the store as lost from 2.67 to 11.59 s: it always asked the same two instances, whose order is drawn at the start, and both were turned away as well. Change: instances that failed to relay come last, the oldest failure first; a late relayed answer no longer undoes a direct way found meanwhile (26 changes of the way in 10 s).

--- a/internal/reacher/reacher.go
+++ b/internal/reacher/reacher.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -92,6 +93,8 @@
 
 	mu     sync.Mutex
 	relays Relays
+	// unfit says when instances failed to relay a call last.
+	unfit map[string]time.Time
 	// reads and writes are the waits for the answer to a call. Writes queue in
 	// their partition when it is pressed, so that the two differ.
 	reads    time.Duration
@@ -120,8 +123,8 @@
 func New(direct storer.Rows, caller Caller, options ...Option) *Reacher {
 	r := &Reacher{
 		direct: direct, caller: caller, reads: patienceLeast, writes: writePatienceLeast,
-		doubtful: make(chan struct{}, 1),
-		notify:   func(Way, Way, error) {}, count: func(string, string, string) {},
+		doubtful: make(chan struct{}, 1), unfit: map[string]time.Time{},
+		notify: func(Way, Way, error) {}, count: func(string, string, string) {},
 	}
 	for _, option := range options {
 		option(r)
@@ -250,36 +253,64 @@
 
 // tryRelays asks other instances in turn.
 func (r *Reacher) tryRelays(ctx context.Context, op operation, relayed func(context.Context, enlister.Member) error) error {
-	r.mu.Lock()
-	relays := r.relays
-	r.mu.Unlock()
 	failure := storer.ErrUnavailable
 	doubt := false
-	if relays != nil {
-		members := relays.Relays()
-		for _, m := range members[:min(len(members), relayTries)] {
-			bounded, cancel := context.WithTimeout(ctx, r.wait(op.isWrite)+op.wait+relayMargin)
-			err := relayed(bounded, m)
-			cancel()
-			r.count(op.name, Relayed.String(), resultOf(err))
-			if isAnswer(err) {
-				r.turn(Relayed, nil)
-				return err
-			}
-			if ctx.Err() != nil {
-				return err
-			}
-			doubt = doubt || errors.Is(err, storer.ErrInDoubt)
-			failure = err
+	for _, m := range r.relaysToTry() {
+		bounded, cancel := context.WithTimeout(ctx, r.wait(op.isWrite)+op.wait+relayMargin)
+		err := relayed(bounded, m)
+		cancel()
+		r.count(op.name, Relayed.String(), resultOf(err))
+		if isAnswer(err) {
+			r.relayed(m, true)
+			return err
+		}
+		if ctx.Err() != nil {
+			return err
 		}
+		r.relayed(m, false)
+		doubt = doubt || errors.Is(err, storer.ErrInDoubt)
+		failure = err
+	}
+	if way, _ := r.Way(); way != Direct {
+		r.turn(Lost, failure)
 	}
-	r.turn(Lost, failure)
 	if doubt {
 		return errors.Join(storer.ErrInDoubt, failure)
 	}
 	return failure
 }
 
+// relaysToTry returns those that never failed to relay, then those that failed
+// longest ago: an instance may be turned away like this one.
+func (r *Reacher) relaysToTry() []enlister.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.relays == nil {
+		return nil
+	}
+	members := r.relays.Relays()
+	slices.SortStableFunc(members, func(a, b enlister.Member) int {
+		return r.unfit[a.Instance].Compare(r.unfit[b.Instance])
+	})
+	return members[:min(len(members), relayTries)]
+}
+
+// relayed takes note of whether the instance relayed a call. Its answer is no
+// reason to leave the direct way, which may have been found again meanwhile.
+func (r *Reacher) relayed(m enlister.Member, ok bool) {
+	r.mu.Lock()
+	if ok {
+		delete(r.unfit, m.Instance)
+	} else {
+		r.unfit[m.Instance] = time.Now()
+	}
+	isDirect := r.way == Direct
+	r.mu.Unlock()
+	if ok && !isDirect {
+		r.turn(Relayed, nil)
+	}
+}
+
 // Run looks for a better way to the store until ctx ends.
 func (r *Reacher) Run(ctx context.Context) {
 	ticker := time.NewTicker(probeInterval)
--- a/internal/reacher/reacher_test.go
+++ b/internal/reacher/reacher_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -186,3 +187,51 @@
 		}
 	})
 }
+
+// Replays a store that turns away four of ten instances (Binfold trouble-1): the
+// two that one of them always asked were turned away as well, and it took the
+// store for lost as long as that lasted.
+func TestRelaysThroughWhoeverIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fakeplatform.NewRows(1)
+		r, _ := fleetOf(t, rows, 9)
+		rows.SetFaults(fakeplatform.RowFaults{Refused: map[string]bool{"self": true, "other-0": true, "other-1": true, "other-2": true}})
+		for range 3 {
+			_, _ = r.List(t.Context(), storer.Only(row)) // The first calls find out.
+		}
+		time.Sleep(600 * time.Millisecond)
+		for i := range 20 {
+			if _, err := r.List(t.Context(), storer.Only(row)); err != nil {
+				t.Fatalf("call %d: %v", i, err)
+			}
+		}
+		if diff := cmp.Diff(reacher.Relayed, wayOf(r)); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+// An answer that comes through another instance says nothing against the direct
+// way, which was found again meanwhile.
+func TestLateRelayedAnswerKeepsTheDirectWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fakeplatform.NewRows(1)
+		changes := 0
+		r, _ := fleetOf(t, rows, 2, reacher.WithNotify(func(reacher.Way, reacher.Way, error) { changes++ }))
+		rows.SetFaults(fakeplatform.RowFaults{Refused: map[string]bool{"self": true}})
+		for range 3 {
+			_, _ = r.List(t.Context(), storer.Only(row)) // The first calls find out.
+		}
+		var calls sync.WaitGroup
+		for range 50 {
+			calls.Go(func() { _, _ = r.Changes(t.Context(), row.Table, 0, time.Second) }) // Only the way counts.
+			time.Sleep(20 * time.Millisecond)
+		}
+		changes = 0
+		rows.SetFaults(fakeplatform.RowFaults{})
+		calls.Wait()
+		if diff := cmp.Diff(reacher.Direct, wayOf(r)); diff != "" || changes != 1 {
+			t.Errorf("%d changes of the way; %s", changes, diff)
+		}
+	})
+}
