internal/relayer: refuse held turns before their callers give up

A turn that is given up is a failure of its program; one refused may come back within its deadline. Change: a turn is held 1.8 s at most. The new test failed before (refused after 4.5 s).

--- a/internal/composer/composer_test.go
+++ b/internal/composer/composer_test.go
@@ -378,3 +378,26 @@
 		t.Errorf("%+v", reply)
 	}
 }
+
+// Replays outages of 4 to 6 s (Binfold trouble-2): callers gave turns up after two
+// silent seconds, and their programs failed sooner than if told to come back.
+func TestHeldTurnIsRefusedBeforeItsCallerGivesUp(t *testing.T) {
+	t.Parallel()
+	const callersPatience = 2 * time.Second
+	f := newFleet(t, 2, 1, 0)
+	if first := f.do(f.instances[0], turnCall("before", "p", "", "in\n")); !first.Whole {
+		t.Fatalf("%+v", first)
+	}
+	f.rows.SetFaults(fakeplatform.RowFaults{Outage: true})
+	each(2, func(i int) {
+		call := turnCall("new", "q", "", "in\n")
+		if i == 1 {
+			call = turnCall("next", "p", "before-elsewhere", "in\n")
+		}
+		begun := time.Now()
+		reply := f.do(f.instances[i], call)
+		if took := time.Since(begun); took >= callersPatience || took < callersPatience/2 || !reply.IsNotRun() || reply.Header.Get("Retry-After") == "" {
+			t.Errorf("%s after %v: %+v", call.ID, took, reply)
+		}
+	})
+}
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -24,6 +24,10 @@
 	// leastService is the time that a turn needs at an endpoint at least; what
 	// is left of the caller's time beyond it may be spent on a reservation.
 	leastService = 500 * time.Millisecond
+	// holdMost is how long a turn is held for the store before it is sent:
+	// callers give a silent stream up after two seconds and then take it for
+	// failed, while a refusal lets them come back.
+	holdMost = 1800 * time.Millisecond
 	// transcriptPause is the time between two reads of a transcript.
 	transcriptPause = 50 * time.Millisecond
 	// recordWait is how long the end of a retained turn is held back for its
@@ -105,7 +109,7 @@
 			t.previous, t.prompt = previous, append(text, t.body...)
 			return nil
 		}
-		if errors.Is(err, transcriber.ErrNoTurn) || t.left() < leastService {
+		if errors.Is(err, transcriber.ErrNoTurn) || t.hold() == 0 {
 			return err
 		}
 		timer := time.NewTimer(transcriptPause)
@@ -118,15 +122,19 @@
 	}
 }
 
+// hold is how much longer the turn may wait for the store. What comes too late
+// for an answer is not waited for.
+func (t *turn) hold() time.Duration {
+	return max(min(t.left()-leastService, holdMost-time.Since(t.arrived)), 0)
+}
+
 // open reserves the turn's tokens.
 func (t *turn) open() error {
 	if t.call.Budget <= 0 {
 		return nil
 	}
-	// A turn whose reservation comes too late for an answer is not held for it.
-	wait := max(t.left()-leastService, 0)
 	out, keeper, err := t.Books.Open(t.ctx, bookkeeper.Opening{
-		Program: t.call.Program, Turn: t.call.ID, Tokens: t.call.MaxTokens, Budget: t.call.Budget, Wait: wait,
+		Program: t.call.Program, Turn: t.call.ID, Tokens: t.call.MaxTokens, Budget: t.call.Budget, Wait: t.hold(),
 	})
 	t.keeper = keeper
 	switch {
