--- a/internal/bookkeeper/book.go
+++ b/internal/bookkeeper/book.go
@@ -159,7 +159,8 @@
 		b.open[turn] = openTurn{tokens: tokens, since: now}
 		b.turns++
 		return granted
-	case b.isKnown && b.others+b.atMost()+tokens > budget:
+	case b.others+b.atMost()+tokens > budget:
+		// Without the row the others have none, which is the least they may have.
 		return exhausted
 	}
 	return pending
