internal/composer, relayer: a test of named causes, and a share of served lines

Twelve kinds of failure are brought about in the stand-ins; the story from the request's ID must name outcome, kind, reason, endpoint and cause. Log.ServedShare leaves served requests of some programs out of the log, never failures. What nobody called is gone (IsStoreLost, joiner.Counts, joiner.WithInterval).

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -138,7 +138,7 @@
 		Tables: e.follower, Endpoints: e.registry, Sender: e.courier, Dialect: platform.Dialect,
 		Books:       e.desk,
 		Transcripts: transcriber.New(e.reacher),
-		DataCentre:  settings.DataCentre, Log: e.log, Count: counts,
+		DataCentre:  settings.DataCentre, Log: e.log, ServedShare: settings.Log.ServedShare, Count: counts,
 		Policy: relayer.Policy{
 			Admission: admitter.Policy{
 				NewPrograms: settings.Admission.NewPrograms,
@@ -146,7 +146,6 @@
 			},
 			Margin: settings.Placement.Margin,
 		},
-		IsStoreLost: func() bool { way, _ := e.reacher.Way(); return way == reacher.Lost },
 	})
 	handlers := map[string]messenger.Handler{}
 	for _, more := range []map[string]messenger.Handler{e.books.Handlers(e.registry), e.reacher.Handlers(), copies.Handlers()} {
@@ -159,7 +158,7 @@
 	return e, err
 }
 
-func newLogger(settings configurer.Log, out io.Writer) *logger.Logger {
+func newLogger(settings configurer.EntryLog, out io.Writer) *logger.Logger {
 	levels := map[string]log.Level{"Debug": log.DebugLevel, "Info": log.InfoLevel, "Warn": log.WarnLevel, "Error": log.ErrorLevel}
 	options := []logger.Option{logger.WithLevel(levels[settings.Level]), logger.WithMilliseconds()}
 	if settings.Format == configurer.LogJSON {
--- a/internal/composer/fleet_test.go
+++ b/internal/composer/fleet_test.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -30,7 +30,7 @@
 	services  []*standin.Endpoint
 	instances []*instance
 	client    *http.Client
-	log       io.Writer
+	log       *sharedLog
 	grace     time.Duration
 }
 
@@ -41,6 +41,26 @@
 	shortGrace    = 1500 * time.Millisecond
 )
 
+// sharedLog keeps what all instances log.
+type sharedLog struct {
+	mu   sync.Mutex
+	text []byte
+}
+
+// Write implements io.Writer.
+func (l *sharedLog) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.text = append(l.text, b...)
+	return len(b), nil
+}
+
+func (l *sharedLog) bytes() []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.text)
+}
+
 type instance struct {
 	name     string
 	settings *configurer.Entry
@@ -56,7 +76,7 @@
 
 func newFleetWithGrace(t *testing.T, grace time.Duration, instances, engines, services int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, rows: fakeplatform.NewRows(1), client: &http.Client{Transport: &http.Transport{}}, log: io.Discard, grace: grace}
+	f := &fleet{t: t, rows: fakeplatform.NewRows(1), client: &http.Client{Transport: &http.Transport{}}, log: &sharedLog{}, grace: grace}
 	t.Cleanup(f.client.CloseIdleConnections)
 	for i := range engines {
 		e := standin.NewEndpoint(fmt.Sprintf("engine-%d", i), 5, 10*time.Millisecond, uint64(i))
@@ -115,6 +135,13 @@
 
 // startWith starts an instance that is told of others.
 func (f *fleet) startWith(name string, seeds ...netip.AddrPort) *instance {
+	f.t.Helper()
+	return f.startWithSettings(name, func(s *settings) { s.Seeds = seeds })
+}
+
+type settings = configurer.Entry
+
+func (f *fleet) startWithSettings(name string, set func(*settings)) *instance {
 	f.t.Helper()
 	store := httptest.NewServer(standin.NewStore(f.rows.For(name)))
 	f.t.Cleanup(store.Close)
@@ -125,7 +152,8 @@
 	settings.PeerListen, settings.AdminListen = addresses[2], addresses[3]
 	settings.PeerAddress = settings.PeerListen
 	settings.StoreAddress = netip.MustParseAddrPort(store.Listener.Addr().String())
-	settings.GracePeriod, settings.Seeds = f.grace, seeds
+	settings.GracePeriod = f.grace
+	set(settings)
 	return f.launch(settings)
 }
 
--- /dev/null
+++ b/internal/composer/story_test.go
@@ -0,0 +1,150 @@
+package composer_test
+
+import (
+	"bytes"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
+	"github.com/wigeonstand/wigeonstand/internal/recounter"
+	"github.com/wigeonstand/wigeonstand/platform/standin"
+)
+
+// told is what the closing line of a request names as its cause.
+type told struct {
+	Outcome, Kind, Reason string
+	HasEndpoint, HasCause bool
+}
+
+// storyOf returns what the instances' logs tell of the request.
+func (f *fleet) storyOf(id string) told {
+	f.t.Helper()
+	var out told
+	f.await("the closing line of "+id, func() bool {
+		lines, _, err := recounter.Read(bytes.NewReader(f.log.bytes()))
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		for _, line := range recounter.Story(lines, id) {
+			if line.Request != id || line.Name != "RequestFailed" {
+				continue
+			}
+			for _, field := range line.Fields {
+				switch field.Name {
+				case "Outcome":
+					out.Outcome = field.Value
+				case "Kind":
+					out.Kind = field.Value
+				case "Reason":
+					out.Reason = field.Value
+				case "Endpoint":
+					out.HasEndpoint = true
+				case "Cause":
+					out.HasCause = true
+				}
+			}
+		}
+		return out != told{}
+	})
+	return out
+}
+
+// Each kind of failure is found by the request's ID, with its cause.
+func TestStoryNamesTheCause(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name string
+		// fail brings the failure about and sends the request "lost".
+		fail func(f *fleet)
+		want told
+	}{
+		{"NoRoute", func(f *fleet) {
+			f.do(f.instances[0], standin.Call{ID: "lost", Path: "/nowhere/x"})
+		}, told{Outcome: "Refused", Kind: "NotFound", Reason: "NoRoute"}},
+		{"NoTurn", func(f *fleet) {
+			f.do(f.instances[0], turnCall("lost", "p", "never-was", "in\n"))
+		}, told{Outcome: "Refused", Kind: "NotFound", Reason: "NoTurn"}},
+		{"BudgetSpent", func(f *fleet) {
+			call := turnCall("lost", "p", "", "in\n")
+			call.Budget = call.MaxTokens / 2
+			f.do(f.instances[0], call)
+		}, told{Outcome: "Refused", Kind: "BudgetExhausted", Reason: "Books", HasCause: true}},
+		{"StoreAwayForBooks", func(f *fleet) {
+			f.rows.SetFaults(fakeplatform.RowFaults{Outage: true})
+			f.do(f.instances[0], turnCall("lost", "p", "", "in\n"))
+		}, told{Outcome: "Refused", Kind: "StoreUnavailable", Reason: "Books"}},
+		{"StoreAwayForTranscript", func(f *fleet) {
+			f.rows.SetFaults(fakeplatform.RowFaults{Outage: true})
+			call := turnCall("lost", "p", "elsewhere", "in\n")
+			call.Budget = 0
+			f.do(f.instances[0], call)
+		}, told{Outcome: "Refused", Kind: "StoreUnavailable", Reason: "Transcript", HasCause: true}},
+		{"StoreAwayAtTheEnd", func(f *fleet) {
+			f.do(f.instances[0], turnCall("first", "p", "", "in\n"))
+			f.rows.SetFaults(fakeplatform.RowFaults{Outage: true})
+			f.do(f.instances[0], turnCall("lost", "p", "first", "in\n"))
+		}, told{Outcome: "NotRecorded", HasEndpoint: true}},
+		{"NoEndpoint", func(f *fleet) {
+			standin.Unregister(f.rows, f.services[0].ID)
+			f.await("the endpoint is gone", func() bool {
+				return f.do(f.instances[0], standin.Call{ID: "probe", Path: standin.PathLookup + "x"}).Status == http.StatusServiceUnavailable
+			})
+			f.do(f.instances[0], standin.Call{ID: "lost", Path: standin.PathPost + "x"})
+		}, told{Outcome: "Refused", Kind: "NoEndpoint", Reason: "NoEndpoint"}},
+		{"AnswerLost", func(f *fleet) {
+			f.services[0].SetFaults(standin.EndpointFaults{Lose: 1})
+			f.do(f.instances[0], standin.Call{ID: "lost", Path: standin.PathPost + "x"})
+		}, told{Outcome: "Refused", Kind: "OutcomeUnknown", Reason: "BrokenOff", HasEndpoint: true, HasCause: true}},
+		{"AnswerTorn", func(f *fleet) {
+			f.services[0].SetFaults(standin.EndpointFaults{Break: 1})
+			f.do(f.instances[0], standin.Call{ID: "lost", Path: standin.PathPost + "x"})
+		}, told{Outcome: "Refused", Kind: "OutcomeUnknown", Reason: "BrokenOff", HasEndpoint: true, HasCause: true}},
+		{"TurnedAwayByAll", func(f *fleet) {
+			f.services[0].SetFaults(standin.EndpointFaults{Shed: 1})
+			f.do(f.instances[0], standin.Call{ID: "lost", Path: standin.PathPost + "x"})
+		}, told{Outcome: "Refused", Kind: "NoEndpoint", Reason: "NoEndpoint", HasEndpoint: true, HasCause: true}},
+		{"TooSlow", func(f *fleet) {
+			f.services[0].Pace = time.Second
+			f.do(f.instances[0], standin.Call{ID: "lost", Path: standin.PathPost + "x", Deadline: 300 * time.Millisecond})
+		}, told{Outcome: "Refused", Kind: "DeadlineRan", Reason: "Deadline", HasEndpoint: true, HasCause: true}},
+		{"StreamTorn", func(f *fleet) {
+			f.engines[0].SetFaults(standin.EndpointFaults{Break: 1})
+			f.do(f.instances[0], turnCall("lost", "p", "", "in\n"))
+		}, told{Outcome: "BrokenOff", HasEndpoint: true, HasCause: true}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 1, 1, 1)
+			tc.fail(f)
+			if diff := cmp.Diff(tc.want, f.storyOf("lost")); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// Served requests of some programs go without a line; failures never do.
+func TestServedShareLeavesFailuresIn(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 1, 1)
+	quiet := f.startWithSettings("entry-quiet", func(s *settings) { s.Log.ServedShare = 0 })
+	f.awaitReady(quiet)
+	if reply := f.do(quiet, standin.Call{ID: "served", Path: standin.PathPost + "x"}); reply.Status != http.StatusOK {
+		t.Fatalf("%+v", reply)
+	}
+	f.services[0].SetFaults(standin.EndpointFaults{Lose: 1})
+	f.do(quiet, standin.Call{ID: "lost", Path: standin.PathPost + "x"})
+	if diff := cmp.Diff("OutcomeUnknown", f.storyOf("lost").Kind); diff != "" {
+		t.Error(diff)
+	}
+	lines, _, err := recounter.Read(bytes.NewReader(f.log.bytes()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if story := recounter.Story(lines, "served"); len(story) > 0 {
+		t.Errorf("%+v", story)
+	}
+}
--- a/internal/configurer/entry.go
+++ b/internal/configurer/entry.go
@@ -42,11 +42,20 @@
 	CoreShare float64 `validate:"gt=0,max=1"`
 	// GracePeriod is the time between the order to stop and the process's end.
 	GracePeriod time.Duration `validate:"min=1s"`
-	Log         Log
+	Log         EntryLog
 	Admission   Admission
 	Placement   Placement
 }
 
+// EntryLog is what is logged and how.
+type EntryLog struct {
+	Format string `validate:"oneof=Text JSON"`
+	Level  string `validate:"oneof=Debug Info Warn Error"`
+	// ServedShare is the share of programs, and of requests outside of programs,
+	// whose served requests are logged. Failed ones always are.
+	ServedShare float64 `validate:"min=0,max=1"`
+}
+
 // Admission is up to which load work is taken.
 type Admission struct {
 	// NewPrograms is the mean load of the engines, in requests per slot, above
@@ -68,7 +77,7 @@
 func EntryDefaults() *Entry {
 	return &Entry{
 		MemoryMB: 128, Cores: 1, CoreShare: 1, StoreWrites: 800, GracePeriod: 8 * time.Second,
-		Log:       Log{Format: LogJSON, Level: "Info"},
+		Log:       EntryLog{Format: LogJSON, Level: "Info", ServedShare: 1},
 		Admission: Admission{NewPrograms: 0.62, ReturnLeast: 200 * time.Millisecond, ReturnMost: 900 * time.Millisecond},
 		Placement: Placement{Margin: 1.9},
 	}
--- a/internal/joiner/joiner.go
+++ b/internal/joiner/joiner.go
@@ -86,9 +86,6 @@
 	inFlight int
 	freed    chan struct{}
 	work     sync.WaitGroup
-
-	transactions int64
-	jobs         int64
 }
 
 // Option sets one property of a Joiner.
@@ -98,9 +95,6 @@
 // that take no others.
 func WithOnePartition() Option { return func(j *Joiner) { j.onePartition = true } }
 
-// WithInterval sets the least time between the starts of two transactions.
-func WithInterval(d time.Duration) Option { return func(j *Joiner) { j.interval.Store(int64(d)) } }
-
 // New returns a Joiner; Run makes it work.
 func New(rows Transactor, options ...Option) *Joiner {
 	j := &Joiner{rows: rows, parallel: DefaultParallel, wake: make(chan struct{}, 1), resumed: make(chan struct{}), freed: make(chan struct{}, 1)}
@@ -111,13 +105,6 @@
 	return j
 }
 
-// Counts returns how many transactions carried how many jobs so far.
-func (j *Joiner) Counts() (transactions, jobs int64) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return j.transactions, j.jobs
-}
-
 // SetRate bounds the transactions to so many a second, and to those that
 // DefaultInterval allows.
 func (j *Joiner) SetRate(perSecond float64) {
@@ -336,10 +323,6 @@
 }
 
 func (j *Joiner) transact(ctx context.Context, batch []*Job) (int64, error) {
-	j.mu.Lock()
-	j.transactions++
-	j.jobs += int64(len(batch))
-	j.mu.Unlock()
 	var changes []storer.Change
 	for _, job := range batch {
 		changes = append(changes, job.Changes...)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -64,9 +64,9 @@
 	Policy      Policy
 	DataCentre  string
 	Log         *logger.Logger
+	// ServedShare is the share of programs whose served requests are logged.
+	ServedShare float64
 	Count       Counter
-	// IsStoreLost says whether the store cannot be reached now.
-	IsStoreLost func() bool
 }
 
 // Counter counts what is answered and sent.
--- a/internal/relayer/story.go
+++ b/internal/relayer/story.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 
 	"github.com/wigeonstand/wigeonstand/internal/answerer"
@@ -80,7 +81,17 @@
 	add(s.cause != nil, "Cause", s.cause)
 	event := eventFailed
 	if s.outcome == "Served" && s.status < http.StatusBadRequest {
-		event = eventServed
+		if event = eventServed; !x.isLogged() {
+			return
+		}
 	}
 	x.Log.Log(event, pairs...)
 }
+
+// isLogged says whether served requests of the program are logged. All instances
+// choose the same programs, whose stories are then whole. A request that took
+// more than one send is logged like a failed one.
+func (x *exchange) isLogged() bool {
+	const scale = 1 << 32
+	return x.story.sends > 1 || float64(xxhash.Sum64String(x.key())%scale) < x.ServedShare*scale
+}
