internal/pruner, transcriber: rows that nobody needs any more are removed

Rows of turns and programs were never removed; at 1,500 turns/s that is 12 MB/s. A row may be the base of later ones, so that its age alone did not say that it is not needed. Change: a turn refers to rows of half a time of retention at most and repeats its transcript otherwise; then age decides. Writers remove their own rows, a slow read finds what ended instances left.

--- a/internal/bookkeeper/bookkeeper.go
+++ b/internal/bookkeeper/bookkeeper.go
@@ -17,6 +17,7 @@
 
 	"github.com/wigeonstand/wigeonstand/internal/joiner"
 	"github.com/wigeonstand/wigeonstand/internal/logger"
+	"github.com/wigeonstand/wigeonstand/internal/pruner"
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
 	"github.com/wigeonstand/wigeonstand/internal/storer"
 	"github.com/wigeonstand/wigeonstand/internal/transcriber"
@@ -111,6 +112,8 @@
 	Record *transcriber.Turn `cbor:"4,keyasint,omitempty"`
 	// Wait is how long to wait for the store.
 	Wait time.Duration `cbor:"5,keyasint"`
+	// Retention is for how long the record must be found.
+	Retention time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Closed answers a Closing.
@@ -130,6 +133,7 @@
 type Bookkeeper struct {
 	holder string
 	jobs   Submitter
+	prune  func(keys []storer.RowKey, after time.Duration)
 	system *actor.ActorSystem
 	pid    *actor.PID
 
@@ -141,10 +145,15 @@
 }
 
 // Option sets one property of a Bookkeeper.
-type Option func(*shelf)
+type Option func(*Bookkeeper, *shelf)
 
 // WithLogger sets where events are logged.
-func WithLogger(l *logger.Logger) Option { return func(s *shelf) { s.log = l } }
+func WithLogger(l *logger.Logger) Option { return func(_ *Bookkeeper, s *shelf) { s.log = l } }
+
+// WithPruner sets what removes the rows of a turn some time after it was recorded.
+func WithPruner(prune func(keys []storer.RowKey, after time.Duration)) Option {
+	return func(k *Bookkeeper, _ *shelf) { k.prune = prune }
+}
 
 // New returns a Bookkeeper under a name that no other process ever had.
 func New(holder string, jobs Submitter, reclaim Reclaimer, options ...Option) *Bookkeeper {
@@ -153,10 +162,11 @@
 	})
 	k := &Bookkeeper{
 		holder: holder, jobs: jobs, system: actor.NewActorSystem(quiet), recordings: map[string]*recording{},
+		prune: func([]storer.RowKey, time.Duration) {},
 	}
 	books := &shelf{holder: holder, jobs: jobs, accounts: map[string]*account{}, self: k.tell, reclaim: reclaim, log: logger.Discard()}
 	for _, option := range options {
-		option(books)
+		option(k, books)
 	}
 	k.pid = k.system.Root.Spawn(actor.PropsFromFunc(books.receive))
 	return k
@@ -271,13 +281,24 @@
 			k.mu.Lock()
 			delete(k.recordings, in.Record.ID)
 			k.mu.Unlock()
-			r.status = recorded(changes, result.Err)
+			if r.status = recorded(changes, result.Err); r.status != Unavailable {
+				k.pruneLater(changes, in.Retention)
+			}
 			close(r.done)
 		},
 	})
 	return r, nil
 }
 
+// pruneLater has the rows of a turn removed, also those that may land yet.
+func (k *Bookkeeper) pruneLater(changes []storer.Change, retention time.Duration) {
+	keys := make([]storer.RowKey, 0, len(changes))
+	for _, c := range changes {
+		keys = append(keys, c.RowKey)
+	}
+	k.prune(keys, pruner.KeepAfter(retention))
+}
+
 // recorded says whether the turn is in the store. A turn's rows are written
 // once: if they are there already, an earlier try has landed.
 func recorded(changes []storer.Change, err error) Status {
--- a/internal/bookkeeper/bookkeeper_test.go
+++ b/internal/bookkeeper/bookkeeper_test.go
@@ -206,7 +206,9 @@
 		want := ""
 		for i := range 20 {
 			id := fmt.Sprintf("turn-%02d", i)
-			turn := transcriber.Next(previous, id, []byte("in "+id+"\n"), []byte("out\n"))
+			turn := transcriber.Next(previous, []byte(want), transcriber.Continuation{
+				ID: id, Input: []byte("in " + id + "\n"), Output: []byte("out\n"), At: time.Now(), Retention: time.Minute,
+			})
 			want += "in " + id + "\nout\n"
 			out, err := k.Close(t.Context(), bookkeeper.Closing{Program: "p", Turn: id, Record: turn, Wait: 30 * time.Second})
 			if err != nil || out.Status != bookkeeper.OK {
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -33,6 +33,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/logger"
 	"github.com/wigeonstand/wigeonstand/internal/messenger"
 	"github.com/wigeonstand/wigeonstand/internal/meter"
+	"github.com/wigeonstand/wigeonstand/internal/pruner"
 	"github.com/wigeonstand/wigeonstand/internal/reacher"
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
 	"github.com/wigeonstand/wigeonstand/internal/relayer"
@@ -68,6 +69,12 @@
 	// storeShare is the part of the store's rate that bookkeepers use; the rest
 	// is for heartbeats and for instances that stand in for a bookkeeper.
 	storeShare = 0.4
+	// leftFactor is how many times as long as by their writers turns' rows are
+	// kept by others, who know less.
+	leftFactor = 2
+	// programLife is how long a program may be without a new grant before its
+	// budget is forgotten.
+	programLife = 24 * time.Hour
 	// retireTimeout bounds the removal of the instance's own row and the
 	// handover of its books.
 	retireTimeout = 1500 * time.Millisecond
@@ -94,6 +101,7 @@
 	registry  *registrar.Registry
 	follower  *follower.Follower
 	joiner    *joiner.Joiner
+	pruner    *pruner.Pruner
 	books     *bookkeeper.Bookkeeper
 	desk      *bookkeeper.Desk
 	relayer   *relayer.Relayer
@@ -131,8 +139,11 @@
 		joining = append(joining, joiner.WithOnePartition())
 	}
 	e.joiner = joiner.New(e.reacher, joining...)
+	e.pruner = pruner.New(e.reacher, e.log,
+		pruner.Table{Name: transcriber.Table, Keep: func() time.Duration { return leftFactor * pruner.KeepAfter(e.longestRetention()) }},
+		pruner.Table{Name: bookkeeper.Table, Keep: func() time.Duration { return programLife }})
 	e.books = bookkeeper.New(self.Incarnation, e.joiner, bookkeeper.NewReclaimer(e.enlister, e.client),
-		bookkeeper.WithLogger(e.log))
+		bookkeeper.WithLogger(e.log), bookkeeper.WithPruner(e.pruner.Add))
 	e.desk = bookkeeper.NewDesk(e.books, e.enlister, e.client, e.registry)
 	e.relayer = relayer.New(relayer.Config{
 		Tables: e.follower, Endpoints: e.registry, Sender: e.courier, Dialect: platform.Dialect,
@@ -181,6 +192,14 @@
 	return 0
 }
 
+// longestRetention returns that of the routes in force.
+func (e *Entry) longestRetention() time.Duration {
+	if table := e.follower.Table(); table != nil {
+		return max(table.LongestRetention(), pruner.DefaultRetention)
+	}
+	return pruner.DefaultRetention
+}
+
 // isReady says whether the balancer may send new connections here.
 func (e *Entry) isReady() bool {
 	ready := !e.isLeaving.Load() && e.follower.IsComplete() && !e.isStoreLost()
@@ -225,7 +244,7 @@
 	serve(func() error { return ready.Serve(listeners[1]) })
 	serve(func() error { return e.peers.Serve(work, listeners[2]) })
 	serve(func() error { return admin.Serve(listeners[3]) })
-	for _, run := range []func(context.Context){e.lines.Run, e.reacher.Run, e.joiner.Run, e.books.Run, e.follower.Run, e.enlist} {
+	for _, run := range []func(context.Context){e.lines.Run, e.reacher.Run, e.joiner.Run, e.pruner.Run, e.books.Run, e.follower.Run, e.enlist} {
 		parts.Go(func() { run(work) })
 	}
 	e.log.Log(eventStarted, "DataCentre", e.settings.DataCentre, "Incarnation", e.enlister.Self().Incarnation)
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -15,6 +15,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/chooser"
 	"github.com/wigeonstand/wigeonstand/internal/courier"
 	"github.com/wigeonstand/wigeonstand/internal/enlister"
+	"github.com/wigeonstand/wigeonstand/internal/pruner"
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
 	"github.com/wigeonstand/wigeonstand/internal/splitter"
 	"github.com/wigeonstand/wigeonstand/internal/transcriber"
@@ -360,12 +361,18 @@
 	if !t.route.Retained || t.call.ID == "" {
 		return
 	}
-	record := transcriber.Next(t.previous, t.call.ID, t.body, t.output)
+	retention := t.route.Retention
+	if retention <= 0 {
+		retention = pruner.DefaultRetention
+	}
+	record := transcriber.Next(t.previous, t.prompt[:len(t.prompt)-len(t.body)], transcriber.Continuation{
+		ID: t.call.ID, Input: t.body, Output: t.output, At: time.Now(), Retention: retention,
+	})
 	keeper := t.keeper
 	t.isOpen = false
 	start := time.Now()
 	out, err := t.Books.Close(t.ctx, keeper, bookkeeper.Closing{
-		Program: t.call.Program, Turn: t.call.ID, Used: t.used(), Record: record, Wait: min(recordWait, t.left()),
+		Program: t.call.Program, Turn: t.call.ID, Used: t.used(), Record: record, Retention: retention, Wait: min(recordWait, t.left()),
 	})
 	t.story.held = time.Since(start)
 	if err != nil || out.Status != bookkeeper.OK {
--- a/internal/storer/rows.go
+++ b/internal/storer/rows.go
@@ -23,9 +23,12 @@
 
 // SpreadKey returns the key of a row in the partition that its name falls to.
 func SpreadKey(table, name string) RowKey {
-	return RowKey{Table: table, Partition: fmt.Sprintf("p%02d", xxhash.Sum64String(name)%Partitions), Name: name}
+	return RowKey{Table: table, Partition: PartitionName(int(xxhash.Sum64String(name) % Partitions)), Name: name}
 }
 
+// PartitionName returns the name of one of the Partitions.
+func PartitionName(i int) string { return fmt.Sprintf("p%02d", i) }
+
 // Record is one row as of a read. Version is zero for an absent row.
 type Record struct {
 	RowKey
--- a/internal/tabler/tabler.go
+++ b/internal/tabler/tabler.go
@@ -98,6 +98,8 @@
 	Limits   Limits
 	Services map[string]Service
 	hosts    map[string][]*Route
+	// longestRetention is that of all routes.
+	longestRetention time.Duration
 }
 
 // New returns a Table of the routes.
@@ -114,6 +116,7 @@
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], &r)
+		t.longestRetention = max(t.longestRetention, r.Retention)
 	}
 	for _, list := range t.hosts {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
@@ -121,6 +124,9 @@
 	return t
 }
 
+// LongestRetention returns the longest time for which a route keeps its turns.
+func (t *Table) LongestRetention() time.Duration { return t.longestRetention }
+
 // Match returns the route with the longest prefix of the path among those of
 // the host, or nil.
 func (t *Table) Match(host, path string) *Route {
--- a/internal/transcriber/transcriber.go
+++ b/internal/transcriber/transcriber.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
@@ -23,6 +24,9 @@
 	segmentBytes = 24 << 10
 	// partBytes bounds one row; longer texts go on in rows of their own.
 	partBytes = 48 << 10
+	// copyBytes bounds a transcript that is repeated whole, as its rows are
+	// written in one transaction.
+	copyBytes = 512 << 10
 	// cacheBytes bounds the turns kept in memory.
 	cacheBytes = 8 << 20
 	// maxDepth bounds the rows of one transcript.
@@ -41,22 +45,50 @@
 	Text []byte `cbor:"3,keyasint"`
 	// Parts is the number of further rows that Text goes on in.
 	Parts int `cbor:"4,keyasint,omitempty"`
+	// Begun is when the oldest row of the transcript was written, by the clock of
+	// its writer, in milliseconds since 1970.
+	Begun int64 `cbor:"5,keyasint,omitempty"`
 }
 
-// Next returns the turn that follows previous, which may be nil.
-func Next(previous *Turn, id string, input, output []byte) *Turn {
-	t := &Turn{ID: id}
+// Continuation is what a turn adds to the transcript before it.
+type Continuation struct {
+	ID            string
+	Input, Output []byte
+	At            time.Time
+	// Retention is for how long the turn must be found.
+	Retention time.Duration
+}
+
+// Next returns the turn that follows previous, which may be nil, and its
+// transcript. Rows are removed by their age, so that a turn refers to young rows
+// only and repeats the transcript otherwise.
+func Next(previous *Turn, transcript []byte, c Continuation) *Turn {
+	t := &Turn{ID: c.ID, Begun: c.At.UnixMilli()}
+	size := len(c.Input) + len(c.Output)
 	if previous != nil {
 		t.Base = previous.ID
-		if len(previous.Text)+len(input)+len(output) <= segmentBytes {
-			t.Base = previous.Base
-			t.Text = append(t.Text, previous.Text...)
+		if len(previous.Text)+size <= segmentBytes {
+			t.Base, t.Text = previous.Base, append(t.Text, previous.Text...)
+		}
+		switch {
+		case t.Base == "":
+		case !previous.isYoung(c) && len(transcript)+size <= copyBytes:
+			t.Base, t.Text = "", append([]byte(nil), transcript...)
+		default:
+			t.Begun = previous.Begun
 		}
 	}
-	t.Text = append(append(t.Text, input...), output...)
+	t.Text = append(append(t.Text, c.Input...), c.Output...)
 	return t
 }
 
+// isYoung says whether the whole transcript was written within half the time of
+// retention, as far as clocks tell.
+func (t *Turn) isYoung(c Continuation) bool {
+	age := c.At.Sub(time.UnixMilli(t.Begun))
+	return max(age, -age) <= c.Retention/2
+}
+
 // Changes returns the rows that record the turn.
 func (t *Turn) Changes() ([]storer.Change, error) {
 	head := *t
--- a/internal/transcriber/transcriber_test.go
+++ b/internal/transcriber/transcriber_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -29,6 +30,13 @@
 	}
 }
 
+// next returns a turn of a route that keeps its turns for a minute.
+func next(previous *transcriber.Turn, transcript, id, input, output string) *transcriber.Turn {
+	return transcriber.Next(previous, []byte(transcript), transcriber.Continuation{
+		ID: id, Input: []byte(input), Output: []byte(output), At: time.Now(), Retention: time.Minute,
+	})
+}
+
 // A chain is put together whole whatever the sizes of its turns, and a row
 // never grows with the length of the chain.
 func TestTranscriptOfAnyLength(t *testing.T) {
@@ -39,7 +47,7 @@
 			var want strings.Builder
 			for i := range 30 {
 				input := strings.Repeat(string(rune('a'+i%26)), size)
-				turn := transcriber.Next(previous, fmt.Sprintf("%016x", i), []byte(input), []byte("out\n"))
+				turn := next(previous, want.String(), fmt.Sprintf("%016x", i), input, "out\n")
 				record(t, rows, turn)
 				want.WriteString(input + "out\n")
 				previous = turn
@@ -60,7 +68,7 @@
 
 func TestAbsentTurn(t *testing.T) {
 	rows := fakeplatform.NewRows(1)
-	record(t, rows, transcriber.Next(nil, "abc", []byte("in"), nil))
+	record(t, rows, next(nil, "", "abc", "in", ""))
 	reader := transcriber.New(rows.For("reader"))
 	for _, id := range []string{"ab", "abcd", "x"} {
 		if _, _, err := reader.Transcript(t.Context(), id); !errors.Is(err, transcriber.ErrNoTurn) {
@@ -83,8 +91,8 @@
 func TestMissingPartIsNotAbsence(t *testing.T) {
 	rows := fakeplatform.NewRows(1)
 	big := strings.Repeat("x", 30_000)
-	first := transcriber.Next(nil, "first", []byte(big), nil)
-	second := transcriber.Next(first, "second", []byte(big), nil)
+	first := next(nil, "", "first", big, "")
+	second := next(first, big, "second", big, "")
 	record(t, rows, second)
 	if _, _, err := transcriber.New(rows.For("reader")).Transcript(t.Context(), "second"); err == nil || errors.Is(err, transcriber.ErrNoTurn) {
 		t.Errorf("got %v", err)
@@ -95,7 +103,7 @@
 	rows := fakeplatform.NewRows(1)
 	reader := transcriber.New(rows.For("reader"))
 	for i := range 400 {
-		turn := transcriber.Next(nil, fmt.Sprint(i), []byte(strings.Repeat("x", 50_000)), nil)
+		turn := next(nil, "", fmt.Sprint(i), strings.Repeat("x", 50_000), "")
 		record(t, rows, turn)
 		reader.Keep(turn)
 	}
@@ -109,3 +117,42 @@
 		t.Errorf("only %d of 400 turns of 20 MB were read anew", read)
 	}
 }
+
+// Rows are removed by their age. A turn that refers to old ones, as far as its
+// writer's clock tells, would lose its transcript.
+func TestOldRowsAreNotReferredTo(t *testing.T) {
+	const retention = time.Minute
+	at := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	big := strings.Repeat("x", 30_000)
+	first := transcriber.Next(nil, nil, transcriber.Continuation{ID: "first", Input: []byte(big), At: at, Retention: retention})
+	for _, tc := range []struct {
+		age  time.Duration
+		want string
+	}{
+		{0, "first"},
+		{29 * time.Second, "first"},
+		{31 * time.Second, ""},
+		{time.Hour, ""},
+		{-29 * time.Second, "first"},
+		{-31 * time.Second, ""},
+	} {
+		second := transcriber.Next(first, []byte(big), transcriber.Continuation{
+			ID: "second", Input: []byte("in\n"), At: at.Add(tc.age), Retention: retention,
+		})
+		if diff := cmp.Diff(tc.want, second.Base); diff != "" {
+			t.Errorf("after %v: %s", tc.age, diff)
+		}
+		if whole := big + "in\n"; tc.want == "" && string(second.Text) != whole {
+			t.Errorf("after %v: %d bytes, want %d", tc.age, len(second.Text), len(whole))
+		}
+		// A third one is as old as the oldest that it needs.
+		third := transcriber.Next(second, nil, transcriber.Continuation{ID: "third", Input: []byte(big), At: at.Add(tc.age), Retention: retention})
+		wantBegun := at
+		if tc.want == "" {
+			wantBegun = at.Add(tc.age)
+		}
+		if diff := cmp.Diff(wantBegun.UnixMilli(), third.Begun); diff != "" {
+			t.Errorf("after %v: %s", tc.age, diff)
+		}
+	}
+}
