--- a/hack/mutants.sh
+++ b/hack/mutants.sh
@@ -19,7 +19,7 @@
   [ -z "$only" ] || [ "$only" = "$name" ] || continue
   rm -rf "$copy/tree"
   mkdir "$copy/tree"
-  git ls-files -z -- go.mod go.sum internal pkg cmd | xargs -0 cp --parents -t "$copy/tree"
+  git ls-files -z -- go.mod go.sum internal pkg cmd platform | xargs -0 cp --parents -t "$copy/tree"
   "$tool" apply --directory "$copy/tree" "$name"
   if ! (cd "$copy/tree" && go vet "$package") >"$copy/log" 2>&1; then
     echo "MISSED $name: it does not build"
