--- a/hack/docscheck/main.go
+++ b/hack/docscheck/main.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -124,7 +125,11 @@
 			describe(b, name+".", value)
 			continue
 		}
-		fmt.Fprintf(b, "| %s | %s | %v |\n", name, field.Type, value.Interface())
+		text := fmt.Sprint(value.Interface())
+		if address, isAddress := value.Interface().(netip.AddrPort); isAddress && !address.IsValid() {
+			text = ""
+		}
+		fmt.Fprintf(b, "| %s | %s | %s |\n", name, field.Type, text)
 	}
 }
 
