--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -22,9 +22,9 @@
 )
 
 const (
-	// DefaultWait is how long a call waits for a change. A call that is not
+	// changeWait is how long a call waits for a change. A call that is not
 	// answered by then shows that the store is out of reach.
-	DefaultWait = time.Second
+	changeWait = time.Second
 	// pause is the time between two calls, so that changes in a row are read
 	// together and a store that is out of reach is not pressed.
 	pause = 100 * time.Millisecond
@@ -67,13 +67,13 @@
 
 // Follower follows the platform.
 type Follower struct {
-	copies   Copies
 	source   Source
-	tables   *tracker.Tracker
-	rows     *tracker.Tracker
+	copies   Copies
 	registry *registrar.Registry
 	log      *logger.Logger
-	wait     time.Duration
+
+	configuration *tracker.Tracker
+	registrations *tracker.Tracker
 
 	table        atomic.Pointer[tabler.Table]
 	isComplete   atomic.Bool
@@ -97,9 +97,6 @@
 // Option sets one property of a Follower.
 type Option func(*Follower)
 
-// WithWait sets how long a call waits for a change.
-func WithWait(d time.Duration) Option { return func(f *Follower) { f.wait = d } }
-
 // Copies are what instances give each other while the store is out of reach.
 type Copies interface {
 	Lend(table lender.Table, copied func() (storer.Page, bool))
@@ -117,13 +114,13 @@
 func New(source Source, rows tracker.Reader, registry *registrar.Registry, options ...Option) *Follower {
 	f := &Follower{
 		source: source, registry: registry, log: logger.Discard(),
-		wait: DefaultWait, endpoints: map[string]registration{},
+		endpoints: map[string]registration{},
 	}
 	for _, option := range options {
 		option(f)
 	}
-	f.tables = f.track(rows, lender.Table{Name: source.Configuration.Table, Partition: source.Configuration.Partition})
-	f.rows = f.track(rows, lender.Table{Name: source.Endpoints})
+	f.configuration = f.track(rows, lender.Table{Name: source.Configuration.Table, Partition: source.Configuration.Partition})
+	f.registrations = f.track(rows, lender.Table{Name: source.Endpoints})
 	return f
 }
 
@@ -157,7 +154,7 @@
 func (f *Follower) follow(ctx context.Context, what string, poll func(context.Context, time.Duration) error) {
 	isFailing := false
 	for {
-		wait, then := f.wait, pause
+		wait, then := changeWait, pause
 		if isFailing {
 			wait = 0
 		}
@@ -194,10 +191,10 @@
 }
 
 func (f *Follower) pollTable(ctx context.Context, wait time.Duration) error {
-	if _, err := f.tables.Refresh(ctx, wait); err != nil {
+	if _, err := f.configuration.Refresh(ctx, wait); err != nil {
 		return err
 	}
-	record, found := f.tables.Get(f.source.Configuration.Name)
+	record, found := f.configuration.Get(f.source.Configuration.Name)
 	if !found || record.Version == f.tableVersion {
 		return nil
 	}
@@ -219,7 +216,7 @@
 	if !f.graceUntil.IsZero() {
 		wait = min(wait, max(time.Until(f.graceUntil), 0))
 	}
-	changed, err := f.rows.Refresh(ctx, wait)
+	changed, err := f.registrations.Refresh(ctx, wait)
 	if err != nil {
 		f.isAway = true
 		return err
@@ -241,7 +238,7 @@
 func (f *Follower) decode() (endpoints []registrar.Endpoint, present map[string]bool) {
 	known := f.endpoints
 	f.endpoints, present = map[string]registration{}, map[string]bool{}
-	for _, r := range f.rows.Records() {
+	for _, r := range f.registrations.Records() {
 		decoded, found := known[r.Name]
 		if !found || decoded.version != r.Version {
 			decoded = registration{version: r.Version}
