--- a/internal/soaker/soak_instance.go
+++ b/internal/soaker/soak_instance.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -14,12 +15,14 @@
 
 // instance is one real process with its links.
 type instance struct {
-	name    string
-	host    string
-	binary  string
-	folder  string
-	store   *link
-	peers   *link
+	name   string
+	host   string
+	binary string
+	folder string
+	store  *link
+	peers  *link
+	// seeds are the peers' addresses of some instances that started before.
+	seeds   []string
 	command *exec.Cmd
 	ended   chan struct{}
 
@@ -38,10 +41,11 @@
 ReadyListen: %[2]s:7102
 PeerListen: %[2]s:7103
 PeerAddress: %[3]s
+Seeds: [%[5]s]
 AdminListen: %[2]s:7104
 StoreAddress: %[4]s
 GracePeriod: 6s
-`, in.name, in.host, in.peers.address(), in.store.address())
+`, in.name, in.host, in.peers.address(), in.store.address(), strings.Join(in.seeds, ", "))
 	return os.WriteFile(in.file("yaml"), []byte(text), 0o600)
 }
 
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -52,6 +52,8 @@
 	settleTime = 2 * time.Second
 	faultGap   = 700 * time.Millisecond
 	faultLife  = 3 * time.Second
+	// maxSeeds is how many addresses the settings name at most, as on the platform.
+	maxSeeds = 3
 )
 
 type soak struct {
@@ -171,6 +173,9 @@
 		return err
 	}
 	s.links = append(s.links, in.store, in.peers)
+	for _, before := range s.instances[:min(len(s.instances), maxSeeds)] {
+		in.seeds = append(in.seeds, before.peers.address())
+	}
 	if err := in.settings(); err != nil {
 		return err
 	}
