--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -174,7 +174,7 @@
 	}
 	s.links = append(s.links, in.store, in.peers)
 	for _, before := range s.instances[:min(len(s.instances), maxSeeds)] {
-		in.seeds = append(in.seeds, before.peers.address())
+		in.seeds = append(in.seeds, before.peers.address().String())
 	}
 	if err := in.settings(); err != nil {
 		return err
