internal/composer: the caller of a slow answer waits for it

TestStoryNamesTheCause/TooSlow failed once in some ten runs: the stand-in's caller left at the very deadline at which the answer is due, so that the outcome was Canceled or DeadlineRan. The caller now waits a second longer.

--- a/internal/composer/story_test.go
+++ b/internal/composer/story_test.go
@@ -108,7 +108,7 @@
 		}, told{Outcome: "Refused", Kind: "NoEndpoint", Reason: "NoEndpoint", HasEndpoint: true, HasCause: true}},
 		{"TooSlow", func(f *fleet) {
 			f.services[0].Pace = time.Second
-			f.do(f.instances[0], standin.Call{ID: "lost", Path: standin.PathPost + "x", Deadline: 300 * time.Millisecond})
+			f.do(f.instances[0], standin.Call{ID: "lost", Path: standin.PathPost + "x", Deadline: 300 * time.Millisecond, Patience: time.Second})
 		}, told{Outcome: "Refused", Kind: "DeadlineRan", Reason: "Deadline", HasEndpoint: true, HasCause: true}},
 		{"StreamTorn", func(f *fleet) {
 			f.engines[0].SetFaults(standin.EndpointFaults{Break: 1})
