internal/registrar: tell other instances of failures at endpoints

Change: the notes that carry loads carry the last failure too; an instance that hears of one avoids the endpoint for 0.3 to 1.5 s, by chance, unless an answer came after it. Failures are told on once, so that they grow old.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -4,6 +4,7 @@
 package registrar
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -18,6 +19,13 @@
 	// consecutive failures; the time doubles with each.
 	avoidLeast = 250 * time.Millisecond
 	avoidMost  = 4 * time.Second
+	// toldLeast and toldSpread are how long an endpoint is avoided after another
+	// instance's failure. The spread lets one instance try before the others.
+	toldLeast  = 300 * time.Millisecond
+	toldSpread = 1200 * time.Millisecond
+	// tellHops is how often a failure is told on: to a bookkeeper, and by it. A
+	// failure that went round would never grow old, as each hop adds its delay.
+	tellHops = 2
 )
 
 // Load is what an endpoint says of itself with an answer.
@@ -62,6 +70,18 @@
 	reported    time.Time
 	failures    int
 	avoidUntil  time.Time
+	// failed is when a request failed last, here or at an instance that told so;
+	// hops is how often it was told on, and toldUntil until when the endpoint is
+	// avoided for it.
+	failed    time.Time
+	hops      int
+	toldUntil time.Time
+}
+
+// isAvoided says whether requests failed lately. Another instance's failure says
+// nothing once an answer came after it.
+func (e *entry) isAvoided(now time.Time) bool {
+	return now.Before(e.avoidUntil) || (now.Before(e.toldUntil) && e.failed.After(e.reported))
 }
 
 // Registry is the set of registered endpoints. It is safe for concurrent use.
@@ -138,7 +158,7 @@
 }
 
 func (e *entry) candidate(now time.Time) Candidate {
-	c := Candidate{Endpoint: e.Endpoint, Load: float64(e.own), Own: e.own, Age: -1, Avoid: now.Before(e.avoidUntil)}
+	c := Candidate{Endpoint: e.Endpoint, Load: float64(e.own), Own: e.own, Age: -1, Avoid: e.isAvoided(now)}
 	if age := now.Sub(e.reported); !e.reported.IsZero() && age <= loadLife {
 		c.Age = age
 		c.Load = max(c.Load, float64(e.load.Running+e.load.Waiting+e.own-e.ownAtReport))
@@ -178,6 +198,7 @@
 		e.failures = 0
 	case Failed:
 		e.failures++
+		e.failed, e.hops = time.Now(), 0
 		pause := min(avoidLeast<<min(e.failures-1, 10), avoidMost)
 		e.avoidUntil = time.Now().Add(pause)
 	case Neutral:
@@ -193,25 +214,34 @@
 	}
 }
 
-// Note is a reported load as one instance tells it to another.
+// Note is what one instance tells another of an endpoint: its load as reported,
+// and the last failure.
 type Note struct {
 	ID      string        `cbor:"1,keyasint"`
 	Running int           `cbor:"2,keyasint"`
 	Waiting int           `cbor:"3,keyasint"`
 	Slots   int           `cbor:"4,keyasint"`
 	Age     time.Duration `cbor:"5,keyasint"`
+	// HasFailed is true if a request failed lately, FailedAge ago.
+	HasFailed bool          `cbor:"6,keyasint,omitempty"`
+	FailedAge time.Duration `cbor:"7,keyasint,omitempty"`
+	// Hops is how often the failure was told on, this time included.
+	Hops int `cbor:"8,keyasint,omitempty"`
 }
 
-// Notes returns the loads that were reported lately.
+// Notes returns what became known lately.
 func (r *Registry) Notes() []Note {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var notes []Note
 	for id, e := range r.byID {
-		if age := now.Sub(e.reported); age <= noteLife {
+		age, failedAge := now.Sub(e.reported), now.Sub(e.failed)
+		hasFailed := failedAge <= noteLife && e.hops < tellHops
+		if age <= noteLife || hasFailed {
 			notes = append(notes, Note{
 				ID: id, Running: e.load.Running, Waiting: e.load.Waiting, Slots: e.load.Slots, Age: age,
+				HasFailed: hasFailed, FailedAge: failedAge, Hops: e.hops + 1,
 			})
 		}
 	}
@@ -229,5 +259,9 @@
 			e.load = Load{Running: n.Running, Waiting: n.Waiting, Slots: n.Slots}
 			e.reported, e.ownAtReport = at, e.own
 		}
+		if at := now.Add(-n.FailedAge); e != nil && n.HasFailed && at.After(e.failed) {
+			e.failed, e.hops = at, n.Hops
+			e.toldUntil = at.Add(toldLeast + rand.N(toldSpread))
+		}
 	}
 }
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -121,3 +121,93 @@
 		t.Errorf("%+v, %d candidates", changes, len(r.Candidates("s")))
 	}
 }
+
+// Replays endpoints that go down and up (Laulukaar grown trouble-3): each of 80
+// instances had to fail at each of them by itself.
+func TestFailuresAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		endpoints := []registrar.Endpoint{{ID: "down", Service: "s"}, {ID: "up", Service: "s"}}
+		here, there := registrar.New(), registrar.New()
+		here.Replace(endpoints)
+		there.Replace(endpoints)
+		avoided := func(r *registrar.Registry) bool {
+			for _, c := range r.Candidates("s") {
+				if c.ID == "down" {
+					return c.Avoid
+				}
+			}
+			t.Fatal("no candidate")
+			return false
+		}
+		fail := func() {
+			here.Begin("down")
+			here.End("down", registrar.Failed)
+		}
+		fail()
+		time.Sleep(50 * time.Millisecond)
+		there.Take(here.Notes())
+		if !avoided(there) {
+			t.Error("another instance's failure is not heeded")
+		}
+		time.Sleep(2 * time.Second)
+		if avoided(there) {
+			t.Error("a failure of two seconds ago is still heeded")
+		}
+		fail()
+		time.Sleep(50 * time.Millisecond)
+		here.Report("down", registrar.Load{Running: 1, Slots: 8})
+		there.Take(here.Notes())
+		if avoided(there) {
+			t.Error("an endpoint that answered after its failure is avoided")
+		}
+		// What is told again and again is heeded once.
+		fail()
+		time.Sleep(50 * time.Millisecond)
+		notes := here.Notes()
+		for range 40 {
+			there.Take(notes)
+			time.Sleep(50 * time.Millisecond)
+			for i := range notes {
+				notes[i].Age += 50 * time.Millisecond
+				notes[i].FailedAge += 50 * time.Millisecond
+			}
+		}
+		if avoided(there) {
+			t.Error("an old failure is told for ever")
+		}
+	})
+}
+
+// Instances talk all the time; a failure that each tells on must grow old.
+func TestFailureDoesNotGoRound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var all []*registrar.Registry
+		for range 3 {
+			r := registrar.New()
+			r.Replace([]registrar.Endpoint{{ID: "x", Service: "s"}, {ID: "y", Service: "s"}})
+			all = append(all, r)
+		}
+		keeper := all[0]
+		all[1].Begin("x")
+		all[1].End("x", registrar.Failed)
+		heeded := 0
+		for range 100 {
+			for _, r := range all[1:] {
+				there := r.Notes()
+				time.Sleep(50 * time.Millisecond)
+				keeper.Take(there)
+				back := keeper.Notes()
+				time.Sleep(50 * time.Millisecond)
+				r.Take(back)
+			}
+			for _, c := range all[2].Candidates("s") {
+				if c.Avoid {
+					heeded++
+				}
+			}
+		}
+		if heeded == 0 || heeded > 10 {
+			t.Errorf("a failure was heeded in %d of 100 rounds of 0.2 s", heeded)
+		}
+	})
+}
