internal/composer, relayer: tests of holding that do not depend on the machine's load

Change: for how long a turn is held is tested on its own, on a paused clock and to the nanosecond (TestHold); the tests with real processes' time look for the faults themselves (refused at once, held to the deadline) and come back when told so.

--- a/internal/composer/composer_test.go
+++ b/internal/composer/composer_test.go
@@ -23,7 +23,7 @@
 	previous, transcript := "", ""
 	for i := range 6 {
 		id, input := fmt.Sprintf("turn-%d", i), fmt.Sprintf("input %d\n", i)
-		reply := f.do(f.instances[i%3], turnCall(id, "p", previous, input))
+		reply := f.serve(f.instances[i%3], turnCall(id, "p", previous, input))
 		if reply.Status != http.StatusOK || !reply.Whole || !reply.IsSigned() {
 			t.Fatalf("turn %d: %+v", i, reply)
 		}
@@ -49,10 +49,10 @@
 func TestTurnsFormATree(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 2, 2, 0)
-	root := f.do(f.instances[0], turnCall("root", "p", "", "start\n"))
+	root := f.serve(f.instances[0], turnCall("root", "p", "", "start\n"))
 	each(4, func(i int) {
 		id := fmt.Sprintf("child-%d", i)
-		reply := f.do(f.instances[i%2], turnCall(id, fmt.Sprintf("program-%d", i), "root", "go on\n"))
+		reply := f.serve(f.instances[i%2], turnCall(id, fmt.Sprintf("program-%d", i), "root", "go on\n"))
 		if reply.Status != http.StatusOK || !reply.Whole {
 			t.Errorf("%s: %+v", id, reply)
 		}
@@ -66,14 +66,14 @@
 func TestTurnIsFoundAfterAllInstancesDied(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 2, 2, 0)
-	first := f.do(f.instances[0], turnCall("kept", "p", "", "start\n"))
+	first := f.serve(f.instances[0], turnCall("kept", "p", "", "start\n"))
 	if !first.Whole {
 		t.Fatalf("%+v", first)
 	}
 	each(2, func(i int) { f.stop(f.instances[i]) })
 	again := f.start("entry-9")
 	f.awaitReady(again)
-	reply := f.do(again, turnCall("next", "q", "kept", "go on\n"))
+	reply := f.serve(again, turnCall("next", "q", "kept", "go on\n"))
 	if reply.Status != http.StatusOK || !reply.Whole {
 		t.Fatalf("%+v", reply)
 	}
@@ -180,7 +180,7 @@
 func TestOutageOfTheStore(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 2, 2, 1)
-	first := f.do(f.instances[0], turnCall("before", "p", "", "in\n"))
+	first := f.serve(f.instances[0], turnCall("before", "p", "", "in\n"))
 	if !first.Whole {
 		t.Fatalf("%+v", first)
 	}
@@ -206,7 +206,7 @@
 func TestTurnOutlivesAMomentWithoutStore(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 2, 2, 0)
-	if first := f.do(f.instances[0], turnCall("first", "p", "", "in\n")); !first.Whole {
+	if first := f.serve(f.instances[0], turnCall("first", "p", "", "in\n")); !first.Whole {
 		t.Fatalf("%+v", first)
 	}
 	f.rows.SetFaults(fakeplatform.RowFaults{Outage: true})
@@ -374,18 +374,19 @@
 	f.rows.SetFaults(fakeplatform.RowFaults{Refused: map[string]bool{"entry-9": true}})
 	late := f.startWith("entry-9", f.instances[0].settings.PeerAddress)
 	f.awaitReady(late)
-	if reply := f.do(late, turnCall("turn", "p", "", "in\n")); reply.Status != http.StatusOK || !reply.Whole {
+	if reply := f.serve(late, turnCall("turn", "p", "", "in\n")); reply.Status != http.StatusOK || !reply.Whole {
 		t.Errorf("%+v", reply)
 	}
 }
 
-// Replays outages of 4 to 6 s (Binfold trouble-2): callers gave turns up after two
-// silent seconds, and their programs failed sooner than if told to come back.
-func TestHeldTurnIsRefusedBeforeItsCallerGivesUp(t *testing.T) {
+// A turn that waits for the store in vain is refused, not held to its deadline.
+// For how long it is held is the matter of relayer's TestHold; here the machine's
+// own load may add to it.
+func TestHeldTurnIsRefusedBeforeItsDeadline(t *testing.T) {
 	t.Parallel()
-	const callersPatience = 2 * time.Second
+	const least, most = time.Second, 4 * time.Second // Of the deadline of 5 s; it was refused after 4.5 s.
 	f := newFleet(t, 2, 1, 0)
-	if first := f.do(f.instances[0], turnCall("before", "p", "", "in\n")); !first.Whole {
+	if first := f.serve(f.instances[0], turnCall("before", "p", "", "in\n")); !first.Whole {
 		t.Fatalf("%+v", first)
 	}
 	f.rows.SetFaults(fakeplatform.RowFaults{Outage: true})
@@ -396,25 +397,27 @@
 		}
 		begun := time.Now()
 		reply := f.do(f.instances[i], call)
-		if took := time.Since(begun); took >= callersPatience || took < callersPatience/2 || !reply.IsNotRun() || reply.Header.Get("Retry-After") == "" {
+		if took := time.Since(begun); took >= most || took < least || !reply.IsNotRun() || reply.Header.Get("Retry-After") == "" {
 			t.Errorf("%s after %v: %+v", call.ID, took, reply)
 		}
 	})
 }
 
 // Replays the end of a recovery (deploy/days/14, seed 580010063768): a turn with
-// less than half a second left was refused without a try.
-func TestTurnWithLittleTimeIsServed(t *testing.T) {
+// less than half a second left was refused without a try. On a busy machine it may
+// come too late, but not be refused at once.
+func TestTurnWithLittleTimeIsTried(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 2, 1, 0)
-	if first := f.do(f.instances[0], turnCall("before", "p", "", "in\n")); !first.Whole {
+	if first := f.serve(f.instances[0], turnCall("before", "p", "", "in\n")); !first.Whole {
 		t.Fatalf("%+v", first)
 	}
 	each(2, func(i int) {
 		call := turnCall(fmt.Sprint("late-", i), "p", "before", "in\n")
 		call.Deadline = 400 * time.Millisecond
-		if reply := f.do(f.instances[i], call); reply.Status != http.StatusOK || !reply.Whole {
-			t.Errorf("%s: %+v", call.ID, reply)
+		begun := time.Now()
+		if reply := f.do(f.instances[i], call); reply.IsNotRun() && time.Since(begun) < call.Deadline/4 {
+			t.Errorf("%s: refused after %v", call.ID, time.Since(begun))
 		}
 	})
 }
--- a/internal/composer/fleet_test.go
+++ b/internal/composer/fleet_test.go
@@ -226,6 +226,18 @@
 	return standin.Do(f.t.Context(), f.client, in.settings.CallerListen.String(), c)
 }
 
+// serve sends the call until it is taken, as callers do that are told to come
+// back: while the machine is busy, a turn may be held for too long.
+func (f *fleet) serve(in *instance, c standin.Call) standin.Reply {
+	f.t.Helper()
+	var reply standin.Reply
+	f.await(c.ID+" is taken", func() bool {
+		reply = f.do(in, c)
+		return !reply.IsNotRun()
+	})
+	return reply
+}
+
 func turnCall(id, program, previous, body string) standin.Call {
 	return standin.Call{
 		ID: id, Path: standin.PathRetained + "x", Body: body, Program: program, Budget: 2000, MaxTokens: 100, Previous: previous,
--- /dev/null
+++ b/internal/relayer/hold_test.go
@@ -0,0 +1,45 @@
+package relayer
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// Replays outages of the store (Binfold trouble-2) and the end of a recovery
+// (deploy/days/14): a turn is held for less time than its caller waits, and one
+// with little time is tried at all.
+func TestHold(t *testing.T) {
+	const callersPatience = 2 * time.Second
+	for _, tc := range []struct{ whole, want time.Duration }{
+		{10 * time.Second, 1800 * time.Millisecond},
+		{3 * time.Second, 1800 * time.Millisecond},
+		{2 * time.Second, 1500 * time.Millisecond},
+		{time.Second, 500 * time.Millisecond},
+		{600 * time.Millisecond, 300 * time.Millisecond},
+		{400 * time.Millisecond, 200 * time.Millisecond},
+		{50 * time.Millisecond, 25 * time.Millisecond},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			now := time.Now()
+			turn := &turn{exchange: &exchange{arrived: now, until: now.Add(tc.whole)}}
+			got := turn.hold()
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("of %v: %s", tc.whole, diff)
+			}
+			if got >= callersPatience {
+				t.Errorf("of %v: the caller leaves first", tc.whole)
+			}
+			time.Sleep(10 * time.Millisecond)
+			if diff := cmp.Diff(tc.want-10*time.Millisecond, turn.hold()); diff != "" {
+				t.Errorf("later, of %v: %s", tc.whole, diff)
+			}
+			time.Sleep(tc.whole)
+			if diff := cmp.Diff(time.Duration(0), turn.hold()); diff != "" {
+				t.Errorf("at the end, of %v: %s", tc.whole, diff)
+			}
+		})
+	}
+}
