internal/relayer: refuse short turns at once while the store is known to be away

Change: half of a short time is given only if the store is not known to be out of reach. TestHold has both cases; the second failed before.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -149,6 +149,7 @@
 		Tables: e.follower, Endpoints: e.registry, Sender: e.courier, Dialect: platform.Dialect,
 		Books:       e.desk,
 		Transcripts: transcriber.New(e.reacher),
+		IsStoreLost: func() bool { way, _ := e.reacher.Way(); return way == reacher.Lost },
 		DataCentre:  settings.DataCentre, Log: e.log, ServedShare: settings.Log.ServedShare, Count: counts,
 		Policy: relayer.Policy{
 			Admission: admitter.Policy{
--- a/internal/relayer/hold_test.go
+++ b/internal/relayer/hold_test.go
@@ -10,21 +10,31 @@
 
 // Replays outages of the store (Binfold trouble-2) and the end of a recovery
 // (deploy/days/14): a turn is held for less time than its caller waits, and one
-// with little time is tried at all.
+// with little time is tried, but refused at once while the store is known to be
+// out of reach.
 func TestHold(t *testing.T) {
 	const callersPatience = 2 * time.Second
-	for _, tc := range []struct{ whole, want time.Duration }{
-		{10 * time.Second, 1800 * time.Millisecond},
-		{3 * time.Second, 1800 * time.Millisecond},
-		{2 * time.Second, 1500 * time.Millisecond},
-		{time.Second, 500 * time.Millisecond},
-		{600 * time.Millisecond, 300 * time.Millisecond},
-		{400 * time.Millisecond, 200 * time.Millisecond},
-		{50 * time.Millisecond, 25 * time.Millisecond},
+	for _, tc := range []struct {
+		whole, want time.Duration
+		isLost      bool
+	}{
+		{10 * time.Second, 1800 * time.Millisecond, false},
+		{3 * time.Second, 1800 * time.Millisecond, false},
+		{2 * time.Second, 1500 * time.Millisecond, false},
+		{time.Second, 500 * time.Millisecond, false},
+		{600 * time.Millisecond, 300 * time.Millisecond, false},
+		{400 * time.Millisecond, 200 * time.Millisecond, false},
+		{50 * time.Millisecond, 25 * time.Millisecond, false},
+		{3 * time.Second, 1800 * time.Millisecond, true},
+		{time.Second, 500 * time.Millisecond, true},
+		{600 * time.Millisecond, 100 * time.Millisecond, true},
+		{400 * time.Millisecond, 0, true},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			now := time.Now()
-			turn := &turn{exchange: &exchange{arrived: now, until: now.Add(tc.whole)}}
+			turn := &turn{exchange: &exchange{
+				Relayer: New(Config{IsStoreLost: func() bool { return tc.isLost }}), arrived: now, until: now.Add(tc.whole),
+			}}
 			got := turn.hold()
 			if diff := cmp.Diff(tc.want, got); diff != "" {
 				t.Errorf("of %v: %s", tc.whole, diff)
@@ -33,7 +43,7 @@
 				t.Errorf("of %v: the caller leaves first", tc.whole)
 			}
 			time.Sleep(10 * time.Millisecond)
-			if diff := cmp.Diff(tc.want-10*time.Millisecond, turn.hold()); diff != "" {
+			if diff := cmp.Diff(max(tc.want-10*time.Millisecond, 0), turn.hold()); diff != "" {
 				t.Errorf("later, of %v: %s", tc.whole, diff)
 			}
 			time.Sleep(tc.whole)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -64,6 +64,8 @@
 	Policy      Policy
 	DataCentre  string
 	Log         *logger.Logger
+	// IsStoreLost says whether no way to the store is known.
+	IsStoreLost func() bool
 	// ServedShare is the share of programs whose served requests are logged.
 	ServedShare float64
 	Count       Counter
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -124,11 +124,15 @@
 }
 
 // hold is how much longer the turn may wait for the store. What comes too late
-// for an answer is not waited for; a caller with little time gives half of it.
+// for an answer is not waited for. A caller with little time gives half of it,
+// unless the store is known to be out of reach.
 func (t *turn) hold() time.Duration {
 	whole := t.until.Sub(t.arrived)
-	most := min(max(whole-leastService, whole/2), holdMost)
-	return max(most-time.Since(t.arrived), 0)
+	most := whole - leastService
+	if !t.IsStoreLost() {
+		most = max(most, whole/2)
+	}
+	return max(min(most, holdMost)-time.Since(t.arrived), 0)
 }
 
 // open reserves the turn's tokens.
