--- a/internal/soaker/soak_instance.go
+++ b/internal/soaker/soak_instance.go
@@ -74,8 +74,9 @@
 	return nil
 }
 
-// signal sends the signal to the process, if it runs.
-func (in *instance) signal(s syscall.Signal) {
+// signal sends the signal to the process, if it runs. It returns a channel that
+// closes when that process ends; nil if none ever ran.
+func (in *instance) signal(s syscall.Signal) <-chan struct{} {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if in.isRunning() {
@@ -83,6 +84,7 @@
 		in.frozen = s == syscall.SIGSTOP || (in.frozen && s != syscall.SIGCONT)
 		in.stopped = in.stopped || s == syscall.SIGTERM
 	}
+	return in.ended
 }
 
 func (in *instance) isRunning() bool {
@@ -99,9 +101,8 @@
 
 // kill ends the process at once and waits for it.
 func (in *instance) kill() {
-	in.signal(syscall.SIGKILL)
-	if in.ended != nil {
-		<-in.ended
+	if ended := in.signal(syscall.SIGKILL); ended != nil {
+		<-ended
 	}
 }
 
