--- a/internal/closer/closer_test.go
+++ b/internal/closer/closer_test.go
@@ -16,8 +16,9 @@
 	"github.com/wigeonstand/wigeonstand/internal/closer"
 )
 
-// server runs a server and returns its address and a count of carried out requests.
-func server(t *testing.T, c *closer.Closer) (address string, ran *sync.Map) {
+// server runs a server and returns its address, the requests carried out, and
+// what stops it once it has carried out all that it read.
+func server(t *testing.T, c *closer.Closer) (address string, ran *sync.Map, stop func()) {
 	t.Helper()
 	ran = &sync.Map{}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -36,11 +37,15 @@
 		defer close(done)
 		_ = s.Serve(c.Listener(l)) // Ends by Close.
 	}()
+	stop = func() {
+		_ = s.Shutdown(context.WithoutCancel(t.Context())) // It has no end of its own to report.
+		<-done
+	}
 	t.Cleanup(func() {
 		_ = s.Close() // The test is over.
 		<-done
 	})
-	return l.Addr().String(), ran
+	return l.Addr().String(), ran, stop
 }
 
 // Replays a stop under load, as hunted on Laulukaar (mix, seed 366059745364): a
@@ -49,13 +54,14 @@
 func TestRequestThatWasReadIsAnswered(t *testing.T) {
 	for round := range 40 {
 		c := closer.New()
-		address, ran := server(t, c)
+		address, ran, stopServer := server(t, c)
 		var (
-			work sync.WaitGroup
-			stop atomic.Bool
+			work       sync.WaitGroup
+			stop       atomic.Bool
+			unanswered sync.Map
 		)
 		for i := range 8 {
-			work.Go(func() { send(t, address, fmt.Sprintf("/%d-%d", round, i), ran, &stop) })
+			work.Go(func() { send(t, address, fmt.Sprintf("/%d-%d", round, i), &unanswered, &stop) })
 		}
 		for pass := range 10 {
 			delay := time.Duration(round)*200*time.Microsecond + time.Duration(5*pass)*time.Millisecond
@@ -63,11 +69,19 @@
 		}
 		time.AfterFunc(60*time.Millisecond, func() { stop.Store(true) })
 		work.Wait()
+		stopServer()
+		unanswered.Range(func(path, err any) bool {
+			if _, found := ran.Load(path); found {
+				t.Errorf("%s ran, but got no answer: %v", path, err)
+			}
+			return true
+		})
 	}
 }
 
-// send sends requests on kept connections until one closes.
-func send(t *testing.T, address, prefix string, ran *sync.Map, stop *atomic.Bool) {
+// send sends requests on one connection until it closes, and notes the request
+// that got no answer.
+func send(t *testing.T, address, prefix string, unanswered *sync.Map, stop *atomic.Bool) {
 	nc, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Error(err)
@@ -82,10 +96,7 @@
 		}
 		response, err := http.ReadResponse(r, nil)
 		if err != nil {
-			time.Sleep(5 * time.Millisecond) // Its handler may be about to run.
-			if _, found := ran.Load(path); found {
-				t.Errorf("%s ran, but got no answer: %v", path, err)
-			}
+			unanswered.Store(path, err)
 			return
 		}
 		_, _ = io.Copy(io.Discard, response.Body) // "ok".
@@ -101,7 +112,7 @@
 // after it on the same connection was dropped.
 func TestRequestAfterAnOldAnswerIsAnswered(t *testing.T) {
 	c := closer.New()
-	address, _ := server(t, c)
+	address, _, _ := server(t, c)
 	nc, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
@@ -127,7 +138,7 @@
 
 func TestUnusedConnectionsClose(t *testing.T) {
 	c := closer.New()
-	address, _ := server(t, c)
+	address, _, _ := server(t, c)
 	dial := func() net.Conn {
 		nc, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", address)
 		if err != nil {
@@ -148,9 +159,13 @@
 		_, err := io.Copy(io.Discard, nc)
 		return err == nil
 	}
-	time.Sleep(150 * time.Millisecond)
-	c.CloseUnused(false)
-	if !isClosed(unused) {
+	// A connection counts as unused a moment after its answer.
+	isUnusedClosed := false
+	for range 3 {
+		c.CloseUnused(false)
+		isUnusedClosed = isUnusedClosed || isClosed(unused)
+	}
+	if !isUnusedClosed {
 		t.Error("the unused connection stays open")
 	}
 	if isClosed(fresh) {
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -184,15 +184,6 @@
 	return way == reacher.Lost && time.Since(answered) > lostAfter
 }
 
-// ConfigurationVersion returns that of the operators' configuration in force; 0
-// for none.
-func (e *Entry) ConfigurationVersion() int64 {
-	if table := e.follower.Table(); table != nil {
-		return table.Version
-	}
-	return 0
-}
-
 // longestRetention returns that of the routes in force.
 func (e *Entry) longestRetention() time.Duration {
 	if table := e.follower.Table(); table != nil {
--- a/internal/composer/composer_test.go
+++ b/internal/composer/composer_test.go
@@ -1,11 +1,13 @@
 package composer_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +16,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
+	"github.com/wigeonstand/wigeonstand/internal/recounter"
 	"github.com/wigeonstand/wigeonstand/platform/standin"
 )
 
@@ -365,7 +368,13 @@
 	}
 	f.rows.SetFaults(fakeplatform.RowFaults{})
 	f.awaitReady(late)
-	f.await("the newer configuration is in force", func() bool { return late.entry.ConfigurationVersion() == 2 })
+	f.await("the newer configuration is in force", func() bool {
+		lines, _, err := recounter.Read(bytes.NewReader(f.log.bytes()))
+		return err == nil && slices.ContainsFunc(lines, func(l recounter.Line) bool {
+			return l.Instance == late.name && l.Name == "ConfigurationInForce" &&
+				slices.Contains(l.Fields, recounter.Field{Name: "Version", Value: "2"})
+		})
+	})
 }
 
 // One that is turned away by the store reaches it through an instance it was told of.
--- a/internal/composer/fleet_test.go
+++ b/internal/composer/fleet_test.go
@@ -64,7 +64,6 @@
 type instance struct {
 	name     string
 	settings *configurer.Entry
-	entry    *composer.Entry
 	cancel   context.CancelFunc
 	ended    chan error
 }
@@ -171,7 +170,7 @@
 		f.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	in := &instance{name: settings.Instance, settings: settings, entry: entry, cancel: cancel, ended: make(chan error, 1)}
+	in := &instance{name: settings.Instance, settings: settings, cancel: cancel, ended: make(chan error, 1)}
 	go func() {
 		defer rows.Close()
 		in.ended <- entry.Run(ctx, nil, nil)
--- a/internal/fakeplatform/rows.go
+++ b/internal/fakeplatform/rows.go
@@ -176,14 +176,10 @@
 		r.busy[c.Partition] = end
 	}
 	r.mu.Unlock()
-	timer := time.NewTimer(time.Until(end))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if pause(ctx, time.Until(end)) != nil {
 		return storer.ErrInDoubt
-	case <-timer.C:
-		return nil
 	}
+	return nil
 }
 
 func (r *Rows) apply(changes []storer.Change) (int64, error) {
@@ -289,14 +285,8 @@
 		<-ctx.Done()
 		return storer.ErrInDoubt
 	}
-	if faults.Delay > 0 {
-		timer := time.NewTimer(faults.Delay)
-		defer timer.Stop()
-		select {
-		case <-ctx.Done():
-			return storer.ErrInDoubt
-		case <-timer.C:
-		}
+	if pause(ctx, faults.Delay) != nil {
+		return storer.ErrInDoubt
 	}
 	return nil
 }
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -205,23 +205,9 @@
 	})
 }
 
-// run runs the follower until the end of the test.
-func run(t *testing.T, f *follower.Follower) {
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		f.Run(ctx)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
-}
-
 func TestChangesAreKnownAtOnce(t *testing.T) {
 	play(t, func(t *testing.T, rows *fakeplatform.Rows, f *follower.Follower, r *registrar.Registry) {
-		run(t, f)
+		go f.Run(t.Context())
 		time.Sleep(10 * time.Second)
 		feeds := rows.Counts().Feeds
 		if feeds > 24 {
@@ -245,7 +231,7 @@
 	for _, length := range []time.Duration{1700 * time.Millisecond, 2 * time.Second, 3 * time.Second, 5 * time.Second} {
 		for _, faults := range []fakeplatform.RowFaults{{Outage: true}, {Silent: true}} {
 			play(t, func(t *testing.T, rows *fakeplatform.Rows, f *follower.Follower, r *registrar.Registry) {
-				run(t, f)
+				go f.Run(t.Context())
 				time.Sleep(10 * time.Second)
 				rows.SetFaults(faults)
 				time.Sleep(length)
--- a/internal/pruner/pruner_test.go
+++ b/internal/pruner/pruner_test.go
@@ -1,7 +1,6 @@
 package pruner_test
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -26,16 +25,7 @@
 func run(t *testing.T, rows storer.Rows, tables ...pruner.Table) *pruner.Pruner {
 	t.Helper()
 	p := pruner.New(rows, logger.Discard(), tables...)
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		p.Run(ctx)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
+	go p.Run(t.Context())
 	return p
 }
 
--- a/internal/reacher/reacher_test.go
+++ b/internal/reacher/reacher_test.go
@@ -67,20 +67,14 @@
 	}
 	r := reacher.New(rows.For("self"), o, options...)
 	r.SetRelays(o)
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		r.Run(ctx)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-ended
-	})
+	go r.Run(t.Context())
 	return r, o
 }
 
-var row = storer.RowKey{Table: "t", Name: "r"}
+var (
+	row  = storer.RowKey{Table: "t", Name: "r"}
+	only = storer.Range{Table: row.Table, From: row.Name, Limit: 1}
+)
 
 func insert(ctx context.Context, r storer.Rows) error {
 	_, err := r.Transact(ctx, []storer.Change{{RowKey: row, Value: []byte("v")}})
@@ -98,7 +92,7 @@
 		r, _ := fleet(t, rows)
 		rows.SetFaults(fakeplatform.RowFaults{Refused: map[string]bool{"self": true}})
 		for range 5 {
-			_, _ = r.List(t.Context(), storer.Only(row)) // The first calls find out.
+			_, _ = r.List(t.Context(), only) // The first calls find out.
 		}
 		if err := insert(t.Context(), r); err != nil {
 			t.Fatal(err)
@@ -129,7 +123,7 @@
 		r, _ := fleet(t, rows)
 		rows.SetFaults(fakeplatform.RowFaults{Silent: true})
 		for range 6 {
-			_, _ = r.List(t.Context(), storer.Only(row)) // The first calls find out.
+			_, _ = r.List(t.Context(), only) // The first calls find out.
 		}
 		if diff := cmp.Diff(reacher.Lost, wayOf(r)); diff != "" {
 			t.Error(diff)
@@ -161,7 +155,7 @@
 		rows.SetFaults(fakeplatform.RowFaults{Delay: 400 * time.Millisecond})
 		ok := 0
 		for range 20 {
-			if _, err := r.List(t.Context(), storer.Only(row)); err == nil {
+			if _, err := r.List(t.Context(), only); err == nil {
 				ok++
 			}
 		}
@@ -178,7 +172,7 @@
 		r, o := fleet(t, rows)
 		rows.SetFaults(fakeplatform.RowFaults{Refused: map[string]bool{"self": true}})
 		for range 5 {
-			_, _ = r.List(t.Context(), storer.Only(row)) // The first calls find out.
+			_, _ = r.List(t.Context(), only) // The first calls find out.
 		}
 		o.silent = true
 		time.Sleep(300 * time.Millisecond)
@@ -197,11 +191,11 @@
 		r, _ := fleetOf(t, rows, 9)
 		rows.SetFaults(fakeplatform.RowFaults{Refused: map[string]bool{"self": true, "other-0": true, "other-1": true, "other-2": true}})
 		for range 3 {
-			_, _ = r.List(t.Context(), storer.Only(row)) // The first calls find out.
+			_, _ = r.List(t.Context(), only) // The first calls find out.
 		}
 		time.Sleep(600 * time.Millisecond)
 		for i := range 20 {
-			if _, err := r.List(t.Context(), storer.Only(row)); err != nil {
+			if _, err := r.List(t.Context(), only); err != nil {
 				t.Fatalf("call %d: %v", i, err)
 			}
 		}
@@ -220,7 +214,7 @@
 		r, _ := fleetOf(t, rows, 2, reacher.WithNotify(func(reacher.Way, reacher.Way, error) { changes++ }))
 		rows.SetFaults(fakeplatform.RowFaults{Refused: map[string]bool{"self": true}})
 		for range 3 {
-			_, _ = r.List(t.Context(), storer.Only(row)) // The first calls find out.
+			_, _ = r.List(t.Context(), only) // The first calls find out.
 		}
 		var calls sync.WaitGroup
 		for range 50 {
--- a/internal/storer/rows.go
+++ b/internal/storer/rows.go
@@ -94,11 +94,6 @@
 // the rows are. Nothing was written.
 var ErrInvalid = errors.New("not a transaction that the store takes")
 
-// Only returns the range that holds just the named row.
-func Only(key RowKey) Range {
-	return Range{Table: key.Table, Partition: key.Partition, From: key.Name, To: key.Name + "\x00", Limit: 1}
-}
-
 // The bounds of one transaction.
 const (
 	// MaxEntries is the number of expectations and writes of one transaction.
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -116,7 +116,7 @@
 	})
 }
 
-// paged lists two rows at a time and writes between the pages.
+// paged calls between after each page of a list, so that rows change during it.
 type paged struct {
 	storer.Rows
 	between func()
