internal/placer: the fuzz oracle is read under its lock

Cause: the generated runs read how many values were written without the oracle's lock, while the two instances of the end still write. Shown on a scratch copy: with 200 ms between the two reads the race detector reports value() against run() at once. Change: an accessor that takes the lock. No check is changed. After: 9 runs of 25 cases under the race detector passed before the change too, so the scratch copy's report is the evidence, not those runs.

--- a/internal/placer/cluster_test.go
+++ b/internal/placer/cluster_test.go
@@ -79,6 +79,13 @@
 	return o.next
 }
 
+// written returns how many values instances were given to write.
+func (o *oracle) written() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.next
+}
+
 // app is the machine of one instance: each shard is a list of values.
 type app struct {
 	name    string
--- a/internal/placer/fuzz_test.go
+++ b/internal/placer/fuzz_test.go
@@ -165,7 +165,7 @@
 			}
 		}
 		broken = append(broken, c.breaches()...)
-		if c.oracle.next == 0 {
+		if c.oracle.written() == 0 {
 			broken = append(broken, "nothing was written")
 		}
 	})
