--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -11,8 +11,11 @@
 // Policy bounds the load up to which work is taken.
 type Policy struct {
 	// NewPrograms is the mean load of the endpoints, in requests per slot, above
-	// which the first turns of programs are turned away; zero for no limit.
+	// which first turns of programs are turned away, the more of them the higher
+	// the load; zero for no limit.
 	NewPrograms float64
+	// NoPrograms is the mean load from which all of them are turned away.
+	NoPrograms float64
 	// ReturnLeast and ReturnMost bound the time after which a caller that was
 	// turned away may come back.
 	ReturnLeast time.Duration
@@ -25,8 +28,10 @@
 	First bool
 	// Left is the time until the caller's deadline.
 	Left time.Duration
-	// Chance is a random number in [0, 1) that spreads the callers' return.
-	Chance float64
+	// Chance and ReturnChance are random numbers in [0, 1). The first decides
+	// between the two limits, the second spreads the callers' return.
+	Chance       float64
+	ReturnChance float64
 }
 
 // Decision is whether a turn is taken.
@@ -42,6 +47,8 @@
 // program that begins takes engine time and cache from those under way, which
 // then all end late. So programs under way are always taken, and new ones wait
 // outside while the engines have more requests than they serve at a good rate.
+// Loads are known late. With one limit all instances would refuse, and then take,
+// together; between the two limits a share of the programs is taken.
 func Admit(policy Policy, turn Turn, candidates []registrar.Candidate) Decision {
 	d := Decision{Taken: true}
 	if len(candidates) == 0 {
@@ -51,11 +58,12 @@
 		d.Mean += c.Load / float64(max(c.Slots, 1))
 	}
 	d.Mean /= float64(len(candidates))
-	if !turn.First || policy.NewPrograms <= 0 || d.Mean <= policy.NewPrograms {
+	limit := policy.NewPrograms + turn.Chance*max(policy.NoPrograms-policy.NewPrograms, 0)
+	if !turn.First || policy.NewPrograms <= 0 || d.Mean <= limit {
 		return d
 	}
 	d.Taken = false
-	spread := time.Duration(turn.Chance * float64(policy.ReturnMost-policy.ReturnLeast))
+	spread := time.Duration(turn.ReturnChance * float64(policy.ReturnMost-policy.ReturnLeast))
 	d.RetryAfter = min(policy.ReturnLeast+spread, turn.Left/3)
 	return d
 }
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -31,13 +31,13 @@
 		{"new at the limit", admitter.Turn{First: true, Left: 3 * time.Second}, []float64{8, 8}, admitter.Decision{Taken: true, Mean: 0.5}},
 		{
 			"new above the limit",
-			admitter.Turn{First: true, Left: 3 * time.Second, Chance: 0.5},
+			admitter.Turn{First: true, Left: 3 * time.Second, ReturnChance: 0.5},
 			[]float64{16, 16},
 			admitter.Decision{Mean: 1, RetryAfter: 550 * time.Millisecond},
 		},
 		{
 			"no later than the caller accepts",
-			admitter.Turn{First: true, Left: 600 * time.Millisecond, Chance: 0.9},
+			admitter.Turn{First: true, Left: 600 * time.Millisecond, ReturnChance: 0.9},
 			[]float64{16, 16},
 			admitter.Decision{Mean: 1, RetryAfter: 200 * time.Millisecond},
 		},
@@ -57,7 +57,7 @@
 func TestRefusedProgramsDoNotReturnTogether(t *testing.T) {
 	var last time.Duration
 	for i := range 10 {
-		d := admitter.Admit(policy, admitter.Turn{First: true, Left: 3 * time.Second, Chance: float64(i) / 10}, engines(16))
+		d := admitter.Admit(policy, admitter.Turn{First: true, Left: 3 * time.Second, ReturnChance: float64(i) / 10}, engines(16))
 		if d.Taken || d.RetryAfter <= last {
 			t.Fatalf("chance %d: %+v after %v", i, d, last)
 		}
@@ -65,6 +65,27 @@
 	}
 }
 
+// Replays a long burst in which all instances hear of the load late: between the
+// limits a share is turned away that grows with the load, so that they do not
+// refuse together and then take together.
+func TestShareTurnedAwayGrowsWithLoad(t *testing.T) {
+	ramp := policy
+	ramp.NewPrograms, ramp.NoPrograms = 1, 2
+	got := map[float64]int{}
+	for _, load := range []float64{12, 16, 20, 24, 28, 32, 40} {
+		for i := range 100 {
+			turn := admitter.Turn{First: true, Left: 3 * time.Second, Chance: float64(i) / 100}
+			if !admitter.Admit(ramp, turn, engines(load)).Taken {
+				got[load/16]++
+			}
+		}
+	}
+	want := map[float64]int{1.25: 25, 1.5: 50, 1.75: 75, 2: 100, 2.5: 100}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // Replays the inside of a burst: what can still end in time goes first, and
 // routes keep their order.
 func TestPriority(t *testing.T) {
--- a/internal/bookkeeper/book.go
+++ b/internal/bookkeeper/book.go
@@ -57,8 +57,6 @@
 	// used is what ended turns handed out of this holder's grant.
 	used int64
 	open map[string]openTurn
-	// turns counts the turns that were opened here.
-	turns int
 	// yielded is true from when the holder gave back what it does not need until
 	// it has written the row itself; its grant is then ceiling at most.
 	yielded bool
@@ -146,8 +144,12 @@
 	return sum
 }
 
-// isUnderWay says whether the program had a turn before.
-func (b *book) isUnderWay() bool { return b.turns > 0 || b.others > 0 || b.grant() > 0 }
+// isUnderWay says whether the program has a turn under way or had one before.
+// The holder's own grant does not tell: it is written before the first turn,
+// which may then be refused.
+func (b *book) isUnderWay() bool {
+	return b.used > 0 || len(b.open) > 0 || b.others > 0 || len(b.inherited) > 0
+}
 
 // reserve reserves the tokens for a turn.
 func (b *book) reserve(turn string, tokens, budget int64, now time.Time) verdict {
@@ -157,7 +159,6 @@
 	switch {
 	case b.isKnown && b.atMost()+tokens <= b.grant():
 		b.open[turn] = openTurn{tokens: tokens, since: now}
-		b.turns++
 		return granted
 	case b.others+b.atMost()+tokens > budget:
 		// Without the row the others have none, which is the least they may have.
--- a/internal/bookkeeper/bookkeeper_test.go
+++ b/internal/bookkeeper/bookkeeper_test.go
@@ -103,6 +103,30 @@
 	}
 }
 
+// A program is new until a turn of it handed something out, whatever was
+// written for it: only then may a burst be refused by its first turns.
+func TestProgramIsNewUntilATurnWasServed(t *testing.T) {
+	play(t, 1, func(t *testing.T, f *fleet) {
+		const budget = 5 * turnTokens
+		a, b := f.start("a"), f.start("b")
+		var got []bool
+		see := func(k *bookkeeper.Bookkeeper, turn string) { got = append(got, open(t, k, turn, budget).UnderWay) }
+
+		see(a, "first, refused")
+		settle(t, a, "first, refused", 0)
+		see(a, "first, served")
+		see(a, "beside it")
+		settle(t, a, "beside it", 0)
+		settle(t, a, "first, served", 100)
+		see(a, "second")
+		see(b, "elsewhere")
+
+		if diff := cmp.Diff([]bool{false, false, true, true, true}, got); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
 func TestBudgetIsSpentToItsLastTurn(t *testing.T) {
 	play(t, 1, func(t *testing.T, f *fleet) {
 		k := f.start("a")
--- a/internal/bookkeeper/handover.go
+++ b/internal/bookkeeper/handover.go
@@ -23,8 +23,6 @@
 	// Keeps is what the holder's turns handed out or may still hand out; the
 	// rest of its grant is the successor's.
 	Keeps int64 `cbor:"5,keyasint"`
-	// Turns is the number of turns that the program had there.
-	Turns int `cbor:"6,keyasint"`
 }
 
 // Adopting hands books over.
@@ -65,7 +63,7 @@
 		if a.book.isKnown {
 			books = append(books, Handover{
 				Program: program, Version: a.book.version, Grants: a.book.grants,
-				Holder: s.holder, Keeps: a.book.atMost(), Turns: a.book.turns,
+				Holder: s.holder, Keeps: a.book.atMost(),
 			})
 		}
 	}
@@ -87,7 +85,6 @@
 		}
 		a.touched = time.Now()
 		a.book.inherit(h.Version, row{Grants: h.Grants}, h.Holder, h.Keeps)
-		a.book.turns += h.Turns
 	}
 }
 
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -153,7 +153,7 @@
 		DataCentre:  settings.DataCentre, Log: e.log, ServedShare: settings.Log.ServedShare, Count: counts,
 		Policy: relayer.Policy{
 			Admission: admitter.Policy{
-				NewPrograms: settings.Admission.NewPrograms,
+				NewPrograms: settings.Admission.NewPrograms, NoPrograms: settings.Admission.NoPrograms,
 				ReturnLeast: settings.Admission.ReturnLeast, ReturnMost: settings.Admission.ReturnMost,
 			},
 			Margin: settings.Placement.Margin,
--- a/internal/configurer/entry.go
+++ b/internal/configurer/entry.go
@@ -59,8 +59,11 @@
 // Admission is up to which load work is taken.
 type Admission struct {
 	// NewPrograms is the mean load of the engines, in requests per slot, above
-	// which new programs are turned away; 0 for no limit.
+	// which new programs are turned away, the more of them the higher the load;
+	// 0 for no limit.
 	NewPrograms float64 `validate:"min=0"`
+	// NoPrograms is the mean load from which all of them are turned away.
+	NoPrograms float64 `validate:"gtefield=NewPrograms"`
 	// ReturnLeast and ReturnMost bound the time after which they may come back.
 	ReturnLeast time.Duration `validate:"min=0s"`
 	ReturnMost  time.Duration `validate:"gtefield=ReturnLeast"`
@@ -78,7 +81,7 @@
 	return &Entry{
 		MemoryMB: 128, Cores: 1, CoreShare: 1, StoreWrites: 800, GracePeriod: 8 * time.Second,
 		Log:       EntryLog{Format: LogJSON, Level: "Info", ServedShare: 1},
-		Admission: Admission{NewPrograms: 0.62, ReturnLeast: 200 * time.Millisecond, ReturnMost: 900 * time.Millisecond},
+		Admission: Admission{NewPrograms: 1.2, NoPrograms: 2, ReturnLeast: 200 * time.Millisecond, ReturnMost: 900 * time.Millisecond},
 		Placement: Placement{Margin: 1.9},
 	}
 }
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -67,7 +67,7 @@
 		x.refuse(answerer.New(answerer.NoEndpoint, "the service has no endpoint").After(min(retrySoon, x.left()/3)), "NoEndpoint")
 		return
 	}
-	decision := admitter.Admit(x.Policy.Admission, admitter.Turn{First: t.first, Left: x.left(), Chance: chance()}, candidates)
+	decision := admitter.Admit(x.Policy.Admission, admitter.Turn{First: t.first, Left: x.left(), Chance: chance(), ReturnChance: chance()}, candidates)
 	x.story.mean = decision.Mean
 	if !decision.Taken {
 		x.refuse(answerer.New(answerer.Overloaded, "the engines are full").After(decision.RetryAfter), "NewProgram")
