internal/logger: JSON lines by log/slog

Cause: charmbracelet/log's JSON formatter encodes each key and value by itself: 55 allocations and 18.4 us a line of a served request, a tenth of the samples in a profile of an entry under load. Change: JSON lines go through slog's handler, with the same fields and the same text for durations, errors and named values; text lines stay as they are.

--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"io"
+	"log/slog"
 	"sort"
 	"sync"
 
@@ -56,34 +57,43 @@
 }
 
 // Logger writes events.
-type Logger struct{ log *log.Logger }
+type Logger struct {
+	text *log.Logger
+	// json takes the place of text where it is not nil.
+	json slog.Handler
+}
+
+// options are the settings of a Logger.
+type options struct {
+	log.Options
+	isJSON bool
+}
 
 // Option sets one property of a Logger.
-type Option func(*log.Options)
+type Option func(*options)
 
 // WithJSON writes one JSON object per event in place of text.
-func WithJSON() Option {
-	return func(o *log.Options) { o.Formatter = log.JSONFormatter }
-}
+func WithJSON() Option { return func(o *options) { o.isJSON = true } }
 
 // WithLevel drops events below the level.
-func WithLevel(level log.Level) Option {
-	return func(o *log.Options) { o.Level = level }
-}
+func WithLevel(level log.Level) Option { return func(o *options) { o.Level = level } }
 
 // WithMilliseconds writes the time to the millisecond, for lines of several
 // instances that are read together.
 func WithMilliseconds() Option {
-	return func(o *log.Options) { o.TimeFormat = "2006-01-02T15:04:05.000Z07:00" }
+	return func(o *options) { o.TimeFormat = "2006-01-02T15:04:05.000Z07:00" }
 }
 
 // New returns a Logger that writes to w.
-func New(w io.Writer, options ...Option) *Logger {
-	settings := log.Options{ReportTimestamp: true, Level: log.InfoLevel}
-	for _, option := range options {
-		option(&settings)
+func New(w io.Writer, settings ...Option) *Logger {
+	o := options{Options: log.Options{ReportTimestamp: true, Level: log.InfoLevel, TimeFormat: log.DefaultTimeFormat}}
+	for _, set := range settings {
+		set(&o)
+	}
+	if o.isJSON {
+		return &Logger{json: newJSONHandler(w, o.Options)}
 	}
-	return &Logger{log: log.NewWithOptions(w, settings)}
+	return &Logger{text: log.NewWithOptions(w, o.Options)}
 }
 
 // Discard returns a Logger that writes nothing.
@@ -91,11 +101,25 @@
 
 // With returns a Logger that adds the pairs to every event.
 func (l *Logger) With(pairs ...any) *Logger {
-	return &Logger{log: l.log.With(pairs...)}
+	if l.json != nil {
+		var r slog.Record
+		r.Add(pairs...)
+		attrs := make([]slog.Attr, 0, r.NumAttrs())
+		r.Attrs(func(a slog.Attr) bool {
+			attrs = append(attrs, a)
+			return true
+		})
+		return &Logger{json: l.json.WithAttrs(attrs)}
+	}
+	return &Logger{text: l.text.With(pairs...)}
 }
 
 // Log writes the event with key and value pairs.
 func (l *Logger) Log(event Event, pairs ...any) {
+	if l.json != nil {
+		l.logJSON(event, pairs)
+		return
+	}
 	all := append([]any{"Event", event.Number, "Name", event.Name}, pairs...)
-	l.log.Log(event.Level, event.Text, all...)
+	l.text.Log(event.Level, event.Text, all...)
 }
