internal/relayer: engines that fail turns are avoided

Cause: an engine that answered a turn with a failure of its own, or with nothing until the caller's time was over, counted as neutral. Change: 5xx answers to turns, 501 and above of plain services, and a second without an answer from an engine with room count as failures. A 500 of a plain service is its answer.

--- a/internal/composer/composer_test.go
+++ b/internal/composer/composer_test.go
@@ -140,6 +140,32 @@
 	})
 }
 
+// Replays an engine that fails its turns while it is registered as ready: the
+// program's next try does not go to its home again.
+func TestTurnIsTriedElsewhereAfterAnEnginesFailure(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 3, 0)
+	try := func(id string) standin.Reply {
+		c := turnCall(id, "p", "", "in\n")
+		c.Path = standin.PathSession + "x"
+		return f.serve(f.instances[0], c)
+	}
+	if reply := try("first"); !reply.Whole || reply.Status != http.StatusOK {
+		t.Fatalf("%+v", reply)
+	}
+	for _, e := range f.engines {
+		if len(e.Runs("first")) > 0 {
+			e.SetFaults(standin.EndpointFaults{Error: 1})
+		}
+	}
+	if reply := try("fails"); reply.Status != http.StatusInternalServerError || !reply.IsSigned() {
+		t.Errorf("the engine's own failure was not passed on: %+v", reply)
+	}
+	if reply := try("again"); !reply.Whole || reply.Status != http.StatusOK {
+		t.Errorf("the next try: %+v", reply)
+	}
+}
+
 func checkReply(t *testing.T, id, path string, reply standin.Reply, runs int) {
 	t.Helper()
 	if path != standin.PathLookup && path != standin.PathSession && runs > 1 {
--- /dev/null
+++ b/internal/relayer/judge_test.go
@@ -0,0 +1,46 @@
+package relayer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/wigeonstand/wigeonstand/internal/registrar"
+)
+
+// Replays engines that answer a part of their turns with 500, or with nothing
+// until the caller's time is over (deploy/days/08).
+func TestJudge(t *testing.T) {
+	type verdicts struct{ Turn, Plain registrar.Outcome }
+	got := map[int]verdicts{}
+	for _, status := range []int{200, 404, 500, 504} {
+		got[status] = verdicts{Turn: judgeTurn(status), Plain: judgePlain(status)}
+	}
+	want := map[int]verdicts{
+		200: {registrar.Served, registrar.Served},
+		404: {registrar.Neutral, registrar.Served},
+		500: {registrar.Failed, registrar.Served},
+		504: {registrar.Failed, registrar.Failed},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestJudgeSilence(t *testing.T) {
+	for _, tc := range []struct {
+		waited time.Duration
+		load   float64
+		want   registrar.Outcome
+	}{
+		{2 * time.Second, 3, registrar.Failed},
+		{300 * time.Millisecond, 3, registrar.Neutral},
+		{2 * time.Second, 20, registrar.Neutral},
+	} {
+		c := registrar.Candidate{Endpoint: registrar.Endpoint{Slots: 16}, Load: tc.load}
+		if diff := cmp.Diff(tc.want, judgeSilence(tc.waited, c)); diff != "" {
+			t.Errorf("%v at load %v: %s", tc.waited, tc.load, diff)
+		}
+	}
+}
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -81,12 +81,12 @@
 		ctx = bounded
 	}
 	x.Endpoints.Begin(c.ID)
-	outcome := registrar.Failed
+	begun, outcome := time.Now(), registrar.Failed
 	defer func() { x.Endpoints.End(c.ID, outcome) }()
 	answer, err := x.send(ctx, c, Dispatch{Left: x.left(), Priority: -1}, x.body)
 	if err != nil {
 		if x.ctx.Err() != nil {
-			outcome = registrar.Neutral
+			outcome = judgeSilence(time.Since(begun), c)
 		}
 		return false, err
 	}
@@ -106,7 +106,7 @@
 	if err != nil || len(body) > answerBytes {
 		return false, eris.Wrapf(err, "read the answer's body, %d bytes so far", len(body))
 	}
-	outcome = registrar.Served
+	outcome = judgePlain(answer.Status)
 	x.Dialect.EncodeAnswer(answer.Header, x.writer.Header())
 	x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.writer.WriteHeader(answer.Status)
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -252,13 +252,13 @@
 // if the stream ended as it should.
 func (t *turn) relay(c registrar.Candidate) error {
 	t.Endpoints.Begin(c.ID)
-	outcome := registrar.Failed
+	begun, outcome := time.Now(), registrar.Failed
 	defer func() { t.Endpoints.End(c.ID, outcome) }()
 	dispatch := Dispatch{Left: t.left(), Priority: admitter.Priority(t.route.Priority, t.first, t.call.IsLate()), LastEvent: t.lastEvent}
 	answer, err := t.send(t.ctx, c, dispatch, t.prompt)
 	if err != nil {
 		if t.ctx.Err() != nil {
-			outcome = registrar.Neutral
+			outcome = judgeSilence(time.Since(begun), c)
 		}
 		return err
 	}
@@ -272,7 +272,7 @@
 		outcome = registrar.Neutral
 		return errNotRun
 	case answer.Status >= http.StatusMultipleChoices:
-		outcome = registrar.Neutral
+		outcome = judgeTurn(answer.Status)
 		return t.passFailure(answer)
 	case !head.IsSigned:
 		return errNotOurs
