internal/bookkeeper: take ahead a share of what is left, eight turns at most

Cause: each holder took a quarter of the whole budget ahead of need. Change: a quarter of what is left, and no more than eight turns at their most.

--- a/internal/bookkeeper/book.go
+++ b/internal/bookkeeper/book.go
@@ -189,17 +189,20 @@
 	return expired
 }
 
-// grown returns the row with a grant for the tokens and for aheadShare of the
-// budget beyond them, as far as the budget holds that.
+// grown returns the row with a grant for the tokens and for some turns ahead, as
+// far as the budget holds that. A share of what is left is taken, not of the
+// budget: a program with turns in several data centres has as many holders, and
+// were they all to die, the rest of the budget must still hold its next turns.
 func (b *book) grown(tokens, budget int64) row {
 	r := row{Grants: make(map[string]int64, len(b.grants)+1)}
 	for holder, taken := range b.grants {
 		r.Grants[holder] = taken
 	}
 	need := b.atMost() + tokens
+	left := budget - b.others - b.atMost()
 	// A budget of few turns is not taken ahead of need: were the bookkeeper to
 	// die, the rest would not hold a turn.
-	ahead := need + max(budget*aheadShare/100-tokens/2, 0)
-	r.Grants[b.holder] = max(b.grant(), need, min(ahead, budget-b.others))
+	ahead := max(min(left*aheadShare/100, aheadTurns*tokens)-tokens/2, 0)
+	r.Grants[b.holder] = max(b.grant(), need, min(need+ahead, budget-b.others))
 	return r
 }
--- a/internal/bookkeeper/bookkeeper.go
+++ b/internal/bookkeeper/bookkeeper.go
@@ -24,11 +24,15 @@
 )
 
 const (
-	// aheadShare is the part of a budget, in percent, that a grant is taken ahead
-	// of need, so that most turns need no write and a program outlives a short
-	// outage of the store. What a bookkeeper that dies had taken is lost to the
-	// program.
+	// aheadShare is the part of what is left of a budget, in percent, that a grant
+	// is taken ahead of need, so that most turns need no write and a program
+	// outlives a short outage of the store. What a bookkeeper that dies had taken
+	// is lost to the program.
 	aheadShare = 25
+	// aheadTurns bounds that to so many turns at their most. Most turns hand out a
+	// quarter of it, so that these are some 30 turns, more than a program has in an
+	// outage of the store.
+	aheadTurns = 8
 	// turnLife is the time after which a turn that never ended is settled at
 	// its most; it is above the longest deadline of a turn.
 	turnLife = 15 * time.Second
--- a/internal/bookkeeper/bookkeeper_test.go
+++ b/internal/bookkeeper/bookkeeper_test.go
@@ -127,6 +127,34 @@
 	})
 }
 
+// Replays the end of Binfold grown trouble-3: sub-agents have turns in all four
+// data centres, and then all bookkeepers are killed. The program goes on.
+func TestProgramGoesOnAfterAllItsHoldersDied(t *testing.T) {
+	play(t, 1, func(t *testing.T, f *fleet) {
+		const budget, spent = 40 * turnTokens, 70
+		for _, name := range []string{"a", "b", "c", "d"} {
+			k := f.start(name)
+			if out := open(t, k, "turn at "+name, budget); out.Status != bookkeeper.OK {
+				t.Fatalf("%s: %+v", name, out)
+			}
+			settle(t, k, "turn at "+name, spent)
+		}
+		for _, name := range []string{"a", "b", "c", "d"} {
+			f.kill(name)
+		}
+		k := f.start("e")
+		served := 0
+		for open(t, k, fmt.Sprint(served), budget).Status == bookkeeper.OK {
+			settle(t, k, fmt.Sprint(served), spent)
+			served++
+		}
+		// A tenth of what the budget holds at this pace.
+		if least := budget / spent / 10; served < least {
+			t.Errorf("%d turns were served, want %d at least", served, least)
+		}
+	})
+}
+
 func TestBudgetIsSpentToItsLastTurn(t *testing.T) {
 	play(t, 1, func(t *testing.T, f *fleet) {
 		k := f.start("a")
