internal/reacher: a write under way goes through another instance

Cause: a bookkeeper to which the store falls silent finds its way through another instance within half a second, but its transactions under way waited 2.5 s for the store, and those behind them with them (incident inc-f21f: 13 refusals, 4 turns not recorded, 12 programs late). Change: a direct write ends once the store is reached through another instance, which then takes it under the same expectations.

--- a/internal/fakeplatform/rows.go
+++ b/internal/fakeplatform/rows.go
@@ -29,6 +29,8 @@
 	LandLate time.Duration
 	// Refused are callers that are turned away while others are served.
 	Refused map[string]bool
+	// Unanswered are callers that get no answer while others are served.
+	Unanswered map[string]bool
 }
 
 // RowCounts says how many calls a Rows has seen.
@@ -281,7 +283,7 @@
 	if refused {
 		return storer.ErrUnavailable
 	}
-	if faults.Silent {
+	if faults.Silent || faults.Unanswered[caller] {
 		<-ctx.Done()
 		return storer.ErrInDoubt
 	}
--- a/internal/reacher/reacher.go
+++ b/internal/reacher/reacher.go
@@ -41,6 +41,9 @@
 	relayMargin = 100 * time.Millisecond
 )
 
+// errLeft ends a direct write when another instance is to take it.
+var errLeft = errors.New("the store is reached through another instance")
+
 // operation is a kind of call to the store.
 type operation struct {
 	// name counts the call.
@@ -98,6 +101,8 @@
 	failures int
 	way      Way
 	answered time.Time
+	// left is closed while the store is reached through another instance.
+	left chan struct{}
 }
 
 var _ storer.Rows = (*Reacher)(nil)
@@ -119,7 +124,7 @@
 func New(direct storer.Rows, caller Caller, options ...Option) *Reacher {
 	r := &Reacher{
 		direct: direct, caller: caller, reads: patienceLeast, writes: writePatienceLeast,
-		doubtful: make(chan struct{}, 1), unfit: map[string]time.Time{},
+		doubtful: make(chan struct{}, 1), unfit: map[string]time.Time{}, left: make(chan struct{}),
 		notify: func(Way, Way, error) {}, count: func(string, string, string) {},
 	}
 	for _, option := range options {
@@ -167,9 +172,13 @@
 // watch returns a context for a write. When the answer is late, a read tells a
 // lost answer from a slow store: if it is answered in time, the context ends, and
 // the write can be sent again; else the write is waited for, as sending it again
-// would only press on the store.
+// would only press on the store. It ends too when the store is reached through
+// another instance, which then takes the write.
 func (r *Reacher) watch(ctx context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
+	r.mu.Lock()
+	left := r.left
+	r.mu.Unlock()
 	go func() {
 		for wait := r.wait(true); ; wait *= 2 {
 			timer := time.NewTimer(wait)
@@ -177,6 +186,10 @@
 			case <-ctx.Done():
 				timer.Stop()
 				return
+			case <-left:
+				timer.Stop()
+				cancel(errLeft)
+				return
 			case <-timer.C:
 			}
 			probe, stop := context.WithTimeout(ctx, patienceLeast)
@@ -350,12 +363,32 @@
 	if to != Lost {
 		r.answered = time.Now()
 	}
+	if from != to {
+		r.mark(to)
+	}
 	r.mu.Unlock()
 	if from != to {
 		r.notify(from, to, cause)
 	}
 }
 
+// mark closes left when the way turns to another instance, and opens it anew when
+// it is direct again.
+func (r *Reacher) mark(to Way) {
+	isClosed := false
+	select {
+	case <-r.left:
+		isClosed = true
+	default:
+	}
+	switch {
+	case to == Relayed && !isClosed:
+		close(r.left)
+	case to == Direct && isClosed:
+		r.left = make(chan struct{})
+	}
+}
+
 // isAnswer says whether the store itself answered.
 func isAnswer(err error) bool {
 	return err == nil || errors.Is(err, storer.ErrConflict) || errors.Is(err, storer.ErrInvalid) || errors.Is(err, storer.ErrForgotten)
--- a/internal/reacher/reacher_test.go
+++ b/internal/reacher/reacher_test.go
@@ -117,6 +117,32 @@
 	})
 }
 
+// Replays a bookkeeper that is cut off from the store in the middle of its writes
+// (Laulukaar inc-f21f): they go through another instance once that way is known.
+func TestWriteUnderWayGoesThroughAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fakeplatform.NewRows(1)
+		r, _ := fleet(t, rows)
+		rows.SetFaults(fakeplatform.RowFaults{Unanswered: map[string]bool{"self": true}})
+		begun := time.Now()
+		written := make(chan error, 1)
+		go func() { written <- insert(t.Context(), r) }()
+		for wayOf(r) != reacher.Relayed {
+			_, _ = r.List(t.Context(), only) // The first calls find out.
+		}
+		if err := <-written; err != nil {
+			t.Error(err)
+		}
+		// Callers hold the ends of their streams for two seconds at most.
+		if took := time.Since(begun); took > time.Second {
+			t.Errorf("the write took %v", took)
+		}
+		if err := insert(t.Context(), r); !errors.Is(err, storer.ErrConflict) {
+			t.Errorf("the row was not written: %v", err)
+		}
+	})
+}
+
 func TestLostStoreIsKnownAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rows := fakeplatform.NewRows(1)
