--- a/internal/logger/json.go
+++ b/internal/logger/json.go
@@ -34,10 +34,9 @@
 		switch v := a.Value.Any().(type) {
 		case slog.Level:
 			return slog.String(a.Key, log.Level(v).String())
-		case error:
-			return slog.String(a.Key, v.Error())
-		case fmt.Stringer:
-			return slog.String(a.Key, v.String())
+		case error, fmt.Stringer:
+			// Sprint outlives a nil pointer in the interface.
+			return slog.String(a.Key, fmt.Sprint(v))
 		}
 	}
 	return a
--- a/internal/logger/json_test.go
+++ b/internal/logger/json_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/netip"
+	"net/url"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,7 +27,7 @@
 		var out bytes.Buffer
 		l := logger.New(&out, logger.WithJSON(), logger.WithMilliseconds()).With("Instance", "a-1")
 		l.Log(eventQuiet)
-		l.Log(eventTest, "Took", 1500*time.Microsecond, "Cause", errors.New("it \"broke\"\n at once"), "Nothing", error(nil),
+		l.Log(eventTest, "Took", 1500*time.Microsecond, "Cause", errors.New("it \"broke\"\n at once"), "Nothing", error(nil), "Nobody", (*url.Error)(nil),
 			"Load", 0.25, "Count", int64(3), "Is", true, "Address", netip.MustParseAddrPort("10.0.0.1:80"), "Came", []string{"x", "y"})
 		if n := bytes.Count(out.Bytes(), []byte("\n")); n != 1 {
 			t.Errorf("%d lines", n)
@@ -37,7 +38,7 @@
 		}
 		want := map[string]any{
 			"time": time.Now().Format("2006-01-02T15:04:05.000Z07:00"), "level": "warn", "msg": "something happened",
-			"Instance": "a-1", "Event": 990001.0, "Name": "Test", "Took": "1.5ms", "Cause": "it \"broke\"\n at once", "Nothing": nil,
+			"Instance": "a-1", "Event": 990001.0, "Name": "Test", "Took": "1.5ms", "Cause": "it \"broke\"\n at once", "Nothing": nil, "Nobody": "<nil>",
 			"Load": 0.25, "Count": 3.0, "Is": true, "Address": "10.0.0.1:80", "Came": []any{"x", "y"},
 		}
 		if diff := cmp.Diff(want, got); diff != "" {
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -102,14 +102,7 @@
 // With returns a Logger that adds the pairs to every event.
 func (l *Logger) With(pairs ...any) *Logger {
 	if l.json != nil {
-		var r slog.Record
-		r.Add(pairs...)
-		attrs := make([]slog.Attr, 0, r.NumAttrs())
-		r.Attrs(func(a slog.Attr) bool {
-			attrs = append(attrs, a)
-			return true
-		})
-		return &Logger{json: l.json.WithAttrs(attrs)}
+		return &Logger{json: slog.New(l.json).With(pairs...).Handler()}
 	}
 	return &Logger{text: l.text.With(pairs...)}
 }
