internal/registrar, internal/relayer, platform: the limits that endpoints state, in logs and metrics

The header is decoded, an instance keeps what each process of an endpoint stated last, and logs a change (5006), the limit at each request (5001, 5002) and the number of limited endpoints. Nothing is decided by it yet. Leaves and limits of a process are now one announcement, kept while its registration lapses.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -118,7 +118,7 @@
 	e := &Entry{settings: settings, logOutput: logger.NewRateLimitedWriter(out), meter: meter.New(), registry: registrar.New()}
 	e.log = newLogger(settings.Log, e.logOutput).With("Instance", settings.Instance)
 	e.peerClient, e.sender = messenger.NewClient(), sender.New()
-	metrics := newMetrics(e.meter, e.sender)
+	metrics := newMetrics(e.meter, e.sender, e.registry)
 	e.rerouter = rerouter.New(platform.Rows, e.peerClient, rerouter.WithCallCounter(metrics.countStoreCall),
 		rerouter.WithPathObserver(func(from, to rerouter.Path, cause error) {
 			e.log.Log(eventStorePathChanged, "From", from, "To", to, "Cause", cause)
--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/answerer"
 	"github.com/wigeonstand/wigeonstand/internal/matcher"
 	"github.com/wigeonstand/wigeonstand/internal/meter"
+	"github.com/wigeonstand/wigeonstand/internal/registrar"
 	"github.com/wigeonstand/wigeonstand/internal/sender"
 )
 
@@ -21,7 +22,7 @@
 	storeCalls        *prometheus.CounterVec
 }
 
-func newMetrics(m *meter.Meter, s *sender.Sender) *metrics {
+func newMetrics(m *meter.Meter, s *sender.Sender, endpoints *registrar.Registry) *metrics {
 	out := &metrics{
 		requests:          m.NewCounter("entry_requests_total", "Requests by route and outcome.", "Route", "Outcome"),
 		refusals:          m.NewCounter("entry_refusals_total", "Refusals by kind and reason.", "Kind", "Reason"),
@@ -31,6 +32,7 @@
 		firstEventSeconds: m.FirstTokenSeconds,
 	}
 	m.NewGaugeFunc("entry_connections_opened", "Connections opened to endpoints.", func() float64 { return float64(s.ConnectionsOpened()) })
+	m.NewGaugeFunc("entry_limited_endpoints", "Endpoints that state a limit of requests a second.", func() float64 { return float64(endpoints.LimitedCount()) })
 	return out
 }
 
@@ -38,7 +40,7 @@
 // prometheus.Desc.String.
 func Metrics() []string {
 	m := meter.New()
-	newMetrics(m, sender.New())
+	newMetrics(m, sender.New(), registrar.New())
 	return m.Describe()
 }
 
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -26,10 +26,10 @@
 	// retry before the others.
 	remoteAvoidMin    = 300 * time.Millisecond
 	remoteAvoidJitter = 1200 * time.Millisecond
-	// leaveMemory is how long an announced leave is remembered after the endpoint's
+	// announcementMemory is how long an announcement is remembered after the endpoint's
 	// registration is gone. A registration that lapsed during an outage of the store
 	// returns within seconds of its end.
-	leaveMemory = 10 * time.Minute
+	announcementMemory = 10 * time.Minute
 	// maxHops is how often a failure is forwarded: to a bookkeeper, and by it. A
 	// failure forwarded without limit would never expire, as the time spent in
 	// transit does not add to its age.
@@ -56,6 +56,8 @@
 	Age time.Duration
 	// Avoid is true for some time after requests to the endpoint failed.
 	Avoid bool
+	// Limit is the limit that the endpoint stated last.
+	Limit Limit
 }
 
 // Outcome is the result of a request, as evidence of the endpoint's health.
@@ -87,13 +89,12 @@
 	failedAt         time.Time
 	hops             int
 	remoteAvoidUntil time.Time
-	// hasAnnouncedLeave is set once the endpoint stated in a response that it is
-	// leaving. The registration may say so seconds later, or not at all.
-	hasAnnouncedLeave bool
+	// announced is what the endpoint's process stated in its responses; never nil.
+	announced *announcement
 }
 
 // accepts reports whether the endpoint accepts new requests.
-func (e *entry) accepts() bool { return !e.Leaving && !e.hasAnnouncedLeave }
+func (e *entry) accepts() bool { return !e.Leaving && !e.announced.isLeaving() }
 
 // isAvoided reports whether the endpoint is to be avoided after failures. Another
 // instance's failure is ignored once the endpoint has reported a load after it.
@@ -107,9 +108,8 @@
 	mu       sync.Mutex
 	byID     map[string]*entry
 	services map[string][]*entry
-	// announcedLeaves holds the time at which a process of an endpoint announced
-	// that it is leaving, also after its registration is gone: a leave is final.
-	announcedLeaves map[process]time.Time
+	// announced holds what the processes of endpoints stated in their responses.
+	announced map[process]*announcement
 }
 
 // process identifies one process of an endpoint. IDs are reused after a restart.
@@ -126,7 +126,7 @@
 
 // New returns an empty Registry.
 func New() *Registry {
-	return &Registry{byID: map[string]*entry{}, services: map[string][]*entry{}, announcedLeaves: map[process]time.Time{}}
+	return &Registry{byID: map[string]*entry{}, services: map[string][]*entry{}, announced: map[process]*announcement{}}
 }
 
 // Changes lists the endpoints that a call of Registry.Replace has changed.
@@ -148,8 +148,7 @@
 		known := r.byID[e.ID]
 		if known == nil || !known.Started.Equal(e.Started) || known.Address != e.Address {
 			changes.Added = append(changes.Added, e)
-			_, hasAnnouncedLeave := r.announcedLeaves[processOf(e)]
-			known = &entry{Endpoint: e, hasAnnouncedLeave: hasAnnouncedLeave}
+			known = &entry{Endpoint: e, announced: r.announcementOf(processOf(e))}
 		} else if e.Leaving && !known.Leaving {
 			changes.Leaving = append(changes.Leaving, e)
 		}
@@ -163,9 +162,9 @@
 		}
 	}
 	r.byID, r.services = byID, services
-	for p, at := range r.announcedLeaves {
-		if known := byID[p.id]; (known == nil || processOf(known.Endpoint) != p) && time.Since(at) > leaveMemory {
-			delete(r.announcedLeaves, p)
+	for p, a := range r.announced {
+		if known := byID[p.id]; (known == nil || known.announced != a) && time.Since(a.lastAt()) > announcementMemory {
+			delete(r.announced, p)
 		}
 	}
 	return changes
@@ -181,13 +180,11 @@
 }
 
 func (r *Registry) recordLeave(p process) (isNew bool) {
-	if _, found := r.announcedLeaves[p]; found {
+	a := r.announcementOf(p)
+	if a.isLeaving() {
 		return false
 	}
-	r.announcedLeaves[p] = time.Now()
-	if e := r.byID[p.id]; e != nil && processOf(e.Endpoint) == p {
-		e.hasAnnouncedLeave = true
-	}
+	a.leftAt = time.Now()
 	return true
 }
 
@@ -226,7 +223,7 @@
 }
 
 func (e *entry) candidate(now time.Time) Candidate {
-	c := Candidate{Endpoint: e.Endpoint, Load: float64(e.outstanding), Outstanding: e.outstanding, Age: -1, Avoid: e.isAvoided(now)}
+	c := Candidate{Endpoint: e.Endpoint, Load: float64(e.outstanding), Outstanding: e.outstanding, Age: -1, Avoid: e.isAvoided(now), Limit: e.announced.limit}
 	if age := now.Sub(e.reportedAt); !e.reportedAt.IsZero() && age <= loadMaxAge {
 		c.Age = age
 		c.Load = max(c.Load, float64(e.load.Running+e.load.Waiting+e.outstanding-e.outstandingAtReport))
@@ -305,7 +302,7 @@
 	for id, e := range r.byID {
 		age, failureAge := now.Sub(e.reportedAt), now.Sub(e.failedAt)
 		hasFailed := failureAge <= observationMaxAge && e.hops < maxHops
-		isLeaving := e.hasAnnouncedLeave && !e.Leaving
+		isLeaving := e.announced.isLeaving() && !e.Leaving
 		if age > observationMaxAge && !hasFailed && !isLeaving {
 			continue
 		}
--- a/internal/relayer/access.go
+++ b/internal/relayer/access.go
@@ -9,6 +9,7 @@
 
 	"github.com/wigeonstand/wigeonstand/internal/answerer"
 	"github.com/wigeonstand/wigeonstand/internal/logger"
+	"github.com/wigeonstand/wigeonstand/internal/registrar"
 )
 
 var (
@@ -20,6 +21,9 @@
 		"request retried after a failed attempt", "None; check the endpoint if it is always the same.")
 	eventEndpointLeaving = logger.Define(5005, "EndpointAnnouncedLeave", log.InfoLevel,
 		"an endpoint announced in a response that it is leaving and gets no more requests", "None, if this was planned.")
+	eventEndpointLimit = logger.Define(5006, "EndpointLimitChanged", log.InfoLevel,
+		"an endpoint stated another limit of requests a second, for all instances together",
+		"None, if it is brief; otherwise find out why the endpoint can't take more.")
 	eventTurnUnsettled = logger.Define(5004, "TurnUnsettled", log.WarnLevel,
 		"unused tokens of a turn could not be released", "None; the bookkeeper charges the turn its full reservation.")
 )
@@ -34,6 +38,7 @@
 	endpoint   string
 	load       float64
 	loadAge    time.Duration
+	limit      registrar.Limit
 	meanLoad   float64
 	sendCount  int
 	firstEvent time.Duration
@@ -82,6 +87,7 @@
 	if a.endpoint != "" {
 		pairs = append(pairs, "Endpoint", a.endpoint, "Load", a.load, "LoadAge", a.loadAge, "Sends", a.sendCount)
 	}
+	add(a.limit.IsSet, "Limit", a.limit)
 	add(a.meanLoad > 0, "MeanLoad", a.meanLoad)
 	add(a.firstEvent > 0, "First", a.firstEvent)
 	add(a.recordTime > 0, "Held", a.recordTime)
--- a/internal/relayer/call.go
+++ b/internal/relayer/call.go
@@ -78,6 +78,8 @@
 	// IsEndpointLeaving is true if the endpoint states that it is leaving and that
 	// it must get no more requests.
 	IsEndpointLeaving bool
+	// Limit is the limit that the endpoint states for requests of all instances.
+	Limit registrar.Limit
 }
 
 // Dialect decodes and encodes the platform's headers.
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -116,7 +116,7 @@
 		return false, err
 	}
 	defer response.Close()
-	head := x.decodeHead(c, response)
+	head := x.decodeHead(c, start, response)
 	if head.IsNotRun {
 		outcome = registrar.Neutral
 		return false, errNotRun
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -204,7 +204,7 @@
 // has been read.
 func (x *exchange) send(ctx context.Context, c registrar.Candidate, d Dispatch, body []byte) (*sender.Response, error) {
 	d.Endpoint = c.ID
-	x.access.endpoint, x.access.load, x.access.loadAge = c.ID, c.Load, c.Age
+	x.access.endpoint, x.access.load, x.access.loadAge, x.access.limit = c.ID, c.Load, c.Age, c.Limit
 	x.access.sendCount++
 	return x.Sender.Send(ctx, sender.Request{
 		Address: c.Address, Method: x.call.Method, Target: x.call.Target, Host: x.call.Host,
@@ -216,9 +216,10 @@
 	})
 }
 
-// decodeHead decodes the head of the candidate's response and records what the
-// endpoint says of itself: its load, and that it is leaving.
-func (x *exchange) decodeHead(c registrar.Candidate, response *sender.Response) ResponseHead {
+// decodeHead decodes the head of the candidate's response to a request sent at sentAt
+// and records what the endpoint says of itself: its load, its limit, and that it is
+// leaving.
+func (x *exchange) decodeHead(c registrar.Candidate, sentAt time.Time, response *sender.Response) ResponseHead {
 	head := x.Dialect.DecodeResponseHead(response.Status, response.Header)
 	if head.Load != nil {
 		x.Endpoints.Report(c.ID, *head.Load)
@@ -226,6 +227,12 @@
 	if head.IsEndpointLeaving && x.Endpoints.ReportLeave(c.Endpoint) {
 		x.Log.Log(eventEndpointLeaving, "Endpoint", c.ID, "Service", c.Service, "Started", c.Started, "Request", x.call.ID)
 	}
+	// A response that may not be the endpoint's own says nothing about its limit.
+	if head.IsSigned || head.IsNotRun && response.Status != http.StatusMisdirectedRequest {
+		if before, isNew := x.Endpoints.ReportLimit(c.Endpoint, head.Limit, sentAt); isNew {
+			x.Log.Log(eventEndpointLimit, "Endpoint", c.ID, "Service", c.Service, "From", before, "To", head.Limit, "Request", x.call.ID)
+		}
+	}
 	return head
 }
 
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -277,7 +277,7 @@
 		return err
 	}
 	defer response.Close()
-	head := t.decodeHead(c, response)
+	head := t.decodeHead(c, start, response)
 	switch {
 	case head.IsNotRun:
 		outcome = registrar.Neutral
