internal/rationer, internal/relayer: endpoints get no more requests than the limit that they state

Cause: a value that an endpoint states for the whole fleet was read by each instance and decided nothing.

Change: a request to an endpoint with a limit needs a permit, at the first send, a retry and a resumed stream alike. One instance issues the permits of an endpoint for all, chosen by hash among the members; if it does not answer, the next stands in at a quarter of the rate, so that the sum stays below one and a half times the limit whoever reaches whom. A request waits for a permit only if no other endpoint takes it, 0.15 s for a new program, 1 s otherwise, and is refused at once with the time to come back if that isn't enough. Limits travel with the loads, so that instances that start know them before they send. Engines with a limit don't count as idle, neither for admission nor as a reason for a turn to leave its home.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -54,15 +54,15 @@
 // Load reports arrive with a delay. With a single limit, all instances would
 // alternate between refusing and admitting at the same time; between the soft and
 // the hard limit a share of the programs is admitted.
+//
+// Endpoints with a limit are left out of the mean while there are others: their load is
+// low because they take few requests, not because they have room.
 func Admit(policy Policy, turn Turn, candidates []registrar.Candidate) Decision {
 	d := Decision{Admitted: true}
 	if len(candidates) == 0 {
 		return d
 	}
-	for _, c := range candidates {
-		d.Mean += c.Load / float64(max(c.Slots, 1))
-	}
-	d.Mean /= float64(len(candidates))
+	d.Mean = meanLoad(candidates)
 	limit := policy.SoftLimit + turn.LimitSample*max(policy.HardLimit-policy.SoftLimit, 0)
 	if !turn.First || policy.SoftLimit <= 0 || d.Mean <= limit {
 		return d
@@ -72,3 +72,22 @@
 	d.RetryAfter = min(policy.MinRetryAfter+spread, turn.Left/3)
 	return d
 }
+
+// meanLoad returns the mean load of the endpoints without a limit, or of all if each has
+// one.
+func meanLoad(candidates []registrar.Candidate) float64 {
+	sum, n := 0.0, 0
+	for _, c := range candidates {
+		if !c.Limit.IsSet {
+			sum += c.Load / float64(max(c.Slots, 1))
+			n++
+		}
+	}
+	if n > 0 {
+		return sum / float64(n)
+	}
+	for _, c := range candidates {
+		sum += c.Load / float64(max(c.Slots, 1))
+	}
+	return sum / float64(len(candidates))
+}
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -113,3 +113,19 @@
 		t.Errorf("the lowest rank is %d", got)
 	}
 }
+
+// Load: most engines have a limit and little to do, the others all the turns. New programs
+// were admitted as if the limited ones had room for them.
+func TestLimitedEnginesDoNotLowerTheMean(t *testing.T) {
+	all := engines(0, 0, 0, 0, 16, 16)
+	for i := range 4 {
+		all[i].Limit = registrar.Limit{IsSet: true, Rate: 6}
+	}
+	first := admitter.Turn{First: true, Left: 3 * time.Second}
+	if diff := cmp.Diff(admitter.Decision{Mean: 1, RetryAfter: 200 * time.Millisecond}, admitter.Admit(policy, first, all)); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff(admitter.Decision{Admitted: true}, admitter.Admit(policy, first, all[:4])); diff != "" {
+		t.Errorf("all engines have a limit: %s", diff)
+	}
+}
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -42,6 +43,12 @@
 	// one request per slot, and maxReadingCost limits that cost.
 	sharedTokensPerSlot = 32768
 	maxReadingCost      = 0.5
+	// limitCost is the cost of an endpoint with a limit, in requests per slot. It leaves
+	// the limit to the turns that have their home there.
+	limitCost = 0.5
+	// limitCostMaxAge is how long that cost applies after the limit was stated. After it,
+	// a request there tells whether the limit still holds.
+	limitCostMaxAge = time.Second
 )
 
 // Turn is a turn that needs an endpoint.
@@ -82,7 +89,7 @@
 		if c.ID == t.Home {
 			home = i
 		}
-		if least < 0 || c.Load < candidates[least].Load {
+		if least < 0 || isLessLoaded(c, candidates[least]) {
 			least = i
 		}
 	}
@@ -99,6 +106,23 @@
 	return best
 }
 
+// isLessLoaded reports whether a has room for the turns of loaded endpoints before b. An
+// endpoint with a limit is behind all others, as it can't take these turns.
+func isLessLoaded(a, b registrar.Candidate) bool {
+	if a.Limit.IsSet != b.Limit.IsSet {
+		return b.Limit.IsSet
+	}
+	return a.Load < b.Load
+}
+
+// limitCostOf returns the cost of the candidate's limit, in requests per slot.
+func limitCostOf(c registrar.Candidate) float64 {
+	if c.Limit.IsSet && c.LimitAge < limitCostMaxAge {
+		return limitCost
+	}
+	return 0
+}
+
 // bestOfSampled returns the endpoint with the lowest cost among those that the hashes of
 // the turn's key and shared part select.
 func bestOfSampled(t Turn, candidates []registrar.Candidate, usable []int) int {
@@ -119,7 +143,7 @@
 	best, lowest := -1, math.Inf(1)
 	var bestHash uint64
 	for _, i := range sampled {
-		cost := candidates[i].Load / float64(slots(candidates[i]))
+		cost := candidates[i].Load/float64(slots(candidates[i])) + limitCostOf(candidates[i])
 		if candidates[i].DataCentre != t.DataCentre {
 			cost += remoteCost
 		}
@@ -187,7 +211,7 @@
 	best, lowest := -1, math.Inf(1)
 	var highest uint64
 	for i, c := range candidates {
-		cost := math.Floor(c.Load)
+		cost := math.Floor(c.Load) + limitCostOf(c)*float64(slots(c))
 		if c.DataCentre != dataCentre {
 			cost += remotePenalty
 		}
--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -421,3 +421,40 @@
 		}
 	}
 }
+
+// Load: two thirds of the engines take few requests and are idle, the others have all the
+// turns. Turns keep their homes at loaded engines, as the idle ones can't take them, and
+// those with a home at a limited engine return there; new programs begin elsewhere, and
+// anywhere once the limits were not stated for a while.
+func TestLimitedEnginesAttractNoTurnsFromOthers(t *testing.T) {
+	limited := func(age time.Duration) []registrar.Candidate {
+		all := candidates(0, 14, 0, 0, 14, 0, 0, 3, 0)
+		for i := range all {
+			if all[i].Load == 0 {
+				all[i].Limit, all[i].LimitAge = registrar.Limit{IsSet: true, Rate: 6}, age
+			}
+		}
+		return all
+	}
+	stated := limited(100 * time.Millisecond)
+	if diff := cmp.Diff([]string{"e-1", "e-0"}, []string{nextOf(t, "p", "e-1", stated), nextOf(t, "p", "e-0", stated)}); diff != "" {
+		t.Error(diff)
+	}
+	begun := func(all []registrar.Candidate) (atLimited int) {
+		for i := range 300 {
+			j := chooser.ForTurn(chooser.Turn{Key: fmt.Sprint("program-", i), DataCentre: "dc-1"}, all, 1.5)
+			if all[j].Limit.IsSet {
+				atLimited++
+			}
+		}
+		return atLimited
+	}
+	if fresh, old := begun(stated), begun(limited(5*time.Second)); fresh >= old || old < 200 {
+		t.Errorf("of 300 new programs %d begin at limited engines, %d when the limits are old", fresh, old)
+	}
+	calls := candidates(0, 2)
+	calls[0].Limit, calls[0].LimitAge = registrar.Limit{IsSet: true, Rate: 6}, time.Millisecond
+	if i := chooser.LeastLoaded("call", "dc-1", calls); i != 1 {
+		t.Error("a call goes to the limited endpoint before the other one has work")
+	}
+}
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -32,6 +32,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/messenger"
 	"github.com/wigeonstand/wigeonstand/internal/meter"
 	"github.com/wigeonstand/wigeonstand/internal/pruner"
+	"github.com/wigeonstand/wigeonstand/internal/rationer"
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
 	"github.com/wigeonstand/wigeonstand/internal/relayer"
 	"github.com/wigeonstand/wigeonstand/internal/rerouter"
@@ -148,8 +149,9 @@
 	e.bookkeeper = bookkeeper.New(self.Incarnation, e.batcher, bookkeeper.NewReclaimer(e.discoverer, e.peerClient),
 		bookkeeper.WithLogger(e.log), bookkeeper.WithPruner(e.pruner.Schedule))
 	e.budgets = bookkeeper.NewClient(e.bookkeeper, e.discoverer, e.peerClient, e.registry)
+	permits := rationer.New(e.discoverer, e.peerClient, rationer.WithLogger(e.log), rationer.WithCounter(metrics.countPermit))
 	e.relayer = relayer.New(relayer.Config{
-		Tables: e.watcher, Endpoints: e.registry, Sender: e.sender, Dialect: platform.Dialect,
+		Tables: e.watcher, Endpoints: e.registry, Sender: e.sender, Permits: permits, Dialect: platform.Dialect,
 		Budgets:            e.budgets,
 		Transcripts:        transcriber.New(e.rerouter),
 		IsStoreUnreachable: func() bool { path, _ := e.rerouter.Path(); return path == rerouter.Lost },
@@ -164,7 +166,7 @@
 		},
 	})
 	handlers := map[string]messenger.Handler{}
-	for _, group := range []map[string]messenger.Handler{e.bookkeeper.Handlers(e.registry), e.rerouter.Handlers(), tableCopies.Handlers()} {
+	for _, group := range []map[string]messenger.Handler{e.bookkeeper.Handlers(e.registry), e.rerouter.Handlers(), tableCopies.Handlers(), permits.Handlers()} {
 		for name, handler := range group {
 			handlers[name] = handler
 		}
--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -20,6 +20,7 @@
 	refusals          *prometheus.CounterVec
 	retries           *prometheus.CounterVec
 	storeCalls        *prometheus.CounterVec
+	permits           *prometheus.CounterVec
 }
 
 func newMetrics(m *meter.Meter, s *sender.Sender, endpoints *registrar.Registry) *metrics {
@@ -28,6 +29,7 @@
 		refusals:          m.NewCounter("entry_refusals_total", "Refusals by kind and reason.", "Kind", "Reason"),
 		retries:           m.NewCounter("entry_retries_total", "Further attempts by reason.", "Reason"),
 		storeCalls:        m.NewCounter("entry_store_calls_total", "Calls to the store by operation, way and result.", "Operation", "Way", "Result"),
+		permits:           m.NewCounter("entry_permits_total", "Permits asked for, of endpoints with a limit, by result.", "Result"),
 		requestSeconds:    m.NewHistogram("entry_request_seconds", "Time from arrival to the end of the answer.", "Route"),
 		firstEventSeconds: m.FirstTokenSeconds,
 	}
@@ -65,6 +67,8 @@
 // CountRetry implements relayer.Metrics.
 func (m *metrics) CountRetry(reason string) { m.retries.WithLabelValues(reason).Inc() }
 
+func (m *metrics) countPermit(result string) { m.permits.WithLabelValues(result).Inc() }
+
 func (m *metrics) countStoreCall(operation, way, result string) {
 	m.storeCalls.WithLabelValues(operation, way, result).Inc()
 }
--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -78,6 +78,10 @@
 	unchangedSince time.Time
 }
 
+func (m *memberState) isLive(now time.Time) bool {
+	return now.Sub(m.unchangedSince) <= missedHeartbeats*max(m.Interval, bookkeeperInterval)+writeDelayAllowance
+}
+
 // Discoverer maintains the list of members. It is safe for concurrent use, except for
 // Refresh.
 type Discoverer struct {
@@ -259,8 +263,7 @@
 	now := time.Now()
 	var members []Member
 	for name, m := range d.members {
-		isLive := now.Sub(m.unchangedSince) <= missedHeartbeats*max(m.Interval, bookkeeperInterval)+writeDelayAllowance && now.After(d.suspectedUntil[name])
-		if name != d.self.Instance && isLive {
+		if name != d.self.Instance && m.isLive(now) && now.After(d.suspectedUntil[name]) {
 			members = append(members, m.Member)
 		}
 	}
@@ -318,6 +321,32 @@
 	return s
 }
 
+// Issuers returns the known members in the order of their scores for the key. It leaves
+// out members that have missed their heartbeats, but not suspects, so that instances agree
+// on the order although each reaches others.
+func (d *Discoverer) Issuers(key string) []Member {
+	now := time.Now()
+	var members []Member
+	if !d.isDeregistered.Load() {
+		members = append(members, d.self)
+	}
+	d.mu.Lock()
+	for name, m := range d.members {
+		if name != d.self.Instance && m.isLive(now) {
+			members = append(members, m.Member)
+		}
+	}
+	d.mu.Unlock()
+	return ranked(key, members)
+}
+
+// IsCurrent reports whether this instance has written its heartbeats, so that the other
+// instances have it in their lists.
+func (d *Discoverer) IsCurrent() bool {
+	last := d.lastHeartbeat.Load()
+	return last != nil && !d.isDeregistered.Load() && time.Since(last.at) <= missedHeartbeats*max(last.interval, bookkeeperInterval)
+}
+
 func bookkeepersAmong(members int) int {
 	return (members + membersPerBookkeeper - 1) / membersPerBookkeeper
 }
--- a/internal/discoverer/discoverer_test.go
+++ b/internal/discoverer/discoverer_test.go
@@ -262,3 +262,45 @@
 		}
 	})
 }
+
+// Instances agree on who issues the permits of an endpoint, also while they suspect each
+// other, and one that has lost touch knows that the others may have dropped it.
+func TestInstancesAgreeOnIssuers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := startInstances(t, fakeplatform.NewRows(1), 6)
+		want := names(all[0].Issuers("endpoint"))
+		all[1].Suspect(want[0])
+		for i, d := range all {
+			if diff := cmp.Diff(want, names(d.Issuers("endpoint"))); diff != "" || !d.IsCurrent() {
+				t.Errorf("instance %d: %s", i, diff)
+			}
+		}
+		if err := all[0].Deregister(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		refresh(t, all...)
+		for i, d := range all {
+			if got := names(d.Issuers("endpoint")); len(got) != 5 || d.IsCurrent() != (i != 0) {
+				t.Errorf("instance %d: issuers %v, current %v", i, got, d.IsCurrent())
+			}
+		}
+		// An instance without heartbeats is not current before the others drop it.
+		for second := range 60 {
+			time.Sleep(time.Second)
+			for _, d := range all[2:] {
+				if d.IsHeartbeatDue() {
+					if err := d.WriteHeartbeat(t.Context()); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+			refresh(t, all[2:]...)
+			if isDropped := len(all[2].Issuers("endpoint")) == 4; isDropped && all[1].IsCurrent() {
+				t.Errorf("dropped after %d s while it considers itself current", second)
+			}
+		}
+		if all[1].IsCurrent() {
+			t.Error("current after a minute without heartbeats")
+		}
+	})
+}
--- a/internal/registrar/limit.go
+++ b/internal/registrar/limit.go
@@ -30,6 +30,8 @@
 	// limit is the limit that it stated last, and limitAt when.
 	limit   Limit
 	limitAt time.Time
+	// limitHops is how often the statement was forwarded until it reached this instance.
+	limitHops int
 }
 
 func (a *announcement) isLeaving() bool { return !a.leftAt.IsZero() }
@@ -52,6 +54,36 @@
 	return a
 }
 
+// limitEndMaxAge is how long the end of a limit is sent to other instances. Those that
+// send nothing to the endpoint have no response of their own.
+const limitEndMaxAge = 5 * time.Second
+
+// StatedLimit is the limit that an endpoint stated, sent to other instances.
+type StatedLimit struct {
+	IsSet bool          `cbor:"1,keyasint,omitempty"`
+	Rate  float64       `cbor:"2,keyasint,omitempty"`
+	Age   time.Duration `cbor:"3,keyasint"`
+	// Hops is how often the statement was forwarded, this time included.
+	Hops int `cbor:"4,keyasint"`
+}
+
+// observation returns what is sent to other instances; nil for nothing. A statement is
+// forwarded maxHops times, as the time spent in transit does not add to its age.
+func (a *announcement) observation(now time.Time) *StatedLimit {
+	age := now.Sub(a.limitAt)
+	if a.limitAt.IsZero() || a.limitHops >= maxHops || (!a.limit.IsSet && age > limitEndMaxAge) {
+		return nil
+	}
+	return &StatedLimit{IsSet: a.limit.IsSet, Rate: a.limit.Rate, Age: age, Hops: a.limitHops + 1}
+}
+
+// merge applies the statement of another instance if it is newer.
+func (a *announcement) merge(s StatedLimit, now time.Time) {
+	if at := now.Add(-s.Age); at.After(a.limitAt) {
+		a.limit, a.limitAt, a.limitHops = Limit{IsSet: s.IsSet, Rate: s.Rate}, at, s.Hops
+	}
+}
+
 // ReportLimit records the limit that the endpoint stated in the response to a request
 // sent at sentAt. It returns the limit before and reports whether it has changed.
 //
@@ -68,7 +100,7 @@
 		return limit, false
 	}
 	before = a.limit
-	a.limit, a.limitAt = limit, time.Now()
+	a.limit, a.limitAt, a.limitHops = limit, time.Now(), 0
 	return before, before != limit
 }
 
--- a/internal/registrar/limit_test.go
+++ b/internal/registrar/limit_test.go
@@ -48,3 +48,43 @@
 		check("a later response without a limit", registrar.Limit{})
 	})
 }
+
+// An instance learns of a limit and of its end with the loads, also before it reads the
+// registration, as after a restart. A statement is not passed on for ever.
+func TestLimitIsForwarded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		endpoint, limit := newEndpoint("a"), registrar.Limit{IsSet: true, Rate: 6}
+		source, bookkeeper, last, none := registrar.New(), registrar.New(), registrar.New(), registrar.New()
+		source.Replace([]registrar.Endpoint{endpoint})
+		bookkeeper.Replace([]registrar.Endpoint{endpoint})
+		forward := func() {
+			time.Sleep(time.Second)
+			bookkeeper.Merge(source.Observations())
+			last.Merge(bookkeeper.Observations())
+			last.Replace([]registrar.Endpoint{endpoint})
+			none.Merge(last.Observations())
+			none.Replace([]registrar.Endpoint{endpoint})
+		}
+		check := func(want ...registrar.Limit) {
+			t.Helper()
+			var got []registrar.Limit
+			for _, r := range []*registrar.Registry{bookkeeper, last, none} {
+				got = append(got, onlyCandidate(t, r).Limit)
+			}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Error(diff)
+			}
+		}
+		source.ReportLimit(endpoint, limit, time.Now())
+		forward()
+		check(limit, limit, registrar.Limit{})
+		if got := onlyCandidate(t, last).LimitAge; got != time.Second {
+			t.Errorf("age %v of the forwarded limit", got)
+		}
+		source.ReportLimit(endpoint, registrar.Limit{}, time.Now())
+		// An instance that had the limit last does not bring it back.
+		source.Merge(last.Observations())
+		forward()
+		check(registrar.Limit{}, registrar.Limit{}, registrar.Limit{})
+	})
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -6,6 +6,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -56,8 +57,9 @@
 	Age time.Duration
 	// Avoid is true for some time after requests to the endpoint failed.
 	Avoid bool
-	// Limit is the limit that the endpoint stated last.
-	Limit Limit
+	// Limit is the limit that the endpoint stated last, and LimitAge the time since.
+	Limit    Limit
+	LimitAge time.Duration
 }
 
 // Outcome is the result of a request, as evidence of the endpoint's health.
@@ -124,6 +126,11 @@
 	return process{id: e.ID, address: e.Address, startedMillis: e.Started.UnixMilli()}
 }
 
+// Process returns a text that identifies the endpoint's process.
+func (e Endpoint) Process() string {
+	return e.ID + "/" + e.Address.String() + "/" + strconv.FormatInt(e.Started.UnixMilli(), 10)
+}
+
 // New returns an empty Registry.
 func New() *Registry {
 	return &Registry{byID: map[string]*entry{}, services: map[string][]*entry{}, announced: map[process]*announcement{}}
@@ -223,7 +230,7 @@
 }
 
 func (e *entry) candidate(now time.Time) Candidate {
-	c := Candidate{Endpoint: e.Endpoint, Load: float64(e.outstanding), Outstanding: e.outstanding, Age: -1, Avoid: e.isAvoided(now), Limit: e.announced.limit}
+	c := Candidate{Endpoint: e.Endpoint, Load: float64(e.outstanding), Outstanding: e.outstanding, Age: -1, Avoid: e.isAvoided(now), Limit: e.announced.limit, LimitAge: now.Sub(e.announced.limitAt)}
 	if age := now.Sub(e.reportedAt); !e.reportedAt.IsZero() && age <= loadMaxAge {
 		c.Age = age
 		c.Load = max(c.Load, float64(e.load.Running+e.load.Waiting+e.outstanding-e.outstandingAtReport))
@@ -290,10 +297,13 @@
 	HasAnnouncedLeave bool           `cbor:"9,keyasint,omitempty"`
 	Address           netip.AddrPort `cbor:"10,keyasint,omitzero"`
 	StartedMillis     int64          `cbor:"11,keyasint,omitempty"`
+	// StatedLimit is the limit that this process stated last, if any, and the end of a
+	// limit for some time; nil otherwise.
+	StatedLimit *StatedLimit `cbor:"12,keyasint,omitempty"`
 }
 
-// Observations returns the recent loads and failures of endpoints, and the leaves
-// that they announced and that their registrations do not state.
+// Observations returns the recent loads and failures of endpoints, their limits, and the
+// leaves that they announced and that their registrations do not state.
 func (r *Registry) Observations() []Observation {
 	now := time.Now()
 	r.mu.Lock()
@@ -303,16 +313,17 @@
 		age, failureAge := now.Sub(e.reportedAt), now.Sub(e.failedAt)
 		hasFailed := failureAge <= observationMaxAge && e.hops < maxHops
 		isLeaving := e.announced.isLeaving() && !e.Leaving
-		if age > observationMaxAge && !hasFailed && !isLeaving {
+		limit := e.announced.observation(now)
+		if age > observationMaxAge && !hasFailed && !isLeaving && limit == nil {
 			continue
 		}
 		o := Observation{
 			ID: id, Running: e.load.Running, Waiting: e.load.Waiting, Slots: e.load.Slots, Age: age,
 			HasFailed: hasFailed, FailureAge: failureAge, Hops: e.hops + 1,
 		}
-		if isLeaving {
+		if isLeaving || limit != nil {
 			p := processOf(e.Endpoint)
-			o.HasAnnouncedLeave, o.Address, o.StartedMillis = true, p.address, p.startedMillis
+			o.HasAnnouncedLeave, o.StatedLimit, o.Address, o.StartedMillis = isLeaving, limit, p.address, p.startedMillis
 		}
 		observations = append(observations, o)
 	}
@@ -326,8 +337,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, o := range observations {
+		p := process{id: o.ID, address: o.Address, startedMillis: o.StartedMillis}
 		if o.HasAnnouncedLeave {
-			r.recordLeave(process{id: o.ID, address: o.Address, startedMillis: o.StartedMillis})
+			r.recordLeave(p)
+		}
+		if o.StatedLimit != nil {
+			r.announcementOf(p).merge(*o.StatedLimit, now)
 		}
 		e := r.byID[o.ID]
 		if at := now.Add(-o.Age); e != nil && at.After(e.reportedAt) {
--- a/internal/relayer/access.go
+++ b/internal/relayer/access.go
@@ -30,15 +30,18 @@
 
 // accessRecord holds the values of a request's access log line.
 type accessRecord struct {
-	outcome    string
-	status     int
-	kind       answerer.Kind
-	reason     string
-	cause      error
-	endpoint   string
-	load       float64
-	loadAge    time.Duration
-	limit      registrar.Limit
+	outcome  string
+	status   int
+	kind     answerer.Kind
+	reason   string
+	cause    error
+	endpoint string
+	load     float64
+	loadAge  time.Duration
+	limit    registrar.Limit
+	// permitWait is how long the request had to wait for a permit of an endpoint with a
+	// limit, or would have had to.
+	permitWait time.Duration
 	meanLoad   float64
 	sendCount  int
 	firstEvent time.Duration
@@ -88,6 +91,7 @@
 		pairs = append(pairs, "Endpoint", a.endpoint, "Load", a.load, "LoadAge", a.loadAge, "Sends", a.sendCount)
 	}
 	add(a.limit.IsSet, "Limit", a.limit)
+	add(a.permitWait > 0, "PermitWait", a.permitWait)
 	add(a.meanLoad > 0, "MeanLoad", a.meanLoad)
 	add(a.firstEvent > 0, "First", a.firstEvent)
 	add(a.recordTime > 0, "Held", a.recordTime)
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -42,12 +42,11 @@
 		if x.ctx.Err() != nil {
 			break
 		}
-		candidates := x.candidates(attempted)
-		i := chooser.ForCall(x.call.ID, fleet, candidates)
-		if i < 0 {
+		c, err := x.placeCall(fleet, attempted)
+		if err != nil {
+			failure.addUnplaced(err)
 			break
 		}
-		c := candidates[i]
 		attempted[c.ID] = true
 		isDone, err := x.attemptPlain(c, sent+1 < x.route.MaxAttempts)
 		if isDone {
@@ -85,6 +84,14 @@
 	f.mayHaveRun = f.mayHaveRun || mayHaveRun
 }
 
+// addUnplaced records that there was no endpoint for a further attempt, which is the cause
+// of a refusal only if the endpoints have used up their limits.
+func (f *failedAttempts) addUnplaced(err error) {
+	if !f.mayHaveRun && errors.Is(err, errNoPermit) {
+		f.err = err
+	}
+}
+
 // errResponseTooLarge means that the body of a plain response exceeds
 // maxBufferedBytes.
 var errResponseTooLarge = eris.New("response body too large")
@@ -158,8 +165,7 @@
 	case failure.mayHaveRun:
 		x.refuseMaybeRun(failure.err)
 	default:
-		after := min(shortRetryAfter, x.timeLeft()/3)
-		x.refuse(answerer.Wrap(answerer.NoEndpoint, failure.err, "no endpoint accepted the request").WithRetryAfter(after), "NoEndpoint")
+		x.refuseUnplaced(failure.err)
 	}
 }
 
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -47,6 +47,13 @@
 	Send(ctx context.Context, r sender.Request) (*sender.Response, error)
 }
 
+// Permits gives permits for requests to endpoints that have a limit for all instances.
+type Permits interface {
+	// Permit reports whether a permit was granted that becomes valid within maxWait, and
+	// how long the request must wait, or would have to.
+	Permit(ctx context.Context, c registrar.Candidate, maxWait time.Duration) (wait time.Duration, isGranted bool)
+}
+
 // Policy holds the parameters of admission and placement.
 type Policy struct {
 	Admission admitter.Policy
@@ -62,6 +69,7 @@
 	Budgets     Budgets
 	Transcripts Transcripts
 	Sender      Sender
+	Permits     Permits
 	Dialect     Dialect
 	Policy      Policy
 	Instance    string
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -67,7 +68,7 @@
 	}
 	candidates := x.candidates(nil)
 	if len(candidates) == 0 {
-		x.refuse(answerer.New(answerer.NoEndpoint, "the service has no available endpoint").WithRetryAfter(min(shortRetryAfter, x.timeLeft()/3)), "NoEndpoint")
+		x.refuseUnplaced(nil)
 		return
 	}
 	decision := admitter.Admit(x.Policy.Admission, admitter.Turn{First: t.isFirst, Left: x.timeLeft(), LimitSample: randomFraction(), RetrySample: randomFraction()}, candidates)
@@ -203,12 +204,13 @@
 	var resumeAt *registrar.Candidate
 	var failure failedAttempts
 	for {
-		c, ok := t.chooseEndpoint(attempted, resumeAt)
-		if !ok {
+		c, err := t.chooseEndpoint(attempted, resumeAt)
+		if err != nil {
+			failure.addUnplaced(err)
 			t.fail(failure)
 			return
 		}
-		err := t.relay(c)
+		err = t.relay(c)
 		if err == nil {
 			t.finish()
 			return
@@ -244,19 +246,24 @@
 // chooseEndpoint chooses the endpoint for the turn. An interrupted stream resumes
 // at resumeAt while that endpoint accepts requests: it has the prompt in its cache, and
 // a resumption there stays within the route's limit on attempts.
-func (t *turn) chooseEndpoint(excluded map[string]bool, resumeAt *registrar.Candidate) (registrar.Candidate, bool) {
-	if resumeAt != nil && t.Endpoints.Accepts(resumeAt.Endpoint) {
-		return *resumeAt, true
+func (t *turn) chooseEndpoint(excluded map[string]bool, resumeAt *registrar.Candidate) (registrar.Candidate, error) {
+	maxWait := maxPermitWait
+	if t.isFirst {
+		maxWait = maxFirstPermitWait
 	}
 	candidates := t.candidates(excluded)
-	i := chooser.ForTurn(chooser.Turn{
-		Key: t.placementKey(), Home: t.home, DataCentre: t.DataCentre,
-		SharedPart: t.call.SharedPart, SharedTokens: t.call.SharedTokens,
-	}, candidates, t.Policy.Margin)
-	if i < 0 {
-		return registrar.Candidate{}, false
+	if resumeAt != nil && t.Endpoints.Accepts(resumeAt.Endpoint) {
+		same := slices.DeleteFunc(slices.Clone(candidates), func(c registrar.Candidate) bool { return c.ID != resumeAt.ID })
+		if c, err := t.place(same, 0, func(same []registrar.Candidate) int { return len(same) - 1 }); err == nil {
+			return c, nil
+		}
 	}
-	return candidates[i], true
+	return t.place(candidates, maxWait, func(candidates []registrar.Candidate) int {
+		return chooser.ForTurn(chooser.Turn{
+			Key: t.placementKey(), Home: t.home, DataCentre: t.DataCentre,
+			SharedPart: t.call.SharedPart, SharedTokens: t.call.SharedTokens,
+		}, candidates, t.Policy.Margin)
+	})
 }
 
 // errCallerDisconnected means that writing to the caller failed.
