internal/sender: a response head without end is cut off

What callers would see: an endpoint in trouble that sends bytes without end where a head is due fills the instance's memory until the caller's deadline; several of them end the process. Cause: net/http reads a response head of any size. Change: 64 KiB are read for a head and the interim ones before it.

--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -48,6 +48,8 @@
 	// maxInterimResponses is the number of 1xx responses that are skipped before a
 	// response.
 	maxInterimResponses = 8
+	// maxHeadBytes limits a response head together with the interim ones before it.
+	maxHeadBytes = 64 << 10
 	// maxInlineBodyBytes is the size up to which a body is written before the
 	// response is read. It is below the TCP window, so the write does not block.
 	maxInlineBodyBytes = 16 << 10
@@ -93,6 +95,7 @@
 type conn struct {
 	net.Conn
 	reader  *bufio.Reader
+	limit   *limitReader
 	address netip.AddrPort
 	// expires is the end of its use, cautiousUntil that for requests that must not be
 	// repeated.
@@ -187,7 +190,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReader(raw), address: r.Address}, nil
+	limit := &limitReader{Reader: raw, left: maxHeadBytes}
+	return &conn{Conn: raw, reader: bufio.NewReader(limit), limit: limit, address: r.Address}, nil
 }
 
 // takeIdle removes and returns the connection to the endpoint that was used last, or
@@ -251,7 +255,7 @@
 		}()
 	}
 	for range maxStaleResponses + 1 {
-		response, err := readHead(cn.reader, r.Method) //nolint:bodyclose // Response.Close closes the connection or returns it to the pool.
+		response, err := cn.readHead(r.Method) //nolint:bodyclose // Response.Close closes the connection or returns it to the pool.
 		if err != nil {
 			return nil, err
 		}
@@ -266,10 +270,34 @@
 	return nil, eris.New("too many responses to other requests on the connection")
 }
 
+// limitReader returns errHeadTooLarge once left bytes have been read. A negative left is no
+// limit.
+type limitReader struct {
+	io.Reader
+	left int
+}
+
+var errHeadTooLarge = eris.Errorf("the response head exceeds %d bytes", maxHeadBytes)
+
+// Read implements io.Reader.
+func (l *limitReader) Read(b []byte) (int, error) {
+	if l.left < 0 {
+		return l.Reader.Read(b)
+	}
+	if l.left == 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.Reader.Read(b[:min(len(b), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // readHead reads the next response head and skips interim responses.
-func readHead(reader *bufio.Reader, method string) (*http.Response, error) {
+func (cn *conn) readHead(method string) (*http.Response, error) {
+	cn.limit.left = maxHeadBytes
+	defer func() { cn.limit.left = -1 }()
 	for range maxInterimResponses + 1 {
-		response, err := http.ReadResponse(reader, &http.Request{Method: method})
+		response, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, eris.Wrap(err, "read the response head")
 		}
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -128,3 +128,41 @@
 		t.Error(diff)
 	}
 }
+
+// An endpoint in trouble sends bytes without end where a head is due, until the connection
+// is closed. The request fails after a bounded number of them.
+func TestEndlessHeadEndsTheRequest(t *testing.T) {
+	const most = 16 << 20 // The limit of a head and what the sockets hold.
+	for name, text := range map[string]string{
+		"status line":       "HTTP/1.1 200 ",
+		"header value":      "HTTP/1.1 200 OK\r\nX: ",
+		"header":            "HTTP/1.1 200 OK\r\n",
+		"interim responses": "HTTP/1.1 102 Processing\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			chunk := strings.Repeat("x", 1000)
+			if strings.HasSuffix(text, "\n") {
+				chunk = strings.Repeat("Name: value\r\n", 100)
+			}
+			sent := make(chan int, 1)
+			address := serve(t, func(w io.Writer, _ string) {
+				n, err := io.WriteString(w, text)
+				for err == nil && n < 4*most {
+					var more int
+					more, err = io.WriteString(w, chunk)
+					n += more
+				}
+				sent <- n
+			})
+			s := sender.New()
+			defer s.Close()
+			start := time.Now()
+			if _, err := send(t, s, address, "a"); err == nil || time.Since(start) > time.Second {
+				t.Errorf("error %v after %v", err, time.Since(start))
+			}
+			if n := <-sent; n > most {
+				t.Errorf("%d bytes were read", n)
+			}
+		})
+	}
+}
