internal/relayer: large response bodies share a bounded part of the memory

What would be seen: endpoints in trouble that send bodies without end to several callers at once. Each body was cut off at 8 MiB, so that 14 of them fill an instance of 112 MB and end the process. Change: what exceeds 256 KiB of a body is taken from a budget of an eighth of the memory for all requests; a body that gets none fails its request as one that is too large.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -46,6 +46,9 @@
 	// memoryLimitPercent is the soft memory limit of the Go runtime in percent of
 	// the configured memory.
 	memoryLimitPercent = 60
+	// bufferedMemoryDivisor gives the part of the memory for large bodies of plain
+	// responses.
+	bufferedMemoryDivisor = 8
 	// drainDelay is how long the instance accepts new connections after it reports
 	// that it is not ready. The load balancer checks readiness once a second and
 	// removes an instance after two failed checks.
@@ -157,6 +160,7 @@
 		IsStoreUnreachable: func() bool { path, _ := e.rerouter.Path(); return path == rerouter.Lost },
 		Instance:           settings.Instance, CountInstances: e.discoverer.Count,
 		DataCentre: settings.DataCentre, Log: e.log, ServedShare: settings.Log.ServedShare, Metrics: metrics,
+		MaxBufferedBytes: int64(settings.MemoryMB) << 20 / bufferedMemoryDivisor,
 		Policy: relayer.Policy{
 			Admission: admitter.Policy{
 				SoftLimit: settings.Admission.NewPrograms, HardLimit: settings.Admission.NoPrograms,
--- a/internal/relayer/failure_test.go
+++ b/internal/relayer/failure_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -47,16 +48,72 @@
 func TestResponseBeyondTheBufferIsAnError(t *testing.T) {
 	for size, want := range map[int]error{maxBufferedBytes: nil, maxBufferedBytes + 1: errResponseTooLarge} {
 		response := &sender.Response{Body: bufio.NewReader(io.LimitReader(zeros{}, int64(size)))}
-		if body, err := readResponse(response); !errors.Is(err, want) || (err == nil && len(body) != size) {
+		if body, err := readResponse(response, newMemoryBudget(1<<30).reservation()); !errors.Is(err, want) || (err == nil && len(body) != size) {
 			t.Errorf("%d bytes: %d read, %v", size, len(body), err)
 		}
 	}
 	truncated := &sender.Response{Body: bufio.NewReader(io.MultiReader(strings.NewReader("half"), brokenReader{}))}
-	if _, err := readResponse(truncated); !errors.Is(err, io.ErrUnexpectedEOF) {
+	if _, err := readResponse(truncated, newMemoryBudget(1<<30).reservation()); !errors.Is(err, io.ErrUnexpectedEOF) {
 		t.Errorf("truncated: %v", err)
 	}
 }
 
+// Endpoints in trouble send bodies without end, to many callers at once. Together they
+// take a bounded part of the memory, and small bodies pass beside them.
+func TestEndlessBodiesTogetherAreBounded(t *testing.T) {
+	const limit, concurrent = 32 << 20, 64
+	budget := newMemoryBudget(limit)
+	var mu sync.Mutex
+	var held, most int
+	var work sync.WaitGroup
+	var begun sync.WaitGroup
+	begun.Add(concurrent)
+	for range concurrent {
+		work.Go(func() {
+			endless := countingReader{read: func(n int) {
+				mu.Lock()
+				defer mu.Unlock()
+				held += n
+				most = max(most, held)
+			}}
+			begun.Done()
+			begun.Wait()
+			reservation := budget.reservation()
+			defer reservation.release()
+			if _, err := readResponse(&sender.Response{Body: bufio.NewReader(&endless)}, reservation); !errors.Is(err, errResponseTooLarge) {
+				t.Error(err)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			held -= endless.n
+		})
+	}
+	work.Wait()
+	if allowed := limit + concurrent*2*unreservedBytes; most > allowed {
+		t.Errorf("%d bytes held, allowed %d", most, allowed)
+	}
+	full := budget.reservation()
+	defer full.release()
+	for full.grow(1 << 20) {
+	}
+	small := &sender.Response{Body: bufio.NewReader(strings.NewReader("small"))}
+	if body, err := readResponse(small, budget.reservation()); err != nil || string(body) != "small" {
+		t.Errorf("%q, %v", body, err)
+	}
+}
+
+// countingReader reads bytes without end.
+type countingReader struct {
+	n    int
+	read func(n int)
+}
+
+func (r *countingReader) Read(b []byte) (int, error) {
+	r.n += len(b)
+	r.read(len(b))
+	return len(b), nil
+}
+
 type zeros struct{}
 
 func (zeros) Read(b []byte) (int, error) { return len(b), nil }
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -20,9 +19,6 @@
 const (
 	// maxFailedConnects limits the attempts that end without a connection.
 	maxFailedConnects = 3
-	// maxBufferedBytes limits a response body that is buffered before it is
-	// forwarded.
-	maxBufferedBytes = 8 << 20
 	// shortRetryAfter is the Retry-After time of refusals whose cause is expected
 	// to be brief.
 	shortRetryAfter = 150 * time.Millisecond
@@ -92,10 +88,6 @@
 	}
 }
 
-// errResponseTooLarge means that the body of a plain response exceeds
-// maxBufferedBytes.
-var errResponseTooLarge = eris.New("response body too large")
-
 // errNotRun means that the endpoint states that it did not run the request.
 var errNotRun = eris.New("the endpoint did not run the request")
 
@@ -131,7 +123,9 @@
 	if !head.IsSigned && response.Status < http.StatusMultipleChoices {
 		return false, errInvalidResponse
 	}
-	body, err := readResponse(response)
+	reservation := x.memory.reservation()
+	defer reservation.release()
+	body, err := readResponse(response, reservation)
 	if err != nil {
 		return false, err
 	}
@@ -144,18 +138,6 @@
 	return true, nil
 }
 
-// readResponse reads the whole body.
-func readResponse(response *sender.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
-	switch {
-	case err != nil:
-		return nil, eris.Wrapf(err, "read the response body, %d bytes so far", len(body))
-	case len(body) > maxBufferedBytes:
-		return nil, eris.Wrapf(errResponseTooLarge, "more than %d bytes", maxBufferedBytes)
-	}
-	return body, nil
-}
-
 // refuseFailed refuses a request after the last attempt failed, or without any. The
 // refusal says that the request did not run only if that holds for all attempts.
 func (x *exchange) refuseFailed(failure failedAttempts) {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -82,7 +82,9 @@
 	IsStoreUnreachable func() bool
 	// ServedShare is the share of programs whose served requests are logged.
 	ServedShare float64
-	Metrics     Metrics
+	// MaxBufferedBytes limits the memory for large bodies of plain responses, all together.
+	MaxBufferedBytes int64
+	Metrics          Metrics
 }
 
 // Metrics records the metrics of requests.
@@ -94,10 +96,15 @@
 }
 
 // Relayer is the HTTP handler of callers' requests. It is safe for concurrent use.
-type Relayer struct{ Config }
+type Relayer struct {
+	Config
+	memory *memoryBudget
+}
 
 // New returns a Relayer.
-func New(config Config) *Relayer { return &Relayer{config} }
+func New(config Config) *Relayer {
+	return &Relayer{Config: config, memory: newMemoryBudget(config.MaxBufferedBytes)}
+}
 
 const (
 	// defaultMaxBodyBytes limits a request body if the configuration has no limit.
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -357,7 +357,9 @@
 
 // forwardFailure forwards an endpoint's error response.
 func (t *turn) forwardFailure(response *sender.Response) error {
-	body, err := readResponse(response)
+	reservation := t.memory.reservation()
+	defer reservation.release()
+	body, err := readResponse(response, reservation)
 	if err != nil {
 		return err
 	}
