internal/relayer, internal/sender: idle connections of all instances leave an endpoint room

Found while looking for other values that hold for all instances together, as LIMIT's: a service states how many connections an endpoint accepts from all callers, and each instance kept up to 8 idle ones to each endpoint by itself. 195 instances could keep 1,560 of 1,100. Change: an instance keeps its part of half of them. The number of instances is taken from the selection of bookkeepers, which is cached, as it is now read for each request.

--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -107,6 +107,8 @@
 	at time.Time
 	// all are those of all data centres, own those of this instance's.
 	all, own []Member
+	// live is the number of live members, including this instance.
+	live int
 }
 
 // Option configures a Discoverer.
@@ -249,7 +251,7 @@
 }
 
 // Count returns the number of live members, including this instance.
-func (d *Discoverer) Count() int { return 1 + len(d.otherLiveMembers()) }
+func (d *Discoverer) Count() int { return d.selection().live }
 
 // otherLiveMembers returns the live members other than this instance, without
 // suspects.
@@ -299,13 +301,14 @@
 		return s
 	}
 	byDataCentre := map[string][]Member{}
-	for _, m := range d.lockedLiveMembers() {
+	others := d.lockedLiveMembers()
+	for _, m := range others {
 		byDataCentre[m.DataCentre] = append(byDataCentre[m.DataCentre], m)
 	}
 	if !d.isDeregistered.Load() || len(byDataCentre[d.self.DataCentre]) == 0 {
 		byDataCentre[d.self.DataCentre] = append(byDataCentre[d.self.DataCentre], d.self)
 	}
-	s := &selection{at: time.Now()}
+	s := &selection{at: time.Now(), live: 1 + len(others)}
 	for dataCentre, members := range byDataCentre {
 		members = ranked("", members)[:bookkeepersAmong(len(members))]
 		s.all = append(s.all, members...)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -228,9 +228,25 @@
 			id := x.Dialect.DecodeResponseHead(http.StatusOK, h).ID
 			return id == "" || id == x.call.ID
 		},
+		MaxIdle: maxIdleConnections(x.table.Services[x.service].MaxConnections, x.CountInstances()),
 	})
 }
 
+// idleConnectionsDivisor gives the part of the connections that an endpoint accepts which
+// all instances together may keep idle.
+const idleConnectionsDivisor = 2
+
+// maxIdleConnections returns how many idle connections this instance may keep to an
+// endpoint that accepts maxConnections of all instances together; zero if that is not
+// known. With a limit for each instance alone, the idle connections of a large fleet could
+// keep the endpoint from accepting another one.
+func maxIdleConnections(maxConnections, instances int) int {
+	if maxConnections <= 0 {
+		return 0
+	}
+	return max(maxConnections/idleConnectionsDivisor/max(instances, 1), 1)
+}
+
 // decodeHead decodes the head of the candidate's response to a request sent at sentAt
 // and records what the endpoint says of itself: its load, its limit, and that it is
 // leaving.
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -38,7 +38,8 @@
 	// idle for cautiousShare of the timeout at most.
 	idleTimeoutShare = 0.8
 	cautiousShare    = 0.5
-	// maxIdlePerEndpoint limits the idle connections to one endpoint.
+	// maxIdlePerEndpoint limits the idle connections to one endpoint. Request.MaxIdle may
+	// set a lower limit.
 	maxIdlePerEndpoint = 8
 	// maxStaleResponses is the number of responses to earlier requests that are
 	// skipped on a connection.
@@ -72,6 +73,9 @@
 	// IsMatch reports whether a response header belongs to this request. If it is
 	// nil, every response does.
 	IsMatch func(http.Header) bool
+	// MaxIdle is the number of idle connections to the endpoint that may be kept; zero for
+	// the default.
+	MaxIdle int
 }
 
 // Response is the response of an endpoint. The caller must call Close.
@@ -85,6 +89,7 @@
 
 	conn        *conn
 	idleTimeout time.Duration
+	maxIdle     int
 	sender      *Sender
 	body        io.Closer
 	stopCancel  func() bool
@@ -219,13 +224,13 @@
 	return last
 }
 
-func (s *Sender) putIdle(cn *conn, idleTimeout time.Duration) {
+func (s *Sender) putIdle(cn *conn, idleTimeout time.Duration, maxIdle int) {
 	now := time.Now()
 	cn.expires = now.Add(share(idleTimeout, idleTimeoutShare))
 	cn.cautiousUntil = now.Add(share(idleTimeout, cautiousShare))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.idle[cn.address]) >= maxIdlePerEndpoint {
+	if len(s.idle[cn.address]) >= maxIdle {
 		discard(cn)
 		return
 	}
@@ -260,7 +265,7 @@
 			return nil, err
 		}
 		if r.IsMatch == nil || r.IsMatch(response.Header) {
-			return s.newResponse(cn, response, written), nil
+			return s.newResponse(cn, r, response, written), nil
 		}
 		// This is a late, duplicate response to an earlier request.
 		if err := skipBody(response); err != nil {
@@ -322,11 +327,14 @@
 	return nil
 }
 
-func (s *Sender) newResponse(cn *conn, response *http.Response, written chan struct{}) *Response {
+func (s *Sender) newResponse(cn *conn, request Request, response *http.Response, written chan struct{}) *Response {
 	r := &Response{
 		Status: response.StatusCode, Header: response.Header,
 		Body: bufio.NewReader(response.Body), Length: response.ContentLength,
-		conn: cn, sender: s, body: response.Body, written: written,
+		conn: cn, sender: s, body: response.Body, written: written, maxIdle: maxIdlePerEndpoint,
+	}
+	if request.MaxIdle > 0 {
+		r.maxIdle = min(r.maxIdle, request.MaxIdle)
 	}
 	if !response.Close {
 		r.idleTimeout = idleTimeout(response.Header)
@@ -344,7 +352,7 @@
 		discard(r.conn)
 		return
 	}
-	r.sender.putIdle(r.conn, r.idleTimeout)
+	r.sender.putIdle(r.conn, r.idleTimeout, r.maxIdle)
 }
 
 // isComplete reports whether the request was sent and the response read to its
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -166,3 +166,31 @@
 		})
 	}
 }
+
+// The idle connections of all instances together must not take all that an endpoint
+// accepts, so that each instance keeps its part of them at most.
+func TestIdleConnectionsAreLimited(t *testing.T) {
+	address := serve(t, func(w io.Writer, id string) { _, _ = io.WriteString(w, response(id, "body")) }) // The test checks what arrives.
+	s := sender.New()
+	defer s.Close()
+	const concurrent, idle = 6, 2
+	for range 2 {
+		var responses []*sender.Response
+		for range concurrent {
+			r, err := s.Send(t.Context(), sender.Request{Address: address, Method: http.MethodGet, Target: "/", Host: "h", MaxIdle: idle})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.ReadAll(r.Body); err != nil {
+				t.Fatal(err)
+			}
+			responses = append(responses, r)
+		}
+		for _, r := range responses {
+			r.Close()
+		}
+	}
+	if diff := cmp.Diff(int64(2*concurrent-idle), s.ConnectionsOpened()); diff != "" {
+		t.Errorf("connections opened: %s", diff)
+	}
+}
