internal/relayer, internal/watcher, platform: software versions of endpoints and resumed streams in the logs

The registration's version and the header Resumes are decoded, and logged with requests, further attempts and registrations.

--- a/internal/registrar/endpoint.go
+++ b/internal/registrar/endpoint.go
@@ -13,6 +13,8 @@
 	Service    string
 	Address    netip.AddrPort
 	DataCentre string
+	// Version is that of the endpoint's software. Versions have no order.
+	Version string
 	// Slots is the number of requests that it runs concurrently.
 	Slots int
 	// Leaving is true if the endpoint accepts no new requests.
--- a/internal/relayer/access.go
+++ b/internal/relayer/access.go
@@ -36,9 +36,11 @@
 	reason   string
 	cause    error
 	endpoint string
-	load     float64
-	loadAge  time.Duration
-	limit    registrar.Limit
+	// version is that of the endpoint's software.
+	version string
+	load    float64
+	loadAge time.Duration
+	limit   registrar.Limit
 	// permitWait is how long the request had to wait for a permit of an endpoint with a
 	// limit, or would have had to.
 	permitWait time.Duration
@@ -70,7 +72,7 @@
 func (x *exchange) logAccess() {
 	a, total := &x.access, time.Since(x.arrival)
 	x.Metrics.ObserveRequest(x.route, a.outcome, total)
-	pairs := make([]any, 0, 40)
+	pairs := make([]any, 0, 48)
 	pairs = append(pairs, "Request", x.call.ID, "Outcome", a.outcome, "Total", total)
 	add := func(isSet bool, name string, value any) {
 		if isSet {
@@ -82,13 +84,16 @@
 	if x.route != nil {
 		pairs = append(pairs, "Route", x.route.Name, "Version", x.table.Version)
 	}
+	if x.call.LastEventID > 0 {
+		pairs = append(pairs, "Resumes", x.call.Resumes, "ResumesAfter", x.call.LastEventID)
+	}
 	add(a.status != 0, "Status", a.status)
 	add(x.call.Timeout > 0, "Timeout", x.call.Timeout)
 	add(x.call.HasProgramDeadline, "ProgramTimeLeft", x.call.ProgramTimeLeft)
 	add(a.kind != "", "Kind", a.kind)
 	add(a.reason != "", "Reason", a.reason)
 	if a.endpoint != "" {
-		pairs = append(pairs, "Endpoint", a.endpoint, "Load", a.load, "LoadAge", a.loadAge, "Sends", a.sendCount)
+		pairs = append(pairs, "Endpoint", a.endpoint, "EndpointVersion", a.version, "Load", a.load, "LoadAge", a.loadAge, "Sends", a.sendCount)
 	}
 	add(a.limit.IsSet, "Limit", a.limit)
 	add(a.permitWait > 0, "PermitWait", a.permitWait)
--- a/internal/relayer/call.go
+++ b/internal/relayer/call.go
@@ -47,6 +47,9 @@
 	// LastEventID is the number of the event after which the caller resumes a
 	// stream; zero to start at the first.
 	LastEventID int64
+	// Resumes is the ID of the request that brought the first event of a stream that this
+	// one resumes; empty if it resumes none.
+	Resumes string
 }
 
 // IsPastDeadline reports whether the program's deadline has passed.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -219,7 +219,8 @@
 // has been read.
 func (x *exchange) send(ctx context.Context, c registrar.Candidate, d Dispatch, body []byte) (*sender.Response, error) {
 	d.Endpoint = c.ID
-	x.access.endpoint, x.access.load, x.access.loadAge, x.access.limit = c.ID, c.Load, c.Age, c.Limit
+	x.access.endpoint, x.access.version = c.ID, c.Version
+	x.access.load, x.access.loadAge, x.access.limit = c.Load, c.Age, c.Limit
 	x.access.sendCount++
 	return x.Sender.Send(ctx, sender.Request{
 		Address: c.Address, Method: x.call.Method, Target: x.call.Target, Host: x.call.Host,
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -239,7 +239,7 @@
 		}
 		t.Metrics.CountRetry(failureReason(err))
 		t.Log.Log(eventRetried, "Request", t.call.ID, "Program", t.call.Program, "Endpoint", c.ID,
-			"Reason", failureReason(err), "Cause", err, "LastEvent", t.lastEventID)
+			"EndpointVersion", c.Version, "Reason", failureReason(err), "Cause", err, "LastEvent", t.lastEventID)
 	}
 }
 
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -283,7 +283,7 @@
 func (w *Watcher) replace(endpoints []registrar.Endpoint) {
 	changes := w.registry.Replace(endpoints)
 	for _, e := range changes.Added {
-		w.log.Log(eventEndpointAdded, "Endpoint", e.ID, "Service", e.Service, "Address", e.Address, "DataCentre", e.DataCentre)
+		w.log.Log(eventEndpointAdded, "Endpoint", e.ID, "Service", e.Service, "EndpointVersion", e.Version, "Address", e.Address, "DataCentre", e.DataCentre)
 	}
 	for _, e := range changes.Leaving {
 		w.log.Log(eventEndpointLeaving, "Endpoint", e.ID, "Service", e.Service)
