--- a/internal/composer/fleet_test.go
+++ b/internal/composer/fleet_test.go
@@ -33,6 +33,8 @@
 	client    *http.Client
 	log       *sharedLog
 	grace     time.Duration
+	// registrations are those of the endpoints, by ID.
+	registrations map[string]standin.Registration
 }
 
 // platformGrace is the grace period of the platform, shortGrace that of tests that
@@ -76,7 +78,7 @@
 
 func newFleetWithGrace(t *testing.T, grace time.Duration, instances, engines, services int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, rows: fakeplatform.NewRows(1), client: &http.Client{Transport: &http.Transport{}}, log: &sharedLog{}, grace: grace}
+	f := &fleet{t: t, rows: fakeplatform.NewRows(1), client: &http.Client{Transport: &http.Transport{}}, log: &sharedLog{}, grace: grace, registrations: map[string]standin.Registration{}}
 	t.Cleanup(f.client.CloseIdleConnections)
 	for i := range engines {
 		e := standin.NewEndpoint(fmt.Sprintf("engine-%d", i), 5, 10*time.Millisecond, uint64(i))
@@ -100,14 +102,26 @@
 	return f
 }
 
-func (f *fleet) register(e *standin.Endpoint, service string) {
+func (f *fleet) register(e *standin.Endpoint, service string) { f.registerVersion(e, service, "") }
+
+// registerVersion registers the endpoint with a version of its software.
+func (f *fleet) registerVersion(e *standin.Endpoint, service, version string) {
 	f.t.Helper()
 	server := httptest.NewServer(e)
 	f.t.Cleanup(server.Close)
-	if err := standin.Register(f.rows, standin.Registration{
+	f.registrations[e.ID] = standin.Registration{
 		ID: e.ID, Service: service, Address: netip.MustParseAddrPort(server.Listener.Addr().String()),
-		DataCentre: "dc-1", Slots: e.Slots,
-	}); err != nil {
+		DataCentre: "dc-1", Slots: e.Slots, Version: version,
+	}
+	f.setDraining(e, false)
+}
+
+// setDraining registers the endpoint again, as draining or as ready.
+func (f *fleet) setDraining(e *standin.Endpoint, isDraining bool) {
+	f.t.Helper()
+	r := f.registrations[e.ID]
+	r.Draining = isDraining
+	if err := standin.Register(f.rows, r); err != nil {
 		f.t.Fatal(err)
 	}
 }
--- /dev/null
+++ b/internal/composer/versions_test.go
@@ -0,0 +1,159 @@
+package composer_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/wigeonstand/wigeonstand/platform/standin"
+)
+
+// newVersionedFleet returns a fleet with engines of the given versions, slow enough that
+// streams can be cut.
+func newVersionedFleet(t *testing.T, instances int, versions ...string) *fleet {
+	t.Helper()
+	f := newFleet(t, instances, 0, 0)
+	for i, version := range versions {
+		e := standin.NewEndpoint(fmt.Sprintf("engine-%d-%s", i, version), 6, 40*time.Millisecond, uint64(i))
+		f.engines = append(f.engines, e)
+		f.registerVersion(e, standin.ServiceEngine, version)
+	}
+	last := f.engines[len(versions)-1]
+	for _, in := range f.instances {
+		f.await(in.name+" uses the last engine", func() bool {
+			id := fmt.Sprint("await-", time.Now().UnixNano())
+			return f.do(in, sessionCall(id, id)).Status == http.StatusOK && len(last.Runs(id)) > 0
+		})
+	}
+	return f
+}
+
+func sessionCall(id, program string) standin.Call {
+	return standin.Call{ID: id, Path: standin.PathSession + "x", Body: "in", Program: program, Budget: 100_000, MaxTokens: 100}
+}
+
+// enginesOf returns the engines that ran the request.
+func (f *fleet) enginesOf(id string) []*standin.Endpoint {
+	var ran []*standin.Endpoint
+	for _, e := range f.engines {
+		if len(e.Runs(id)) > 0 {
+			ran = append(ran, e)
+		}
+	}
+	return ran
+}
+
+func versionOf(e *standin.Endpoint) string { return e.ID[len("engine-0-"):] }
+
+// Callers lose their streams and take them up at other instances, while engines of two
+// versions serve. Streams went on at any of them, so that callers got events of two
+// versions in one stream.
+func TestStreamsGoOnAtTheVersionThatBeganThem(t *testing.T) {
+	t.Parallel()
+	f := newVersionedFleet(t, 4, "v1", "v2", "v1", "v2")
+	const streams = 40
+	type result struct {
+		Served, OtherVersion, Whole int
+	}
+	results := make(chan result, streams)
+	runConcurrently(streams, func(i int) {
+		<-time.After(time.Duration(i) * 20 * time.Millisecond)
+		first := sessionCall(fmt.Sprintf("first-%d", i), fmt.Sprintf("p-%d", i))
+		first.StopAfter = 2
+		begun := f.do(f.instances[i%4], first)
+		began := f.enginesOf(first.ID)
+		if len(began) != 1 {
+			t.Errorf("%s ran at %d engines: %+v", first.ID, len(began), begun)
+			return
+		}
+		again := sessionCall(fmt.Sprintf("again-%d", i), fmt.Sprintf("p-%d", i))
+		again.Resumes, again.LastEventID = first.ID, len(begun.Events())
+		var out result
+		reply := f.do(f.instances[(i+1)%4], again)
+		if reply.Status == http.StatusOK && reply.IsComplete {
+			out.Served++
+		}
+		for _, e := range f.enginesOf(again.ID) {
+			if versionOf(e) != versionOf(began[0]) {
+				out.OtherVersion++
+			}
+		}
+		if cmp.Equal([]int{1, 2, 3, 4, 5, 6}, append(begun.Events(), reply.Events()...)) {
+			out.Whole++
+		}
+		results <- out
+	})
+	close(results)
+	var sum result
+	for r := range results {
+		sum.Served, sum.OtherVersion, sum.Whole = sum.Served+r.Served, sum.OtherVersion+r.OtherVersion, sum.Whole+r.Whole
+	}
+	if diff := cmp.Diff(result{Served: streams, Whole: streams}, sum); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// An engine breaks a stream off and leaves. The instance went on with the stream at an
+// engine of another version.
+func TestBrokenStreamGoesOnAtItsVersionOnly(t *testing.T) {
+	t.Parallel()
+	f := newVersionedFleet(t, 1, "v1", "v2", "v1", "v2", "v2")
+	for i := range 8 {
+		for _, e := range f.engines {
+			e.SetFaults(standin.EndpointFaults{Truncated: 1})
+			e.SetLeaving(false)
+		}
+		id := fmt.Sprintf("broken-%d", i)
+		done := make(chan standin.Reply, 1)
+		go func() { done <- f.do(f.instances[0], sessionCall(id, id)) }()
+		f.await("an engine runs the stream", func() bool { return len(f.enginesOf(id)) > 0 })
+		began := f.enginesOf(id)[0]
+		// The engine leaves by its registration, which a later round takes back.
+		f.setDraining(began, true)
+		for _, e := range f.engines {
+			if e != began {
+				e.SetFaults(standin.EndpointFaults{})
+			}
+		}
+		reply := <-done
+		for _, e := range f.enginesOf(id) {
+			if versionOf(e) != versionOf(began) {
+				t.Errorf("%s began at %s and went on at %s: events %v", id, began.ID, e.ID, reply.Events())
+			}
+		}
+		f.setDraining(began, false)
+	}
+}
+
+// No engine of the version that began the stream is left. The caller is told at once that
+// its request did not run.
+func TestStreamOfAVersionThatIsGoneIsRefused(t *testing.T) {
+	t.Parallel()
+	f := newVersionedFleet(t, 2, "v1", "v1")
+	first := sessionCall("first", "p")
+	first.StopAfter = 2
+	begun := f.do(f.instances[0], first)
+	if len(begun.Events()) != 2 {
+		t.Fatalf("%+v", begun)
+	}
+	later := standin.NewEndpoint("engine-2-v2", 6, 10*time.Millisecond, 9)
+	f.registerVersion(later, standin.ServiceEngine, "v2")
+	for _, e := range f.engines {
+		standin.Unregister(f.rows, e.ID)
+	}
+	f.engines = append(f.engines, later)
+	f.await("the instance uses the new engine", func() bool {
+		id := fmt.Sprint("new-", time.Now().UnixNano())
+		return f.do(f.instances[1], sessionCall(id, "q")).Status == http.StatusOK && len(later.Runs(id)) > 0
+	})
+	again := sessionCall("again", "p")
+	again.Resumes, again.LastEventID = "first", 2
+	start := time.Now()
+	reply := f.do(f.instances[1], again)
+	if !reply.IsNotRun() || len(f.enginesOf("again")) != 0 || time.Since(start) > time.Second {
+		t.Errorf("after %v: %+v", time.Since(start), reply)
+	}
+}
