internal/resumer, internal/relayer: streams go on at the software version that began them

Cause: what may take over a piece of work was decided from what accepts requests now, not from what began the work. A caller's resumption was placed like any turn, and a stream that broke off was resumed at any engine if its own had left.

Change: a stream goes on at endpoints of the service and version that began it only, in one attempt and over a caller's attempts. The instance that forwards the first event keeps the version under the attempt's ID and copies it to two others, by hash; the instance where the caller takes the stream up finds it there. An instance that knows no members yet asks the seeds. A resumed stream isn't a new program for admission.

Evidence: with versions in the logs all of 220 resumptions by callers were placed freely.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -36,6 +36,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
 	"github.com/wigeonstand/wigeonstand/internal/relayer"
 	"github.com/wigeonstand/wigeonstand/internal/rerouter"
+	"github.com/wigeonstand/wigeonstand/internal/resumer"
 	"github.com/wigeonstand/wigeonstand/internal/sender"
 	"github.com/wigeonstand/wigeonstand/internal/storer"
 	"github.com/wigeonstand/wigeonstand/internal/transcriber"
@@ -153,8 +154,10 @@
 		bookkeeper.WithLogger(e.log), bookkeeper.WithPruner(e.pruner.Schedule))
 	e.budgets = bookkeeper.NewClient(e.bookkeeper, e.discoverer, e.peerClient, e.registry)
 	permits := rationer.New(e.discoverer, e.peerClient, rationer.WithLogger(e.log), rationer.WithCounter(metrics.countPermit))
+	streams := resumer.New(e.discoverer, e.peerClient, resumer.WithLogger(e.log))
 	e.relayer = relayer.New(relayer.Config{
-		Tables: e.watcher, Endpoints: e.registry, Sender: e.sender, Permits: permits, Dialect: platform.Dialect,
+		Streams: streams,
+		Tables:  e.watcher, Endpoints: e.registry, Sender: e.sender, Permits: permits, Dialect: platform.Dialect,
 		Budgets:            e.budgets,
 		Transcripts:        transcriber.New(e.rerouter),
 		IsStoreUnreachable: func() bool { path, _ := e.rerouter.Path(); return path == rerouter.Lost },
@@ -170,7 +173,7 @@
 		},
 	})
 	handlers := map[string]messenger.Handler{}
-	for _, group := range []map[string]messenger.Handler{e.bookkeeper.Handlers(e.registry), e.rerouter.Handlers(), tableCopies.Handlers(), permits.Handlers()} {
+	for _, group := range []map[string]messenger.Handler{e.bookkeeper.Handlers(e.registry), e.rerouter.Handlers(), tableCopies.Handlers(), permits.Handlers(), streams.Handlers()} {
 		for name, handler := range group {
 			handlers[name] = handler
 		}
--- a/internal/composer/versions_test.go
+++ b/internal/composer/versions_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/wigeonstand/wigeonstand/internal/answerer"
 	"github.com/wigeonstand/wigeonstand/platform/standin"
 )
 
@@ -46,6 +48,18 @@
 	return ran
 }
 
+// doOnceStoreAnswers sends the call until it is not refused because of the store, which may
+// take too long on a loaded host.
+func (f *fleet) doOnceStoreAnswers(in *instance, c standin.Call) standin.Reply {
+	f.t.Helper()
+	var reply standin.Reply
+	f.await(c.ID+" is not refused because of the store", func() bool {
+		reply = f.do(in, c)
+		return !strings.HasPrefix(reply.Body, string(answerer.StoreUnavailable))
+	})
+	return reply
+}
+
 func versionOf(e *standin.Endpoint) string { return e.ID[len("engine-0-"):] }
 
 // Callers lose their streams and take them up at other instances, while engines of two
@@ -63,7 +77,7 @@
 		<-time.After(time.Duration(i) * 20 * time.Millisecond)
 		first := sessionCall(fmt.Sprintf("first-%d", i), fmt.Sprintf("p-%d", i))
 		first.StopAfter = 2
-		begun := f.do(f.instances[i%4], first)
+		begun := f.doOnceStoreAnswers(f.instances[i%4], first)
 		began := f.enginesOf(first.ID)
 		if len(began) != 1 {
 			t.Errorf("%s ran at %d engines: %+v", first.ID, len(began), begun)
@@ -72,7 +86,7 @@
 		again := sessionCall(fmt.Sprintf("again-%d", i), fmt.Sprintf("p-%d", i))
 		again.Resumes, again.LastEventID = first.ID, len(begun.Events())
 		var out result
-		reply := f.do(f.instances[(i+1)%4], again)
+		reply := f.doOnceStoreAnswers(f.instances[(i+1)%4], again)
 		if reply.Status == http.StatusOK && reply.IsComplete {
 			out.Served++
 		}
@@ -135,7 +149,7 @@
 	f := newVersionedFleet(t, 2, "v1", "v1")
 	first := sessionCall("first", "p")
 	first.StopAfter = 2
-	begun := f.do(f.instances[0], first)
+	begun := f.doOnceStoreAnswers(f.instances[0], first)
 	if len(begun.Events()) != 2 {
 		t.Fatalf("%+v", begun)
 	}
@@ -157,3 +171,38 @@
 		t.Errorf("after %v: %+v", time.Since(start), reply)
 	}
 }
+
+// The instance that began a stream is stopped, and another one starts: the caller takes its
+// stream up there.
+func TestStreamGoesOnAtAnInstanceThatHasStarted(t *testing.T) {
+	t.Parallel()
+	f := newVersionedFleet(t, 3, "v1", "v2", "v1", "v2")
+	const streams = 8
+	begun := make([]standin.Reply, streams)
+	runConcurrently(streams, func(i int) {
+		first := sessionCall(fmt.Sprintf("first-%d", i), fmt.Sprintf("p-%d", i))
+		first.StopAfter = 2
+		begun[i] = f.doOnceStoreAnswers(f.instances[0], first)
+	})
+	started := f.start("entry-9")
+	f.awaitReady(started)
+	f.stop(f.instances[0])
+	runConcurrently(streams, func(i int) {
+		again := sessionCall(fmt.Sprintf("again-%d", i), fmt.Sprintf("p-%d", i))
+		again.Resumes, again.LastEventID = fmt.Sprintf("first-%d", i), 2
+		reply := f.doOnceStoreAnswers(started, again)
+		if diff := cmp.Diff([]int{1, 2, 3, 4, 5, 6}, append(begun[i].Events(), reply.Events()...)); diff != "" {
+			t.Errorf("%+v: %s", reply, diff)
+			return
+		}
+		if began, went := f.enginesOf(fmt.Sprintf("first-%d", i)), f.enginesOf(again.ID); versionOf(began[0]) != versionOf(went[0]) {
+			t.Errorf("began at %s and went on at %s", began[0].ID, went[0].ID)
+		}
+	})
+	// A stream that no instance knows is not resumed at a guess.
+	unknown := sessionCall("unknown", "q")
+	unknown.Resumes, unknown.LastEventID = "never-was", 2
+	if reply := f.do(started, unknown); !reply.IsNotRun() || len(f.enginesOf("unknown")) != 0 {
+		t.Errorf("%+v", reply)
+	}
+}
--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -324,10 +324,11 @@
 	return s
 }
 
-// Issuers returns the known members in the order of their scores for the key. It leaves
+// Ranking returns the known members in the order of their scores for the key. It leaves
 // out members that have missed their heartbeats, but not suspects, so that instances agree
-// on the order although each reaches others.
-func (d *Discoverer) Issuers(key string) []Member {
+// on the order although each reaches others. While no other member is known, the seeds are
+// in it.
+func (d *Discoverer) Ranking(key string) []Member {
 	now := time.Now()
 	var members []Member
 	if !d.isDeregistered.Load() {
@@ -340,6 +341,9 @@
 		}
 	}
 	d.mu.Unlock()
+	if len(members) <= 1 {
+		members = append(members, d.withoutSuspects(d.seeds)...)
+	}
 	return ranked(key, members)
 }
 
--- a/internal/rationer/rationer.go
+++ b/internal/rationer/rationer.go
@@ -44,9 +44,9 @@
 
 // Members selects the issuers of permits.
 type Members interface {
-	// Issuers returns the members in the order of their hashes for the key. Instances
+	// Ranking returns the members in the order of their hashes for the key. Instances
 	// with the same list of members get the same order, whatever they can reach.
-	Issuers(key string) []discoverer.Member
+	Ranking(key string) []discoverer.Member
 	// IsCurrent reports whether this instance is in the other instances' lists.
 	IsCurrent() bool
 	Self() discoverer.Member
@@ -130,7 +130,7 @@
 	if wait := r.pauseOf(process); wait > 0 && maxWait == 0 {
 		return wait, false
 	}
-	issuers := r.members.Issuers(process)
+	issuers := r.members.Ranking(process)
 	in := Request{Process: process, Rate: c.Limit.Rate, Age: c.LimitAge, MaxWait: maxWait}
 	for _, m := range issuers[:min(maxIssuers, len(issuers))] {
 		out, ok := r.ask(ctx, m, in)
@@ -181,7 +181,7 @@
 // issue issues a permit on this instance. An instance that is not the first in its own
 // list, or that others may have dropped from theirs, is a substitute.
 func (r *Rationer) issue(in Request) Response {
-	issuers, self := r.members.Issuers(in.Process), r.members.Self()
+	issuers, self := r.members.Ranking(in.Process), r.members.Self()
 	isSubstitute := len(issuers) == 0 || issuers[0].Instance != self.Instance || !r.members.IsCurrent()
 	now := time.Now()
 	r.mu.Lock()
--- a/internal/rationer/rationer_test.go
+++ b/internal/rationer/rationer_test.go
@@ -72,7 +72,7 @@
 	return !in.isDropped
 }
 
-func (in *instance) Issuers(key string) []discoverer.Member {
+func (in *instance) Ranking(key string) []discoverer.Member {
 	hash := func(m discoverer.Member) uint64 { return xxhash.Sum64String(key + m.Instance) }
 	in.mu.Lock()
 	defer in.mu.Unlock()
@@ -146,7 +146,7 @@
 
 // issuer returns the index of the instance that issues the endpoint's permits.
 func (f *fleet) issuer() int {
-	first := f.instances[0].Issuers(candidate(1, 0).Process())[0]
+	first := f.instances[0].Ranking(candidate(1, 0).Process())[0]
 	return slices.IndexFunc(f.instances, func(in *instance) bool { return in.Self().Instance == first.Instance })
 }
 
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -112,6 +112,10 @@
 	services map[string][]*entry
 	// announced holds what the processes of endpoints stated in their responses.
 	announced map[process]*announcement
+	// versionSeen holds when an endpoint with the version was last seen in the
+	// registrations, and readAt when these were first read.
+	versionSeen map[serviceVersion]time.Time
+	readAt      time.Time
 }
 
 // process identifies one process of an endpoint. IDs are reused after a restart.
@@ -133,7 +137,7 @@
 
 // New returns an empty Registry.
 func New() *Registry {
-	return &Registry{byID: map[string]*entry{}, services: map[string][]*entry{}, announced: map[process]*announcement{}}
+	return &Registry{byID: map[string]*entry{}, services: map[string][]*entry{}, announced: map[process]*announcement{}, versionSeen: map[serviceVersion]time.Time{}}
 }
 
 // Changes lists the endpoints that a call of Registry.Replace has changed.
@@ -149,6 +153,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var changes Changes
+	r.lockedRecordVersions(endpoints, time.Now())
 	byID := make(map[string]*entry, len(endpoints))
 	services := map[string][]*entry{}
 	for _, e := range endpoints {
--- /dev/null
+++ b/internal/registrar/version_test.go
@@ -0,0 +1,46 @@
+package registrar_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/wigeonstand/wigeonstand/internal/registrar"
+)
+
+// The version of a stream without a record is that of the service only if there was no
+// other for as long as the stream may have lasted.
+func TestOnlyVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		type result struct {
+			Version           string
+			IsOnly, IsCertain bool
+		}
+		r := registrar.New()
+		check := func(when string, want result) {
+			t.Helper()
+			version, isOnly, isCertain := r.OnlyVersion("s")
+			if diff := cmp.Diff(want, result{version, isOnly, isCertain}); diff != "" {
+				t.Errorf("%s: %s", when, diff)
+			}
+		}
+		old, young := newEndpoint("a"), newEndpoint("b")
+		old.Version, young.Version = "v1", "v1.1"
+		other := newEndpoint("c")
+		other.Service, other.Version = "t", "v7"
+		check("nothing read", result{})
+		r.Replace([]registrar.Endpoint{old, other})
+		check("just read", result{"v1", true, false})
+		time.Sleep(time.Minute)
+		check("read for a minute", result{"v1", true, true})
+		r.Replace([]registrar.Endpoint{old, young, other})
+		check("two versions", result{})
+		time.Sleep(time.Minute)
+		r.Replace([]registrar.Endpoint{young, other})
+		check("the first has just gone", result{})
+		time.Sleep(time.Minute)
+		check("the first is long gone", result{"v1.1", true, true})
+	})
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -22,6 +22,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/logger"
 	"github.com/wigeonstand/wigeonstand/internal/matcher"
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
+	"github.com/wigeonstand/wigeonstand/internal/resumer"
 	"github.com/wigeonstand/wigeonstand/internal/sender"
 	"github.com/wigeonstand/wigeonstand/internal/transcriber"
 )
@@ -54,6 +55,12 @@
 	Permit(ctx context.Context, c registrar.Candidate, maxWait time.Duration) (wait time.Duration, isGranted bool)
 }
 
+// Streams keeps which version of which service began a stream.
+type Streams interface {
+	Record(stream string, origin resumer.Origin)
+	Find(ctx context.Context, stream string) (resumer.Origin, bool)
+}
+
 // Policy holds the parameters of admission and placement.
 type Policy struct {
 	Admission admitter.Policy
@@ -70,6 +77,7 @@
 	Transcripts Transcripts
 	Sender      Sender
 	Permits     Permits
+	Streams     Streams
 	Dialect     Dialect
 	Policy      Policy
 	Instance    string
--- /dev/null
+++ b/internal/relayer/resume.go
@@ -0,0 +1,99 @@
+package relayer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/answerer"
+	"github.com/wigeonstand/wigeonstand/internal/matcher"
+	"github.com/wigeonstand/wigeonstand/internal/registrar"
+	"github.com/wigeonstand/wigeonstand/internal/resumer"
+)
+
+const (
+	// maxOriginSearches limits the searches for what began a stream, originSearchPause is
+	// the time between two of them.
+	maxOriginSearches = 3
+	originSearchPause = 100 * time.Millisecond
+)
+
+// begin records what began the stream, if it has not begun before.
+func (t *turn) begin(c registrar.Candidate) {
+	if t.origin != nil {
+		return
+	}
+	t.origin = &resumer.Origin{Service: c.Service, Version: c.Version}
+	if t.route.Resumable {
+		t.Streams.Record(t.call.ID, *t.origin)
+	}
+}
+
+// findOrigin finds what began the stream that the caller resumes. It reports whether the
+// turn may go on; if not, the request has been refused.
+func (t *turn) findOrigin() bool {
+	if t.call.LastEventID <= 0 {
+		return true
+	}
+	t.isFirst = false
+	origin, isFound := t.lookUpOrigin()
+	if !isFound {
+		t.refuse(answerer.New(answerer.NoEndpoint, "the software version that began the stream is not known").WithRetryAfter(min(shortRetryAfter, t.timeLeft()/3)), "UnknownVersion")
+		return false
+	}
+	t.origin = &origin
+	if origin.Service != t.service && !slices.ContainsFunc(t.route.Services, func(s matcher.WeightedService) bool { return s.Service == origin.Service }) {
+		t.refuseWithoutCandidates()
+		return false
+	}
+	t.service = origin.Service
+	return true
+}
+
+// lookUpOrigin returns what began the stream. If there is no record, it is the only version
+// that the service had lately; a caller that doesn't say which stream it resumes has none.
+//
+// The search is repeated: an instance that has just started may not know the others yet, and
+// a record may still be on its way.
+func (t *turn) lookUpOrigin() (resumer.Origin, bool) {
+	for attempt := 1; ; attempt++ {
+		if t.call.Resumes != "" {
+			if origin, isFound := t.Streams.Find(t.ctx, t.call.Resumes); isFound {
+				return origin, true
+			}
+		}
+		version, isOnly, isCertain := t.Endpoints.OnlyVersion(t.service)
+		if isOnly && (isCertain || t.call.Resumes == "") {
+			return resumer.Origin{Service: t.service, Version: version}, true
+		}
+		if t.call.Resumes == "" || attempt == maxOriginSearches || t.timeLeft() < minServiceTime {
+			return resumer.Origin{}, false
+		}
+		timer := time.NewTimer(originSearchPause)
+		select {
+		case <-timer.C:
+		case <-t.ctx.Done():
+			timer.Stop()
+			return resumer.Origin{}, false
+		}
+	}
+}
+
+// candidates returns the endpoints at which the turn may run: those of the version that
+// began its stream, once it has begun.
+func (t *turn) candidates(excluded map[string]bool) []registrar.Candidate {
+	candidates := t.exchange.candidates(excluded)
+	if t.origin == nil {
+		return candidates
+	}
+	return slices.DeleteFunc(candidates, func(c registrar.Candidate) bool { return c.Version != t.origin.Version })
+}
+
+// refuseWithoutCandidates refuses a turn that no endpoint can take.
+func (t *turn) refuseWithoutCandidates() {
+	if t.origin == nil {
+		t.refuseUnplaced(nil)
+		return
+	}
+	after := min(shortRetryAfter, t.timeLeft()/3)
+	t.refuse(answerer.New(answerer.NoEndpoint, "no endpoint of version %s, which began the stream, accepts requests", t.origin.Version).WithRetryAfter(after), "VersionGone")
+}
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -17,6 +17,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/discoverer"
 	"github.com/wigeonstand/wigeonstand/internal/pruner"
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
+	"github.com/wigeonstand/wigeonstand/internal/resumer"
 	"github.com/wigeonstand/wigeonstand/internal/sender"
 	"github.com/wigeonstand/wigeonstand/internal/splitter"
 	"github.com/wigeonstand/wigeonstand/internal/transcriber"
@@ -58,17 +59,20 @@
 	// lastEventID is the number of the last event that was forwarded.
 	lastEventID   int64
 	isHeadWritten bool
+	// origin is what began the stream; nil while it has not begun. It goes on at that
+	// version only.
+	origin *resumer.Origin
 }
 
 func (x *exchange) serveTurn() {
 	t := &turn{exchange: x, isFirst: x.call.PreviousTurn == "", prompt: x.body}
 	defer t.settle()
-	if !t.prepare() {
+	if !t.prepare() || !t.findOrigin() {
 		return
 	}
-	candidates := x.candidates(nil)
+	candidates := t.candidates(nil)
 	if len(candidates) == 0 {
-		x.refuseUnplaced(nil)
+		t.refuseWithoutCandidates()
 		return
 	}
 	decision := admitter.Admit(x.Policy.Admission, admitter.Turn{First: t.isFirst, Left: x.timeLeft(), LimitSample: randomFraction(), RetrySample: randomFraction()}, candidates)
@@ -323,6 +327,7 @@
 		if event.ID > 0 && t.lastEventID > 0 && event.ID != t.lastEventID+1 {
 			return errInvalidResponse
 		}
+		t.begin(c)
 		t.writeHead(response)
 		t.servedBy = c.ID
 		if _, err := t.writer.Write(event.Raw); err != nil {
