internal/relayer: a resumed turn is not recorded without its first events

Found while looking for other work that goes on at another instance than the one that began it. On a route that both retains turns and may be resumed, the instance at which a caller takes a stream up had only the events from there on, and recorded the turn with them: the next turn's engine got a transcript with a gap. Change: the resumption is refused as not run. TestResumedTurnIsNotRecordedWithAGap failed before: the body of the next turn lacked the first two events.

--- a/internal/composer/versions_test.go
+++ b/internal/composer/versions_test.go
@@ -206,3 +206,31 @@
 		t.Errorf("%+v", reply)
 	}
 }
+
+// A caller takes up a stream of a route that keeps its turns. The instance that goes on has
+// not seen the first events, and recorded the turn without them, so that the next turn's
+// engine got a transcript with a gap.
+func TestResumedTurnIsNotRecordedWithAGap(t *testing.T) {
+	t.Parallel()
+	f := newVersionedFleet(t, 2, "v1", "v1")
+	kept := func(id, previous string) standin.Call {
+		return standin.Call{ID: id, Path: standin.PathKeptSession + "x", Body: id + "\n", Program: "p", Budget: 100_000, MaxTokens: 100, Previous: previous}
+	}
+	first := kept("first", "")
+	first.StopAfter = 2
+	begun := f.doOnceStoreAnswers(f.instances[0], first)
+	again := kept("again", "")
+	again.Body, again.Resumes, again.LastEventID = first.Body, "first", 2
+	resumed := f.doOnceStoreAnswers(f.instances[1], again)
+	if resumed.IsNotRun() {
+		if len(f.enginesOf("again")) != 0 {
+			t.Errorf("refused and ran: %+v", resumed)
+		}
+		return
+	}
+	next := f.doOnceStoreAnswers(f.instances[0], kept("next", "again"))
+	body, _ := f.executedBody("next")
+	if diff := cmp.Diff(first.Body+begun.EventData()+resumed.EventData()+"next\n", body); diff != "" {
+		t.Errorf("%+v: %s", next, diff)
+	}
+}
--- a/internal/relayer/resume.go
+++ b/internal/relayer/resume.go
@@ -35,9 +35,13 @@
 		return true
 	}
 	t.isFirst = false
+	if t.route.Retained {
+		t.refuseResumption("RetainedStream", "the turn would be recorded without the events before the resumption")
+		return false
+	}
 	origin, isFound := t.lookUpOrigin()
 	if !isFound {
-		t.refuse(answerer.New(answerer.NoEndpoint, "the software version that began the stream is not known").WithRetryAfter(min(shortRetryAfter, t.timeLeft()/3)), "UnknownVersion")
+		t.refuseResumption("UnknownVersion", "the software version that began the stream is not known")
 		return false
 	}
 	t.origin = &origin
@@ -94,6 +98,10 @@
 		t.refuseUnplaced(nil)
 		return
 	}
-	after := min(shortRetryAfter, t.timeLeft()/3)
-	t.refuse(answerer.New(answerer.NoEndpoint, "no endpoint of version %s, which began the stream, accepts requests", t.origin.Version).WithRetryAfter(after), "VersionGone")
+	t.refuseResumption("VersionGone", "no endpoint of version "+t.origin.Version+", which began the stream, accepts requests")
+}
+
+// refuseResumption refuses a request that resumes a stream, as not run.
+func (t *turn) refuseResumption(reason, detail string) {
+	t.refuse(answerer.New(answerer.NoEndpoint, "%s", detail).WithRetryAfter(min(shortRetryAfter, t.timeLeft()/3)), reason)
 }
