--- a/internal/composer/access_test.go
+++ b/internal/composer/access_test.go
@@ -111,6 +111,23 @@
 			f.services[0].ServiceTime = time.Second
 			f.do(f.instances[0], standin.Call{ID: "lost", Path: standin.PathPost + "x", Deadline: 300 * time.Millisecond, GracePeriod: time.Second})
 		}, failureRecord{Outcome: "Refused", Kind: "DeadlineRan", Reason: "Deadline", HasEndpoint: true, HasCause: true}},
+		{"EndpointLimits", func(f *fleet) {
+			f.engines[0].SetLimit(0.5)
+			// The first response states the limit, and the second request takes its permit.
+			for _, id := range []string{"first", "second", "lost"} {
+				f.do(f.instances[0], sessionCall(id, id))
+			}
+		}, failureRecord{Outcome: "Refused", Kind: "Overloaded", Reason: "EndpointLimits", HasCause: true}},
+		{"UnknownVersion", func(f *fleet) {
+			call := sessionCall("lost", "p")
+			call.Resumes, call.LastEventID = "never-was", 2
+			f.do(f.instances[0], call)
+		}, failureRecord{Outcome: "Refused", Kind: "NoEndpoint", Reason: "UnknownVersion"}},
+		{"RetainedStream", func(f *fleet) {
+			call := turnCall("lost", "p", "", "in\n")
+			call.Resumes, call.LastEventID = "first", 2
+			f.do(f.instances[0], call)
+		}, failureRecord{Outcome: "Refused", Kind: "NoEndpoint", Reason: "RetainedStream"}},
 		{"StreamTruncated", func(f *fleet) {
 			f.engines[0].SetFaults(standin.EndpointFaults{Truncated: 1})
 			f.do(f.instances[0], turnCall("lost", "p", "", "in\n"))
