internal/soaker, platform/standin: endpoints of two versions, with limits, and callers that take streams up

The soak's endpoints have two software versions, some state a limit for the whole run, and callers take up streams that broke off at other instances. It checks that a stream has events of one version and that an endpoint gets no more than its limit allows.

--- a/internal/composer/limit_test.go
+++ b/internal/composer/limit_test.go
@@ -20,25 +20,6 @@
 	limitSettle = time.Second
 )
 
-// mostInWindow returns the largest number of arrivals in a window of limitWindow that
-// begins after the time.
-func mostInWindow(arrivals []time.Time, after time.Time) int {
-	most := 0
-	for i, first := range arrivals {
-		if first.Before(after) {
-			continue
-		}
-		n := 0
-		for _, at := range arrivals[i:] {
-			if at.Sub(first) < limitWindow {
-				n++
-			}
-		}
-		most = max(most, n)
-	}
-	return most
-}
-
 // callInterval is the time between two requests of one worker.
 const callInterval = 60 * time.Millisecond
 
@@ -123,7 +104,7 @@
 	work.Wait()
 	allowed := int(limitFactor*rate*limitWindow.Seconds()) + limitSlack
 	for _, e := range limited {
-		if n := mostInWindow(e.Arrivals(), start.Add(limitSettle)); n > allowed {
+		if n := e.MostArrivals(start.Add(limitSettle), limitWindow); n > allowed {
 			t.Errorf("%s with a limit of %g a second got %d requests in %v, allowed %d", e.ID, rate, n, limitWindow, allowed)
 		}
 	}
@@ -155,7 +136,7 @@
 	})
 	allowed := int(limitFactor*rate*limitWindow.Seconds()) + limitSlack
 	for _, e := range f.engines {
-		if n := mostInWindow(e.Arrivals(), start.Add(limitSettle)); n > allowed || n < int(rate*limitWindow.Seconds()/2) {
+		if n := e.MostArrivals(start.Add(limitSettle), limitWindow); n > allowed || n < int(rate*limitWindow.Seconds()/2) {
 			t.Errorf("%s with a limit of %g a second got %d requests in %v, allowed %d", e.ID, rate, n, limitWindow, allowed)
 		}
 	}
--- a/internal/composer/versions_test.go
+++ b/internal/composer/versions_test.go
@@ -1,6 +1,7 @@
 package composer_test
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"strings"
@@ -10,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/wigeonstand/wigeonstand/internal/answerer"
+	"github.com/wigeonstand/wigeonstand/internal/correlator"
 	"github.com/wigeonstand/wigeonstand/platform/standin"
 )
 
@@ -23,6 +25,27 @@
 		f.engines = append(f.engines, e)
 		f.registerVersion(e, standin.ServiceEngine, version)
 	}
+	// Instances that start at the same time know each other a second later.
+	f.await("all instances know each other", func() bool {
+		living := map[string]string{}
+		lines, _, err := correlator.Read(bytes.NewReader(f.log.bytes()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, line := range lines {
+			for _, field := range line.Fields {
+				if line.Name == "MembersChanged" && field.Name == "Living" {
+					living[line.Instance] = field.Value
+				}
+			}
+		}
+		for _, in := range f.instances {
+			if living[in.name] != fmt.Sprint(instances) {
+				return false
+			}
+		}
+		return true
+	})
 	last := f.engines[len(versions)-1]
 	for _, in := range f.instances {
 		f.await(in.name+" uses the last engine", func() bool {
@@ -89,6 +112,8 @@
 		reply := f.doOnceStoreAnswers(f.instances[(i+1)%4], again)
 		if reply.Status == http.StatusOK && reply.IsComplete {
 			out.Served++
+		} else {
+			t.Logf("%s at %s, begun with %v at %s: %d %q %v", again.ID, f.instances[(i+1)%4].name, begun.Events(), began[0].ID, reply.Status, reply.Body, reply.Err)
 		}
 		for _, e := range f.enginesOf(again.ID) {
 			if versionOf(e) != versionOf(began[0]) {
--- a/internal/soaker/soak_caller.go
+++ b/internal/soaker/soak_caller.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/wigeonstand/wigeonstand/platform/standin"
@@ -102,6 +103,9 @@
 		var id string
 		reply, id = c.do(ctx, call)
 		*tokens += len(reply.Events()) * standin.EventTokens
+		if !retained {
+			reply = c.takeUp(ctx, call, id, reply, tokens)
+		}
 		if reply.Status == http.StatusOK && reply.IsComplete {
 			kept := keptTurn{id: id, program: program, transcript: previous.transcript + input + reply.EventData()}
 			if retained {
@@ -121,6 +125,38 @@
 	return reply, keptTurn{}
 }
 
+// takeUp takes up a stream that broke off, at other instances.
+func (c *caller) takeUp(ctx context.Context, call standin.Call, id string, reply standin.Reply, tokens *int) standin.Reply {
+	if !reply.IsComplete {
+		reply.Body = wholeEvents(reply.Body)
+	}
+	for try := 0; try < turnTries && reply.Status == http.StatusOK && !reply.IsComplete && len(reply.Events()) > 0 && ctx.Err() == nil; try++ {
+		call.Resumes, call.LastEventID = id, len(reply.Events())
+		more, _ := c.do(ctx, call)
+		*tokens += len(more.Events()) * standin.EventTokens
+		if more.Status == http.StatusOK {
+			if !more.IsComplete {
+				more.Body = wholeEvents(more.Body)
+			}
+			reply.Body, reply.IsComplete = reply.Body+more.Body, more.IsComplete
+		}
+		c.count(c.report.Checks, "stream taken up")
+		if versions := reply.Versions(); len(versions) > 1 {
+			c.violate("ORDER: the stream that began as %s has events of versions %v", id, versions)
+		}
+	}
+	return reply
+}
+
+// wholeEvents returns the text up to the end of its last whole event.
+func wholeEvents(text string) string {
+	end := strings.LastIndex(text, "\n\n")
+	if end < 0 {
+		return ""
+	}
+	return text[:end+2]
+}
+
 func (c *caller) checkBody(id, want string) {
 	c.count(c.report.Checks, "transcript")
 	if runs, body := c.runsOf(id); runs > 0 && body != want {
@@ -155,7 +191,10 @@
 		c.violate("MIXED: %s was answered with the signature %q", call.ID, reply.Signature())
 	}
 	if call.MaxTokens > 0 {
-		if !slices.Equal([]int{1, 2, 3, 4, 5}, reply.Events()) {
+		if versions := reply.Versions(); len(versions) > 1 {
+			c.violate("ORDER: %s got events of versions %v", call.ID, versions)
+		}
+		if !slices.Equal([]int{1, 2, 3, 4, 5}[call.LastEventID:], reply.Events()) {
 			c.violate("ORDER: %s got the events %v", call.ID, reply.Events())
 		}
 		return
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -52,6 +52,8 @@
 	settleTime = 2 * time.Second
 	faultGap   = 700 * time.Millisecond
 	faultLife  = 3 * time.Second
+	// versions is the number of software versions of the endpoints of a service.
+	versions = 2
 	// maxSeeds is how many addresses the settings name at most, as on the platform.
 	maxSeeds = 3
 )
@@ -98,6 +100,7 @@
 		work.Go(func() { callers[i].run(playing) })
 	}
 	if !s.Calm {
+		work.Go(func() { s.injectLimits(playing) })
 		s.injectFaults(playing)
 	}
 	work.Wait()
@@ -120,6 +123,7 @@
 	}
 	endpoint := func(kind string, i, events int, pace time.Duration) (*standin.Endpoint, error) {
 		e := standin.NewEndpoint(fmt.Sprintf("%s-%d", kind, i), events, pace, s.Seed+uint64(i))
+		e.Version = fmt.Sprint("v", i%versions)
 		target, err := serve(ctx, e)
 		if err != nil {
 			return nil, err
@@ -130,7 +134,7 @@
 		}
 		s.links = append(s.links, l)
 		return e, standin.Register(s.rows, standin.Registration{
-			ID: e.ID, Service: kind, Address: l.address(), DataCentre: "dc-1", Slots: e.Slots,
+			ID: e.ID, Service: kind, Address: l.address(), DataCentre: "dc-1", Slots: e.Slots, Version: e.Version,
 		})
 	}
 	for i := range s.Engines {
@@ -338,6 +342,38 @@
 	}
 }
 
+// The limits of endpoints: from limitSettle after an endpoint stated its limit, it gets at
+// most limitFactor times what that allows in limitWindow, and limitSlack more.
+const (
+	limitRate   = 5.0
+	limitSettle = 3 * time.Second
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+)
+
+// injectLimits lets some endpoints state a limit until ctx ends, and checks what they got.
+func (s *soak) injectLimits(ctx context.Context) {
+	random := rand.New(rand.NewPCG(s.Seed, 3))
+	var limited []*standin.Endpoint
+	for _, e := range append(append([]*standin.Endpoint(nil), s.services...), s.engines...) {
+		if random.IntN(2) == 0 {
+			e.SetLimit(limitRate)
+			limited = append(limited, e)
+		}
+	}
+	settled := time.Now().Add(limitSettle)
+	<-ctx.Done()
+	allowed := int(limitFactor*limitRate*limitWindow.Seconds()) + limitSlack
+	for _, e := range limited {
+		e.SetLimit(0)
+		s.count(s.report.Checks, "limit")
+		if n := e.MostArrivals(settled, limitWindow); n > allowed {
+			s.violate("LIMIT: %s with a limit of %g a second got %d requests in %v, allowed %d", e.ID, limitRate, n, limitWindow, allowed)
+		}
+	}
+}
+
 func (s *soak) configure() {
 	s.version += 1 + s.random.IntN(3)
 	if err := standin.WriteConfiguration(s.rows, s.version, fmt.Sprintf("/further-%d/", s.version)); err != nil {
