--- a/internal/composer/limit_test.go
+++ b/internal/composer/limit_test.go
@@ -21,7 +21,7 @@
 )
 
 // callInterval is the time between two requests of one worker.
-const callInterval = 60 * time.Millisecond
+const callInterval = 100 * time.Millisecond
 
 // callers sends requests to all instances until the time, workers at once, and counts
 // the results.
@@ -56,7 +56,7 @@
 // instances' requests exceeded it, as none of them knew what the others sent. Turns, calls,
 // retries and resumed streams count alike, and an instance that starts keeps the limit, too.
 func TestLimitedEndpointsGetNoMoreThanTheyStated(t *testing.T) {
-	t.Parallel()
+	// Not parallel: its load would delay the tests that measure times.
 	f := newFleet(t, 4, 3, 3)
 	const rate = 5.0
 	limited := []*standin.Endpoint{f.engines[0], f.engines[1], f.services[0], f.services[1]}
@@ -120,7 +120,7 @@
 // While all engines have a limit, the fleet uses what they take and refuses the rest at
 // once.
 func TestLimitOfAllEnginesIsUsed(t *testing.T) {
-	t.Parallel()
+	// Not parallel, as above.
 	f := newFleet(t, 3, 2, 0)
 	const rate = 8.0
 	for _, e := range f.engines {
