--- a/internal/composer/fleet_test.go
+++ b/internal/composer/fleet_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -64,6 +65,17 @@
 	return slices.Clone(l.text)
 }
 
+// withoutServed returns the lines but those of served requests.
+func (l *sharedLog) withoutServed() string {
+	var out strings.Builder
+	for line := range strings.Lines(string(l.bytes())) {
+		if !strings.Contains(line, `"RequestServed"`) {
+			out.WriteString(line)
+		}
+	}
+	return out.String()
+}
+
 type instance struct {
 	name     string
 	settings *configurer.EntrySettings
@@ -80,6 +92,11 @@
 	t.Helper()
 	f := &fleet{t: t, rows: fakeplatform.NewRows(1), client: &http.Client{Transport: &http.Transport{}}, log: &sharedLog{}, grace: grace, registrations: map[string]standin.Registration{}}
 	t.Cleanup(f.client.CloseIdleConnections)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("log of the instances, without served requests:\n%s", f.log.withoutServed())
+		}
+	})
 	for i := range engines {
 		e := standin.NewEndpoint(fmt.Sprintf("engine-%d", i), 5, 10*time.Millisecond, uint64(i))
 		f.engines = append(f.engines, e)
