--- a/internal/composer/versions_test.go
+++ b/internal/composer/versions_test.go
@@ -167,8 +167,8 @@
 	}
 }
 
-// No engine of the version that began the stream is left. The caller is told at once that
-// its request did not run.
+// No engine of the version that began the stream is left. The request is refused at once,
+// as not run.
 func TestStreamOfAVersionThatIsGoneIsRefused(t *testing.T) {
 	t.Parallel()
 	f := newVersionedFleet(t, 2, "v1", "v1")
