--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -156,8 +156,7 @@
 	permits := rationer.New(e.discoverer, e.peerClient, rationer.WithLogger(e.log), rationer.WithCounter(metrics.countPermit))
 	streams := resumer.New(e.discoverer, e.peerClient, resumer.WithLogger(e.log))
 	e.relayer = relayer.New(relayer.Config{
-		Streams: streams,
-		Tables:  e.watcher, Endpoints: e.registry, Sender: e.sender, Permits: permits, Dialect: platform.Dialect,
+		Tables: e.watcher, Endpoints: e.registry, Sender: e.sender, Permits: permits, Streams: streams, Dialect: platform.Dialect,
 		Budgets:            e.budgets,
 		Transcripts:        transcriber.New(e.rerouter),
 		IsStoreUnreachable: func() bool { path, _ := e.rerouter.Path(); return path == rerouter.Lost },
--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -6,6 +6,7 @@
 package discoverer
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"net/netip"
@@ -324,27 +325,44 @@
 	return s
 }
 
-// Ranking returns the known members in the order of their scores for the key. It leaves
-// out members that have missed their heartbeats, but not suspects, so that instances agree
-// on the order although each reaches others. While no other member is known, the seeds are
-// in it.
-func (d *Discoverer) Ranking(key string) []Member {
-	now := time.Now()
-	var members []Member
+// Ranking returns the n known members with the highest scores for the key, highest first. It
+// leaves out members that have missed their heartbeats, but not suspects, so that instances
+// agree on the order although each reaches others. While no other member is known, the seeds
+// are in it.
+func (d *Discoverer) Ranking(key string, n int) []Member {
+	type scored struct {
+		score  float64
+		member *Member
+	}
+	best := make([]scored, 0, n+1)
+	add := func(m *Member) {
+		s := scored{score: score(key, *m), member: m}
+		i, _ := slices.BinarySearchFunc(best, s, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+		best = slices.Insert(best, i, s)
+		best = best[:min(len(best), n)]
+	}
 	if !d.isDeregistered.Load() {
-		members = append(members, d.self)
+		add(&d.self)
 	}
+	now, others := time.Now(), 0
 	d.mu.Lock()
 	for name, m := range d.members {
 		if name != d.self.Instance && m.isLive(now) {
-			members = append(members, m.Member)
+			add(&m.Member)
+			others++
 		}
 	}
 	d.mu.Unlock()
-	if len(members) <= 1 {
-		members = append(members, d.withoutSuspects(d.seeds)...)
+	if others == 0 {
+		for _, m := range d.withoutSuspects(d.seeds) {
+			add(&m)
+		}
 	}
-	return ranked(key, members)
+	members := make([]Member, 0, len(best))
+	for _, s := range best {
+		members = append(members, *s.member)
+	}
+	return members
 }
 
 // IsCurrent reports whether this instance has written its heartbeats, so that the other
@@ -397,7 +415,13 @@
 // score returns the weighted rendezvous hash of the member for the key. A member with
 // twice the cores of another has the higher score for twice as many keys.
 func score(key string, m Member) float64 {
-	hash := xxhash.Sum64String(key + "\x00" + m.Instance)
+	var d xxhash.Digest
+	d.Reset()
+	// Digest.WriteString never returns an error.
+	_, _ = d.WriteString(key)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(m.Instance)
+	hash := d.Sum64()
 	unit := (float64(hash>>11) + 0.5) / (1 << 53)
 	return -max(m.Cores, minCores) / math.Log(unit)
 }
--- a/internal/discoverer/discoverer_test.go
+++ b/internal/discoverer/discoverer_test.go
@@ -268,10 +268,10 @@
 func TestInstancesAgreeOnIssuers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		all := startInstances(t, fakeplatform.NewRows(1), 6)
-		want := names(all[0].Ranking("endpoint"))
+		want := names(all[0].Ranking("endpoint", 6))
 		all[1].Suspect(want[0])
 		for i, d := range all {
-			if diff := cmp.Diff(want, names(d.Ranking("endpoint"))); diff != "" || !d.IsCurrent() {
+			if diff := cmp.Diff(want, names(d.Ranking("endpoint", 6))); diff != "" || !d.IsCurrent() {
 				t.Errorf("instance %d: %s", i, diff)
 			}
 		}
@@ -280,7 +280,7 @@
 		}
 		refresh(t, all...)
 		for i, d := range all {
-			if got := names(d.Ranking("endpoint")); len(got) != 5 || d.IsCurrent() != (i != 0) {
+			if got := names(d.Ranking("endpoint", 6)); len(got) != 5 || d.IsCurrent() != (i != 0) {
 				t.Errorf("instance %d: issuers %v, current %v", i, got, d.IsCurrent())
 			}
 		}
@@ -295,7 +295,7 @@
 				}
 			}
 			refresh(t, all[2:]...)
-			if isDropped := len(all[2].Ranking("endpoint")) == 4; isDropped && all[1].IsCurrent() {
+			if isDropped := len(all[2].Ranking("endpoint", 6)) == 4; isDropped && all[1].IsCurrent() {
 				t.Errorf("dropped after %d s while it considers itself current", second)
 			}
 		}
--- a/internal/rationer/rationer.go
+++ b/internal/rationer/rationer.go
@@ -44,9 +44,11 @@
 
 // Members selects the issuers of permits.
 type Members interface {
-	// Ranking returns the members in the order of their hashes for the key. Instances
-	// with the same list of members get the same order, whatever they can reach.
-	Ranking(key string) []discoverer.Member
+	// Ranking returns the n members with the highest hashes for the key, highest first.
+	// Instances with the same list of members get the same order, whatever they can reach.
+	Ranking(key string, n int) []discoverer.Member
+	// Count returns the number of live members.
+	Count() int
 	// IsCurrent reports whether this instance is in the other instances' lists.
 	IsCurrent() bool
 	Self() discoverer.Member
@@ -130,9 +132,8 @@
 	if wait := r.pauseOf(process); wait > 0 && maxWait == 0 {
 		return wait, false
 	}
-	issuers := r.members.Ranking(process)
 	in := Request{Process: process, Rate: c.Limit.Rate, Age: c.LimitAge, MaxWait: maxWait}
-	for _, m := range issuers[:min(maxIssuers, len(issuers))] {
+	for _, m := range r.members.Ranking(process, maxIssuers) {
 		out, ok := r.ask(ctx, m, in)
 		if !ok {
 			continue
@@ -140,7 +141,7 @@
 		switch {
 		case !out.IsGranted:
 			r.count("Denied")
-			r.pause(process, out.Wait, c.Limit.Rate, len(issuers))
+			r.pause(process, out.Wait, c.Limit.Rate, r.members.Count())
 		case out.Wait > 0:
 			r.count("Delayed")
 		default:
@@ -181,8 +182,8 @@
 // issue issues a permit on this instance. An instance that is not the first in its own
 // list, or that others may have dropped from theirs, is a substitute.
 func (r *Rationer) issue(in Request) Response {
-	issuers, self := r.members.Ranking(in.Process), r.members.Self()
-	isSubstitute := len(issuers) == 0 || issuers[0].Instance != self.Instance || !r.members.IsCurrent()
+	first := r.members.Ranking(in.Process, 1)
+	isSubstitute := len(first) == 0 || first[0].Instance != r.members.Self().Instance || !r.members.IsCurrent()
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/rationer/rationer_test.go
+++ b/internal/rationer/rationer_test.go
@@ -72,7 +72,13 @@
 	return !in.isDropped
 }
 
-func (in *instance) Ranking(key string) []discoverer.Member {
+func (in *instance) Count() int {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return len(in.members)
+}
+
+func (in *instance) Ranking(key string, n int) []discoverer.Member {
 	hash := func(m discoverer.Member) uint64 { return xxhash.Sum64String(key + m.Instance) }
 	in.mu.Lock()
 	defer in.mu.Unlock()
@@ -82,7 +88,7 @@
 		}
 		slices.SortFunc(in.ordered, func(a, b discoverer.Member) int { return cmp.Compare(hash(b), hash(a)) })
 	}
-	return in.ordered
+	return in.ordered[:min(n, len(in.ordered))]
 }
 
 func (in *instance) Call(ctx context.Context, address netip.AddrPort, method string, request, out any) error {
@@ -146,7 +152,7 @@
 
 // issuer returns the index of the instance that issues the endpoint's permits.
 func (f *fleet) issuer() int {
-	first := f.instances[0].Ranking(candidate(1, 0).Process())[0]
+	first := f.instances[0].Ranking(candidate(1, 0).Process(), 1)[0]
 	return slices.IndexFunc(f.instances, func(in *instance) bool { return in.Self().Instance == first.Instance })
 }
 
--- a/internal/resumer/resumer.go
+++ b/internal/resumer/resumer.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -50,8 +51,8 @@
 
 // Members lists the instances.
 type Members interface {
-	// Ranking returns the members in the order of their hashes for the key.
-	Ranking(key string) []discoverer.Member
+	// Ranking returns the n members with the highest hashes for the key, highest first.
+	Ranking(key string, n int) []discoverer.Member
 	Self() discoverer.Member
 }
 
@@ -185,13 +186,9 @@
 
 // others returns the instances that may have a record of the stream, without this one.
 func (r *Resumer) others(stream string) []discoverer.Member {
-	var others []discoverer.Member
-	for _, m := range r.members.Ranking(stream) {
-		if m.Instance != r.members.Self().Instance && len(others) < maxAsked {
-			others = append(others, m)
-		}
-	}
-	return others
+	members := r.members.Ranking(stream, maxAsked+1)
+	others := slices.DeleteFunc(members, func(m discoverer.Member) bool { return m.Instance == r.members.Self().Instance })
+	return others[:min(maxAsked, len(others))]
 }
 
 func (r *Resumer) keep(stream string, origin Origin) {
--- a/internal/resumer/resumer_test.go
+++ b/internal/resumer/resumer_test.go
@@ -1,6 +1,7 @@
 package resumer_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -13,7 +14,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
-	"github.com/google/go-cmp/cmp"
+	gocmp "github.com/google/go-cmp/cmp"
 
 	"github.com/wigeonstand/wigeonstand/internal/discoverer"
 	"github.com/wigeonstand/wigeonstand/internal/messenger"
@@ -36,14 +37,12 @@
 
 func (in *instance) Self() discoverer.Member { return in.members[in.index] }
 
-func (in *instance) Ranking(key string) []discoverer.Member {
+func (in *instance) Ranking(key string, n int) []discoverer.Member {
 	hash := func(m discoverer.Member) uint64 { return xxhash.Sum64String(key + m.Instance) }
-	return slices.SortedFunc(slices.Values(in.members), func(a, b discoverer.Member) int {
-		if hash(a) > hash(b) {
-			return -1
-		}
-		return 1
+	order := slices.SortedFunc(slices.Values(in.members), func(a, b discoverer.Member) int {
+		return cmp.Compare(hash(b), hash(a))
 	})
+	return order[:min(n, len(order))]
 }
 
 func (in *instance) Call(ctx context.Context, address netip.AddrPort, method string, request, out any) error {
@@ -131,7 +130,7 @@
 							continue
 						}
 						found++
-						if diff := cmp.Diff(resumer.Origin{Service: "s", Version: versionOf(s)}, origin); diff != "" {
+						if diff := gocmp.Diff(resumer.Origin{Service: "s", Version: versionOf(s)}, origin); diff != "" {
 							t.Error(diff)
 						}
 					}
