--- a/internal/resumer/resumer.go
+++ b/internal/resumer/resumer.go
@@ -30,7 +30,7 @@
 	maxAsked = 5
 	// recordTimeout limits the copying of a record, and findTimeout the search for one.
 	recordTimeout = 600 * time.Millisecond
-	findTimeout   = 150 * time.Millisecond
+	findTimeout   = 300 * time.Millisecond
 	// retention is how long a record is kept at least; callers take up a stream within
 	// the timeout of its route.
 	retention = 30 * time.Second
