internal/quarantiner, internal/relayer: the requests that endpoints had when they ended, in the log

Lines 5002 and 5003 did not say which requests are the same, and no line told an endpoint that ended from a connection that failed. Key is a hash of host, method, target and body; 5007 lists the keys of an endpoint that refuses connections after requests broke off. No decision changes.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -32,6 +32,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/messenger"
 	"github.com/wigeonstand/wigeonstand/internal/meter"
 	"github.com/wigeonstand/wigeonstand/internal/pruner"
+	"github.com/wigeonstand/wigeonstand/internal/quarantiner"
 	"github.com/wigeonstand/wigeonstand/internal/rationer"
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
 	"github.com/wigeonstand/wigeonstand/internal/relayer"
@@ -155,8 +156,9 @@
 	e.budgets = bookkeeper.NewClient(e.bookkeeper, e.discoverer, e.peerClient, e.registry)
 	permits := rationer.New(e.discoverer, e.peerClient, rationer.WithLogger(e.log), rationer.WithCounter(metrics.countPermit))
 	streams := resumer.New(e.discoverer, e.peerClient, resumer.WithLogger(e.log))
+	quarantine := quarantiner.New(e.sender, quarantiner.WithLogger(e.log))
 	e.relayer = relayer.New(relayer.Config{
-		Tables: e.watcher, Endpoints: e.registry, Sender: e.sender, Permits: permits, Streams: streams, Dialect: platform.Dialect,
+		Tables: e.watcher, Endpoints: e.registry, Sender: e.sender, Permits: permits, Streams: streams, Quarantine: quarantine, Dialect: platform.Dialect,
 		Budgets:            e.budgets,
 		Transcripts:        transcriber.New(e.rerouter),
 		IsStoreUnreachable: func() bool { path, _ := e.rerouter.Path(); return path == rerouter.Lost },
--- /dev/null
+++ b/internal/quarantiner/key.go
@@ -0,0 +1,29 @@
+package quarantiner
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+)
+
+// Key identifies what a caller sends: requests with the same host, method, target and body
+// have the same key, whichever program, attempt and instance they belong to. It is a
+// cryptographic hash, so that no caller can make a request that has the key of another one.
+type Key [16]byte
+
+// KeyOf returns the key of a request.
+func KeyOf(host, method, target string, body []byte) Key {
+	h := sha256.New()
+	for _, part := range []string{host, method, target} {
+		var length [8]byte
+		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		// A hash never returns an error.
+		_, _ = h.Write(length[:])
+		_, _ = h.Write([]byte(part))
+	}
+	_, _ = h.Write(body)
+	return Key(h.Sum(nil)[:len(Key{})])
+}
+
+// String returns the key in hexadecimal.
+func (k Key) String() string { return hex.EncodeToString(k[:]) }
--- a/internal/relayer/access.go
+++ b/internal/relayer/access.go
@@ -48,6 +48,8 @@
 	sendCount  int
 	firstEvent time.Duration
 	recordTime time.Duration
+	// key identifies what the caller sent, in a request that broke off at an endpoint.
+	key string
 	// retryAfter is the time to come back that a refused caller was given.
 	retryAfter time.Duration
 }
@@ -95,6 +97,7 @@
 	if a.endpoint != "" {
 		pairs = append(pairs, "Endpoint", a.endpoint, "EndpointVersion", a.version, "Load", a.load, "LoadAge", a.loadAge, "Sends", a.sendCount)
 	}
+	add(a.key != "", "Key", a.key)
 	add(a.limit.IsSet, "Limit", a.limit)
 	add(a.permitWait > 0, "PermitWait", a.permitWait)
 	add(a.meanLoad > 0, "MeanLoad", a.meanLoad)
--- a/internal/relayer/outcome.go
+++ b/internal/relayer/outcome.go
@@ -1,10 +1,14 @@
 package relayer
 
 import (
+	"errors"
+	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
+	"github.com/wigeonstand/wigeonstand/internal/sender"
 )
 
 // noResponseThreshold is the time without a response after which an engine with
@@ -12,6 +16,20 @@
 // tens of milliseconds.
 const noResponseThreshold = time.Second
 
+// isBrokenOff reports whether err means that the endpoint's connection failed after the
+// request was sent.
+func isBrokenOff(err error) bool {
+	if errors.Is(err, sender.ErrNotSent) || errors.Is(err, errCallerDisconnected) {
+		return false
+	}
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 // turnOutcome maps the status of an engine's response to the outcome recorded for
 // the engine. Some engines fail a part of their turns while they report themselves
 // as healthy; a recorded failure makes a retried turn go to another engine.
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -106,7 +106,12 @@
 	}
 	x.Endpoints.Begin(c.ID)
 	start, outcome := time.Now(), registrar.Failed
-	defer func() { x.Endpoints.End(c.ID, outcome) }()
+	defer func() {
+		x.Endpoints.End(c.ID, outcome)
+		if !isDone {
+			x.recordBreak(c, start, err)
+		}
+	}()
 	response, err := x.send(ctx, c, Dispatch{Timeout: x.timeLeft(), Priority: -1}, x.body)
 	if err != nil {
 		if x.ctx.Err() != nil {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -21,6 +21,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/discoverer"
 	"github.com/wigeonstand/wigeonstand/internal/logger"
 	"github.com/wigeonstand/wigeonstand/internal/matcher"
+	"github.com/wigeonstand/wigeonstand/internal/quarantiner"
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
 	"github.com/wigeonstand/wigeonstand/internal/resumer"
 	"github.com/wigeonstand/wigeonstand/internal/sender"
@@ -61,6 +62,13 @@
 	Find(ctx context.Context, stream string) (resumer.Origin, bool)
 }
 
+// Quarantine learns which requests the processes of endpoints had when they ended.
+type Quarantine interface {
+	// RecordBreak records that a request with the key, sent at the time, broke off at the
+	// endpoint.
+	RecordBreak(key quarantiner.Key, endpoint registrar.Endpoint, sentAt time.Time)
+}
+
 // Policy holds the parameters of admission and placement.
 type Policy struct {
 	Admission admitter.Policy
@@ -78,6 +86,7 @@
 	Sender      Sender
 	Permits     Permits
 	Streams     Streams
+	Quarantine  Quarantine
 	Dialect     Dialect
 	Policy      Policy
 	Instance    string
@@ -135,6 +144,8 @@
 	// deadline is when the response must be complete.
 	deadline time.Time
 	access   accessRecord
+	// key identifies what the caller sent; nil until requestKey has computed it.
+	key *quarantiner.Key
 }
 
 // ServeHTTP implements http.Handler.
@@ -208,6 +219,25 @@
 	return true
 }
 
+// requestKey returns the key that identifies what the caller sent.
+func (x *exchange) requestKey() quarantiner.Key {
+	if x.key == nil {
+		key := quarantiner.KeyOf(x.call.Host, x.call.Method, x.call.Target, x.body)
+		x.key = &key
+	}
+	return *x.key
+}
+
+// recordBreak records a failed attempt if its connection failed while the endpoint had the
+// request.
+func (x *exchange) recordBreak(c registrar.Candidate, sentAt time.Time, err error) {
+	if x.ctx.Err() != nil || !isBrokenOff(err) {
+		return
+	}
+	x.access.key = x.requestKey().String()
+	x.Quarantine.RecordBreak(x.requestKey(), c.Endpoint, sentAt)
+}
+
 // timeLeft returns the time until the deadline.
 func (x *exchange) timeLeft() time.Duration { return time.Until(x.deadline) }
 
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -243,7 +243,7 @@
 		}
 		t.Metrics.CountRetry(failureReason(err))
 		t.Log.Log(eventRetried, "Request", t.call.ID, "Program", t.call.Program, "Endpoint", c.ID,
-			"EndpointVersion", c.Version, "Reason", failureReason(err), "Cause", err, "LastEvent", t.lastEventID)
+			"EndpointVersion", c.Version, "Key", t.access.key, "Reason", failureReason(err), "Cause", err, "LastEvent", t.lastEventID)
 	}
 }
 
@@ -275,10 +275,13 @@
 
 // relay sends the turn to the endpoint and forwards its response. It returns nil
 // if the response is complete.
-func (t *turn) relay(c registrar.Candidate) error {
+func (t *turn) relay(c registrar.Candidate) (err error) {
 	t.Endpoints.Begin(c.ID)
 	start, outcome := time.Now(), registrar.Failed
-	defer func() { t.Endpoints.End(c.ID, outcome) }()
+	defer func() {
+		t.Endpoints.End(c.ID, outcome)
+		t.recordBreak(c, start, err)
+	}()
 	dispatch := Dispatch{Timeout: t.timeLeft(), Priority: admitter.Priority(t.route.Priority, t.isFirst, t.call.IsPastDeadline()), LastEventID: t.lastEventID}
 	response, err := t.send(t.ctx, c, dispatch, t.prompt)
 	if err != nil {
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -177,6 +178,16 @@
 	return response, nil
 }
 
+// IsRefusing reports whether the address refuses connections, as it does after the process
+// there has ended. It is false if the address does not respond.
+func (s *Sender) IsRefusing(ctx context.Context, address netip.AddrPort) bool {
+	conn, err := s.dial(ctx, "tcp", address.String())
+	if err == nil {
+		discard(conn)
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func (s *Sender) connect(ctx context.Context, r Request) (*conn, error) {
 	for {
 		cn := s.takeIdle(r.Address, r.IsRepeatable)
