internal/quarantiner, internal/relayer: requests that crash endpoints are kept from others

Cause: no instance remembered what an endpoint was running when it ended, and none knew what the others saw.

An endpoint has ended if requests broke off and it refuses connections. The instance reports the requests that it had there to the bookkeepers, which attribute crashes to requests: three of them one after the other, not served in between, not explained by another request and not shared with an equal suspect. The verdict travels with the calls to bookkeepers, which precede each turn. Such a request is refused as not run, with the time until its quarantine ends. A suspect goes to one endpoint by hash, and a request that broke off twice within an attempt is left to its caller.

--- a/internal/answerer/answerer.go
+++ b/internal/answerer/answerer.go
@@ -33,6 +33,7 @@
 	Overloaded       Kind = "Overloaded"
 	Infeasible       Kind = "Infeasible"
 	NoEndpoint       Kind = "NoEndpoint"
+	Quarantined      Kind = "Quarantined"
 	OwnerUnavailable Kind = "OwnerUnavailable"
 	Moved            Kind = "Moved"
 	StoreUnavailable Kind = "StoreUnavailable"
--- a/internal/answerer/table.go
+++ b/internal/answerer/table.go
@@ -23,6 +23,7 @@
 	{Overloaded, http.StatusTooManyRequests, NotRun, true, 2 * time.Second, "The queue is full."},
 	{Infeasible, http.StatusTooManyRequests, NotRun, true, 2 * time.Second, "The deadline cannot be met."},
 	{NoEndpoint, http.StatusServiceUnavailable, NotRun, true, 2 * time.Second, "No endpoint can take the request."},
+	{Quarantined, http.StatusServiceUnavailable, NotRun, true, time.Minute, "Endpoints crashed while they ran this request; it is not sent to others for a time."},
 	{OwnerUnavailable, http.StatusServiceUnavailable, NotRun, true, time.Second, "The program's owner is not reachable."},
 	{Moved, http.StatusServiceUnavailable, NotRun, true, time.Second, "The program is moving to another instance."},
 	{StoreUnavailable, http.StatusServiceUnavailable, NotRun, true, 5 * time.Second, "The platform's store is not reachable."},
--- a/internal/bookkeeper/bookkeeper.go
+++ b/internal/bookkeeper/bookkeeper.go
@@ -21,6 +21,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/batcher"
 	"github.com/wigeonstand/wigeonstand/internal/logger"
 	"github.com/wigeonstand/wigeonstand/internal/pruner"
+	"github.com/wigeonstand/wigeonstand/internal/quarantiner"
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
 	"github.com/wigeonstand/wigeonstand/internal/storer"
 	"github.com/wigeonstand/wigeonstand/internal/transcriber"
@@ -77,6 +78,8 @@
 	Observations []registrar.Observation `cbor:"6,keyasint,omitempty"`
 	// Session identifies the turn's line of turns within the program.
 	Session string `cbor:"7,keyasint,omitempty"`
+	// Verdicts are those of the caller on requests that crash endpoints.
+	Verdicts []quarantiner.Verdict `cbor:"8,keyasint,omitempty"`
 }
 
 // OpenResponse is the response to an OpenRequest.
@@ -97,6 +100,8 @@
 	// Home is the ID of the endpoint that served the previous turn of the session, or
 	// of the program if the session is new. It is empty if that is unknown.
 	Home string `cbor:"7,keyasint,omitempty"`
+	// Verdicts are those of the bookkeeper on requests that crash endpoints.
+	Verdicts []quarantiner.Verdict `cbor:"8,keyasint,omitempty"`
 }
 
 // ReclaimRequest asks a bookkeeper to release the unused part of its grant of a
@@ -156,6 +161,8 @@
 	prune  func(keys []storer.RowKey, after time.Duration)
 	system *actor.ActorSystem
 	pid    *actor.PID
+	// verdicts are exchanged with the calls of Open.
+	verdicts VerdictGossiper
 
 	stopMu    sync.RWMutex
 	isStopped bool
@@ -176,6 +183,11 @@
 	return func(k *Bookkeeper, _ *state) { k.prune = prune }
 }
 
+// WithVerdicts sets the source and destination of verdicts on requests that crash endpoints.
+func WithVerdicts(v VerdictGossiper) Option {
+	return func(k *Bookkeeper, _ *state) { k.verdicts = v }
+}
+
 // New returns a Bookkeeper. No other process may ever have used the holder's name.
 func New(holder string, jobs Submitter, reclaim Reclaimer, options ...Option) *Bookkeeper {
 	withoutLogging := actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
@@ -183,7 +195,7 @@
 	})
 	k := &Bookkeeper{
 		holder: holder, jobs: jobs, system: actor.NewActorSystem(withoutLogging), pendingRecords: map[string]*pendingRecord{},
-		prune: func([]storer.RowKey, time.Duration) {},
+		prune: func([]storer.RowKey, time.Duration) {}, verdicts: noVerdicts{},
 	}
 	s := &state{holder: holder, jobs: jobs, programs: map[string]*programState{}, send: k.send, reclaim: reclaim, log: logger.Discard()}
 	for _, option := range options {
--- a/internal/bookkeeper/client.go
+++ b/internal/bookkeeper/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/wigeonstand/wigeonstand/internal/discoverer"
 	"github.com/wigeonstand/wigeonstand/internal/messenger"
+	"github.com/wigeonstand/wigeonstand/internal/quarantiner"
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
 )
 
@@ -62,13 +63,27 @@
 	Merge(observations []registrar.Observation)
 }
 
+// VerdictGossiper exchanges verdicts on requests that crash endpoints, which are attached to
+// the same calls: a turn is not sent before its instance knows those of its bookkeeper.
+type VerdictGossiper interface {
+	Verdicts() []quarantiner.Verdict
+	MergeVerdicts(verdicts []quarantiner.Verdict)
+}
+
+// noVerdicts is the VerdictGossiper of a Bookkeeper without one.
+type noVerdicts struct{}
+
+func (noVerdicts) Verdicts() []quarantiner.Verdict     { return nil }
+func (noVerdicts) MergeVerdicts([]quarantiner.Verdict) {}
+
 // Handlers returns the handlers of calls from other instances, by method.
 func (k *Bookkeeper) Handlers(gossiper Gossiper) map[string]messenger.Handler {
 	return map[string]messenger.Handler{
 		methodOpen: messenger.Handle(func(ctx context.Context, in OpenRequest) (OpenResponse, error) {
 			gossiper.Merge(in.Observations)
+			k.verdicts.MergeVerdicts(in.Verdicts)
 			out, err := k.Open(ctx, in)
-			out.Observations = gossiper.Observations()
+			out.Observations, out.Verdicts = gossiper.Observations(), k.verdicts.Verdicts()
 			return out, err
 		}),
 		methodClose:   messenger.Handle(k.Close),
@@ -99,10 +114,11 @@
 	deadline := time.Now().Add(in.Wait)
 	for {
 		m := c.members.Bookkeepers(in.Program)[0]
-		in.Observations = c.gossiper.Observations()
+		in.Observations, in.Verdicts = c.gossiper.Observations(), c.local.verdicts.Verdicts()
 		in.Wait = min(time.Until(deadline), bookkeeperTimeout)
 		out, err := call(ctx, c, m, methodOpen, in.Wait, in, c.local.Open)
 		c.gossiper.Merge(out.Observations)
+		c.local.verdicts.MergeVerdicts(out.Verdicts)
 		switch {
 		case ctx.Err() != nil:
 			return OpenResponse{}, m, context.Cause(ctx)
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -230,6 +230,22 @@
 	return best
 }
 
+// ForSuspect returns the index of the endpoint for a request that may have crashed others,
+// or -1 if there is no candidate. It is the same for all instances and for all requests with
+// the key, but for those with failures, so that one endpoint at a time is at risk, and so
+// that two suspects seldom run beside each other and only one of them goes on crashing
+// endpoints.
+func ForSuspect(key string, candidates []registrar.Candidate) int {
+	best, highest := -1, uint64(0)
+	for i, c := range candidates {
+		hash := rendezvous(key, c.ID)
+		if best < 0 || (c.Avoid == candidates[best].Avoid && hash > highest) || (!c.Avoid && candidates[best].Avoid) {
+			best, highest = i, hash
+		}
+	}
+	return best
+}
+
 // Fleet describes the instance that chooses among the others.
 type Fleet struct {
 	// Instance is the name of this instance and DataCentre its data centre.
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -151,12 +151,12 @@
 	e.pruner = pruner.New(e.rerouter, e.log,
 		pruner.Table{Name: transcriber.Table, MaxAge: func() time.Duration { return orphanRetentionFactor * pruner.RowRetention(e.longestRetention()) }},
 		pruner.Table{Name: bookkeeper.Table, MaxAge: func() time.Duration { return budgetRetention }})
+	quarantine := quarantiner.New(e.sender, e.registry, e.discoverer, e.peerClient, quarantiner.WithLogger(e.log))
 	e.bookkeeper = bookkeeper.New(self.Incarnation, e.batcher, bookkeeper.NewReclaimer(e.discoverer, e.peerClient),
-		bookkeeper.WithLogger(e.log), bookkeeper.WithPruner(e.pruner.Schedule))
+		bookkeeper.WithLogger(e.log), bookkeeper.WithPruner(e.pruner.Schedule), bookkeeper.WithVerdicts(quarantine))
 	e.budgets = bookkeeper.NewClient(e.bookkeeper, e.discoverer, e.peerClient, e.registry)
 	permits := rationer.New(e.discoverer, e.peerClient, rationer.WithLogger(e.log), rationer.WithCounter(metrics.countPermit))
 	streams := resumer.New(e.discoverer, e.peerClient, resumer.WithLogger(e.log))
-	quarantine := quarantiner.New(e.sender, quarantiner.WithLogger(e.log))
 	e.relayer = relayer.New(relayer.Config{
 		Tables: e.watcher, Endpoints: e.registry, Sender: e.sender, Permits: permits, Streams: streams, Quarantine: quarantine, Dialect: platform.Dialect,
 		Budgets:            e.budgets,
@@ -174,7 +174,7 @@
 		},
 	})
 	handlers := map[string]messenger.Handler{}
-	for _, group := range []map[string]messenger.Handler{e.bookkeeper.Handlers(e.registry), e.rerouter.Handlers(), tableCopies.Handlers(), permits.Handlers(), streams.Handlers()} {
+	for _, group := range []map[string]messenger.Handler{e.bookkeeper.Handlers(e.registry), e.rerouter.Handlers(), tableCopies.Handlers(), permits.Handlers(), streams.Handlers(), quarantine.Handlers()} {
 		for name, handler := range group {
 			handlers[name] = handler
 		}
--- a/internal/composer/crash_test.go
+++ b/internal/composer/crash_test.go
@@ -149,7 +149,8 @@
 	session.Body = "in " + id
 	return []standin.Call{
 		turnCall(id+"-turn", program, "", "in "+id+"\n"), session,
-		{ID: id + "-call", Path: standin.PathLookup + id}, {ID: id + "-popular", Path: standin.PathLookup + "popular"},
+		{ID: id + "-call", Path: standin.PathLookup + id},
+		{ID: id + "-popular", Path: standin.PathLookup + "popular"},
 	}
 }
 
--- /dev/null
+++ b/internal/quarantiner/attribution.go
@@ -0,0 +1,124 @@
+package quarantiner
+
+import (
+	"bytes"
+	"slices"
+	"time"
+)
+
+// minCrashes is the number of crashes, one after the other, from which a request is taken for
+// their cause.
+const minCrashes = 3
+
+// crash is the end of an endpoint's process.
+type crash struct {
+	at time.Time
+	// sent holds the requests that the process had, and when each was last sent there.
+	sent map[Key]time.Time
+}
+
+// suspicion is what the known crashes say of a request.
+type suspicion struct {
+	// crashes is the number of crashes, one after the other, that may be due to it.
+	crashes int
+	// isCause is true if it is taken for their cause, and lastAt the time of the last one.
+	isCause bool
+	lastAt  time.Time
+}
+
+// attribute returns the suspicion against each request that a process had when it ended.
+//
+// Each crash hits all requests of the process, so that the number of crashes alone doesn't
+// tell the cause from its neighbours. Crashes before a request was last served don't count
+// against it, nor do those that have another cause. Of several runs at the same time only
+// one counts: endpoints that end at the same moment, for a reason of their own, end under the
+// requests that are sent most. Between two requests that were together in most of these
+// crashes nothing is decided until one of them has more than the other.
+func attribute(crashes []crash, served map[Key]time.Time) map[Key]suspicion {
+	out := map[Key]suspicion{}
+	unexplained := slices.Clone(crashes)
+	slices.SortFunc(unexplained, func(a, b crash) int { return a.at.Compare(b.at) })
+	for {
+		counts := count(unexplained, served)
+		cause, isFound := findCause(unexplained, counts)
+		if !isFound {
+			for key, s := range counts {
+				if _, isDecided := out[key]; !isDecided {
+					out[key] = s
+				}
+			}
+			return out
+		}
+		s := counts[cause]
+		s.isCause = true
+		out[cause] = s
+		unexplained = slices.DeleteFunc(unexplained, func(c crash) bool { return c.has(cause) })
+	}
+}
+
+func (c crash) has(key Key) bool {
+	_, has := c.sent[key]
+	return has
+}
+
+// count returns for each request the largest number of its runs that ended with a crash and
+// did not overlap. The crashes are in the order of their times.
+func count(crashes []crash, served map[Key]time.Time) map[Key]suspicion {
+	counts := map[Key]suspicion{}
+	for _, c := range crashes {
+		for key, sentAt := range c.sent {
+			s := counts[key]
+			if !c.at.After(served[key]) || (s.crashes > 0 && sentAt.Before(s.lastAt)) {
+				continue
+			}
+			counts[key] = suspicion{crashes: s.crashes + 1, lastAt: c.at}
+		}
+	}
+	return counts
+}
+
+// findCause returns the request with the most crashes among those that are the cause of
+// theirs.
+func findCause(crashes []crash, counts map[Key]suspicion) (Key, bool) {
+	var suspects []Key
+	for key, s := range counts {
+		if s.crashes >= minCrashes {
+			suspects = append(suspects, key)
+		}
+	}
+	slices.SortFunc(suspects, func(a, b Key) int {
+		if d := counts[b].crashes - counts[a].crashes; d != 0 {
+			return d
+		}
+		return bytes.Compare(a[:], b[:])
+	})
+	for _, key := range suspects {
+		if !isAmbiguous(key, crashes, counts) {
+			return key, true
+		}
+	}
+	return Key{}, false
+}
+
+// isAmbiguous reports whether another request with as many crashes was in all but one of
+// the crashes of the request, or in more.
+func isAmbiguous(key Key, crashes []crash, counts map[Key]suspicion) bool {
+	together, own := map[Key]int{}, 0
+	for _, c := range crashes {
+		if !c.has(key) {
+			continue
+		}
+		own++
+		for other := range c.sent {
+			if other != key && counts[other].crashes >= counts[key].crashes {
+				together[other]++
+			}
+		}
+	}
+	for _, n := range together {
+		if n >= own-1 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -1,14 +1,27 @@
-// Package quarantiner finds out which endpoints ended, and with which requests.
+// Package quarantiner finds the requests that crash the endpoints that run them, and keeps
+// them from further endpoints for some time.
+//
+// An instance whose requests break off at an endpoint checks whether the endpoint's process
+// has ended, and reports the requests that it had there to the bookkeepers, which thus know
+// those of all instances. A request that was in three crashes one after the other, without
+// another cause and without being served in between, is quarantined: no instance sends it
+// while the quarantine lasts. All instances hear of it with the responses of bookkeepers,
+// before they send the turn for which they asked.
+//
+// Nothing of it is stored. Crashes are forgotten after a time, and their number is bounded.
 package quarantiner
 
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 
+	"github.com/wigeonstand/wigeonstand/internal/discoverer"
 	"github.com/wigeonstand/wigeonstand/internal/logger"
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
 )
@@ -23,11 +36,31 @@
 	// breakMemory is how long a request that broke off counts among those that a process
 	// had when it ended.
 	breakMemory = time.Second
+	// retention is how long a crash is remembered, and how long a quarantine lasts after
+	// the last crash.
+	retention = 5 * time.Minute
+	// maxCrashes and maxRequests limit the crashes that are remembered, and the requests
+	// of each; beyond them the oldest crash is forgotten, and further requests are.
+	maxCrashes  = 128
+	maxRequests = 32
+	// attributionAge is how old the suspicions may be before they are derived anew, so that
+	// they end in time and without further crashes.
+	attributionAge = time.Second
+	// aliveMargin is the time after a crash from which a response of the process shows
+	// that it has not ended. Responses before the crash are reported late by others.
+	aliveMargin = 300 * time.Millisecond
 )
 
-var eventEndpointEnded = logger.Define(5007, "EndpointEnded", log.WarnLevel,
-	"requests to an endpoint broke off and it refuses connections; its process has ended",
-	"Find out why the process ended. Keys that occur with several endpoints are requests that may have caused it.")
+var (
+	eventEndpointEnded = logger.Define(5007, "EndpointEnded", log.WarnLevel,
+		"requests to an endpoint broke off and it refuses connections; its process has ended",
+		"Find out why the process ended. Keys that occur with several endpoints are requests that may have caused it.")
+	eventQuarantined = logger.Define(5100, "RequestQuarantined", log.WarnLevel,
+		"a request crashed endpoints one after the other and is sent to no other one for a time",
+		"Find the request by its Key in lines 5002 and 5003, and why endpoints crash under it.")
+	eventReleased = logger.Define(5101, "QuarantineEnded", log.InfoLevel,
+		"a request that crashed endpoints may be sent again", "None.")
+)
 
 // Prober checks endpoints.
 type Prober interface {
@@ -36,6 +69,24 @@
 	IsRefusing(ctx context.Context, address netip.AddrPort) bool
 }
 
+// Registry knows which endpoints respond.
+type Registry interface {
+	// HasRespondedSince reports whether the process responded to an instance after the
+	// time.
+	HasRespondedSince(process string, at time.Time) bool
+}
+
+// Members lists the bookkeepers.
+type Members interface {
+	Bookkeepers(program string) []discoverer.Member
+	Self() discoverer.Member
+}
+
+// Caller calls other instances.
+type Caller interface {
+	Call(ctx context.Context, address netip.AddrPort, method string, in, out any) error
+}
+
 // run is one execution of a request that broke off.
 type run struct {
 	key Key
@@ -43,14 +94,36 @@
 	sentAt, brokenAt time.Time
 }
 
-// Quarantiner is safe for concurrent use.
+// quarantine is the state of a request that is not sent.
+type quarantine struct {
+	until   time.Time
+	crashes int
+}
+
+// Quarantiner keeps crashes and quarantines. It is safe for concurrent use.
 type Quarantiner struct {
-	prober Prober
-	log    *logger.Logger
+	prober   Prober
+	registry Registry
+	members  Members
+	caller   Caller
+	log      *logger.Logger
+	// isWatching is set while any request is under suspicion.
+	isWatching atomic.Bool
 
 	mu sync.Mutex
 	// broken holds the runs that broke off at processes that are not known to have ended.
 	broken map[string][]run
+	// crashes holds the crashes by process.
+	crashes map[string]crash
+	// served is when a request under suspicion was last served.
+	served map[Key]time.Time
+	// suspicions is what follows from the crashes, and quarantines those requests among
+	// them that are not sent.
+	suspicions   map[Key]suspicion
+	quarantines  map[Key]quarantine
+	attributedAt time.Time
+	// verdicts are those of other instances.
+	verdicts map[Key]receivedVerdict
 }
 
 // Option sets one property of a Quarantiner.
@@ -59,45 +132,182 @@
 // WithLogger sets the logger of events.
 func WithLogger(l *logger.Logger) Option { return func(q *Quarantiner) { q.log = l } }
 
-// New returns a Quarantiner.
-func New(prober Prober, options ...Option) *Quarantiner {
-	q := &Quarantiner{prober: prober, log: logger.Discard(), broken: map[string][]run{}}
+// New returns a Quarantiner that knows no crashes.
+func New(prober Prober, registry Registry, members Members, caller Caller, options ...Option) *Quarantiner {
+	q := &Quarantiner{
+		prober: prober, registry: registry, members: members, caller: caller, log: logger.Discard(),
+		broken: map[string][]run{}, crashes: map[string]crash{}, served: map[Key]time.Time{},
+		suspicions: map[Key]suspicion{}, quarantines: map[Key]quarantine{}, verdicts: map[Key]receivedVerdict{},
+	}
 	for _, option := range options {
 		option(q)
 	}
 	return q
 }
 
-// RecordBreak records that a request with the key, sent at the time, broke off at the
-// endpoint, and checks whether the endpoint's process has ended.
+// Status is what is known of a request.
+type Status struct {
+	// Crashes is the number of crashes, one after the other, that may be due to it.
+	Crashes int
+	// Left is how much longer it is not to be sent; zero if it may be sent.
+	Left time.Duration
+}
+
+// IsWatching reports whether any request is under suspicion. Otherwise Find and RecordServed
+// need not be called.
+func (q *Quarantiner) IsWatching() bool { return q.isWatching.Load() }
+
+// Find returns what is known of the request.
+func (q *Quarantiner) Find(key Key) Status {
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.lockedRefresh(now)
+	status := Status{Crashes: q.suspicions[key].crashes}
+	if own, isKnown := q.quarantines[key]; isKnown {
+		status.Left = max(own.until.Sub(now), 0)
+	}
+	if v, isKnown := q.verdicts[key]; isKnown && v.isValid(now) {
+		status.Crashes = max(status.Crashes, v.Crashes)
+		status.Left = max(status.Left, v.left(now))
+	}
+	return status
+}
+
+// RecordBreak records that a request, sent at the time, broke off at the endpoint, and checks
+// whether the endpoint's process has ended.
 func (q *Quarantiner) RecordBreak(key Key, endpoint registrar.Endpoint, sentAt time.Time) {
 	process := endpoint.Process()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	isChecked := len(q.broken[process]) > 0
-	q.broken[process] = append(q.broken[process], run{key: key, sentAt: sentAt, brokenAt: time.Now()})
+	if len(q.broken[process]) < maxRequests {
+		q.broken[process] = append(q.broken[process], run{key: key, sentAt: sentAt, brokenAt: time.Now()})
+	}
 	if !isChecked {
 		time.AfterFunc(checkDelay, func() { q.check(endpoint) })
 	}
 }
 
+// check records a crash if the endpoint's process has ended, and reports it.
 func (q *Quarantiner) check(endpoint registrar.Endpoint) {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
 	hasEnded := q.prober.IsRefusing(ctx, endpoint.Address)
 	process := endpoint.Process()
 	q.mu.Lock()
-	runs := q.broken[process]
+	runs := slices.DeleteFunc(q.broken[process], func(r run) bool { return time.Since(r.brokenAt) > breakMemory })
 	delete(q.broken, process)
-	q.mu.Unlock()
-	if !hasEnded {
+	if !hasEnded || len(runs) == 0 {
+		q.mu.Unlock()
 		return
 	}
+	c := crash{at: runs[0].brokenAt, sent: map[Key]time.Time{}}
 	keys := make([]string, 0, len(runs))
 	for _, r := range runs {
-		if time.Since(r.brokenAt) <= breakMemory {
-			keys = append(keys, r.key.String())
+		keys = append(keys, r.key.String())
+		if r.sentAt.After(c.sent[r.key]) {
+			c.sent[r.key] = r.sentAt
 		}
 	}
+	q.lockedAdd(process, c)
+	q.lockedAttribute()
+	q.mu.Unlock()
 	q.log.Log(eventEndpointEnded, "Endpoint", endpoint.ID, "Service", endpoint.Service, "Started", endpoint.Started, "Keys", keys)
+	q.send(report{Crashes: []reportedCrash{encodeCrash(process, c, time.Now())}})
+}
+
+// lockedAdd adds a crash, or its requests to those known of the same crash.
+func (q *Quarantiner) lockedAdd(process string, c crash) {
+	known, isKnown := q.crashes[process]
+	if !isKnown {
+		known = crash{at: c.at, sent: map[Key]time.Time{}}
+	}
+	for key, sentAt := range c.sent {
+		if known.has(key) || len(known.sent) < maxRequests {
+			if sentAt.After(known.sent[key]) {
+				known.sent[key] = sentAt
+			}
+		}
+	}
+	if c.at.Before(known.at) {
+		known.at = c.at
+	}
+	q.crashes[process] = known
+	if len(q.crashes) <= maxCrashes {
+		return
+	}
+	oldest := process
+	for p, other := range q.crashes {
+		if other.at.Before(q.crashes[oldest].at) {
+			oldest = p
+		}
+	}
+	delete(q.crashes, oldest)
+}
+
+// RecordServed records that an endpoint responded to the request. The crashes before it have
+// another cause.
+func (q *Quarantiner) RecordServed(key Key) {
+	now := time.Now()
+	q.mu.Lock()
+	_, isSuspected := q.suspicions[key]
+	_, isReceived := q.verdicts[key]
+	if !isSuspected && !isReceived {
+		q.mu.Unlock()
+		return
+	}
+	q.served[key] = now
+	delete(q.verdicts, key)
+	q.lockedAttribute()
+	q.mu.Unlock()
+	q.send(report{Served: []reportedService{{Key: key}}})
+}
+
+// lockedRefresh derives the suspicions anew if they are old.
+func (q *Quarantiner) lockedRefresh(now time.Time) {
+	if now.Sub(q.attributedAt) > attributionAge {
+		q.lockedAttribute()
+	}
+}
+
+// lockedAttribute forgets what is old and derives the suspicions and quarantines anew.
+func (q *Quarantiner) lockedAttribute() {
+	now := time.Now()
+	q.attributedAt = now
+	crashes := make([]crash, 0, len(q.crashes))
+	for process, c := range q.crashes {
+		if now.Sub(c.at) > retention || q.registry.HasRespondedSince(process, c.at.Add(aliveMargin)) {
+			delete(q.crashes, process)
+			continue
+		}
+		crashes = append(crashes, c)
+	}
+	for key, v := range q.verdicts {
+		if !v.isValid(now) {
+			delete(q.verdicts, key)
+		}
+	}
+	q.suspicions = attribute(crashes, q.served)
+	for key, at := range q.served {
+		if now.Sub(at) > retention {
+			delete(q.served, key)
+		}
+	}
+	before := q.quarantines
+	q.quarantines = map[Key]quarantine{}
+	for key, s := range q.suspicions {
+		if until := s.lastAt.Add(retention); s.isCause && until.After(now) {
+			q.quarantines[key] = quarantine{until: until, crashes: s.crashes}
+			if _, isKnown := before[key]; !isKnown {
+				q.log.Log(eventQuarantined, "Key", key, "Crashes", s.crashes, "Until", until, "Source", "Own")
+			}
+		}
+	}
+	for key, old := range before {
+		if _, isKept := q.quarantines[key]; !isKept {
+			q.log.Log(eventReleased, "Key", key, "Crashes", old.crashes)
+		}
+	}
+	q.isWatching.Store(len(q.suspicions)+len(q.verdicts) > 0)
 }
--- /dev/null
+++ b/internal/quarantiner/quarantiner_test.go
@@ -0,0 +1,227 @@
+package quarantiner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/wigeonstand/wigeonstand/internal/discoverer"
+	"github.com/wigeonstand/wigeonstand/internal/registrar"
+)
+
+// network connects Quarantiners. The first is the only bookkeeper.
+type network struct {
+	nodes map[netip.AddrPort]*node
+	all   []discoverer.Member
+	isCut bool
+}
+
+type node struct {
+	*Quarantiner
+	*network
+	self     discoverer.Member
+	state    sync.Mutex
+	refusing map[netip.AddrPort]bool
+	alive    map[string]bool
+}
+
+func (n *node) IsRefusing(_ context.Context, address netip.AddrPort) bool {
+	n.state.Lock()
+	defer n.state.Unlock()
+	return n.refusing[address]
+}
+
+func (n *node) HasRespondedSince(process string, _ time.Time) bool {
+	n.state.Lock()
+	defer n.state.Unlock()
+	return n.alive[process]
+}
+func (n *node) Self() discoverer.Member                { return n.self }
+func (n *node) Bookkeepers(string) []discoverer.Member { return n.all[:1] }
+
+// Call implements Caller.
+func (n *node) Call(ctx context.Context, address netip.AddrPort, method string, in, out any) error {
+	if n.isCut {
+		return errors.New("cut")
+	}
+	body, err := cbor.Marshal(in)
+	if err != nil {
+		return err
+	}
+	reply, err := n.nodes[address].Handlers()[method](ctx, body)
+	if err != nil {
+		return err
+	}
+	if body, err = cbor.Marshal(reply); err != nil {
+		return err
+	}
+	return cbor.Unmarshal(body, out)
+}
+
+func newNetwork(instances int) []*node {
+	w := &network{nodes: map[netip.AddrPort]*node{}}
+	var nodes []*node
+	for i := range instances {
+		self := discoverer.Member{Instance: fmt.Sprint("instance-", i), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)}
+		n := &node{network: w, self: self, refusing: map[netip.AddrPort]bool{}, alive: map[string]bool{}}
+		n.Quarantiner = New(n, n, n, n)
+		w.nodes[self.Address], w.all = n, append(w.all, self)
+		nodes = append(nodes, n)
+	}
+	return nodes
+}
+
+func endpoint(i int) registrar.Endpoint {
+	return registrar.Endpoint{ID: fmt.Sprint("engine-", i), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 1)}
+}
+
+// crashUnder breaks the request off at an endpoint, whose process has ended.
+func (n *node) crashUnder(k Key, i int) {
+	e := endpoint(i)
+	n.state.Lock()
+	n.refusing[e.Address] = true
+	n.state.Unlock()
+	n.RecordBreak(k, e, time.Now())
+	time.Sleep(time.Second)
+}
+
+// tell sends the verdicts of one instance to another, as with the calls to bookkeepers.
+func tell(from, to *node) { to.MergeVerdicts(from.Verdicts()) }
+
+// Three instances see one crash each. None of them knew that it was the third.
+func TestCrashesOfDifferentInstancesAddUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := newNetwork(5)
+		bad := key("bad")
+		for i, n := range nodes[1:4] {
+			n.crashUnder(bad, i)
+		}
+		tell(nodes[0], nodes[4])
+		for i, want := range []bool{true, false, false, true, true} {
+			if got := nodes[i].Find(bad).Left > 0; got != want {
+				t.Errorf("instance %d: quarantined %v, want %v", i, got, want)
+			}
+		}
+	})
+}
+
+// An instance that reaches no other one learns from its own crashes.
+func TestInstanceThatIsCutOffLearnsByItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(2)[1]
+		n.isCut = true
+		for i := range minCrashes {
+			n.crashUnder(key("bad"), i)
+		}
+		if got := n.Find(key("bad")); got.Left == 0 || got.Crashes != minCrashes {
+			t.Errorf("%+v", got)
+		}
+	})
+}
+
+// What was learned is forgotten, also by instances that tell each other all the time.
+func TestQuarantineEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := newNetwork(4)
+		for i := range minCrashes {
+			nodes[1].crashUnder(key("bad"), i)
+		}
+		for end := time.Now().Add(retention + 2*suspicionMemory); time.Now().Before(end); {
+			for i := range nodes {
+				from, to := nodes[i], nodes[(i+1)%len(nodes)]
+				verdicts := from.Verdicts()
+				time.Sleep(20 * time.Millisecond) // in transit
+				to.MergeVerdicts(verdicts)
+				time.Sleep(20 * time.Millisecond)
+			}
+		}
+		for i, n := range nodes {
+			if got := n.Find(key("bad")); got != (Status{}) || n.IsWatching() {
+				t.Errorf("instance %d: %+v, watching: %v", i, got, n.IsWatching())
+			}
+		}
+	})
+}
+
+// A connection that fails while the process goes on is no crash, nor is one whose process
+// responds to another instance afterwards.
+func TestBrokenConnectionsAreNoCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(1)[0]
+		for i := range minCrashes {
+			n.RecordBreak(key("accepts"), endpoint(i), time.Now())
+			time.Sleep(time.Second)
+			n.crashUnder(key("alive"), 10+i)
+			n.state.Lock()
+			n.alive[endpoint(10+i).Process()] = true
+			n.state.Unlock()
+		}
+		time.Sleep(2 * attributionAge)
+		for _, name := range []string{"accepts", "alive"} {
+			if diff := cmp.Diff(Status{}, n.Find(key(name))); diff != "" {
+				t.Errorf("%s: %s", name, diff)
+			}
+		}
+	})
+}
+
+// A request that is sent by all callers was in each crash; that it is served meanwhile is
+// known to the instances that saw it broken off, and not to the bookkeeper.
+func TestServedRequestIsNotSuspected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := newNetwork(3)
+		popular := key("popular")
+		for i := range 2 * minCrashes {
+			n := nodes[1+i%2]
+			n.crashUnder(popular, i)
+			n.RecordServed(popular)
+			time.Sleep(time.Second)
+		}
+		for i, n := range nodes {
+			if got := n.Find(popular); got.Left > 0 {
+				t.Errorf("instance %d: %+v", i, got)
+			}
+		}
+	})
+}
+
+// Many endpoints end, each with many requests that never come again.
+func TestMemoryOfCrashesIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(1)[0]
+		for i := range 2 * maxCrashes {
+			n.refusing[endpoint(i).Address] = true
+		}
+		for i := range 2 * maxCrashes {
+			e := endpoint(i)
+			for r := range 2 * maxRequests {
+				n.RecordBreak(key(fmt.Sprint(i, "/", r)), e, time.Now())
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		var verdicts []Verdict
+		for i := range 2 * maxReceived {
+			verdicts = append(verdicts, Verdict{Key: key(fmt.Sprint("other ", i)), Crashes: 3, Left: time.Minute, Hops: 1})
+		}
+		n.MergeVerdicts(verdicts)
+		sent := len(n.Verdicts())
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		for name, sizes := range map[string][2]int{
+			"crashes": {len(n.crashes), maxCrashes}, "suspicions": {len(n.suspicions), maxCrashes * maxRequests},
+			"verdicts": {len(n.verdicts), maxReceived}, "broken": {len(n.broken), 0}, "sent": {sent, maxVerdicts},
+		} {
+			if sizes[0] > sizes[1] {
+				t.Errorf("%s: %d, more than %d", name, sizes[0], sizes[1])
+			}
+		}
+	})
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -135,6 +136,23 @@
 	return e.ID + "/" + e.Address.String() + "/" + strconv.FormatInt(e.Started.UnixMilli(), 10)
 }
 
+// HasRespondedSince reports whether the process, as returned by Endpoint.Process, is
+// registered and responded to an instance after the time.
+func (r *Registry) HasRespondedSince(process string, at time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.byID[idOf(process)]
+	return e != nil && e.reportedAt.After(at) && e.Process() == process
+}
+
+// idOf returns the ID of the endpoint from a text that Endpoint.Process returned.
+func idOf(process string) string {
+	for range 2 {
+		process = process[:max(strings.LastIndexByte(process, '/'), 0)]
+	}
+	return process
+}
+
 // New returns an empty Registry.
 func New() *Registry {
 	return &Registry{byID: map[string]*entry{}, services: map[string][]*entry{}, announced: map[process]*announcement{}, versionSeen: map[serviceVersion]time.Time{}}
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -31,6 +31,8 @@
 var (
 	// errNoCandidate means that no endpoint accepts the request.
 	errNoCandidate = eris.New("no endpoint accepts requests")
+	// errQuarantined means that the request crashed endpoints and is not sent to others.
+	errQuarantined = eris.New("endpoints crashed under the request")
 	// errNoPermit means that all endpoints have a limit, and that it is used up for longer
 	// than the request can wait.
 	errNoPermit = eris.New("the limits of all endpoints are used up")
@@ -87,13 +89,26 @@
 // placeCall places a call to a plain service.
 func (x *exchange) placeCall(fleet chooser.Fleet, excluded map[string]bool) (registrar.Candidate, error) {
 	return x.place(x.candidates(excluded), maxPermitWait, func(candidates []registrar.Candidate) int {
+		if x.suspicion().Crashes > 0 {
+			return chooser.ForSuspect(x.requestKey().String(), candidates)
+		}
 		return chooser.ForCall(x.call.ID, fleet, candidates)
 	})
 }
 
+// refuseQuarantined refuses a request that crashed endpoints. It did not run in this attempt.
+func (x *exchange) refuseQuarantined(left time.Duration) {
+	x.access.key = x.requestKey().String()
+	x.refuse(answerer.New(answerer.Quarantined, "endpoints crashed while they ran this request; it is not sent to others for a time").WithRetryAfter(left), "Quarantined")
+}
+
 // refuseUnplaced refuses a request for which no endpoint was found and that no attempt may
 // have run.
 func (x *exchange) refuseUnplaced(cause error) {
+	if errors.Is(cause, errQuarantined) {
+		x.refuseQuarantined(x.suspicion().Left)
+		return
+	}
 	if errors.Is(cause, errNoPermit) {
 		after := x.access.permitWait + time.Duration(randomFraction()*float64(permitReturnSpread))
 		x.refuse(answerer.Wrap(answerer.Overloaded, cause, "the endpoints take no more requests").WithRetryAfter(min(after, x.timeLeft()/3)), "EndpointLimits")
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -22,6 +22,9 @@
 	// shortRetryAfter is the Retry-After time of refusals whose cause is expected
 	// to be brief.
 	shortRetryAfter = 150 * time.Millisecond
+	// maxBreaks is the number of attempts of a request that may break off at endpoints
+	// before it is left to the caller whether it comes again: it may be the cause.
+	maxBreaks = 2
 	// attemptTimeoutTargets is the timeout of an attempt that may be retried, in
 	// multiples of the route's target latency.
 	attemptTimeoutTargets = 3
@@ -38,6 +41,10 @@
 		if x.ctx.Err() != nil {
 			break
 		}
+		if x.suspicion().Left > 0 {
+			failure.addUnplaced(errQuarantined)
+			break
+		}
 		c, err := x.placeCall(fleet, attempted)
 		if err != nil {
 			failure.addUnplaced(err)
@@ -54,7 +61,7 @@
 			continue
 		}
 		sent++
-		if failure.mayHaveRun && !x.route.Idempotent() {
+		if failure.mayHaveRun && !x.route.Idempotent() || x.breakCount >= maxBreaks {
 			break
 		}
 		x.Metrics.CountRetry(failureReason(err))
@@ -81,9 +88,9 @@
 }
 
 // addUnplaced records that there was no endpoint for a further attempt, which is the cause
-// of a refusal only if the endpoints have used up their limits.
+// of a refusal only if the endpoints have used up their limits or the request is quarantined.
 func (f *failedAttempts) addUnplaced(err error) {
-	if !f.mayHaveRun && errors.Is(err, errNoPermit) {
+	if !f.mayHaveRun && (errors.Is(err, errNoPermit) || errors.Is(err, errQuarantined)) {
 		f.err = err
 	}
 }
@@ -135,6 +142,7 @@
 		return false, err
 	}
 	outcome = plainOutcome(response.Status)
+	x.recordServed()
 	x.Dialect.EncodeResponse(response.Header, x.writer.Header())
 	x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.writer.WriteHeader(response.Status)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -62,8 +62,14 @@
 	Find(ctx context.Context, stream string) (resumer.Origin, bool)
 }
 
-// Quarantine learns which requests the processes of endpoints had when they ended.
+// Quarantine finds the requests that crash endpoints.
 type Quarantine interface {
+	// IsWatching reports whether any request is under suspicion. Otherwise Find and
+	// RecordServed need not be called.
+	IsWatching() bool
+	Find(key quarantiner.Key) quarantiner.Status
+	// RecordServed records that an endpoint responded to the request.
+	RecordServed(key quarantiner.Key)
 	// RecordBreak records that a request with the key, sent at the time, broke off at the
 	// endpoint.
 	RecordBreak(key quarantiner.Key, endpoint registrar.Endpoint, sentAt time.Time)
@@ -146,6 +152,8 @@
 	access   accessRecord
 	// key identifies what the caller sent; nil until requestKey has computed it.
 	key *quarantiner.Key
+	// breakCount is the number of attempts that broke off at an endpoint.
+	breakCount int
 }
 
 // ServeHTTP implements http.Handler.
@@ -179,6 +187,10 @@
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
 	x.ctx = ctx
+	if left := x.suspicion().Left; left > 0 {
+		x.refuseQuarantined(left)
+		return
+	}
 	x.service = x.route.PickService(xxhash.Sum64String(x.placementKey()))
 	if x.route.Kind == matcher.Stream {
 		x.serveTurn()
@@ -228,12 +240,28 @@
 	return *x.key
 }
 
+// suspicion returns what is known of crashes of endpoints under the request.
+func (x *exchange) suspicion() quarantiner.Status {
+	if !x.Quarantine.IsWatching() {
+		return quarantiner.Status{}
+	}
+	return x.Quarantine.Find(x.requestKey())
+}
+
+// recordServed records that an endpoint responded to the request.
+func (x *exchange) recordServed() {
+	if x.Quarantine.IsWatching() {
+		x.Quarantine.RecordServed(x.requestKey())
+	}
+}
+
 // recordBreak records a failed attempt if its connection failed while the endpoint had the
 // request.
 func (x *exchange) recordBreak(c registrar.Candidate, sentAt time.Time, err error) {
 	if x.ctx.Err() != nil || !isBrokenOff(err) {
 		return
 	}
+	x.breakCount++
 	x.access.key = x.requestKey().String()
 	x.Quarantine.RecordBreak(x.requestKey(), c.Endpoint, sentAt)
 }
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -208,6 +208,11 @@
 	var resumeAt *registrar.Candidate
 	var failure failedAttempts
 	for {
+		if t.suspicion().Left > 0 {
+			failure.addUnplaced(errQuarantined)
+			t.fail(failure)
+			return
+		}
 		c, err := t.chooseEndpoint(attempted, resumeAt)
 		if err != nil {
 			failure.addUnplaced(err)
@@ -235,7 +240,7 @@
 		case mayContinue && isNotRun && !t.isHeadWritten && sent < t.route.MaxAttempts:
 			attempted[c.ID] = true
 			resumeAt = nil
-		case mayContinue && !isNotRun && t.route.Resumable:
+		case mayContinue && !isNotRun && t.route.Resumable && t.breakCount < maxBreaks:
 			resumeAt = &c
 		default:
 			t.fail(failure)
@@ -263,6 +268,9 @@
 		}
 	}
 	return t.place(candidates, maxWait, func(candidates []registrar.Candidate) int {
+		if t.suspicion().Crashes > 0 {
+			return chooser.ForSuspect(t.requestKey().String(), candidates)
+		}
 		return chooser.ForTurn(chooser.Turn{
 			Key: t.placementKey(), Home: t.home, DataCentre: t.DataCentre,
 			SharedPart: t.call.SharedPart, SharedTokens: t.call.SharedTokens,
@@ -298,7 +306,10 @@
 		return errNotRun
 	case response.Status >= http.StatusMultipleChoices:
 		outcome = turnOutcome(response.Status)
-		return t.forwardFailure(response)
+		if err = t.forwardFailure(response); err == nil {
+			t.recordServed()
+		}
+		return err
 	case !head.IsSigned:
 		return errInvalidResponse
 	}
@@ -306,6 +317,7 @@
 	switch {
 	case err == nil:
 		outcome = registrar.Served
+		t.recordServed()
 	case t.ctx.Err() != nil || errors.Is(err, errCallerDisconnected):
 		outcome = registrar.Neutral
 	}
