internal/quarantiner: another form of a request that crashes endpoints is found after two crashes

A turn comes in two forms, with its whole prompt and as the continuation of a transcript, and each had to crash three engines. A request to the target of a known cause is now taken for a cause after two crashes, under the same conditions otherwise.

TestCrashesAreAttributedToTheirCause fails without it ('another form of the same work').

--- a/internal/quarantiner/attribution.go
+++ b/internal/quarantiner/attribution.go
@@ -6,15 +6,27 @@
 	"time"
 )
 
-// minCrashes is the number of crashes, one after the other, from which a request is taken for
-// their cause.
-const minCrashes = 3
+const (
+	// minCrashes is the number of crashes, one after the other, from which a request is
+	// taken for their cause.
+	minCrashes = 3
+	// minRelatedCrashes is that of a request to the target of another cause. The same work
+	// may come in several forms: a turn continues a transcript or repeats it.
+	minRelatedCrashes = 2
+)
+
+// sending is the last send of a request to a process.
+type sending struct {
+	at time.Time
+	// target is the key of the request's target.
+	target Key
+}
 
 // crash is the end of an endpoint's process.
 type crash struct {
 	at time.Time
-	// sent holds the requests that the process had, and when each was last sent there.
-	sent map[Key]time.Time
+	// sent holds the requests that the process had.
+	sent map[Key]sending
 }
 
 // suspicion is what the known crashes say of a request.
@@ -24,6 +36,8 @@
 	// isCause is true if it is taken for their cause, and lastAt the time of the last one.
 	isCause bool
 	lastAt  time.Time
+	// target is the key of the request's target.
+	target Key
 }
 
 // attribute returns the suspicion against each request that a process had when it ended.
@@ -35,12 +49,12 @@
 // requests that are sent most. Between two requests that were together in most of these
 // crashes nothing is decided until one of them has more than the other.
 func attribute(crashes []crash, served map[Key]time.Time) map[Key]suspicion {
-	out := map[Key]suspicion{}
+	out, targets := map[Key]suspicion{}, map[Key]bool{}
 	unexplained := slices.Clone(crashes)
 	slices.SortFunc(unexplained, func(a, b crash) int { return a.at.Compare(b.at) })
 	for {
 		counts := count(unexplained, served)
-		cause, isFound := findCause(unexplained, counts)
+		cause, isFound := findCause(unexplained, counts, targets)
 		if !isFound {
 			for key, s := range counts {
 				if _, isDecided := out[key]; !isDecided {
@@ -51,7 +65,7 @@
 		}
 		s := counts[cause]
 		s.isCause = true
-		out[cause] = s
+		out[cause], targets[s.target] = s, true
 		unexplained = slices.DeleteFunc(unexplained, func(c crash) bool { return c.has(cause) })
 	}
 }
@@ -66,23 +80,23 @@
 func count(crashes []crash, served map[Key]time.Time) map[Key]suspicion {
 	counts := map[Key]suspicion{}
 	for _, c := range crashes {
-		for key, sentAt := range c.sent {
+		for key, sent := range c.sent {
 			s := counts[key]
-			if !c.at.After(served[key]) || (s.crashes > 0 && sentAt.Before(s.lastAt)) {
+			if !c.at.After(served[key]) || (s.crashes > 0 && sent.at.Before(s.lastAt)) {
 				continue
 			}
-			counts[key] = suspicion{crashes: s.crashes + 1, lastAt: c.at}
+			counts[key] = suspicion{crashes: s.crashes + 1, lastAt: c.at, target: sent.target}
 		}
 	}
 	return counts
 }
 
 // findCause returns the request with the most crashes among those that are the cause of
-// theirs.
-func findCause(crashes []crash, counts map[Key]suspicion) (Key, bool) {
+// theirs. The targets are those of the causes that were found before.
+func findCause(crashes []crash, counts map[Key]suspicion, targets map[Key]bool) (Key, bool) {
 	var suspects []Key
 	for key, s := range counts {
-		if s.crashes >= minCrashes {
+		if s.crashes >= minCrashes || (s.crashes >= minRelatedCrashes && targets[s.target]) {
 			suspects = append(suspects, key)
 		}
 	}
--- a/internal/quarantiner/attribution_test.go
+++ b/internal/quarantiner/attribution_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,7 +12,7 @@
 )
 
 // testCrash is a crash, with the time at which each of its requests was sent, in tenths of a
-// second.
+// second. The first word of a request's name is its target.
 type testCrash struct {
 	at   int
 	sent map[string]int
@@ -27,9 +28,10 @@
 	var all []crash
 	names := map[Key]string{}
 	for _, tc := range crashes {
-		c := crash{at: tenths(tc.at), sent: map[Key]time.Time{}}
+		c := crash{at: tenths(tc.at), sent: map[Key]sending{}}
 		for name, sentAt := range tc.sent {
-			c.sent[key(name)] = tenths(sentAt)
+			target, _, _ := strings.Cut(name, " ")
+			c.sent[key(name)] = sending{at: tenths(sentAt), target: key(target)}
 			names[key(name)] = name
 		}
 		all = append(all, c)
@@ -80,6 +82,22 @@
 			nil,
 			map[string]bool{},
 		},
+		{
+			"another form of the same work",
+			[]testCrash{
+				{1, map[string]int{"bad": 0}}, {3, map[string]int{"bad": 2}}, {5, map[string]int{"bad": 4}},
+				{101, map[string]int{"bad again": 100, "a": 100}}, {103, map[string]int{"bad again": 102, "good": 102}},
+			},
+			nil, map[string]bool{"bad": true, "bad again": true},
+		},
+		{
+			"a neighbour to the same target",
+			[]testCrash{
+				{1, map[string]int{"bad": 0, "bad good": 0}}, {3, map[string]int{"bad": 2, "bad good": 2}}, {5, map[string]int{"bad": 4}},
+				{7, map[string]int{"bad": 6}}, {101, map[string]int{"bad good": 100}},
+			},
+			nil, map[string]bool{"bad": true},
+		},
 		{
 			"two causes that met once",
 			[]testCrash{
@@ -152,7 +170,7 @@
 	for now := 0; now < 20_000; now += step {
 		if random.IntN(100) < 90 { // 90 turns a second
 			next++
-			waiting = append(waiting, turn{key: key(fmt.Sprint("sound ", next)), sent: now})
+			waiting = append(waiting, turn{key: key(fmt.Sprint("sound", next)), sent: now})
 		}
 		if random.IntN(1000) < 25 && !isFound {
 			waiting = append(waiting, turn{key: bad, sent: now})
@@ -178,9 +196,9 @@
 			switch {
 			case ended[t.engine]:
 				if hit[t.engine] == nil {
-					hit[t.engine] = &crash{at: at(now), sent: map[Key]time.Time{}}
+					hit[t.engine] = &crash{at: at(now), sent: map[Key]sending{}}
 				}
-				hit[t.engine].sent[t.key] = at(t.sent)
+				hit[t.engine].sent[t.key] = sending{at: at(t.sent), target: t.key}
 				if t.attempts < 6 && (t.key != bad || !isFound) {
 					t.sent = now + 100 + random.IntN(300)
 					waiting = append(waiting, t)
--- a/internal/quarantiner/gossip.go
+++ b/internal/quarantiner/gossip.go
@@ -42,6 +42,7 @@
 	Key Key `cbor:"1,keyasint"`
 	// SentAge is the time since the request was sent.
 	SentAge time.Duration `cbor:"2,keyasint"`
+	Target  Key           `cbor:"3,keyasint"`
 }
 
 type reportedService struct {
@@ -74,8 +75,8 @@
 
 func encodeCrash(process string, c crash, now time.Time) reportedCrash {
 	out := reportedCrash{Process: process, Age: now.Sub(c.at)}
-	for key, sentAt := range c.sent {
-		out.Runs = append(out.Runs, reportedRun{Key: key, SentAge: now.Sub(sentAt)})
+	for key, sent := range c.sent {
+		out.Runs = append(out.Runs, reportedRun{Key: key, SentAge: now.Sub(sent.at), Target: sent.target})
 	}
 	return out
 }
@@ -113,9 +114,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, reported := range r.Crashes {
-		c := crash{at: now.Add(-reported.Age), sent: map[Key]time.Time{}}
+		c := crash{at: now.Add(-reported.Age), sent: map[Key]sending{}}
 		for _, run := range reported.Runs {
-			c.sent[run.Key] = now.Add(-run.SentAge)
+			c.sent[run.Key] = sending{at: now.Add(-run.SentAge), target: run.Target}
 		}
 		q.lockedAdd(reported.Process, c)
 	}
--- a/internal/quarantiner/key.go
+++ b/internal/quarantiner/key.go
@@ -11,6 +11,10 @@
 // cryptographic hash, so that no caller can make a request that has the key of another one.
 type Key [16]byte
 
+// TargetOf returns the key that a request shares with all requests to its target, whatever
+// their bodies.
+func TargetOf(host, method, target string) Key { return KeyOf(host, method, target, nil) }
+
 // KeyOf returns the key of a request.
 func KeyOf(host, method, target string, body []byte) Key {
 	h := sha256.New()
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -89,7 +89,7 @@
 
 // run is one execution of a request that broke off.
 type run struct {
-	key Key
+	key, target Key
 	// sentAt is when the request was sent, brokenAt when its connection failed.
 	sentAt, brokenAt time.Time
 }
@@ -176,13 +176,13 @@
 
 // RecordBreak records that a request, sent at the time, broke off at the endpoint, and checks
 // whether the endpoint's process has ended.
-func (q *Quarantiner) RecordBreak(key Key, endpoint registrar.Endpoint, sentAt time.Time) {
+func (q *Quarantiner) RecordBreak(key, target Key, endpoint registrar.Endpoint, sentAt time.Time) {
 	process := endpoint.Process()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	isChecked := len(q.broken[process]) > 0
 	if len(q.broken[process]) < maxRequests {
-		q.broken[process] = append(q.broken[process], run{key: key, sentAt: sentAt, brokenAt: time.Now()})
+		q.broken[process] = append(q.broken[process], run{key: key, target: target, sentAt: sentAt, brokenAt: time.Now()})
 	}
 	if !isChecked {
 		time.AfterFunc(checkDelay, func() { q.check(endpoint) })
@@ -202,12 +202,12 @@
 		q.mu.Unlock()
 		return
 	}
-	c := crash{at: runs[0].brokenAt, sent: map[Key]time.Time{}}
+	c := crash{at: runs[0].brokenAt, sent: map[Key]sending{}}
 	keys := make([]string, 0, len(runs))
 	for _, r := range runs {
 		keys = append(keys, r.key.String())
-		if r.sentAt.After(c.sent[r.key]) {
-			c.sent[r.key] = r.sentAt
+		if r.sentAt.After(c.sent[r.key].at) {
+			c.sent[r.key] = sending{at: r.sentAt, target: r.target}
 		}
 	}
 	q.lockedAdd(process, c)
@@ -221,12 +221,12 @@
 func (q *Quarantiner) lockedAdd(process string, c crash) {
 	known, isKnown := q.crashes[process]
 	if !isKnown {
-		known = crash{at: c.at, sent: map[Key]time.Time{}}
+		known = crash{at: c.at, sent: map[Key]sending{}}
 	}
-	for key, sentAt := range c.sent {
+	for key, sent := range c.sent {
 		if known.has(key) || len(known.sent) < maxRequests {
-			if sentAt.After(known.sent[key]) {
-				known.sent[key] = sentAt
+			if sent.at.After(known.sent[key].at) {
+				known.sent[key] = sent
 			}
 		}
 	}
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -89,7 +89,7 @@
 	n.state.Lock()
 	n.refusing[e.Address] = true
 	n.state.Unlock()
-	n.RecordBreak(k, e, time.Now())
+	n.RecordBreak(k, k, e, time.Now())
 	time.Sleep(time.Second)
 }
 
@@ -157,7 +157,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork(1)[0]
 		for i := range minCrashes {
-			n.RecordBreak(key("accepts"), endpoint(i), time.Now())
+			n.RecordBreak(key("accepts"), Key{}, endpoint(i), time.Now())
 			time.Sleep(time.Second)
 			n.crashUnder(key("alive"), 10+i)
 			n.state.Lock()
@@ -203,7 +203,7 @@
 		for i := range 2 * maxCrashes {
 			e := endpoint(i)
 			for r := range 2 * maxRequests {
-				n.RecordBreak(key(fmt.Sprint(i, "/", r)), e, time.Now())
+				n.RecordBreak(key(fmt.Sprint(i, "/", r)), Key{}, e, time.Now())
 			}
 			time.Sleep(100 * time.Millisecond)
 		}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -70,9 +70,9 @@
 	Find(key quarantiner.Key) quarantiner.Status
 	// RecordServed records that an endpoint responded to the request.
 	RecordServed(key quarantiner.Key)
-	// RecordBreak records that a request with the key, sent at the time, broke off at the
-	// endpoint.
-	RecordBreak(key quarantiner.Key, endpoint registrar.Endpoint, sentAt time.Time)
+	// RecordBreak records that a request with the key and to the target, sent at the time,
+	// broke off at the endpoint.
+	RecordBreak(key, target quarantiner.Key, endpoint registrar.Endpoint, sentAt time.Time)
 }
 
 // Policy holds the parameters of admission and placement.
@@ -263,7 +263,8 @@
 	}
 	x.breakCount++
 	x.access.key = x.requestKey().String()
-	x.Quarantine.RecordBreak(x.requestKey(), c.Endpoint, sentAt)
+	target := quarantiner.TargetOf(x.call.Host, x.call.Method, x.call.Target)
+	x.Quarantine.RecordBreak(x.requestKey(), target, c.Endpoint, sentAt)
 }
 
 // timeLeft returns the time until the deadline.
