--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -103,27 +103,37 @@
 	logOutput *logger.RateLimitedWriter
 	meter     *meter.Meter
 
-	peerClient *messenger.Client
-	sender     *sender.Sender
-	rerouter   *rerouter.Rerouter
-	discoverer *discoverer.Discoverer
-	registry   *registrar.Registry
-	watcher    *watcher.Watcher
-	batcher    *batcher.Batcher
-	pruner     *pruner.Pruner
-	bookkeeper *bookkeeper.Bookkeeper
-	budgets    *bookkeeper.Client
-	relayer    *relayer.Relayer
-	peerServer *messenger.Server
-	isLeaving  atomic.Bool
-	wasReady   atomic.Bool
+	dialEndpoint sender.Dial
+	peerClient   *messenger.Client
+	sender       *sender.Sender
+	rerouter     *rerouter.Rerouter
+	discoverer   *discoverer.Discoverer
+	registry     *registrar.Registry
+	watcher      *watcher.Watcher
+	batcher      *batcher.Batcher
+	pruner       *pruner.Pruner
+	bookkeeper   *bookkeeper.Bookkeeper
+	budgets      *bookkeeper.Client
+	relayer      *relayer.Relayer
+	peerServer   *messenger.Server
+	isLeaving    atomic.Bool
+	wasReady     atomic.Bool
 }
 
+// Option sets one property of an Entry.
+type Option func(*Entry)
+
+// WithEndpointDial sets the function that opens connections to endpoints.
+func WithEndpointDial(dial sender.Dial) Option { return func(e *Entry) { e.dialEndpoint = dial } }
+
 // New returns an Entry that has not been started. It writes its log lines to out.
-func New(settings *configurer.EntrySettings, platform Platform, out io.Writer) (*Entry, error) {
-	e := &Entry{settings: settings, logOutput: logger.NewRateLimitedWriter(out), meter: meter.New(), registry: registrar.New()}
+func New(settings *configurer.EntrySettings, platform Platform, out io.Writer, options ...Option) (*Entry, error) {
+	e := &Entry{dialEndpoint: sender.NewDial(), settings: settings, logOutput: logger.NewRateLimitedWriter(out), meter: meter.New(), registry: registrar.New()}
 	e.log = newLogger(settings.Log, e.logOutput).With("Instance", settings.Instance)
-	e.peerClient, e.sender = messenger.NewClient(), sender.New()
+	for _, option := range options {
+		option(e)
+	}
+	e.peerClient, e.sender = messenger.NewClient(), sender.New(sender.WithDial(e.dialEndpoint))
 	metrics := newMetrics(e.meter, e.sender, e.registry)
 	e.rerouter = rerouter.New(platform.Rows, e.peerClient, rerouter.WithCallCounter(metrics.countStoreCall),
 		rerouter.WithPathObserver(func(from, to rerouter.Path, cause error) {
--- a/internal/composer/fleet_test.go
+++ b/internal/composer/fleet_test.go
@@ -34,6 +34,8 @@
 	client    *http.Client
 	log       *sharedLog
 	grace     time.Duration
+	// options returns the options of an instance; nil for none.
+	options func(instance string) []composer.Option
 	// registrations are those of the endpoints, by ID.
 	registrations map[string]standin.Registration
 }
@@ -197,7 +199,7 @@
 			EndpointTable:    platform.TableEndpoints,
 			DecodeTable:      platform.DecodeConfiguration, DecodeEndpoint: platform.DecodeEndpoint,
 		},
-	}, f.log)
+	}, f.log, f.optionsOf(settings.Instance)...)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -211,6 +213,13 @@
 	return in
 }
 
+func (f *fleet) optionsOf(instance string) []composer.Option {
+	if f.options == nil {
+		return nil
+	}
+	return f.options(instance)
+}
+
 // stop stops the instance gracefully and waits for its end.
 func (f *fleet) stop(in *instance) {
 	in.cancel()
--- a/internal/quarantiner/attribution_test.go
+++ b/internal/quarantiner/attribution_test.go
@@ -85,18 +85,26 @@
 		{
 			"another form of the same work",
 			[]testCrash{
-				{1, map[string]int{"bad": 0}}, {3, map[string]int{"bad": 2}}, {5, map[string]int{"bad": 4}},
-				{101, map[string]int{"bad again": 100, "a": 100}}, {103, map[string]int{"bad again": 102, "good": 102}},
+				{1, map[string]int{"bad": 0}},
+				{3, map[string]int{"bad": 2}},
+				{5, map[string]int{"bad": 4}},
+				{101, map[string]int{"bad again": 100, "a": 100}},
+				{103, map[string]int{"bad again": 102, "good": 102}},
 			},
-			nil, map[string]bool{"bad": true, "bad again": true},
+			nil,
+			map[string]bool{"bad": true, "bad again": true},
 		},
 		{
 			"a neighbour to the same target",
 			[]testCrash{
-				{1, map[string]int{"bad": 0, "bad good": 0}}, {3, map[string]int{"bad": 2, "bad good": 2}}, {5, map[string]int{"bad": 4}},
-				{7, map[string]int{"bad": 6}}, {101, map[string]int{"bad good": 100}},
+				{1, map[string]int{"bad": 0, "bad good": 0}},
+				{3, map[string]int{"bad": 2, "bad good": 2}},
+				{5, map[string]int{"bad": 4}},
+				{7, map[string]int{"bad": 6}},
+				{101, map[string]int{"bad good": 100}},
 			},
-			nil, map[string]bool{"bad": true},
+			nil,
+			map[string]bool{"bad": true},
 		},
 		{
 			"two causes that met once",
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -110,18 +110,34 @@
 
 // Sender sends requests and pools connections. It is safe for concurrent use.
 type Sender struct {
-	dial func(ctx context.Context, network, address string) (net.Conn, error)
+	dial Dial
 
 	mu     sync.Mutex
 	idle   map[netip.AddrPort][]*conn
 	opened int64
 }
 
+// Dial opens a connection to an endpoint, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Option sets one property of a Sender.
+type Option func(*Sender)
+
+// WithDial sets the function that opens connections.
+func WithDial(dial Dial) Option { return func(s *Sender) { s.dial = dial } }
+
 // New returns a Sender.
-func New() *Sender {
-	return &Sender{dial: dialer.New(dialTimeout, ackTimeout).DialContext, idle: map[netip.AddrPort][]*conn{}}
+func New(options ...Option) *Sender {
+	s := &Sender{dial: NewDial(), idle: map[netip.AddrPort][]*conn{}}
+	for _, option := range options {
+		option(s)
+	}
+	return s
 }
 
+// NewDial returns a Dial with the timeouts for endpoints.
+func NewDial() Dial { return dialer.New(dialTimeout, ackTimeout).DialContext }
+
 // ConnectionsOpened returns the number of connections opened, including failed
 // attempts.
 func (s *Sender) ConnectionsOpened() int64 {
