internal/quarantiner: targets of requests that crash endpoints in many forms

Each request now has a second key, that of its target. All requests to a target are quarantined after three crashes one after the other under different bodies, or four with two bodies, if none to the target was served in between. Other targets with many requests are served all the time and are never concerned. This replaces the lower threshold for known targets, and a request that broke off once isn't retried within its attempt if it is under suspicion.

--- a/internal/composer/crash_test.go
+++ b/internal/composer/crash_test.go
@@ -133,13 +133,16 @@
 }
 
 // poisonCalls returns calls that crash endpoints: a retained turn, a resumable stream and a
-// plain call. Each of them comes in many programs, always the same.
+// plain call, which come in many programs and are always the same, and a stream whose body
+// begins with what its program said before.
 func poisonCalls(id, program string) []standin.Call {
 	turn := turnCall(id+"-turn", program, "", poison)
 	turn.Path = standin.PathRetained + poison
 	session := sessionCall(id+"-session", program)
 	session.Path, session.Body = standin.PathSession+poison, poison
-	return []standin.Call{turn, session, {ID: id + "-call", Path: standin.PathLookup + poison, Body: poison}}
+	forms := sessionCall(id+"-forms", program)
+	forms.Path, forms.Body = standin.PathSession+poison+"-forms", "said before in "+id+", "+poison
+	return []standin.Call{turn, session, forms, {ID: id + "-call", Path: standin.PathLookup + poison, Body: poison}}
 }
 
 // soundCalls returns calls that run beside them: turns and calls of their own, and a call
--- a/internal/quarantiner/attribution.go
+++ b/internal/quarantiner/attribution.go
@@ -10,9 +10,12 @@
 	// minCrashes is the number of crashes, one after the other, from which a request is
 	// taken for their cause.
 	minCrashes = 3
-	// minRelatedCrashes is that of a request to the target of another cause. The same work
-	// may come in several forms: a turn continues a transcript or repeats it.
-	minRelatedCrashes = 2
+	// minBodies is the number of requests with different bodies in the crashes of a target
+	// from which all requests to the target are taken for the cause, and minFewBodies that
+	// for targets with more than minCrashes crashes. The same work may come in many forms:
+	// a turn continues a transcript, or each of its callers repeats another one.
+	minBodies    = 3
+	minFewBodies = 2
 )
 
 // sending is the last send of a request to a process.
@@ -36,11 +39,10 @@
 	// isCause is true if it is taken for their cause, and lastAt the time of the last one.
 	isCause bool
 	lastAt  time.Time
-	// target is the key of the request's target.
-	target Key
 }
 
-// attribute returns the suspicion against each request that a process had when it ended.
+// attribute returns the suspicion against each request that a process had when it ended, and
+// against their targets.
 //
 // Each crash hits all requests of the process, so that the number of crashes alone doesn't
 // tell the cause from its neighbours. Crashes before a request was last served don't count
@@ -49,25 +51,69 @@
 // requests that are sent most. Between two requests that were together in most of these
 // crashes nothing is decided until one of them has more than the other.
 func attribute(crashes []crash, served map[Key]time.Time) map[Key]suspicion {
-	out, targets := map[Key]suspicion{}, map[Key]bool{}
-	unexplained := slices.Clone(crashes)
-	slices.SortFunc(unexplained, func(a, b crash) int { return a.at.Compare(b.at) })
+	out := map[Key]suspicion{}
+	all := slices.Clone(crashes)
+	slices.SortFunc(all, func(a, b crash) int { return a.at.Compare(b.at) })
+	unexplained := all
 	for {
 		counts := count(unexplained, served)
-		cause, isFound := findCause(unexplained, counts, targets)
+		cause, isFound := findCause(unexplained, counts)
 		if !isFound {
 			for key, s := range counts {
 				if _, isDecided := out[key]; !isDecided {
 					out[key] = s
 				}
 			}
-			return out
+			break
 		}
 		s := counts[cause]
 		s.isCause = true
-		out[cause], targets[s.target] = s, true
-		unexplained = slices.DeleteFunc(unexplained, func(c crash) bool { return c.has(cause) })
+		out[cause] = s
+		unexplained = slices.DeleteFunc(slices.Clone(unexplained), func(c crash) bool { return c.has(cause) })
+	}
+	for target, s := range attributeTargets(all, out, served) {
+		out[target] = s
 	}
+	return out
+}
+
+// attributeTargets returns the suspicion against each target. Crashes with a cause count
+// against its target only.
+func attributeTargets(crashes []crash, requests map[Key]suspicion, served map[Key]time.Time) map[Key]suspicion {
+	bodies := map[Key]map[Key]bool{}
+	var byTarget []crash
+	for _, c := range crashes {
+		causes := map[Key]bool{}
+		for key, sent := range c.sent {
+			if requests[key].isCause {
+				causes[sent.target] = true
+			}
+		}
+		targets := crash{at: c.at, sent: map[Key]sending{}}
+		for key, sent := range c.sent {
+			if (len(causes) > 0 && !causes[sent.target]) || !c.at.After(served[sent.target]) {
+				continue
+			}
+			if sent.at.After(targets.sent[sent.target].at) {
+				targets.sent[sent.target] = sent
+			}
+			if bodies[sent.target] == nil {
+				bodies[sent.target] = map[Key]bool{}
+			}
+			bodies[sent.target][key] = true
+		}
+		byTarget = append(byTarget, targets)
+	}
+	counts := count(byTarget, served)
+	for target, s := range counts {
+		isEnough := s.crashes >= minCrashes && len(bodies[target]) >= minBodies ||
+			s.crashes > minCrashes && len(bodies[target]) >= minFewBodies
+		if isEnough && !isAmbiguous(target, byTarget, counts) {
+			s.isCause = true
+			counts[target] = s
+		}
+	}
+	return counts
 }
 
 func (c crash) has(key Key) bool {
@@ -85,18 +131,18 @@
 			if !c.at.After(served[key]) || (s.crashes > 0 && sent.at.Before(s.lastAt)) {
 				continue
 			}
-			counts[key] = suspicion{crashes: s.crashes + 1, lastAt: c.at, target: sent.target}
+			counts[key] = suspicion{crashes: s.crashes + 1, lastAt: c.at}
 		}
 	}
 	return counts
 }
 
 // findCause returns the request with the most crashes among those that are the cause of
-// theirs. The targets are those of the causes that were found before.
-func findCause(crashes []crash, counts map[Key]suspicion, targets map[Key]bool) (Key, bool) {
+// theirs.
+func findCause(crashes []crash, counts map[Key]suspicion) (Key, bool) {
 	var suspects []Key
 	for key, s := range counts {
-		if s.crashes >= minCrashes || (s.crashes >= minRelatedCrashes && targets[s.target]) {
+		if s.crashes >= minCrashes {
 			suspects = append(suspects, key)
 		}
 	}
--- a/internal/quarantiner/attribution_test.go
+++ b/internal/quarantiner/attribution_test.go
@@ -31,8 +31,8 @@
 		c := crash{at: tenths(tc.at), sent: map[Key]sending{}}
 		for name, sentAt := range tc.sent {
 			target, _, _ := strings.Cut(name, " ")
-			c.sent[key(name)] = sending{at: tenths(sentAt), target: key(target)}
-			names[key(name)] = name
+			c.sent[key(name)] = sending{at: tenths(sentAt), target: key("to " + target)}
+			names[key(name)], names[key("to "+target)] = name, "to "+target
 		}
 		all = append(all, c)
 	}
@@ -89,19 +89,34 @@
 				{3, map[string]int{"bad": 2}},
 				{5, map[string]int{"bad": 4}},
 				{101, map[string]int{"bad again": 100, "a": 100}},
-				{103, map[string]int{"bad again": 102, "good": 102}},
 			},
 			nil,
-			map[string]bool{"bad": true, "bad again": true},
+			map[string]bool{"bad": true, "to bad": true},
+		},
+		{
+			"a form for each caller",
+			[]testCrash{{1, map[string]int{"bad 1": 0, "a": 0}}, {3, map[string]int{"bad 2": 2}}, {5, map[string]int{"bad 3": 4}}},
+			nil,
+			map[string]bool{"to bad": true},
+		},
+		{
+			"other requests to the target are served",
+			[]testCrash{{1, map[string]int{"bad 1": 0, "a": 0}}, {3, map[string]int{"bad 2": 2}}, {5, map[string]int{"bad 3": 4}}},
+			map[string]int{"to bad": 4},
+			map[string]bool{},
 		},
 		{
 			"a neighbour to the same target",
 			[]testCrash{
-				{1, map[string]int{"bad": 0, "bad good": 0}},
-				{3, map[string]int{"bad": 2, "bad good": 2}},
-				{5, map[string]int{"bad": 4}},
-				{7, map[string]int{"bad": 6}},
-				{101, map[string]int{"bad good": 100}},
+				{1, map[string]int{"bad": 0, "bad good": 0}}, {3, map[string]int{"bad": 2}}, {5, map[string]int{"bad": 4}}, {7, map[string]int{"bad": 6}},
+			},
+			map[string]int{"to bad": 2},
+			map[string]bool{"bad": true},
+		},
+		{
+			"neighbours to a target of their own",
+			[]testCrash{
+				{1, map[string]int{"bad": 0, "good 1": 0}}, {3, map[string]int{"bad": 2, "good 2": 2}}, {5, map[string]int{"bad": 4, "good 3": 4}}, {7, map[string]int{"bad": 6, "good 4": 4}},
 			},
 			nil,
 			map[string]bool{"bad": true},
@@ -148,6 +163,9 @@
 	}
 }
 
+// targetOf returns one of 256 targets.
+func targetOf(k Key) Key { return key("to one of " + string(k[:1])) }
+
 // replayCrashes plays one seed for 20 s. It returns the number of crashes until the cause was
 // found and the number of sound requests that were taken for a cause.
 func replayCrashes(random *rand.Rand, engines int) (crashesUntilFound, sound int) {
@@ -206,13 +224,13 @@
 				if hit[t.engine] == nil {
 					hit[t.engine] = &crash{at: at(now), sent: map[Key]sending{}}
 				}
-				hit[t.engine].sent[t.key] = sending{at: at(t.sent), target: t.key}
+				hit[t.engine].sent[t.key] = sending{at: at(t.sent), target: targetOf(t.key)}
 				if t.attempts < 6 && (t.key != bad || !isFound) {
 					t.sent = now + 100 + random.IntN(300)
 					waiting = append(waiting, t)
 				}
 			case now-t.sent >= duration:
-				served[t.key] = at(now)
+				served[t.key], served[targetOf(t.key)] = at(now), at(now)
 			default:
 				left = append(left, t)
 			}
@@ -229,7 +247,7 @@
 			switch {
 			case s.isCause && k == bad && !isFound:
 				isFound, crashesUntilFound = true, len(crashes)
-			case s.isCause && k != bad:
+			case s.isCause && k != bad && k != targetOf(bad):
 				sound++
 			}
 		}
--- a/internal/quarantiner/key.go
+++ b/internal/quarantiner/key.go
@@ -11,9 +11,18 @@
 // cryptographic hash, so that no caller can make a request that has the key of another one.
 type Key [16]byte
 
-// TargetOf returns the key that a request shares with all requests to its target, whatever
-// their bodies.
-func TargetOf(host, method, target string) Key { return KeyOf(host, method, target, nil) }
+// Identity is what identifies a request.
+type Identity struct {
+	Key Key
+	// Target is what the request shares with all others to its target, whatever their
+	// bodies. No request has it as its Key.
+	Target Key
+}
+
+// IdentityOf returns the identity of a request.
+func IdentityOf(host, method, target string, body []byte) Identity {
+	return Identity{Key: KeyOf(host, method, target, body), Target: KeyOf(host, "any body "+method, target, nil)}
+}
 
 // KeyOf returns the key of a request.
 func KeyOf(host, method, target string, body []byte) Key {
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -89,7 +89,7 @@
 
 // run is one execution of a request that broke off.
 type run struct {
-	key, target Key
+	request Identity
 	// sentAt is when the request was sent, brokenAt when its connection failed.
 	sentAt, brokenAt time.Time
 }
@@ -157,32 +157,33 @@
 // need not be called.
 func (q *Quarantiner) IsWatching() bool { return q.isWatching.Load() }
 
-// Find returns what is known of the request.
-func (q *Quarantiner) Find(key Key) Status {
+// Find returns what is known of the request, and of its target.
+func (q *Quarantiner) Find(request Identity) Status {
 	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.lockedRefresh(now)
-	status := Status{Crashes: q.suspicions[key].crashes}
-	if own, isKnown := q.quarantines[key]; isKnown {
-		status.Left = max(own.until.Sub(now), 0)
-	}
-	if v, isKnown := q.verdicts[key]; isKnown && v.isValid(now) {
-		status.Crashes = max(status.Crashes, v.Crashes)
-		status.Left = max(status.Left, v.left(now))
+	var status Status
+	for _, key := range []Key{request.Key, request.Target} {
+		left := max(q.quarantines[key].until.Sub(now), 0)
+		crashes := q.suspicions[key].crashes
+		if v, isKnown := q.verdicts[key]; isKnown && v.isValid(now) {
+			crashes, left = max(crashes, v.Crashes), max(left, v.left(now))
+		}
+		status.Crashes, status.Left = max(status.Crashes, crashes), max(status.Left, left)
 	}
 	return status
 }
 
 // RecordBreak records that a request, sent at the time, broke off at the endpoint, and checks
 // whether the endpoint's process has ended.
-func (q *Quarantiner) RecordBreak(key, target Key, endpoint registrar.Endpoint, sentAt time.Time) {
+func (q *Quarantiner) RecordBreak(request Identity, endpoint registrar.Endpoint, sentAt time.Time) {
 	process := endpoint.Process()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	isChecked := len(q.broken[process]) > 0
 	if len(q.broken[process]) < maxRequests {
-		q.broken[process] = append(q.broken[process], run{key: key, target: target, sentAt: sentAt, brokenAt: time.Now()})
+		q.broken[process] = append(q.broken[process], run{request: request, sentAt: sentAt, brokenAt: time.Now()})
 	}
 	if !isChecked {
 		time.AfterFunc(checkDelay, func() { q.check(endpoint) })
@@ -205,9 +206,9 @@
 	c := crash{at: runs[0].brokenAt, sent: map[Key]sending{}}
 	keys := make([]string, 0, len(runs))
 	for _, r := range runs {
-		keys = append(keys, r.key.String())
-		if r.sentAt.After(c.sent[r.key].at) {
-			c.sent[r.key] = sending{at: r.sentAt, target: r.target}
+		keys = append(keys, r.request.Key.String())
+		if r.sentAt.After(c.sent[r.request.Key].at) {
+			c.sent[r.request.Key] = sending{at: r.sentAt, target: r.request.Target}
 		}
 	}
 	q.lockedAdd(process, c)
@@ -248,20 +249,26 @@
 
 // RecordServed records that an endpoint responded to the request. The crashes before it have
 // another cause.
-func (q *Quarantiner) RecordServed(key Key) {
+func (q *Quarantiner) RecordServed(request Identity) {
 	now := time.Now()
+	var cleared []reportedService
 	q.mu.Lock()
-	_, isSuspected := q.suspicions[key]
-	_, isReceived := q.verdicts[key]
-	if !isSuspected && !isReceived {
-		q.mu.Unlock()
-		return
+	for _, key := range []Key{request.Key, request.Target} {
+		_, isSuspected := q.suspicions[key]
+		_, isReceived := q.verdicts[key]
+		if isSuspected || isReceived {
+			q.served[key] = now
+			delete(q.verdicts, key)
+			cleared = append(cleared, reportedService{Key: key})
+		}
+	}
+	if len(cleared) > 0 {
+		q.lockedAttribute()
 	}
-	q.served[key] = now
-	delete(q.verdicts, key)
-	q.lockedAttribute()
 	q.mu.Unlock()
-	q.send(report{Served: []reportedService{{Key: key}}})
+	if len(cleared) > 0 {
+		q.send(report{Served: cleared})
+	}
 }
 
 // lockedRefresh derives the suspicions anew if they are old.
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -79,6 +79,9 @@
 	return nodes
 }
 
+// request returns a request to a target of its own.
+func request(k Key) Identity { return Identity{Key: k, Target: Key{1: k[0], 2: k[1], 3: k[2]}} }
+
 func endpoint(i int) registrar.Endpoint {
 	return registrar.Endpoint{ID: fmt.Sprint("engine-", i), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 1)}
 }
@@ -89,7 +92,7 @@
 	n.state.Lock()
 	n.refusing[e.Address] = true
 	n.state.Unlock()
-	n.RecordBreak(k, k, e, time.Now())
+	n.RecordBreak(request(k), e, time.Now())
 	time.Sleep(time.Second)
 }
 
@@ -106,7 +109,7 @@
 		}
 		tell(nodes[0], nodes[4])
 		for i, want := range []bool{true, false, false, true, true} {
-			if got := nodes[i].Find(bad).Left > 0; got != want {
+			if got := nodes[i].Find(request(bad)).Left > 0; got != want {
 				t.Errorf("instance %d: quarantined %v, want %v", i, got, want)
 			}
 		}
@@ -121,7 +124,7 @@
 		for i := range minCrashes {
 			n.crashUnder(key("bad"), i)
 		}
-		if got := n.Find(key("bad")); got.Left == 0 || got.Crashes != minCrashes {
+		if got := n.Find(request(key("bad"))); got.Left == 0 || got.Crashes != minCrashes {
 			t.Errorf("%+v", got)
 		}
 	})
@@ -144,7 +147,7 @@
 			}
 		}
 		for i, n := range nodes {
-			if got := n.Find(key("bad")); got != (Status{}) || n.IsWatching() {
+			if got := n.Find(request(key("bad"))); got != (Status{}) || n.IsWatching() {
 				t.Errorf("instance %d: %+v, watching: %v", i, got, n.IsWatching())
 			}
 		}
@@ -157,7 +160,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork(1)[0]
 		for i := range minCrashes {
-			n.RecordBreak(key("accepts"), Key{}, endpoint(i), time.Now())
+			n.RecordBreak(request(key("accepts")), endpoint(i), time.Now())
 			time.Sleep(time.Second)
 			n.crashUnder(key("alive"), 10+i)
 			n.state.Lock()
@@ -166,7 +169,7 @@
 		}
 		time.Sleep(2 * attributionAge)
 		for _, name := range []string{"accepts", "alive"} {
-			if diff := cmp.Diff(Status{}, n.Find(key(name))); diff != "" {
+			if diff := cmp.Diff(Status{}, n.Find(request(key(name)))); diff != "" {
 				t.Errorf("%s: %s", name, diff)
 			}
 		}
@@ -182,11 +185,11 @@
 		for i := range 2 * minCrashes {
 			n := nodes[1+i%2]
 			n.crashUnder(popular, i)
-			n.RecordServed(popular)
+			n.RecordServed(request(popular))
 			time.Sleep(time.Second)
 		}
 		for i, n := range nodes {
-			if got := n.Find(popular); got.Left > 0 {
+			if got := n.Find(request(popular)); got.Left > 0 {
 				t.Errorf("instance %d: %+v", i, got)
 			}
 		}
@@ -203,7 +206,7 @@
 		for i := range 2 * maxCrashes {
 			e := endpoint(i)
 			for r := range 2 * maxRequests {
-				n.RecordBreak(key(fmt.Sprint(i, "/", r)), Key{}, e, time.Now())
+				n.RecordBreak(request(key(fmt.Sprint(i, "/", r))), e, time.Now())
 			}
 			time.Sleep(100 * time.Millisecond)
 		}
@@ -216,7 +219,7 @@
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		for name, sizes := range map[string][2]int{
-			"crashes": {len(n.crashes), maxCrashes}, "suspicions": {len(n.suspicions), maxCrashes * maxRequests},
+			"crashes": {len(n.crashes), maxCrashes}, "suspicions": {len(n.suspicions), 2 * maxCrashes * maxRequests},
 			"verdicts": {len(n.verdicts), maxReceived}, "broken": {len(n.broken), 0}, "sent": {sent, maxVerdicts},
 		} {
 			if sizes[0] > sizes[1] {
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -90,7 +90,7 @@
 func (x *exchange) placeCall(fleet chooser.Fleet, excluded map[string]bool) (registrar.Candidate, error) {
 	return x.place(x.candidates(excluded), maxPermitWait, func(candidates []registrar.Candidate) int {
 		if x.suspicion().Crashes > 0 {
-			return chooser.ForSuspect(x.requestKey().String(), candidates)
+			return chooser.ForSuspect(x.request().Key.String(), candidates)
 		}
 		return chooser.ForCall(x.call.ID, fleet, candidates)
 	})
@@ -98,7 +98,7 @@
 
 // refuseQuarantined refuses a request that crashed endpoints. It did not run in this attempt.
 func (x *exchange) refuseQuarantined(left time.Duration) {
-	x.access.key = x.requestKey().String()
+	x.access.key = x.request().Key.String()
 	x.refuse(answerer.New(answerer.Quarantined, "endpoints crashed while they ran this request; it is not sent to others for a time").WithRetryAfter(left), "Quarantined")
 }
 
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -61,7 +61,7 @@
 			continue
 		}
 		sent++
-		if failure.mayHaveRun && !x.route.Idempotent() || x.breakCount >= maxBreaks {
+		if failure.mayHaveRun && !x.route.Idempotent() || x.mayBeCause() {
 			break
 		}
 		x.Metrics.CountRetry(failureReason(err))
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -67,12 +67,11 @@
 	// IsWatching reports whether any request is under suspicion. Otherwise Find and
 	// RecordServed need not be called.
 	IsWatching() bool
-	Find(key quarantiner.Key) quarantiner.Status
+	Find(request quarantiner.Identity) quarantiner.Status
 	// RecordServed records that an endpoint responded to the request.
-	RecordServed(key quarantiner.Key)
-	// RecordBreak records that a request with the key and to the target, sent at the time,
-	// broke off at the endpoint.
-	RecordBreak(key, target quarantiner.Key, endpoint registrar.Endpoint, sentAt time.Time)
+	RecordServed(request quarantiner.Identity)
+	// RecordBreak records that a request, sent at the time, broke off at the endpoint.
+	RecordBreak(request quarantiner.Identity, endpoint registrar.Endpoint, sentAt time.Time)
 }
 
 // Policy holds the parameters of admission and placement.
@@ -150,8 +149,8 @@
 	// deadline is when the response must be complete.
 	deadline time.Time
 	access   accessRecord
-	// key identifies what the caller sent; nil until requestKey has computed it.
-	key *quarantiner.Key
+	// identity is that of what the caller sent; nil until it is needed.
+	identity *quarantiner.Identity
 	// breakCount is the number of attempts that broke off at an endpoint.
 	breakCount int
 }
@@ -231,13 +230,13 @@
 	return true
 }
 
-// requestKey returns the key that identifies what the caller sent.
-func (x *exchange) requestKey() quarantiner.Key {
-	if x.key == nil {
-		key := quarantiner.KeyOf(x.call.Host, x.call.Method, x.call.Target, x.body)
-		x.key = &key
+// request returns the identity of what the caller sent.
+func (x *exchange) request() quarantiner.Identity {
+	if x.identity == nil {
+		identity := quarantiner.IdentityOf(x.call.Host, x.call.Method, x.call.Target, x.body)
+		x.identity = &identity
 	}
-	return *x.key
+	return *x.identity
 }
 
 // suspicion returns what is known of crashes of endpoints under the request.
@@ -245,16 +244,22 @@
 	if !x.Quarantine.IsWatching() {
 		return quarantiner.Status{}
 	}
-	return x.Quarantine.Find(x.requestKey())
+	return x.Quarantine.Find(x.request())
 }
 
 // recordServed records that an endpoint responded to the request.
 func (x *exchange) recordServed() {
 	if x.Quarantine.IsWatching() {
-		x.Quarantine.RecordServed(x.requestKey())
+		x.Quarantine.RecordServed(x.request())
 	}
 }
 
+// mayBeCause reports whether the request is not to be sent again in this attempt, as endpoints
+// broke off under it that may have crashed.
+func (x *exchange) mayBeCause() bool {
+	return x.breakCount >= maxBreaks || (x.breakCount > 0 && x.suspicion().Crashes >= maxBreaks)
+}
+
 // recordBreak records a failed attempt if its connection failed while the endpoint had the
 // request.
 func (x *exchange) recordBreak(c registrar.Candidate, sentAt time.Time, err error) {
@@ -262,9 +267,8 @@
 		return
 	}
 	x.breakCount++
-	x.access.key = x.requestKey().String()
-	target := quarantiner.TargetOf(x.call.Host, x.call.Method, x.call.Target)
-	x.Quarantine.RecordBreak(x.requestKey(), target, c.Endpoint, sentAt)
+	x.access.key = x.request().Key.String()
+	x.Quarantine.RecordBreak(x.request(), c.Endpoint, sentAt)
 }
 
 // timeLeft returns the time until the deadline.
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -240,7 +240,7 @@
 		case mayContinue && isNotRun && !t.isHeadWritten && sent < t.route.MaxAttempts:
 			attempted[c.ID] = true
 			resumeAt = nil
-		case mayContinue && !isNotRun && t.route.Resumable && t.breakCount < maxBreaks:
+		case mayContinue && !isNotRun && t.route.Resumable && !t.mayBeCause():
 			resumeAt = &c
 		default:
 			t.fail(failure)
@@ -269,7 +269,7 @@
 	}
 	return t.place(candidates, maxWait, func(candidates []registrar.Candidate) int {
 		if t.suspicion().Crashes > 0 {
-			return chooser.ForSuspect(t.requestKey().String(), candidates)
+			return chooser.ForSuspect(t.request().Key.String(), candidates)
 		}
 		return chooser.ForTurn(chooser.Turn{
 			Key: t.placementKey(), Home: t.home, DataCentre: t.DataCentre,
