internal/tunneler, internal/messenger: endpoints are reached through other instances

Cause: the only path to an endpoint was the instance's own, and each request found out anew that there is none.

A connection that isn't open after 100 ms, or fails, is opened through another instance, too, which carries its bytes over a drpc stream; whoever is first wins. Endpoints that are reached only so are tunneled to at once, with a direct attempt each second. Relays are in the endpoint's data centre or the own one, and endpoints of the own data centre that only others reach are left out, so that nothing crosses the path between two data centres twice. What is sent is sent once, as before: the tunnel is open before the first byte. A process counts as ended only if it refuses another instance, too.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -41,6 +41,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/sender"
 	"github.com/wigeonstand/wigeonstand/internal/storer"
 	"github.com/wigeonstand/wigeonstand/internal/transcriber"
+	"github.com/wigeonstand/wigeonstand/internal/tunneler"
 	"github.com/wigeonstand/wigeonstand/internal/watcher"
 )
 
@@ -107,6 +108,7 @@
 	peerClient   *messenger.Client
 	sender       *sender.Sender
 	rerouter     *rerouter.Rerouter
+	tunneler     *tunneler.Tunneler
 	discoverer   *discoverer.Discoverer
 	registry     *registrar.Registry
 	watcher      *watcher.Watcher
@@ -133,7 +135,10 @@
 	for _, option := range options {
 		option(e)
 	}
-	e.peerClient, e.sender = messenger.NewClient(), sender.New(sender.WithDial(e.dialEndpoint))
+	e.peerClient = messenger.NewClient()
+	e.sender = sender.New(sender.WithDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+		return e.tunneler.Dial(ctx, network, address)
+	}))
 	metrics := newMetrics(e.meter, e.sender, e.registry)
 	e.rerouter = rerouter.New(platform.Rows, e.peerClient, rerouter.WithCallCounter(metrics.countStoreCall),
 		rerouter.WithPathObserver(func(from, to rerouter.Path, cause error) {
@@ -149,6 +154,8 @@
 	}
 	e.discoverer = discoverer.New(self, e.rerouter, discoverer.WithSeeds(settings.Seeds))
 	e.rerouter.SetRelays(e.discoverer)
+	e.tunneler = tunneler.New(e.dialEndpoint, e.peerClient, e.discoverer, e.registry,
+		tunneler.WithLogger(e.log), tunneler.WithSilenceObserver(e.sender.CloseIdle))
 	tableCopies := bootstrapper.New(e.discoverer, e.peerClient, e.log)
 	platform.Source.EndpointRemoved = func(endpoint registrar.Endpoint) { e.sender.CloseIdle(endpoint.Address) }
 	e.watcher = watcher.New(platform.Source, e.rerouter, e.registry,
@@ -161,14 +168,14 @@
 	e.pruner = pruner.New(e.rerouter, e.log,
 		pruner.Table{Name: transcriber.Table, MaxAge: func() time.Duration { return orphanRetentionFactor * pruner.RowRetention(e.longestRetention()) }},
 		pruner.Table{Name: bookkeeper.Table, MaxAge: func() time.Duration { return budgetRetention }})
-	quarantine := quarantiner.New(e.sender, e.registry, e.discoverer, e.peerClient, quarantiner.WithLogger(e.log))
+	quarantine := quarantiner.New(e.tunneler, e.registry, e.discoverer, e.peerClient, quarantiner.WithLogger(e.log))
 	e.bookkeeper = bookkeeper.New(self.Incarnation, e.batcher, bookkeeper.NewReclaimer(e.discoverer, e.peerClient),
 		bookkeeper.WithLogger(e.log), bookkeeper.WithPruner(e.pruner.Schedule), bookkeeper.WithVerdicts(quarantine))
 	e.budgets = bookkeeper.NewClient(e.bookkeeper, e.discoverer, e.peerClient, e.registry)
 	permits := rationer.New(e.discoverer, e.peerClient, rationer.WithLogger(e.log), rationer.WithCounter(metrics.countPermit))
 	streams := resumer.New(e.discoverer, e.peerClient, resumer.WithLogger(e.log))
 	e.relayer = relayer.New(relayer.Config{
-		Tables: e.watcher, Endpoints: e.registry, Sender: e.sender, Permits: permits, Streams: streams, Quarantine: quarantine, Dialect: platform.Dialect,
+		Tables: e.watcher, Endpoints: e.registry, Sender: e.sender, Permits: permits, Streams: streams, Quarantine: quarantine, Paths: e.tunneler, Dialect: platform.Dialect,
 		Budgets:            e.budgets,
 		Transcripts:        transcriber.New(e.rerouter),
 		IsStoreUnreachable: func() bool { path, _ := e.rerouter.Path(); return path == rerouter.Lost },
@@ -190,7 +197,7 @@
 		}
 	}
 	var err error
-	e.peerServer, err = messenger.NewServer(handlers, messenger.WithLogger(e.log))
+	e.peerServer, err = messenger.NewServer(handlers, messenger.WithLogger(e.log), messenger.WithStreams(e.tunneler.Streams()))
 	return e, err
 }
 
@@ -309,6 +316,7 @@
 		e.log.Log(eventRequestsCut, "Cause", err)
 		_ = callers.Close() // Open connections end with the process in any case.
 	}
+	e.tunneler.Wait(ctx)
 	e.sender.Close()
 	e.peerClient.Close()
 }
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -36,8 +36,10 @@
 	maxIdle           = 256
 	maxIdlePerAddress = 8
 
-	// rpcName is the drpc method that carries all calls.
-	rpcName = "/wigeonstand.messenger.Instance/Call"
+	// rpcName is the drpc method that carries all calls, and streamName the one that
+	// carries all streams.
+	rpcName    = "/wigeonstand.messenger.Instance/Call"
+	streamName = "/wigeonstand.messenger.Instance/Stream"
 )
 
 // envelope is the wire form of requests and replies.
@@ -76,6 +78,7 @@
 // Server serves calls from other instances.
 type Server struct {
 	handlers map[string]Handler
+	streams  map[string]StreamHandler
 	drpc     *drpcserver.Server
 	log      *logger.Logger
 }
@@ -136,19 +139,25 @@
 // serviceDescription describes the service to drpc.
 type serviceDescription struct{}
 
-func (serviceDescription) NumMethods() int { return 1 }
+func (serviceDescription) NumMethods() int { return 2 }
 
 func (serviceDescription) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
-	if n != 0 {
-		return "", nil, nil, nil, false
-	}
-	receiver := func(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
-		return server.(*Server).call(ctx, in.(*envelope))
+	switch n {
+	case 0:
+		receiver := func(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
+			return server.(*Server).call(ctx, in.(*envelope))
+		}
+		return rpcName, cborEncoding{}, receiver, (*Server).call, true
+	case 1:
+		receiver := func(server any, _ context.Context, in, _ any) (drpc.Message, error) {
+			return nil, server.(*Server).stream(in.(drpc.Stream))
+		}
+		return streamName, cborEncoding{}, receiver, (*Server).stream, true
 	}
-	return rpcName, cborEncoding{}, receiver, (*Server).call, true
+	return "", nil, nil, nil, false
 }
 
-// Client calls other instances.
+// Client calls other instances and opens streams to them.
 type Client struct {
 	dialer *net.Dialer
 	pool   *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -227,6 +227,18 @@
 	return e != nil && processOf(e.Endpoint) == processOf(endpoint) && e.accepts()
 }
 
+// FindAddress returns the endpoint that is registered with the address.
+func (r *Registry) FindAddress(address netip.AddrPort) (Endpoint, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range r.byID {
+		if e.Address == address {
+			return e.Endpoint, true
+		}
+	}
+	return Endpoint{}, false
+}
+
 // Endpoints returns the registered endpoints.
 func (r *Registry) Endpoints() []Endpoint {
 	r.mu.Lock()
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -11,6 +11,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -74,6 +75,13 @@
 	RecordBreak(request quarantiner.Identity, endpoint registrar.Endpoint, sentAt time.Time)
 }
 
+// Paths knows which endpoints this instance reaches.
+type Paths interface {
+	// IsDetour reports whether requests to the endpoint would cross the path between two
+	// data centres twice.
+	IsDetour(endpoint registrar.Endpoint) bool
+}
+
 // Policy holds the parameters of admission and placement.
 type Policy struct {
 	Admission admitter.Policy
@@ -92,6 +100,7 @@
 	Permits     Permits
 	Streams     Streams
 	Quarantine  Quarantine
+	Paths       Paths
 	Dialect     Dialect
 	Policy      Policy
 	Instance    string
@@ -347,6 +356,9 @@
 			remaining = append(remaining, c)
 		}
 	}
+	if near := slices.DeleteFunc(slices.Clone(remaining), func(c registrar.Candidate) bool { return x.Paths.IsDetour(c.Endpoint) }); len(near) > 0 {
+		return near
+	}
 	return remaining
 }
 
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -15,7 +15,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -194,16 +193,6 @@
 	return response, nil
 }
 
-// IsRefusing reports whether the address refuses connections, as it does after the process
-// there has ended. It is false if the address does not respond.
-func (s *Sender) IsRefusing(ctx context.Context, address netip.AddrPort) bool {
-	conn, err := s.dial(ctx, "tcp", address.String())
-	if err == nil {
-		discard(conn)
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
 func (s *Sender) connect(ctx context.Context, r Request) (*conn, error) {
 	for {
 		cn := s.takeIdle(r.Address, r.IsRepeatable)
@@ -251,7 +240,14 @@
 	return last
 }
 
+// Reusable is implemented by connections that may not be reusable for further requests.
+type Reusable interface{ IsReusable() bool }
+
 func (s *Sender) putIdle(cn *conn, idleTimeout time.Duration, maxIdle int) {
+	if r, ok := cn.Conn.(Reusable); ok && !r.IsReusable() {
+		discard(cn)
+		return
+	}
 	now := time.Now()
 	cn.expires = now.Add(share(idleTimeout, idleTimeoutShare))
 	cn.cautiousUntil = now.Add(share(idleTimeout, cautiousShare))
--- /dev/null
+++ b/internal/tunneler/tunneler_test.go
@@ -0,0 +1,273 @@
+package tunneler_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/wigeonstand/wigeonstand/internal/discoverer"
+	"github.com/wigeonstand/wigeonstand/internal/messenger"
+	"github.com/wigeonstand/wigeonstand/internal/registrar"
+	"github.com/wigeonstand/wigeonstand/internal/tunneler"
+)
+
+// instance is a Tunneler with its server.
+type instance struct {
+	*tunneler.Tunneler
+	self   discoverer.Member
+	others *[]discoverer.Member
+
+	mu     sync.Mutex
+	dialed int
+	fault  error
+	delay  time.Duration
+}
+
+func (in *instance) Self() discoverer.Member { return in.self }
+
+func (in *instance) Relays() []discoverer.Member {
+	var relays []discoverer.Member
+	for _, m := range *in.others {
+		if m.Instance != in.self.Instance {
+			relays = append(relays, m)
+		}
+	}
+	return relays
+}
+
+// setLink sets the error and the delay of the instance's direct connections.
+func (in *instance) setLink(fault error, delay time.Duration) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.fault, in.delay = fault, delay
+}
+
+func (in *instance) dialCount() int {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.dialed
+}
+
+func (in *instance) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	in.mu.Lock()
+	fault, delay := in.fault, in.delay
+	in.dialed++
+	in.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(delay):
+	}
+	if fault != nil {
+		return nil, fault
+	}
+	return (&net.Dialer{}).DialContext(ctx, network, address)
+}
+
+// listen returns the address of an endpoint that serves each connection with the function.
+func listen(t *testing.T, serve func(net.Conn)) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// newInstances returns an instance for each data centre that is given, and registers the
+// endpoints in the first one.
+func newInstances(t *testing.T, dataCentres []string, endpoints ...netip.AddrPort) []*instance {
+	t.Helper()
+	registry := registrar.New()
+	var registered []registrar.Endpoint
+	for _, address := range endpoints {
+		registered = append(registered, registrar.Endpoint{ID: address.String(), Service: "engine", Address: address, DataCentre: dataCentres[0]})
+	}
+	registry.Replace(registered)
+	var members []discoverer.Member
+	var instances []*instance
+	for i, dataCentre := range dataCentres {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		in := &instance{others: &members, self: discoverer.Member{
+			Instance: string(rune('a' + i)), Address: netip.MustParseAddrPort(listener.Addr().String()), DataCentre: dataCentre,
+		}}
+		client := messenger.NewClient()
+		t.Cleanup(client.Close)
+		in.Tunneler = tunneler.New(in.dial, client, in, registry)
+		server, err := messenger.NewServer(nil, messenger.WithStreams(in.Streams()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _ = server.Serve(t.Context(), listener) }() // It ends with the test.
+		members = append(members, in.self)
+		instances = append(instances, in)
+	}
+	return instances
+}
+
+func echo(conn net.Conn) {
+	_, _ = io.Copy(conn, conn) // The end of the connection ends the test's request.
+	_ = conn.Close()
+}
+
+// A response whose end is that of its connection is complete through a tunnel only if the
+// endpoint ended it, and not if the relay or the endpoint broke off.
+func TestEndOfTunneledConnection(t *testing.T) {
+	ends := listen(t, func(c net.Conn) {
+		_, _ = io.WriteString(c, "whole")
+		_ = c.Close()
+	})
+	resets := listen(t, func(c net.Conn) {
+		_, _ = io.WriteString(c, "half")
+		<-time.After(50 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0) // Close resets the connection.
+		_ = c.Close()
+	})
+	instances := newInstances(t, []string{"x", "x"}, ends, resets)
+	instances[0].setLink(os.ErrDeadlineExceeded, 0)
+	for _, tc := range []struct {
+		address netip.AddrPort
+		want    string
+		wantErr error
+	}{{ends, "whole", nil}, {resets, "half", syscall.ECONNRESET}} {
+		conn, err := instances[0].Dial(t.Context(), "tcp", tc.address.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := io.ReadAll(conn)
+		if diff := cmp.Diff(tc.want, string(got)); diff != "" || !errors.Is(err, tc.wantErr) {
+			t.Errorf("error %v, want %v: %s", err, tc.wantErr, diff)
+		}
+		_ = conn.Close()
+	}
+}
+
+// Two instances that don't reach an endpoint don't relay to each other in a circle, and an
+// instance connects others with endpoints only.
+func TestTunnelsHaveNoLoopsAndLeadToEndpointsOnly(t *testing.T) {
+	endpoint, other := listen(t, echo), listen(t, echo)
+	instances := newInstances(t, []string{"x", "x"}, endpoint)
+	for _, in := range instances {
+		in.setLink(os.ErrDeadlineExceeded, 0)
+	}
+	for range 3 {
+		if _, err := instances[0].Dial(t.Context(), "tcp", endpoint.String()); !errors.Is(err, tunneler.ErrNoPath) {
+			t.Errorf("error %v, want %v", err, tunneler.ErrNoPath)
+		}
+	}
+	if n := instances[1].dialCount(); n > 3 {
+		t.Errorf("the relay tried %d times for three connections", n)
+	}
+	instances[1].setLink(nil, 0)
+	if _, err := instances[0].Dial(t.Context(), "tcp", other.String()); !errors.Is(err, tunneler.ErrNoPath) {
+		t.Errorf("address of no endpoint: error %v, want %v", err, tunneler.ErrNoPath)
+	}
+}
+
+// An endpoint that answers late once is still reached directly afterwards; one that doesn't
+// answer is reached through another instance without a delay, and directly once it answers
+// again.
+func TestDirectConnectionsAreTriedAgain(t *testing.T) {
+	endpoint := listen(t, echo)
+	instances := newInstances(t, []string{"x", "x"}, endpoint)
+	dial := func() time.Duration {
+		t.Helper()
+		start := time.Now()
+		conn, err := instances[0].Dial(t.Context(), "tcp", endpoint.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.Close()
+		return time.Since(start)
+	}
+	isTunneled := func() bool {
+		before := instances[1].dialCount()
+		dial()
+		return instances[1].dialCount() > before
+	}
+	instances[0].setLink(nil, 200*time.Millisecond)
+	dial()
+	<-time.After(300 * time.Millisecond) // The late connection is open.
+	instances[0].setLink(nil, 0)
+	if isTunneled() {
+		t.Error("tunneled after one late connection")
+	}
+	instances[0].setLink(os.ErrDeadlineExceeded, 600*time.Millisecond)
+	dial()
+	var total time.Duration
+	for range 5 {
+		total += dial()
+	}
+	if total > 5*90*time.Millisecond {
+		t.Errorf("five tunnels to an endpoint without a direct path took %v", total)
+	}
+	instances[0].setLink(nil, 0)
+	<-time.After(1100 * time.Millisecond)
+	dial()
+	<-time.After(100 * time.Millisecond) // The tunnel that was opened beside it has ended.
+	if isTunneled() {
+		t.Error("still tunneled after a direct connection")
+	}
+}
+
+// The endpoint of a data centre that is cut off as a whole is a detour; with a relay there
+// that reaches it, it isn't.
+func TestEndpointsBehindAnotherDataCentreAreDetours(t *testing.T) {
+	endpoint := listen(t, echo)
+	e := registrar.Endpoint{ID: endpoint.String(), Address: endpoint, DataCentre: "x"}
+	instances := newInstances(t, []string{"x", "x", "y"}, endpoint)
+	instances[0].setLink(os.ErrDeadlineExceeded, 0)
+	instances[1].setLink(os.ErrDeadlineExceeded, 0)
+	check := func(want bool) {
+		t.Helper()
+		conn, err := instances[0].Dial(t.Context(), "tcp", endpoint.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.Close()
+		if got := instances[0].IsDetour(e); got != want {
+			t.Errorf("detour %v, want %v", got, want)
+		}
+	}
+	check(true)
+	instances[1].setLink(nil, 0)
+	<-time.After(3100 * time.Millisecond) // The failed relay is asked again.
+	instances[2].setLink(os.ErrDeadlineExceeded, 0)
+	check(false)
+}
+
+// A process has ended only if others are refused, too.
+func TestRefusalOfOneInstanceIsNotTheEndOfAProcess(t *testing.T) {
+	endpoint := listen(t, echo)
+	instances := newInstances(t, []string{"x", "x"}, endpoint)
+	instances[0].setLink(syscall.ECONNREFUSED, 0)
+	if instances[0].IsRefusing(t.Context(), endpoint) {
+		t.Error("the endpoint accepts connections of the other instance")
+	}
+	instances[1].setLink(syscall.ECONNREFUSED, 0)
+	if !instances[0].IsRefusing(t.Context(), endpoint) {
+		t.Error("the endpoint refuses both instances")
+	}
+}
