internal/sender: endpoints that are silent for a second are not gone

TCP_USER_TIMEOUT, which is set to bound unacknowledged data, also decides when keep-alive probes give up: with 1.5 s and a probe each second, a connection was closed after a silence of 1 s beside no data, and of 1.5 s with data in flight. It is 2.5 s now, so that silences of 2 s and 2.5 s are outlived.

--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -26,8 +26,9 @@
 	// dialTimeout limits the opening of a connection; endpoints accept one within
 	// a few milliseconds.
 	dialTimeout = 600 * time.Millisecond
-	// ackTimeout closes a connection whose sent data is not acknowledged.
-	ackTimeout = 1500 * time.Millisecond
+	// ackTimeout closes a connection whose sent data or keep-alive probes are not
+	// acknowledged. Sound endpoints may be silent for a second or so.
+	ackTimeout = 2500 * time.Millisecond
 	// defaultIdleTimeout is the idle timeout of an endpoint whose responses have
 	// no Keep-Alive header.
 	defaultIdleTimeout = 2 * time.Second
