internal/quarantiner: the early end of a quarantine reaches all instances

The bookkeepers end such a quarantine when the engines respond again, but the other instances kept theirs for five minutes. The early end now travels as the verdicts do.

TestQuarantineThatWasWrongEndsEverywhere fails without it.

--- a/internal/quarantiner/gossip.go
+++ b/internal/quarantiner/gossip.go
@@ -21,6 +21,9 @@
 	// maxVerdicts limits the verdicts that are sent, and maxReceived those that are kept.
 	maxVerdicts = 64
 	maxReceived = 512
+	// releaseMemory is how long the early end of a quarantine is sent to other instances, and
+	// how long one that they still know is not taken over from them.
+	releaseMemory = 10 * time.Second
 	// maxHops is how often a verdict is forwarded, as the time spent in transit does not
 	// shorten the quarantine.
 	maxHops = 4
@@ -59,6 +62,9 @@
 	Left time.Duration `cbor:"3,keyasint,omitempty"`
 	// Hops is how often the verdict was forwarded, this time included.
 	Hops int `cbor:"4,keyasint"`
+	// IsReleased is true if its quarantine ended early, as what was taken for crashes was
+	// none, or as it was served.
+	IsReleased bool `cbor:"5,keyasint,omitempty"`
 }
 
 // receivedVerdict is a verdict of another instance.
@@ -155,6 +161,11 @@
 			verdicts = append(verdicts, Verdict{Key: key, Crashes: v.Crashes, Left: left, Hops: v.Hops + 1})
 		}
 	}
+	for key, r := range q.releases {
+		if now.Sub(r.at) <= releaseMemory && r.hops < maxHops {
+			verdicts = append(verdicts, Verdict{Key: key, Hops: r.hops + 1, IsReleased: true})
+		}
+	}
 	slices.SortFunc(verdicts, func(a, b Verdict) int {
 		return cmp.Or(cmp.Compare(b.Left, a.Left), cmp.Compare(b.Crashes, a.Crashes))
 	})
@@ -176,6 +187,13 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, v := range verdicts {
+		if v.IsReleased {
+			q.lockedRelease(v.Key, v.Hops)
+			continue
+		}
+		if _, wasReleased := q.releases[v.Key]; wasReleased {
+			continue
+		}
 		known, isKnown := q.verdicts[v.Key]
 		switch {
 		case isKnown && known.left(now) > 0 && (v.Left == 0 || known.Hops <= v.Hops):
@@ -190,3 +208,21 @@
 	}
 	q.isWatching.Store(true)
 }
+
+// release is the early end of a quarantine.
+type release struct {
+	at time.Time
+	// hops is how often it was forwarded until it reached this instance.
+	hops int
+}
+
+// lockedRelease ends another instance's quarantine of the request.
+func (q *Quarantiner) lockedRelease(key Key, hops int) {
+	delete(q.verdicts, key)
+	if known, isKnown := q.releases[key]; isKnown && known.hops <= hops {
+		return
+	}
+	if len(q.releases) < maxReceived && !q.isQuarantinedHere(key) {
+		q.releases[key] = release{at: time.Now(), hops: hops}
+	}
+}
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -124,6 +124,8 @@
 	attributedAt time.Time
 	// verdicts are those of other instances.
 	verdicts map[Key]receivedVerdict
+	// releases are the quarantines that ended early.
+	releases map[Key]release
 }
 
 // Option sets one property of a Quarantiner.
@@ -137,7 +139,7 @@
 	q := &Quarantiner{
 		prober: prober, registry: registry, members: members, caller: caller, log: logger.Discard(),
 		broken: map[string][]run{}, crashes: map[string]crash{}, served: map[Key]time.Time{},
-		suspicions: map[Key]suspicion{}, quarantines: map[Key]quarantine{}, verdicts: map[Key]receivedVerdict{},
+		suspicions: map[Key]suspicion{}, quarantines: map[Key]quarantine{}, verdicts: map[Key]receivedVerdict{}, releases: map[Key]release{},
 	}
 	for _, option := range options {
 		option(q)
@@ -311,10 +313,19 @@
 			}
 		}
 	}
+	for key, r := range q.releases {
+		if now.Sub(r.at) > releaseMemory {
+			delete(q.releases, key)
+		}
+	}
 	for key, old := range before {
-		if _, isKept := q.quarantines[key]; !isKept {
-			q.log.Log(eventReleased, "Key", key, "Crashes", old.crashes)
+		if _, isKept := q.quarantines[key]; isKept {
+			continue
+		}
+		q.log.Log(eventReleased, "Key", key, "Crashes", old.crashes)
+		if old.until.After(now) {
+			q.lockedRelease(key, 0)
 		}
 	}
-	q.isWatching.Store(len(q.suspicions)+len(q.verdicts) > 0)
+	q.isWatching.Store(len(q.suspicions)+len(q.verdicts)+len(q.releases) > 0)
 }
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -176,6 +176,43 @@
 	})
 }
 
+// Processes that were taken for ended respond again: instances that were told of the quarantine
+// hear of its end, too.
+func TestQuarantineThatWasWrongEndsEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := newNetwork(4)
+		for i := range minCrashes {
+			nodes[1].crashUnder(key("good"), i)
+		}
+		tell(nodes[0], nodes[2])
+		tell(nodes[2], nodes[3])
+		for i, n := range nodes {
+			if n.Find(request(key("good"))).Left == 0 {
+				t.Errorf("instance %d has no quarantine", i)
+			}
+		}
+		for i := range minCrashes {
+			for _, n := range nodes[:2] {
+				n.state.Lock()
+				n.alive[endpoint(i).Process()] = true
+				n.state.Unlock()
+			}
+		}
+		time.Sleep(2 * attributionAge)
+		for range 2 { // The second time they would tell each other of the old one.
+			tell(nodes[0], nodes[2])
+			tell(nodes[2], nodes[3])
+			tell(nodes[3], nodes[1])
+			tell(nodes[3], nodes[2])
+		}
+		for i, n := range nodes {
+			if got := n.Find(request(key("good"))); got.Left > 0 {
+				t.Errorf("instance %d: %+v", i, got)
+			}
+		}
+	})
+}
+
 // A request that is sent by all callers was in each crash; that it is served meanwhile is
 // known to the instances that saw it broken off, and not to the bookkeeper.
 func TestServedRequestIsNotSuspected(t *testing.T) {
