internal/bookkeeper, internal/relayer: a turn leaves the home that failed it

TestTurnIsRetriedElsewhereAfterEngineFailure failed once beside ten busy processes: the turn was placed again 270 ms after its engine had responded with 500. The engine is avoided for 250 ms after a failure, and callers come again after 100 to 400 ms, so that also without load the turn could go to the same engine, its home.

The instance now tells the bookkeeper which engine responded with an error, and the bookkeeper forgets it as the session's home. TestTurnLeavesTheHomeThatFailedIt fails without it.

--- a/internal/bookkeeper/actor.go
+++ b/internal/bookkeeper/actor.go
@@ -21,11 +21,12 @@
 		reply    chan<- OpenResponse
 	}
 	settleMessage struct {
-		program  string
-		turn     string
-		used     int64
-		session  string
-		endpoint string
+		program        string
+		turn           string
+		used           int64
+		session        string
+		endpoint       string
+		failedEndpoint string
 	}
 	writeResult struct {
 		program string
@@ -79,6 +80,7 @@
 	case settleMessage:
 		if p := s.programs[m.program]; p != nil {
 			p.ledger.settle(m.turn, m.used)
+			p.homes.forget(m.session, m.failedEndpoint)
 			p.homes.record(m.session, m.endpoint)
 		}
 	case writeResult:
--- a/internal/bookkeeper/bookkeeper.go
+++ b/internal/bookkeeper/bookkeeper.go
@@ -138,6 +138,9 @@
 	// served the turn; empty if none did.
 	Session  string `cbor:"7,keyasint,omitempty"`
 	Endpoint string `cbor:"8,keyasint,omitempty"`
+	// FailedEndpoint is the ID of the endpoint that responded to the turn with an error;
+	// empty if none did.
+	FailedEndpoint string `cbor:"9,keyasint,omitempty"`
 }
 
 // CloseResponse is the response to a CloseRequest.
@@ -269,7 +272,7 @@
 // Close settles a turn and records it. It returns once the record is durable or
 // after in.Wait.
 func (k *Bookkeeper) Close(ctx context.Context, in CloseRequest) (CloseResponse, error) {
-	k.send(settleMessage{program: in.Program, turn: in.Turn, used: in.Used, session: in.Session, endpoint: in.Endpoint})
+	k.send(settleMessage{program: in.Program, turn: in.Turn, used: in.Used, session: in.Session, endpoint: in.Endpoint, failedEndpoint: in.FailedEndpoint})
 	if in.Record == nil {
 		return CloseResponse{}, nil
 	}
--- a/internal/bookkeeper/homes.go
+++ b/internal/bookkeeper/homes.go
@@ -22,6 +22,20 @@
 	return h.Last
 }
 
+// forget removes the endpoint, which failed a turn of the session, from its homes. A turn that
+// comes again must not go there, however long after the failure it is placed.
+func (h *homes) forget(session, endpoint string) {
+	if endpoint == "" {
+		return
+	}
+	if h.BySession[session] == endpoint {
+		delete(h.BySession, session)
+	}
+	if h.Last == endpoint {
+		h.Last = ""
+	}
+}
+
 // record sets the home of the session.
 func (h *homes) record(session, endpoint string) {
 	if endpoint == "" {
--- a/internal/bookkeeper/homes_test.go
+++ b/internal/bookkeeper/homes_test.go
@@ -58,6 +58,29 @@
 	})
 }
 
+// A turn that its home failed came again after the time for which the endpoint is avoided, and
+// went to its home.
+func TestTurnLeavesTheHomeThatFailedIt(t *testing.T) {
+	runFleet(t, 1, func(t *testing.T, f *fleet) {
+		s := newDataCentre(t, f, 2)
+		_, member := s.sessionTurn(t, 0, "served", "main", "e-1")
+		in := bookkeeper.CloseRequest{Program: "p", Turn: "fails", Session: "main", FailedEndpoint: "e-1"}
+		if err := s.clients[0].Close(t.Context(), member, in); err != nil {
+			t.Fatal(err)
+		}
+		if home, _ := s.sessionTurn(t, 1, "again", "main", "e-2"); home != "" {
+			t.Errorf("the home is still %s", home)
+		}
+		in.Turn = "fails elsewhere"
+		if err := s.clients[0].Close(t.Context(), member, in); err != nil {
+			t.Fatal(err)
+		}
+		if home, _ := s.sessionTurn(t, 1, "next", "main", "e-2"); home != "e-2" {
+			t.Errorf("home %q after a failure elsewhere, want e-2", home)
+		}
+	})
+}
+
 // A planned stop of the bookkeeper hands the homes over.
 func TestHomesAreHandedOver(t *testing.T) {
 	runFleet(t, 1, func(t *testing.T, f *fleet) {
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -53,6 +53,8 @@
 	// home is the endpoint that has the prompt in its cache, and servedBy the one
 	// that has read this turn's prompt; empty if unknown.
 	home, servedBy string
+	// failedAt is the endpoint that responded with an error; empty if none did.
+	failedAt string
 	// output is the text that a retained turn has generated.
 	output     []byte
 	eventCount int
@@ -182,7 +184,7 @@
 	t.isReserved = false
 	in := bookkeeper.CloseRequest{
 		Program: t.call.Program, Turn: t.call.ID, Used: t.usedTokens(), Wait: settleTimeout,
-		Session: t.call.Session, Endpoint: t.servedBy,
+		Session: t.call.Session, Endpoint: t.servedBy, FailedEndpoint: t.failedAt,
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
@@ -305,7 +307,9 @@
 		outcome = registrar.Neutral
 		return errNotRun
 	case response.Status >= http.StatusMultipleChoices:
-		outcome = turnOutcome(response.Status)
+		if outcome = turnOutcome(response.Status); outcome == registrar.Failed {
+			t.failedAt = c.ID
+		}
 		if err = t.forwardFailure(response); err == nil {
 			t.recordServed()
 		}
