internal/rerouter: timeouts of relayed calls adapt to slow relays

By reading: the timeouts of direct calls double when one passes and follow the duration of the last call. Those of relayed calls did neither, so that an instance whose relays took more than 250 ms, on a busy host, had no path to the store for as long as they did, and refused turns after 1.8 s. That is what was seen; that it was the cause is likely and not shown.

--- a/internal/rerouter/relay.go
+++ b/internal/rerouter/relay.go
@@ -32,10 +32,15 @@
 	failure := storer.ErrUnavailable
 	inDoubt := false
 	for _, m := range r.relayCandidates() {
+		start := time.Now()
 		bounded, cancel := context.WithTimeout(ctx, r.timeout(op.isWrite)+op.wait+relayMargin)
 		err := relayed(bounded, m)
+		isTimeout := errors.Is(bounded.Err(), context.DeadlineExceeded)
 		cancel()
 		r.countCall(op.name, Relayed.String(), resultName(err))
+		if ctx.Err() == nil {
+			r.adaptTimeouts(op, isResponse(err), isTimeout, time.Since(start))
+		}
 		if isResponse(err) {
 			r.recordRelayResult(m, true)
 			return err
--- a/internal/rerouter/rerouter.go
+++ b/internal/rerouter/rerouter.go
@@ -394,7 +394,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if ok {
-		r.lastDirect = time.Now()
+		r.lastDirect, r.directFailures = time.Now(), 0
 		return false
 	}
 	return start.Before(r.lastDirect)
@@ -406,20 +406,17 @@
 	return time.Since(r.lastDirect) < recentResponse
 }
 
-// adaptTimeouts sets the timeouts by the result of the last call. A timeout of
-// either kind of call raises both: a store that is slow with one kind is slow with
+// adaptTimeouts sets the timeouts by the result of the last call, on whichever path. A
+// timeout of either kind of call raises both: a store that is slow with one kind is slow with
 // the other.
 func (r *Rerouter) adaptTimeouts(op operation, ok, timedOut bool, took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
-	case ok && op.wait > 0:
-		r.directFailures = 0 // The duration includes the wait for a change.
+	case ok && op.wait > 0: // The duration includes the wait for a change.
 	case ok && op.isWrite:
-		r.directFailures = 0
 		r.writeWait = min(max(timeoutFactor*took, minWriteWait), maxTimeout)
 	case ok:
-		r.directFailures = 0
 		r.readTimeout = min(max(timeoutFactor*took, minReadTimeout), maxTimeout)
 	case timedOut:
 		r.readTimeout = min(2*r.readTimeout, maxTimeout)
--- a/internal/rerouter/rerouter_test.go
+++ b/internal/rerouter/rerouter_test.go
@@ -26,6 +26,8 @@
 	handlers map[netip.AddrPort]map[string]messenger.Handler
 	// silent leaves calls without a response.
 	silent bool
+	// delay is how long each call takes.
+	delay time.Duration
 }
 
 func (p *peerSet) Relays() []discoverer.Member { return p.members }
@@ -37,6 +39,11 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(p.delay):
+	}
 	body, err := cbor.Marshal(in)
 	if err != nil {
 		return err
@@ -121,6 +128,29 @@
 
 // An instance that loses its connection to the store during a write (Laulukaar
 // inc-f21f) must relay the write once the path is Relayed.
+// Other instances that are slow, on a busy host, counted as lost for as long as they were, so
+// that turns were refused although each call would have been answered.
+func TestSlowRelaysAreNotLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fakeplatform.NewRows(1)
+		r, peers := newRerouter(t, rows)
+		peers.delay = 400 * time.Millisecond
+		rows.SetFaults(fakeplatform.RowFaults{Refused: map[string]bool{"self": true}})
+		for range 2 {
+			_, _ = r.List(t.Context(), rowRange) // These calls detect the failure.
+		}
+		time.Sleep(1500 * time.Millisecond)
+		for i := range 5 {
+			if _, err := r.List(t.Context(), rowRange); err != nil {
+				t.Errorf("read %d: %v", i, err)
+			}
+			if err := insert(t.Context(), r); err != nil && !errors.Is(err, storer.ErrConflict) {
+				t.Errorf("write %d: %v", i, err)
+			}
+		}
+	})
+}
+
 func TestUnansweredWriteIsRelayed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rows := fakeplatform.NewRows(1)
