internal/quarantiner, internal/tunneler: a cause is confirmed by all instances, and stays one

Beside load (16 busy processes on 8 cores), TestRequestThatCrashesEndpointsIsKeptFromOthers refused sound turns: their target, in use by all callers, was in most crashes under bodies that never came again, and the reports that others served it were late.

A confirmed cause explains its crashes before others do and ends by service, or when processes turn out to be alive. An endpoint counts as ended for an instance that is cut off from it, too, if it refuses three others.

--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -409,6 +409,9 @@
 	return slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return !now.After(d.suspectedUntil[m.Instance]) })
 }
 
+// Others returns the live members other than this instance, without suspects.
+func (d *Discoverer) Others() []Member { return d.otherLiveMembers() }
+
 // Self returns this instance.
 func (d *Discoverer) Self() Member { return d.self }
 
--- a/internal/quarantiner/attribution.go
+++ b/internal/quarantiner/attribution.go
@@ -39,6 +39,8 @@
 	// isCause is true if it is taken for their cause, and lastAt the time of the last one.
 	isCause bool
 	lastAt  time.Time
+	// isTarget is true for a target.
+	isTarget bool
 }
 
 // attribute returns the suspicion against each request that a process had when it ended, and
@@ -50,11 +52,14 @@
 // one counts: endpoints that end at the same moment, for a reason of their own, end under the
 // requests that are sent most. Between two requests that were together in most of these
 // crashes nothing is decided until one of them has more than the other.
-func attribute(crashes []crash, served map[Key]time.Time) map[Key]suspicion {
+//
+// The known causes, requests and targets, explain their crashes before others do: what was
+// found must not change with each further crash.
+func attribute(crashes []crash, served map[Key]time.Time, known map[Key]bool) map[Key]suspicion {
 	out := map[Key]suspicion{}
 	all := slices.Clone(crashes)
 	slices.SortFunc(all, func(a, b crash) int { return a.at.Compare(b.at) })
-	unexplained := all
+	unexplained := slices.DeleteFunc(slices.Clone(all), func(c crash) bool { return c.hasAny(known) })
 	for {
 		counts := count(unexplained, served)
 		cause, isFound := findCause(unexplained, counts)
@@ -71,7 +76,13 @@
 		out[cause] = s
 		unexplained = slices.DeleteFunc(slices.Clone(unexplained), func(c crash) bool { return c.has(cause) })
 	}
-	for target, s := range attributeTargets(all, out, served) {
+	for key, s := range count(all, served) {
+		if known[key] {
+			s.isCause = true
+			out[key] = s
+		}
+	}
+	for target, s := range attributeTargets(all, out, served, known) {
 		out[target] = s
 	}
 	return out
@@ -79,13 +90,13 @@
 
 // attributeTargets returns the suspicion against each target. Crashes with a cause count
 // against its target only.
-func attributeTargets(crashes []crash, requests map[Key]suspicion, served map[Key]time.Time) map[Key]suspicion {
+func attributeTargets(crashes []crash, requests map[Key]suspicion, served map[Key]time.Time, known map[Key]bool) map[Key]suspicion {
 	bodies := map[Key]map[Key]bool{}
 	var byTarget []crash
 	for _, c := range crashes {
 		causes := map[Key]bool{}
 		for key, sent := range c.sent {
-			if requests[key].isCause {
+			if requests[key].isCause || known[sent.target] {
 				causes[sent.target] = true
 			}
 		}
@@ -108,10 +119,9 @@
 	for target, s := range counts {
 		isEnough := s.crashes >= minCrashes && len(bodies[target]) >= minBodies ||
 			s.crashes > minCrashes && len(bodies[target]) >= minFewBodies
-		if isEnough && !isAmbiguous(target, byTarget, counts) {
-			s.isCause = true
-			counts[target] = s
-		}
+		s.isTarget = true
+		s.isCause = known[target] || (isEnough && !isAmbiguous(target, byTarget, counts))
+		counts[target] = s
 	}
 	return counts
 }
@@ -121,6 +131,16 @@
 	return has
 }
 
+// hasAny reports whether the process had one of the requests, or one to one of the targets.
+func (c crash) hasAny(keys map[Key]bool) bool {
+	for key, sent := range c.sent {
+		if keys[key] || keys[sent.target] {
+			return true
+		}
+	}
+	return false
+}
+
 // count returns for each request the largest number of its runs that ended with a crash and
 // did not overlap. The crashes are in the order of their times.
 func count(crashes []crash, served map[Key]time.Time) map[Key]suspicion {
--- a/internal/quarantiner/gossip.go
+++ b/internal/quarantiner/gossip.go
@@ -11,8 +11,8 @@
 
 const (
 	methodReport = "ReportCrashes"
-	// reportTimeout limits the call to a bookkeeper.
-	reportTimeout = 300 * time.Millisecond
+	// reportTimeout limits the call to a bookkeeper. Nobody waits for it.
+	reportTimeout = 2 * time.Second
 	// sharedCrashes is the number of crashes from which the suspicion against a request is
 	// sent to all instances: those that serve it report so.
 	sharedCrashes = 2
@@ -94,6 +94,9 @@
 			q.receive(in)
 			return q.Verdicts(), nil
 		}),
+		methodLastServed: messenger.Handle(func(_ context.Context, keys []Key) ([]time.Duration, error) {
+			return q.lastServed(keys), nil
+		}),
 	}
 }
 
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -76,9 +76,11 @@
 	HasRespondedSince(process string, at time.Time) bool
 }
 
-// Members lists the bookkeepers.
+// Members lists the instances.
 type Members interface {
 	Bookkeepers(program string) []discoverer.Member
+	// Others returns the live instances other than this one.
+	Others() []discoverer.Member
 	Self() discoverer.Member
 }
 
@@ -98,6 +100,8 @@
 type quarantine struct {
 	until   time.Time
 	crashes int
+	// lastAt is the time of its last crash.
+	lastAt time.Time
 }
 
 // Quarantiner keeps crashes and quarantines. It is safe for concurrent use.
@@ -119,8 +123,14 @@
 	served map[Key]time.Time
 	// suspicions is what follows from the crashes, and quarantines those requests among
 	// them that are not sent.
-	suspicions   map[Key]suspicion
-	quarantines  map[Key]quarantine
+	suspicions  map[Key]suspicion
+	quarantines map[Key]quarantine
+	// asked holds the causes about which the other instances were asked, and when;
+	// confirmed those that none of them served.
+	asked     map[Key]time.Time
+	confirmed map[Key]bool
+	// recent is when requests were last served here, whether under suspicion or not.
+	recent       recentServices
 	attributedAt time.Time
 	// verdicts are those of other instances.
 	verdicts map[Key]receivedVerdict
@@ -139,7 +149,7 @@
 	q := &Quarantiner{
 		prober: prober, registry: registry, members: members, caller: caller, log: logger.Discard(),
 		broken: map[string][]run{}, crashes: map[string]crash{}, served: map[Key]time.Time{},
-		suspicions: map[Key]suspicion{}, quarantines: map[Key]quarantine{}, verdicts: map[Key]receivedVerdict{}, releases: map[Key]release{},
+		suspicions: map[Key]suspicion{}, quarantines: map[Key]quarantine{}, verdicts: map[Key]receivedVerdict{}, releases: map[Key]release{}, asked: map[Key]time.Time{}, confirmed: map[Key]bool{},
 	}
 	for _, option := range options {
 		option(q)
@@ -155,8 +165,7 @@
 	Left time.Duration
 }
 
-// IsWatching reports whether any request is under suspicion. Otherwise Find and RecordServed
-// need not be called.
+// IsWatching reports whether any request is under suspicion. Otherwise Find need not be called.
 func (q *Quarantiner) IsWatching() bool { return q.isWatching.Load() }
 
 // Find returns what is known of the request, and of its target.
@@ -255,6 +264,7 @@
 	now := time.Now()
 	var cleared []reportedService
 	q.mu.Lock()
+	q.recent.add(request, now)
 	for _, key := range []Key{request.Key, request.Target} {
 		_, isSuspected := q.suspicions[key]
 		_, isReceived := q.verdicts[key]
@@ -297,7 +307,19 @@
 			delete(q.verdicts, key)
 		}
 	}
-	q.suspicions = attribute(crashes, q.served)
+	// A known cause stays one until it is served, or until too few of its crashes are left.
+	for key, known := range q.quarantines {
+		left := 0
+		for _, c := range crashes {
+			if c.hasAny(map[Key]bool{key: true}) {
+				left++
+			}
+		}
+		if left < minCrashes || q.served[key].After(known.lastAt) {
+			delete(q.confirmed, key)
+		}
+	}
+	q.suspicions = attribute(crashes, q.served, q.confirmed)
 	for key, at := range q.served {
 		if now.Sub(at) > retention {
 			delete(q.served, key)
@@ -305,12 +327,32 @@
 	}
 	before := q.quarantines
 	q.quarantines = map[Key]quarantine{}
+	for key := range q.confirmed {
+		if !q.suspicions[key].isCause {
+			delete(q.confirmed, key)
+		}
+	}
+	for key, at := range q.asked {
+		if now.Sub(at) > retention {
+			delete(q.asked, key)
+		}
+	}
+	var unconfirmed []Key
 	for key, s := range q.suspicions {
-		if until := s.lastAt.Add(retention); s.isCause && until.After(now) {
-			q.quarantines[key] = quarantine{until: until, crashes: s.crashes}
-			if _, isKnown := before[key]; !isKnown {
-				q.log.Log(eventQuarantined, "Key", key, "Crashes", s.crashes, "Until", until, "Source", "Own")
+		until := s.lastAt.Add(retention)
+		if !s.isCause || !until.After(now) {
+			continue
+		}
+		if !q.confirmed[key] {
+			if now.Sub(q.asked[key]) >= askInterval {
+				q.asked[key] = now
+				unconfirmed = append(unconfirmed, key)
 			}
+			continue
+		}
+		q.quarantines[key] = quarantine{until: until, crashes: s.crashes, lastAt: s.lastAt}
+		if _, isKnown := before[key]; !isKnown {
+			q.log.Log(eventQuarantined, "Key", key, "Crashes", s.crashes, "Until", until, "Source", "Own")
 		}
 	}
 	for key, r := range q.releases {
@@ -327,5 +369,8 @@
 			q.lockedRelease(key, 0)
 		}
 	}
+	if len(unconfirmed) > 0 {
+		go q.confirm(unconfirmed)
+	}
 	q.isWatching.Store(len(q.suspicions)+len(q.verdicts)+len(q.releases) > 0)
 }
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -44,7 +45,10 @@
 	defer n.state.Unlock()
 	return n.alive[process]
 }
-func (n *node) Self() discoverer.Member                { return n.self }
+func (n *node) Self() discoverer.Member { return n.self }
+func (n *node) Others() []discoverer.Member {
+	return slices.DeleteFunc(slices.Clone(n.all), func(m discoverer.Member) bool { return m.Instance == n.self.Instance })
+}
 func (n *node) Bookkeepers(string) []discoverer.Member { return n.all[:1] }
 
 // Call implements Caller.
@@ -107,6 +111,7 @@
 		for i, n := range nodes[1:4] {
 			n.crashUnder(bad, i)
 		}
+		tell(nodes[0], nodes[3])
 		tell(nodes[0], nodes[4])
 		for i, want := range []bool{true, false, false, true, true} {
 			if got := nodes[i].Find(request(bad)).Left > 0; got != want {
@@ -233,6 +238,33 @@
 	})
 }
 
+// A target that all callers use was in each crash, under requests that never come again, and
+// the instances that serve them saw none of the crashes.
+func TestTargetThatOthersServeIsNotQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, isCut := range []bool{false, true} {
+			nodes := newNetwork(3)
+			nodes[0].isCut = isCut // for all
+			target := key("popular target")
+			for i := range 2 * minCrashes {
+				e := endpoint(i)
+				nodes[1].state.Lock()
+				nodes[1].refusing[e.Address] = true
+				nodes[1].state.Unlock()
+				nodes[1].RecordBreak(Identity{Key: key(fmt.Sprint("sound ", i)), Target: target}, e, time.Now())
+				time.Sleep(time.Second)
+				nodes[2].RecordServed(Identity{Key: key(fmt.Sprint("served ", i)), Target: target})
+				time.Sleep(time.Second)
+			}
+			for i, n := range nodes {
+				if got := n.Find(Identity{Key: key("next"), Target: target}); got.Left > 0 {
+					t.Errorf("instance %d, cut: %v: %+v", i, isCut, got)
+				}
+			}
+		}
+	})
+}
+
 // Many endpoints end, each with many requests that never come again.
 func TestMemoryOfCrashesIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -65,8 +65,8 @@
 
 // Quarantine finds the requests that crash endpoints.
 type Quarantine interface {
-	// IsWatching reports whether any request is under suspicion. Otherwise Find and
-	// RecordServed need not be called.
+	// IsWatching reports whether any request is under suspicion. Otherwise Find need not be
+	// called.
 	IsWatching() bool
 	Find(request quarantiner.Identity) quarantiner.Status
 	// RecordServed records that an endpoint responded to the request.
@@ -257,11 +257,7 @@
 }
 
 // recordServed records that an endpoint responded to the request.
-func (x *exchange) recordServed() {
-	if x.Quarantine.IsWatching() {
-		x.Quarantine.RecordServed(x.request())
-	}
-}
+func (x *exchange) recordServed() { x.Quarantine.RecordServed(x.request()) }
 
 // mayBeCause reports whether the request is not to be sent again in this attempt, as endpoints
 // broke off under it that may have crashed.
--- a/internal/tunneler/tunneler.go
+++ b/internal/tunneler/tunneler.go
@@ -31,9 +31,12 @@
 	// relayDelay is how long one instance may take before the next one is asked, too.
 	relayDelay = 60 * time.Millisecond
 	// openTimeout limits the opening of a connection by all means together.
-	openTimeout = 700 * time.Millisecond
-	// maxRelays is the number of instances that are asked for one connection.
-	maxRelays = 6
+	openTimeout = time.Second
+	// maxRelays is the number of instances that are asked for one connection, and
+	// maxRefusals the number of those after whose refusals the endpoint counts as refusing
+	// all: a relay may be cut off from it itself.
+	maxRelays   = 6
+	maxRefusals = 3
 	// probeInterval is the time between two attempts to reach an endpoint directly while
 	// tunnels lead to it.
 	probeInterval = time.Second
@@ -212,21 +215,21 @@
 	}
 }
 
-// IsRefusing reports whether the address refuses connections of this instance and of another
-// one, as it does after the process there has ended. It is false if that is not known.
+// IsRefusing reports whether the address refuses connections of other instances and doesn't
+// accept those of this one, as after the process there has ended. It is false if that is not
+// known.
 func (t *Tunneler) IsRefusing(ctx context.Context, address netip.AddrPort) bool {
-	conn, err := t.direct(ctx, "tcp", address.String())
-	if err == nil {
+	conn, directErr := t.direct(ctx, "tcp", address.String())
+	if directErr == nil {
 		_ = conn.Close() // It was never used.
-	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
 		return false
 	}
-	conn, err = t.openTunnel(ctx, address)
+	conn, err := t.openTunnel(ctx, address)
 	if err == nil {
 		_ = conn.Close() // It was never used.
 	}
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, errNoRelay)
+	isAlone := errors.Is(err, errNoRelay) && errors.Is(directErr, syscall.ECONNREFUSED)
+	return isAlone || errors.Is(err, syscall.ECONNREFUSED)
 }
 
 // begin reports whether the endpoint is reached only through others, and whether a direct
@@ -380,7 +383,8 @@
 }
 
 // openTunnel opens a connection to the endpoint through the first of several instances that
-// has one. An endpoint that refuses an instance is refused.
+// has one. It returns syscall.ECONNREFUSED if the endpoint refuses maxRefusals of them, or
+// all.
 func (t *Tunneler) openTunnel(ctx context.Context, endpoint netip.AddrPort) (net.Conn, error) {
 	type result struct {
 		member discoverer.Member
@@ -392,7 +396,7 @@
 	began := time.Now()
 	members := t.rank(endpoint)
 	results := make(chan result, len(members))
-	running, next := 0, 0
+	running, next, refusals := 0, 0, 0
 	start := func() {
 		if next == len(members) {
 			return
@@ -413,7 +417,8 @@
 		case r := <-results:
 			timer.Stop()
 			running--
-			if r.err == nil || !errors.Is(r.err, context.Canceled) {
+			isRefused := errors.Is(r.err, syscall.ECONNREFUSED)
+			if !isRefused && !errors.Is(r.err, context.Canceled) {
 				t.recordRelay(r.member, r.err)
 			}
 			if r.err == nil {
@@ -427,8 +432,13 @@
 				}()
 				return r.conn, nil
 			}
-			failure = r.err
-			if errors.Is(r.err, syscall.ECONNREFUSED) {
+			if isRefused {
+				refusals++
+			}
+			if refusals == 0 || isRefused {
+				failure = r.err
+			}
+			if refusals >= min(maxRefusals, len(members)) {
 				return nil, failure
 			}
 			start()
@@ -439,5 +449,8 @@
 			return nil, errors.Join(ctx.Err(), failure)
 		}
 	}
+	if refusals > 0 {
+		return nil, eris.Errorf("%d of %d relays were refused, the others don't reach the endpoint", refusals, len(members))
+	}
 	return nil, failure
 }
