internal/relayer: the load in a 421 is not that of the endpoint that was meant

While the store was away the registrations of engines that had crashed were kept, other engines started at their addresses and responded with 421 and their load, and the registrar took that for a response of those that had crashed.

TestLoadOfAnotherEndpointIsNotTaken fails without it.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -329,7 +329,8 @@
 // leaving.
 func (x *exchange) decodeHead(c registrar.Candidate, sentAt time.Time, response *sender.Response) ResponseHead {
 	head := x.Dialect.DecodeResponseHead(response.Status, response.Header)
-	if head.Load != nil {
+	// A 421 is another endpoint's, which now has the address.
+	if head.Load != nil && response.Status != http.StatusMisdirectedRequest {
 		x.Endpoints.Report(c.ID, *head.Load)
 	}
 	if head.IsEndpointLeaving && x.Endpoints.ReportLeave(c.Endpoint) {
