--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -30,12 +31,12 @@
 	// checkDelay is the time from the first request that broke off at a process to the
 	// check whether it has ended. Requests that break off within it are reported together.
 	checkDelay = 20 * time.Millisecond
-	// checkTimeout limits the check. An endpoint accepts or refuses a connection within a
-	// few milliseconds.
-	checkTimeout = 300 * time.Millisecond
+	// checkTimeout limits the check. An instance that is cut off from the endpoint needs the
+	// timeout of a connection before it asks others.
+	checkTimeout = 1500 * time.Millisecond
 	// breakMemory is how long a request that broke off counts among those that a process
 	// had when it ended.
-	breakMemory = time.Second
+	breakMemory = 3 * time.Second
 	// retention is how long a crash is remembered, and how long a quarantine lasts after
 	// the last crash.
 	retention = 5 * time.Minute
@@ -294,19 +295,8 @@
 func (q *Quarantiner) lockedAttribute() {
 	now := time.Now()
 	q.attributedAt = now
-	crashes := make([]crash, 0, len(q.crashes))
-	for process, c := range q.crashes {
-		if now.Sub(c.at) > retention || q.registry.HasRespondedSince(process, c.at.Add(aliveMargin)) {
-			delete(q.crashes, process)
-			continue
-		}
-		crashes = append(crashes, c)
-	}
-	for key, v := range q.verdicts {
-		if !v.isValid(now) {
-			delete(q.verdicts, key)
-		}
-	}
+	q.lockedForget(now)
+	crashes := slices.Collect(maps.Values(q.crashes))
 	// A known cause stays one until it is served, or until too few of its crashes are left.
 	for key, known := range q.quarantines {
 		left := 0
@@ -320,34 +310,37 @@
 		}
 	}
 	q.suspicions = attribute(crashes, q.served, q.confirmed)
-	for key, at := range q.served {
-		if now.Sub(at) > retention {
-			delete(q.served, key)
-		}
-	}
-	before := q.quarantines
-	q.quarantines = map[Key]quarantine{}
 	for key := range q.confirmed {
 		if !q.suspicions[key].isCause {
 			delete(q.confirmed, key)
 		}
 	}
-	for key, at := range q.asked {
-		if now.Sub(at) > retention {
-			delete(q.asked, key)
-		}
+	q.lockedQuarantine(now)
+	if unconfirmed := q.lockedUnconfirmed(now); len(unconfirmed) > 0 {
+		go q.confirm(unconfirmed)
 	}
-	var unconfirmed []Key
-	for key, s := range q.suspicions {
+	q.isWatching.Store(len(q.suspicions)+len(q.verdicts)+len(q.releases) > 0)
+}
+
+// lockedForget forgets what is old, and crashes of processes that respond.
+func (q *Quarantiner) lockedForget(now time.Time) {
+	maps.DeleteFunc(q.crashes, func(process string, c crash) bool {
+		return now.Sub(c.at) > retention || q.registry.HasRespondedSince(process, c.at.Add(aliveMargin))
+	})
+	maps.DeleteFunc(q.verdicts, func(_ Key, v receivedVerdict) bool { return !v.isValid(now) })
+	maps.DeleteFunc(q.served, func(_ Key, at time.Time) bool { return now.Sub(at) > retention })
+	maps.DeleteFunc(q.asked, func(_ Key, at time.Time) bool { return now.Sub(at) > retention })
+	maps.DeleteFunc(q.releases, func(_ Key, r release) bool { return now.Sub(r.at) > releaseMemory })
+}
+
+// lockedQuarantine replaces the quarantines by those of the confirmed causes.
+func (q *Quarantiner) lockedQuarantine(now time.Time) {
+	before := q.quarantines
+	q.quarantines = map[Key]quarantine{}
+	for key := range q.confirmed {
+		s := q.suspicions[key]
 		until := s.lastAt.Add(retention)
-		if !s.isCause || !until.After(now) {
-			continue
-		}
-		if !q.confirmed[key] {
-			if now.Sub(q.asked[key]) >= askInterval {
-				q.asked[key] = now
-				unconfirmed = append(unconfirmed, key)
-			}
+		if !until.After(now) {
 			continue
 		}
 		q.quarantines[key] = quarantine{until: until, crashes: s.crashes, lastAt: s.lastAt}
@@ -355,11 +348,6 @@
 			q.log.Log(eventQuarantined, "Key", key, "Crashes", s.crashes, "Until", until, "Source", "Own")
 		}
 	}
-	for key, r := range q.releases {
-		if now.Sub(r.at) > releaseMemory {
-			delete(q.releases, key)
-		}
-	}
 	for key, old := range before {
 		if _, isKept := q.quarantines[key]; isKept {
 			continue
@@ -369,8 +357,16 @@
 			q.lockedRelease(key, 0)
 		}
 	}
-	if len(unconfirmed) > 0 {
-		go q.confirm(unconfirmed)
+}
+
+// lockedUnconfirmed returns the causes about which the other instances are to be asked now.
+func (q *Quarantiner) lockedUnconfirmed(now time.Time) []Key {
+	var keys []Key
+	for key, s := range q.suspicions {
+		if s.isCause && !q.confirmed[key] && now.Sub(q.asked[key]) >= askInterval {
+			q.asked[key] = now
+			keys = append(keys, key)
+		}
 	}
-	q.isWatching.Store(len(q.suspicions)+len(q.verdicts)+len(q.releases) > 0)
+	return keys
 }
