--- a/internal/quarantiner/gossip.go
+++ b/internal/quarantiner/gossip.go
@@ -16,7 +16,7 @@
 	// sharedCrashes is the number of crashes from which the suspicion against a request is
 	// sent to all instances: those that serve it report so.
 	sharedCrashes = 2
-	// suspicionMemory is how long such a suspicion is kept without being heard again.
+	// suspicionMemory is how long such a suspicion is kept unless it is received again.
 	suspicionMemory = 10 * time.Second
 	// maxVerdicts limits the verdicts that are sent, and maxReceived those that are kept.
 	maxVerdicts = 64
@@ -62,8 +62,8 @@
 	Left time.Duration `cbor:"3,keyasint,omitempty"`
 	// Hops is how often the verdict was forwarded, this time included.
 	Hops int `cbor:"4,keyasint"`
-	// IsReleased is true if its quarantine ended early, as what was taken for crashes was
-	// none, or as it was served.
+	// IsReleased is true if its quarantine ended early: the processes had not ended, or the
+	// request was served.
 	IsReleased bool `cbor:"5,keyasint,omitempty"`
 }
 
@@ -180,8 +180,8 @@
 	return isQuarantined
 }
 
-// MergeVerdicts adds the verdicts of another instance. A quarantine is not extended by
-// hearing of it again.
+// MergeVerdicts adds the verdicts of another instance. A quarantine is not extended when it is
+// received again.
 func (q *Quarantiner) MergeVerdicts(verdicts []Verdict) {
 	if len(verdicts) == 0 {
 		return
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -2,11 +2,11 @@
 // them from further endpoints for some time.
 //
 // An instance whose requests break off at an endpoint checks whether the endpoint's process
-// has ended, and reports the requests that it had there to the bookkeepers, which thus know
-// those of all instances. A request that was in three crashes one after the other, without
-// another cause and without being served in between, is quarantined: no instance sends it
-// while the quarantine lasts. All instances hear of it with the responses of bookkeepers,
-// before they send the turn for which they asked.
+// has ended, and reports the requests that it had there to the bookkeepers, which collect
+// those of all instances. attribute decides which requests, or which targets of requests, are
+// the cause. Once all instances were asked when they last served it, a cause is quarantined:
+// no instance sends it while the quarantine lasts. The responses of bookkeepers carry the
+// quarantines to all instances, before these send the turn for which they asked.
 //
 // Nothing of it is stored. Crashes are forgotten after a time, and their number is bounded.
 package quarantiner
