--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -42,7 +42,11 @@
 type Load struct {
 	Running int
 	Waiting int
-	Slots   int
+	// Slots is the number of requests that the endpoint runs at once; 0 if it states none.
+	Slots int
+	// Pace is how long work takes on the endpoint's machine at the moment, in multiples of
+	// the usual time; 0 if the endpoint does not state it.
+	Pace float64
 }
 
 // Candidate is an endpoint that may be selected for a request.
