platform, internal/matcher, internal/relayer: callers are identified by their account's key

A configuration may list client accounts with keys. A request with an unknown key, or without one on a route that is not public, is refused with 401 after the match of the route and before its body is read. Endpoints get the name of the account in place of the key on every send, as all of them go through one header encoder. Without accounts, Authorization is forwarded as before.

--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -56,6 +56,8 @@
 	// Resumable is set if a stream can be continued at another endpoint after a
 	// given event.
 	Resumable bool
+	// Public is set if requests without a known key are served.
+	Public bool
 }
 
 // Idempotent reports whether a request of the route may run more than once.
@@ -107,9 +109,10 @@
 	// hosts maps a host in lower case to its routes, the longest prefix first.
 	hosts            map[string][]*Route
 	longestRetention time.Duration
+	accounts         *accountIndex
 }
 
-// New returns a Table of the routes.
+// New returns a Table of the routes. It has no accounts; see WithAccounts.
 func New(version int64, limits Limits, services []Service, routes []Route) *Table {
 	t := &Table{
 		Version:  version,
--- /dev/null
+++ b/internal/relayer/account_test.go
@@ -0,0 +1,73 @@
+package relayer_test
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/wigeonstand/wigeonstand/internal/answerer"
+	"github.com/wigeonstand/wigeonstand/internal/logger"
+	"github.com/wigeonstand/wigeonstand/internal/matcher"
+	"github.com/wigeonstand/wigeonstand/internal/relayer"
+	"github.com/wigeonstand/wigeonstand/platform"
+)
+
+type fixedTable struct{ table *matcher.Table }
+
+func (f fixedTable) Table() *matcher.Table { return f.table }
+
+type noMetrics struct{}
+
+func (noMetrics) ObserveRequest(*matcher.Route, string, time.Duration) {}
+func (noMetrics) ObserveFirstEvent(time.Duration)                      {}
+func (noMetrics) CountRefusal(answerer.Kind, string)                   {}
+func (noMetrics) CountRetry(string)                                    {}
+
+// unreadBody fails the test if it is read.
+type unreadBody struct{ t *testing.T }
+
+func (b unreadBody) Read([]byte) (int, error) {
+	b.t.Error("the body was read")
+	return 0, errors.New("unread")
+}
+
+// Guards against a refusal that waits for the body, one with 401 where no configuration is known,
+// and a log line with the key.
+func TestUnknownKeysAreRefusedBeforeTheBody(t *testing.T) {
+	table, err := platform.DecodeConfiguration([]byte(`{"version":3,"routes":[{"name":"r","hostname":"h","prefix":"/x/","type":"safe"}],
+		"tenants":[{"name":"acme","api_keys":["sk-known"]}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, tc := range map[string]struct {
+		table *matcher.Table
+		keys  []string
+		want  int
+	}{
+		"no key":           {table, nil, http.StatusUnauthorized},
+		"unknown key":      {table, []string{"Bearer sk-secret"}, http.StatusUnauthorized},
+		"two keys":         {table, []string{"Bearer sk-known", "Bearer sk-secret"}, http.StatusUnauthorized},
+		"no configuration": {nil, []string{"Bearer sk-secret"}, http.StatusServiceUnavailable},
+	} {
+		var log bytes.Buffer
+		handler := relayer.New(relayer.Config{Tables: fixedTable{tc.table}, Dialect: platform.Dialect{}, Metrics: noMetrics{}, Log: logger.New(&log)})
+		r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "http://h/x/1", io.NopCloser(unreadBody{t}))
+		r.Header.Set("Attempt-Id", "a1")
+		r.Header["Authorization"] = tc.keys
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, r)
+		if diff := cmp.Diff(tc.want, w.Code); diff != "" {
+			t.Error(name, diff)
+		}
+		if out := log.String() + w.Body.String(); !strings.Contains(out, "RequestFailed") || strings.Contains(out, "sk-") {
+			t.Error(name, out)
+		}
+	}
+}
--- a/internal/relayer/call.go
+++ b/internal/relayer/call.go
@@ -18,6 +18,11 @@
 	Path   string
 	// Header is the part of the caller's header that is forwarded to the endpoint.
 	Header http.Header
+	// Key is the caller's key; empty if the header has none, or not exactly one.
+	Key string
+	// Credentials holds the header values with the key. They are forwarded only in deployments
+	// without accounts, whose endpoints may need them.
+	Credentials []string
 	// Timeout is how long the caller waits; zero if the header does not give it.
 	Timeout time.Duration
 
@@ -63,6 +68,8 @@
 	Timeout time.Duration
 	// Priority is the priority in the endpoint's queue; omitted if negative.
 	Priority int
+	// Account is the name of the account that sent the request; omitted if empty.
+	Account string
 	// LastEventID is the number of the event after which the stream resumes; zero
 	// to start at the first.
 	LastEventID int64
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -147,11 +147,14 @@
 // exchange is the state of one request.
 type exchange struct {
 	*Relayer
-	ctx     context.Context
-	writer  http.ResponseWriter
-	call    Call
-	table   *matcher.Table
-	route   *matcher.Route
+	ctx    context.Context
+	writer http.ResponseWriter
+	call   Call
+	table  *matcher.Table
+	route  *matcher.Route
+	// account is the one that sent the request; nil if the configuration has no accounts, or
+	// on a public route if the caller has no known key.
+	account *matcher.Account
 	service string
 	body    []byte
 	arrival time.Time
@@ -181,7 +184,7 @@
 		x.refuse(answerer.New(answerer.NotFound, "no route matches the request"), "NoRoute")
 		return
 	}
-	if !x.readBody(r) {
+	if !x.authenticate() || !x.readBody(r) {
 		return
 	}
 	timeout := x.call.Timeout
@@ -294,7 +297,7 @@
 // send sends the request to the candidate and returns its response once the head
 // has been read.
 func (x *exchange) send(ctx context.Context, c registrar.Candidate, d Dispatch, body []byte) (*sender.Response, error) {
-	d.Endpoint = c.ID
+	d.Endpoint, d.Account = c.ID, x.accountName()
 	x.access.endpoint, x.access.version = c.ID, c.Version
 	x.access.load, x.access.loadAge, x.access.limit = c.Load, c.Age, c.Limit
 	x.access.sendCount++
