internal/relayer, internal/watcher, internal/chooser: accounts own their turns, keys are confirmed

The account is kept in the record of a turn, and only it may continue the turn; rows without it are found by all. An account's priority precedes the route's in the rank at the engine. With RevokeStrict, requests with keys are refused with 503 while the configuration has not been read from the store for RevokeDeadline; a copy of another instance does not count as read.

--- a/internal/bootstrapper/bootstrapper.go
+++ b/internal/bootstrapper/bootstrapper.go
@@ -78,26 +78,37 @@
 	b.snapshots[table] = snapshot
 }
 
-// Fetch returns the copy of the table of another instance.
+// Fetch returns the newest of the copies of several instances: one that the store does not serve
+// may have an old copy, in which keys are still valid that have been revoked since.
 func (b *Bootstrapper) Fetch(ctx context.Context, table Table) (storer.Page, error) {
 	members := b.members.Relays()
 	failure := eris.Errorf("none of %d other instances has a copy of table %s", len(members), table.Name)
-	for _, m := range members[:min(len(members), maxAttempts)] {
-		var out fetchResponse
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err := b.caller.Call(callCtx, m.Address, methodFetch, table, &out)
-		cancel()
-		if err != nil {
+	members = members[:min(len(members), maxAttempts)]
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	responses, failures := make([]fetchResponse, len(members)), make([]error, len(members))
+	var calls sync.WaitGroup
+	for i, m := range members {
+		calls.Go(func() { failures[i] = b.caller.Call(ctx, m.Address, methodFetch, table, &responses[i]) })
+	}
+	calls.Wait()
+	newest := -1
+	for i, m := range members {
+		if failures[i] != nil {
 			b.members.Suspect(m.Instance)
-			failure = err
+			failure = failures[i]
 			continue
 		}
-		if out.Found {
-			b.log.Log(eventTableFetched, "Table", table.Name, "Rows", len(out.Page.Records), "Row", out.Page.Version, "From", m.Instance)
-			return out.Page, nil
+		if responses[i].Found && (newest < 0 || responses[i].Page.Version > responses[newest].Page.Version) {
+			newest = i
 		}
 	}
-	return storer.Page{}, failure
+	if newest < 0 {
+		return storer.Page{}, failure
+	}
+	page := responses[newest].Page
+	b.log.Log(eventTableFetched, "Table", table.Name, "Rows", len(page.Records), "Row", page.Version, "From", members[newest].Instance)
+	return page, nil
 }
 
 // Handlers returns the handlers of calls from other instances, by method.
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -67,6 +67,9 @@
 	// maxStoreOutage is how long the store may be unreachable before the instance
 	// reports that it is not ready.
 	maxStoreOutage = 1500 * time.Millisecond
+	// readsPerRevokeDeadline is the number of reads of the configuration that take place within
+	// RevokeDeadline at least, so that a single late one does not cause refusals.
+	readsPerRevokeDeadline = 4
 	// headerTimeout limits the reading of a request's header.
 	headerTimeout = 10 * time.Second
 	// idleTimeout closes callers' idle connections. It is above the idle timeout
@@ -158,8 +161,11 @@
 		tunneler.WithLogger(e.log), tunneler.WithSilenceObserver(e.sender.CloseIdle))
 	tableCopies := bootstrapper.New(e.discoverer, e.peerClient, e.log)
 	platform.Source.EndpointRemoved = func(endpoint registrar.Endpoint) { e.sender.CloseIdle(endpoint.Address) }
-	e.watcher = watcher.New(platform.Source, e.rerouter, e.registry,
-		watcher.WithLogger(e.log), watcher.WithBootstrapper(tableCopies))
+	watcherOptions := []watcher.Option{watcher.WithLogger(e.log), watcher.WithBootstrapper(tableCopies)}
+	if settings.RevokeStrict {
+		watcherOptions = append(watcherOptions, watcher.WithMaxWait(settings.RevokeDeadline/readsPerRevokeDeadline))
+	}
+	e.watcher = watcher.New(platform.Source, e.rerouter, e.registry, watcherOptions...)
 	var batcherOptions []batcher.Option
 	if settings.OnePartition {
 		batcherOptions = append(batcherOptions, batcher.WithSinglePartition())
@@ -179,7 +185,10 @@
 		Budgets:            e.budgets,
 		Transcripts:        transcriber.New(e.rerouter),
 		IsStoreUnreachable: func() bool { path, _ := e.rerouter.Path(); return path == rerouter.Lost },
-		Instance:           settings.Instance, CountInstances: e.discoverer.Count,
+		IsConfigurationDoubtful: func() bool {
+			return settings.RevokeStrict && time.Since(e.watcher.ConfirmedAt()) > settings.RevokeDeadline
+		},
+		Instance: settings.Instance, CountInstances: e.discoverer.Count,
 		DataCentre: settings.DataCentre, Log: e.log, ServedShare: settings.Log.ServedShare, Metrics: metrics,
 		MaxBufferedBytes: int64(settings.MemoryMB) << 20 / bufferedMemoryDivisor,
 		Policy: relayer.Policy{
--- a/internal/configurer/entry.go
+++ b/internal/configurer/entry.go
@@ -44,9 +44,14 @@
 	CoreShare float64 `validate:"gt=0,max=1"`
 	// GracePeriod is the time from the stop signal to the end of the process.
 	GracePeriod time.Duration `validate:"min=1s"`
-	Log         EntryLog
-	Admission   Admission
-	Placement   Placement
+	// RevokeStrict refuses requests with keys of client accounts while the configuration has not
+	// been confirmed for RevokeDeadline, as the keys may have been revoked. Otherwise the last
+	// configuration stays in force.
+	RevokeStrict   bool
+	RevokeDeadline time.Duration `validate:"min=0s"`
+	Log            EntryLog
+	Admission      Admission
+	Placement      Placement
 }
 
 // EntryLog configures the log.
@@ -82,7 +87,7 @@
 // DefaultEntrySettings returns the values of the settings that have a default.
 func DefaultEntrySettings() *EntrySettings {
 	return &EntrySettings{
-		MemoryMB: 128, Cores: 1, CoreShare: 1, StoreWrites: 800, GracePeriod: 8 * time.Second,
+		MemoryMB: 128, Cores: 1, CoreShare: 1, StoreWrites: 800, GracePeriod: 8 * time.Second, RevokeDeadline: 5 * time.Second,
 		Log:       EntryLog{Format: LogJSON, Level: "Info", ServedShare: 1},
 		Admission: Admission{NewPrograms: 1.2, NoPrograms: 2, ReturnLeast: 200 * time.Millisecond, ReturnMost: 900 * time.Millisecond},
 		Placement: Placement{Margin: 1.5},
--- a/internal/relayer/access.go
+++ b/internal/relayer/access.go
@@ -83,6 +83,7 @@
 	}
 	add(x.call.Program != "", "Program", x.call.Program)
 	add(x.call.PreviousTurn != "", "Previous", x.call.PreviousTurn)
+	add(x.account != nil, "Account", x.accountName())
 	if x.route != nil {
 		pairs = append(pairs, "Route", x.route.Name, "Version", x.table.Version)
 	}
--- a/internal/relayer/account.go
+++ b/internal/relayer/account.go
@@ -3,9 +3,15 @@
 import (
 	"net/http"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/wigeonstand/wigeonstand/internal/answerer"
 )
 
+// errOtherAccount means that the previous turn is another account's. The caller is told that the
+// turn does not exist.
+var errOtherAccount = eris.New("the turn is another account's")
+
 // authenticate finds the account that holds the caller's key and drops the key. It reports
 // whether the request may go on; if not, it has been refused.
 func (x *exchange) authenticate() bool {
@@ -15,6 +21,10 @@
 		return true
 	}
 	x.call.Credentials = nil
+	if key != "" && x.IsConfigurationDoubtful != nil && x.IsConfigurationDoubtful() {
+		x.refuse(answerer.New(answerer.StoreUnavailable, "it can't be confirmed that the key is valid").WithRetryAfter(shortRetryAfter), "Unconfirmed")
+		return false
+	}
 	account, isKnown := x.table.Account(key)
 	if isKnown {
 		x.account = account
@@ -41,3 +51,12 @@
 	}
 	return x.account.Name
 }
+
+// priority returns the priority of the request, 0 for the highest: the account's if it has one,
+// otherwise the route's.
+func (x *exchange) priority() int {
+	if x.account != nil && x.account.HasPriority {
+		return x.account.Priority
+	}
+	return x.route.Priority
+}
--- a/internal/relayer/call.go
+++ b/internal/relayer/call.go
@@ -52,6 +52,9 @@
 	// LastEventID is the number of the event after which the caller resumes a
 	// stream; zero to start at the first.
 	LastEventID int64
+	// Object identifies what a request concerns; empty if unknown. Requests with the same one run
+	// faster at the same endpoint.
+	Object string
 	// Resumes is the ID of the request that brought the first event of a stream that this
 	// one resumes; empty if it resumes none.
 	Resumes string
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -92,6 +92,11 @@
 		if x.suspicion().Crashes > 0 {
 			return chooser.ForSuspect(x.request().Key.String(), candidates)
 		}
+		if x.call.Object != "" && x.route.SessionAffinity {
+			if i := chooser.ForObject(x.call.Object, candidates); i >= 0 {
+				return i
+			}
+		}
 		return chooser.ForCall(x.call.ID, fleet, candidates)
 	})
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -111,6 +111,9 @@
 	// IsStoreUnreachable reports whether the store can be reached neither directly
 	// nor through another instance.
 	IsStoreUnreachable func() bool
+	// IsConfigurationDoubtful reports whether the configuration has not been confirmed for so
+	// long that requests with keys are refused; nil if they never are.
+	IsConfigurationDoubtful func() bool
 	// ServedShare is the share of programs whose served requests are logged.
 	ServedShare float64
 	// MaxBufferedBytes limits the memory for large bodies of plain responses, all together.
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -102,6 +102,9 @@
 	case errors.Is(err, transcriber.ErrTurnNotFound):
 		t.refuse(answerer.New(answerer.NotFound, "turn %s not found", t.call.PreviousTurn), "NoTurn")
 		return false
+	case errors.Is(err, errOtherAccount):
+		t.refuse(answerer.New(answerer.NotFound, "turn %s not found", t.call.PreviousTurn), "OtherAccount")
+		return false
 	case err != nil:
 		t.refuse(answerer.Wrap(answerer.StoreUnavailable, err, "the transcript cannot be read").WithRetryAfter(t.storeRetryAfter()), "Transcript")
 		return false
@@ -117,6 +120,9 @@
 func (t *turn) readTranscript() error {
 	for {
 		previous, text, err := t.Transcripts.Transcript(t.ctx, t.call.PreviousTurn)
+		if err == nil && !previous.MayContinue(t.accountName()) {
+			return errOtherAccount
+		}
 		if err == nil {
 			t.previous, t.prompt = previous, append(text, t.body...)
 			return nil
@@ -292,7 +298,7 @@
 		t.Endpoints.End(c.ID, outcome)
 		t.recordBreak(c, start, err)
 	}()
-	dispatch := Dispatch{Timeout: t.timeLeft(), Priority: admitter.Priority(t.route.Priority, t.isFirst, t.call.IsPastDeadline()), LastEventID: t.lastEventID}
+	dispatch := Dispatch{Timeout: t.timeLeft(), Priority: admitter.Priority(t.priority(), t.isFirst, t.call.IsPastDeadline()), LastEventID: t.lastEventID}
 	response, err := t.send(t.ctx, c, dispatch, t.prompt)
 	if err != nil {
 		if t.ctx.Err() != nil {
@@ -418,7 +424,7 @@
 		retention = pruner.DefaultRetention
 	}
 	record := transcriber.Next(t.previous, t.prompt[:len(t.prompt)-len(t.body)], transcriber.Continuation{
-		ID: t.call.ID, Input: t.body, Output: t.output, WrittenAt: time.Now(), Retention: retention,
+		ID: t.call.ID, Account: t.accountName(), Input: t.body, Output: t.output, WrittenAt: time.Now(), Retention: retention,
 	})
 	t.settle()
 	start := time.Now()
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -42,6 +42,8 @@
 	records map[string]storer.Record
 	// version is the version of the store that the copy reflects.
 	version int64
+	// readAt is when the last read from the store began that succeeded; zero if none did.
+	readAt time.Time
 	// nextList is the time of the next full read; zero before the first one.
 	nextList time.Time
 }
@@ -65,10 +67,12 @@
 // Refresh updates the copy and reports whether it changed. It waits at most the
 // given time for a change.
 func (t *Tracker) Refresh(ctx context.Context, wait time.Duration) (changed bool, err error) {
-	if time.Now().Before(t.nextList) {
+	start := time.Now()
+	if start.Before(t.nextList) {
 		page, err := t.rows.Changes(ctx, t.table, t.version, wait)
 		// A store with an older version has lost rows, which need a full read.
 		if err == nil && page.Version >= t.version {
+			t.recordRead(start)
 			return t.apply(page), nil
 		}
 		if err != nil && !errors.Is(err, storer.ErrVersionExpired) {
@@ -76,6 +80,9 @@
 		}
 	}
 	records, version, err := t.list(ctx)
+	if err == nil {
+		t.recordRead(start)
+	}
 	if err != nil && t.nextList.IsZero() && t.fallback != nil {
 		page, fallbackErr := t.fallback(ctx)
 		if fallbackErr != nil {
@@ -92,6 +99,21 @@
 	return t.replace(records, version), nil
 }
 
+func (t *Tracker) recordRead(start time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.readAt = start
+}
+
+// ReadAt returns a time at which the copy was not older than the store, or zero if it has never
+// been read from the store. It is the time before the last successful read, as the response may
+// have been late.
+func (t *Tracker) ReadAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.readAt
+}
+
 // Snapshot returns all rows. The result is false before the first read.
 func (t *Tracker) Snapshot() (storer.Page, bool) {
 	t.mu.Lock()
--- a/internal/transcriber/transcriber.go
+++ b/internal/transcriber/transcriber.go
@@ -50,11 +50,19 @@
 	// OldestMillis is the time at which the oldest row of the transcript was
 	// written, by the clock of its writer, in milliseconds since 1970.
 	OldestMillis int64 `cbor:"5,keyasint,omitempty"`
+	// Account is the name of the account that sent the turn; empty if it has none, or if the
+	// row was written by an earlier version of the program.
+	Account string `cbor:"6,keyasint,omitempty"`
 }
 
+// MayContinue reports whether the account with the name, or a caller without one if it is empty,
+// may continue the turn: the account that sent it, and any if that is not recorded.
+func (t *Turn) MayContinue(account string) bool { return t.Account == "" || t.Account == account }
+
 // Continuation is what a turn adds to the previous transcript.
 type Continuation struct {
 	ID            string
+	Account       string
 	Input, Output []byte
 	WrittenAt     time.Time
 	// Retention is how long the turn must be readable.
@@ -65,7 +73,7 @@
 // given transcript. Rows are removed by age, so that a turn refers to recent rows
 // only. Otherwise it repeats the transcript, unless that exceeds maxCopyBytes.
 func Next(previous *Turn, transcript []byte, c Continuation) *Turn {
-	t := &Turn{ID: c.ID, OldestMillis: c.WrittenAt.UnixMilli()}
+	t := &Turn{ID: c.ID, Account: c.Account, OldestMillis: c.WrittenAt.UnixMilli()}
 	size := len(c.Input) + len(c.Output)
 	if previous != nil {
 		t.Base = previous.ID
--- a/internal/transcriber/transcriber_test.go
+++ b/internal/transcriber/transcriber_test.go
@@ -192,3 +192,24 @@
 	r.Partition = ""
 	return s.rows.List(ctx, r)
 }
+
+// Guards against turns that another account continues, and rows of earlier versions of the
+// program, which have no account, that nobody can continue.
+func TestAccountsOfTurns(t *testing.T) {
+	rows := fakeplatform.NewRows(1)
+	for _, tc := range []struct{ id, account string }{{"0001", "acme"}, {"0002", ""}} {
+		record(t, rows, transcriber.Next(nil, nil, transcriber.Continuation{ID: tc.id, Account: tc.account, Input: []byte("in"), WrittenAt: time.Now(), Retention: time.Minute}))
+		reader := transcriber.New(rows.For("reader"))
+		for _, source := range []string{"store", "cache"} {
+			turn, _, err := reader.Transcript(t.Context(), tc.id)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for account, want := range map[string]bool{"acme": true, "other": tc.account == "", "": tc.account == ""} {
+				if diff := cmp.Diff(want, turn.MayContinue(account)); diff != "" {
+					t.Errorf("turn of %q from the %s, continued by %q: %s", tc.account, source, account, diff)
+				}
+			}
+		}
+	}
+}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -76,6 +76,7 @@
 	bootstrapper Bootstrapper
 	registry     *registrar.Registry
 	log          *logger.Logger
+	maxWait      time.Duration
 
 	configuration *tracker.Tracker
 	registrations *tracker.Tracker
@@ -122,7 +123,7 @@
 func New(source Source, rows tracker.Reader, registry *registrar.Registry, options ...Option) *Watcher {
 	w := &Watcher{
 		source: source, registry: registry, log: logger.Discard(),
-		endpoints: map[string]registration{},
+		endpoints: map[string]registration{}, maxWait: changeWait,
 	}
 	for _, option := range options {
 		option(w)
@@ -146,6 +147,10 @@
 // Table returns the routing table in force, or nil before the first read.
 func (w *Watcher) Table() *matcher.Table { return w.table.Load() }
 
+// ConfirmedAt returns a time at which the configuration in force was the newest one, or zero if
+// it has never been read from the store.
+func (w *Watcher) ConfirmedAt() time.Time { return w.configuration.ReadAt() }
+
 // IsComplete reports whether both the configuration and the endpoints have been
 // read.
 func (w *Watcher) IsComplete() bool { return w.isComplete.Load() && w.Table() != nil }
@@ -163,7 +168,7 @@
 func (w *Watcher) pollLoop(ctx context.Context, what string, poll func(context.Context, time.Duration) error) {
 	isFailing := false
 	for {
-		wait, interval := changeWait, pollInterval
+		wait, interval := w.maxWait, pollInterval
 		if isFailing {
 			wait = 0
 		}
@@ -191,6 +196,10 @@
 	}
 }
 
+// WithMaxWait bounds the time that a read waits for a change, and thereby the age of
+// ConfirmedAt while the store responds.
+func WithMaxWait(d time.Duration) Option { return func(w *Watcher) { w.maxWait = min(d, changeWait) } }
+
 // Poll reads the configuration and the endpoints once, without waiting for
 // changes. It must not be called while Run runs.
 func (w *Watcher) Poll(ctx context.Context) error {
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/wigeonstand/wigeonstand/internal/bootstrapper"
 	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
 	"github.com/wigeonstand/wigeonstand/internal/matcher"
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
@@ -254,3 +255,37 @@
 		}
 	}
 }
+
+// Guards against a configuration that counts as confirmed although the store did not answer, be it
+// the last known one or a copy of another instance's.
+func TestConfirmedAtIsTheLastAnswerOfTheStore(t *testing.T) {
+	runTest(t, func(t *testing.T, rows *fakeplatform.Rows, w *watcher.Watcher, _ *registrar.Registry) {
+		first := w.ConfirmedAt()
+		if diff := cmp.Diff(time.Now(), first); diff != "" {
+			t.Error(diff)
+		}
+		time.Sleep(time.Second)
+		rows.SetFaults(fakeplatform.RowFaults{Outage: true})
+		if w.Poll(t.Context()) == nil || !w.ConfirmedAt().Equal(first) {
+			t.Errorf("confirmed at %s during an outage that began after %s", w.ConfirmedAt(), first)
+		}
+		copies := copyOf{storer.Page{Version: 5, Records: []storer.Record{{RowKey: configuration, Value: []byte("1"), Version: 5}}}}
+		started := watcher.New(source(), boundedRows{rows.For("y")}, registrar.New(), watcher.WithBootstrapper(copies))
+		poll(t, started)
+		if started.Table() == nil || !started.ConfirmedAt().IsZero() {
+			t.Errorf("table %v confirmed at %s; want one, not confirmed", started.Table(), started.ConfirmedAt())
+		}
+		rows.SetFaults(fakeplatform.RowFaults{})
+		poll(t, w)
+		if diff := cmp.Diff(time.Now(), w.ConfirmedAt()); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+// copyOf provides the page as the copy of every table.
+type copyOf struct{ page storer.Page }
+
+func (copyOf) Register(bootstrapper.Table, func() (storer.Page, bool)) {}
+
+func (c copyOf) Fetch(context.Context, bootstrapper.Table) (storer.Page, error) { return c.page, nil }
