internal/admitter, internal/relayer: no ranked account is starved

Engines serve strictly by rank, so that an account of a low priority got nothing while more urgent ones filled them. Each fourth program of an account now precedes as those of the most urgent do, chosen by hash, as an instance sees too few programs of an account to learn what it got.

--- a/internal/admitter/priority.go
+++ b/internal/admitter/priority.go
@@ -27,3 +27,19 @@
 	}
 	return min(rank, priorityLowest)
 }
+
+// guaranteedDivisor gives the part of an account's programs that precede as those of the most
+// urgent accounts do.
+const guaranteedDivisor = 4
+
+// AccountPriority returns the priority of a program of an account, given that of the account or,
+// if it has none, of the route. Each fourth program of an account has the highest: the engines
+// serve strictly by rank, so that an account would otherwise get nothing while more urgent ones
+// fill them. Thus it is served at least a quarter as often as these, and needs no count of what
+// accounts got, of which an instance sees too little in a large fleet.
+func AccountPriority(priority int, programHash uint64) int {
+	if programHash%guaranteedDivisor == 0 {
+		return 0
+	}
+	return priority
+}
--- a/internal/matcher/account.go
+++ b/internal/matcher/account.go
@@ -31,6 +31,8 @@
 	secret [sha256.Size]byte
 	byHash map[[sha256.Size]byte]*Account
 	byName map[string]*Account
+	// ranks is set if any account has a priority.
+	ranks bool
 }
 
 // WithAccounts returns a copy of the table with the accounts. It fails if two of them have the
@@ -45,7 +47,7 @@
 			return nil, eris.Errorf("two accounts have the name %q", a.Name)
 		}
 		account := &a.Account
-		index.byName[a.Name] = account
+		index.byName[a.Name], index.ranks = account, index.ranks || a.HasPriority
 		for _, key := range a.Keys {
 			hash := index.hash(key)
 			if other := index.byHash[hash]; other != nil && other != account {
@@ -62,6 +64,9 @@
 // HasAccounts reports whether the configuration has any account.
 func (t *Table) HasAccounts() bool { return t.accounts != nil && len(t.accounts.byName) > 0 }
 
+// RanksAccounts reports whether any account has a priority of its own.
+func (t *Table) RanksAccounts() bool { return t.accounts != nil && t.accounts.ranks }
+
 // Account returns the account that holds the key.
 func (t *Table) Account(key string) (*Account, bool) {
 	if t.accounts == nil || key == "" {
--- a/internal/relayer/account.go
+++ b/internal/relayer/account.go
@@ -3,8 +3,10 @@
 import (
 	"net/http"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/wigeonstand/wigeonstand/internal/admitter"
 	"github.com/wigeonstand/wigeonstand/internal/answerer"
 )
 
@@ -52,11 +54,15 @@
 	return x.account.Name
 }
 
-// priority returns the priority of the request, 0 for the highest: the account's if it has one,
-// otherwise the route's.
+// priority returns the effective priority of the request, 0 for the highest: the account's if it
+// has one, otherwise the route's. Where accounts are ranked, no account is starved.
 func (x *exchange) priority() int {
-	if x.account != nil && x.account.HasPriority {
-		return x.account.Priority
+	priority := x.route.Priority
+	if x.account == nil || !x.table.RanksAccounts() {
+		return priority
 	}
-	return x.route.Priority
+	if x.account.HasPriority {
+		priority = x.account.Priority
+	}
+	return admitter.AccountPriority(priority, xxhash.Sum64String(x.placementKey()))
 }
