internal/soaker: callers have keys, and configurations exchange them

Every run's account must be that of the caller's key, no endpoint may get a key, and withdrawn keys must be refused after the faults.

--- a/internal/soaker/soak_caller.go
+++ b/internal/soaker/soak_caller.go
@@ -169,6 +169,9 @@
 	in := c.instances[c.random.IntN(len(c.instances))]
 	c.requests++
 	call.ID = fmt.Sprintf("r-%d-%d", c.index, c.requests)
+	if call.Key == "" {
+		call.Key, call.ForgedAccount = c.accounts.newestKey(c.index%accountCount), "forged"
+	}
 	call.Method, call.Host, call.Deadline = http.MethodPost, standin.Host, callDeadline
 	// The end of the run does not cut a request short.
 	reply := standin.Do(context.WithoutCancel(ctx), c.client, in.callers(), call)
@@ -209,6 +212,7 @@
 func (c *caller) check(ctx context.Context) {
 	for _, s := range c.sent {
 		runs, _ := c.runsOf(s.call.ID)
+		c.checkAccount(s.call)
 		idempotent := s.call.Path == standin.PathLookup+"x" || s.call.Path == standin.PathSession+"x"
 		c.count(c.report.Checks, "at most once")
 		if runs > 1 && !idempotent {
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -67,6 +67,7 @@
 	services  []*standin.Endpoint
 	links     []*link
 	version   int
+	accounts  accounts
 
 	mu     sync.Mutex
 	report Report
@@ -113,6 +114,7 @@
 	time.Sleep(settleTime)
 	for _, c := range callers {
 		c.check(ctx)
+		c.checkWithdrawn(ctx)
 	}
 	return s.report, nil
 }
@@ -151,7 +153,7 @@
 		}
 		s.services = append(s.services, e)
 	}
-	if err := standin.WriteConfiguration(s.rows, s.version); err != nil {
+	if err := standin.WriteAccounts(s.rows, s.version, s.accounts.next()); err != nil {
 		return err
 	}
 	for i := range s.Instances {
@@ -376,7 +378,7 @@
 
 func (s *soak) configure() {
 	s.version += 1 + s.random.IntN(3)
-	if err := standin.WriteConfiguration(s.rows, s.version, fmt.Sprintf("/further-%d/", s.version)); err != nil {
+	if err := standin.WriteAccounts(s.rows, s.version, s.accounts.next(), fmt.Sprintf("/further-%d/", s.version)); err != nil {
 		s.violate("the configuration cannot be written: %v", err)
 	}
 }
@@ -396,15 +398,20 @@
 	return nil
 }
 
+// runs returns the executions of the request at all endpoints.
+func (s *soak) runs(id string) []standin.Run {
+	var runs []standin.Run
+	for _, e := range append(append([]*standin.Endpoint(nil), s.services...), s.engines...) {
+		runs = append(runs, e.Runs(id)...)
+	}
+	return runs
+}
+
 // runsOf returns how often endpoints ran the request, and the body of the first run.
 func (s *soak) runsOf(id string) (runs int, body string) {
-	for _, e := range append(append([]*standin.Endpoint(nil), s.services...), s.engines...) {
-		for _, run := range e.Runs(id) {
-			if runs == 0 {
-				body = run.Body
-			}
-			runs++
-		}
+	all := s.runs(id)
+	if len(all) == 0 {
+		return 0, ""
 	}
-	return runs, body
+	return len(all), all[0].Body
 }
