--- a/internal/composer/account_test.go
+++ b/internal/composer/account_test.go
@@ -1,7 +1,9 @@
 package composer_test
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -264,3 +266,29 @@
 	f.rows.SetFaults(fakeplatform.RowFaults{})
 	f.awaitStatus(strict, "sk-acme-1", http.StatusOK)
 }
+
+// Guards against a refusal that waits for a body that the caller has not sent yet.
+func TestUnknownKeysAreRefusedBeforeTheBodyArrives(t *testing.T) {
+	t.Parallel()
+	f := newAccountFleet(t, 1)
+	for _, length := range []string{"Content-Length: 1000", "Content-Length: 900000", "Transfer-Encoding: chunked"} {
+		conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", f.instances[0].settings.CallerListen.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() }) // The test is over.
+		_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+		head := "POST " + standin.PathPost + "x HTTP/1.1\r\nHost: " + standin.Host + "\r\nAuthorization: Bearer sk-nobody\r\n" + standin.HeaderID + ": r\r\n" + length + "\r\n\r\n"
+		if _, err := conn.Write([]byte(head)); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatalf("%s: %v", length, err)
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusUnauthorized || response.Header.Get("WWW-Authenticate") != "Bearer" {
+			t.Errorf("%s: %d %v", length, response.StatusCode, response.Header)
+		}
+	}
+}
