--- a/internal/configurer/entry_test.go
+++ b/internal/configurer/entry_test.go
@@ -22,7 +22,7 @@
 `
 
 func TestParseEntry(t *testing.T) {
-	got, err := configurer.ParseEntry("e.yaml", []byte(minimalEntrySettings+"GracePeriod: 5s\nAdmission: {NewPrograms: 0.5}\n"))
+	got, err := configurer.ParseEntry("e.yaml", []byte(minimalEntrySettings+"GracePeriod: 5s\nRevokeStrict: true\nRevokeDeadline: \"2500ms\"\nAdmission: {NewPrograms: 0.5}\n"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -35,6 +35,7 @@
 	want.AdminListen = netip.MustParseAddrPort("10.0.0.1:83")
 	want.StoreAddress = netip.MustParseAddrPort("10.0.0.9:90")
 	want.Admission.NewPrograms = 0.5
+	want.RevokeStrict, want.RevokeDeadline = true, 2500*time.Millisecond
 	if diff := cmp.Diff(want, got, cmpopts.EquateComparable(netip.AddrPort{})); diff != "" {
 		t.Error(diff)
 	}
