--- a/internal/composer/account_test.go
+++ b/internal/composer/account_test.go
@@ -292,3 +292,47 @@
 		}
 	}
 }
+
+// Guards against keys that are valid for too long, or new ones that are not in time, while the
+// store rejects a third of the instances, now these and now those, or leaves them without answers.
+func TestKeysTakeEffectWhileTheStoreRejectsAThird(t *testing.T) {
+	for name, fault := range map[string]func(rejected map[string]bool) fakeplatform.RowFaults{
+		"rejected": func(rejected map[string]bool) fakeplatform.RowFaults {
+			return fakeplatform.RowFaults{Refused: rejected}
+		},
+		"unanswered": func(rejected map[string]bool) fakeplatform.RowFaults {
+			return fakeplatform.RowFaults{Unanswered: rejected}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const steps, stepLength, rotation = 4, 3600 * time.Millisecond, 1700 * time.Millisecond
+			f := newAccountFleet(t, 3)
+			key := func(step int) string { return fmt.Sprint("sk-acme-", step+1) }
+			start := time.Now()
+			slowest := time.Duration(0)
+			for step := 1; step <= steps; step++ {
+				f.writeAccounts(2+step, []string{key(step)}, []string{"sk-other-1"})
+				written := time.Now()
+				pending := map[*instance]bool{f.instances[0]: true, f.instances[1]: true, f.instances[2]: true}
+				for time.Since(written) < stepLength {
+					n := int(time.Since(start)/rotation) % len(f.instances)
+					f.rows.SetFaults(fault(map[string]bool{f.instances[n].name: true}))
+					for _, in := range f.instances {
+						sentAt := time.Now()
+						isOldValid, isNewValid := f.statusOf(in, key(step-1)) == http.StatusOK, f.statusOf(in, key(step)) == http.StatusOK
+						if pending[in] && isNewValid && !isOldValid {
+							delete(pending, in)
+							slowest = max(slowest, sentAt.Sub(written))
+						}
+						if sentAt.Sub(written) > configDeadline && (isOldValid || !isNewValid) {
+							t.Errorf("%s, %v after version %d: the old key is valid: %v, the new one: %v", in.name, sentAt.Sub(written), 2+step, isOldValid, isNewValid)
+						}
+					}
+					<-time.After(20 * time.Millisecond)
+				}
+			}
+			t.Logf("in force everywhere after %v at most", slowest)
+		})
+	}
+}
