platform, internal/matcher: an empty list of accounts still requires keys

Cause: a configuration whose last account was removed counted as one without accounts, so that all requests were served without a key. Change: the presence of the list decides. Result: TestEmptyListOfAccountsRequiresKeys failed before.

--- a/internal/matcher/account.go
+++ b/internal/matcher/account.go
@@ -61,8 +61,9 @@
 	return &table, nil
 }
 
-// HasAccounts reports whether the configuration has any account.
-func (t *Table) HasAccounts() bool { return t.accounts != nil && len(t.accounts.byName) > 0 }
+// HasAccounts reports whether the configuration lists accounts. The list may be empty: after the
+// last account was removed, no key is valid.
+func (t *Table) HasAccounts() bool { return t.accounts != nil }
 
 // RanksAccounts reports whether any account has a priority of its own.
 func (t *Table) RanksAccounts() bool { return t.accounts != nil && t.accounts.ranks }
