internal/allotter: decisions, issuer and client of quotas over all instances

Not called yet. The two first instances of an account's ranking issue permits for half of the bound each, and begin one window after all members have confirmed that they list them.

--- /dev/null
+++ b/internal/allotter/allotter.go
@@ -0,0 +1,193 @@
+// Package allotter keeps the quotas of client accounts over all instances. Each request of an
+// account with a quota needs a permit, which the two instances with the highest rendezvous
+// hashes for the account issue, each for half of the bound on the account's requests in a
+// sliding window. An instance begins to issue permits only after all members that it knows
+// have confirmed that they have it in their lists, and one window later, so that no three
+// instances issue permits of one account within one window. See docs/design/quotas.md.
+package allotter
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/wigeonstand/wigeonstand/internal/discoverer"
+	"github.com/wigeonstand/wigeonstand/internal/logger"
+	"github.com/wigeonstand/wigeonstand/internal/messenger"
+)
+
+var (
+	eventIssuerUnreachable = logger.Define(5120, "QuotaIssuerUnreachable", log.WarnLevel,
+		"an instance that issues permits for the quotas of accounts did not answer",
+		"None, if the instance was stopped; otherwise see its log.")
+	eventTenureBegan = logger.Define(5121, "QuotaTenureBegan", log.InfoLevel,
+		"all members have this instance in their lists; it issues permits for quotas after one window", "None.")
+	eventTenureEnded = logger.Define(5122, "QuotaTenureEnded", log.WarnLevel,
+		"this instance was interrupted or could not write its heartbeats and issues no permits for quotas",
+		"None, if it is brief; otherwise find out why the instance does not reach the store or gets no processor time.")
+)
+
+// Members selects the issuers of permits.
+type Members interface {
+	// Ranking returns the n members with the highest hashes for the key, highest first.
+	Ranking(key string, n int) []discoverer.Member
+	// IsCurrent reports whether this instance has written its heartbeats, so that no other
+	// instance has dropped it from its list.
+	IsCurrent() bool
+	// ReadAt returns when the last successful read of the list of members began.
+	ReadAt() time.Time
+	Self() discoverer.Member
+}
+
+// Caller calls other instances.
+type Caller interface {
+	Call(ctx context.Context, address netip.AddrPort, method string, in, out any) error
+}
+
+// Request asks for a permit for one request of an account.
+type Request struct {
+	// Account is the account's name, and Version that of the configuration that states its
+	// quota of Rate requests a second and Burst more in a window.
+	Account     string
+	Version     int64
+	Rate, Burst float64
+	// Program and Route are the IDs of the program, empty if there is none, and the route.
+	Program, Route string
+	// ID is the ID of the request.
+	ID string
+	// IsUnderWay is set if the program is known to have had a request before.
+	IsUnderWay bool
+}
+
+// Result is the result of a Request.
+type Result string
+
+// The results of requests for permits.
+const (
+	Granted Result = "Granted"
+	// ProgramRefused means that the account has no capacity for a further program, and
+	// WindowFull that it has none at all.
+	ProgramRefused Result = "ProgramRefused"
+	WindowFull     Result = "WindowFull"
+	// Unreachable means that no issuer answered.
+	Unreachable Result = "Unreachable"
+)
+
+// Decision is the decision about a Request.
+type Decision struct {
+	Result Result
+	// Wait is the time until the account will have capacity, if the permit was not granted.
+	Wait time.Duration
+}
+
+// Allotter issues permits and gets them from other instances. It is safe for concurrent use.
+type Allotter struct {
+	members Members
+	caller  Caller
+	limits  Limits
+	log     *logger.Logger
+	count   func(result Result)
+	// epoch is the time from which times of windows are counted.
+	start time.Time
+
+	mu       sync.Mutex
+	tenure   tenure
+	needs    needs
+	accounts map[string]*account
+
+	client client
+}
+
+// Option sets one property of an Allotter.
+type Option func(*Allotter)
+
+// WithLogger sets the logger of events.
+func WithLogger(l *logger.Logger) Option { return func(a *Allotter) { a.log = l } }
+
+// WithCounter sets the function that counts requests for permits by result.
+func WithCounter(count func(result Result)) Option { return func(a *Allotter) { a.count = count } }
+
+// New returns an Allotter.
+func New(members Members, caller Caller, limits Limits, options ...Option) *Allotter {
+	a := &Allotter{
+		members: members, caller: caller, limits: limits, log: logger.Discard(), count: func(Result) {}, start: time.Now(),
+		tenure: tenure{members: members, window: limits.Window, confirmed: map[string]bool{}},
+		needs:  needs{}, accounts: map[string]*account{},
+		client: client{queues: map[netip.AddrPort]*queue{}, unreachableUntil: map[netip.AddrPort]time.Time{}, rankings: map[string]ranking{}},
+	}
+	for _, option := range options {
+		option(a)
+	}
+	return a
+}
+
+// Handlers returns the handlers of calls from other instances, by method.
+func (a *Allotter) Handlers() map[string]messenger.Handler {
+	return map[string]messenger.Handler{
+		methodIssue: messenger.Handle(func(_ context.Context, in issueRequest) (issueResponse, error) { return a.issue(in), nil }),
+		methodIntroduce: messenger.Handle(func(_ context.Context, in introduction) (introductionResponse, error) {
+			return a.confirm(in), nil
+		}),
+	}
+}
+
+// Run maintains the right of this instance to issue permits until ctx ends.
+func (a *Allotter) Run(ctx context.Context) {
+	ticker := time.NewTicker(observeInterval)
+	defer ticker.Stop()
+	var introduced time.Time
+	for {
+		a.mu.Lock()
+		a.lockedObserve(time.Now())
+		a.lockedForget(time.Now())
+		var unconfirmed []discoverer.Member
+		if !a.tenure.startedAt.IsZero() && a.tenure.completeAt.IsZero() && time.Since(introduced) >= introduceInterval {
+			unconfirmed = a.tenure.unconfirmed()
+		}
+		a.mu.Unlock()
+		if len(unconfirmed) > 0 {
+			introduced = time.Now()
+			go a.introduce(ctx, unconfirmed)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Usage describes the accounts for which this instance issues permits.
+type Usage struct {
+	// Accounts is their number.
+	Accounts int
+	// Used is the number of permits in the current window, Most how many this instance may
+	// issue in a window, and Highest the highest fraction of that used by one account.
+	Used, Most, Highest float64
+}
+
+// Usage returns the use of the quotas at this issuer.
+func (a *Allotter) Usage() Usage {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out Usage
+	now := time.Now()
+	for name, acct := range a.accounts {
+		part := acct.right.part(&a.tenure, name, now)
+		if part == 0 {
+			continue
+		}
+		used, most := float64(acct.used.count(now.Sub(a.start))), acct.limits.bound(acct.quota)*part
+		out.Accounts++
+		out.Used += used
+		out.Most += most
+		out.Highest = max(out.Highest, used/max(most, 1))
+	}
+	return out
+}
+
+func randomFraction() float64 { return rand.Float64() }
--- /dev/null
+++ b/internal/allotter/issuer.go
@@ -0,0 +1,129 @@
+package allotter
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/wigeonstand/wigeonstand/internal/discoverer"
+)
+
+const (
+	// introduceInterval is the time between two attempts to introduce this instance to
+	// members that have not confirmed it.
+	introduceInterval = 500 * time.Millisecond
+	// introduceTimeout limits the call to a member, and introduceConcurrency the number of
+	// concurrent calls.
+	introduceTimeout     = 200 * time.Millisecond
+	introduceConcurrency = 16
+	// idleTimeout is how long the state of an account is kept after its last use.
+	idleTimeout = 10 * time.Minute
+	// maxItems limits the requests in one call.
+	maxItems = 64
+)
+
+// issue decides about the requests of another instance, or of this one.
+func (a *Allotter) issue(in issueRequest) issueResponse {
+	out := issueResponse{Results: make([]result, 0, len(in.Items))}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, i := range in.Items[:min(len(in.Items), maxItems)] {
+		// The time is taken for each, after the look at the members: a permit counts at
+		// the time at which this instance was last known to have the right.
+		now := time.Now()
+		if now.Sub(a.tenure.observedAt) > observeInterval {
+			a.lockedObserve(now)
+		}
+		acct := a.accounts[i.Account]
+		if acct == nil {
+			acct = newAccount(a.limits, a.needs)
+			a.accounts[i.Account] = acct
+		}
+		acct.update(i.Version, float64(i.Quota)/quotaScale)
+		acct.lastUsed = now.Sub(a.start)
+		part := acct.right.part(&a.tenure, i.Account, now)
+		if part == 0 {
+			out.Results = append(out.Results, result{Code: notIssuer})
+			if len(out.Issuers) == 0 {
+				for _, m := range a.members.Ranking(i.Account, issuersPerAccount) {
+					out.Issuers = append(out.Issuers, m.Address)
+				}
+			}
+			continue
+		}
+		out.Results = append(out.Results, acct.decide(now.Sub(a.start), i, part, randomFraction()))
+	}
+	return out
+}
+
+// lockedObserve looks at the list of members and updates the rights if it has changed.
+func (a *Allotter) lockedObserve(now time.Time) {
+	t := &a.tenure
+	epoch, wasStarted, wasComplete := t.epoch, !t.startedAt.IsZero(), !t.completeAt.IsZero()
+	t.observe(now)
+	if t.epoch != epoch {
+		for name, acct := range a.accounts {
+			acct.right.update(t, name)
+		}
+	}
+	switch {
+	case wasComplete && t.completeAt.IsZero():
+		a.log.Log(eventTenureEnded, "IsCurrent", t.members.IsCurrent(), "WasStarted", wasStarted)
+	case !wasComplete && !t.completeAt.IsZero():
+		a.log.Log(eventTenureBegan, "Members", len(t.listed)+1)
+	}
+}
+
+// lockedForget removes the accounts that have not been used for a while.
+func (a *Allotter) lockedForget(now time.Time) {
+	for name, acct := range a.accounts {
+		if now.Sub(a.start)-acct.lastUsed > idleTimeout {
+			delete(a.accounts, name)
+		}
+	}
+}
+
+// confirm handles the introduction of an instance. If the instance is in this one's list,
+// this instance issues no permits from now on for the accounts for which the other one is
+// an issuer in its place.
+func (a *Allotter) confirm(in introduction) introductionResponse {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lockedObserve(time.Now())
+	for _, m := range a.tenure.listed {
+		if m.Instance == in.Instance && m.Incarnation == in.Incarnation {
+			return introductionResponse{IsListed: true}
+		}
+	}
+	return introductionResponse{}
+}
+
+// introduce introduces this instance to the members.
+func (a *Allotter) introduce(ctx context.Context, members []discoverer.Member) {
+	self := a.members.Self()
+	a.mu.Lock()
+	startedAt := a.tenure.startedAt
+	a.mu.Unlock()
+	var calls errgroup.Group
+	calls.SetLimit(introduceConcurrency)
+	for _, m := range members {
+		calls.Go(func() error {
+			callCtx, cancel := context.WithTimeout(ctx, introduceTimeout)
+			defer cancel()
+			var out introductionResponse
+			err := a.caller.Call(callCtx, m.Address, methodIntroduce, introduction{Instance: self.Instance, Incarnation: self.Incarnation}, &out)
+			if err != nil || !out.IsListed {
+				return nil // The next attempt follows.
+			}
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			if a.tenure.startedAt.Equal(startedAt) {
+				a.tenure.confirmed[m.Incarnation] = true
+			}
+			return nil
+		})
+	}
+	_ = calls.Wait() // The functions return no errors.
+}
+
--- a/internal/answerer/answerer.go
+++ b/internal/answerer/answerer.go
@@ -30,6 +30,8 @@
 	DocumentInvalid  Kind = "DocumentInvalid"
 	BudgetExhausted  Kind = "BudgetExhausted"
 	LimitReached     Kind = "LimitReached"
+	QuotaReached     Kind = "QuotaReached"
+	QuotaUnknown     Kind = "QuotaUnknown"
 	Overloaded       Kind = "Overloaded"
 	Infeasible       Kind = "Infeasible"
 	NoEndpoint       Kind = "NoEndpoint"
--- a/internal/answerer/table.go
+++ b/internal/answerer/table.go
@@ -20,6 +20,8 @@
 	{DocumentInvalid, http.StatusUnprocessableEntity, NotRun, false, 0, "The document has errors."},
 	{BudgetExhausted, http.StatusPaymentRequired, NotRun, false, 0, "The budget does not cover the request."},
 	{LimitReached, http.StatusForbidden, NotRun, false, 0, "The program reached a limit and was ended."},
+	{QuotaReached, http.StatusTooManyRequests, NotRun, true, time.Second, "The account has used up its quota of requests."},
+	{QuotaUnknown, http.StatusServiceUnavailable, NotRun, true, time.Second, "The instances that keep the account's quota are not reachable."},
 	{Overloaded, http.StatusTooManyRequests, NotRun, true, 2 * time.Second, "The queue is full."},
 	{Infeasible, http.StatusTooManyRequests, NotRun, true, 2 * time.Second, "The deadline cannot be met."},
 	{NoEndpoint, http.StatusServiceUnavailable, NotRun, true, 2 * time.Second, "No endpoint can take the request."},
--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -99,6 +99,8 @@
 	members        map[string]*memberState
 	suspectedUntil map[string]time.Time
 	refreshedAt    time.Time
+	// readAt is when the last successful read of the members began.
+	readAt time.Time
 	// selected caches the bookkeepers; nil after a change.
 	selected *selection
 }
@@ -195,13 +197,25 @@
 // Refresh reads the members from the store. It returns the names of the instances
 // that have joined and left since the last call. It is not safe for concurrent use.
 func (d *Discoverer) Refresh(ctx context.Context) (joined, left []string, err error) {
+	start := time.Now()
 	if _, err := d.tracker.Refresh(ctx, 0); err != nil {
 		return nil, nil, err
 	}
 	joined, left = d.update(d.tracker.Records())
+	d.mu.Lock()
+	d.readAt = start
+	d.mu.Unlock()
 	return joined, left, nil
 }
 
+// ReadAt returns when the last successful read of the members began; zero before the first.
+// Rows that were written before that time are in the list.
+func (d *Discoverer) ReadAt() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.readAt
+}
+
 func (d *Discoverer) update(records []storer.Record) (joined, left []string) {
 	now := time.Now()
 	d.mu.Lock()
