internal/allotter, internal/relayer: requests of accounts with a quota need a permit

A permit is asked for beside the reservation and the transcript of a turn, and before the first attempt of a plain request. Issuers charge a new program with the requests that programs of its route need, and pace programs from 0.7 of the quota on, so that the excess is refused at first turns. QuotaWindow, QuotaOverage and QuotaTolerance enable it; without them there are no permits.

--- a/internal/allotter/allotter.go
+++ b/internal/allotter/allotter.go
@@ -61,6 +61,8 @@
 	ID string
 	// IsUnderWay is set if the program is known to have had a request before.
 	IsUnderWay bool
+	// MaxWait is how long the request of a program under way may wait for capacity.
+	MaxWait time.Duration
 }
 
 // Result is the result of a Request.
@@ -91,7 +93,7 @@
 	limits  Limits
 	log     *logger.Logger
 	count   func(result Result)
-	// epoch is the time from which times of windows are counted.
+	// start is the time from which the times of windows are counted.
 	start time.Time
 
 	mu       sync.Mutex
@@ -117,7 +119,7 @@
 		members: members, caller: caller, limits: limits, log: logger.Discard(), count: func(Result) {}, start: time.Now(),
 		tenure: tenure{members: members, window: limits.Window, confirmed: map[string]bool{}},
 		needs:  needs{}, accounts: map[string]*account{},
-		client: client{queues: map[netip.AddrPort]*queue{}, unreachableUntil: map[netip.AddrPort]time.Time{}, rankings: map[string]ranking{}},
+		client: newClient(),
 	}
 	for _, option := range options {
 		option(a)
@@ -139,18 +141,8 @@
 func (a *Allotter) Run(ctx context.Context) {
 	ticker := time.NewTicker(observeInterval)
 	defer ticker.Stop()
-	var introduced time.Time
 	for {
-		a.mu.Lock()
-		a.lockedObserve(time.Now())
-		a.lockedForget(time.Now())
-		var unconfirmed []discoverer.Member
-		if !a.tenure.startedAt.IsZero() && a.tenure.completeAt.IsZero() && time.Since(introduced) >= introduceInterval {
-			unconfirmed = a.tenure.unconfirmed()
-		}
-		a.mu.Unlock()
-		if len(unconfirmed) > 0 {
-			introduced = time.Now()
+		if unconfirmed := a.observe(time.Now()); len(unconfirmed) > 0 {
 			go a.introduce(ctx, unconfirmed)
 		}
 		select {
@@ -161,6 +153,21 @@
 	}
 }
 
+// observe looks at the list of members. It returns those to which this instance must introduce
+// itself now.
+func (a *Allotter) observe(now time.Time) []discoverer.Member {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lockedObserve(now)
+	a.lockedForget(now)
+	t := &a.tenure
+	if t.startedAt.IsZero() || !t.completeAt.IsZero() || now.Sub(t.introducedAt) < introduceInterval {
+		return nil
+	}
+	t.introducedAt = now
+	return t.unconfirmed()
+}
+
 // Usage describes the accounts for which this instance issues permits.
 type Usage struct {
 	// Accounts is their number.
--- a/internal/allotter/charge.go
+++ b/internal/allotter/charge.go
@@ -8,11 +8,13 @@
 )
 
 const (
-	// initialNeed is the number of requests that a program is taken to need before one of
-	// its route has ended.
-	initialNeed = 4
+	// initialNeed is the number of requests that a program of an unknown route is taken to
+	// need. It has the weight of minEnded programs. Until as many have ended, the requests
+	// of those under way count.
+	initialNeed = 3
+	minEnded    = 3
 	// needWeight is the weight of the last program in the moving average of its route.
-	needWeight = 1.0 / 16
+	needWeight = 1.0 / 32
 	// maxPrograms limits the programs that are remembered for an account.
 	maxPrograms = 2048
 	// programTimeout is how long a program without requests counts as under way.
@@ -20,6 +22,14 @@
 	// newProgramShare is the part of what exceeds the quota that may be used to start
 	// programs. The rest is left to programs under way, whose requests don't arrive evenly.
 	newProgramShare = 0.5
+	// pacedShare is the part of the quota from which programs start at an even rate, with
+	// at most pacedDepth of what exceeds the quota at once. Without that, programs that
+	// start together every few seconds fill windows beyond the bound.
+	pacedShare = 0.7
+	pacedDepth = 0.8
+	// minPacedPrograms is the least number of programs to which the depth amounts. With one,
+	// the time until the next program arrives would be lost.
+	minPacedPrograms = 1.5
 )
 
 // Limits are the tolerances of the bound on an account's requests.
@@ -46,20 +56,38 @@
 	isWhole bool
 }
 
-// needs holds the mean number of requests that programs need, by route.
-type needs map[uint16]float64
+// need is what is known of the programs of a route.
+type need struct {
+	// started and requests count the programs and their requests so far, and ended the
+	// programs that have ended, with the mean number of their requests.
+	started, requests, ended int
+	mean                     float64
+}
+
+// needs holds what programs need, by route.
+type needs map[uint16]*need
+
+func (n needs) get(route uint16) *need {
+	if n[route] == nil {
+		n[route] = &need{}
+	}
+	return n[route]
+}
 
-func (n needs) of(route uint16) float64 {
-	if need, ok := n[route]; ok {
-		return need
+// charge returns the number of requests that a new program is expected to need.
+func (n *need) charge() int {
+	mean := n.mean
+	if n.ended < minEnded {
+		mean = float64(initialNeed*minEnded+n.requests) / float64(minEnded+n.started)
 	}
-	return initialNeed
+	return max(int(math.Round(mean)), 1)
 }
 
-// learn records a program that has needed the number of requests.
-func (n needs) learn(route uint16, requests int) {
-	need := n.of(route)
-	n[route] = need + (float64(requests)-need)*needWeight
+// learn records a program that has ended after the number of requests.
+func (n *need) learn(requests int) {
+	n.ended++
+	weight := max(needWeight, 1/float64(n.ended))
+	n.mean += (float64(requests) - n.mean) * weight
 }
 
 // account is an issuer's state of one account.
@@ -71,8 +99,11 @@
 	// used counts the permits, charged the requests that admitted programs are expected to
 	// need, and refused the programs that were not admitted.
 	used, charged, refused window
-	programs               *simplelru.LRU[uint32, *program]
-	needs                  needs
+	// paced is the number of charged requests that are ahead of the even rate at pacedAt.
+	paced    float64
+	pacedAt  time.Duration
+	programs *simplelru.LRU[uint32, *program]
+	needs    needs
 	// right is that of this instance to issue the account's permits.
 	right right
 	// lastUsed is the time of the last request.
@@ -87,7 +118,7 @@
 	// NewLRU fails only for a size of zero.
 	a.programs, _ = simplelru.NewLRU(maxPrograms, func(_ uint32, p *program) {
 		if p.isWhole {
-			needs.learn(p.route, p.requests)
+			needs.get(p.route).learn(p.requests)
 		}
 	})
 	return a
@@ -125,6 +156,9 @@
 	isUnderWay := in.Program != 0 && (isKnown || in.IsUnderWay)
 	if isUnderWay {
 		if used >= most {
+			if isKnown {
+				p.isWhole = false // It may end before its time.
+			}
 			return result{Code: windowFull, Wait: milliseconds(a.used.timeUntil(now, used+1-most))}
 		}
 		a.grant(now, in, p, false)
@@ -132,14 +166,10 @@
 	}
 	charge := 1
 	if in.Program != 0 {
-		charge = max(int(math.Round(a.needs.of(in.Route))), 1)
+		charge = a.needs.get(in.Route).charge()
 	}
 	soft := a.quota * part
-	limit := int(soft + (float64(most)-soft)*newProgramShare)
-	charged := a.charged.count(now)
-	// A program that needs more than the limit is admitted alone.
-	if overCharge, overUse := charged+charge-limit, used+1-limit; (overCharge > 0 && charged > 0) || overUse > 0 {
-		wait := max(a.charged.timeUntil(now, min(overCharge, charged)), a.used.timeUntil(now, overUse))
+	if wait := a.waitForProgram(now, charge, used, soft, float64(most)); wait > 0 {
 		// Those that were refused return over the time in which there will be room for them.
 		a.refused.add(now, 1)
 		spread := float64(a.refused.count(now)*charge) / max(soft, 1) * float64(a.limits.Window)
@@ -147,10 +177,31 @@
 		return result{Code: programRefused, Wait: milliseconds(wait)}
 	}
 	a.charged.add(now, charge)
+	a.paced += float64(charge)
 	a.grant(now, in, nil, true)
 	return result{Code: granted}
 }
 
+// waitForProgram returns how long it takes until a program with the charge can start; zero if
+// it can start now.
+func (a *account) waitForProgram(now time.Duration, charge, used int, soft, most float64) time.Duration {
+	limit := int(soft + (most-soft)*newProgramShare)
+	rate := soft / float64(a.limits.Window)
+	a.paced = max(a.paced-float64(now-a.pacedAt)*rate, 0)
+	a.pacedAt = now
+	charged := a.charged.count(now)
+	wait := a.used.timeUntil(now, used+1-limit)
+	// A program that needs more than there is starts alone.
+	if over := charged + charge - int(most); over > 0 && charged > 0 {
+		wait = max(wait, a.charged.timeUntil(now, min(over, charged)))
+	}
+	depth := max((most-soft)*pacedDepth, float64(charge)*minPacedPrograms)
+	if ahead := a.paced + float64(charge) - depth; ahead > 0 && float64(charged+charge) > soft*pacedShare {
+		wait = max(wait, time.Duration(min(ahead/max(rate, math.SmallestNonzeroFloat32), float64(time.Hour))), 1)
+	}
+	return wait
+}
+
 // grant counts a permit.
 func (a *account) grant(now time.Duration, in item, p *program, isFirst bool) {
 	a.used.add(now, 1)
@@ -163,10 +214,12 @@
 	}
 	p.requests++
 	p.lastUsed = now
-	if p.isWhole && float64(p.requests) > a.needs.of(p.route) {
-		// Programs that already needed more than the mean count before they end, so
-		// that a start value that is too low is corrected early.
-		a.needs.learn(p.route, p.requests)
+	if p.isWhole {
+		n := a.needs.get(p.route)
+		n.requests++
+		if isFirst {
+			n.started++
+		}
 	}
 }
 
--- a/internal/allotter/client.go
+++ b/internal/allotter/client.go
@@ -1,6 +1,7 @@
 package allotter
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"slices"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
 const (
@@ -21,11 +23,16 @@
 	unreachableTimeout = time.Second
 	// rankingMaxAge is how long the issuers of an account are kept.
 	rankingMaxAge = 500 * time.Millisecond
+	// maxRankings limits the rankings, and maxAdmitted the programs, that are kept.
+	maxRankings = 2000
+	maxAdmitted = 4096
 	// maxIssuersAsked limits the issuers that are asked for one request: those in this
 	// instance's list and those to which they refer.
 	maxIssuersAsked = 4
 	// quotaScale is the factor of quotas in messages.
 	quotaScale = 1000
+	// waitSpread is the interval over which waiting requests ask again.
+	waitSpread = 50 * time.Millisecond
 	// unreachableWait is the time to come back if no issuer answers.
 	unreachableWait = 500 * time.Millisecond
 )
@@ -36,6 +43,21 @@
 	queues           map[netip.AddrPort]*queue
 	unreachableUntil map[netip.AddrPort]time.Time
 	rankings         map[string]ranking
+	// admitted holds the issuers that last permitted requests of programs. Their further
+	// requests go there, so that no other issuer takes them for new programs.
+	admitted *simplelru.LRU[programKey, netip.AddrPort]
+}
+
+// programKey identifies a program of an account.
+type programKey struct {
+	account string
+	program uint32
+}
+
+func newClient() client {
+	// NewLRU fails only for a size of zero.
+	admitted, _ := simplelru.NewLRU[programKey, netip.AddrPort](maxAdmitted, nil)
+	return client{queues: map[netip.AddrPort]*queue{}, unreachableUntil: map[netip.AddrPort]time.Time{}, rankings: map[string]ranking{}, admitted: admitted}
 }
 
 // ranking is the issuers of an account that were in this instance's list at a time.
@@ -60,21 +82,38 @@
 // answer is what one issuer responded.
 type answer struct {
 	result
+	from       netip.AddrPort
 	issuers    []netip.AddrPort
 	isAnswered bool
 }
 
-// Permit gets a permit for a request. An account without a quota needs none. The error is that
+// Permit gets a permit for a request. An account without a quota needs none. A new program is
+// refused at once; a request of a program under way waits for up to MaxWait. The error is that
 // of ctx.
 func (a *Allotter) Permit(ctx context.Context, in Request) (Decision, error) {
 	if in.Rate <= 0 {
 		return Decision{Result: Granted}, nil
 	}
-	d, err := a.ask(ctx, in)
-	if err == nil {
-		a.count(d.Result)
+	start := time.Now()
+	for {
+		d, err := a.ask(ctx, in)
+		if err != nil {
+			return d, err
+		}
+		// The requests that wait for one account ask again at different times.
+		pause := d.Wait + time.Duration(randomFraction()*float64(waitSpread))
+		if d.Result != WindowFull || time.Since(start)+pause > in.MaxWait {
+			a.count(d.Result)
+			return d, nil
+		}
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return d, ctx.Err()
+		case <-timer.C:
+		}
 	}
-	return d, err
 }
 
 func (a *Allotter) ask(ctx context.Context, in Request) (Decision, error) {
@@ -83,11 +122,13 @@
 		Route: uint16(xxhash.Sum64String(in.Route)), IsUnderWay: in.IsUnderWay,
 	}
 	key := in.ID
-	if key = in.ID; in.Program != "" {
+	if in.Program != "" {
 		// Zero stands for no program.
 		key, i.Program = in.Program, max(uint32(xxhash.Sum64String(in.Program)), 1)
 	}
-	targets := a.issuersOf(in.Account, xxhash.Sum64String(key)>>32)
+	program := programKey{account: in.Account, program: i.Program}
+	targets, isAdmitted := a.issuersOf(program, xxhash.Sum64String(key)>>32)
+	i.IsUnderWay = i.IsUnderWay || isAdmitted
 	answers := make(chan answer, maxIssuersAsked)
 	asked, running := 0, 0
 	next := func() {
@@ -113,6 +154,11 @@
 			switch {
 			case !got.isAnswered:
 			case got.Code == granted:
+				if i.Program != 0 {
+					a.client.mu.Lock()
+					a.client.admitted.Add(program, got.from)
+					a.client.mu.Unlock()
+				}
 				return Decision{Result: Granted}, nil
 			case got.Code == notIssuer:
 				for _, address := range got.issuers {
@@ -135,50 +181,57 @@
 	return out, nil
 }
 
-// issuersOf returns the issuers of the account in the order in which to ask them. The hash of
-// the program spreads programs over them; those that did not answer come last.
-func (a *Allotter) issuersOf(account string, hash uint64) []netip.AddrPort {
+// issuersOf returns the issuers of the account in the order in which to ask them: first the one
+// that admitted the program, if it was asked at this instance. Otherwise the hash of the program
+// spreads programs over the issuers. Those that did not answer come last.
+func (a *Allotter) issuersOf(program programKey, hash uint64) (ordered []netip.AddrPort, isAdmitted bool) {
 	now := time.Now()
 	a.client.mu.Lock()
-	r, ok := a.client.rankings[account]
+	r, ok := a.client.rankings[program.account]
 	a.client.mu.Unlock()
 	if !ok || now.Sub(r.at) > rankingMaxAge {
 		r = ranking{at: now}
-		for _, m := range a.members.Ranking(account, issuersPerAccount) {
+		for _, m := range a.members.Ranking(program.account, issuersPerAccount) {
 			r.issuers = append(r.issuers, m.Address)
 		}
 	}
 	a.client.mu.Lock()
 	defer a.client.mu.Unlock()
-	if !ok && len(a.client.rankings) > maxRankings {
+	if !ok && len(a.client.rankings) >= maxRankings {
 		clear(a.client.rankings)
 	}
-	a.client.rankings[account] = r
-	ordered := make([]netip.AddrPort, 0, maxIssuersAsked)
-	var last []netip.AddrPort
-	for k := range r.issuers {
-		address := r.issuers[(uint64(k)+hash)%uint64(len(r.issuers))]
-		if now.Before(a.client.unreachableUntil[address]) {
-			last = append(last, address)
-			continue
+	a.client.rankings[program.account] = r
+	first, isAdmitted := a.client.admitted.Get(program)
+	rank := func(k int) int {
+		switch address := r.issuers[k]; {
+		case now.Before(a.client.unreachableUntil[address]):
+			return issuersPerAccount + 1
+		case isAdmitted && address == first:
+			return -1
+		default:
+			return (k + int(hash%issuersPerAccount)) % issuersPerAccount
 		}
-		ordered = append(ordered, address)
 	}
-	return append(ordered, last...)
+	order := make([]int, len(r.issuers), maxIssuersAsked)
+	for k := range order {
+		order[k] = k
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(rank(a), rank(b)) })
+	for _, k := range order {
+		ordered = append(ordered, r.issuers[k])
+	}
+	return ordered, isAdmitted
 }
 
-// maxRankings limits the rankings that are kept.
-const maxRankings = 2000
-
 // send asks one issuer. The result arrives on answers.
 func (a *Allotter) send(ctx context.Context, address netip.AddrPort, i item, answers chan<- answer) {
 	if address == a.members.Self().Address {
 		out := a.issue(issueRequest{Items: []item{i}})
-		answers <- answer{result: out.Results[0], issuers: out.Issuers, isAnswered: true}
+		answers <- answer{result: out.Results[0], from: address, issuers: out.Issuers, isAnswered: true}
 		return
 	}
 	p := pending{item: i, done: func(r result, issuers []netip.AddrPort, isAnswered bool) {
-		answers <- answer{result: r, issuers: issuers, isAnswered: isAnswered}
+		answers <- answer{result: r, from: address, issuers: issuers, isAnswered: isAnswered}
 	}}
 	a.client.mu.Lock()
 	defer a.client.mu.Unlock()
--- a/internal/allotter/issuer.go
+++ b/internal/allotter/issuer.go
@@ -126,4 +126,3 @@
 	}
 	_ = calls.Wait() // The functions return no errors.
 }
-
--- a/internal/allotter/right.go
+++ b/internal/allotter/right.go
@@ -56,6 +56,8 @@
 	// in their lists.
 	listed    []discoverer.Member
 	confirmed map[string]bool
+	// introducedAt is the time of the last introduction.
+	introducedAt time.Time
 }
 
 // observe looks at the list of members.
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -117,6 +117,7 @@
 	bookkeeper   *bookkeeper.Bookkeeper
 	budgets      *bookkeeper.Client
 	relayer      *relayer.Relayer
+	runQuotas    func(context.Context)
 	peerServer   *messenger.Server
 	isLeaving    atomic.Bool
 	wasReady     atomic.Bool
@@ -173,6 +174,7 @@
 		bookkeeper.WithLogger(e.log), bookkeeper.WithPruner(e.pruner.Schedule), bookkeeper.WithVerdicts(quarantine))
 	e.budgets = bookkeeper.NewClient(e.bookkeeper, e.discoverer, e.peerClient, e.registry)
 	permits := rationer.New(e.discoverer, e.peerClient, rationer.WithLogger(e.log), rationer.WithCounter(metrics.countPermit))
+	quotas := e.newQuotas(metrics)
 	streams := resumer.New(e.discoverer, e.peerClient, resumer.WithLogger(e.log))
 	e.relayer = relayer.New(relayer.Config{
 		Tables: e.watcher, Endpoints: e.registry, Sender: e.sender, Permits: permits, Streams: streams, Quarantine: quarantine, Paths: e.tunneler, Dialect: platform.Dialect,
@@ -191,6 +193,9 @@
 		},
 	})
 	handlers := map[string]messenger.Handler{}
+	if quotas != nil {
+		e.relayer.Quotas, e.runQuotas, handlers = quotas, quotas.Run, quotas.Handlers()
+	}
 	for _, group := range []map[string]messenger.Handler{e.bookkeeper.Handlers(e.registry), e.rerouter.Handlers(), tableCopies.Handlers(), permits.Handlers(), streams.Handlers(), quarantine.Handlers()} {
 		for name, handler := range group {
 			handlers[name] = handler
@@ -268,7 +273,7 @@
 	serve(func() error { return ready.Serve(listeners[1]) })
 	serve(func() error { return e.peerServer.Serve(work, listeners[2]) })
 	serve(func() error { return admin.Serve(listeners[3]) })
-	for _, run := range []func(context.Context){e.logOutput.Run, e.rerouter.Run, e.batcher.Run, e.pruner.Run, e.bookkeeper.Run, e.watcher.Run, e.maintainMembership} {
+	for _, run := range []func(context.Context){e.logOutput.Run, e.rerouter.Run, e.batcher.Run, e.pruner.Run, e.bookkeeper.Run, e.watcher.Run, e.maintainMembership, e.runQuotas} {
 		running.Go(func() { run(work) })
 	}
 	e.log.Log(eventStarted, "DataCentre", e.settings.DataCentre, "Incarnation", e.discoverer.Self().Incarnation)
--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/wigeonstand/wigeonstand/internal/allotter"
 	"github.com/wigeonstand/wigeonstand/internal/answerer"
 	"github.com/wigeonstand/wigeonstand/internal/matcher"
 	"github.com/wigeonstand/wigeonstand/internal/meter"
@@ -21,6 +22,7 @@
 	retries           *prometheus.CounterVec
 	storeCalls        *prometheus.CounterVec
 	permits           *prometheus.CounterVec
+	quotaRequests     *prometheus.CounterVec
 }
 
 func newMetrics(m *meter.Meter, s *sender.Sender, endpoints *registrar.Registry) *metrics {
@@ -30,6 +32,7 @@
 		retries:           m.NewCounter("entry_retries_total", "Further attempts by reason.", "Reason"),
 		storeCalls:        m.NewCounter("entry_store_calls_total", "Calls to the store by operation, way and result.", "Operation", "Way", "Result"),
 		permits:           m.NewCounter("entry_permits_total", "Permits asked for, of endpoints with a limit, by result.", "Result"),
+		quotaRequests:     m.NewCounter("entry_quota_requests_total", "Permits asked for, of accounts with a quota, by result.", "Result"),
 		requestSeconds:    m.NewHistogram("entry_request_seconds", "Time from arrival to the end of the answer.", "Route"),
 		firstEventSeconds: m.FirstTokenSeconds,
 	}
@@ -43,6 +46,7 @@
 func Metrics() []string {
 	m := meter.New()
 	newMetrics(m, sender.New(), registrar.New())
+	observeQuotas(m, nil)
 	return m.Describe()
 }
 
@@ -69,6 +73,26 @@
 
 func (m *metrics) countPermit(result string) { m.permits.WithLabelValues(result).Inc() }
 
+func (m *metrics) countQuotaRequest(result allotter.Result) {
+	m.quotaRequests.WithLabelValues(string(result)).Inc()
+}
+
+// observeQuotas adds the metrics of the permits that this instance issues; usage may be nil.
+func observeQuotas(m *meter.Meter, usage func() allotter.Usage) {
+	add := func(name, help string, value func(allotter.Usage) float64) {
+		m.NewGaugeFunc(name, help, func() float64 {
+			if usage == nil {
+				return 0
+			}
+			return value(usage())
+		})
+	}
+	add("entry_quota_accounts", "Accounts with a quota for which this instance issues permits.", func(u allotter.Usage) float64 { return float64(u.Accounts) })
+	add("entry_quota_used", "Permits that this instance issued in the current window.", func(u allotter.Usage) float64 { return u.Used })
+	add("entry_quota_part", "Permits that this instance may issue in a window.", func(u allotter.Usage) float64 { return u.Most })
+	add("entry_quota_highest", "The highest part of its permits in the current window that an account has used.", func(u allotter.Usage) float64 { return u.Highest })
+}
+
 func (m *metrics) countStoreCall(operation, way, result string) {
 	m.storeCalls.WithLabelValues(operation, way, result).Inc()
 }
--- a/internal/configurer/entry.go
+++ b/internal/configurer/entry.go
@@ -47,6 +47,13 @@
 	Log         EntryLog
 	Admission   Admission
 	Placement   Placement
+	// QuotaWindow is the sliding window of the quotas of client accounts. Zero means that
+	// the deployment has no quotas.
+	QuotaWindow time.Duration `validate:"min=0s"`
+	// QuotaOverage is the fraction, and QuotaTolerance the number of requests, by which
+	// the requests of an account in a window may exceed its quota.
+	QuotaOverage   float64 `validate:"min=0"`
+	QuotaTolerance float64 `validate:"min=0"`
 }
 
 // EntryLog configures the log.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -98,6 +98,8 @@
 	Transcripts Transcripts
 	Sender      Sender
 	Permits     Permits
+	// Quotas is nil if the deployment has no quotas.
+	Quotas      Quotas
 	Streams     Streams
 	Quarantine  Quarantine
 	Paths       Paths
@@ -207,7 +209,9 @@
 		x.serveTurn()
 		return
 	}
-	x.servePlain()
+	if x.allows(x.askPermit(x.isUnderWay())) {
+		x.servePlain()
+	}
 }
 
 // placementKey returns the key by which a service and an endpoint are chosen: the
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wigeonstand/wigeonstand/internal/admitter"
+	"github.com/wigeonstand/wigeonstand/internal/allotter"
 	"github.com/wigeonstand/wigeonstand/internal/answerer"
 	"github.com/wigeonstand/wigeonstand/internal/bookkeeper"
 	"github.com/wigeonstand/wigeonstand/internal/chooser"
@@ -86,16 +87,17 @@
 	t.run()
 }
 
-// prepare reserves tokens and reads the transcript concurrently. It reports whether
+// prepare reserves tokens, reads the transcript and gets a permit concurrently. It reports whether
 // the turn may go on; if not, the request has been refused.
 func (t *turn) prepare() bool {
 	reserved := make(chan error, 1)
 	go func() { reserved <- t.reserve() }()
+	permitted := t.startAskingPermit()
 	var err error
 	if t.route.Retained && t.call.PreviousTurn != "" {
 		err = t.readTranscript()
 	}
-	reserveErr := <-reserved
+	reserveErr, permit := <-reserved, <-permitted
 	switch {
 	case t.isCallerDisconnected():
 		t.abort("Canceled", err)
@@ -109,7 +111,11 @@
 		t.refuse(answerer.As(reserveErr), "Books")
 		return false
 	}
-	return true
+	if permit.Result == allotter.ProgramRefused && !t.isFirst {
+		// The issuer does not know the program, but the bookkeeper does.
+		permit = t.askPermit(true)
+	}
+	return t.allows(permit)
 }
 
 // readTranscript reads the transcript that the turn continues. It retries while
