--- a/internal/relayer/account.go
+++ b/internal/relayer/account.go
@@ -3,9 +3,17 @@
 import (
 	"net/http"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonstand/wigeonstand/internal/admitter"
 	"github.com/wigeonstand/wigeonstand/internal/answerer"
 )
 
+// errOtherAccount means that the previous turn is another account's. The caller is told that the
+// turn does not exist.
+var errOtherAccount = eris.New("the turn is another account's")
+
 // authenticate finds the account that holds the caller's key and drops the key. It reports
 // whether the request may go on; if not, it has been refused.
 func (x *exchange) authenticate() bool {
@@ -15,6 +23,10 @@
 		return true
 	}
 	x.call.Credentials = nil
+	if key != "" && x.IsConfigurationDoubtful != nil && x.IsConfigurationDoubtful() {
+		x.refuse(answerer.New(answerer.StoreUnavailable, "it can't be confirmed that the key is valid").WithRetryAfter(shortRetryAfter), "Unconfirmed")
+		return false
+	}
 	account, isKnown := x.table.Account(key)
 	if isKnown {
 		x.account = account
@@ -41,3 +53,16 @@
 	}
 	return x.account.Name
 }
+
+// priority returns the effective priority of the request, 0 for the highest: the account's if it
+// has one, otherwise the route's. Where accounts are ranked, no account is starved.
+func (x *exchange) priority() int {
+	priority := x.route.Priority
+	if x.account == nil || !x.table.RanksAccounts() {
+		return priority
+	}
+	if x.account.HasPriority {
+		priority = x.account.Priority
+	}
+	return admitter.AccountPriority(priority, xxhash.Sum64String(x.placementKey()))
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -99,20 +99,23 @@
 	Sender      Sender
 	Permits     Permits
 	// Quotas is nil if the deployment has no quotas.
-	Quotas      Quotas
-	Streams     Streams
-	Quarantine  Quarantine
-	Paths       Paths
-	Dialect     Dialect
-	Policy      Policy
-	Instance    string
-	DataCentre  string
+	Quotas     Quotas
+	Streams    Streams
+	Quarantine Quarantine
+	Paths      Paths
+	Dialect    Dialect
+	Policy     Policy
+	Instance   string
+	DataCentre string
 	// CountInstances returns the number of live instances.
 	CountInstances func() int
 	Log            *logger.Logger
 	// IsStoreUnreachable reports whether the store can be reached neither directly
 	// nor through another instance.
 	IsStoreUnreachable func() bool
+	// IsConfigurationDoubtful reports whether the configuration has not been confirmed for so
+	// long that requests with keys are refused; nil if they never are.
+	IsConfigurationDoubtful func() bool
 	// ServedShare is the share of programs whose served requests are logged.
 	ServedShare float64
 	// MaxBufferedBytes limits the memory for large bodies of plain responses, all together.
