--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -98,13 +98,15 @@
 	Transcripts Transcripts
 	Sender      Sender
 	Permits     Permits
-	Streams     Streams
-	Quarantine  Quarantine
-	Paths       Paths
-	Dialect     Dialect
-	Policy      Policy
-	Instance    string
-	DataCentre  string
+	// Quotas is nil if the deployment has no quotas.
+	Quotas     Quotas
+	Streams    Streams
+	Quarantine Quarantine
+	Paths      Paths
+	Dialect    Dialect
+	Policy     Policy
+	Instance   string
+	DataCentre string
 	// CountInstances returns the number of live instances.
 	CountInstances func() int
 	Log            *logger.Logger
@@ -210,7 +212,9 @@
 		x.serveTurn()
 		return
 	}
-	x.servePlain()
+	if x.allows(x.askPermit(x.isUnderWay())) {
+		x.servePlain()
+	}
 }
 
 // placementKey returns the key by which a service and an endpoint are chosen: the
