--- a/internal/bookkeeper/client.go
+++ b/internal/bookkeeper/client.go
@@ -59,7 +59,10 @@
 // Gossiper exchanges observations of endpoints, which are attached to the calls to
 // bookkeepers: a single instance gets too few responses from each endpoint.
 type Gossiper interface {
+	// Observations returns the observations of a bookkeeper, for an instance that called it,
+	// and ObservationsFor those for the bookkeeper on the instance.
 	Observations() []registrar.Observation
+	ObservationsFor(instance string) []registrar.Observation
 	Merge(observations []registrar.Observation)
 }
 
@@ -114,7 +117,7 @@
 	deadline := time.Now().Add(in.Wait)
 	for {
 		m := c.members.Bookkeepers(in.Program)[0]
-		in.Observations, in.Verdicts = c.gossiper.Observations(), c.local.verdicts.Verdicts()
+		in.Observations, in.Verdicts = c.gossiper.ObservationsFor(m.Instance), c.local.verdicts.Verdicts()
 		in.Wait = min(time.Until(deadline), bookkeeperTimeout)
 		out, err := call(ctx, c, m, methodOpen, in.Wait, in, c.local.Open)
 		c.gossiper.Merge(out.Observations)
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -4,6 +4,7 @@
 package registrar
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"strconv"
@@ -60,6 +61,14 @@
 	// Age is the age of the reported load that Load is based on; negative if there
 	// is none.
 	Age time.Duration
+	// Pace is how long work takes on the endpoint's machine, as stated with that load, in
+	// multiples of the usual time; 0 if it is not known.
+	Pace float64
+	// Speed is what is learned of the endpoint's speed.
+	Speed Speed
+	// IsInviting is true if the endpoint had a free place when a request of this instance
+	// ended there.
+	IsInviting bool
 	// Avoid is true for some time after requests to the endpoint failed.
 	Avoid bool
 	// Limit is the limit that the endpoint stated last, and LimitAge the time since.
@@ -98,6 +107,8 @@
 	remoteAvoidUntil time.Time
 	// announced is what the endpoint's process stated in its responses; never nil.
 	announced *announcement
+	changes
+	learned
 }
 
 // accepts reports whether the endpoint accepts new requests.
@@ -115,6 +126,16 @@
 	mu       sync.Mutex
 	byID     map[string]*entry
 	services map[string][]*entry
+	centres  map[serviceCentre][]*entry
+	means    map[string]meanLoad
+	// invitations holds the endpoints that invite, by service, the last one at the end.
+	invitations map[string][]invitation
+	// changeCount is the number of changes of this instance, and toldTo how many of them
+	// other instances were told.
+	changeCount uint64
+	toldTo      map[string]uint64
+	// usual holds what work usually takes.
+	usual map[workKind]*usual
 	// announced holds what the processes of endpoints stated in their responses.
 	announced map[process]*announcement
 	// versionSeen holds when an endpoint with the version was last seen in the
@@ -159,7 +180,10 @@
 
 // New returns an empty Registry.
 func New() *Registry {
-	return &Registry{byID: map[string]*entry{}, services: map[string][]*entry{}, announced: map[process]*announcement{}, versionSeen: map[serviceVersion]time.Time{}}
+	return &Registry{
+		byID: map[string]*entry{}, services: map[string][]*entry{}, announced: map[process]*announcement{}, versionSeen: map[serviceVersion]time.Time{},
+		means: map[string]meanLoad{}, invitations: map[string][]invitation{}, toldTo: map[string]uint64{}, usual: map[workKind]*usual{},
+	}
 }
 
 // Changes lists the endpoints that a call of Registry.Replace has changed.
@@ -177,7 +201,7 @@
 	var changes Changes
 	r.lockedRecordVersions(endpoints, time.Now())
 	byID := make(map[string]*entry, len(endpoints))
-	services := map[string][]*entry{}
+	services, centres := map[string][]*entry{}, map[serviceCentre][]*entry{}
 	for _, e := range endpoints {
 		known := r.byID[e.ID]
 		if known == nil || !known.Started.Equal(e.Started) || known.Address != e.Address {
@@ -187,15 +211,19 @@
 			changes.Leaving = append(changes.Leaving, e)
 		}
 		known.Endpoint = e
+		known.forgetOther(e.Version)
 		byID[e.ID] = known
 		services[e.Service] = append(services[e.Service], known)
+		centre := serviceCentre{e.Service, e.DataCentre}
+		centres[centre] = append(centres[centre], known)
 	}
 	for id, known := range r.byID {
 		if byID[id] == nil {
 			changes.Removed = append(changes.Removed, known.Endpoint)
 		}
 	}
-	r.byID, r.services = byID, services
+	r.byID, r.services, r.centres = byID, services, centres
+	r.lockedDropInvitations()
 	for p, a := range r.announced {
 		if known := byID[p.id]; (known == nil || known.announced != a) && time.Since(a.lastAt()) > announcementMemory {
 			delete(r.announced, p)
@@ -271,7 +299,7 @@
 func (e *entry) candidate(now time.Time) Candidate {
 	c := Candidate{Endpoint: e.Endpoint, Load: float64(e.outstanding), Outstanding: e.outstanding, Age: -1, Avoid: e.isAvoided(now), Limit: e.announced.limit, LimitAge: now.Sub(e.announced.limitAt)}
 	if age := now.Sub(e.reportedAt); !e.reportedAt.IsZero() && age <= loadMaxAge {
-		c.Age = age
+		c.Age, c.Pace = age, e.load.Pace
 		c.Load = max(c.Load, float64(e.load.Running+e.load.Waiting+e.outstanding-e.outstandingAtReport))
 	}
 	return c
@@ -283,6 +311,7 @@
 	defer r.mu.Unlock()
 	if e := r.byID[id]; e != nil {
 		e.outstanding++
+		r.lockedRecordChange(e, 1)
 	}
 }
 
@@ -296,6 +325,9 @@
 	}
 	// The endpoint may have been registered again in the meantime, with no
 	// outstanding requests.
+	if e.outstanding > 0 {
+		r.lockedRecordChange(e, -1)
+	}
 	e.outstanding = max(e.outstanding-1, 0)
 	switch outcome {
 	case Served:
@@ -339,26 +371,46 @@
 	// StatedLimit is the limit that this process stated last, if any, and the end of a
 	// limit for some time; nil otherwise.
 	StatedLimit *StatedLimit `cbor:"12,keyasint,omitempty"`
+	// PacePercent is the pace that was stated with the load, in percent; zero for none.
+	PacePercent int `cbor:"13,keyasint,omitempty"`
+	// Changes are the requests of the sender that began, or if negative ended, since the
+	// sender's last call: their ages in milliseconds, plus one.
+	Changes []int `cbor:"14,keyasint,omitempty"`
+	// Sum is by how much the load changed since it was reported, as far as the sender knows
+	// as a bookkeeper.
+	HasSum bool `cbor:"15,keyasint,omitempty"`
+	Sum    int  `cbor:"16,keyasint,omitempty"`
+	// StatedSpeed is what the sender has learned of the speed of the process that started at
+	// StartedMillis; nil for nothing.
+	StatedSpeed *StatedSpeed `cbor:"17,keyasint,omitempty"`
 }
 
 // Observations returns the recent loads and failures of endpoints, their limits, and the
 // leaves that they announced and that their registrations do not state.
 func (r *Registry) Observations() []Observation {
-	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.lockedObservations(addSum)
+}
+
+// lockedObservations returns the observations, to each of which add adds what is known of
+// the changes since the report.
+func (r *Registry) lockedObservations(add func(e *entry, o *Observation, now time.Time)) []Observation {
+	now := time.Now()
 	var observations []Observation
 	for id, e := range r.byID {
 		age, failureAge := now.Sub(e.reportedAt), now.Sub(e.failedAt)
 		hasFailed := failureAge <= observationMaxAge && e.hops < maxHops
 		isLeaving := e.announced.isLeaving() && !e.Leaving
 		limit := e.announced.observation(now)
-		if age > observationMaxAge && !hasFailed && !isLeaving && limit == nil {
-			continue
-		}
 		o := Observation{
 			ID: id, Running: e.load.Running, Waiting: e.load.Waiting, Slots: e.load.Slots, Age: age,
-			HasFailed: hasFailed, FailureAge: failureAge, Hops: e.hops + 1,
+			HasFailed: hasFailed, FailureAge: failureAge, Hops: e.hops + 1, PacePercent: int(math.Round(e.load.Pace * percent)),
+		}
+		e.trim(e.reportedAt, now)
+		add(e, &o, now)
+		if age > observationMaxAge && !hasFailed && !isLeaving && limit == nil && len(o.Changes) == 0 {
+			continue
 		}
 		if isLeaving || limit != nil {
 			p := processOf(e.Endpoint)
@@ -366,6 +418,7 @@
 		}
 		observations = append(observations, o)
 	}
+	r.lockedAddSpeeds(observations, now)
 	return observations
 }
 
@@ -385,9 +438,15 @@
 		}
 		e := r.byID[o.ID]
 		if at := now.Add(-o.Age); e != nil && at.After(e.reportedAt) {
-			e.load = Load{Running: o.Running, Waiting: o.Waiting, Slots: o.Slots}
+			e.load = Load{Running: o.Running, Waiting: o.Waiting, Slots: o.Slots, Pace: float64(max(o.PacePercent, 0)) / percent}
 			e.reportedAt, e.outstandingAtReport = at, e.outstanding
 		}
+		if e != nil {
+			e.mergeChanges(o, e.reportedAt, now)
+		}
+		if e != nil && o.StatedSpeed != nil && o.StartedMillis == e.Started.UnixMilli() {
+			e.mergeSpeed(*o.StatedSpeed, e.Version, now)
+		}
 		if at := now.Add(-o.FailureAge); e != nil && o.HasFailed && at.After(e.failedAt) {
 			e.failedAt, e.hops = at, o.Hops
 			e.remoteAvoidUntil = at.Add(remoteAvoidMin + rand.N(remoteAvoidJitter))
