internal/bencher, cmd/wigeonbench: model of even load from stale reports

wigeonbench load compares placements under the same programs and loads that are known late, among them the one in force and the product's ForWork.

--- a/cmd/wigeonbench/main.go
+++ b/cmd/wigeonbench/main.go
@@ -1,4 +1,4 @@
-// Command wigeonbench measures the scheduling policy on a virtual clock and
+// Command wigeonbench measures the scheduling policy and the placement on a virtual clock and
 // writes the figures and plots into the documentation.
 package main
 
@@ -27,6 +27,15 @@
 		Name:  "wigeonbench",
 		Usage: "measure the scheduling policy",
 		Commands: []*cli.Command{{
+			Name:   "load",
+			Usage:  "compare placements under loads that are known late",
+			Action: load,
+			Flags: []cli.Flag{
+				&cli.IntFlag{Name: "seeds", Value: 1, Usage: "runs of each case, with seeds from 1"},
+				&cli.IntFlag{Name: "parallel", Value: 3, Usage: "runs at a time"},
+				&cli.StringFlag{Name: "out", Usage: "folder of MEASUREMENTS.md and plots; empty prints the tables only"},
+			},
+		}, {
 			Name:   "policy",
 			Usage:  "run the policy experiments",
 			Action: policy,
@@ -52,3 +61,8 @@
 	}
 	return b.Run(ctx)
 }
+
+func load(ctx context.Context, c *cli.Command) error {
+	b := bencher.EvenBatch{Seeds: c.Int("seeds"), Parallel: c.Int("parallel"), Out: c.String("out"), Progress: os.Stdout}
+	return b.Run(ctx)
+}
--- a/internal/bencher/pages.go
+++ b/internal/bencher/pages.go
@@ -74,6 +74,7 @@
 		}
 	}
 	path := filepath.Join(b.Out, pageName)
+	page.WriteString(keptSection(path))
 	return eris.Wrap(os.WriteFile(path, []byte(page.String()), 0o644), "write page")
 }
 
--- a/internal/chooser/expected.go
+++ b/internal/chooser/expected.go
@@ -17,6 +17,9 @@
 	// waits delays those that come after it. With a weight of 1, requests queue at fast
 	// endpoints while slower ones are idle; see docs/design/placement.md.
 	waitWeight = 8
+	// homeShare is the part of the work by which it must end earlier elsewhere for a turn to
+	// leave its home. Learned speeds differ by less from one sample to the next.
+	homeShare = 0.1
 	// maxPace bounds the effect of a stated pace, so that a wrong figure does not move all
 	// traffic.
 	maxPace = 4
@@ -44,8 +47,8 @@
 
 // ForWork returns the index of the endpoint for the work among the few candidates that
 // registrar.Registry.Draw returns, or -1 if there is none. It is the endpoint that invites, or
-// else the one at which the work is expected to cost least; but the home if the work costs no
-// more there.
+// else the one at which the work is expected to cost least; but the home unless the work costs
+// clearly more there.
 func ForWork(w Work, candidates []registrar.Candidate) int {
 	home, best, lowest := -1, -1, math.Inf(1)
 	for i := range candidates {
@@ -62,7 +65,7 @@
 			best, lowest = i, cost
 		}
 	}
-	if home >= 0 && (best < 0 || cost(w, &candidates[home]) <= cost(w, &candidates[best])) {
+	if home >= 0 && (best < 0 || cost(w, &candidates[home]) <= cost(w, &candidates[best])+homeShare*float64(ExpectedWork(w, &candidates[best]))) {
 		return home
 	}
 	return best
