internal/relayer, internal/composer, docs: placement by expected end behind Placement.Policy

Placement.Policy Soonest places turns and calls by registrar.Draw and chooser.ForWork; the default TwoByHash is the placement in force. Served requests are recorded as samples of the speed under both. The access log has the way, the expected wait, the learned speed with its confidence and the pace of the selected endpoint; metrics count the ways.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -187,7 +187,7 @@
 				SoftLimit: settings.Admission.NewPrograms, HardLimit: settings.Admission.NoPrograms,
 				MinRetryAfter: settings.Admission.ReturnLeast, MaxRetryAfter: settings.Admission.ReturnMost,
 			},
-			Margin: settings.Placement.Margin,
+			Margin: settings.Placement.Margin, IsSoonest: settings.Placement.Policy == configurer.PlacementSoonest,
 		},
 	})
 	handlers := map[string]messenger.Handler{}
--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -21,6 +21,8 @@
 	retries           *prometheus.CounterVec
 	storeCalls        *prometheus.CounterVec
 	permits           *prometheus.CounterVec
+	placements        *prometheus.CounterVec
+	expectedWait      *prometheus.HistogramVec
 }
 
 func newMetrics(m *meter.Meter, s *sender.Sender, endpoints *registrar.Registry) *metrics {
@@ -32,9 +34,13 @@
 		permits:           m.NewCounter("entry_permits_total", "Permits asked for, of endpoints with a limit, by result.", "Result"),
 		requestSeconds:    m.NewHistogram("entry_request_seconds", "Time from arrival to the end of the answer.", "Route"),
 		firstEventSeconds: m.FirstTokenSeconds,
+		placements:        m.NewCounter("entry_placements_total", "Requests placed by expected end, by way: at home, at an endpoint that invites, drawn, or else as by TwoByHash.", "Way"),
+		expectedWait:      m.NewHistogram("entry_expected_wait_seconds", "Expected wait at the endpoint that was selected by expected end."),
 	}
 	m.NewGaugeFunc("entry_connections_opened", "Connections opened to endpoints.", func() float64 { return float64(s.ConnectionsOpened()) })
 	m.NewGaugeFunc("entry_limited_endpoints", "Endpoints that state a limit of requests a second.", func() float64 { return float64(endpoints.LimitedCount()) })
+	m.NewGaugeFunc("entry_learned_endpoints", "Endpoints of whose speeds more is known than not.", func() float64 { n, _ := endpoints.LearnedCount(); return float64(n) })
+	m.NewGaugeFunc("entry_slowest_endpoint", "Time that the slowest of these endpoints needs, in multiples of the usual time.", func() float64 { _, slowest := endpoints.LearnedCount(); return slowest })
 	return out
 }
 
@@ -67,6 +73,14 @@
 // CountRetry implements relayer.Metrics.
 func (m *metrics) CountRetry(reason string) { m.retries.WithLabelValues(reason).Inc() }
 
+// CountPlacement implements relayer.Metrics.
+func (m *metrics) CountPlacement(way string) { m.placements.WithLabelValues(way).Inc() }
+
+// ObserveExpectedWait implements relayer.Metrics.
+func (m *metrics) ObserveExpectedWait(d time.Duration) {
+	m.expectedWait.WithLabelValues().Observe(d.Seconds())
+}
+
 func (m *metrics) countPermit(result string) { m.permits.WithLabelValues(result).Inc() }
 
 func (m *metrics) countStoreCall(operation, way, result string) {
--- a/internal/configurer/entry.go
+++ b/internal/configurer/entry.go
@@ -72,8 +72,17 @@
 	ReturnMost  time.Duration `validate:"gtefield=ReturnLeast"`
 }
 
-// Placement configures the choice of an endpoint for a turn.
+// The values of Placement.Policy.
+const (
+	PlacementTwoByHash = "TwoByHash"
+	PlacementSoonest   = "Soonest"
+)
+
+// Placement configures the choice of an endpoint.
 type Placement struct {
+	// Policy selects the endpoint: TwoByHash by load and Margin, Soonest by the
+	// expected end of the request.
+	Policy string `validate:"oneof=TwoByHash Soonest"`
 	// Margin is the load, in requests per slot, by which a program's home endpoint
 	// may exceed the least loaded endpoint.
 	Margin float64 `validate:"min=0"`
@@ -85,7 +94,7 @@
 		MemoryMB: 128, Cores: 1, CoreShare: 1, StoreWrites: 800, GracePeriod: 8 * time.Second,
 		Log:       EntryLog{Format: LogJSON, Level: "Info", ServedShare: 1},
 		Admission: Admission{NewPrograms: 1.2, NoPrograms: 2, ReturnLeast: 200 * time.Millisecond, ReturnMost: 900 * time.Millisecond},
-		Placement: Placement{Margin: 1.5},
+		Placement: Placement{Policy: PlacementTwoByHash, Margin: 1.5},
 	}
 }
 
--- a/internal/relayer/access.go
+++ b/internal/relayer/access.go
@@ -37,10 +37,11 @@
 	cause    error
 	endpoint string
 	// version is that of the endpoint's software.
-	version string
-	load    float64
-	loadAge time.Duration
-	limit   registrar.Limit
+	version   string
+	load      float64
+	loadAge   time.Duration
+	limit     registrar.Limit
+	placement placement
 	// permitWait is how long the request had to wait for a permit of an endpoint with a
 	// limit, or would have had to.
 	permitWait time.Duration
@@ -74,7 +75,7 @@
 func (x *exchange) logAccess() {
 	a, total := &x.access, time.Since(x.arrival)
 	x.Metrics.ObserveRequest(x.route, a.outcome, total)
-	pairs := make([]any, 0, 48)
+	pairs := make([]any, 0, 60)
 	pairs = append(pairs, "Request", x.call.ID, "Outcome", a.outcome, "Total", total)
 	add := func(isSet bool, name string, value any) {
 		if isSet {
@@ -97,6 +98,7 @@
 	if a.endpoint != "" {
 		pairs = append(pairs, "Endpoint", a.endpoint, "EndpointVersion", a.version, "Load", a.load, "LoadAge", a.loadAge, "Sends", a.sendCount)
 	}
+	pairs = a.placement.appendTo(pairs)
 	add(a.key != "", "Key", a.key)
 	add(a.limit.IsSet, "Limit", a.limit)
 	add(a.permitWait > 0, "PermitWait", a.permitWait)
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -88,6 +88,9 @@
 
 // placeCall places a call to a plain service.
 func (x *exchange) placeCall(fleet chooser.Fleet, excluded map[string]bool) (registrar.Candidate, error) {
+	if c, isPlaced := x.placeSoonest(x.work(), "", excluded); isPlaced {
+		return c, nil
+	}
 	return x.place(x.candidates(excluded), maxPermitWait, func(candidates []registrar.Candidate) int {
 		if x.suspicion().Crashes > 0 {
 			return chooser.ForSuspect(x.request().Key.String(), candidates)
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -143,6 +143,9 @@
 	}
 	outcome = plainOutcome(response.Status)
 	x.recordServed()
+	if response.Status < http.StatusMultipleChoices {
+		x.recordCall(c, start, head)
+	}
 	x.Dialect.EncodeResponse(response.Header, x.writer.Header())
 	x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.writer.WriteHeader(response.Status)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -88,6 +88,8 @@
 	// Margin is the number of requests per slot by which the load of a turn's home
 	// endpoint may exceed that of the least loaded endpoint.
 	Margin float64
+	// IsSoonest places requests by their expected end instead of by load and margin.
+	IsSoonest bool
 }
 
 // Config holds the dependencies and parameters of a Relayer.
@@ -124,6 +126,8 @@
 	ObserveFirstEvent(d time.Duration)
 	CountRefusal(kind answerer.Kind, reason string)
 	CountRetry(reason string)
+	CountPlacement(way string)
+	ObserveExpectedWait(d time.Duration)
 }
 
 // Relayer is the HTTP handler of callers' requests. It is safe for concurrent use.
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -61,6 +61,7 @@
 	// lastEventID is the number of the last event that was forwarded.
 	lastEventID   int64
 	isHeadWritten bool
+	attempt       attempt
 	// origin is what began the stream; nil while it has not begun. It goes on at that
 	// version only.
 	origin *resumer.Origin
@@ -262,6 +263,11 @@
 	if t.isFirst {
 		maxWait = maxFirstPermitWait
 	}
+	if resumeAt == nil {
+		if c, isPlaced := t.placeSoonest(t.work(), t.version(), excluded); isPlaced {
+			return c, nil
+		}
+	}
 	candidates := t.candidates(excluded)
 	if resumeAt != nil && t.Endpoints.Accepts(resumeAt.Endpoint) {
 		same := slices.DeleteFunc(slices.Clone(candidates), func(c registrar.Candidate) bool { return c.ID != resumeAt.ID })
@@ -287,6 +293,7 @@
 // if the response is complete.
 func (t *turn) relay(c registrar.Candidate) (err error) {
 	t.Endpoints.Begin(c.ID)
+	t.attempt = attempt{isPartial: t.lastEventID > 0}
 	start, outcome := time.Now(), registrar.Failed
 	defer func() {
 		t.Endpoints.End(c.ID, outcome)
@@ -322,6 +329,7 @@
 	case err == nil:
 		outcome = registrar.Served
 		t.recordServed()
+		t.recordAttempt(c, start, head)
 	case t.ctx.Err() != nil || errors.Is(err, errCallerDisconnected):
 		outcome = registrar.Neutral
 	}
@@ -340,6 +348,7 @@
 		if err != nil {
 			return err
 		}
+		t.attempt.count()
 		if event.ID > 0 && event.ID <= t.lastEventID {
 			continue // A resumed stream may repeat forwarded events.
 		}
