internal/registrar, internal/chooser: tell of all requests since a report, work that is not known

A receiver takes its own requests off the bookkeeper's sum, so that the bookkeeper must have been told of all of them, not only of those of the last 500 ms. Work of which nothing is known takes the usual turnover, so that the load decides.

--- a/internal/chooser/expected.go
+++ b/internal/chooser/expected.go
@@ -96,8 +96,10 @@
 		prefill -= min(w.Cached, prefill)
 	}
 	work := float64(prefill)*c.Speed.Prefill() + float64(w.Generation)*c.Speed.Generation()
-	// While nothing is known of the work, the load alone decides.
-	work = max(work, float64(turnover(w))/float64(time.Millisecond))
+	if w.Prefill+w.Generation == 0 {
+		// Nothing is known of the work yet, so that the load decides.
+		work = float64(turnover(w))
+	}
 	inSlots := min(max(c.Load, 0)/float64(slots(*c)), 1)
 	expected := time.Duration(work * (1 + neighbourShare*inSlots) * pace(c))
 	if c.DataCentre != w.DataCentre {
--- a/internal/chooser/expected_test.go
+++ b/internal/chooser/expected_test.go
@@ -58,6 +58,16 @@
 	}
 }
 
+// The first requests of a service, of whose work nothing is known, are spread by load.
+func TestUnknownWorkGoesToTheLessLoaded(t *testing.T) {
+	candidates := []registrar.Candidate{
+		{Endpoint: registrar.Endpoint{ID: "a", Slots: 6}, Load: 5}, {Endpoint: registrar.Endpoint{ID: "b", Slots: 6}, Load: 1},
+	}
+	if got := chooser.ForWork(chooser.Work{}, candidates); got != 1 {
+		t.Errorf("got %d", got)
+	}
+}
+
 // large returns a registry of n endpoints in some data centres with a load of 5 of 6 but for
 // the first one, which is idle.
 func large(n, centres int) *registrar.Registry {
--- a/internal/registrar/change.go
+++ b/internal/registrar/change.go
@@ -7,8 +7,9 @@
 
 const (
 	// changeMaxAge is the age up to which bookkeepers are told of requests that began or
-	// ended. Loads that are exchanged are not older.
-	changeMaxAge = observationMaxAge
+	// ended: that of the oldest report in use. If they were told of fewer, a receiver would
+	// take its own requests off a sum that does not contain them.
+	changeMaxAge = loadMaxAge
 	// maxChanges bounds the changes that are kept for one endpoint.
 	maxChanges = 256
 	// maxTold bounds the number of instances for which it is kept what they were told.
