platform, internal/relayer: count stated loads that are not used in full

entry_load_faults_total tells malformed loads, invalid figures and further figures apart. One load counts with at most four requests a slot in the mean of a service.

--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -23,6 +23,7 @@
 	permits           *prometheus.CounterVec
 	placements        *prometheus.CounterVec
 	expectedWait      *prometheus.HistogramVec
+	loadFaults        *prometheus.CounterVec
 }
 
 func newMetrics(m *meter.Meter, s *sender.Sender, endpoints *registrar.Registry) *metrics {
@@ -35,6 +36,7 @@
 		requestSeconds:    m.NewHistogram("entry_request_seconds", "Time from arrival to the end of the answer.", "Route"),
 		firstEventSeconds: m.FirstTokenSeconds,
 		placements:        m.NewCounter("entry_placements_total", "Requests placed by expected end, by way: at home, at an endpoint that invites, drawn, or else as by TwoByHash.", "Way"),
+		loadFaults:        m.NewCounter("entry_load_faults_total", "Responses whose stated load was not used in full, by fault.", "Fault"),
 		expectedWait:      m.NewHistogram("entry_expected_wait_seconds", "Expected wait at the endpoint that was selected by expected end."),
 	}
 	m.NewGaugeFunc("entry_connections_opened", "Connections opened to endpoints.", func() float64 { return float64(s.ConnectionsOpened()) })
@@ -76,6 +78,9 @@
 // CountPlacement implements relayer.Metrics.
 func (m *metrics) CountPlacement(way string) { m.placements.WithLabelValues(way).Inc() }
 
+// CountLoadFault implements relayer.Metrics.
+func (m *metrics) CountLoadFault(fault string) { m.loadFaults.WithLabelValues(fault).Inc() }
+
 // ObserveExpectedWait implements relayer.Metrics.
 func (m *metrics) ObserveExpectedWait(d time.Duration) {
 	m.expectedWait.WithLabelValues().Observe(d.Seconds())
--- a/internal/registrar/draw.go
+++ b/internal/registrar/draw.go
@@ -21,6 +21,9 @@
 	maxInvitations = 256
 	// meanMaxAge is how long a mean load is used.
 	meanMaxAge = 50 * time.Millisecond
+	// maxMeanPerSlot bounds the part of one load in the mean, so that one wrong figure does
+	// not make all endpoints without a report look full.
+	maxMeanPerSlot = 4
 	// exploredShare is one in how many requests that don't use an invitation, so that
 	// endpoints without requests of this instance are tried, too.
 	exploredShare = 8
@@ -144,7 +147,7 @@
 	sum, known := 0, 0
 	for _, e := range r.services[service] {
 		if now.Sub(e.reportedAt) <= loadMaxAge {
-			sum += e.load.Running + e.load.Waiting
+			sum += min(e.load.Running+e.load.Waiting, maxMeanPerSlot*max(e.Slots, 1))
 			known++
 		}
 	}
--- a/internal/relayer/call.go
+++ b/internal/relayer/call.go
@@ -68,6 +68,14 @@
 	LastEventID int64
 }
 
+// The faults of stated loads. A malformed load is not used at all; of one with an invalid
+// slot count or pace the other figures are used, and further figures are ignored.
+const (
+	LoadMalformed      = "Malformed"
+	LoadInvalidFigure  = "InvalidFigure"
+	LoadFurtherFigures = "FurtherFigures"
+)
+
 // ResponseHead holds the decoded header of an endpoint's response.
 type ResponseHead struct {
 	// ID is the ID of the request; empty if the header does not give it.
@@ -78,6 +86,8 @@
 	IsNotRun bool
 	// Load is the load that the endpoint reports; nil if it reports none.
 	Load *registrar.Load
+	// LoadFault names what is wrong with the load as stated; empty for nothing.
+	LoadFault string
 	// IsEndpointLeaving is true if the endpoint states that it is leaving and that
 	// it must get no more requests.
 	IsEndpointLeaving bool
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -127,6 +127,7 @@
 	CountRefusal(kind answerer.Kind, reason string)
 	CountRetry(reason string)
 	CountPlacement(way string)
+	CountLoadFault(fault string)
 	ObserveExpectedWait(d time.Duration)
 }
 
@@ -333,6 +334,9 @@
 // leaving.
 func (x *exchange) decodeHead(c registrar.Candidate, sentAt time.Time, response *sender.Response) ResponseHead {
 	head := x.Dialect.DecodeResponseHead(response.Status, response.Header)
+	if head.LoadFault != "" {
+		x.Metrics.CountLoadFault(head.LoadFault)
+	}
 	// A 421 is another endpoint's, which now has the address.
 	if head.Load != nil && response.Status != http.StatusMisdirectedRequest {
 		x.Endpoints.Report(c.ID, *head.Load)
