--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -88,6 +88,8 @@
 	// Margin is the number of requests per slot by which the load of a turn's home
 	// endpoint may exceed that of the least loaded endpoint.
 	Margin float64
+	// IsSoonest places requests by their expected end instead of by load and margin.
+	IsSoonest bool
 }
 
 // Config holds the dependencies and parameters of a Relayer.
@@ -129,6 +131,9 @@
 	ObserveFirstEvent(d time.Duration)
 	CountRefusal(kind answerer.Kind, reason string)
 	CountRetry(reason string)
+	CountPlacement(way string)
+	CountLoadFault(fault string)
+	ObserveExpectedWait(d time.Duration)
 }
 
 // Relayer is the HTTP handler of callers' requests. It is safe for concurrent use.
@@ -339,6 +344,9 @@
 // leaving.
 func (x *exchange) decodeHead(c registrar.Candidate, sentAt time.Time, response *sender.Response) ResponseHead {
 	head := x.Dialect.DecodeResponseHead(response.Status, response.Header)
+	if head.LoadFault != "" {
+		x.Metrics.CountLoadFault(head.LoadFault)
+	}
 	// A 421 is another endpoint's, which now has the address.
 	if head.Load != nil && response.Status != http.StatusMisdirectedRequest {
 		x.Endpoints.Report(c.ID, *head.Load)
