internal/bookkeeper, internal/relayer: a failed turn is not placed where it failed

An engine that responded to a turn with an error is avoided for 250 ms.

The bookkeeper remembers the endpoints that failed a session's turns until one is served, returns them with the reservation and hands them over. A turn goes there only if there is no other candidate. The outcome is recorded and the turn settled before the caller has the error response, as it may repeat the turn at once.

--- a/internal/bookkeeper/actor.go
+++ b/internal/bookkeeper/actor.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -80,8 +81,7 @@
 	case settleMessage:
 		if p := s.programs[m.program]; p != nil {
 			p.ledger.settle(m.turn, m.used)
-			p.homes.forget(m.session, m.failedEndpoint)
-			p.homes.record(m.session, m.endpoint)
+			p.homes.settle(m.session, m.endpoint, m.failedEndpoint)
 		}
 	case writeResult:
 		s.handleWrite(m)
@@ -127,7 +127,7 @@
 		hasStarted := p.ledger.hasStarted()
 		switch p.ledger.reserve(m.Turn, m.Tokens, m.Budget, now) {
 		case granted:
-			m.reply <- OpenResponse{HasStarted: hasStarted, Home: p.homes.of(m.Session)}
+			m.reply <- OpenResponse{HasStarted: hasStarted, Home: p.homes.of(m.Session), Failed: slices.Clone(p.homes.Failed[m.Session])}
 		case exhausted:
 			if s.reclaimFromOthers(m.Program, p) {
 				return
--- a/internal/bookkeeper/bookkeeper.go
+++ b/internal/bookkeeper/bookkeeper.go
@@ -102,6 +102,9 @@
 	Home string `cbor:"7,keyasint,omitempty"`
 	// Verdicts are those of the bookkeeper on requests that crash endpoints.
 	Verdicts []quarantiner.Verdict `cbor:"8,keyasint,omitempty"`
+	// Failed has the IDs of the endpoints that failed turns of the session since one was
+	// served.
+	Failed []string `cbor:"9,keyasint,omitempty"`
 }
 
 // ReclaimRequest asks a bookkeeper to release the unused part of its grant of a
--- a/internal/bookkeeper/homes_test.go
+++ b/internal/bookkeeper/homes_test.go
@@ -81,6 +81,42 @@
 	})
 }
 
+// A turn that failed at an endpoint that was not its home could be placed there again by hash,
+// once the endpoint was avoided no more. Endpoints that failed a session's turn are known until
+// the session is served, and to the bookkeeper's successor.
+func TestEndpointsThatFailedATurnAreKnown(t *testing.T) {
+	runFleet(t, 1, func(t *testing.T, f *fleet) {
+		s := newDataCentre(t, f, 2)
+		attempt := func(turn, session, endpoint, failed string) []string {
+			out, member, err := s.clients[0].Open(t.Context(), bookkeeper.OpenRequest{
+				Program: "p", Turn: turn, Tokens: turnTokens, Budget: 100 * turnTokens, Wait: time.Second, Session: session,
+			})
+			if err != nil || out.Status != bookkeeper.OK {
+				t.Fatalf("%s: %+v, %v", turn, out, err)
+			}
+			in := bookkeeper.CloseRequest{Program: "p", Turn: turn, Session: session, Endpoint: endpoint, FailedEndpoint: failed}
+			if err := s.clients[0].Close(t.Context(), member, in); err != nil {
+				t.Fatal(err)
+			}
+			return out.Failed
+		}
+		got := [][]string{
+			attempt("1", "main", "", "e-1"), attempt("2", "main", "", "e-2"), attempt("3", "main", "", "e-1"),
+			attempt("4", "sub-agent", "e-3", ""), attempt("5", "main", "e-3", ""), attempt("6", "main", "e-3", ""),
+		}
+		if diff := cmp.Diff([][]string{nil, {"e-1"}, {"e-1", "e-2"}, nil, {"e-2", "e-1"}, nil}, got); diff != "" {
+			t.Error(diff)
+		}
+		// Failures without end take a bounded memory.
+		for i := range 100 {
+			attempt(fmt.Sprintf("failing %d", i), "main", "", fmt.Sprintf("e-%d", i))
+		}
+		if diff := cmp.Diff([]string{"e-96", "e-97", "e-98", "e-99"}, attempt("last", "main", "", "")); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
 // A planned stop of the bookkeeper hands the homes over.
 func TestHomesAreHandedOver(t *testing.T) {
 	runFleet(t, 1, func(t *testing.T, f *fleet) {
--- a/internal/composer/composer_test.go
+++ b/internal/composer/composer_test.go
@@ -166,6 +166,35 @@
 	}
 }
 
+// A turn without a home came again 410 ms after its engine responded with an error, when the
+// engine was avoided no more, and its hash led there again. Fleets have the real clock, so that
+// the test waits for as long.
+func TestTurnIsNotPlacedAtTheEngineThatFailedIt(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 3, 0)
+	for _, e := range f.engines {
+		e.SetFaults(standin.EndpointFaults{Failed: 1})
+	}
+	var placed []string
+	for i := range f.engines {
+		if i > 0 {
+			// An engine is avoided for 250 ms after its first failure.
+			<-time.After(400 * time.Millisecond)
+		}
+		id := fmt.Sprintf("attempt-%d", i)
+		f.doUntilAccepted(f.instances[0], turnCall(id, "p", "", "in\n"))
+		for _, e := range f.engines {
+			if len(e.Runs(id)) > 0 {
+				placed = append(placed, e.ID)
+			}
+		}
+	}
+	slices.Sort(placed)
+	if diff := cmp.Diff([]string{"engine-0", "engine-1", "engine-2"}, placed); diff != "" {
+		t.Errorf("the engines that failed the turn: %s", diff)
+	}
+}
+
 func checkReply(t *testing.T, id, path string, reply standin.Reply, runs int) {
 	t.Helper()
 	if path != standin.PathLookup && path != standin.PathSession && runs > 1 {
--- a/internal/relayer/outcome_test.go
+++ b/internal/relayer/outcome_test.go
@@ -9,6 +9,24 @@
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
 )
 
+// A turn came again after the time for which the engine that failed it is avoided, and went there.
+func TestTurnLeavesEndpointsThatFailedIt(t *testing.T) {
+	var candidates []registrar.Candidate
+	for _, id := range []string{"e-1", "e-2", "e-3"} {
+		candidates = append(candidates, registrar.Candidate{Endpoint: registrar.Endpoint{ID: id}})
+	}
+	got := map[string][]string{}
+	for name, failed := range map[string][]string{"none": nil, "one": {"e-2"}, "all": {"e-2", "e-1", "e-3"}, "unknown": {"e-9"}} {
+		for _, c := range withoutFailed(candidates, failed) {
+			got[name] = append(got[name], c.ID)
+		}
+	}
+	all := []string{"e-1", "e-2", "e-3"}
+	if diff := cmp.Diff(map[string][]string{"none": all, "one": {"e-1", "e-3"}, "all": all, "unknown": all}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // Guards against engines that respond to a part of their turns with 500, or not
 // at all before the caller's deadline (deploy/days/08).
 func TestOutcomeOfStatus(t *testing.T) {
--- a/internal/relayer/resume.go
+++ b/internal/relayer/resume.go
@@ -86,10 +86,20 @@
 // began its stream, once it has begun.
 func (t *turn) candidates(excluded map[string]bool) []registrar.Candidate {
 	candidates := t.exchange.candidates(excluded)
-	if t.origin == nil {
+	if t.origin != nil {
+		candidates = slices.DeleteFunc(candidates, func(c registrar.Candidate) bool { return c.Version != t.origin.Version })
+	}
+	return withoutFailed(candidates, t.failedBefore)
+}
+
+// withoutFailed returns the candidates but those that failed the session's turn, unless there
+// is no other one. They may fail it again long after they are avoided no more.
+func withoutFailed(candidates []registrar.Candidate, failed []string) []registrar.Candidate {
+	others := slices.DeleteFunc(slices.Clone(candidates), func(c registrar.Candidate) bool { return slices.Contains(failed, c.ID) })
+	if len(others) == 0 {
 		return candidates
 	}
-	return slices.DeleteFunc(candidates, func(c registrar.Candidate) bool { return c.Version != t.origin.Version })
+	return others
 }
 
 // refuseWithoutCandidates refuses a turn that no endpoint can take.
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -55,6 +56,8 @@
 	home, servedBy string
 	// failedAt is the endpoint that responded with an error; empty if none did.
 	failedAt string
+	// failedBefore are the endpoints that failed earlier attempts at the turn.
+	failedBefore []string
 	// output is the text that a retained turn has generated.
 	output     []byte
 	eventCount int
@@ -167,7 +170,7 @@
 	case out.Status != bookkeeper.OK:
 		return answerer.New(answerer.StoreUnavailable, "the reservation cannot be recorded").WithRetryAfter(t.storeRetryAfter())
 	}
-	t.isReserved, t.isFirst, t.home = true, !out.HasStarted, out.Home
+	t.isReserved, t.isFirst, t.home, t.failedBefore = true, !out.HasStarted, out.Home, out.Failed
 	return nil
 }
 
@@ -288,8 +291,9 @@
 func (t *turn) relay(c registrar.Candidate) (err error) {
 	t.Endpoints.Begin(c.ID)
 	start, outcome := time.Now(), registrar.Failed
+	end := sync.OnceFunc(func() { t.Endpoints.End(c.ID, outcome) })
 	defer func() {
-		t.Endpoints.End(c.ID, outcome)
+		end()
 		t.recordBreak(c, start, err)
 	}()
 	dispatch := Dispatch{Timeout: t.timeLeft(), Priority: admitter.Priority(t.route.Priority, t.isFirst, t.call.IsPastDeadline()), LastEventID: t.lastEventID}
@@ -310,7 +314,7 @@
 		if outcome = turnOutcome(response.Status); outcome == registrar.Failed {
 			t.failedAt = c.ID
 		}
-		if err = t.forwardFailure(response); err == nil {
+		if err = t.forwardFailure(response, end); err == nil {
 			t.recordServed()
 		}
 		return err
@@ -379,8 +383,9 @@
 	t.access.status = response.Status
 }
 
-// forwardFailure forwards an endpoint's error response.
-func (t *turn) forwardFailure(response *sender.Response) error {
+// forwardFailure forwards an endpoint's error response. The outcome is recorded by end, and the
+// turn settled, before the caller has the response: it may repeat the turn at once.
+func (t *turn) forwardFailure(response *sender.Response, end func()) error {
 	reservation := t.memory.reservation()
 	defer reservation.release()
 	body, err := readResponse(response, reservation)
@@ -390,6 +395,8 @@
 	if t.isHeadWritten {
 		return errInvalidResponse
 	}
+	end()
+	t.settle()
 	t.isHeadWritten = true
 	t.Dialect.EncodeResponse(response.Header, t.writer.Header())
 	t.writer.WriteHeader(response.Status)
