internal/extender: timeouts are extended by the delay of the process

Beside other processes, instances got the responses of the store and the connections to other instances later than their timeouts of 150 ms, although both were in time, and took the store for lost: 5024 Direct to Lost with a deadline exceeded, and back 1 to 70 ms later.

Package extender measures by how much timers are late and extends timeouts by the time in which the process could not run, by 1 s at most. Used for direct and relayed calls to the store, probes, and connections to other instances. On an idle host timeouts are as they were.

TestDelayedProcessDoesNotLoseTheStore fails with context.WithTimeout (Lost, Relayed, Direct instead of no change).

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -28,6 +28,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/closer"
 	"github.com/wigeonstand/wigeonstand/internal/configurer"
 	"github.com/wigeonstand/wigeonstand/internal/discoverer"
+	"github.com/wigeonstand/wigeonstand/internal/extender"
 	"github.com/wigeonstand/wigeonstand/internal/logger"
 	"github.com/wigeonstand/wigeonstand/internal/messenger"
 	"github.com/wigeonstand/wigeonstand/internal/meter"
@@ -107,6 +108,7 @@
 	dialEndpoint sender.Dial
 	peerClient   *messenger.Client
 	sender       *sender.Sender
+	extender     *extender.Extender
 	rerouter     *rerouter.Rerouter
 	tunneler     *tunneler.Tunneler
 	discoverer   *discoverer.Discoverer
@@ -135,12 +137,13 @@
 	for _, option := range options {
 		option(e)
 	}
-	e.peerClient = messenger.NewClient()
+	e.extender = extender.New()
+	e.peerClient = messenger.NewClient(messenger.WithTimeouts(e.extender.WithTimeout))
 	e.sender = sender.New(sender.WithDial(func(ctx context.Context, network, address string) (net.Conn, error) {
 		return e.tunneler.Dial(ctx, network, address)
 	}))
 	metrics := newMetrics(e.meter, e.sender, e.registry)
-	e.rerouter = rerouter.New(platform.Rows, e.peerClient, rerouter.WithCallCounter(metrics.countStoreCall),
+	e.rerouter = rerouter.New(platform.Rows, e.peerClient, rerouter.WithCallCounter(metrics.countStoreCall), rerouter.WithTimeouts(e.extender.WithTimeout),
 		rerouter.WithPathObserver(func(from, to rerouter.Path, cause error) {
 			e.log.Log(eventStorePathChanged, "From", from, "To", to, "Cause", cause)
 			if from == rerouter.Lost {
@@ -268,7 +271,7 @@
 	serve(func() error { return ready.Serve(listeners[1]) })
 	serve(func() error { return e.peerServer.Serve(work, listeners[2]) })
 	serve(func() error { return admin.Serve(listeners[3]) })
-	for _, run := range []func(context.Context){e.logOutput.Run, e.rerouter.Run, e.batcher.Run, e.pruner.Run, e.bookkeeper.Run, e.watcher.Run, e.maintainMembership} {
+	for _, run := range []func(context.Context){e.logOutput.Run, e.extender.Run, e.rerouter.Run, e.batcher.Run, e.pruner.Run, e.bookkeeper.Run, e.watcher.Run, e.maintainMembership} {
 		running.Go(func() { run(work) })
 	}
 	e.log.Log(eventStarted, "DataCentre", e.settings.DataCentre, "Incarnation", e.discoverer.Self().Incarnation)
--- /dev/null
+++ b/internal/extender/extender.go
@@ -0,0 +1,105 @@
+// Package extender bounds calls by the time in which this process could run. On a busy or
+// frozen host, timers and responses are delayed alike: a timeout in elapsed time then says
+// nothing about the callee.
+package extender
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// interval is the time between two measurements. A timeout of 150 ms extends over at least
+	// seven turns of a goroutine, and a call takes about four.
+	interval = 20 * time.Millisecond
+	// tolerance is the delay of a timer that counts as none. Timers of an idle host are late by
+	// up to a millisecond.
+	tolerance = 5 * time.Millisecond
+	// maxExtension limits the time by which a timeout is extended after it has fired: callers
+	// of turns wait for two seconds.
+	maxExtension = time.Second
+)
+
+// Extender measures the delay of this process, and extends timeouts by it. It is safe for
+// concurrent use.
+type Extender struct {
+	// measured is the sum of all delays, in nanoseconds.
+	measured atomic.Int64
+	delay    func() time.Duration
+}
+
+// Option sets one property of an Extender.
+type Option func(*Extender)
+
+// WithDelay replaces the measurement: delay returns the sum of all delays of this process.
+func WithDelay(delay func() time.Duration) Option { return func(e *Extender) { e.delay = delay } }
+
+// New returns an Extender, which measures while Run runs.
+func New(options ...Option) *Extender {
+	e := &Extender{}
+	e.delay = func() time.Duration { return time.Duration(e.measured.Load()) }
+	for _, option := range options {
+		option(e)
+	}
+	return e
+}
+
+// Run measures the delay of this process until ctx ends.
+func (e *Extender) Run(ctx context.Context) {
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	for {
+		start := time.Now()
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		e.measured.Add(int64(delayOf(time.Since(start), interval)))
+		timer.Reset(interval)
+	}
+}
+
+// delayOf returns the delay of a timer that took the given time.
+func delayOf(took, expected time.Duration) time.Duration {
+	if took <= expected+tolerance {
+		return 0
+	}
+	return took - expected
+}
+
+// WithTimeout returns a context that ends with the cause context.DeadlineExceeded once the
+// process could run for the timeout, and like ctx before. The end is delayed by at most
+// maxExtension after the timeout.
+func (e *Extender) WithTimeout(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	start, delay := time.Now(), e.delay()
+	var (
+		mu    sync.Mutex
+		timer *time.Timer
+		// extended is by how much the timeout was extended, and late the sum of the delays of
+		// its timer. Those of a frozen process may fire before the delay is measured.
+		extended, late time.Duration
+	)
+	mu.Lock()
+	defer mu.Unlock()
+	timer = time.AfterFunc(timeout, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		elapsed := time.Since(start)
+		late += delayOf(elapsed-timeout-extended-late, 0)
+		left := min(timeout-elapsed+max(e.delay()-delay, late), maxExtension-extended)
+		if left <= 0 || ctx.Err() != nil {
+			cancel(context.DeadlineExceeded)
+			return
+		}
+		extended += left
+		timer.Reset(left)
+	})
+	return ctx, func() {
+		timer.Stop()
+		cancel(context.Canceled)
+	}
+}
--- /dev/null
+++ b/internal/extender/extender_test.go
@@ -0,0 +1,81 @@
+package extender_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/wigeonstand/wigeonstand/internal/extender"
+)
+
+// A busy host delayed the responses of a store by more than the timeout of reads, and instances
+// took the store for lost.
+func TestTimeoutsExtendWithTheDelayOfTheProcess(t *testing.T) {
+	for name, c := range map[string]struct {
+		// share is the part of the time in which the process can't run.
+		share float64
+		want  time.Duration
+	}{
+		"idle":        {share: 0, want: 150 * time.Millisecond},
+		"half":        {share: 0.5, want: 300 * time.Millisecond},
+		"three in 4":  {share: 0.75, want: 600 * time.Millisecond},
+		"all, capped": {share: 1, want: 1150 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				e := extender.New(extender.WithDelay(func() time.Duration { return time.Duration(c.share * float64(time.Since(start))) }))
+				ctx, cancel := e.WithTimeout(t.Context(), 150*time.Millisecond)
+				defer cancel()
+				<-ctx.Done()
+				if diff := cmp.Diff(c.want, time.Since(start).Round(time.Millisecond)); diff != "" || !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+					t.Errorf("cause %v, after: %s", context.Cause(ctx), diff)
+				}
+			})
+		})
+	}
+}
+
+// Delays before a call say nothing about it, and those after its end have no effect.
+func TestDelayCountsDuringTheCallOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var delay atomic.Int64
+		delay.Store(int64(time.Hour))
+		e := extender.New(extender.WithDelay(func() time.Duration { return time.Duration(delay.Load()) }))
+		start := time.Now()
+		ctx, cancel := e.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		<-ctx.Done()
+		if diff := cmp.Diff(time.Second, time.Since(start)); diff != "" {
+			t.Error(diff)
+		}
+		ctx, cancel = e.WithTimeout(t.Context(), time.Second)
+		cancel()
+		delay.Add(int64(time.Hour))
+		time.Sleep(time.Second)
+		if !errors.Is(context.Cause(ctx), context.Canceled) {
+			t.Errorf("cause %v, want that of the cancellation", context.Cause(ctx))
+		}
+	})
+}
+
+// An idle process measures no delay: timeouts are as they were.
+func TestIdleProcessIsNotDelayed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := extender.New()
+		go e.Run(t.Context())
+		time.Sleep(time.Minute)
+		start := time.Now()
+		ctx, cancel := e.WithTimeout(t.Context(), 150*time.Millisecond)
+		defer cancel()
+		<-ctx.Done()
+		if diff := cmp.Diff(150*time.Millisecond, time.Since(start)); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -159,18 +159,40 @@
 
 // Client calls other instances and opens streams to them.
 type Client struct {
-	dialer *net.Dialer
-	pool   *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
+	dialer      *net.Dialer
+	withTimeout Timeouts
+	pool        *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
 }
 
+// Timeouts returns a context that ends after the timeout.
+type Timeouts func(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
+
+// ClientOption sets one property of a Client.
+type ClientOption func(*Client)
+
+// WithTimeouts sets the source of the timeouts of connections, context.WithTimeout by default.
+func WithTimeouts(t Timeouts) ClientOption { return func(c *Client) { c.withTimeout = t } }
+
 // NewClient returns a Client.
-func NewClient() *Client {
-	return &Client{
-		dialer: dialer.New(dialTimeout, ackTimeout),
+func NewClient(options ...ClientOption) *Client {
+	c := &Client{
+		dialer: dialer.New(0, ackTimeout), withTimeout: context.WithTimeout,
 		pool: drpcpool.New[netip.AddrPort, drpcpool.Conn](drpcpool.Options{
 			Expiration: idleTimeout, Capacity: maxIdle, KeyCapacity: maxIdlePerAddress,
 		}),
 	}
+	for _, option := range options {
+		option(c)
+	}
+	return c
+}
+
+// dial connects to the address. The kernel may have established the connection when a busy host
+// runs the dialer's timeout, so that the timeout is not that of the dialer.
+func (c *Client) dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	ctx, cancel := c.withTimeout(ctx, dialTimeout)
+	defer cancel()
+	return c.dialer.DialContext(ctx, "tcp", address.String())
 }
 
 // Close closes the unused connections.
@@ -184,7 +206,7 @@
 		return eris.Wrap(err, "encode the request")
 	}
 	conn := c.pool.Get(ctx, address, func(ctx context.Context, address netip.AddrPort) (drpcpool.Conn, error) {
-		netConn, err := c.dialer.DialContext(ctx, "tcp", address.String())
+		netConn, err := c.dial(ctx, address)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/messenger/stream.go
+++ b/internal/messenger/stream.go
@@ -56,7 +56,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	conn := c.pool.Get(ctx, address, func(ctx context.Context, address netip.AddrPort) (drpcpool.Conn, error) {
-		netConn, err := c.dialer.DialContext(ctx, "tcp", address.String())
+		netConn, err := c.dial(ctx, address)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/rerouter/relay.go
+++ b/internal/rerouter/relay.go
@@ -33,9 +33,9 @@
 	inDoubt := false
 	for _, m := range r.relayCandidates() {
 		start := time.Now()
-		bounded, cancel := context.WithTimeout(ctx, r.timeout(op.isWrite)+op.wait+relayMargin)
+		bounded, cancel := r.withTimeout(ctx, r.timeout(op.isWrite)+op.wait+relayMargin)
 		err := relayed(bounded, m)
-		isTimeout := errors.Is(bounded.Err(), context.DeadlineExceeded)
+		isTimeout := errors.Is(context.Cause(bounded), context.DeadlineExceeded)
 		cancel()
 		r.countCall(op.name, Relayed.String(), resultName(err))
 		if ctx.Err() == nil {
--- a/internal/rerouter/rerouter.go
+++ b/internal/rerouter/rerouter.go
@@ -88,6 +88,10 @@
 	Call(ctx context.Context, address netip.AddrPort, method string, in, out any) error
 }
 
+// Timeouts returns a context that ends after the timeout with the cause
+// context.DeadlineExceeded.
+type Timeouts func(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
+
 // Rerouter implements storer.Rows on the path that works. It is safe for concurrent
 // use.
 type Rerouter struct {
@@ -95,6 +99,7 @@
 	caller       Caller
 	onPathChange func(from, to Path, cause error)
 	countCall    func(operation, path, result string)
+	withTimeout  Timeouts
 
 	// probeRequests is signalled when a write fails, as only a read decides whether
 	// the store is reachable.
@@ -137,12 +142,15 @@
 	return func(r *Rerouter) { r.countCall = count }
 }
 
+// WithTimeouts sets the source of the timeouts of calls, context.WithTimeout by default.
+func WithTimeouts(t Timeouts) Option { return func(r *Rerouter) { r.withTimeout = t } }
+
 // New returns a Rerouter. SetRelays must be called before it relays.
 func New(direct storer.Rows, caller Caller, options ...Option) *Rerouter {
 	r := &Rerouter{
 		direct: direct, caller: caller, readTimeout: minReadTimeout, writeWait: minWriteWait,
 		probeRequests: make(chan struct{}, 1), relayFailures: map[string]time.Time{}, rerouted: make(chan struct{}), restored: make(chan struct{}),
-		onPathChange: func(Path, Path, error) {}, countCall: func(string, string, string) {},
+		onPathChange: func(Path, Path, error) {}, countCall: func(string, string, string) {}, withTimeout: context.WithTimeout,
 	}
 	for _, option := range options {
 		option(r)
@@ -216,7 +224,7 @@
 				timer.Stop()
 			case <-timer.C:
 			}
-			probe, stop := context.WithTimeout(ctx, minReadTimeout)
+			probe, stop := r.withTimeout(ctx, minReadTimeout)
 			_, err := r.direct.List(probe, probeRange)
 			stop()
 			r.countCall("Watch", Direct.String(), resultName(err))
@@ -352,7 +360,7 @@
 	if op.isWrite {
 		limit = writeTimeout
 	}
-	bounded, cancel := context.WithTimeout(ctx, limit)
+	bounded, cancel := r.withTimeout(ctx, limit)
 	defer cancel()
 	err := call(bounded)
 	r.countCall(op.name, Direct.String(), resultName(err))
--- a/internal/rerouter/rerouter_test.go
+++ b/internal/rerouter/rerouter_test.go
@@ -14,6 +14,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/wigeonstand/wigeonstand/internal/discoverer"
+	"github.com/wigeonstand/wigeonstand/internal/extender"
 	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
 	"github.com/wigeonstand/wigeonstand/internal/messenger"
 	"github.com/wigeonstand/wigeonstand/internal/rerouter"
@@ -151,6 +152,43 @@
 	})
 }
 
+// On a busy host, an instance got the responses of the store after their timeout, although the
+// store was in time, and took it for lost (three fleet tests beside other processes).
+func TestDelayedProcessDoesNotLoseTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fakeplatform.NewRows(1)
+		var paths []string
+		start := time.Now()
+		delay := func() time.Duration { return time.Since(start) * 3 / 4 }
+		r, peers := newRerouterWithPeers(t, rows, 2, rerouter.WithTimeouts(extender.New(extender.WithDelay(delay)).WithTimeout),
+			rerouter.WithPathObserver(func(_, to rerouter.Path, _ error) { paths = append(paths, to.String()) }))
+		rows.SetFaults(fakeplatform.RowFaults{Delay: 400 * time.Millisecond})
+		for i := range 5 {
+			if _, err := r.List(t.Context(), rowRange); err != nil {
+				t.Errorf("read %d: %v", i, err)
+			}
+		}
+		if diff := cmp.Diff([]string(nil), paths); diff != "" {
+			t.Errorf("changes of the path: %s", diff)
+		}
+		// The responses of relays are late for the same reason.
+		peers.delay = 600 * time.Millisecond
+		rows.SetFaults(fakeplatform.RowFaults{Refused: map[string]bool{"self": true}})
+		for range 2 {
+			_, _ = r.List(t.Context(), rowRange) // These calls detect the failure.
+		}
+		time.Sleep(time.Second)
+		for i := range 5 {
+			if _, err := r.List(t.Context(), rowRange); err != nil {
+				t.Errorf("relayed read %d: %v", i, err)
+			}
+		}
+		if diff := cmp.Diff([]string{"Lost", "Relayed"}, paths); diff != "" {
+			t.Errorf("changes of the path: %s", diff)
+		}
+	})
+}
+
 func TestUnansweredWriteIsRelayed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rows := fakeplatform.NewRows(1)
