internal/bookkeeper: calls of bookkeepers wait for a delayed process

A bookkeeper that answers neither a call nor a ping within 200 ms is avoided. On a busy host the answers of all are later, so that each instance went to another bookkeeper, and more of them wrote to the store. These timeouts are extended by the delay of the process, as those of the store are.

TestDelayedProcessKeepsItsBookkeeper fails with context.WithTimeout (4 of 5 clients leave).

--- a/internal/bookkeeper/client.go
+++ b/internal/bookkeeper/client.go
@@ -100,11 +100,26 @@
 	members  Members
 	caller   Caller
 	gossiper Gossiper
+
+	withTimeout Timeouts
 }
 
+// Timeouts returns a context that ends after the timeout.
+type Timeouts func(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
+
+// ClientOption sets one property of a Client.
+type ClientOption func(*Client)
+
+// WithTimeouts sets the source of the timeouts of calls, context.WithTimeout by default.
+func WithTimeouts(t Timeouts) ClientOption { return func(c *Client) { c.withTimeout = t } }
+
 // NewClient returns a Client of the local bookkeeper and those of the members.
-func NewClient(local *Bookkeeper, members Members, caller Caller, gossiper Gossiper) *Client {
-	return &Client{local: local, members: members, caller: caller, gossiper: gossiper}
+func NewClient(local *Bookkeeper, members Members, caller Caller, gossiper Gossiper, options ...ClientOption) *Client {
+	c := &Client{local: local, members: members, caller: caller, gossiper: gossiper, withTimeout: context.WithTimeout}
+	for _, option := range options {
+		option(c)
+	}
+	return c
 }
 
 // Open reserves the tokens of a turn. It returns the instance that made the
@@ -164,11 +179,11 @@
 	if m.Instance == c.members.Self().Instance {
 		return local(ctx, in)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, wait+networkMargin)
+	callCtx, cancel := c.withTimeout(ctx, wait+networkMargin)
 	defer cancel()
 	var isAlive atomic.Bool
 	pingTimer := time.AfterFunc(pingDelay, func() {
-		pingCtx, stop := context.WithTimeout(callCtx, pingTimeout)
+		pingCtx, stop := c.withTimeout(callCtx, pingTimeout)
 		defer stop()
 		if err := c.caller.Call(pingCtx, m.Address, methodPing, Ping{}, &Ping{}); err != nil {
 			cancel()
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -174,7 +174,7 @@
 	quarantine := quarantiner.New(e.tunneler, e.registry, e.discoverer, e.peerClient, quarantiner.WithLogger(e.log))
 	e.bookkeeper = bookkeeper.New(self.Incarnation, e.batcher, bookkeeper.NewReclaimer(e.discoverer, e.peerClient),
 		bookkeeper.WithLogger(e.log), bookkeeper.WithPruner(e.pruner.Schedule), bookkeeper.WithVerdicts(quarantine))
-	e.budgets = bookkeeper.NewClient(e.bookkeeper, e.discoverer, e.peerClient, e.registry)
+	e.budgets = bookkeeper.NewClient(e.bookkeeper, e.discoverer, e.peerClient, e.registry, bookkeeper.WithTimeouts(e.extender.WithTimeout))
 	permits := rationer.New(e.discoverer, e.peerClient, rationer.WithLogger(e.log), rationer.WithCounter(metrics.countPermit))
 	streams := resumer.New(e.discoverer, e.peerClient, resumer.WithLogger(e.log))
 	e.relayer = relayer.New(relayer.Config{
