internal/quarantiner, internal/resumer, internal/tunneler: calls wait for a delayed process

The searches for the record of a stream, the confirmations of causes and the opening of connections through other instances ended before the answers of instances on a busy host, as the reads of the store did.

The stand-in of an instance that does not answer in resumer_test.go lasted until the end of the call's context, and answered calls after it. It now answers none then, and fails to connect after 150 ms as messenger.Client does.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -158,7 +158,7 @@
 	e.discoverer = discoverer.New(self, e.rerouter, discoverer.WithSeeds(settings.Seeds))
 	e.rerouter.SetRelays(e.discoverer)
 	e.tunneler = tunneler.New(e.dialEndpoint, e.peerClient, e.discoverer, e.registry,
-		tunneler.WithLogger(e.log), tunneler.WithSilenceObserver(e.sender.CloseIdle))
+		tunneler.WithLogger(e.log), tunneler.WithTimeouts(e.extender.WithTimeout), tunneler.WithSilenceObserver(e.sender.CloseIdle))
 	tableCopies := bootstrapper.New(e.discoverer, e.peerClient, e.log)
 	platform.Source.EndpointRemoved = func(endpoint registrar.Endpoint) { e.sender.CloseIdle(endpoint.Address) }
 	e.watcher = watcher.New(platform.Source, e.rerouter, e.registry,
@@ -171,12 +171,12 @@
 	e.pruner = pruner.New(e.rerouter, e.log,
 		pruner.Table{Name: transcriber.Table, MaxAge: func() time.Duration { return orphanRetentionFactor * pruner.RowRetention(e.longestRetention()) }},
 		pruner.Table{Name: bookkeeper.Table, MaxAge: func() time.Duration { return budgetRetention }})
-	quarantine := quarantiner.New(e.tunneler, e.registry, e.discoverer, e.peerClient, quarantiner.WithLogger(e.log))
+	quarantine := quarantiner.New(e.tunneler, e.registry, e.discoverer, e.peerClient, quarantiner.WithLogger(e.log), quarantiner.WithTimeouts(e.extender.WithTimeout))
 	e.bookkeeper = bookkeeper.New(self.Incarnation, e.batcher, bookkeeper.NewReclaimer(e.discoverer, e.peerClient),
 		bookkeeper.WithLogger(e.log), bookkeeper.WithPruner(e.pruner.Schedule), bookkeeper.WithVerdicts(quarantine))
 	e.budgets = bookkeeper.NewClient(e.bookkeeper, e.discoverer, e.peerClient, e.registry, bookkeeper.WithTimeouts(e.extender.WithTimeout))
 	permits := rationer.New(e.discoverer, e.peerClient, rationer.WithLogger(e.log), rationer.WithCounter(metrics.countPermit))
-	streams := resumer.New(e.discoverer, e.peerClient, resumer.WithLogger(e.log))
+	streams := resumer.New(e.discoverer, e.peerClient, resumer.WithLogger(e.log), resumer.WithTimeouts(e.extender.WithTimeout))
 	e.relayer = relayer.New(relayer.Config{
 		Tables: e.watcher, Endpoints: e.registry, Sender: e.sender, Permits: permits, Streams: streams, Quarantine: quarantine, Paths: e.tunneler, Dialect: platform.Dialect,
 		Budgets:            e.budgets,
--- a/internal/quarantiner/confirmation.go
+++ b/internal/quarantiner/confirmation.go
@@ -49,7 +49,7 @@
 // all instances have responded, a target is not confirmed, as requests of many callers depend
 // on it; a request is, since crashes under the same request are strong evidence.
 func (q *Quarantiner) confirm(keys []Key) {
-	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	ctx, cancel := q.withTimeout(context.Background(), askTimeout)
 	defer cancel()
 	others := q.members.Others()
 	var work sync.WaitGroup
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -112,6 +112,8 @@
 	members  Members
 	caller   Caller
 	log      *logger.Logger
+	// withTimeout returns the contexts of calls.
+	withTimeout Timeouts
 	// isWatching is set while any request is under suspicion.
 	isWatching atomic.Bool
 
@@ -139,16 +141,22 @@
 	releases map[Key]release
 }
 
+// Timeouts returns a context that ends after the timeout.
+type Timeouts func(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
+
 // Option sets one property of a Quarantiner.
 type Option func(*Quarantiner)
 
 // WithLogger sets the logger of events.
 func WithLogger(l *logger.Logger) Option { return func(q *Quarantiner) { q.log = l } }
 
+// WithTimeouts sets the source of the timeouts of calls, context.WithTimeout by default.
+func WithTimeouts(t Timeouts) Option { return func(q *Quarantiner) { q.withTimeout = t } }
+
 // New returns a Quarantiner that knows no crashes.
 func New(prober Prober, registry Registry, members Members, caller Caller, options ...Option) *Quarantiner {
 	q := &Quarantiner{
-		prober: prober, registry: registry, members: members, caller: caller, log: logger.Discard(),
+		prober: prober, registry: registry, members: members, caller: caller, log: logger.Discard(), withTimeout: context.WithTimeout,
 		broken: map[string][]run{}, crashes: map[string]crash{}, served: map[Key]time.Time{},
 		suspicions: map[Key]suspicion{}, quarantines: map[Key]quarantine{}, verdicts: map[Key]receivedVerdict{}, releases: map[Key]release{}, asked: map[Key]time.Time{}, confirmed: map[Key]bool{},
 	}
@@ -204,7 +212,7 @@
 
 // check records a crash if the endpoint's process has ended, and reports it.
 func (q *Quarantiner) check(endpoint registrar.Endpoint) {
-	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	ctx, cancel := q.withTimeout(context.Background(), checkTimeout)
 	defer cancel()
 	hasEnded := q.prober.IsRefusing(ctx, endpoint.Address)
 	process := endpoint.Process()
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -15,6 +15,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/wigeonstand/wigeonstand/internal/discoverer"
+	"github.com/wigeonstand/wigeonstand/internal/extender"
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
 )
 
@@ -23,6 +24,8 @@
 	nodes map[netip.AddrPort]*node
 	all   []discoverer.Member
 	isCut bool
+	// delay is how long each call takes.
+	delay time.Duration
 }
 
 type node struct {
@@ -56,6 +59,11 @@
 	if n.isCut {
 		return errors.New("cut")
 	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(n.delay):
+	}
 	body, err := cbor.Marshal(in)
 	if err != nil {
 		return err
@@ -70,13 +78,13 @@
 	return cbor.Unmarshal(body, out)
 }
 
-func newNetwork(instances int) []*node {
+func newNetwork(instances int, options ...Option) []*node {
 	w := &network{nodes: map[netip.AddrPort]*node{}}
 	var nodes []*node
 	for i := range instances {
 		self := discoverer.Member{Instance: fmt.Sprint("instance-", i), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)}
 		n := &node{network: w, self: self, refusing: map[netip.AddrPort]bool{}, alive: map[string]bool{}}
-		n.Quarantiner = New(n, n, n, n)
+		n.Quarantiner = New(n, n, n, n, options...)
 		w.nodes[self.Address], w.all = n, append(w.all, self)
 		nodes = append(nodes, n)
 	}
@@ -265,6 +273,29 @@
 	})
 }
 
+// On a busy host, not all instances answered in time, and a target that crashes endpoints was not
+// quarantined.
+func TestDelayedProcessConfirmsTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		delay := extender.WithDelay(func() time.Duration { return time.Since(start) * 3 / 4 })
+		nodes := newNetwork(3, WithTimeouts(extender.New(delay).WithTimeout))
+		nodes[0].delay = time.Second // for all
+		target := key("crashing target")
+		for i := range 2 * minCrashes {
+			e := endpoint(i)
+			nodes[1].state.Lock()
+			nodes[1].refusing[e.Address] = true
+			nodes[1].state.Unlock()
+			nodes[1].RecordBreak(Identity{Key: key(fmt.Sprint("form ", i)), Target: target}, e, time.Now())
+			time.Sleep(2 * time.Second)
+		}
+		if got := nodes[1].Find(Identity{Key: key("next"), Target: target}); got.Left == 0 {
+			t.Errorf("not quarantined: %+v", got)
+		}
+	})
+}
+
 // Many endpoints end, each with many requests that never come again.
 func TestMemoryOfCrashesIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/resumer/resumer.go
+++ b/internal/resumer/resumer.go
@@ -79,21 +79,29 @@
 	caller  Caller
 	log     *logger.Logger
 
+	withTimeout Timeouts
+
 	mu sync.Mutex
 	// recent has the records since rotatedAt, and older those of the retention before.
 	recent, older map[string]Origin
 	rotatedAt     time.Time
 }
 
+// Timeouts returns a context that ends after the timeout.
+type Timeouts func(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
+
 // Option sets one property of a Resumer.
 type Option func(*Resumer)
 
 // WithLogger sets the logger of events.
 func WithLogger(l *logger.Logger) Option { return func(r *Resumer) { r.log = l } }
 
+// WithTimeouts sets the source of the timeouts of calls, context.WithTimeout by default.
+func WithTimeouts(t Timeouts) Option { return func(r *Resumer) { r.withTimeout = t } }
+
 // New returns a Resumer without records.
 func New(members Members, caller Caller, options ...Option) *Resumer {
-	r := &Resumer{members: members, caller: caller, log: logger.Discard(), recent: map[string]Origin{}, rotatedAt: time.Now()}
+	r := &Resumer{members: members, caller: caller, log: logger.Discard(), withTimeout: context.WithTimeout, recent: map[string]Origin{}, rotatedAt: time.Now()}
 	for _, option := range options {
 		option(r)
 	}
@@ -123,7 +131,7 @@
 		return
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+		ctx, cancel := r.withTimeout(context.Background(), recordTimeout)
 		defer cancel()
 		candidates := make(chan discoverer.Member, len(others))
 		for _, m := range others {
@@ -163,7 +171,7 @@
 	if origin, isFound := r.find(stream); isFound {
 		return origin, true
 	}
-	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	ctx, cancel := r.withTimeout(ctx, findTimeout)
 	defer cancel()
 	others := r.others(stream)
 	responses := make(chan findResponse, len(others))
--- a/internal/resumer/resumer_test.go
+++ b/internal/resumer/resumer_test.go
@@ -17,6 +17,7 @@
 	gocmp "github.com/google/go-cmp/cmp"
 
 	"github.com/wigeonstand/wigeonstand/internal/discoverer"
+	"github.com/wigeonstand/wigeonstand/internal/extender"
 	"github.com/wigeonstand/wigeonstand/internal/messenger"
 	"github.com/wigeonstand/wigeonstand/internal/resumer"
 )
@@ -27,6 +28,9 @@
 
 	mu       sync.Mutex
 	handlers map[netip.AddrPort]map[string]messenger.Handler
+	// delay is how long a call takes, and options are those of the resumers.
+	delay   time.Duration
+	options []resumer.Option
 }
 
 // instance is one of the fleet as its resumer sees it.
@@ -50,10 +54,17 @@
 	handler := in.handlers[address][method]
 	in.mu.Unlock()
 	if handler == nil {
-		<-ctx.Done()
+		select { // messenger.Client does not connect within 150 ms.
+		case <-ctx.Done():
+		case <-time.After(150 * time.Millisecond):
+		}
 		return errors.New("no answer")
 	}
-	time.Sleep(2 * time.Millisecond)
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(in.delay):
+	}
 	body, err := cbor.Marshal(request)
 	if err != nil {
 		return err
@@ -68,8 +79,8 @@
 	return cbor.Unmarshal(body, out)
 }
 
-func newFleet(size int) (*fleet, []*resumer.Resumer) {
-	f := &fleet{handlers: map[netip.AddrPort]map[string]messenger.Handler{}}
+func newFleet(size int, options ...resumer.Option) (*fleet, []*resumer.Resumer) {
+	f := &fleet{delay: 2 * time.Millisecond, options: options, handlers: map[netip.AddrPort]map[string]messenger.Handler{}}
 	for i := range size {
 		f.members = append(f.members, discoverer.Member{
 			Instance: fmt.Sprint("i-", i), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000),
@@ -84,7 +95,7 @@
 
 func (f *fleet) start(i int) *resumer.Resumer {
 	in := &instance{fleet: f, index: i}
-	r := resumer.New(in, in)
+	r := resumer.New(in, in, f.options...)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.handlers[f.members[i].Address] = r.Handlers()
@@ -97,6 +108,31 @@
 	delete(f.handlers, f.members[i].Address)
 }
 
+// On a busy host, the answers of instances came after the timeout, and streams were not resumed.
+func TestDelayedProcessFindsRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		delay := extender.WithDelay(func() time.Duration { return time.Since(start) * 3 / 4 })
+		f, all := newFleet(10, resumer.WithTimeouts(extender.New(delay).WithTimeout))
+		f.delay = time.Second
+		const streams = 20
+		for s := range streams {
+			all[0].Record(fmt.Sprint("stream-", s), resumer.Origin{Service: "s", Version: "v"})
+		}
+		time.Sleep(2 * time.Second)
+		f.kill(0)
+		found := 0
+		for s := range streams {
+			if _, isFound := all[9].Find(t.Context(), fmt.Sprint("stream-", s)); isFound {
+				found++
+			}
+		}
+		if diff := gocmp.Diff(streams, found); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
 // Instances are killed and start again with nothing while callers take their streams up at
 // others. Most streams go on, and none at another version.
 func TestRecordsOutliveTheInstanceThatBeganTheStream(t *testing.T) {
--- a/internal/tunneler/tunnel.go
+++ b/internal/tunneler/tunnel.go
@@ -70,7 +70,7 @@
 	case response.Result != isOpen:
 		err = eris.Errorf("%s does not reach the endpoint either", m.Instance)
 	case !stopCancel():
-		err = ctx.Err()
+		err = context.Cause(ctx)
 	}
 	if err != nil {
 		stream.Close()
@@ -83,7 +83,7 @@
 // ctxErr returns the error of ctx if it has ended, which is then the cause of err.
 func ctxErr(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
-		return ctx.Err()
+		return context.Cause(ctx)
 	}
 	return err
 }
--- a/internal/tunneler/tunneler.go
+++ b/internal/tunneler/tunneler.go
@@ -106,6 +106,8 @@
 	members  Members
 	registry Registry
 	log      *logger.Logger
+	// withTimeout returns the context in which a connection is opened.
+	withTimeout Timeouts
 	// onSilent is called when an endpoint did not answer a direct connection.
 	onSilent func(address netip.AddrPort)
 
@@ -117,6 +119,9 @@
 	tunnels sync.WaitGroup
 }
 
+// Timeouts returns a context that ends after the timeout.
+type Timeouts func(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
+
 // Option sets one property of a Tunneler.
 type Option func(*Tunneler)
 
@@ -129,10 +134,13 @@
 	return func(t *Tunneler) { t.onSilent = observe }
 }
 
+// WithTimeouts sets the source of the timeouts of connections, context.WithTimeout by default.
+func WithTimeouts(tt Timeouts) Option { return func(t *Tunneler) { t.withTimeout = tt } }
+
 // New returns a Tunneler that opens direct connections with the function.
 func New(direct sender.Dial, opener Opener, members Members, registry Registry, options ...Option) *Tunneler {
 	t := &Tunneler{
-		direct: direct, opener: opener, members: members, registry: registry, log: logger.Discard(),
+		direct: direct, opener: opener, members: members, registry: registry, log: logger.Discard(), withTimeout: context.WithTimeout,
 		onSilent: func(netip.AddrPort) {}, paths: map[netip.AddrPort]*path{}, relays: map[string]*relay{},
 	}
 	for _, option := range options {
@@ -156,7 +164,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "address %s", address)
 	}
-	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	ctx, cancel := t.withTimeout(ctx, openTimeout)
 	defer cancel()
 	isBlocked, mayProbe := t.begin(endpoint)
 	attempts := make(chan attempt, 2)
@@ -200,7 +208,7 @@
 			}
 		case <-ctx.Done():
 			go discardLate(attempts, running)
-			return nil, errors.Join(ErrNoPath, failure, ctx.Err())
+			return nil, errors.Join(ErrNoPath, failure, context.Cause(ctx))
 		}
 	}
 	return nil, errors.Join(ErrNoPath, failure)
