internal/tunneler: a stopping instance opens no tunnels

Such a tunnel is refused, so that the other instance opens it elsewhere.

TestStoppingInstanceOpensNoTunnel fails without the change: the instance still opens tunnels.

--- a/internal/tunneler/tunnel.go
+++ b/internal/tunneler/tunnel.go
@@ -93,8 +93,12 @@
 	return map[string]messenger.StreamHandler{methodTunnel: t.serve}
 }
 
-// Wait waits until the tunnels that this instance serves have ended, or ctx ends.
+// Wait waits until the tunnels that this instance serves have ended, or ctx ends. Other instances
+// are told to open further ones elsewhere.
 func (t *Tunneler) Wait(ctx context.Context) {
+	t.mu.Lock()
+	t.isStopping = true
+	t.mu.Unlock()
 	ended := make(chan struct{})
 	go func() {
 		t.tunnels.Wait()
@@ -106,11 +110,23 @@
 	}
 }
 
+// beginTunnel counts a tunnel unless this instance stops. The result tells which.
+func (t *Tunneler) beginTunnel() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.isStopping {
+		t.tunnels.Add(1)
+	}
+	return !t.isStopping
+}
+
 // serve connects a stream of another instance with an endpoint. It connects directly only, so
 // that tunnels have no loops, and to registered endpoints only.
 func (t *Tunneler) serve(ctx context.Context, stream *messenger.Stream, first []byte) error {
-	t.tunnels.Add(1)
-	defer t.tunnels.Done()
+	isServing := t.beginTunnel()
+	if isServing {
+		defer t.tunnels.Done()
+	}
 	var in openRequest
 	if err := cbor.Unmarshal(first, &in); err != nil {
 		return eris.Wrap(err, "decode the request")
@@ -118,7 +134,7 @@
 	response := openResponse{Result: isUnreachable}
 	var endpoint net.Conn
 	_, isKnown := t.registry.FindAddress(in.Endpoint)
-	if isBlocked, _ := t.begin(in.Endpoint); isKnown && !isBlocked {
+	if isBlocked, _ := t.begin(in.Endpoint); isKnown && !isBlocked && isServing {
 		dialed, err := t.direct(ctx, "tcp", in.Endpoint.String())
 		switch {
 		case err == nil:
--- a/internal/tunneler/tunneler.go
+++ b/internal/tunneler/tunneler.go
@@ -115,8 +115,9 @@
 	paths  map[netip.AddrPort]*path
 	relays map[string]*relay
 
-	// tunnels counts those that this instance serves.
-	tunnels sync.WaitGroup
+	// tunnels counts those that this instance serves. None begins once isStopping is set.
+	tunnels    sync.WaitGroup
+	isStopping bool
 }
 
 // Timeouts returns a context that ends after the timeout.
--- a/internal/tunneler/tunneler_test.go
+++ b/internal/tunneler/tunneler_test.go
@@ -186,6 +186,51 @@
 	}
 }
 
+// A tunnel that began while an instance waited for the last one was cut when it stopped, and its
+// count raced with the wait (fleet tests beside load).
+func TestStoppingInstanceOpensNoTunnel(t *testing.T) {
+	endpoint := listen(t, echo)
+	instances := newInstances(t, []string{"x", "x"}, endpoint)
+	instances[0].setLink(os.ErrDeadlineExceeded, 0)
+	before, err := instances[0].Dial(t.Context(), "tcp", endpoint.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	go func() {
+		instances[1].Wait(t.Context())
+		close(ended)
+	}()
+	// Tunnels may begin until Wait has begun.
+	deadline := time.Now().Add(5 * time.Second)
+	for {
+		conn, err := instances[0].Dial(t.Context(), "tcp", endpoint.String())
+		if err != nil {
+			if !errors.Is(err, tunneler.ErrNoPath) {
+				t.Errorf("error %v, want %v", err, tunneler.ErrNoPath)
+			}
+			break
+		}
+		_ = conn.Close() // It was never used.
+		if time.Now().After(deadline) {
+			t.Fatal("the instance still opens tunnels")
+		}
+	}
+	if _, err := before.Write([]byte("x")); err != nil {
+		t.Error(err)
+	}
+	if _, err := io.ReadFull(before, make([]byte, 1)); err != nil {
+		t.Error(err)
+	}
+	select {
+	case <-ended:
+		t.Error("the wait ended before the tunnel")
+	default:
+	}
+	_ = before.Close()
+	<-ended
+}
+
 // An endpoint that answers late once is still reached directly afterwards; one that doesn't
 // answer is reached through another instance without a delay, and directly once it answers
 // again.
