internal/tunneler: a delayed process connects directly

On a busy host, direct connections to endpoints took longer than the 100 ms after which a tunnel is opened, too. The tunnel was first at times, and for 10 s the instance counted the endpoint as reached through others only and served as a relay to it for none. The delay is extended as other timeouts are. TestDelayedProcessConnectsDirectly fails without the change (1 tunnel).

--- a/internal/tunneler/tunneler.go
+++ b/internal/tunneler/tunneler.go
@@ -174,8 +174,9 @@
 		running++
 		go t.dialDirect(context.WithoutCancel(ctx), network, endpoint, attempts)
 	}
-	tunnelAt := time.NewTimer(directDelay)
-	defer tunnelAt.Stop()
+	direct, stop := t.withTimeout(ctx, directDelay)
+	defer stop()
+	tunnelAt := direct.Done()
 	hasTunnel := false
 	openTunnel := func() {
 		hasTunnel = true
@@ -203,7 +204,8 @@
 			if !hasTunnel {
 				openTunnel()
 			}
-		case <-tunnelAt.C:
+		case <-tunnelAt:
+			tunnelAt = nil
 			if !hasTunnel {
 				openTunnel()
 			}
--- a/internal/tunneler/tunneler_test.go
+++ b/internal/tunneler/tunneler_test.go
@@ -15,6 +15,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/wigeonstand/wigeonstand/internal/discoverer"
+	"github.com/wigeonstand/wigeonstand/internal/extender"
 	"github.com/wigeonstand/wigeonstand/internal/messenger"
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
 	"github.com/wigeonstand/wigeonstand/internal/tunneler"
@@ -96,6 +97,11 @@
 // newInstances returns an instance for each data centre that is given, and registers the
 // endpoints in the first one.
 func newInstances(t *testing.T, dataCentres []string, endpoints ...netip.AddrPort) []*instance {
+	t.Helper()
+	return newInstancesWithOptions(t, nil, dataCentres, endpoints...)
+}
+
+func newInstancesWithOptions(t *testing.T, options []tunneler.Option, dataCentres []string, endpoints ...netip.AddrPort) []*instance {
 	t.Helper()
 	registry := registrar.New()
 	var registered []registrar.Endpoint
@@ -115,7 +121,7 @@
 		}}
 		client := messenger.NewClient()
 		t.Cleanup(client.Close)
-		in.Tunneler = tunneler.New(in.dial, client, in, registry)
+		in.Tunneler = tunneler.New(in.dial, client, in, registry, options...)
 		server, err := messenger.NewServer(nil, messenger.WithStreams(in.Streams()))
 		if err != nil {
 			t.Fatal(err)
@@ -277,6 +283,24 @@
 	}
 }
 
+// On a busy host, direct connections took longer than the delay after which a tunnel is opened,
+// too. The tunnel was first at times, and the instance no longer served as a relay to the endpoint.
+func TestDelayedProcessConnectsDirectly(t *testing.T) {
+	endpoint := listen(t, echo)
+	start := time.Now()
+	delay := extender.WithDelay(func() time.Duration { return time.Since(start) * 9 / 10 })
+	instances := newInstancesWithOptions(t, []tunneler.Option{tunneler.WithTimeouts(extender.New(delay).WithTimeout)}, []string{"x", "x"}, endpoint)
+	instances[0].setLink(nil, 200*time.Millisecond)
+	conn, err := instances[0].Dial(t.Context(), "tcp", endpoint.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.Close() // It was never used.
+	if n := instances[1].dialCount(); n != 0 {
+		t.Errorf("%d tunnels", n)
+	}
+}
+
 // The endpoint of a data centre that is cut off as a whole is a detour; with a relay there
 // that reaches it, it isn't.
 func TestEndpointsBehindAnotherDataCentreAreDetours(t *testing.T) {
