internal/extender: waiting goroutines count as delay

The goroutine that a timer wakes runs before the others, so that a process with many runnable goroutines measured no delay, while each of the four goroutines of a call waited for all others: a first read of the store timed out after 226 ms in a fleet test. A measurement yields once, and one under way counts as far as it is late.

TestWaitingGoroutinesAreADelay fails without the yield (155 ms instead of 300 ms at least).

--- a/internal/extender/extender.go
+++ b/internal/extender/extender.go
@@ -5,8 +5,8 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -25,9 +25,13 @@
 // Extender measures the delay of this process, and extends timeouts by it. It is safe for
 // concurrent use.
 type Extender struct {
-	// measured is the sum of all delays, in nanoseconds.
-	measured atomic.Int64
-	delay    func() time.Duration
+	delay func() time.Duration
+
+	mu sync.Mutex
+	// measured is the sum of the delays of all measurements, and start that of the one that is
+	// under way; zero if none is.
+	measured time.Duration
+	start    time.Time
 }
 
 // Option sets one property of an Extender.
@@ -39,25 +43,47 @@
 // New returns an Extender, which measures while Run runs.
 func New(options ...Option) *Extender {
 	e := &Extender{}
-	e.delay = func() time.Duration { return time.Duration(e.measured.Load()) }
+	e.delay = e.measuredDelay
 	for _, option := range options {
 		option(e)
 	}
 	return e
 }
 
-// Run measures the delay of this process until ctx ends.
+// measuredDelay returns the sum of all delays, with that of the measurement under way.
+func (e *Extender) measuredDelay() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.start.IsZero() {
+		return e.measured
+	}
+	return e.measured + delayOf(time.Since(e.start), interval)
+}
+
+// begin ends the measurement under way and begins one at the time; zero for none.
+func (e *Extender) begin(start time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.start.IsZero() {
+		e.measured += delayOf(time.Since(e.start), interval)
+	}
+	e.start = start
+}
+
+// Run measures the delay of this process until ctx ends. A goroutine that a timer wakes runs
+// before others, so that it yields once, as the goroutines of a call wait for their turn.
 func (e *Extender) Run(ctx context.Context) {
 	timer := time.NewTimer(interval)
 	defer timer.Stop()
+	defer func() { e.begin(time.Time{}) }()
 	for {
-		start := time.Now()
+		e.begin(time.Now())
 		select {
 		case <-ctx.Done():
 			return
 		case <-timer.C:
 		}
-		e.measured.Add(int64(delayOf(time.Since(start), interval)))
+		runtime.Gosched()
 		timer.Reset(interval)
 	}
 }
--- a/internal/extender/extender_test.go
+++ b/internal/extender/extender_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -64,6 +65,33 @@
 	})
 }
 
+// A timer's goroutine ran before the others, so that a process with many of them measured no delay
+// while each of a call's goroutines waited for all others.
+func TestWaitingGoroutinesAreADelay(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for range 20 {
+		go func() {
+			for ctx.Err() == nil {
+				for start := time.Now(); time.Since(start) < 2*time.Millisecond; {
+				}
+				runtime.Gosched()
+			}
+		}()
+	}
+	e := extender.New()
+	go e.Run(ctx)
+	start := time.Now()
+	bounded, stop := e.WithTimeout(ctx, 150*time.Millisecond)
+	defer stop()
+	<-bounded.Done()
+	// Each turn takes 40 ms, so that 150 ms of undisturbed time take at least twice as long.
+	if took := time.Since(start); took < 300*time.Millisecond {
+		t.Errorf("the timeout ended after %v", took)
+	}
+}
+
 // An idle process measures no delay: timeouts are as they were.
 func TestIdleProcessIsNotDelayed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
