--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -28,6 +28,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/closer"
 	"github.com/wigeonstand/wigeonstand/internal/configurer"
 	"github.com/wigeonstand/wigeonstand/internal/discoverer"
+	"github.com/wigeonstand/wigeonstand/internal/extender"
 	"github.com/wigeonstand/wigeonstand/internal/logger"
 	"github.com/wigeonstand/wigeonstand/internal/messenger"
 	"github.com/wigeonstand/wigeonstand/internal/meter"
@@ -110,6 +111,7 @@
 	dialEndpoint sender.Dial
 	peerClient   *messenger.Client
 	sender       *sender.Sender
+	extender     *extender.Extender
 	rerouter     *rerouter.Rerouter
 	tunneler     *tunneler.Tunneler
 	discoverer   *discoverer.Discoverer
@@ -139,12 +141,13 @@
 	for _, option := range options {
 		option(e)
 	}
-	e.peerClient = messenger.NewClient()
+	e.extender = extender.New()
+	e.peerClient = messenger.NewClient(messenger.WithTimeouts(e.extender.WithTimeout))
 	e.sender = sender.New(sender.WithDial(func(ctx context.Context, network, address string) (net.Conn, error) {
 		return e.tunneler.Dial(ctx, network, address)
 	}))
 	metrics := newMetrics(e.meter, e.sender, e.registry)
-	e.rerouter = rerouter.New(platform.Rows, e.peerClient, rerouter.WithCallCounter(metrics.countStoreCall),
+	e.rerouter = rerouter.New(platform.Rows, e.peerClient, rerouter.WithCallCounter(metrics.countStoreCall), rerouter.WithTimeouts(e.extender.WithTimeout),
 		rerouter.WithPathObserver(func(from, to rerouter.Path, cause error) {
 			e.log.Log(eventStorePathChanged, "From", from, "To", to, "Cause", cause)
 			if from == rerouter.Lost {
@@ -159,7 +162,7 @@
 	e.discoverer = discoverer.New(self, e.rerouter, discoverer.WithSeeds(settings.Seeds))
 	e.rerouter.SetRelays(e.discoverer)
 	e.tunneler = tunneler.New(e.dialEndpoint, e.peerClient, e.discoverer, e.registry,
-		tunneler.WithLogger(e.log), tunneler.WithSilenceObserver(e.sender.CloseIdle))
+		tunneler.WithLogger(e.log), tunneler.WithTimeouts(e.extender.WithTimeout), tunneler.WithSilenceObserver(e.sender.CloseIdle))
 	tableCopies := bootstrapper.New(e.discoverer, e.peerClient, e.log)
 	platform.Source.EndpointRemoved = func(endpoint registrar.Endpoint) { e.sender.CloseIdle(endpoint.Address) }
 	watcherOptions := []watcher.Option{watcher.WithLogger(e.log), watcher.WithBootstrapper(tableCopies)}
@@ -175,13 +178,13 @@
 	e.pruner = pruner.New(e.rerouter, e.log,
 		pruner.Table{Name: transcriber.Table, MaxAge: func() time.Duration { return orphanRetentionFactor * pruner.RowRetention(e.longestRetention()) }},
 		pruner.Table{Name: bookkeeper.Table, MaxAge: func() time.Duration { return budgetRetention }})
-	quarantine := quarantiner.New(e.tunneler, e.registry, e.discoverer, e.peerClient, quarantiner.WithLogger(e.log))
+	quarantine := quarantiner.New(e.tunneler, e.registry, e.discoverer, e.peerClient, quarantiner.WithLogger(e.log), quarantiner.WithTimeouts(e.extender.WithTimeout))
 	e.bookkeeper = bookkeeper.New(self.Incarnation, e.batcher, bookkeeper.NewReclaimer(e.discoverer, e.peerClient),
 		bookkeeper.WithLogger(e.log), bookkeeper.WithPruner(e.pruner.Schedule), bookkeeper.WithVerdicts(quarantine))
-	e.budgets = bookkeeper.NewClient(e.bookkeeper, e.discoverer, e.peerClient, e.registry)
+	e.budgets = bookkeeper.NewClient(e.bookkeeper, e.discoverer, e.peerClient, e.registry, bookkeeper.WithTimeouts(e.extender.WithTimeout))
 	permits := rationer.New(e.discoverer, e.peerClient, rationer.WithLogger(e.log), rationer.WithCounter(metrics.countPermit))
 	quotas := e.newQuotas(metrics)
-	streams := resumer.New(e.discoverer, e.peerClient, resumer.WithLogger(e.log))
+	streams := resumer.New(e.discoverer, e.peerClient, resumer.WithLogger(e.log), resumer.WithTimeouts(e.extender.WithTimeout))
 	e.relayer = relayer.New(relayer.Config{
 		Tables: e.watcher, Endpoints: e.registry, Sender: e.sender, Permits: permits, Streams: streams, Quarantine: quarantine, Paths: e.tunneler, Dialect: platform.Dialect,
 		Budgets:            e.budgets,
@@ -282,7 +285,7 @@
 	serve(func() error { return ready.Serve(listeners[1]) })
 	serve(func() error { return e.peerServer.Serve(work, listeners[2]) })
 	serve(func() error { return admin.Serve(listeners[3]) })
-	for _, run := range []func(context.Context){e.logOutput.Run, e.rerouter.Run, e.batcher.Run, e.pruner.Run, e.bookkeeper.Run, e.watcher.Run, e.maintainMembership, e.runQuotas} {
+	for _, run := range []func(context.Context){e.logOutput.Run, e.extender.Run, e.rerouter.Run, e.batcher.Run, e.pruner.Run, e.bookkeeper.Run, e.watcher.Run, e.maintainMembership, e.runQuotas} {
 		running.Go(func() { run(work) })
 	}
 	e.log.Log(eventStarted, "DataCentre", e.settings.DataCentre, "Incarnation", e.discoverer.Self().Incarnation)
