internal/estimator, internal/admitter: rank turns by priority and slack

The rank at the engine distinguished late programs by their target only, so that a program that the target could still be met by and one that could not were equal, as were one with time to spare and one without any. Each instance now learns what programs of a route need (turns, tokens, tool calls, and the time of a turn and of a period on idle engines) from those that it serves. The rank is given by the priority and by the time left to the target less what the rest needs; programs that end too late to be worth anything come last.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -28,6 +28,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/closer"
 	"github.com/wigeonstand/wigeonstand/internal/configurer"
 	"github.com/wigeonstand/wigeonstand/internal/discoverer"
+	"github.com/wigeonstand/wigeonstand/internal/estimator"
 	"github.com/wigeonstand/wigeonstand/internal/logger"
 	"github.com/wigeonstand/wigeonstand/internal/messenger"
 	"github.com/wigeonstand/wigeonstand/internal/meter"
@@ -175,7 +176,7 @@
 	permits := rationer.New(e.discoverer, e.peerClient, rationer.WithLogger(e.log), rationer.WithCounter(metrics.countPermit))
 	streams := resumer.New(e.discoverer, e.peerClient, resumer.WithLogger(e.log))
 	e.relayer = relayer.New(relayer.Config{
-		Tables: e.watcher, Endpoints: e.registry, Sender: e.sender, Permits: permits, Streams: streams, Quarantine: quarantine, Paths: e.tunneler, Dialect: platform.Dialect,
+		Tables: e.watcher, Endpoints: e.registry, Sender: e.sender, Permits: permits, Streams: streams, Quarantine: quarantine, Paths: e.tunneler, Needs: estimator.New(), Dialect: platform.Dialect,
 		Budgets:            e.budgets,
 		Transcripts:        transcriber.New(e.rerouter),
 		IsStoreUnreachable: func() bool { path, _ := e.rerouter.Path(); return path == rerouter.Lost },
--- /dev/null
+++ b/internal/estimator/estimator.go
@@ -0,0 +1,286 @@
+// Package estimator learns what programs of a route need, from the programs that pass
+// through the instance: turns, tokens, tool calls, and the time that they take on idle
+// engines. Its memory is bounded. An Estimator is safe for concurrent use.
+package estimator
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// endAfter is the silence after which a program counts as ended. Between two turns,
+	// tool calls take some hundred milliseconds, and a refused turn returns within 2 s.
+	endAfter = 4 * time.Second
+	// sweepInterval is the time between two searches for ended programs.
+	sweepInterval = time.Second
+	// maxPrograms and maxRoutes bound the memory. An instance at the target load has some
+	// hundred programs under way.
+	maxPrograms = 2000
+	maxRoutes   = 200
+	// maxSessions bounds the lines of turns that are told apart within a program.
+	maxSessions = 16
+	// minEnded is the number of ended programs from which a need counts as learned.
+	minEnded = 2
+	// weight is that of a new sample in a mean. With some twenty samples a mean follows a
+	// change of the workload within as many programs.
+	weight = 0.1
+	// idleRise is the weight of a time above the learned time on idle engines. Times under
+	// load are longer, so that the learned time follows the short ones.
+	idleRise = 0.01
+	// maxScale bounds the length of one program against the mean of its route.
+	maxScale = 3.0
+)
+
+// Turn is a turn of a program that an endpoint served.
+type Turn struct {
+	Program string
+	Session string
+	Route   string
+	// PromptTokens is the size of the prompt, SharedTokens that of the part of it which
+	// other programs have, too, and OutputTokens what was generated.
+	PromptTokens int64
+	SharedTokens int64
+	OutputTokens int64
+	// Took is the time from the turn's arrival to its end.
+	Took time.Duration
+}
+
+// Need is what a program of a route needs.
+type Need struct {
+	// Turns is the number of turns, and Calls that of tool calls.
+	Turns float64
+	Calls float64
+	// Prefill is the number of prompt tokens of a turn that the turn before did not leave
+	// in the cache, and Output the number of generated ones.
+	Prefill float64
+	Output  float64
+	// Context is the number of tokens that the program holds at its end.
+	Context float64
+	// TurnTime is the time of a turn, and Period the time from one turn to the next, both on
+	// idle engines; zero if unknown.
+	TurnTime time.Duration
+	Period   time.Duration
+	// Target is the time from the program's start to its target; zero if unknown.
+	Target time.Duration
+	// IsLearned is true if it comes from programs that ended.
+	IsLearned bool
+}
+
+// Progress is where a program stands.
+type Progress struct {
+	// Rest is what the rest of the program needs on idle engines; zero if unknown.
+	Rest time.Duration
+	// Target is the time from the program's start to its target; zero if unknown.
+	Target time.Duration
+	// TurnTime is what one turn needs on an idle engine; zero if unknown.
+	TurnTime time.Duration
+	// IsKnown is true if a turn of the program was served here.
+	IsKnown bool
+}
+
+// program is a program under way.
+type program struct {
+	route  string
+	target time.Duration
+	lastAt time.Time
+	// beganAt is when a turn began last, and turnsAtBegin the number of turns then.
+	beganAt      time.Time
+	turnsAtBegin int
+	turns        int
+	calls        int
+	prefill      float64
+	output       float64
+	context      float64
+	// contexts holds the tokens of the last turn of each session.
+	contexts map[string]float64
+}
+
+// Estimator learns the needs of routes.
+type Estimator struct {
+	mu       sync.Mutex
+	programs map[string]*program
+	routes   map[string]*route
+	sweptAt  time.Time
+}
+
+// route is what is known of a route.
+type route struct {
+	Need
+	ended int
+}
+
+// New returns an Estimator that knows nothing.
+func New() *Estimator {
+	return &Estimator{programs: map[string]*program{}, routes: map[string]*route{}}
+}
+
+// Begin records that a turn of the program was admitted, and the time left to its target if
+// it has one.
+func (e *Estimator) Begin(id, routeName string, left time.Duration, hasTarget bool) {
+	if id == "" {
+		return
+	}
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lockedSweep(now)
+	p := e.programs[id]
+	if p == nil {
+		if len(e.programs) >= maxPrograms {
+			return
+		}
+		p = &program{route: routeName, contexts: map[string]float64{}}
+		if hasTarget && left > 0 {
+			p.target = left
+		}
+		e.programs[id] = p
+	}
+	// Turns of concurrent sessions, and a turn that comes again after it failed, follow each
+	// other faster than a program proceeds.
+	if r := e.routes[p.route]; r != nil && len(p.contexts) == 1 && p.turns == p.turnsAtBegin+1 {
+		r.Period = lowMean(r.Period, now.Sub(p.beganAt))
+	}
+	p.lastAt, p.beganAt, p.turnsAtBegin = now, now, p.turns
+}
+
+// End records that a turn was served.
+func (e *Estimator) End(t Turn) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.programs[t.Program]
+	if p == nil {
+		return
+	}
+	p.lastAt = time.Now()
+	p.turns++
+	held, isKnown := p.contexts[t.Session]
+	if !isKnown {
+		held = float64(t.SharedTokens)
+	}
+	p.prefill += max(float64(t.PromptTokens)-held, 0)
+	p.output += float64(t.OutputTokens)
+	total := float64(t.PromptTokens + t.OutputTokens)
+	p.context = max(p.context, total)
+	if isKnown || len(p.contexts) < maxSessions {
+		p.contexts[t.Session] = total
+	}
+	if r := e.lockedRoute(p.route); r != nil {
+		r.TurnTime = lowMean(r.TurnTime, t.Took)
+	}
+}
+
+// Call records a tool call of the program.
+func (e *Estimator) Call(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if p := e.programs[id]; p != nil {
+		p.calls++
+		p.lastAt = time.Now()
+	}
+}
+
+// Need returns what programs of the route need. Until two programs of it have ended, it is
+// that of one turn as its caller states it, with the prompt and the maximum output.
+func (e *Estimator) Need(routeName string, promptTokens, maxTokens int64) Need {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lockedSweep(time.Now())
+	r := e.routes[routeName]
+	if r == nil || r.ended < minEnded {
+		n := Need{Turns: 1, Prefill: float64(promptTokens), Output: float64(maxTokens), Context: float64(promptTokens + maxTokens)}
+		if r != nil {
+			n.TurnTime, n.Period = r.TurnTime, r.Period
+		}
+		return n
+	}
+	n := r.Need
+	n.IsLearned = true
+	return n
+}
+
+// Progress returns where the program of the route stands. If first is true, it has not begun,
+// and left is the time to its target, zero if it has none.
+func (e *Estimator) Progress(id, routeName string, first bool, left time.Duration) Progress {
+	need := e.Need(routeName, 0, 0)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.programs[id]
+	switch {
+	case p != nil && p.turns > 0:
+		return Progress{Target: p.target, Rest: need.Rest(p.turns, p.target), TurnTime: need.TurnTime, IsKnown: true}
+	case first:
+		return Progress{Target: max(left, 0), Rest: need.Rest(0, max(left, 0)), TurnTime: need.TurnTime}
+	}
+	// Other instances had the program's first turns. It needs at least this turn.
+	return Progress{Target: need.Target, Rest: need.TurnTime, TurnTime: need.TurnTime}
+}
+
+// Rest returns what a program with the target, of which the turns were served, still needs
+// on idle engines. Callers set a program's target in proportion to what it needs, so that
+// a program with a longer target than usual has more turns.
+func (n Need) Rest(turns int, target time.Duration) time.Duration {
+	total := n.Turns
+	if n.Target > 0 && target > 0 {
+		total *= min(max(float64(target)/float64(n.Target), 1/maxScale), maxScale)
+	}
+	later := max(total-float64(turns)-1, 0)
+	return n.TurnTime + time.Duration(later*float64(max(n.Period, n.TurnTime)))
+}
+
+// lockedSweep counts the programs that have ended.
+func (e *Estimator) lockedSweep(now time.Time) {
+	if now.Sub(e.sweptAt) < sweepInterval {
+		return
+	}
+	e.sweptAt = now
+	for id, p := range e.programs {
+		if now.Sub(p.lastAt) < endAfter {
+			continue
+		}
+		delete(e.programs, id)
+		if r := e.lockedRoute(p.route); r != nil && p.turns > 0 {
+			r.add(p)
+		}
+	}
+}
+
+// lockedRoute returns the state of the route, or nil if there are too many routes.
+func (e *Estimator) lockedRoute(name string) *route {
+	r := e.routes[name]
+	if r == nil && len(e.routes) < maxRoutes {
+		r = &route{}
+		e.routes[name] = r
+	}
+	return r
+}
+
+// add counts an ended program. The first ones have equal weights.
+func (r *route) add(p *program) {
+	r.ended++
+	w := max(weight, 1/float64(r.ended))
+	mean := func(value *float64, sample float64) { *value += w * (sample - *value) }
+	mean(&r.Turns, float64(p.turns))
+	mean(&r.Calls, float64(p.calls))
+	mean(&r.Prefill, p.prefill/float64(p.turns))
+	mean(&r.Output, p.output/float64(p.turns))
+	mean(&r.Context, p.context)
+	if p.target > 0 && r.Target == 0 {
+		r.Target = p.target
+	} else if p.target > 0 {
+		r.Target += time.Duration(w * float64(p.target-r.Target))
+	}
+}
+
+// lowMean returns the learned time on idle engines after another sample.
+func lowMean(known, sample time.Duration) time.Duration {
+	switch {
+	case sample <= 0:
+		return known
+	case known == 0:
+		return sample
+	case sample < known:
+		return known + time.Duration(weight*float64(sample-known))
+	}
+	return known + time.Duration(idleRise*float64(sample-known))
+}
--- a/internal/relayer/call.go
+++ b/internal/relayer/call.go
@@ -52,9 +52,6 @@
 	Resumes string
 }
 
-// IsPastDeadline reports whether the program's deadline has passed.
-func (c *Call) IsPastDeadline() bool { return c.HasProgramDeadline && c.ProgramTimeLeft <= 0 }
-
 // Dispatch holds what is added to the header of the request to the endpoint.
 type Dispatch struct {
 	// Endpoint is the ID of the endpoint that must serve the request.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -101,6 +101,7 @@
 	Streams     Streams
 	Quarantine  Quarantine
 	Paths       Paths
+	Needs       Needs
 	Dialect     Dialect
 	Policy      Policy
 	Instance    string
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -83,6 +83,7 @@
 		x.refuse(answerer.New(answerer.Overloaded, "the engines are overloaded").WithRetryAfter(decision.RetryAfter), "NewProgram")
 		return
 	}
+	t.recordBegin()
 	t.run()
 }
 
@@ -292,7 +293,7 @@
 		t.Endpoints.End(c.ID, outcome)
 		t.recordBreak(c, start, err)
 	}()
-	dispatch := Dispatch{Timeout: t.timeLeft(), Priority: admitter.Priority(t.route.Priority, t.isFirst, t.call.IsPastDeadline()), LastEventID: t.lastEventID}
+	dispatch := Dispatch{Timeout: t.timeLeft(), Priority: admitter.Priority(t.order()), LastEventID: t.lastEventID}
 	response, err := t.send(t.ctx, c, dispatch, t.prompt)
 	if err != nil {
 		if t.ctx.Err() != nil {
@@ -410,6 +411,7 @@
 		t.fail(failedAttempts{mayHaveRun: true, err: io.ErrUnexpectedEOF})
 		return
 	}
+	t.recordEnd()
 	if !t.route.Retained || t.call.ID == "" {
 		return
 	}
