--- /dev/null
+++ b/internal/relayer/account.go
@@ -0,0 +1,62 @@
+package relayer
+
+import (
+	"net/http"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonstand/wigeonstand/internal/answerer"
+)
+
+// errOtherAccount means that the previous turn is another account's. The caller is told that the
+// turn does not exist.
+var errOtherAccount = eris.New("the turn is another account's")
+
+// authenticate finds the account that holds the caller's key and drops the key. It reports
+// whether the request may go on; if not, it has been refused.
+func (x *exchange) authenticate() bool {
+	key := x.call.Key
+	x.call.Key = ""
+	if !x.table.HasAccounts() {
+		return true
+	}
+	x.call.Credentials = nil
+	if key != "" && x.IsConfigurationDoubtful != nil && x.IsConfigurationDoubtful() {
+		x.refuse(answerer.New(answerer.StoreUnavailable, "it can't be confirmed that the key is valid").WithRetryAfter(shortRetryAfter), "Unconfirmed")
+		return false
+	}
+	account, isKnown := x.table.Account(key)
+	if isKnown {
+		x.account = account
+		return true
+	}
+	if x.route.Public {
+		return true
+	}
+	// Otherwise the server reads a body of up to 256 KiB before it sends the response.
+	_ = http.NewResponseController(x.writer).EnableFullDuplex() // Without it the refusal is only later.
+	x.writer.Header().Set("WWW-Authenticate", "Bearer")
+	if key == "" {
+		x.refuse(answerer.New(answerer.Unauthenticated, "the route requires exactly one key, in the form \"Authorization: Bearer KEY\""), "NoKey")
+		return false
+	}
+	x.refuse(answerer.New(answerer.Unauthenticated, "the key is unknown"), "UnknownKey")
+	return false
+}
+
+// accountName returns the name of the account that sent the request, or "" if there is none.
+func (x *exchange) accountName() string {
+	if x.account == nil {
+		return ""
+	}
+	return x.account.Name
+}
+
+// priority returns the priority of the request, 0 for the highest: the account's if it has one,
+// otherwise the route's.
+func (x *exchange) priority() int {
+	if x.account != nil && x.account.HasPriority {
+		return x.account.Priority
+	}
+	return x.route.Priority
+}
--- a/internal/relayer/contention.go
+++ b/internal/relayer/contention.go
@@ -18,9 +18,6 @@
 	Progress(program, route string, first bool, left time.Duration) estimator.Progress
 }
 
-// priority returns the effective priority of the request.
-func (x *exchange) priority() int { return x.route.Priority }
-
 // maxTarget is the longest plausible time to a program's target.
 const maxTarget = time.Hour
 
