internal/admitter, internal/apportioner, internal/relayer: admission by need with fair shares

The mean load refuses all first turns alike: those of urgent and of other kinds, of programs that can still be in time and that can't, and of an account that sends seven times its usual rate and of all others. With the setting Admission.Policy Need, the refused share follows the scarcest of engine time, engine memory and application endpoints, is lower for more urgent programs and for those that can end in time, and is divided between accounts by max-min fairness, weighted by their quotas, at the bookkeepers, each of which sees a random sample of all programs. Nothing is refused while endpoints have free places, nor after a quarter of the target latency. Refused callers return when room is predicted, spread over the time in which it comes free, with 503. MeanLoad stays the default and is unchanged.

Tests of internal/{estimator,admitter,apportioner,relayer,configurer}, platform with -race pass, and of internal/bookkeeper.

--- a/internal/bookkeeper/bookkeeper.go
+++ b/internal/bookkeeper/bookkeeper.go
@@ -18,6 +18,7 @@
 
 	"github.com/asynkron/protoactor-go/actor"
 
+	"github.com/wigeonstand/wigeonstand/internal/apportioner"
 	"github.com/wigeonstand/wigeonstand/internal/batcher"
 	"github.com/wigeonstand/wigeonstand/internal/logger"
 	"github.com/wigeonstand/wigeonstand/internal/pruner"
@@ -80,6 +81,8 @@
 	Session string `cbor:"7,keyasint,omitempty"`
 	// Verdicts are those of the caller on requests that crash endpoints.
 	Verdicts []quarantiner.Verdict `cbor:"8,keyasint,omitempty"`
+	// Contender asks for capacity for a program that may be new; nil otherwise.
+	Contender *apportioner.Contender `cbor:"14,keyasint,omitempty"`
 }
 
 // OpenResponse is the response to an OpenRequest.
@@ -102,6 +105,9 @@
 	Home string `cbor:"7,keyasint,omitempty"`
 	// Verdicts are those of the bookkeeper on requests that crash endpoints.
 	Verdicts []quarantiner.Verdict `cbor:"8,keyasint,omitempty"`
+	// RefusedShare is the share of the contender's new programs that is to be refused; nil if
+	// the program is not new, or if the bookkeeper does not state it.
+	RefusedShare *float64 `cbor:"14,keyasint,omitempty"`
 }
 
 // ReclaimRequest asks a bookkeeper to release the unused part of its grant of a
@@ -166,6 +172,8 @@
 	pid    *actor.PID
 	// verdicts are exchanged with the calls of Open.
 	verdicts VerdictGossiper
+	// apportioner divides scarce capacity between the accounts of new programs.
+	apportioner *apportioner.Apportioner
 
 	stopMu    sync.RWMutex
 	isStopped bool
@@ -199,6 +207,7 @@
 	k := &Bookkeeper{
 		holder: holder, jobs: jobs, system: actor.NewActorSystem(withoutLogging), pendingRecords: map[string]*pendingRecord{},
 		prune: func([]storer.RowKey, time.Duration) {}, verdicts: noVerdicts{},
+		apportioner: apportioner.New(),
 	}
 	s := &state{holder: holder, jobs: jobs, programs: map[string]*programState{}, send: k.send, reclaim: reclaim, log: logger.Discard()}
 	for _, option := range options {
@@ -244,6 +253,10 @@
 	defer timer.Stop()
 	select {
 	case out := <-reply:
+		if in.Contender != nil && out.Status == OK && !out.HasStarted {
+			share := k.apportioner.Ask(*in.Contender)
+			out.RefusedShare = &share
+		}
 		return out, nil
 	case <-timer.C:
 		// The reservation may still be made; a retry for the same turn finds it.
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -22,6 +22,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wigeonstand/wigeonstand/internal/admitter"
+	"github.com/wigeonstand/wigeonstand/internal/apportioner"
 	"github.com/wigeonstand/wigeonstand/internal/batcher"
 	"github.com/wigeonstand/wigeonstand/internal/bookkeeper"
 	"github.com/wigeonstand/wigeonstand/internal/bootstrapper"
@@ -182,7 +183,7 @@
 	permits := rationer.New(e.discoverer, e.peerClient, rationer.WithLogger(e.log), rationer.WithCounter(metrics.countPermit))
 	streams := resumer.New(e.discoverer, e.peerClient, resumer.WithLogger(e.log))
 	e.relayer = relayer.New(relayer.Config{
-		Tables: e.watcher, Endpoints: e.registry, Sender: e.sender, Permits: permits, Streams: streams, Quarantine: quarantine, Paths: e.tunneler, Needs: estimator.New(), Dialect: platform.Dialect,
+		Tables: e.watcher, Endpoints: e.registry, Sender: e.sender, Permits: permits, Streams: streams, Quarantine: quarantine, Paths: e.tunneler, Needs: estimator.New(), Shares: apportioner.New(), Dialect: platform.Dialect,
 		Budgets:            e.budgets,
 		Transcripts:        transcriber.New(e.rerouter),
 		IsStoreUnreachable: func() bool { path, _ := e.rerouter.Path(); return path == rerouter.Lost },
@@ -197,6 +198,7 @@
 				SoftLimit: settings.Admission.NewPrograms, HardLimit: settings.Admission.NoPrograms,
 				MinRetryAfter: settings.Admission.ReturnLeast, MaxRetryAfter: settings.Admission.ReturnMost,
 			},
+			ByNeed: settings.Admission.Policy == configurer.AdmissionNeed,
 			Margin: settings.Placement.Margin,
 		},
 	})
--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -1,10 +1,12 @@
 package composer
 
 import (
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/wigeonstand/wigeonstand/internal/admitter"
 	"github.com/wigeonstand/wigeonstand/internal/answerer"
 	"github.com/wigeonstand/wigeonstand/internal/matcher"
 	"github.com/wigeonstand/wigeonstand/internal/meter"
@@ -21,6 +23,9 @@
 	retries           *prometheus.CounterVec
 	storeCalls        *prometheus.CounterVec
 	permits           *prometheus.CounterVec
+	programs          *prometheus.CounterVec
+	accounts          *labelLimit
+	pressure          prometheus.Gauge
 }
 
 func newMetrics(m *meter.Meter, s *sender.Sender, endpoints *registrar.Registry) *metrics {
@@ -30,6 +35,9 @@
 		retries:           m.NewCounter("entry_retries_total", "Further attempts by reason.", "Reason"),
 		storeCalls:        m.NewCounter("entry_store_calls_total", "Calls to the store by operation, way and result.", "Operation", "Way", "Result"),
 		permits:           m.NewCounter("entry_permits_total", "Permits asked for, of endpoints with a limit, by result.", "Result"),
+		programs:          m.NewCounter("entry_new_programs_total", "New programs by account, scarcest resource and result.", "Account", "Binding", "Result"),
+		accounts:          newLabelLimit(maxAccountLabels),
+		pressure:          m.NewGauge("entry_contention_pressure", "Pressure that the last new program met on its scarcest resource; all are refused at 1."),
 		requestSeconds:    m.NewHistogram("entry_request_seconds", "Time from arrival to the end of the answer.", "Route"),
 		firstEventSeconds: m.FirstTokenSeconds,
 	}
@@ -67,6 +75,45 @@
 // CountRetry implements relayer.Metrics.
 func (m *metrics) CountRetry(reason string) { m.retries.WithLabelValues(reason).Inc() }
 
+// CountProgram implements relayer.Metrics.
+func (m *metrics) CountProgram(account string, binding admitter.Resource, isAdmitted bool) {
+	result := "Admitted"
+	if !isAdmitted {
+		result = "Refused"
+	}
+	m.programs.WithLabelValues(m.accounts.label(account), string(binding), result).Inc()
+}
+
+// ObserveContention implements relayer.Metrics.
+func (m *metrics) ObserveContention(c admitter.Contention) { m.pressure.Set(max(c.Pressure, 0)) }
+
+// maxAccountLabels bounds the number of accounts with metrics of their own. The others are
+// counted together.
+const maxAccountLabels = 1000
+
+// labelLimit bounds the number of values of a label.
+type labelLimit struct {
+	mu    sync.Mutex
+	most  int
+	known map[string]bool
+}
+
+func newLabelLimit(most int) *labelLimit { return &labelLimit{most: most, known: map[string]bool{}} }
+
+// label returns the value, or "Others" if there are too many values.
+func (l *labelLimit) label(value string) string {
+	if value == "" {
+		return "None"
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.known[value] && len(l.known) >= l.most {
+		return "Others"
+	}
+	l.known[value] = true
+	return value
+}
+
 func (m *metrics) countPermit(result string) { m.permits.WithLabelValues(result).Inc() }
 
 func (m *metrics) countStoreCall(operation, way, result string) {
--- a/internal/configurer/entry.go
+++ b/internal/configurer/entry.go
@@ -63,8 +63,19 @@
 	ServedShare float64 `validate:"min=0,max=1"`
 }
 
+// The policies of admission.
+const (
+	// AdmissionMeanLoad refuses new programs by the mean load of the engines.
+	AdmissionMeanLoad = "MeanLoad"
+	// AdmissionNeed refuses new programs by what they need and are worth, and divides scarce
+	// capacity between accounts.
+	AdmissionNeed = "Need"
+)
+
 // Admission configures the load above which new programs are refused.
 type Admission struct {
+	// Policy is the way in which new programs are refused.
+	Policy string `validate:"oneof=MeanLoad Need"`
 	// NewPrograms is the mean load of the engines, in requests per slot, above
 	// which a share of new programs, growing with the load, is refused. Zero
 	// means no limit.
@@ -89,7 +100,7 @@
 	return &EntrySettings{
 		MemoryMB: 128, Cores: 1, CoreShare: 1, StoreWrites: 800, GracePeriod: 8 * time.Second, RevokeDeadline: 5 * time.Second,
 		Log:       EntryLog{Format: LogJSON, Level: "Info", ServedShare: 1},
-		Admission: Admission{NewPrograms: 1.2, NoPrograms: 2, ReturnLeast: 200 * time.Millisecond, ReturnMost: 900 * time.Millisecond},
+		Admission: Admission{Policy: AdmissionMeanLoad, NewPrograms: 1.2, NoPrograms: 2, ReturnLeast: 200 * time.Millisecond, ReturnMost: 900 * time.Millisecond},
 		Placement: Placement{Margin: 1.5},
 	}
 }
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -4,6 +4,7 @@
 package estimator
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -18,6 +19,11 @@
 	// hundred programs under way.
 	maxPrograms = 2000
 	maxRoutes   = 200
+	// maxServices bounds the services of tool calls that are told apart for a route.
+	maxServices = 16
+	// usualCalls is the mean number of calls of a service from which programs of a route
+	// depend on it.
+	usualCalls = 0.3
 	// maxSessions bounds the lines of turns that are told apart within a program.
 	maxSessions = 16
 	// minEnded is the number of ended programs from which a need counts as learned.
@@ -25,6 +31,8 @@
 	// weight is that of a new sample in a mean. With some twenty samples a mean follows a
 	// change of the workload within as many programs.
 	weight = 0.1
+	// contextWeight is the weight of a turn in the mean context of all routes.
+	contextWeight = 0.02
 	// idleRise is the weight of a time above the learned time on idle engines. Times under
 	// load are longer, so that the learned time follows the short ones.
 	idleRise = 0.01
@@ -51,6 +59,8 @@
 	// Turns is the number of turns, and Calls that of tool calls.
 	Turns float64
 	Calls float64
+	// Services are those of its tool calls that most programs of the route call.
+	Services []string
 	// Prefill is the number of prompt tokens of a turn that the turn before did not leave
 	// in the cache, and Output the number of generated ones.
 	Prefill float64
@@ -88,7 +98,7 @@
 	beganAt      time.Time
 	turnsAtBegin int
 	turns        int
-	calls        int
+	calls        map[string]int
 	prefill      float64
 	output       float64
 	context      float64
@@ -102,12 +112,16 @@
 	programs map[string]*program
 	routes   map[string]*route
 	sweptAt  time.Time
+	// context is the mean number of tokens that a turn holds at its end.
+	context float64
 }
 
 // route is what is known of a route.
 type route struct {
 	Need
 	ended int
+	// calls is the mean number of tool calls by service.
+	calls map[string]float64
 }
 
 // New returns an Estimator that knows nothing.
@@ -130,7 +144,7 @@
 		if len(e.programs) >= maxPrograms {
 			return
 		}
-		p = &program{route: routeName, contexts: map[string]float64{}}
+		p = &program{route: routeName, contexts: map[string]float64{}, calls: map[string]int{}}
 		if hasTarget && left > 0 {
 			p.target = left
 		}
@@ -162,6 +176,10 @@
 	p.output += float64(t.OutputTokens)
 	total := float64(t.PromptTokens + t.OutputTokens)
 	p.context = max(p.context, total)
+	if e.context == 0 {
+		e.context = total
+	}
+	e.context += contextWeight * (total - e.context)
 	if isKnown || len(p.contexts) < maxSessions {
 		p.contexts[t.Session] = total
 	}
@@ -170,12 +188,12 @@
 	}
 }
 
-// Call records a tool call of the program.
-func (e *Estimator) Call(id string) {
+// Call records a tool call of the program to the service.
+func (e *Estimator) Call(id, service string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if p := e.programs[id]; p != nil {
-		p.calls++
+		p.calls[service]++
 		p.lastAt = time.Now()
 	}
 }
@@ -196,6 +214,13 @@
 	}
 	n := r.Need
 	n.IsLearned = true
+	for service, calls := range r.calls {
+		n.Calls += calls
+		if calls >= usualCalls {
+			n.Services = append(n.Services, service)
+		}
+	}
+	slices.Sort(n.Services)
 	return n
 }
 
@@ -216,6 +241,13 @@
 	return Progress{Target: need.Target, Rest: need.TurnTime, TurnTime: need.TurnTime}
 }
 
+// Context returns the mean number of tokens that turns of all routes hold; zero if unknown.
+func (e *Estimator) Context() float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.context
+}
+
 // Rest returns what a program with the target, of which the turns were served, still needs
 // on idle engines. Callers set a program's target in proportion to what it needs, so that
 // a program with a longer target than usual has more turns.
@@ -228,6 +260,22 @@
 	return n.TurnTime + time.Duration(later*float64(max(n.Period, n.TurnTime)))
 }
 
+// decodeWeight is the time of a generated token in that of prompt tokens. The engines in use
+// prefill 72 to 221 tokens/ms and generate 6 in a step of 1.7 to 3 ms, which gives 21 to 112.
+const decodeWeight = 40
+
+// Work returns the work of a whole program at engines, in prompt tokens.
+func (n Need) Work() float64 { return n.Turns * (n.Prefill + decodeWeight*n.Output) }
+
+// EngineShare returns the part of the program's time on idle engines that its turns take; 1
+// if it is unknown.
+func (n Need) EngineShare() float64 {
+	if n.Period <= n.TurnTime {
+		return 1
+	}
+	return float64(n.TurnTime) / float64(n.Period)
+}
+
 // lockedSweep counts the programs that have ended.
 func (e *Estimator) lockedSweep(now time.Time) {
 	if now.Sub(e.sweptAt) < sweepInterval {
@@ -249,7 +297,7 @@
 func (e *Estimator) lockedRoute(name string) *route {
 	r := e.routes[name]
 	if r == nil && len(e.routes) < maxRoutes {
-		r = &route{}
+		r = &route{calls: map[string]float64{}}
 		e.routes[name] = r
 	}
 	return r
@@ -261,7 +309,15 @@
 	w := max(weight, 1/float64(r.ended))
 	mean := func(value *float64, sample float64) { *value += w * (sample - *value) }
 	mean(&r.Turns, float64(p.turns))
-	mean(&r.Calls, float64(p.calls))
+	for service := range p.calls {
+		if _, isKnown := r.calls[service]; !isKnown && len(r.calls) < maxServices {
+			r.calls[service] = 0
+		}
+	}
+	for service, known := range r.calls {
+		mean(&known, float64(p.calls[service]))
+		r.calls[service] = known
+	}
 	mean(&r.Prefill, p.prefill/float64(p.turns))
 	mean(&r.Output, p.output/float64(p.turns))
 	mean(&r.Context, p.context)
--- a/internal/estimator/estimator_test.go
+++ b/internal/estimator/estimator_test.go
@@ -22,7 +22,7 @@
 		time.Sleep(turnTime * stretch)
 		e.End(estimator.Turn{Program: id, Route: "planner", PromptTokens: context + 300, SharedTokens: 512, OutputTokens: 60, Took: turnTime * stretch})
 		context += 360
-		e.Call(id)
+		e.Call(id, "tool")
 		time.Sleep(2 * turnTime)
 	}
 	time.Sleep(5 * time.Second)
@@ -42,7 +42,7 @@
 			run(e, fmt.Sprint(i), 10, 1)
 		}
 		want := estimator.Need{
-			Turns: 10, Calls: 10, Prefill: 300, Output: 60, Context: 512 + 3600, TurnTime: turnTime, Period: 3 * turnTime,
+			Turns: 10, Calls: 10, Services: []string{"tool"}, Prefill: 300, Output: 60, Context: 512 + 3600, TurnTime: turnTime, Period: 3 * turnTime,
 			Target: 4200 * time.Millisecond, IsLearned: true,
 		}
 		need := e.Need("planner", 1, 1)
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -94,6 +94,9 @@
 	// Slots is the number of requests that an engine runs concurrently; zero if
 	// unknown.
 	Slots int
+	// CacheTokens is the number of tokens that the memory of one engine holds; zero if
+	// unknown.
+	CacheTokens int
 }
 
 // Limits bounds the requests of callers.
--- a/internal/relayer/access.go
+++ b/internal/relayer/access.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 
+	"github.com/wigeonstand/wigeonstand/internal/admitter"
 	"github.com/wigeonstand/wigeonstand/internal/answerer"
 	"github.com/wigeonstand/wigeonstand/internal/logger"
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
@@ -45,9 +46,14 @@
 	// limit, or would have had to.
 	permitWait time.Duration
 	meanLoad   float64
-	sendCount  int
-	firstEvent time.Duration
-	recordTime time.Duration
+	// binding is the scarcest resource of a new program, pressure how scarce it is, and
+	// refusedShare the share of such programs of the account that is refused.
+	binding      admitter.Resource
+	pressure     float64
+	refusedShare float64
+	sendCount    int
+	firstEvent   time.Duration
+	recordTime   time.Duration
 	// key identifies what the caller sent, in a request that broke off at an endpoint.
 	key string
 	// retryAfter is the time to come back that a refused caller was given.
@@ -102,6 +108,10 @@
 	add(a.limit.IsSet, "Limit", a.limit)
 	add(a.permitWait > 0, "PermitWait", a.permitWait)
 	add(a.meanLoad > 0, "MeanLoad", a.meanLoad)
+	add(a.binding != "", "Binding", a.binding)
+	if a.binding != "" && a.binding != admitter.NoResource {
+		pairs = append(pairs, "Pressure", a.pressure, "RefusedShare", a.refusedShare)
+	}
 	add(a.firstEvent > 0, "First", a.firstEvent)
 	add(a.recordTime > 0, "Held", a.recordTime)
 	add(a.retryAfter > 0, "RetryAfter", a.retryAfter)
--- a/internal/relayer/contention.go
+++ b/internal/relayer/contention.go
@@ -4,7 +4,10 @@
 	"time"
 
 	"github.com/wigeonstand/wigeonstand/internal/admitter"
+	"github.com/wigeonstand/wigeonstand/internal/answerer"
+	"github.com/wigeonstand/wigeonstand/internal/apportioner"
 	"github.com/wigeonstand/wigeonstand/internal/estimator"
+	"github.com/wigeonstand/wigeonstand/internal/registrar"
 )
 
 // Needs learns what programs need.
@@ -13,9 +16,90 @@
 	Begin(program, route string, left time.Duration, hasTarget bool)
 	// End records a turn that was served, and Call a tool call.
 	End(turn estimator.Turn)
-	Call(program string)
+	Call(program, service string)
 	// Progress returns where a program stands that has the time left to its target.
 	Progress(program, route string, first bool, left time.Duration) estimator.Progress
+	// Need returns what programs of a route need, as far as it is learned, and otherwise as the
+	// caller states it. Context returns the mean number of tokens that a turn holds.
+	Need(route string, promptTokens, maxTokens int64) estimator.Need
+	Context() float64
+}
+
+// Shares divides scarce capacity between accounts.
+type Shares interface {
+	// Ask records that an account asks for capacity, and returns the share of its new programs
+	// that is to be refused.
+	Ask(c apportioner.Contender) float64
+}
+
+// maxRefusalDivisor limits the time to a refusal to a part of the route's target latency. A
+// caller that has waited for longer has lost more by the refusal than it saves.
+const maxRefusalDivisor = 4
+
+// contend finds the contention that a turn meets which may be the first of a program, before
+// its tokens are reserved: the bookkeeper divides what is scarce between accounts.
+func (t *turn) contend(engines []registrar.Candidate) {
+	left, isStated := t.target()
+	need := t.Needs.Need(t.route.Name, t.call.PromptTokens, t.call.MaxTokens)
+	p := t.Needs.Progress(t.call.Program, t.route.Name, true, left)
+	if !isStated {
+		p.Rest, p.Target = p.TurnTime, 0
+	}
+	services := make([][]registrar.Candidate, 0, len(need.Services))
+	for _, service := range need.Services {
+		services = append(services, t.Endpoints.Candidates(service))
+	}
+	room := admitter.RoomOf(engines, t.table.Services[t.service].CacheTokens, t.Needs.Context(), services...)
+	c := admitter.Contend(t.Policy.Admission, admitter.Need{
+		Priority: t.priority(), Left: left, Target: p.Target, Rest: p.Rest, EngineShare: need.EngineShare(),
+	}, room)
+	t.contention, t.access.meanLoad = &c, room.Engine
+	t.contender = &apportioner.Contender{Account: t.accountName(), Service: t.service, Level: c.Level, Work: need.Work(), Refused: c.Refused}
+	if t.account != nil {
+		t.contender.Weight = t.account.Rate
+	}
+}
+
+// admitByNeed decides whether to admit the turn. If not, it has been refused. Only the first
+// turn of a program may be refused.
+func (t *turn) admitByNeed(engines []registrar.Candidate) bool {
+	if t.isFirst && t.Needs.Progress(t.call.Program, t.route.Name, true, 0).IsKnown {
+		t.isFirst = false
+	}
+	if !t.isFirst {
+		return true
+	}
+	if t.contention == nil {
+		t.contend(engines)
+	}
+	if t.refusedShare == nil {
+		share := t.Shares.Ask(*t.contender)
+		t.refusedShare = &share
+	}
+	c, account := *t.contention, t.accountName()
+	t.access.binding, t.access.pressure, t.access.refusedShare = c.Binding, c.Pressure, *t.refusedShare
+	t.Metrics.ObserveContention(c)
+	isTooLate := t.route.TargetLatency > 0 && time.Since(t.arrival) > t.route.TargetLatency/maxRefusalDivisor
+	d := admitter.Decide(t.Policy.Admission, admitter.Turn{First: true, Left: t.timeLeft(), LimitSample: randomFraction(), RetrySample: randomFraction()}, c, *t.refusedShare)
+	d.Admitted = d.Admitted || isTooLate
+	t.Metrics.CountProgram(account, c.Binding, d.Admitted)
+	if !d.Admitted {
+		t.refuse(answerer.New(answerer.NoEndpoint, "no endpoint has room for the program").WithRetryAfter(d.RetryAfter), "NewProgram")
+	}
+	return d.Admitted
+}
+
+// admit decides whether to admit the turn by the policy in force.
+func (t *turn) admit(candidates []registrar.Candidate) bool {
+	if t.Policy.ByNeed {
+		return t.admitByNeed(candidates)
+	}
+	decision := admitter.Admit(t.Policy.Admission, admitter.Turn{First: t.isFirst, Left: t.timeLeft(), LimitSample: randomFraction(), RetrySample: randomFraction()}, candidates)
+	t.access.meanLoad = decision.Mean
+	if !decision.Admitted {
+		t.refuse(answerer.New(answerer.Overloaded, "the engines are overloaded").WithRetryAfter(decision.RetryAfter), "NewProgram")
+	}
+	return decision.Admitted
 }
 
 // maxTarget is the longest plausible time to a program's target.
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -147,7 +147,7 @@
 	x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.writer.WriteHeader(response.Status)
 	_, err = x.writer.Write(body)
-	x.Needs.Call(x.call.Program)
+	x.Needs.Call(x.call.Program, x.service)
 	x.access.outcome, x.access.status, x.access.cause = "Served", response.Status, err
 	return true, nil
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -85,6 +85,9 @@
 // Policy holds the parameters of admission and placement.
 type Policy struct {
 	Admission admitter.Policy
+	// ByNeed says that programs are admitted by what they need and not by the mean load of
+	// the engines.
+	ByNeed bool
 	// Margin is the number of requests per slot by which the load of a turn's home
 	// endpoint may exceed that of the least loaded endpoint.
 	Margin float64
@@ -102,6 +105,7 @@
 	Quarantine  Quarantine
 	Paths       Paths
 	Needs       Needs
+	Shares      Shares
 	Dialect     Dialect
 	Policy      Policy
 	Instance    string
@@ -128,6 +132,10 @@
 	ObserveFirstEvent(d time.Duration)
 	CountRefusal(kind answerer.Kind, reason string)
 	CountRetry(reason string)
+	// CountProgram counts a new program of the account, and ObserveContention the contention
+	// that it met.
+	CountProgram(account string, binding admitter.Resource, isAdmitted bool)
+	ObserveContention(c admitter.Contention)
 }
 
 // Relayer is the HTTP handler of callers' requests. It is safe for concurrent use.
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -12,6 +12,7 @@
 
 	"github.com/wigeonstand/wigeonstand/internal/admitter"
 	"github.com/wigeonstand/wigeonstand/internal/answerer"
+	"github.com/wigeonstand/wigeonstand/internal/apportioner"
 	"github.com/wigeonstand/wigeonstand/internal/bookkeeper"
 	"github.com/wigeonstand/wigeonstand/internal/chooser"
 	"github.com/wigeonstand/wigeonstand/internal/discoverer"
@@ -48,8 +49,13 @@
 	bookkeeper discoverer.Member
 	isReserved bool
 	isFirst    bool
-	previous   *transcriber.Turn
-	prompt     []byte
+	// contention and contender are what a turn meets and asks for that may be the first of a
+	// program, and refusedShare the share of such programs to refuse; nil if unknown.
+	contention   *admitter.Contention
+	contender    *apportioner.Contender
+	refusedShare *float64
+	previous     *transcriber.Turn
+	prompt       []byte
 	// home is the endpoint that has the prompt in its cache, and servedBy the one
 	// that has read this turn's prompt; empty if unknown.
 	home, servedBy string
@@ -69,6 +75,9 @@
 func (x *exchange) serveTurn() {
 	t := &turn{exchange: x, isFirst: x.call.PreviousTurn == "", prompt: x.body}
 	defer t.settle()
+	if engines := t.candidates(nil); t.Policy.ByNeed && t.isFirst && len(engines) > 0 {
+		t.contend(engines)
+	}
 	if !t.prepare() || !t.findOrigin() {
 		return
 	}
@@ -77,10 +86,7 @@
 		t.refuseWithoutCandidates()
 		return
 	}
-	decision := admitter.Admit(x.Policy.Admission, admitter.Turn{First: t.isFirst, Left: x.timeLeft(), LimitSample: randomFraction(), RetrySample: randomFraction()}, candidates)
-	x.access.meanLoad = decision.Mean
-	if !decision.Admitted {
-		x.refuse(answerer.New(answerer.Overloaded, "the engines are overloaded").WithRetryAfter(decision.RetryAfter), "NewProgram")
+	if !t.admit(candidates) {
 		return
 	}
 	t.recordBegin()
@@ -160,9 +166,9 @@
 	}
 	out, member, err := t.Budgets.Open(t.ctx, bookkeeper.OpenRequest{
 		Program: t.call.Program, Turn: t.call.ID, Tokens: t.call.MaxTokens, Budget: t.call.Budget, Wait: t.storeWait(),
-		Session: t.call.Session,
+		Session: t.call.Session, Contender: t.contender,
 	})
-	t.bookkeeper = member
+	t.bookkeeper, t.refusedShare = member, out.RefusedShare
 	switch {
 	case err != nil:
 		return answerer.Wrap(answerer.StoreUnavailable, err, "the program's bookkeeper cannot be reached").WithRetryAfter(t.storeRetryAfter())
