internal/relayer, internal/registrar: calls avoid endpoints that would shed them

Endpoints of plain services with a full queue shed calls. An unsafe call with one attempt was refused after one of them, and the program that made it had wasted what it took, while other endpoints had room. Instances learn from a shed call how long the queues of the service are, and send no call to an endpoint whose last report and own requests since fill it. Calls of programs carry their program's rank.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -65,6 +65,8 @@
 	// Limit is the limit that the endpoint stated last, and LimitAge the time since.
 	Limit    Limit
 	LimitAge time.Duration
+	// IsFull is true if the endpoint would shed a request.
+	IsFull bool
 }
 
 // Outcome is the result of a request, as evidence of the endpoint's health.
@@ -121,6 +123,8 @@
 	// registrations, and readAt when these were first read.
 	versionSeen map[serviceVersion]time.Time
 	readAt      time.Time
+	// capacities holds the queue capacities of the endpoints of services that shed.
+	capacities map[string]queueCapacity
 }
 
 // process identifies one process of an endpoint. IDs are reused after a restart.
@@ -159,7 +163,7 @@
 
 // New returns an empty Registry.
 func New() *Registry {
-	return &Registry{byID: map[string]*entry{}, services: map[string][]*entry{}, announced: map[process]*announcement{}, versionSeen: map[serviceVersion]time.Time{}}
+	return &Registry{byID: map[string]*entry{}, services: map[string][]*entry{}, announced: map[process]*announcement{}, versionSeen: map[serviceVersion]time.Time{}, capacities: map[string]queueCapacity{}}
 }
 
 // Changes lists the endpoints that a call of Registry.Replace has changed.
@@ -262,7 +266,9 @@
 	candidates := make([]Candidate, 0, len(r.services[service]))
 	for _, e := range r.services[service] {
 		if e.accepts() {
-			candidates = append(candidates, e.candidate(now))
+			c := e.candidate(now)
+			c.IsFull = r.lockedIsFull(e, now)
+			candidates = append(candidates, c)
 		}
 	}
 	return candidates
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -88,7 +88,11 @@
 
 // placeCall places a call to a plain service.
 func (x *exchange) placeCall(fleet chooser.Fleet, excluded map[string]bool) (registrar.Candidate, error) {
-	return x.place(x.candidates(excluded), maxPermitWait, func(candidates []registrar.Candidate) int {
+	candidates, err := x.awaitRoom(excluded)
+	if err != nil {
+		return registrar.Candidate{}, err
+	}
+	return x.place(candidates, maxPermitWait, func(candidates []registrar.Candidate) int {
 		if x.suspicion().Crashes > 0 {
 			return chooser.ForSuspect(x.request().Key.String(), candidates)
 		}
@@ -119,5 +123,10 @@
 		x.refuse(answerer.Wrap(answerer.Overloaded, cause, "the endpoints take no more requests").WithRetryAfter(min(after, x.timeLeft()/3)), "EndpointLimits")
 		return
 	}
+	if errors.Is(cause, errEndpointsFull) {
+		after := fullReturnAfter + time.Duration(randomFraction()*float64(permitReturnSpread))
+		x.refuse(answerer.Wrap(answerer.NoEndpoint, cause, "the queues of all endpoints are full").WithRetryAfter(min(after, x.timeLeft()/3)), "EndpointsFull")
+		return
+	}
 	x.refuse(answerer.Wrap(answerer.NoEndpoint, cause, "no endpoint accepted the request").WithRetryAfter(min(shortRetryAfter, x.timeLeft()/3)), "NoEndpoint")
 }
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -88,9 +88,10 @@
 }
 
 // addUnplaced records that there was no endpoint for a further attempt, which is the cause
-// of a refusal only if the endpoints have used up their limits or the request is quarantined.
+// of a refusal only if the endpoints have used up their limits or are full, or if the request
+// is quarantined.
 func (f *failedAttempts) addUnplaced(err error) {
-	if !f.mayHaveRun && (errors.Is(err, errNoPermit) || errors.Is(err, errQuarantined)) {
+	if !f.mayHaveRun && (errors.Is(err, errNoPermit) || errors.Is(err, errQuarantined) || errors.Is(err, errEndpointsFull)) {
 		f.err = err
 	}
 }
@@ -119,7 +120,7 @@
 			x.recordBreak(c, start, err)
 		}
 	}()
-	response, err := x.send(ctx, c, Dispatch{Timeout: x.timeLeft(), Priority: -1}, x.body)
+	response, err := x.send(ctx, c, Dispatch{Timeout: x.timeLeft(), Priority: x.callPriority()}, x.body)
 	if err != nil {
 		if x.ctx.Err() != nil {
 			outcome = timeoutOutcome(time.Since(start), c)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -347,6 +347,9 @@
 	// A 421 is another endpoint's, which now has the address.
 	if head.Load != nil && response.Status != http.StatusMisdirectedRequest {
 		x.Endpoints.Report(c.ID, *head.Load)
+		if head.IsNotRun {
+			x.Endpoints.ReportShed(c.Endpoint, *head.Load)
+		}
 	}
 	if head.IsEndpointLeaving && x.Endpoints.ReportLeave(c.Endpoint) {
 		x.Log.Log(eventEndpointLeaving, "Endpoint", c.ID, "Service", c.Service, "Started", c.Started, "Request", x.call.ID)
