internal/bencher, internal/admitter: policies of admission under one load, lower limits for Need

wigeonbench contention runs no admission, the mean load, need, and need with fair shares, each with order by arrival and by slack, under a burst of two kinds, an account at seven times its usual rate, and a third of the memory.

Tests of internal/{bencher (contention), admitter, apportioner, relayer} pass.

--- a/cmd/wigeonbench/main.go
+++ b/cmd/wigeonbench/main.go
@@ -37,7 +37,7 @@
 				&cli.StringSliceFlag{Name: "experiment", Usage: "names of the experiments to run; all if none is given"},
 				&cli.StringSliceFlag{Name: "case", Usage: "ends of the names of the cases to run; all if none is given"},
 			},
-		}},
+		}, contentionCommand()},
 	}
 }
 
--- a/internal/admitter/need.go
+++ b/internal/admitter/need.go
@@ -23,10 +23,19 @@
 	// service, in requests per slot, between which a growing share of the programs that call
 	// it is refused. Endpoints with 6 slots and a queue of 24 shed from a load of 5, and calls
 	// take twice as long from 2.
-	softApplicationLoad = 2.0
+	softApplicationLoad = 2.5
 	hardApplicationLoad = 4.0
-	// lastLevel is the level of the least urgent programs.
-	lastLevel = 2
+	// softEngineLoad and hardEngineLoad are the loads of the engines, in requests per slot or
+	// per place in their memory, between which a growing share of new programs is refused. A
+	// program's target leaves it 0.3 to 0.5 of its time on idle engines for all its waits:
+	// with limits of 1.2 and 2 most of the programs admitted in a burst ended late
+	// (wigeonbench contention).
+	softEngineLoad = 0.8
+	hardEngineLoad = 1.1
+	// lastPriority is the least urgent priority that is told apart, and levelCount the number
+	// of levels: each priority in time, and then each priority late.
+	lastPriority = 2
+	levelCount   = 2 * (lastPriority + 1)
 	// minReturnSpread is the least interval over which refused callers return.
 	minReturnSpread = 400 * time.Millisecond
 	// maxReturnDivisor limits Retry-After to the part of their time that callers wait.
@@ -37,8 +46,8 @@
 // from which all of them are. Those of one level are all refused before half of the next
 // more urgent ones are.
 var (
-	startOf = [lastLevel + 1]float64{0.25, 0, -0.1}
-	fullAt  = [lastLevel + 1]float64{1, 0.5, 0.25}
+	startOf = [levelCount]float64{0.3, 0, -0.2, -0.4, -0.5, -0.6}
+	fullAt  = [levelCount]float64{1, 0.6, 0.3, 0, -0.1, -0.2}
 )
 
 // Need is what a new program needs and what it is worth.
@@ -122,7 +131,8 @@
 	Level int
 	// Refused is the share of the programs of this level that is to be refused.
 	Refused float64
-	// FreeIn is the time after which there is room again if no program is admitted.
+	// FreeIn is the time after which there is room again if no program is admitted, but at
+	// most the time after which the program can no longer be in time.
 	FreeIn time.Duration
 }
 
@@ -134,15 +144,15 @@
 // Reported loads are old when they are used. As with Admit, the refused share grows with the
 // load, so that instances do not alternate between refusing and admitting everything.
 func Contend(policy Policy, need Need, room Room) Contention {
-	c := Contention{Binding: NoResource, Level: min(max(need.Priority, 0), lastLevel)}
+	c := Contention{Binding: NoResource, Level: min(max(need.Priority, 0), lastPriority)}
 	if policy.SoftLimit <= 0 {
 		return c
 	}
-	c.Pressure = pressure(room.Engine, policy.SoftLimit, policy.HardLimit)
+	c.Pressure = pressure(room.Engine, softEngineLoad, hardEngineLoad)
 	c.Binding = EngineTime
-	excess := room.Engine / policy.SoftLimit
-	if p := pressure(room.Memory, policy.SoftLimit, policy.HardLimit); p > c.Pressure {
-		c.Binding, c.Pressure, excess = EngineMemory, p, room.Memory/policy.SoftLimit
+	excess := room.Engine / softEngineLoad
+	if p := pressure(room.Memory, softEngineLoad, hardEngineLoad); p > c.Pressure {
+		c.Binding, c.Pressure, excess = EngineMemory, p, room.Memory/softEngineLoad
 	}
 	if p := pressure(room.Application, softApplicationLoad, hardApplicationLoad); p > c.Pressure {
 		c.Binding, c.Pressure, excess = ApplicationEndpoints, p, room.Application/softApplicationLoad
@@ -151,9 +161,9 @@
 	needed := time.Duration(float64(need.Rest) * stretch)
 	isLate := needed > need.Left
 	if isLate {
-		c.Level = min(c.Level+1, lastLevel)
+		c.Level += lastPriority + 1
 	}
-	if room.IsFree || c.Pressure <= startOf[lastLevel] {
+	if room.IsFree || c.Pressure <= startOf[levelCount-1] {
 		c.Binding = NoResource
 		return c
 	}
@@ -161,16 +171,14 @@
 	if isLate && c.Pressure > 0 && needed > need.Left+max(need.Target, 0) {
 		c.Refused = 1
 	}
-	// The programs under way end at a rate in proportion to their number.
-	c.FreeIn = time.Duration(float64(needed) * math.Log(max(excess, 1)))
+	// The programs under way end at a rate in proportion to their number. A caller that would
+	// be late by then returns while it can still be in time.
+	c.FreeIn = min(time.Duration(float64(needed)*math.Log(max(excess, 1))), max(need.Left-needed, 0))
 	return c
 }
 
-// pressure returns where the load lies between the limits, without the upper bound of 1.
+// pressure returns where the load lies between the limits: 0 at the soft one, 1 at the hard one.
 func pressure(load, soft, hard float64) float64 {
-	if hard <= soft {
-		hard = soft + math.SmallestNonzeroFloat32
-	}
 	return (load - soft) / (hard - soft)
 }
 
--- a/internal/apportioner/apportioner.go
+++ b/internal/apportioner/apportioner.go
@@ -79,17 +79,20 @@
 }
 
 // New returns an Apportioner without demand.
-func New() *Apportioner { return &Apportioner{started: time.Now()} }
+func New() *Apportioner { return &Apportioner{} }
 
 // Ask records that the account asks for capacity, and returns the share of its programs that
 // is to be refused.
-func (a *Apportioner) Ask(c Contender) float64 {
+func (a *Apportioner) Ask(c Contender) float64 { return a.AskAt(time.Now(), c) }
+
+// AskAt is Ask at the given time, which must not precede that of an earlier call by much.
+func (a *Apportioner) AskAt(at time.Time, c Contender) float64 {
 	c.Refused = bounded(c.Refused, 0, 1)
 	c.Work = bounded(c.Work, 1, maxWork)
 	c.Weight = bounded(c.Weight, 0, maxWork)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := a.lockedBucket()
+	now := a.lockedBucket(at)
 	key := claimant{group: group{service: c.Service, level: c.Level}, account: c.Account}
 	if _, isKnown := now.demands[key]; !isKnown && len(now.demands) >= maxAccounts {
 		key = claimant{}
@@ -121,8 +124,11 @@
 }
 
 // lockedBucket returns the bucket of the moment. Those that have left the window are empty.
-func (a *Apportioner) lockedBucket() *bucket {
-	number := int64(time.Since(a.started) / bucketLength)
+func (a *Apportioner) lockedBucket(at time.Time) *bucket {
+	if a.started.IsZero() {
+		a.started = at
+	}
+	number := int64(at.Sub(a.started) / bucketLength)
 	for n := max(a.current+1, number-bucketCount+1); n <= number; n++ {
 		a.buckets[n%bucketCount] = bucket{}
 	}
