--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -76,11 +76,7 @@
 func (m *metrics) CountRetry(reason string) { m.retries.WithLabelValues(reason).Inc() }
 
 // CountProgram implements relayer.Metrics.
-func (m *metrics) CountProgram(account string, binding admitter.Resource, isAdmitted bool) {
-	result := "Admitted"
-	if !isAdmitted {
-		result = "Refused"
-	}
+func (m *metrics) CountProgram(account string, binding admitter.Resource, result string) {
 	m.programs.WithLabelValues(m.accounts.label(account), string(binding), result).Inc()
 }
 
--- a/internal/relayer/contention.go
+++ b/internal/relayer/contention.go
@@ -81,8 +81,14 @@
 	t.Metrics.ObserveContention(c)
 	isTooLate := t.route.TargetLatency > 0 && time.Since(t.arrival) > t.route.TargetLatency/maxRefusalDivisor
 	d := admitter.Decide(t.Policy.Admission, admitter.Turn{First: true, Left: t.timeLeft(), LimitSample: randomFraction(), RetrySample: randomFraction()}, c, *t.refusedShare)
-	d.Admitted = d.Admitted || isTooLate
-	t.Metrics.CountProgram(account, c.Binding, d.Admitted)
+	result := "Admitted"
+	switch {
+	case !d.Admitted && isTooLate:
+		d.Admitted, result = true, "AdmittedAsLate"
+	case !d.Admitted:
+		result = "Refused"
+	}
+	t.Metrics.CountProgram(account, c.Binding, result)
 	if !d.Admitted {
 		t.refuse(answerer.New(answerer.NoEndpoint, "no endpoint has room for the program").WithRetryAfter(d.RetryAfter), "NewProgram")
 	}
--- a/internal/relayer/contention_test.go
+++ b/internal/relayer/contention_test.go
@@ -65,8 +65,8 @@
 func (a *admission) ObserveContention(admitter.Contention) {}
 func (a *admission) CountRefusal(answerer.Kind, string)    {}
 
-func (a *admission) CountProgram(_ string, _ admitter.Resource, isAdmitted bool) {
-	if isAdmitted {
+func (a *admission) CountProgram(_ string, _ admitter.Resource, result string) {
+	if result != "Refused" {
 		a.admitted++
 	} else {
 		a.refused++
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -132,9 +132,9 @@
 	ObserveFirstEvent(d time.Duration)
 	CountRefusal(kind answerer.Kind, reason string)
 	CountRetry(reason string)
-	// CountProgram counts a new program of the account, and ObserveContention the contention
-	// that it met.
-	CountProgram(account string, binding admitter.Resource, isAdmitted bool)
+	// CountProgram counts a new program of the account: Admitted, Refused, or AdmittedAsLate if it
+	// was too late to refuse it. ObserveContention records the contention that it met.
+	CountProgram(account string, binding admitter.Resource, result string)
 	ObserveContention(c admitter.Contention)
 }
 
