internal/estimator, internal/bookkeeper: needs of routes travel with reservations

An instance of 88 sees a program of a rare route every 20 s and knew its need only after two of them. The bookkeeper of a new program now states what it has learned of a route that the instance does not know.

Tests of internal/{estimator,bookkeeper,relayer,apportioner} with -race pass.

--- a/internal/apportioner/apportioner.go
+++ b/internal/apportioner/apportioner.go
@@ -41,6 +41,9 @@
 	Weight float64 `cbor:"5,keyasint,omitempty"`
 	// Refused is the share of the programs of the level that is to be refused.
 	Refused float64 `cbor:"6,keyasint,omitempty"`
+	// UnknownRoute is the route of the program if the instance has not learned yet what its
+	// programs need.
+	UnknownRoute string `cbor:"7,keyasint,omitempty"`
 }
 
 // group is those among whom capacity is divided.
--- a/internal/bookkeeper/bookkeeper.go
+++ b/internal/bookkeeper/bookkeeper.go
@@ -20,6 +20,7 @@
 
 	"github.com/wigeonstand/wigeonstand/internal/apportioner"
 	"github.com/wigeonstand/wigeonstand/internal/batcher"
+	"github.com/wigeonstand/wigeonstand/internal/estimator"
 	"github.com/wigeonstand/wigeonstand/internal/logger"
 	"github.com/wigeonstand/wigeonstand/internal/pruner"
 	"github.com/wigeonstand/wigeonstand/internal/quarantiner"
@@ -108,6 +109,9 @@
 	// RefusedShare is the share of the contender's new programs that is to be refused; nil if
 	// the program is not new, or if the bookkeeper does not state it.
 	RefusedShare *float64 `cbor:"14,keyasint,omitempty"`
+	// Need is what programs of the contender's unknown route need; nil if the bookkeeper does
+	// not know it either.
+	Need *estimator.Need `cbor:"15,keyasint,omitempty"`
 }
 
 // ReclaimRequest asks a bookkeeper to release the unused part of its grant of a
@@ -174,6 +178,7 @@
 	verdicts VerdictGossiper
 	// apportioner divides scarce capacity between the accounts of new programs.
 	apportioner *apportioner.Apportioner
+	needs       Needs
 
 	stopMu    sync.RWMutex
 	isStopped bool
@@ -199,6 +204,15 @@
 	return func(k *Bookkeeper, _ *state) { k.verdicts = v }
 }
 
+// Needs is what this instance has learned of the programs of routes.
+type Needs interface {
+	Need(route string, promptTokens, maxTokens int64) estimator.Need
+}
+
+// WithNeeds sets where instances that have not learned what programs of a route need have it
+// from.
+func WithNeeds(needs Needs) Option { return func(k *Bookkeeper, _ *state) { k.needs = needs } }
+
 // New returns a Bookkeeper. No other process may ever have used the holder's name.
 func New(holder string, jobs Submitter, reclaim Reclaimer, options ...Option) *Bookkeeper {
 	withoutLogging := actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
@@ -254,8 +268,7 @@
 	select {
 	case out := <-reply:
 		if in.Contender != nil && out.Status == OK && !out.HasStarted {
-			share := k.apportioner.Ask(*in.Contender)
-			out.RefusedShare = &share
+			k.apportion(*in.Contender, &out)
 		}
 		return out, nil
 	case <-timer.C:
@@ -266,6 +279,18 @@
 	}
 }
 
+// apportion adds to the response what a new program's instance needs for its admission.
+func (k *Bookkeeper) apportion(c apportioner.Contender, out *OpenResponse) {
+	share := k.apportioner.Ask(c)
+	out.RefusedShare = &share
+	if c.UnknownRoute == "" || k.needs == nil {
+		return
+	}
+	if need := k.needs.Need(c.UnknownRoute, 0, 0); need.IsLearned {
+		out.Need = &need
+	}
+}
+
 // Reclaim releases the unused part of this bookkeeper's grant of a program's
 // budget.
 func (k *Bookkeeper) Reclaim(ctx context.Context, in ReclaimRequest) (ReclaimResponse, error) {
--- a/internal/bookkeeper/contender_test.go
+++ b/internal/bookkeeper/contender_test.go
@@ -29,6 +29,13 @@
 			ask("p1", "t1", contender("a", 100)), ask("p2", "t2", contender("b", 100)), ask("p2", "t3", contender("b", 1e6)),
 			ask("p3", "t4", contender("a", 200)), ask("p4", "t5", nil),
 		}
+		out, err := k.Open(t.Context(), bookkeeper.OpenRequest{
+			Program: "p5", Turn: "t6", Tokens: turnTokens, Budget: turnTokens, Wait: time.Second,
+			Contender: &apportioner.Contender{Account: "a", Service: "s", UnknownRoute: "r"},
+		})
+		if err != nil || out.Need != nil {
+			t.Errorf("%+v, %v", out.Need, err)
+		}
 		half, twoThirds := 0.5, 2./3
 		if diff := cmp.Diff([]*float64{&half, &half, nil, &twoThirds, nil}, got, cmp.Comparer(func(a, b float64) bool { return a-b < 1e-9 && b-a < 1e-9 })); diff != "" {
 			t.Error(diff)
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -177,13 +177,14 @@
 		pruner.Table{Name: transcriber.Table, MaxAge: func() time.Duration { return orphanRetentionFactor * pruner.RowRetention(e.longestRetention()) }},
 		pruner.Table{Name: bookkeeper.Table, MaxAge: func() time.Duration { return budgetRetention }})
 	quarantine := quarantiner.New(e.tunneler, e.registry, e.discoverer, e.peerClient, quarantiner.WithLogger(e.log))
+	needs := estimator.New()
 	e.bookkeeper = bookkeeper.New(self.Incarnation, e.batcher, bookkeeper.NewReclaimer(e.discoverer, e.peerClient),
-		bookkeeper.WithLogger(e.log), bookkeeper.WithPruner(e.pruner.Schedule), bookkeeper.WithVerdicts(quarantine))
+		bookkeeper.WithLogger(e.log), bookkeeper.WithPruner(e.pruner.Schedule), bookkeeper.WithVerdicts(quarantine), bookkeeper.WithNeeds(needs))
 	e.budgets = bookkeeper.NewClient(e.bookkeeper, e.discoverer, e.peerClient, e.registry)
 	permits := rationer.New(e.discoverer, e.peerClient, rationer.WithLogger(e.log), rationer.WithCounter(metrics.countPermit))
 	streams := resumer.New(e.discoverer, e.peerClient, resumer.WithLogger(e.log))
 	e.relayer = relayer.New(relayer.Config{
-		Tables: e.watcher, Endpoints: e.registry, Sender: e.sender, Permits: permits, Streams: streams, Quarantine: quarantine, Paths: e.tunneler, Needs: estimator.New(), Shares: apportioner.New(), Dialect: platform.Dialect,
+		Tables: e.watcher, Endpoints: e.registry, Sender: e.sender, Permits: permits, Streams: streams, Quarantine: quarantine, Paths: e.tunneler, Needs: needs, Shares: apportioner.New(), Dialect: platform.Dialect,
 		Budgets:            e.budgets,
 		Transcripts:        transcriber.New(e.rerouter),
 		IsStoreUnreachable: func() bool { path, _ := e.rerouter.Path(); return path == rerouter.Lost },
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -54,27 +54,28 @@
 	Took time.Duration
 }
 
-// Need is what a program of a route needs.
+// Need is what a program of a route needs. Its tags are those of the messages that carry it
+// between instances.
 type Need struct {
 	// Turns is the number of turns, and Calls that of tool calls.
-	Turns float64
-	Calls float64
+	Turns float64 `cbor:"1,keyasint"`
+	Calls float64 `cbor:"2,keyasint,omitempty"`
 	// Services are those of its tool calls that most programs of the route call.
-	Services []string
+	Services []string `cbor:"3,keyasint,omitempty"`
 	// Prefill is the number of prompt tokens of a turn that the turn before did not leave
 	// in the cache, and Output the number of generated ones.
-	Prefill float64
-	Output  float64
+	Prefill float64 `cbor:"4,keyasint"`
+	Output  float64 `cbor:"5,keyasint"`
 	// Context is the number of tokens that the program holds at its end.
-	Context float64
+	Context float64 `cbor:"6,keyasint"`
 	// TurnTime is the time of a turn, and Period the time from one turn to the next, both on
 	// idle engines; zero if unknown.
-	TurnTime time.Duration
-	Period   time.Duration
+	TurnTime time.Duration `cbor:"7,keyasint,omitempty"`
+	Period   time.Duration `cbor:"8,keyasint,omitempty"`
 	// Target is the time from the program's start to its target; zero if unknown.
-	Target time.Duration
+	Target time.Duration `cbor:"9,keyasint,omitempty"`
 	// IsLearned is true if it comes from programs that ended.
-	IsLearned bool
+	IsLearned bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Progress is where a program stands.
@@ -224,6 +225,46 @@
 	return n
 }
 
+// Adopt records what another instance has learned of the route, if this one has not learned it
+// yet.
+func (e *Estimator) Adopt(routeName string, n Need) {
+	if !n.IsLearned || !n.isPlausible() {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := e.lockedRoute(routeName)
+	if r == nil || r.ended >= minEnded {
+		return
+	}
+	r.Need, r.ended = n, minEnded
+	for _, service := range n.Services {
+		r.calls[service] = n.Calls / float64(len(n.Services))
+	}
+	r.Calls, r.Services = 0, nil
+}
+
+// maxPlausible bounds the turns and tokens, and maxPlausibleTime the times, that another
+// instance may state.
+const (
+	maxPlausible     = 1e7
+	maxPlausibleTime = time.Hour
+)
+
+func (n Need) isPlausible() bool {
+	for _, value := range []float64{n.Calls, n.Prefill, n.Output, n.Context} {
+		if !(value >= 0 && value <= maxPlausible) {
+			return false
+		}
+	}
+	for _, d := range []time.Duration{n.TurnTime, n.Period, n.Target} {
+		if d < 0 || d > maxPlausibleTime {
+			return false
+		}
+	}
+	return n.Turns >= 1 && n.Turns <= maxPlausible && len(n.Services) <= maxServices
+}
+
 // Progress returns where the program of the route stands. If first is true, it has not begun,
 // and left is the time to its target, zero if it has none.
 func (e *Estimator) Progress(id, routeName string, first bool, left time.Duration) Progress {
--- a/internal/estimator/estimator_test.go
+++ b/internal/estimator/estimator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -122,3 +123,37 @@
 		}
 	})
 }
+
+// A route of rare programs is known after the first that an instance sees, from another one. What
+// it has learned itself stays, and figures that make no sense are not taken.
+func TestNeedIsAdoptedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		need := estimator.Need{
+			Turns: 9, Calls: 12, Services: []string{"a", "b"}, Prefill: 300, Output: 60, Context: 4000,
+			TurnTime: turnTime, Period: 3 * turnTime, Target: 4 * time.Second, IsLearned: true,
+		}
+		e := estimator.New()
+		for _, change := range []func(*estimator.Need){
+			func(n *estimator.Need) { n.Turns = 0 },
+			func(n *estimator.Need) { n.Turns = math.NaN() },
+			func(n *estimator.Need) { n.Context = math.Inf(1) },
+			func(n *estimator.Need) { n.TurnTime = -1 },
+			func(n *estimator.Need) { n.Services = make([]string, 100) },
+			func(n *estimator.Need) { n.IsLearned = false },
+		} {
+			invalid := need
+			change(&invalid)
+			e.Adopt("planner", invalid)
+			if e.Need("planner", 1, 1).IsLearned {
+				t.Errorf("%+v was adopted", invalid)
+			}
+		}
+		e.Adopt("planner", need)
+		other := need
+		other.Turns = 3
+		e.Adopt("planner", other)
+		if diff := cmp.Diff(need, e.Need("planner", 1, 1)); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/internal/relayer/contention.go
+++ b/internal/relayer/contention.go
@@ -23,6 +23,8 @@
 	// caller states it. Context returns the mean number of tokens that a turn holds.
 	Need(route string, promptTokens, maxTokens int64) estimator.Need
 	Context() float64
+	// Adopt records what another instance has learned of a route.
+	Adopt(route string, need estimator.Need)
 }
 
 // Shares divides scarce capacity between accounts.
@@ -55,6 +57,9 @@
 	}, room)
 	t.contention, t.access.meanLoad = &c, room.Engine
 	t.contender = &apportioner.Contender{Account: t.accountName(), Service: t.service, Level: c.Level, Work: need.Work(), Refused: c.Refused}
+	if !need.IsLearned {
+		t.contender.UnknownRoute = t.route.Name
+	}
 	if t.account != nil {
 		t.contender.Weight = t.account.Rate
 	}
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -169,6 +169,9 @@
 		Session: t.call.Session, Contender: t.contender,
 	})
 	t.bookkeeper, t.refusedShare = member, out.RefusedShare
+	if out.Need != nil {
+		t.Needs.Adopt(t.route.Name, *out.Need)
+	}
 	switch {
 	case err != nil:
 		return answerer.Wrap(answerer.StoreUnavailable, err, "the program's bookkeeper cannot be reached").WithRetryAfter(t.storeRetryAfter())
