--- a/internal/configurer/entry_test.go
+++ b/internal/configurer/entry_test.go
@@ -22,7 +22,7 @@
 `
 
 func TestParseEntry(t *testing.T) {
-	got, err := configurer.ParseEntry("e.yaml", []byte(minimalEntrySettings+"GracePeriod: 5s\nRevokeStrict: true\nRevokeDeadline: \"2500ms\"\nAdmission: {NewPrograms: 0.5}\n"))
+	got, err := configurer.ParseEntry("e.yaml", []byte(minimalEntrySettings+"GracePeriod: 5s\nRevokeStrict: true\nRevokeDeadline: \"2500ms\"\nAdmission: {Policy: Need, NewPrograms: 0.5}\n"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -34,7 +34,7 @@
 	want.PeerAddress = want.PeerListen
 	want.AdminListen = netip.MustParseAddrPort("10.0.0.1:83")
 	want.StoreAddress = netip.MustParseAddrPort("10.0.0.9:90")
-	want.Admission.NewPrograms = 0.5
+	want.Admission.Policy, want.Admission.NewPrograms = configurer.AdmissionNeed, 0.5
 	want.RevokeStrict, want.RevokeDeadline = true, 2500*time.Millisecond
 	if diff := cmp.Diff(want, got, cmpopts.EquateComparable(netip.AddrPort{})); diff != "" {
 		t.Error(diff)
@@ -50,12 +50,12 @@
 StoreAddress: nowhere
 MemoryMB: 1
 CoreShare: 3
-Admission: {ReturnLeast: 2s, ReturnMost: 1s}
+Admission: {Policy: First, ReturnLeast: 2s, ReturnMost: 1s}
 Colour: red
 `))
 	errs := loader.AsErrors(err)
 	for _, path := range []string{
-		"ReadyListen", "PeerAddress", "AdminListen", "StoreAddress", "MemoryMB", "CoreShare", "Admission.ReturnMost", "Colour",
+		"ReadyListen", "PeerAddress", "AdminListen", "StoreAddress", "MemoryMB", "CoreShare", "Admission.Policy", "Admission.ReturnMost", "Colour",
 	} {
 		if !errs.Has(path) {
 			t.Errorf("no error at %s in:\n%v", path, err)
