--- a/internal/admitter/account_test.go
+++ b/internal/admitter/account_test.go
@@ -21,7 +21,7 @@
 		for account := range accounts {
 			for i := range perRound {
 				hash := xxhash.Sum64String(fmt.Sprintf("%d-%d-%d", account, round, i))
-				waiting = append(waiting, program{account, admitter.Priority(admitter.AccountPriority(account/4, hash), true, false)})
+				waiting = append(waiting, program{account, admitter.Priority(admitter.Order{Priority: admitter.AccountPriority(account/4, hash), First: true})})
 			}
 		}
 		// Equals are served in an order that differs from round to round.
--- a/internal/bookkeeper/bookkeeper.go
+++ b/internal/bookkeeper/bookkeeper.go
@@ -18,7 +18,9 @@
 
 	"github.com/asynkron/protoactor-go/actor"
 
+	"github.com/wigeonstand/wigeonstand/internal/apportioner"
 	"github.com/wigeonstand/wigeonstand/internal/batcher"
+	"github.com/wigeonstand/wigeonstand/internal/estimator"
 	"github.com/wigeonstand/wigeonstand/internal/logger"
 	"github.com/wigeonstand/wigeonstand/internal/pruner"
 	"github.com/wigeonstand/wigeonstand/internal/quarantiner"
@@ -80,6 +82,8 @@
 	Session string `cbor:"7,keyasint,omitempty"`
 	// Verdicts are those of the caller on requests that crash endpoints.
 	Verdicts []quarantiner.Verdict `cbor:"8,keyasint,omitempty"`
+	// Contender asks for capacity for a program that may be new; nil otherwise.
+	Contender *apportioner.Contender `cbor:"14,keyasint,omitempty"`
 }
 
 // OpenResponse is the response to an OpenRequest.
@@ -105,6 +109,12 @@
 	// Failed has the IDs of the endpoints that failed turns of the session since one was
 	// served.
 	Failed []string `cbor:"9,keyasint,omitempty"`
+	// RefusedShare is the share of the contender's new programs that is to be refused; nil if
+	// the program is not new, or if the bookkeeper does not state it.
+	RefusedShare *float64 `cbor:"14,keyasint,omitempty"`
+	// Need is what programs of the contender's unknown route need; nil if the bookkeeper does
+	// not know it either.
+	Need *estimator.Need `cbor:"15,keyasint,omitempty"`
 }
 
 // ReclaimRequest asks a bookkeeper to release the unused part of its grant of a
@@ -169,6 +179,9 @@
 	pid    *actor.PID
 	// verdicts are exchanged with the calls of Open.
 	verdicts VerdictGossiper
+	// apportioner divides scarce capacity between the accounts of new programs.
+	apportioner *apportioner.Apportioner
+	needs       Needs
 
 	stopMu    sync.RWMutex
 	isStopped bool
@@ -194,6 +207,15 @@
 	return func(k *Bookkeeper, _ *state) { k.verdicts = v }
 }
 
+// Needs is what this instance has learned of the programs of routes.
+type Needs interface {
+	Need(route string, promptTokens, maxTokens int64) estimator.Need
+}
+
+// WithNeeds sets where instances that have not learned what programs of a route need have it
+// from.
+func WithNeeds(needs Needs) Option { return func(k *Bookkeeper, _ *state) { k.needs = needs } }
+
 // New returns a Bookkeeper. No other process may ever have used the holder's name.
 func New(holder string, jobs Submitter, reclaim Reclaimer, options ...Option) *Bookkeeper {
 	withoutLogging := actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
@@ -202,6 +224,7 @@
 	k := &Bookkeeper{
 		holder: holder, jobs: jobs, system: actor.NewActorSystem(withoutLogging), pendingRecords: map[string]*pendingRecord{},
 		prune: func([]storer.RowKey, time.Duration) {}, verdicts: noVerdicts{},
+		apportioner: apportioner.New(),
 	}
 	s := &state{holder: holder, jobs: jobs, programs: map[string]*programState{}, send: k.send, reclaim: reclaim, log: logger.Discard()}
 	for _, option := range options {
@@ -247,6 +270,9 @@
 	defer timer.Stop()
 	select {
 	case out := <-reply:
+		if in.Contender != nil && out.Status == OK && !out.HasStarted {
+			k.apportion(*in.Contender, &out)
+		}
 		return out, nil
 	case <-timer.C:
 		// The reservation may still be made; a retry for the same turn finds it.
@@ -256,6 +282,18 @@
 	}
 }
 
+// apportion adds to the response what a new program's instance needs for its admission.
+func (k *Bookkeeper) apportion(c apportioner.Contender, out *OpenResponse) {
+	share := k.apportioner.Ask(c)
+	out.RefusedShare = &share
+	if c.UnknownRoute == "" || k.needs == nil {
+		return
+	}
+	if need := k.needs.Need(c.UnknownRoute, 0, 0); need.IsLearned {
+		out.Need = &need
+	}
+}
+
 // Reclaim releases the unused part of this bookkeeper's grant of a program's
 // budget.
 func (k *Bookkeeper) Reclaim(ctx context.Context, in ReclaimRequest) (ReclaimResponse, error) {
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -22,12 +22,14 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wigeonstand/wigeonstand/internal/admitter"
+	"github.com/wigeonstand/wigeonstand/internal/apportioner"
 	"github.com/wigeonstand/wigeonstand/internal/batcher"
 	"github.com/wigeonstand/wigeonstand/internal/bookkeeper"
 	"github.com/wigeonstand/wigeonstand/internal/bootstrapper"
 	"github.com/wigeonstand/wigeonstand/internal/closer"
 	"github.com/wigeonstand/wigeonstand/internal/configurer"
 	"github.com/wigeonstand/wigeonstand/internal/discoverer"
+	"github.com/wigeonstand/wigeonstand/internal/estimator"
 	"github.com/wigeonstand/wigeonstand/internal/extender"
 	"github.com/wigeonstand/wigeonstand/internal/logger"
 	"github.com/wigeonstand/wigeonstand/internal/messenger"
@@ -179,14 +181,15 @@
 		pruner.Table{Name: transcriber.Table, MaxAge: func() time.Duration { return orphanRetentionFactor * pruner.RowRetention(e.longestRetention()) }},
 		pruner.Table{Name: bookkeeper.Table, MaxAge: func() time.Duration { return budgetRetention }})
 	quarantine := quarantiner.New(e.tunneler, e.registry, e.discoverer, e.peerClient, quarantiner.WithLogger(e.log), quarantiner.WithTimeouts(e.extender.WithTimeout))
+	needs := estimator.New()
 	e.bookkeeper = bookkeeper.New(self.Incarnation, e.batcher, bookkeeper.NewReclaimer(e.discoverer, e.peerClient),
-		bookkeeper.WithLogger(e.log), bookkeeper.WithPruner(e.pruner.Schedule), bookkeeper.WithVerdicts(quarantine))
+		bookkeeper.WithLogger(e.log), bookkeeper.WithPruner(e.pruner.Schedule), bookkeeper.WithVerdicts(quarantine), bookkeeper.WithNeeds(needs))
 	e.budgets = bookkeeper.NewClient(e.bookkeeper, e.discoverer, e.peerClient, e.registry, bookkeeper.WithTimeouts(e.extender.WithTimeout))
 	permits := rationer.New(e.discoverer, e.peerClient, rationer.WithLogger(e.log), rationer.WithCounter(metrics.countPermit))
 	quotas := e.newQuotas(metrics)
 	streams := resumer.New(e.discoverer, e.peerClient, resumer.WithLogger(e.log), resumer.WithTimeouts(e.extender.WithTimeout))
 	e.relayer = relayer.New(relayer.Config{
-		Tables: e.watcher, Endpoints: e.registry, Sender: e.sender, Permits: permits, Streams: streams, Quarantine: quarantine, Paths: e.tunneler, Dialect: platform.Dialect,
+		Tables: e.watcher, Endpoints: e.registry, Sender: e.sender, Permits: permits, Streams: streams, Quarantine: quarantine, Paths: e.tunneler, Needs: needs, Shares: apportioner.New(), Dialect: platform.Dialect,
 		Budgets:            e.budgets,
 		Transcripts:        transcriber.New(e.rerouter),
 		IsStoreUnreachable: func() bool { path, _ := e.rerouter.Path(); return path == rerouter.Lost },
@@ -202,6 +205,7 @@
 				MinRetryAfter: settings.Admission.ReturnLeast, MaxRetryAfter: settings.Admission.ReturnMost,
 			},
 			Margin: settings.Placement.Margin, IsSoonest: settings.Placement.Policy == configurer.PlacementSoonest,
+			ByNeed: settings.Admission.Policy == configurer.AdmissionNeed,
 		},
 	})
 	handlers := map[string]messenger.Handler{}
--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -1,11 +1,13 @@
 package composer
 
 import (
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/wigeonstand/wigeonstand/internal/allotter"
+	"github.com/wigeonstand/wigeonstand/internal/admitter"
 	"github.com/wigeonstand/wigeonstand/internal/answerer"
 	"github.com/wigeonstand/wigeonstand/internal/matcher"
 	"github.com/wigeonstand/wigeonstand/internal/meter"
@@ -26,6 +28,9 @@
 	placements        *prometheus.CounterVec
 	expectedWait      *prometheus.HistogramVec
 	loadFaults        *prometheus.CounterVec
+	programs          *prometheus.CounterVec
+	accounts          *labelLimit
+	pressure          prometheus.Gauge
 }
 
 func newMetrics(m *meter.Meter, s *sender.Sender, endpoints *registrar.Registry) *metrics {
@@ -36,6 +41,9 @@
 		storeCalls:        m.NewCounter("entry_store_calls_total", "Calls to the store by operation, way and result.", "Operation", "Way", "Result"),
 		permits:           m.NewCounter("entry_permits_total", "Permits asked for, of endpoints with a limit, by result.", "Result"),
 		quotaRequests:     m.NewCounter("entry_quota_requests_total", "Permits asked for, of accounts with a quota, by result.", "Result"),
+		programs:          m.NewCounter("entry_new_programs_total", "New programs by account, scarcest resource and result.", "Account", "Binding", "Result"),
+		accounts:          newLabelLimit(maxAccountLabels),
+		pressure:          m.NewGauge("entry_contention_pressure", "Pressure that the last new program met on its scarcest resource; all are refused at 1."),
 		requestSeconds:    m.NewHistogram("entry_request_seconds", "Time from arrival to the end of the answer.", "Route"),
 		firstEventSeconds: m.FirstTokenSeconds,
 		placements:        m.NewCounter("entry_placements_total", "Requests placed by expected end, by way: at home, at an endpoint that invites, drawn, or else as by TwoByHash.", "Way"),
@@ -90,6 +98,41 @@
 	m.expectedWait.WithLabelValues().Observe(d.Seconds())
 }
 
+// CountProgram implements relayer.Metrics.
+func (m *metrics) CountProgram(account string, binding admitter.Resource, result string) {
+	m.programs.WithLabelValues(m.accounts.label(account), string(binding), result).Inc()
+}
+
+// ObserveContention implements relayer.Metrics.
+func (m *metrics) ObserveContention(c admitter.Contention) { m.pressure.Set(max(c.Pressure, 0)) }
+
+// maxAccountLabels bounds the number of accounts with metrics of their own. The others are
+// counted together.
+const maxAccountLabels = 1000
+
+// labelLimit bounds the number of values of a label.
+type labelLimit struct {
+	mu    sync.Mutex
+	most  int
+	known map[string]bool
+}
+
+func newLabelLimit(most int) *labelLimit { return &labelLimit{most: most, known: map[string]bool{}} }
+
+// label returns the value, or "Others" if there are too many values.
+func (l *labelLimit) label(value string) string {
+	if value == "" {
+		return "None"
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.known[value] && len(l.known) >= l.most {
+		return "Others"
+	}
+	l.known[value] = true
+	return value
+}
+
 func (m *metrics) countPermit(result string) { m.permits.WithLabelValues(result).Inc() }
 
 func (m *metrics) countQuotaRequest(result allotter.Result) {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -85,6 +85,9 @@
 // Policy holds the parameters of admission and placement.
 type Policy struct {
 	Admission admitter.Policy
+	// ByNeed says that programs are admitted by what they need and not by the mean load of
+	// the engines.
+	ByNeed bool
 	// Margin is the number of requests per slot by which the load of a turn's home
 	// endpoint may exceed that of the least loaded endpoint.
 	Margin float64
@@ -105,6 +108,8 @@
 	Streams    Streams
 	Quarantine Quarantine
 	Paths      Paths
+	Needs      Needs
+	Shares     Shares
 	Dialect    Dialect
 	Policy     Policy
 	Instance   string
@@ -134,6 +139,10 @@
 	CountPlacement(way string)
 	CountLoadFault(fault string)
 	ObserveExpectedWait(d time.Duration)
+	// CountProgram counts a new program of the account: Admitted, Refused, or AdmittedAsLate if it
+	// was too late to refuse it. ObserveContention records the contention that it met.
+	CountProgram(account string, binding admitter.Resource, result string)
+	ObserveContention(c admitter.Contention)
 }
 
 // Relayer is the HTTP handler of callers' requests. It is safe for concurrent use.
@@ -350,6 +359,9 @@
 	// A 421 is another endpoint's, which now has the address.
 	if head.Load != nil && response.Status != http.StatusMisdirectedRequest {
 		x.Endpoints.Report(c.ID, *head.Load)
+		if head.IsNotRun {
+			x.Endpoints.ReportShed(c.Endpoint, *head.Load)
+		}
 	}
 	if head.IsEndpointLeaving && x.Endpoints.ReportLeave(c.Endpoint) {
 		x.Log.Log(eventEndpointLeaving, "Endpoint", c.ID, "Service", c.Service, "Started", c.Started, "Request", x.call.ID)
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -14,6 +14,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/admitter"
 	"github.com/wigeonstand/wigeonstand/internal/allotter"
 	"github.com/wigeonstand/wigeonstand/internal/answerer"
+	"github.com/wigeonstand/wigeonstand/internal/apportioner"
 	"github.com/wigeonstand/wigeonstand/internal/bookkeeper"
 	"github.com/wigeonstand/wigeonstand/internal/chooser"
 	"github.com/wigeonstand/wigeonstand/internal/discoverer"
@@ -50,8 +51,13 @@
 	bookkeeper discoverer.Member
 	isReserved bool
 	isFirst    bool
-	previous   *transcriber.Turn
-	prompt     []byte
+	// contention and contender are what a turn meets and asks for that may be the first of a
+	// program, and refusedShare the share of such programs to refuse; nil if unknown.
+	contention   *admitter.Contention
+	contender    *apportioner.Contender
+	refusedShare *float64
+	previous     *transcriber.Turn
+	prompt       []byte
 	// home is the endpoint that has the prompt in its cache, and servedBy the one
 	// that has read this turn's prompt; empty if unknown.
 	home, servedBy string
@@ -74,6 +80,9 @@
 func (x *exchange) serveTurn() {
 	t := &turn{exchange: x, isFirst: x.call.PreviousTurn == "", prompt: x.body}
 	defer t.settle()
+	if engines := t.candidates(nil); t.Policy.ByNeed && t.isFirst && len(engines) > 0 {
+		t.contend(engines)
+	}
 	if !t.prepare() || !t.findOrigin() {
 		return
 	}
@@ -82,12 +91,10 @@
 		t.refuseWithoutCandidates()
 		return
 	}
-	decision := admitter.Admit(x.Policy.Admission, admitter.Turn{First: t.isFirst, Left: x.timeLeft(), LimitSample: randomFraction(), RetrySample: randomFraction()}, candidates)
-	x.access.meanLoad = decision.Mean
-	if !decision.Admitted {
-		x.refuse(answerer.New(answerer.Overloaded, "the engines are overloaded").WithRetryAfter(decision.RetryAfter), "NewProgram")
+	if !t.admit(candidates) {
 		return
 	}
+	t.recordBegin()
 	t.run()
 }
 
@@ -169,9 +176,12 @@
 	}
 	out, member, err := t.Budgets.Open(t.ctx, bookkeeper.OpenRequest{
 		Program: t.call.Program, Turn: t.call.ID, Tokens: t.call.MaxTokens, Budget: t.call.Budget, Wait: t.storeWait(),
-		Session: t.call.Session,
+		Session: t.call.Session, Contender: t.contender,
 	})
-	t.bookkeeper = member
+	t.bookkeeper, t.refusedShare = member, out.RefusedShare
+	if out.Need != nil {
+		t.Needs.Adopt(t.route.Name, *out.Need)
+	}
 	switch {
 	case err != nil:
 		return answerer.Wrap(answerer.StoreUnavailable, err, "the program's bookkeeper cannot be reached").WithRetryAfter(t.storeRetryAfter())
@@ -315,7 +325,7 @@
 		end()
 		t.recordBreak(c, start, err)
 	}()
-	dispatch := Dispatch{Timeout: t.timeLeft(), Priority: admitter.Priority(t.priority(), t.isFirst, t.call.IsPastDeadline()), LastEventID: t.lastEventID}
+	dispatch := Dispatch{Timeout: t.timeLeft(), Priority: t.rank(), LastEventID: t.lastEventID}
 	response, err := t.send(t.ctx, c, dispatch, t.prompt)
 	if err != nil {
 		if t.ctx.Err() != nil {
@@ -438,6 +448,7 @@
 		t.fail(failedAttempts{mayHaveRun: true, err: io.ErrUnexpectedEOF})
 		return
 	}
+	t.recordEnd()
 	if !t.route.Retained || t.call.ID == "" {
 		return
 	}
