internal/registrar, internal/chooser, internal/bencher: invitations of the own data centre first

An invitation from another data centre was taken whatever the distance, and its response invited again, so that the requests of an instance stayed far away. It now competes by cost with endpoints that are drawn. The model has a distance between data centres.

--- a/cmd/wigeonbench/main.go
+++ b/cmd/wigeonbench/main.go
@@ -33,6 +33,7 @@
 			Flags: []cli.Flag{
 				&cli.IntFlag{Name: "seeds", Value: 1, Usage: "runs of each case, with seeds from 1"},
 				&cli.IntFlag{Name: "parallel", Value: 3, Usage: "runs at a time"},
+				&cli.StringFlag{Name: "case", Usage: "part of the titles of the tables to print; all if it is empty"},
 				&cli.StringFlag{Name: "out", Usage: "folder of MEASUREMENTS.md and plots; empty prints the tables only"},
 			},
 		}, {
@@ -63,6 +64,6 @@
 }
 
 func load(ctx context.Context, c *cli.Command) error {
-	b := bencher.EvenBatch{Seeds: c.Int("seeds"), Parallel: c.Int("parallel"), Out: c.String("out"), Progress: os.Stdout}
+	b := bencher.EvenBatch{Seeds: c.Int("seeds"), Parallel: c.Int("parallel"), Only: c.String("case"), Out: c.String("out"), Progress: os.Stdout}
 	return b.Run(ctx)
 }
--- a/internal/bencher/evenload.go
+++ b/internal/bencher/evenload.go
@@ -15,6 +15,8 @@
 	evenSlots    = 6
 	evenTurnover = 400 * time.Millisecond
 	evenTransit  = 2 * time.Millisecond
+	// evenDistance is the further time to another data centre.
+	evenDistance = 5 * time.Millisecond
 	// evenUsed is the part of the endpoints' capacity that the requests need.
 	evenUsed = 0.8
 	// perBookkeeper is the number of instances for each bookkeeper.
@@ -107,6 +109,7 @@
 	// left is the number of turns to come, and home the endpoint of the last one; -1 for none.
 	left, home int
 	hasPlaces  bool
+	transit    time.Duration
 	// draws are the program's own, so that they are the same under each policy.
 	draws *rand.Rand
 }
@@ -160,6 +163,8 @@
 	P50, P99 time.Duration
 	// Mean is of the times from sending to the end.
 	Mean time.Duration
+	// Remote is the part of the requests that went to another data centre, in percent.
+	Remote float64
 }
 
 // RunEven runs the model.
@@ -205,6 +210,7 @@
 	slices.Sort(m.waits)
 	f.P50, f.P99 = m.waits[len(m.waits)/2], m.waits[len(m.waits)*99/100]
 	f.Highest, f.Above, f.Mean = f.Highest/float64(m.samples), 100*f.Above/float64(m.samples), f.Mean/time.Duration(len(m.waits))
+	f.Remote *= 100 / float64(m.Requests)
 	return f
 }
 
@@ -285,8 +291,13 @@
 		r.work -= time.Duration(evenCached * float64(r.work))
 	}
 	r.home = e
-	m.record(r.instance, e, 1, evenTransit)
-	m.after(evenTransit, func() { m.begin(e, r) })
+	r.transit = evenTransit
+	if m.centreOf(e) != m.centreOf(r.instance) {
+		r.transit += evenDistance
+		m.figures.Remote++
+	}
+	m.record(r.instance, e, 1, r.transit)
+	m.after(r.transit, func() { m.begin(e, r) })
 }
 
 // place returns the endpoint that the policy selects.
@@ -307,16 +318,18 @@
 		}
 	}
 	invited := m.invitation(r.instance)
-	switch {
-	case invited >= 0:
+	if invited >= 0 {
 		add(invited, true)
+	}
+	switch {
+	case invited >= 0 && m.centreOf(invited) == w.DataCentre:
 	case isSampled:
+		add(m.choices.IntN(m.Endpoints), false)
+		// The others are of the own data centre.
+		n := max(m.Centres, 1)
 		for range m.Policy.Sampled - 1 {
-			add(m.choices.IntN(m.Endpoints), false)
+			add(m.choices.IntN(m.Endpoints/n)*n+r.instance%n, false)
 		}
-		// The last one is of the own data centre.
-		n := max(m.Centres, 1)
-		add(m.choices.IntN(m.Endpoints/n)*n+r.instance%n, false)
 	default:
 		for i := range m.Endpoints {
 			add(i, false)
@@ -332,19 +345,27 @@
 	return other
 }
 
-// invitation returns the endpoint that invited the instance last; -1 if there is none.
+// invitation returns the endpoint that invited the instance last, one of its data centre if
+// any; -1 if there is none.
 func (m *evenModel) invitation(instance int) int {
 	list := m.invites[instance]
 	if len(list) == 0 || m.choices.IntN(exploredShare) == 0 {
 		return -1
 	}
-	last := list[len(list)-1]
-	m.invites[instance] = list[:len(list)-1]
-	if m.now.Sub(last.at) > invitationMaxAge {
-		m.invites[instance] = nil
+	list = slices.DeleteFunc(list, func(i invitation) bool { return m.now.Sub(i.at) > invitationMaxAge })
+	found := len(list) - 1
+	for i := found; i >= 0; i-- {
+		if m.centreOf(list[i].endpoint) == m.centreOf(instance) {
+			found = i
+			break
+		}
+	}
+	if m.invites[instance] = list; found < 0 {
 		return -1
 	}
-	return last.endpoint
+	endpoint := list[found].endpoint
+	m.invites[instance] = slices.Delete(list, found, found+1)
+	return endpoint
 }
 
 // changes returns the function that gives the known changes of an endpoint's load since the
@@ -399,7 +420,7 @@
 	e := &m.endpoints[i]
 	e.running++
 	if r.isCounted() {
-		m.waits = append(m.waits, m.now.Sub(r.sentAt)-evenTransit)
+		m.waits = append(m.waits, m.now.Sub(r.sentAt)-r.transit)
 	}
 	// The head of the response states the load when the request begins to run.
 	r.hasPlaces = len(e.waiting) == 0
@@ -415,15 +436,15 @@
 	e.running--
 	m.report(i, -1)
 	if m.ended++; r.isCounted() {
-		m.figures.Mean += m.now.Sub(r.sentAt) + evenTransit
+		m.figures.Mean += m.now.Sub(r.sentAt) + r.transit
 	}
 	if len(e.waiting) > 0 {
 		next := e.waiting[0]
 		e.waiting = e.waiting[1:]
 		m.run(i, next)
 	}
-	m.after(evenTransit, func() {
-		m.record(r.instance, i, -1, -evenTransit)
+	m.after(r.transit, func() {
+		m.record(r.instance, i, -1, -r.transit)
 		if r.hasPlaces && m.Policy.Invited {
 			m.invites[r.instance] = append(m.invites[r.instance], invitation{i, m.now})
 		}
--- a/internal/bencher/evenpage.go
+++ b/internal/bencher/evenpage.go
@@ -28,6 +28,8 @@
 type EvenBatch struct {
 	// Seeds is the number of runs of each case, Parallel that of runs at a time.
 	Seeds, Parallel int
+	// Only selects the tables whose titles contain it; all if it is empty.
+	Only string
 	// Out is the folder of the page; nothing is written if it is empty.
 	Out string
 	// Progress gets each table as soon as it is known.
@@ -83,11 +85,16 @@
 	if b.Seeds < 1 || b.Parallel < 1 {
 		return eris.New("seeds and parallel must be at least 1")
 	}
+	if b.Out != "" && b.Only != "" {
+		return eris.New("the page needs all tables: give either out or a selection")
+	}
 	var text strings.Builder
-	fmt.Fprintf(&text, evenHead, b.Seeds, b.Seeds, evenUsed*100, evenSlots, evenTurnover, evenCached*100, evenPause,
-		evenTransit, perBookkeeper, evenWarmup, evenPlotFile)
+	text.WriteString(b.head())
 	var plotted []evenRow
 	for _, c := range evenCases() {
+		if !strings.Contains(c.title, b.Only) {
+			continue
+		}
 		rows, err := b.rows(ctx, c)
 		if err != nil {
 			return err
@@ -116,6 +123,12 @@
 	return eris.Wrap(os.WriteFile(path, []byte(before+evenHeading+text.String()), 0o644), "write page")
 }
 
+// head returns the description of the model.
+func (b EvenBatch) head() string {
+	return fmt.Sprintf(evenHead, b.Seeds, b.Seeds, evenUsed*100, evenSlots, evenTurnover, evenCached*100, evenPause,
+		evenTransit, evenDistance, perBookkeeper, evenWarmup, evenPlotFile)
+}
+
 // keptSection returns the part of the page that the other command writes.
 func keptSection(path string) string {
 	page, err := os.ReadFile(path)
@@ -203,14 +216,14 @@
 
 The model is one of its own: endpoints with slots, instances that choose, and loads that all
 instances know as they were a given time ago. The same programs arrive under each policy. Each
-figure is the mean over seeds 1 to %d. Nothing here measures the network, the platform or real
-endpoints.
+figure is the mean of runs with %d seeds from 1. Nothing here measures the network, the platform
+or real endpoints. One table alone is printed by ` + "`wigeonbench load --case TITLE`" + `.
 
 Requests need %.0f%% of what the endpoints can do. An endpoint runs %d at a time and keeps the
 others in order of arrival. The work of a request is exponential with a mean of %v at usual
 speed. A program has five turns; the endpoint of its last turn saves %.0f%% of the work, and %v
 pass on average between two turns. The speeds are 0.7, 0.7 and 1.7 in rotation and are known. A request needs
-%v to its endpoint. There is a bookkeeper for each %d instances, and each turn calls one of
+%v to its endpoint, and %v more to another data centre. There is a bookkeeper for each %d instances, and each turn calls one of
 them. The first %v are not counted.
 
 Policies: TwoByHash and Soonest are the values of the setting Placement.Policy; their functions
@@ -218,7 +231,8 @@
 report, "told sends" those that instances told the bookkeeper that the turn calls. "Soonest of
 n" takes the lowest expected time, the wait weighted, of n endpoints drawn at random.
 Invitations take the endpoint at which a request of the same instance ended last, if it stated
-no waiting requests, and draw three endpoints otherwise and in one of eight cases.
+no waiting requests and is in the own data centre. Otherwise, and in one of eight cases, they
+draw three endpoints, two of them in the own data centre.
 
 "Highest by mean" is the mean over time of the highest load by the mean load; fast endpoints
 should have more. "Above" is the part of the time that an endpoint has more requests than slots
--- a/internal/chooser/expected.go
+++ b/internal/chooser/expected.go
@@ -46,8 +46,8 @@
 }
 
 // ForWork returns the index of the endpoint for the work among the few candidates that
-// registrar.Registry.Draw returns, or -1 if there is none. It is the endpoint that invites, or
-// else the one at which the work is expected to cost least; but the home unless the work costs
+// registrar.Registry.Draw returns, or -1 if there is none. It is the endpoint of the own data
+// centre that invites, or else the one at which the work is expected to cost least; but the home unless the work costs
 // clearly more there.
 func ForWork(w Work, candidates []registrar.Candidate) int {
 	home, best, lowest := -1, -1, math.Inf(1)
@@ -55,7 +55,7 @@
 		c := &candidates[i]
 		cost := cost(w, c)
 		switch {
-		case c.IsInviting && !c.Avoid:
+		case c.IsInviting && !c.Avoid && c.DataCentre == w.DataCentre:
 			cost = math.Inf(-1)
 		case c.ID == w.Home && home < 0:
 			home = i
@@ -71,10 +71,14 @@
 	return best
 }
 
-// cost is the expected time of the work with its wait weighted. Candidates with recent
+// cost is the expected time of the work with its wait weighted. An endpoint that invites has a
+// free place. Candidates with recent
 // failures are behind all others.
 func cost(w Work, c *registrar.Candidate) float64 {
-	cost := waitWeight*float64(ExpectedWait(w, c)) + float64(ExpectedWork(w, c))
+	cost := float64(ExpectedWork(w, c))
+	if !c.IsInviting {
+		cost += waitWeight * float64(ExpectedWait(w, c))
+	}
 	if c.Avoid {
 		cost += float64(time.Hour)
 	}
--- a/internal/chooser/expected_test.go
+++ b/internal/chooser/expected_test.go
@@ -42,6 +42,8 @@
 		{"a slow endpoint that is idle is behind a usual one", []registrar.Candidate{at("b", 0, slow), at("a", 4)}, 1},
 		{"but before a usual one at which the turn waits", []registrar.Candidate{at("b", 0, slow), at("a", 12)}, 0},
 		{"an invitation is taken first", []registrar.Candidate{at("a", 0), at("b", 5, inviting)}, 1},
+		{"an invitation from afar is taken if the turn would wait here", []registrar.Candidate{at("b", 5, inviting, remote), at("a", 7)}, 0},
+		{"and not if it is nearly as good here", []registrar.Candidate{at("b", 2, inviting, remote), at("a", 2)}, 1},
 		{"but the home is kept if it is as good", []registrar.Candidate{at("home", 2), at("b", 2, inviting)}, 0},
 		{"an avoided endpoint is not invited to", []registrar.Candidate{at("a", 7), at("b", 0, inviting, avoided)}, 0},
 		{"avoided ones are the last resort", []registrar.Candidate{at("home", 0, avoided), at("a", 20)}, 1},
--- a/internal/registrar/draw.go
+++ b/internal/registrar/draw.go
@@ -8,10 +8,10 @@
 
 const (
 	// drawnAnywhere and drawnNear are the numbers of endpoints that are drawn at random from
-	// all of a service and from those in the own data centre. The better of two balances
+	// all of a service and from those in the own data centre. The better of a few balances
 	// nearly as well as the best of all, and more send more instances to the same endpoint.
-	drawnAnywhere = 2
-	drawnNear     = 1
+	drawnAnywhere = 1
+	drawnNear     = 2
 	// MaxDrawn is the largest number of candidates that Draw returns: with the home and the
 	// endpoint that invites.
 	MaxDrawn = drawnAnywhere + drawnNear + 2
@@ -49,19 +49,36 @@
 	r.invitations[e.Service] = append(list, invitation{e, now})
 }
 
-// lockedPopInvitation returns the endpoint that invited last; nil if there is none.
-func (r *Registry) lockedPopInvitation(service string, now time.Time) *entry {
+// lockedTakeInvitation returns the endpoint that invited last, one in the data centre if any;
+// nil if there is none.
+func (r *Registry) lockedTakeInvitation(service, dataCentre string, now time.Time) *entry {
 	list := r.invitations[service]
-	for len(list) > 0 {
-		last := list[len(list)-1]
-		list[len(list)-1] = invitation{}
-		list = list[:len(list)-1]
-		r.invitations[service] = list
-		if now.Sub(last.at) <= invitationMaxAge && r.byID[last.ID] == last.entry && last.accepts() && !last.isAvoided(now) {
-			return last.entry
+	found := -1
+	for i := len(list) - 1; i >= 0; i-- {
+		if now.Sub(list[i].at) > invitationMaxAge {
+			// Those before it are older.
+			list = slices.Delete(list, 0, i+1)
+			found -= i + 1
+			break
+		}
+		if e := list[i].entry; r.byID[e.ID] != e || !e.accepts() || e.isAvoided(now) {
+			continue
 		}
+		if list[i].DataCentre == dataCentre {
+			found = i
+			break
+		}
+		if found < 0 {
+			found = i
+		}
+	}
+	r.invitations[service] = list
+	if found < 0 {
+		return nil
 	}
-	return nil
+	e := list[found].entry
+	r.invitations[service] = slices.Delete(list, found, found+1)
+	return e
 }
 
 // lockedDropInvitations drops the invitations of endpoints that are not registered any more, and of
@@ -78,8 +95,8 @@
 }
 
 // Draw appends a few candidates of the service to the buffer: the home if it is one, an
-// endpoint that invites, or else endpoints drawn at random. It takes the same time for any
-// number of endpoints.
+// endpoint that invites, and, unless that is in the data centre, endpoints drawn at random.
+// It takes the same time for any number of endpoints.
 func (r *Registry) Draw(buffer []Candidate, service, home, dataCentre string) []Candidate {
 	now := time.Now()
 	r.mu.Lock()
@@ -88,10 +105,12 @@
 		buffer = append(buffer, r.lockedExpected(e, now))
 	}
 	if rand.IntN(exploredShare) != 0 {
-		if e := r.lockedPopInvitation(service, now); e != nil {
+		if e := r.lockedTakeInvitation(service, dataCentre, now); e != nil {
 			c := r.lockedExpected(e, now)
 			c.IsInviting = true
-			return append(buffer, c)
+			if buffer = append(buffer, c); e.DataCentre == dataCentre {
+				return buffer
+			}
 		}
 	}
 	buffer = r.lockedDrawFrom(buffer, r.services[service], drawnAnywhere, now)
