--- a/internal/chooser/expected.go
+++ b/internal/chooser/expected.go
@@ -71,14 +71,10 @@
 	return best
 }
 
-// cost is the expected time of the work with its wait weighted. An endpoint that invites has a
-// free place. Candidates with recent
+// cost is the expected time of the work with its wait weighted. Candidates with recent
 // failures are behind all others.
 func cost(w Work, c *registrar.Candidate) float64 {
-	cost := float64(ExpectedWork(w, c))
-	if !c.IsInviting {
-		cost += waitWeight * float64(ExpectedWait(w, c))
-	}
+	cost := waitWeight*float64(ExpectedWait(w, c)) + float64(ExpectedWork(w, c))
 	if c.Avoid {
 		cost += float64(time.Hour)
 	}
