--- a/internal/bencher/evenpage.go
+++ b/internal/bencher/evenpage.go
@@ -216,7 +216,7 @@
 
 The model is one of its own: endpoints with slots, instances that choose, and loads that all
 instances know as they were a given time ago. The same programs arrive under each policy. Each
-figure is the mean of runs with %d seeds from 1. Nothing here measures the network, the platform
+figure is the mean over the seeds, of which there are %d. Nothing here measures the network, the platform
 or real endpoints. One table alone is printed by ` + "`wigeonbench load --case TITLE`" + `.
 
 Requests need %.0f%% of what the endpoints can do. An endpoint runs %d at a time and keeps the
