internal/allotter, internal/messenger: shorter messages for permits

A short RPC name, no separate flag and results of one number make it 71 bytes and 1,961 bytes/s (TestControlTraffic, without TCP and IP headers).

--- a/internal/allotter/charge.go
+++ b/internal/allotter/charge.go
@@ -153,16 +153,16 @@
 	most := int(a.limits.bound(a.quota) * part)
 	used := a.used.count(now)
 	p, isKnown := a.programs.Get(in.Program)
-	isUnderWay := in.Program != 0 && (isKnown || in.IsUnderWay)
+	isUnderWay := in.Program != 0 && (isKnown || in.Route == 0)
 	if isUnderWay {
 		if used >= most {
 			if isKnown {
 				p.isWhole = false // It may end before its time.
 			}
-			return result{Code: windowFull, Wait: milliseconds(a.used.timeUntil(now, used+1-most))}
+			return newResult(windowFull, a.used.timeUntil(now, used+1-most))
 		}
 		a.grant(now, in, p, false)
-		return result{Code: granted}
+		return newResult(granted, 0)
 	}
 	charge := 1
 	if in.Program != 0 {
@@ -174,12 +174,12 @@
 		a.refused.add(now, 1)
 		spread := float64(a.refused.count(now)*charge) / max(soft, 1) * float64(a.limits.Window)
 		wait += time.Duration(sample * min(spread, float64(a.limits.Window)))
-		return result{Code: programRefused, Wait: milliseconds(wait)}
+		return newResult(programRefused, wait)
 	}
 	a.charged.add(now, charge)
 	a.paced += float64(charge)
 	a.grant(now, in, nil, true)
-	return result{Code: granted}
+	return newResult(granted, 0)
 }
 
 // waitForProgram returns how long it takes until a program with the charge can start; zero if
@@ -222,7 +222,3 @@
 		}
 	}
 }
-
-func milliseconds(d time.Duration) uint16 {
-	return uint16(min(max(d.Milliseconds(), 0), math.MaxUint16))
-}
--- a/internal/allotter/client.go
+++ b/internal/allotter/client.go
@@ -29,8 +29,6 @@
 	// maxIssuersAsked limits the issuers that are asked for one request: those in this
 	// instance's list and those to which they refer.
 	maxIssuersAsked = 4
-	// quotaScale is the factor of quotas in messages.
-	quotaScale = 1000
 	// waitSpread is the interval over which waiting requests ask again.
 	waitSpread = 50 * time.Millisecond
 	// unreachableWait is the time to come back if no issuer answers.
@@ -119,7 +117,7 @@
 func (a *Allotter) ask(ctx context.Context, in Request) (Decision, error) {
 	i := item{
 		Account: in.Account, Version: in.Version, Quota: int64((in.Rate*a.limits.Window.Seconds() + in.Burst) * quotaScale),
-		Route: uint16(xxhash.Sum64String(in.Route)), IsUnderWay: in.IsUnderWay,
+		Route: max(uint16(xxhash.Sum64String(in.Route)), 1),
 	}
 	key := in.ID
 	if in.Program != "" {
@@ -128,7 +126,9 @@
 	}
 	program := programKey{account: in.Account, program: i.Program}
 	targets, isAdmitted := a.issuersOf(program, xxhash.Sum64String(key)>>32)
-	i.IsUnderWay = i.IsUnderWay || isAdmitted
+	if in.Program != "" && (in.IsUnderWay || isAdmitted) {
+		i.Route = 0
+	}
 	answers := make(chan answer, maxIssuersAsked)
 	asked, running := 0, 0
 	next := func() {
@@ -150,17 +150,16 @@
 			next()
 		case got := <-answers:
 			running--
-			wait := time.Duration(got.Wait) * time.Millisecond
 			switch {
 			case !got.isAnswered:
-			case got.Code == granted:
+			case got.code() == granted:
 				if i.Program != 0 {
 					a.client.mu.Lock()
 					a.client.admitted.Add(program, got.from)
 					a.client.mu.Unlock()
 				}
 				return Decision{Result: Granted}, nil
-			case got.Code == notIssuer:
+			case got.code() == notIssuer:
 				for _, address := range got.issuers {
 					if !slices.Contains(targets, address) {
 						targets = append(targets, address)
@@ -168,11 +167,11 @@
 				}
 			default:
 				result := ProgramRefused
-				if got.Code == windowFull {
+				if got.code() == windowFull {
 					result = WindowFull
 				}
-				if out.Result == Unreachable || wait < out.Wait {
-					out = Decision{Result: result, Wait: wait}
+				if out.Result == Unreachable || got.wait() < out.Wait {
+					out = Decision{Result: result, Wait: got.wait()}
 				}
 			}
 			next()
@@ -226,7 +225,7 @@
 // send asks one issuer. The result arrives on answers.
 func (a *Allotter) send(ctx context.Context, address netip.AddrPort, i item, answers chan<- answer) {
 	if address == a.members.Self().Address {
-		out := a.issue(issueRequest{Items: []item{i}})
+		out := a.issue(issueRequest{i})
 		answers <- answer{result: out.Results[0], from: address, issuers: out.Issuers, isAnswered: true}
 		return
 	}
@@ -261,9 +260,9 @@
 		batch := q.waiting[:min(len(q.waiting), maxItems)]
 		q.waiting = q.waiting[len(batch):]
 		a.client.mu.Unlock()
-		in := issueRequest{}
+		in := make(issueRequest, 0, len(batch))
 		for _, p := range batch {
-			in.Items = append(in.Items, p.item)
+			in = append(in, p.item)
 		}
 		var out issueResponse
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -275,7 +274,7 @@
 			if isAnswered {
 				p.done(out.Results[k], out.Issuers, true)
 			} else {
-				p.done(result{}, nil, false)
+				p.done(0, nil, false)
 			}
 		}
 	}
--- a/internal/allotter/issuer.go
+++ b/internal/allotter/issuer.go
@@ -25,10 +25,10 @@
 
 // issue decides about the requests of another instance, or of this one.
 func (a *Allotter) issue(in issueRequest) issueResponse {
-	out := issueResponse{Results: make([]result, 0, len(in.Items))}
+	out := issueResponse{Results: make([]result, 0, len(in))}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, i := range in.Items[:min(len(in.Items), maxItems)] {
+	for _, i := range in[:min(len(in), maxItems)] {
 		// The time is taken for each, after the look at the members: a permit counts at
 		// the time at which this instance was last known to have the right.
 		now := time.Now()
@@ -44,7 +44,7 @@
 		acct.lastUsed = now.Sub(a.start)
 		part := acct.right.part(&a.tenure, i.Account, now)
 		if part == 0 {
-			out.Results = append(out.Results, result{Code: notIssuer})
+			out.Results = append(out.Results, newResult(notIssuer, 0))
 			if len(out.Issuers) == 0 {
 				for _, m := range a.members.Ranking(i.Account, issuersPerAccount) {
 					out.Issuers = append(out.Issuers, m.Address)
--- a/internal/allotter/messages.go
+++ b/internal/allotter/messages.go
@@ -1,10 +1,13 @@
 package allotter
 
-import "net/netip"
+import (
+	"net/netip"
+	"time"
+)
 
 const (
-	// methodIssue and methodIntroduce are short because requests for permits are frequent.
-	methodIssue     = "Allot"
+	// methodIssue is short because requests for permits are frequent.
+	methodIssue     = "Q"
 	methodIntroduce = "AllotIntroduce"
 )
 
@@ -13,21 +16,20 @@
 	_       struct{} `cbor:",toarray"`
 	Account string
 	// Version is that of the configuration that states the quota, and Quota the number of
-	// requests in a window, in thousandths.
+	// requests in a window, times quotaScale.
 	Version int64
 	Quota   int64
-	// Program and Route are hashes; Program is zero for a request outside a program.
+	// Program and Route are hashes. Program is zero for a request outside a program, and
+	// Route for one of a program that is known to have started.
 	Program uint32
 	Route   uint16
-	// IsUnderWay is set if the program is known to have started.
-	IsUnderWay bool
 }
 
+// quotaScale is the factor of quotas in messages.
+const quotaScale = 10
+
 // issueRequest asks an issuer for permits.
-type issueRequest struct {
-	_     struct{} `cbor:",toarray"`
-	Items []item
-}
+type issueRequest []item
 
 // code is an issuer's decision.
 type code uint8
@@ -42,12 +44,20 @@
 	notIssuer
 )
 
-// result is the decision about one item.
-type result struct {
-	_    struct{} `cbor:",toarray"`
-	Code code
-	// Wait is the time in milliseconds until there will be room.
-	Wait uint16
+// result is the decision about one item: its code, and the time in milliseconds until there will
+// be room, as one number, which takes one byte for a grant.
+type result uint32
+
+const waitBits = 16
+
+func newResult(c code, wait time.Duration) result {
+	return result(c)<<waitBits | result(min(max(wait.Milliseconds(), 0), 1<<waitBits-1))
+}
+
+func (r result) code() code { return code(r >> waitBits) }
+
+func (r result) wait() time.Duration {
+	return time.Duration(r&(1<<waitBits-1)) * time.Millisecond
 }
 
 // issueResponse has one result for each item.
--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -348,7 +348,8 @@
 		score  float64
 		member *Member
 	}
-	best := make([]scored, 0, n+1)
+	const usualCount = 8
+	best := make([]scored, 0, min(n, usualCount)+1)
 	add := func(m *Member) {
 		s := scored{score: score(key, *m), member: m}
 		i, _ := slices.BinarySearchFunc(best, s, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -40,6 +40,9 @@
 	// carries all streams.
 	rpcName    = "/wigeonstand.messenger.Instance/Call"
 	streamName = "/wigeonstand.messenger.Instance/Stream"
+	// compactName carries calls as rpcName does. It is short, as each call states it.
+	// Instances of versions without it fail the calls.
+	compactName = "/c"
 )
 
 // envelope is the wire form of requests and replies.
@@ -139,15 +142,15 @@
 // serviceDescription describes the service to drpc.
 type serviceDescription struct{}
 
-func (serviceDescription) NumMethods() int { return 2 }
+func (serviceDescription) NumMethods() int { return 3 }
 
 func (serviceDescription) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
 	switch n {
-	case 0:
+	case 0, 2:
 		receiver := func(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
 			return server.(*Server).call(ctx, in.(*envelope))
 		}
-		return rpcName, cborEncoding{}, receiver, (*Server).call, true
+		return map[int]string{0: rpcName, 2: compactName}[n], cborEncoding{}, receiver, (*Server).call, true
 	case 1:
 		receiver := func(server any, _ context.Context, in, _ any) (drpc.Message, error) {
 			return nil, server.(*Server).stream(in.(drpc.Stream))
@@ -179,6 +182,19 @@
 // Call calls the method of the instance at the address and decodes the reply into
 // out. If it returns an error, the call may still have been executed.
 func (c *Client) Call(ctx context.Context, address netip.AddrPort, method string, in, out any) error {
+	return c.call(ctx, address, rpcName, method, in, out)
+}
+
+// CompactClient is a Client for frequent calls with small messages, which are shorter on the
+// wire.
+type CompactClient struct{ *Client }
+
+// Call does what Client.Call does.
+func (c CompactClient) Call(ctx context.Context, address netip.AddrPort, method string, in, out any) error {
+	return c.call(ctx, address, compactName, method, in, out)
+}
+
+func (c *Client) call(ctx context.Context, address netip.AddrPort, rpc, method string, in, out any) error {
 	body, err := cbor.Marshal(in)
 	if err != nil {
 		return eris.Wrap(err, "encode the request")
@@ -193,7 +209,7 @@
 	// Close returns the connection to the pool.
 	defer func() { _ = conn.Close() }()
 	var reply envelope
-	if err := conn.Invoke(ctx, rpcName, cborEncoding{}, &envelope{Method: method, Body: body}, &reply); err != nil {
+	if err := conn.Invoke(ctx, rpc, cborEncoding{}, &envelope{Method: method, Body: body}, &reply); err != nil {
 		return eris.Wrapf(err, "call %s at %s", method, address)
 	}
 	if reply.Failure != "" {
