--- a/internal/allotter/bound_test.go
+++ b/internal/allotter/bound_test.go
@@ -102,8 +102,7 @@
 		}
 		var most int
 		synctest.Test(t, func(*testing.T) {
-			f := newFleet(size, seed)
-			f.lossRate = lossRate
+			f := newFleet(size, seed, lossRate)
 			start := time.Now()
 			store := &storeFaults{rows: f.rows, refused: map[string]int{}}
 			done := make(chan struct{})
--- a/internal/allotter/fleet_test.go
+++ b/internal/allotter/fleet_test.go
@@ -48,8 +48,8 @@
 	frozenUntil time.Time
 }
 
-func newFleet(size int, seed uint64) *fleet {
-	f := &fleet{rows: fakeplatform.NewRows(seed), random: rand.New(rand.NewPCG(seed, 1)), cuts: map[[2]int]bool{}, nodes: make([]*node, size)}
+func newFleet(size int, seed uint64, lossRate float64) *fleet {
+	f := &fleet{rows: fakeplatform.NewRows(seed), random: rand.New(rand.NewPCG(seed, 1)), cuts: map[[2]int]bool{}, nodes: make([]*node, size), lossRate: lossRate}
 	for i := range size {
 		f.restart(i)
 	}
@@ -62,7 +62,6 @@
 
 // restart ends the instance's process and starts another one.
 func (f *fleet) restart(i int) {
-	f.kill(i)
 	n := &node{fleet: f, index: i}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	name := fmt.Sprintf("i-%d", i)
@@ -70,7 +69,11 @@
 		Instance: name, Incarnation: fmt.Sprintf("%s-%d", name, f.draw(1<<30)), Address: nodeAddress(i), DataCentre: "dc", Cores: 0.2 + float64(i%4)/5,
 	}, f.rows.For(name))
 	n.allotter = New(n.Discoverer, n, testLimits)
+	// Restarts of one instance may coincide.
 	f.mu.Lock()
+	if f.nodes[i] != nil {
+		f.nodes[i].cancel()
+	}
 	f.nodes[i] = n
 	f.mu.Unlock()
 	go n.keepMembership()
--- a/internal/allotter/use_test.go
+++ b/internal/allotter/use_test.go
@@ -87,7 +87,7 @@
 		for _, l := range []load{{turns: 3, calls: 2, pause: 300 * time.Millisecond}, {turns: 9, calls: 0, pause: 500 * time.Millisecond}, {turns: 1, calls: 0}} {
 			t.Run(fmt.Sprint(quota, "/", l.turns), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					f := newFleet(11, 1)
+					f := newFleet(11, 1, 0)
 					time.Sleep(settleTime)
 					l.account, l.quota, l.maxWait = "acme", quota, time.Second
 					usual := quota / usualFactor / float64(l.turns*(1+l.calls))
@@ -119,7 +119,7 @@
 // are spread over the time in which there will be room for them.
 func TestRefusedCallersReturnAtDifferentTimes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(11, 1)
+		f := newFleet(11, 1, 0)
 		time.Sleep(settleTime)
 		var out programs
 		f.start(load{account: "acme", rate: 100, quota: 20, turns: 3}, time.Now().Add(20*time.Second), &out).Wait()
@@ -146,7 +146,7 @@
 // the newer version, the lower bound holds, although most instances still have the older version.
 func TestLowerQuotaBindsAfterOneWindow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(5, 1)
+		f := newFleet(5, 1, 0)
 		time.Sleep(settleTime)
 		var work sync.WaitGroup
 		end := time.Now().Add(30 * time.Second)
@@ -191,7 +191,7 @@
 		for _, l := range []load{{turns: 3, calls: 2, pause: 300 * time.Millisecond}, {turns: 1, calls: 0}} {
 			t.Run(fmt.Sprint(quota, "/", l.turns), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					f := newFleet(11, 2)
+					f := newFleet(11, 2, 0)
 					time.Sleep(settleTime)
 					var out programs
 					l.account, l.name, l.quota, l.maxWait = "acme", "p", quota, time.Second
