--- a/internal/allotter/use_test.go
+++ b/internal/allotter/use_test.go
@@ -186,7 +186,8 @@
 // arrive at random, and at most 0.5% of them are refused although their requests would have been
 // within the quota.
 func TestUsualLoadIsNotRefused(t *testing.T) {
-	const usualFactor, length = 1.6, 200 * time.Second
+	// A share of 0.5% can be told from chance in 1,000 programs.
+	const usualFactor, programCount = 1.6, 1000
 	for _, quota := range []float64{4, 20, 100} {
 		for _, l := range []load{{turns: 3, calls: 2, pause: 300 * time.Millisecond}, {turns: 1, calls: 0}} {
 			t.Run(fmt.Sprint(quota, "/", l.turns), func(t *testing.T) {
@@ -197,7 +198,7 @@
 					l.account, l.name, l.quota, l.maxWait = "acme", "p", quota, time.Second
 					need := l.turns * (1 + l.calls)
 					l.rate = quota / usualFactor / float64(need)
-					f.start(l, time.Now().Add(length), &out).Wait()
+					f.start(l, time.Now().Add(time.Duration(programCount/l.rate*float64(time.Second))), &out).Wait()
 					f.stop()
 					refused := out.broken
 					for _, at := range out.refusedAt {
