--- a/internal/allotter/charge.go
+++ b/internal/allotter/charge.go
@@ -22,10 +22,9 @@
 	// newProgramShare is the part of what exceeds the quota that may be used to start
 	// programs. The rest is left to programs under way, whose requests don't arrive evenly.
 	newProgramShare = 0.5
-	// pacedShare is the part of the quota from which programs start at an even rate, with
-	// at most pacedDepth of what exceeds the quota at once. Without that, programs that
-	// start together every few seconds fill windows beyond the bound.
-	pacedShare = 0.7
+	// Beyond the quota, programs start at an even rate, with at most pacedDepth of what
+	// exceeds the quota at once. Without that, programs that start together every few
+	// seconds fill windows beyond the bound.
 	pacedDepth = 0.8
 	// minPacedPrograms is the least number of programs to which the depth amounts. With one,
 	// the time until the next program arrives would be lost.
@@ -153,16 +152,16 @@
 	most := int(a.limits.bound(a.quota) * part)
 	used := a.used.count(now)
 	p, isKnown := a.programs.Get(in.Program)
-	isUnderWay := in.Program != 0 && (isKnown || in.IsUnderWay)
+	isUnderWay := in.Program != 0 && (isKnown || in.Route == 0)
 	if isUnderWay {
 		if used >= most {
 			if isKnown {
 				p.isWhole = false // It may end before its time.
 			}
-			return result{Code: windowFull, Wait: milliseconds(a.used.timeUntil(now, used+1-most))}
+			return newResult(windowFull, a.used.timeUntil(now, used+1-most))
 		}
 		a.grant(now, in, p, false)
-		return result{Code: granted}
+		return newResult(granted, 0)
 	}
 	charge := 1
 	if in.Program != 0 {
@@ -174,12 +173,12 @@
 		a.refused.add(now, 1)
 		spread := float64(a.refused.count(now)*charge) / max(soft, 1) * float64(a.limits.Window)
 		wait += time.Duration(sample * min(spread, float64(a.limits.Window)))
-		return result{Code: programRefused, Wait: milliseconds(wait)}
+		return newResult(programRefused, wait)
 	}
 	a.charged.add(now, charge)
 	a.paced += float64(charge)
 	a.grant(now, in, nil, true)
-	return result{Code: granted}
+	return newResult(granted, 0)
 }
 
 // waitForProgram returns how long it takes until a program with the charge can start; zero if
@@ -196,7 +195,7 @@
 		wait = max(wait, a.charged.timeUntil(now, min(over, charged)))
 	}
 	depth := max((most-soft)*pacedDepth, float64(charge)*minPacedPrograms)
-	if ahead := a.paced + float64(charge) - depth; ahead > 0 && float64(charged+charge) > soft*pacedShare {
+	if ahead := a.paced + float64(charge) - depth; ahead > 0 && charged+charge > limit {
 		wait = max(wait, time.Duration(min(ahead/max(rate, math.SmallestNonzeroFloat32), float64(time.Hour))), 1)
 	}
 	return wait
@@ -222,7 +221,3 @@
 		}
 	}
 }
-
-func milliseconds(d time.Duration) uint16 {
-	return uint16(min(max(d.Milliseconds(), 0), math.MaxUint16))
-}
--- a/internal/allotter/issuer.go
+++ b/internal/allotter/issuer.go
@@ -25,10 +25,10 @@
 
 // issue decides about the requests of another instance, or of this one.
 func (a *Allotter) issue(in issueRequest) issueResponse {
-	out := issueResponse{Results: make([]result, 0, len(in.Items))}
+	out := issueResponse{Results: make([]result, 0, len(in))}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, i := range in.Items[:min(len(in.Items), maxItems)] {
+	for _, i := range in[:min(len(in), maxItems)] {
 		// The time is taken for each, after the look at the members: a permit counts at
 		// the time at which this instance was last known to have the right.
 		now := time.Now()
@@ -38,13 +38,14 @@
 		acct := a.accounts[i.Account]
 		if acct == nil {
 			acct = newAccount(a.limits, a.needs)
+			acct.right = a.lockedNewRight(i.Account, now)
 			a.accounts[i.Account] = acct
 		}
 		acct.update(i.Version, float64(i.Quota)/quotaScale)
 		acct.lastUsed = now.Sub(a.start)
 		part := acct.right.part(&a.tenure, i.Account, now)
 		if part == 0 {
-			out.Results = append(out.Results, result{Code: notIssuer})
+			out.Results = append(out.Results, newResult(notIssuer, 0))
 			if len(out.Issuers) == 0 {
 				for _, m := range a.members.Ranking(i.Account, issuersPerAccount) {
 					out.Issuers = append(out.Issuers, m.Address)
@@ -57,6 +58,20 @@
 	return out
 }
 
+// lockedNewRight returns the right for an account that is new to this instance. The list may have
+// changed since the last look, and changes while it is read: a right that begins with an earlier
+// list must hold in the current one, too.
+func (a *Allotter) lockedNewRight(name string, now time.Time) right {
+	for {
+		a.lockedObserve(now)
+		var r right
+		r.update(&a.tenure, name)
+		if a.lockedObserve(now); r.epoch == a.tenure.epoch {
+			return r
+		}
+	}
+}
+
 // lockedObserve looks at the list of members and updates the rights if it has changed.
 func (a *Allotter) lockedObserve(now time.Time) {
 	t := &a.tenure
