--- a/cmd/wigeonctl/check.go
+++ b/cmd/wigeonctl/check.go
@@ -14,16 +14,33 @@
 file:line:column: message. No instance is contacted. A document may be spread over
 several files, but each section must be in one file.
 
+With --against, or if the name of the only file ends in .json, the file is the
+configuration that "wigeonstand entry" reads from the platform's store. The command
+then reports what the entries would reject, entries that never match and limits that
+contradict each other, and the differences from the configuration in --against with
+their effects on the traffic. Keys are never printed, only the start of the hash that
+"wigeonctl hash-key" prints. The exit code of this check is 0 if nothing is wrong, 1
+if there are only warnings, and 2 if there are errors or a file can't be read.
+Differences alone do not count.
+
 Examples:
 
    wigeonctl check document.yaml
-   wigeonctl check laulukaar/*.yaml`
+   wigeonctl check laulukaar/*.yaml
+   wigeonctl check new.json --against current.json
+   wigeonctl check --format json new.json`
 
 func newCheckCmd() *cli.Command {
 	return &cli.Command{
-		Name: "check", Usage: "check a document without contacting an instance", ArgsUsage: "FILE...",
+		Name: "check", Usage: "check a document or a configuration without contacting an instance", ArgsUsage: "FILE...",
 		Description: checkHelp,
-		Action:      func(_ context.Context, cmd *cli.Command) error { return check(cmd) },
+		Flags:       newCheckFlags(),
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			if isConfiguration(cmd) {
+				return checkConfiguration(cmd)
+			}
+			return check(cmd)
+		},
 	}
 }
 
@@ -48,7 +65,7 @@
 	if len(faults) == 0 {
 		return print(cmd, checkResult{}, func(p *textWriter) { p.printf("the document is valid\n") })
 	}
-	if cmd.String(flagOutput) == outputJSON {
+	if wantsJSON(cmd) {
 		if err := print(cmd, checkResult{Faults: faults}, nil); err != nil {
 			return err
 		}
--- a/cmd/wigeonctl/output.go
+++ b/cmd/wigeonctl/output.go
@@ -18,11 +18,19 @@
 	outputJSON = "json"
 )
 
-func checkOutput(value string) error {
-	if value != outputText && value != outputJSON {
-		return fmt.Errorf("--%s must be %s or %s, not %q", flagOutput, outputText, outputJSON, value)
+// checkOutput returns the validator of a flag with the format of the output.
+func checkOutput(flag string) func(value string) error {
+	return func(value string) error {
+		if value != outputText && value != outputJSON {
+			return fmt.Errorf("--%s must be %s or %s, not %q", flag, outputText, outputJSON, value)
+		}
+		return nil
 	}
-	return nil
+}
+
+// wantsJSON reports whether --output, or --format of the check command, is json.
+func wantsJSON(cmd *cli.Command) bool {
+	return cmd.String(flagOutput) == outputJSON || cmd.String(flagFormat) == outputJSON
 }
 
 // textWriter writes formatted text and stops at the first error, which it keeps.
@@ -55,10 +63,10 @@
 	}
 }
 
-// print writes the value as JSON, or calls text to write it, depending on --output.
+// print writes the value as JSON, or calls text to write it, depending on wantsJSON.
 func print(cmd *cli.Command, value any, text func(p *textWriter)) error {
 	w := cmd.Root().Writer
-	if cmd.String(flagOutput) == outputJSON {
+	if wantsJSON(cmd) {
 		encoder := json.NewEncoder(w)
 		encoder.SetIndent("", "  ")
 		return encoder.Encode(value)
--- a/cmd/wigeonctl/root.go
+++ b/cmd/wigeonctl/root.go
@@ -37,6 +37,8 @@
    5  unknown outcome: the change may be in force; repeat the command with the
       --edit-id that is shown
 
+"wigeonctl check" of a configuration has codes of its own; see its help.
+
 Examples:
 
    wigeonctl check document.yaml
@@ -90,7 +92,7 @@
 			Name: flagCA, Usage: "`FILE` with the CA certificates that verify the instance's certificate",
 			Sources: cli.EnvVars("WIGEON_CA"),
 		},
-		&cli.StringFlag{Name: flagOutput, Usage: "text or json", Value: outputText, Validator: checkOutput},
+		&cli.StringFlag{Name: flagOutput, Usage: "text or json", Value: outputText, Validator: checkOutput(flagOutput)},
 		&cli.DurationFlag{Name: flagTimeout, Usage: "time limit of the whole command", Value: defaultTimeout},
 	}
 }
--- a/cmd/wigeonctl/script_test.go
+++ b/cmd/wigeonctl/script_test.go
@@ -153,6 +153,8 @@
 	}
 	key, wrong := file("key", "bootstrap-key"), file("wrong", "other")
 	policy, other := file("policy.yaml", "Policy: {QueueLimit: 1}\n"), file("other.yaml", "Policy: {QueueLimit: 2}\n")
+	sound := file("sound.json", `{"version": 1, "limits": {"max_body_bytes": 1}}`)
+	warned, broken := file("warned.json", `{"version": 1}`), file("broken.json", `{`)
 	cases := []struct {
 		args []string
 		lose int32
@@ -162,6 +164,11 @@
 		{args: []string{"--key-file", key, "apply", policy}, want: codeDone},
 		{args: []string{"--key-file", wrong, "status"}, want: codeRefused},
 		{args: []string{"check", policy, policy}, want: codeRefused},
+		{args: []string{"check", sound}, want: codeDone},
+		{args: []string{"check", warned}, want: codeWarnings},
+		{args: []string{"check", broken}, want: codeErrors},
+		{args: []string{"check", sound, "--against", broken}, want: codeErrors},
+		{args: []string{"check", sound, "--against", sound}, want: codeErrors},
 		{args: []string{"--key-file", key, "apply"}, want: codeUsage},
 		{args: []string{"apply", "--colour", policy}, want: codeUsage},
 		{args: []string{"--key-file", key, "edit", "Policy", other}, want: codeConflict},
