--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -6,8 +6,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/wigeonstand/wigeonstand/internal/allotter"
 	"github.com/wigeonstand/wigeonstand/internal/admitter"
+	"github.com/wigeonstand/wigeonstand/internal/allotter"
 	"github.com/wigeonstand/wigeonstand/internal/answerer"
 	"github.com/wigeonstand/wigeonstand/internal/matcher"
 	"github.com/wigeonstand/wigeonstand/internal/meter"
