internal/allotter: issuers take permits from token buckets and need not wait for a window

Cause: an issuer began one window after it was confirmed, as permits of its predecessor might be in the window.

Change: each half of the bound is a token bucket that is empty when a right begins. The sum over issuers that follow each other is that of one. New programs leave the tokens that programs under way need.

--- a/internal/allotter/allotter.go
+++ b/internal/allotter/allotter.go
@@ -1,9 +1,9 @@
 // Package allotter keeps the quotas of client accounts over all instances. Each request of an
 // account with a quota needs a permit, which the two instances with the highest rendezvous
-// hashes for the account issue, each for half of the bound on the account's requests in a
-// sliding window. An instance begins to issue permits only after all members that it knows
-// have confirmed that they have it in their lists, and one window later, so that no three
-// instances issue permits of one account within one window. See docs/design/quotas.md.
+// hashes for the account issue, each from a token bucket for half of the bound on the account's
+// requests in a sliding window. An instance begins to issue permits, with an empty bucket, only
+// after all members that it knows have confirmed that they have it in their lists, so that no
+// three instances issue permits of one account at a time. See docs/design/quotas.md.
 package allotter
 
 import (
--- a/internal/allotter/charge.go
+++ b/internal/allotter/charge.go
@@ -22,6 +22,13 @@
 	// newProgramShare is the part of what exceeds the quota that may be used to start
 	// programs. The rest is left to programs under way, whose requests don't arrive evenly.
 	newProgramShare = 0.5
+	// reservedShare is the largest part of the tokens that is left to programs under way, and
+	// reserveTime the time for which they can wait for further ones.
+	reservedShare = 0.5
+	reserveTime   = time.Second
+	// owedMemory is the time constant with which requests are forgotten that programs were
+	// charged with and did not need.
+	owedMemory = 3 * time.Second
 	// Beyond the quota, programs start at an even rate, with at most pacedDepth of what
 	// exceeds the quota at once. Without that, programs that start together every few
 	// seconds fill windows beyond the bound.
@@ -95,9 +102,17 @@
 	version int64
 	// quota is the number of requests in a window that the account may send.
 	quota float64
+	// permits has a token for each request that may be permitted now, by the right with
+	// rightID.
+	permits bucket
+	rightID rightID
 	// used counts the permits, charged the requests that admitted programs are expected to
 	// need, and refused the programs that were not admitted.
 	used, charged, refused window
+	// owed is the number of requests that programs under way are expected to need still, as
+	// of owedAt.
+	owed   float64
+	owedAt time.Duration
 	// paced is the number of charged requests that are ahead of the even rate at pacedAt.
 	paced    float64
 	pacedAt  time.Duration
@@ -141,6 +156,14 @@
 	}
 }
 
+// begin begins to issue permits with the right if it is another one than before. The bucket
+// fills from the time at which the right began.
+func (a *account) begin(r *right, t *tenure, start time.Time) {
+	if id := (rightID{r.since, t.completeAt}); id != a.rightID {
+		a.rightID, a.permits = id, bucket{at: r.beganAt(t).Sub(start)}
+	}
+}
+
 // decide decides about one request. This issuer may permit the given part of the bound.
 //
 // It answers the load of an account that sends several times its quota: programs are charged
@@ -149,17 +172,20 @@
 func (a *account) decide(now time.Duration, in item, part, sample float64) result {
 	a.lastUsed = now
 	a.endPrograms(now)
-	most := int(a.limits.bound(a.quota) * part)
-	used := a.used.count(now)
+	soft := a.quota * part
+	most := a.limits.bound(a.quota) * part
+	rate, depth := soft/float64(a.limits.Window), most-soft
+	a.permits.fill(now, rate, depth)
 	p, isKnown := a.programs.Get(in.Program)
 	isUnderWay := in.Program != 0 && (isKnown || in.Route == 0)
 	if isUnderWay {
-		if used >= most {
+		if wait := a.permits.timeUntil(1, rate); wait > 0 {
 			if isKnown {
 				p.isWhole = false // It may end before its time.
 			}
-			return newResult(windowFull, a.used.timeUntil(now, used+1-most))
+			return newResult(windowFull, wait)
 		}
+		a.owed = max(a.owed-1, 0)
 		a.grant(now, in, p, false)
 		return newResult(granted, 0)
 	}
@@ -167,8 +193,7 @@
 	if in.Program != 0 {
 		charge = a.needs.get(in.Route).charge()
 	}
-	soft := a.quota * part
-	if wait := a.waitForProgram(now, charge, used, soft, float64(most)); wait > 0 {
+	if wait := a.waitForProgram(now, charge, soft, most); wait > 0 {
 		// Those that were refused return over the time in which there will be room for them.
 		a.refused.add(now, 1)
 		spread := float64(a.refused.count(now)*charge) / max(soft, 1) * float64(a.limits.Window)
@@ -177,19 +202,23 @@
 	}
 	a.charged.add(now, charge)
 	a.paced += float64(charge)
+	a.owed += float64(charge - 1)
 	a.grant(now, in, nil, true)
 	return newResult(granted, 0)
 }
 
 // waitForProgram returns how long it takes until a program with the charge can start; zero if
 // it can start now.
-func (a *account) waitForProgram(now time.Duration, charge, used int, soft, most float64) time.Duration {
+func (a *account) waitForProgram(now time.Duration, charge int, soft, most float64) time.Duration {
 	limit := int(soft + (most-soft)*newProgramShare)
 	rate := soft / float64(a.limits.Window)
 	a.paced = max(a.paced-float64(now-a.pacedAt)*rate, 0)
 	a.pacedAt = now
 	charged := a.charged.count(now)
-	wait := a.used.timeUntil(now, used+1-limit)
+	a.owed *= math.Exp(-float64(now-a.owedAt) / float64(owedMemory))
+	a.owedAt = now
+	reserved := min(a.owed-rate*float64(reserveTime), (most-soft)*reservedShare)
+	wait := a.permits.timeUntil(max(reserved, 1), rate)
 	// A program that needs more than there is starts alone.
 	if over := charged + charge - int(most); over > 0 && charged > 0 {
 		wait = max(wait, a.charged.timeUntil(now, min(over, charged)))
@@ -203,6 +232,7 @@
 
 // grant counts a permit.
 func (a *account) grant(now time.Duration, in item, p *program, isFirst bool) {
+	a.permits.take()
 	a.used.add(now, 1)
 	if in.Program == 0 {
 		return
--- a/internal/allotter/issuer.go
+++ b/internal/allotter/issuer.go
@@ -53,6 +53,7 @@
 			}
 			continue
 		}
+		acct.begin(&acct.right, &a.tenure, a.start)
 		out.Results = append(out.Results, acct.decide(now.Sub(a.start), i, part, randomFraction()))
 	}
 	return out
--- a/internal/allotter/right.go
+++ b/internal/allotter/right.go
@@ -20,14 +20,14 @@
 	// not having been interrupted. It is shorter than the time that others wait beyond the
 	// instance's own lease before they drop it from their lists.
 	maxPause = 2 * time.Second
-	// rightMargin is added to the window before a right begins, for instances whose clocks
-	// run at different rates.
+	// rightMargin is the time before a right begins after the conditions for it were met, for
+	// instances whose clocks run at different rates.
 	rightMargin = 100 * time.Millisecond
 )
 
-// right is the right of this instance to issue the permits of one account. It begins one
-// window after the instance became one of the account's issuers in its own list, so that the
-// permits of the issuer that it replaces have left every window.
+// right is the right of this instance to issue the permits of one account. It begins when the
+// right of the issuer that it replaces has ended. Permits of that issuer may still be in the
+// window, which the bucket of the account allows for as it begins empty.
 type right struct {
 	epoch int64
 	// since is when the instance became one of the issuers; zero if it is none.
@@ -40,6 +40,9 @@
 	isConfirmed, isAloneConfirmed bool
 }
 
+// rightID tells the rights of an instance to issue the permits of one account from each other.
+type rightID struct{ since, completeAt time.Time }
+
 // tenure is the time since which this instance may be an issuer at all: it is in the others'
 // lists and every member that it knows has confirmed that.
 type tenure struct {
@@ -48,10 +51,11 @@
 	// observedAt is the time of the last look, startedAt the beginning of the current
 	// lease, and completeAt when all members had confirmed; zero if not.
 	observedAt, startedAt, completeAt time.Time
-	// epoch counts the changes of the list, and epochAt is the time of the last one.
-	epoch       int64
-	epochAt     time.Time
-	fingerprint uint64
+	// epoch counts the changes of the list, and epochAt is the time of the last one;
+	// epochReadAt is when the list was first known to have been read after that, zero if not.
+	epoch                int64
+	epochAt, epochReadAt time.Time
+	fingerprint          uint64
 	// listed are the other members, and confirmed the incarnations that have this instance
 	// in their lists.
 	listed    []discoverer.Member
@@ -80,9 +84,12 @@
 	}
 	t.listed = listed
 	if fingerprint != t.fingerprint || t.epoch == 0 {
-		t.fingerprint, t.epochAt = fingerprint, now
+		t.fingerprint, t.epochAt, t.epochReadAt = fingerprint, now, time.Time{}
 		t.epoch++
 	}
+	if t.epochReadAt.IsZero() && t.members.ReadAt().After(t.epochAt) {
+		t.epochReadAt = now
+	}
 	if !t.members.IsCurrent() {
 		return
 	}
@@ -130,17 +137,28 @@
 	r.isAlone, r.epoch = isAlone, t.epoch
 }
 
+// beganAt returns a time from which a right that holds now has held.
+func (r *right) beganAt(t *tenure) time.Time {
+	began := r.since
+	for _, at := range []time.Time{t.completeAt, t.epochReadAt} {
+		if at.After(began) {
+			began = at
+		}
+	}
+	return began.Add(rightMargin)
+}
+
 // part returns the part of the bound that this instance may issue.
 func (r *right) part(t *tenure, account string, now time.Time) float64 {
 	r.update(t, account)
-	if !t.members.IsCurrent() || r.since.IsZero() || t.completeAt.IsZero() || now.Sub(t.completeAt) < t.window+rightMargin || now.Sub(r.since) < t.window+rightMargin {
+	if !t.members.IsCurrent() || r.since.IsZero() || t.completeAt.IsZero() || now.Sub(t.completeAt) < rightMargin || now.Sub(r.since) < rightMargin {
 		return 0
 	}
 	// A store that was not read since may have rows that contradict the change.
 	if r.isConfirmed = r.isConfirmed || t.members.ReadAt().After(r.since); !r.isConfirmed {
 		return 0
 	}
-	if r.isAlone && now.Sub(r.aloneSince) >= t.window+rightMargin {
+	if r.isAlone && now.Sub(r.aloneSince) >= rightMargin {
 		if r.isAloneConfirmed = r.isAloneConfirmed || t.members.ReadAt().After(r.aloneSince); r.isAloneConfirmed {
 			return 1
 		}
