internal/rerouter: a refused read requests a probe, earlier waits don't outdate it

Cause: an instance whose reads mostly wait for changes stayed on the path Direct for over a second while the store refused each call. Waits that began before the last response ended with a refusal that counted as outdated, the next reads came 500 ms later, and a response to a wait that the store had accepted before the refusals reset the count of failures.

A refused read now requests a probe, whose reads decide. A response to a wait holds for the time at which the wait began: it does not reset refusals that came since, and does not spare a failed write its probe. Timeouts count as before.

TestOneRefusedReadSuffices and TestResponsesToEarlierWaitsDoNotOutdateRefusals failed before. The path now changes in the goroutine of the probe, too, so that two tests guard what the observer writes, and the peers of tests return a copy of their list as package discoverer does. go test -race -count=100 ./internal/rerouter/: ok

--- a/internal/rerouter/rerouter.go
+++ b/internal/rerouter/rerouter.go
@@ -61,6 +61,9 @@
 	wait time.Duration
 }
 
+// probe is the operation of probes.
+var probe = operation{name: "Probe"}
+
 // Path is the path on which calls reach the store.
 type Path int
 
@@ -102,7 +105,7 @@
 	withTimeout  Timeouts
 
 	// probeRequests is signalled when a write fails, as only a read decides whether
-	// the store is reachable.
+	// the store is reachable, and when the store refuses a read.
 	probeRequests chan struct{}
 
 	mu     sync.Mutex
@@ -120,6 +123,11 @@
 	lastResponse   time.Time
 	// lastDirect is the time of the store's last response to a direct call.
 	lastDirect time.Time
+	// lastAccepted is the last time at which the store is known to have accepted a direct
+	// call. It accepts a call that waits for changes long before it responds.
+	lastAccepted time.Time
+	// lastRefusal is the time of the last direct read that the store refused.
+	lastRefusal time.Time
 	// restored is closed and replaced when the path changes from Lost.
 	restored chan struct{}
 	// rerouted is closed when the path becomes Relayed, and replaced when it becomes
@@ -224,8 +232,8 @@
 				timer.Stop()
 			case <-timer.C:
 			}
-			probe, stop := r.withTimeout(ctx, minReadTimeout)
-			_, err := r.direct.List(probe, probeRange)
+			bounded, stop := r.withTimeout(ctx, minReadTimeout)
+			_, err := r.direct.List(bounded, probeRange)
 			stop()
 			r.countCall("Watch", Direct.String(), resultName(err))
 			if err == nil {
@@ -327,7 +335,7 @@
 // is Direct, it takes several failures to change it.
 func (r *Rerouter) probeDirect(ctx context.Context) {
 	for range maxDirectFailures {
-		err := r.callDirect(ctx, operation{name: "Probe"}, func(ctx context.Context) error {
+		err := r.callDirect(ctx, probe, func(ctx context.Context) error {
 			_, err := r.direct.List(ctx, probeRange)
 			return err
 		})
@@ -368,7 +376,12 @@
 		return err // The caller's cancellation does not indicate a store failure.
 	}
 	ok := isResponse(err)
-	if r.recordDirect(ok, start) {
+	isRefusal := !op.isWrite && isRefusal(err) && bounded.Err() == nil
+	isOutdated := r.recordDirect(op, ok, isRefusal, start)
+	if isRefusal && op != probe {
+		r.requestProbe() // The next read may be seconds away.
+	}
+	if isOutdated {
 		return err
 	}
 	r.adaptTimeouts(op, ok, errors.Is(err, storer.ErrInDoubt) && time.Since(start) >= limit, time.Since(start))
@@ -379,10 +392,7 @@
 		if r.hasRecentResponse() {
 			break // A part of the store may be away; its reads show that it is reached.
 		}
-		select {
-		case r.probeRequests <- struct{}{}:
-		default:
-		}
+		r.requestProbe()
 	default:
 		r.mu.Lock()
 		r.directFailures++
@@ -395,23 +405,46 @@
 	return err
 }
 
-// recordDirect records a response of the store to a direct call. It reports whether
-// the failure of a call that started at the given time is outdated, because the
-// store has responded to another call since.
-func (r *Rerouter) recordDirect(ok bool, start time.Time) (isOutdated bool) {
+// recordDirect records the result of a direct call that started at the given time. It reports
+// whether the result is outdated: a failure if the store has responded to another call since,
+// and a response to a call that waited for changes if the store has refused another one since.
+// The store accepted the wait before, and may refuse all new calls.
+func (r *Rerouter) recordDirect(op operation, ok, isRefusal bool, start time.Time) (isOutdated bool) {
+	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if ok {
-		r.lastDirect, r.directFailures = time.Now(), 0
-		return false
+	if isRefusal {
+		r.lastRefusal = now
+	}
+	accepted := now
+	if op.wait > 0 {
+		accepted = start
+	}
+	switch {
+	case !ok:
+		return start.Before(r.lastDirect)
+	case accepted.Before(r.lastRefusal):
+		return true
+	}
+	r.lastDirect, r.directFailures = now, 0
+	if accepted.After(r.lastAccepted) {
+		r.lastAccepted = accepted
+	}
+	return false
+}
+
+// requestProbe makes Run probe the store.
+func (r *Rerouter) requestProbe() {
+	select {
+	case r.probeRequests <- struct{}{}:
+	default:
 	}
-	return start.Before(r.lastDirect)
 }
 
 func (r *Rerouter) hasRecentResponse() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Since(r.lastDirect) < recentResponse
+	return time.Since(r.lastAccepted) < recentResponse
 }
 
 // adaptTimeouts sets the timeouts by the result of the last call, on whichever path. A
@@ -484,6 +517,12 @@
 	return err == nil || errors.Is(err, storer.ErrConflict) || errors.Is(err, storer.ErrInvalid) || errors.Is(err, storer.ErrVersionExpired)
 }
 
+// isRefusal reports whether the store did not run the call, for another reason than a rate that
+// was exceeded.
+func isRefusal(err error) bool {
+	return errors.Is(err, storer.ErrUnavailable) && !errors.Is(err, storer.ErrInDoubt) && !errors.Is(err, storer.ErrBusy)
+}
+
 func resultName(err error) string {
 	switch {
 	case err == nil:
--- a/internal/rerouter/rerouter_test.go
+++ b/internal/rerouter/rerouter_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,7 +33,7 @@
 	delay time.Duration
 }
 
-func (p *peerSet) Relays() []discoverer.Member { return p.members }
+func (p *peerSet) Relays() []discoverer.Member { return slices.Clone(p.members) }
 
 func (p *peerSet) Suspect(string) {}
 
@@ -157,20 +159,28 @@
 func TestDelayedProcessDoesNotLoseTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rows := fakeplatform.NewRows(1)
+		var mu sync.Mutex
 		var paths []string
 		start := time.Now()
 		delay := func() time.Duration { return time.Since(start) * 3 / 4 }
 		r, peers := newRerouterWithPeers(t, rows, 2, rerouter.WithTimeouts(extender.New(extender.WithDelay(delay)).WithTimeout),
-			rerouter.WithPathObserver(func(_, to rerouter.Path, _ error) { paths = append(paths, to.String()) }))
+			rerouter.WithPathObserver(func(_, to rerouter.Path, _ error) {
+				mu.Lock()
+				defer mu.Unlock()
+				paths = append(paths, to.String())
+			}))
 		rows.SetFaults(fakeplatform.RowFaults{Delay: 400 * time.Millisecond})
 		for i := range 5 {
 			if _, err := r.List(t.Context(), rowRange); err != nil {
 				t.Errorf("read %d: %v", i, err)
 			}
 		}
+		synctest.Wait()
+		mu.Lock()
 		if diff := cmp.Diff([]string(nil), paths); diff != "" {
 			t.Errorf("changes of the path: %s", diff)
 		}
+		mu.Unlock()
 		// The responses of relays are late for the same reason.
 		peers.delay = 600 * time.Millisecond
 		rows.SetFaults(fakeplatform.RowFaults{Refused: map[string]bool{"self": true}})
@@ -183,9 +193,12 @@
 				t.Errorf("relayed read %d: %v", i, err)
 			}
 		}
+		synctest.Wait()
+		mu.Lock()
 		if diff := cmp.Diff([]string{"Lost", "Relayed"}, paths); diff != "" {
 			t.Errorf("changes of the path: %s", diff)
 		}
+		mu.Unlock()
 	})
 }
 
@@ -307,8 +320,8 @@
 func TestLateRelayedResponseKeepsDirectPath(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rows := fakeplatform.NewRows(1)
-		changes := 0
-		r, _ := newRerouterWithPeers(t, rows, 2, rerouter.WithPathObserver(func(rerouter.Path, rerouter.Path, error) { changes++ }))
+		var changes atomic.Int32
+		r, _ := newRerouterWithPeers(t, rows, 2, rerouter.WithPathObserver(func(rerouter.Path, rerouter.Path, error) { changes.Add(1) }))
 		rows.SetFaults(fakeplatform.RowFaults{Refused: map[string]bool{"self": true}})
 		for range 3 {
 			_, _ = r.List(t.Context(), rowRange) // The first calls detect the failure.
@@ -318,11 +331,11 @@
 			calls.Go(func() { _, _ = r.Changes(t.Context(), row.Table, 0, time.Second) }) // Only the path is tested.
 			time.Sleep(20 * time.Millisecond)
 		}
-		changes = 0
+		changes.Store(0)
 		rows.SetFaults(fakeplatform.RowFaults{})
 		calls.Wait()
-		if diff := cmp.Diff(rerouter.Direct, pathOf(r)); diff != "" || changes != 1 {
-			t.Errorf("got %d changes of the path, want 1; path: %s", changes, diff)
+		if diff := cmp.Diff(rerouter.Direct, pathOf(r)); diff != "" || changes.Load() != 1 {
+			t.Errorf("got %d changes of the path, want 1; path: %s", changes.Load(), diff)
 		}
 	})
 }
@@ -393,3 +406,60 @@
 		}
 	})
 }
+
+// earlyPolls passes calls that wait for changes to a store that accepted them before it began
+// to refuse the instance.
+type earlyPolls struct {
+	storer.Rows
+	accepting storer.Rows
+}
+
+func (p earlyPolls) Changes(ctx context.Context, table string, after int64, wait time.Duration) (storer.Page, error) {
+	return p.accepting.Changes(ctx, table, after, wait)
+}
+
+// Calls that waited for changes since before the store refused an instance kept its path Direct:
+// their responses outdated the refusals of newer calls.
+func TestResponsesToEarlierWaitsDoNotOutdateRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fakeplatform.NewRows(1)
+		r := rerouter.New(earlyPolls{Rows: rows.For("self"), accepting: rows.For("early")}, &peerSet{})
+		r.SetRelays(&peerSet{})
+		const polls = 20
+		for i := range polls {
+			go func() { _, _ = r.Changes(t.Context(), row.Table, 0, time.Second+time.Duration(i)*20*time.Millisecond) }() // Only the path is tested.
+		}
+		time.Sleep(990 * time.Millisecond)
+		rows.SetFaults(fakeplatform.RowFaults{Refused: map[string]bool{"self": true}})
+		go r.Run(t.Context())
+		for range polls {
+			_ = insert(t.Context(), r) // Refused, as all new calls are.
+			_, _ = r.List(t.Context(), rowRange)
+			time.Sleep(20 * time.Millisecond)
+			if path := pathOf(r); path == rerouter.Direct {
+				t.Fatalf("the path is %v after a read was refused", path)
+			}
+		}
+	})
+}
+
+// An instance whose only reads wait for changes kept the path Direct for over a second while the
+// store refused each call (TestInstanceWithoutStoreUsesPeer beside load): the refusals of waits
+// that began before the last response were outdated, and the next reads came 500 ms later.
+func TestOneRefusedReadSuffices(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fakeplatform.NewRows(1)
+		r, _ := newRerouter(t, rows)
+		go func() { _, _ = r.Changes(t.Context(), row.Table, 0, time.Second) }() // Only the path is tested.
+		time.Sleep(100 * time.Millisecond)
+		if _, err := r.List(t.Context(), rowRange); err != nil {
+			t.Fatal(err)
+		}
+		rows.SetFaults(fakeplatform.RowFaults{Refused: map[string]bool{"self": true}})
+		rows.Put(storer.RowKey{Table: "other", Name: "r"}, nil) // The store looks at the wait again.
+		time.Sleep(50 * time.Millisecond)
+		if path := pathOf(r); path == rerouter.Direct {
+			t.Errorf("the path is %v after a read was refused", path)
+		}
+	})
+}
