internal/tunneler: only refusals of the endpoint show its end

Cause: the check whether an endpoint's process has ended took three things for refusals of the endpoint: a relay that refuses connections itself (an instance that has ended or restarts), a single refusal when the time of the check was up, and no answer at all by then. On a busy host, ends of sound processes were reported, so that sound requests could be quarantined. On the other hand one relay that had ended hid an end that all others saw, and a refusal of this instance did not count beside theirs.

Relays that have ended don't count. An endpoint has ended if it refuses three instances, or two if none else is left to ask, and no instance reaches it.

--- a/internal/tunneler/tunnel.go
+++ b/internal/tunneler/tunnel.go
@@ -55,6 +55,10 @@
 	stream, err := t.opener.Open(streamCtx, m.Address, methodTunnel, openRequest{Endpoint: endpoint})
 	if err != nil {
 		cancel()
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			// The endpoint has not refused anything.
+			err = eris.Wrapf(errRelayEnded, "tunnel through %s: %s", m.Instance, err)
+		}
 		return nil, ctxErr(ctx, err)
 	}
 	var response openResponse
--- a/internal/tunneler/tunneler.go
+++ b/internal/tunneler/tunneler.go
@@ -63,6 +63,9 @@
 // errNoRelay means that this instance knows no other one.
 var errNoRelay = errors.New("no other instance is known")
 
+// errNoAnswer means that no other instance has answered in time.
+var errNoAnswer = errors.New("no other instance has answered")
+
 // Members lists the other instances.
 type Members interface {
 	// Relays returns other instances, in an order that differs between instances.
@@ -239,7 +242,12 @@
 	if err == nil {
 		_ = conn.Close() // It was never used.
 	}
-	isAlone := errors.Is(err, errNoRelay) && errors.Is(directErr, syscall.ECONNREFUSED)
+	isRefused := errors.Is(directErr, syscall.ECONNREFUSED)
+	var some *someRefused
+	if errors.As(err, &some) {
+		return some.isEnd(isRefused)
+	}
+	isAlone := errors.Is(err, errNoRelay) && isRefused
 	return isAlone || errors.Is(err, syscall.ECONNREFUSED)
 }
 
@@ -395,7 +403,7 @@
 
 // openTunnel opens a connection to the endpoint through the first of several instances that
 // has one. It returns syscall.ECONNREFUSED if the endpoint refuses maxRefusals of them, or
-// all.
+// all, and someRefused if it refuses fewer.
 func (t *Tunneler) openTunnel(ctx context.Context, endpoint netip.AddrPort) (net.Conn, error) {
 	type result struct {
 		member discoverer.Member
@@ -407,7 +415,7 @@
 	began := time.Now()
 	members := t.rank(endpoint)
 	results := make(chan result, len(members))
-	running, next, refusals := 0, 0, 0
+	running, next, refusals, ended := 0, 0, 0, 0
 	start := func() {
 		if next == len(members) {
 			return
@@ -422,6 +430,9 @@
 	}
 	start()
 	failure := errNoRelay
+	if running > 0 {
+		failure = errNoAnswer
+	}
 	for running > 0 {
 		timer := time.NewTimer(relayDelay)
 		select {
@@ -446,6 +457,9 @@
 			if isRefused {
 				refusals++
 			}
+			if errors.Is(r.err, errRelayEnded) {
+				ended++
+			}
 			if refusals == 0 || isRefused {
 				failure = r.err
 			}
@@ -457,11 +471,14 @@
 			start()
 		case <-ctx.Done():
 			timer.Stop()
+			if refusals > 0 {
+				failure = &someRefused{refusals: refusals, ended: ended, asked: len(members)}
+			}
 			return nil, errors.Join(ctx.Err(), failure)
 		}
 	}
 	if refusals > 0 {
-		return nil, eris.Errorf("%d of %d relays were refused, the others don't reach the endpoint", refusals, len(members))
+		return nil, &someRefused{refusals: refusals, ended: ended, asked: len(members)}
 	}
 	return nil, failure
 }
--- a/internal/tunneler/tunneler_test.go
+++ b/internal/tunneler/tunneler_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -24,8 +26,9 @@
 // instance is a Tunneler with its server.
 type instance struct {
 	*tunneler.Tunneler
-	self   discoverer.Member
-	others *[]discoverer.Member
+	self     discoverer.Member
+	others   *[]discoverer.Member
+	registry *registrar.Registry
 
 	mu     sync.Mutex
 	dialed int
@@ -116,7 +119,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		in := &instance{others: &members, self: discoverer.Member{
+		in := &instance{others: &members, registry: registry, self: discoverer.Member{
 			Instance: string(rune('a' + i)), Address: netip.MustParseAddrPort(listener.Addr().String()), DataCentre: dataCentre,
 		}}
 		client := messenger.NewClient()
@@ -351,3 +354,63 @@
 		}
 	}
 }
+
+// A relay that had ended refused the connection of this instance, which counted as a refusal of
+// the endpoint, as did one refusal before the time was up: sound requests were quarantined. A relay
+// that the endpoint's lapsed registration had reached before the check did not look, so that five
+// of eleven crashes counted (fleet tests beside load).
+func TestOnlyRefusalsOfTheEndpointShowItsEnd(t *testing.T) {
+	endpoint := listen(t, echo)
+	refused, late, silent := error(syscall.ECONNREFUSED), os.ErrDeadlineExceeded, errors.New("silent")
+	for _, tc := range []struct {
+		name string
+		own  error
+		// relays holds the errors of the relays' connections, and gone is the number of
+		// relays that have ended.
+		relays       []error
+		gone         int
+		isRegistered bool
+		want         bool
+	}{
+		{"two relays have ended", refused, nil, 2, true, false},
+		{"one is refused, one has ended", late, []error{refused}, 1, true, false},
+		{"this instance and one are refused, one has ended", refused, []error{refused}, 1, true, true},
+		{"this instance and two are refused, one has ended", refused, []error{refused, refused}, 1, true, true},
+		{"this instance and two are refused, one doesn't reach it", refused, []error{refused, refused, late}, 0, true, true},
+		{"this instance and one are refused, one doesn't reach it", refused, []error{refused, late}, 0, true, false},
+		{"one accepts", refused, []error{refused, nil}, 1, true, false},
+		{"the time is up after one refusal", late, []error{refused, silent}, 0, true, false},
+		{"the time is up before an answer", refused, []error{silent}, 0, true, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			instances := newInstances(t, slices.Repeat([]string{"x"}, 1+len(tc.relays)), endpoint)
+			for i, fault := range append([]error{tc.own}, tc.relays...) {
+				instances[i].setLink(fault, 0)
+				if errors.Is(fault, silent) {
+					instances[i].setLink(nil, time.Hour)
+				}
+			}
+			for i := range tc.gone {
+				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				_ = listener.Close() // Its address refuses connections from now on.
+				ended := discoverer.Member{Instance: fmt.Sprint("ended-", i), Address: netip.MustParseAddrPort(listener.Addr().String()), DataCentre: "x"}
+				*instances[0].others = append(*instances[0].others, ended)
+			}
+			if !tc.isRegistered {
+				instances[0].registry.Replace(nil)
+			}
+			ctx := t.Context()
+			if slices.Contains(tc.relays, silent) {
+				bounded, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
+				defer cancel()
+				ctx = bounded
+			}
+			if got := instances[0].IsRefusing(ctx, endpoint); got != tc.want {
+				t.Errorf("refusing %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
