--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -142,6 +142,8 @@
 	// registrations, and readAt when these were first read.
 	versionSeen map[serviceVersion]time.Time
 	readAt      time.Time
+	// removed holds endpoints whose registrations have gone lately, by address.
+	removed map[netip.AddrPort]removal
 }
 
 // process identifies one process of an endpoint. IDs are reused after a restart.
@@ -182,7 +184,7 @@
 func New() *Registry {
 	return &Registry{
 		byID: map[string]*entry{}, services: map[string][]*entry{}, announced: map[process]*announcement{}, versionSeen: map[serviceVersion]time.Time{},
-		means: map[string]meanLoad{}, invitations: map[string][]invitation{}, toldTo: map[string]uint64{}, usual: map[workKind]*usual{},
+		means: map[string]meanLoad{}, invitations: map[string][]invitation{}, removed: map[netip.AddrPort]removal{}, toldTo: map[string]uint64{}, usual: map[workKind]*usual{},
 	}
 }
 
@@ -222,6 +224,7 @@
 			changes.Removed = append(changes.Removed, known.Endpoint)
 		}
 	}
+	r.lockedRecordRemoved(changes.Removed, time.Now())
 	r.byID, r.services, r.centres = byID, services, centres
 	r.lockedDropInvitations()
 	for p, a := range r.announced {
@@ -259,18 +262,6 @@
 	return e != nil && processOf(e.Endpoint) == processOf(endpoint) && e.accepts()
 }
 
-// FindAddress returns the endpoint that is registered with the address.
-func (r *Registry) FindAddress(address netip.AddrPort) (Endpoint, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, e := range r.byID {
-		if e.Address == address {
-			return e.Endpoint, true
-		}
-	}
-	return Endpoint{}, false
-}
-
 // Endpoints returns the registered endpoints.
 func (r *Registry) Endpoints() []Endpoint {
 	r.mu.Lock()
--- a/internal/tunneler/tunneler_test.go
+++ b/internal/tunneler/tunneler_test.go
@@ -381,6 +381,7 @@
 		{"one accepts", refused, []error{refused, nil}, 1, true, false},
 		{"the time is up after one refusal", late, []error{refused, silent}, 0, true, false},
 		{"the time is up before an answer", refused, []error{silent}, 0, true, false},
+		{"the registration has lapsed", refused, []error{refused, refused, refused}, 0, false, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			instances := newInstances(t, slices.Repeat([]string{"x"}, 1+len(tc.relays)), endpoint)
