internal/tunneler: a direct connection is the last resort, relaying leaves its attempts

Cause: once a tunnel was faster than an instance's own connection, as on a busy host, the instance tried to reach the endpoint directly once a second only. While the relays were cut off, its requests had no path in between (NoEndpoint at instances that are not cut). Requests of others to relay took these attempts without making them, so that there were none while others asked more than once a second, and the relay answered that it did not reach the endpoint either.

Requests to relay leave the attempts.

--- a/internal/tunneler/tunnel.go
+++ b/internal/tunneler/tunnel.go
@@ -138,7 +138,7 @@
 	response := openResponse{Result: isUnreachable}
 	var endpoint net.Conn
 	_, isKnown := t.registry.FindAddress(in.Endpoint)
-	if isBlocked, _ := t.begin(in.Endpoint); isKnown && !isBlocked && isServing {
+	if isKnown && !t.isBlocked(in.Endpoint) && isServing {
 		dialed, err := t.direct(ctx, "tcp", in.Endpoint.String())
 		switch {
 		case err == nil:
--- a/internal/tunneler/tunneler.go
+++ b/internal/tunneler/tunneler.go
@@ -173,10 +173,15 @@
 	isBlocked, mayProbe := t.begin(endpoint)
 	attempts := make(chan attempt, 2)
 	running := 0
-	if !isBlocked || mayProbe {
+	hasDirect := false
+	openDirect := func() {
+		hasDirect = true
 		running++
 		go t.dialDirect(context.WithoutCancel(ctx), network, endpoint, attempts)
 	}
+	if !isBlocked || mayProbe {
+		openDirect()
+	}
 	direct, stop := t.withTimeout(ctx, directDelay)
 	defer stop()
 	tunnelAt := direct.Done()
@@ -206,6 +211,12 @@
 			}
 			if !hasTunnel {
 				openTunnel()
+			} else if !hasDirect {
+				// No other instance reaches the endpoint. If this one does, it takes no longer.
+				last, stop := t.withTimeout(ctx, directDelay)
+				defer stop()
+				ctx = last
+				openDirect()
 			}
 		case <-tunnelAt:
 			tunnelAt = nil
@@ -267,6 +278,15 @@
 	return true, mayProbe
 }
 
+// isBlocked reports whether the endpoint is reached only through others.
+func (t *Tunneler) isBlocked(endpoint netip.AddrPort) bool {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.paths[endpoint]
+	return p != nil && !now.After(p.blockedUntil)
+}
+
 // dialDirect opens a direct connection. Its result counts also if a tunnel was faster.
 func (t *Tunneler) dialDirect(ctx context.Context, network string, endpoint netip.AddrPort, attempts chan<- attempt) {
 	start := time.Now()
--- a/internal/tunneler/tunneler_test.go
+++ b/internal/tunneler/tunneler_test.go
@@ -415,3 +415,27 @@
 		})
 	}
 }
+
+// An instance that a tunnel once served faster than its own connection had no path while all
+// relays were cut off, although the endpoint accepted its connections: it tried them once a second
+// only (fleet tests beside load: NoEndpoint at instances that are not cut).
+func TestDirectConnectionIsTheLastResort(t *testing.T) {
+	endpoint := listen(t, echo)
+	instances := newInstances(t, []string{"x", "x"}, endpoint)
+	dial := func() error {
+		conn, err := instances[0].Dial(t.Context(), "tcp", endpoint.String())
+		if err == nil {
+			_ = conn.Close() // It was never used.
+		}
+		return err
+	}
+	instances[0].setLink(os.ErrDeadlineExceeded, 0)
+	if err := dial(); err != nil {
+		t.Fatal(err)
+	}
+	instances[0].setLink(nil, 0)
+	instances[1].setLink(os.ErrDeadlineExceeded, 0)
+	if err := dial(); err != nil {
+		t.Error(err)
+	}
+}
