internal/quarantiner: a late check of a process records its crash

Cause: the check dropped requests that had broken off more than 3 s before its end, and a check whose time was up without a result was not repeated.

The age of a request counts from the last one that broke off, and a check without a result is repeated twice.

TestLateCheckRecordsTheCrash: two of its four cases failed before. go test -race ./internal/quarantiner/: ok

--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -34,8 +34,11 @@
 	// checkTimeout limits the check. An instance that is cut off from the endpoint needs the
 	// timeout of a connection before it asks others.
 	checkTimeout = 1500 * time.Millisecond
-	// breakMemory is how long a request that broke off counts among those that a process
-	// had when it ended.
+	// maxChecks is the number of checks in all if their time is up without a result, as on a
+	// busy host.
+	maxChecks = 3
+	// breakMemory is by how much a request may have broken off before the last one to count
+	// among those that a process had when it ended.
 	breakMemory = 3 * time.Second
 	// retention is how long a crash is remembered, and how long a quarantine lasts after
 	// the last crash.
@@ -206,18 +209,30 @@
 		q.broken[process] = append(q.broken[process], run{request: request, sentAt: sentAt, brokenAt: time.Now()})
 	}
 	if !isChecked {
-		time.AfterFunc(checkDelay, func() { q.check(endpoint) })
+		time.AfterFunc(checkDelay, func() { q.check(endpoint, 1) })
 	}
 }
 
-// check records a crash if the endpoint's process has ended, and reports it.
-func (q *Quarantiner) check(endpoint registrar.Endpoint) {
+// check records a crash if the endpoint's process has ended, and reports it. The number is that
+// of the check.
+func (q *Quarantiner) check(endpoint registrar.Endpoint, number int) {
 	ctx, cancel := q.withTimeout(context.Background(), checkTimeout)
 	defer cancel()
 	hasEnded := q.prober.IsRefusing(ctx, endpoint.Address)
+	if !hasEnded && ctx.Err() != nil && number < maxChecks {
+		time.AfterFunc(checkDelay, func() { q.check(endpoint, number+1) })
+		return
+	}
 	process := endpoint.Process()
 	q.mu.Lock()
-	runs := slices.DeleteFunc(q.broken[process], func(r run) bool { return time.Since(r.brokenAt) > breakMemory })
+	// The check itself may take long on a busy host.
+	var last time.Time
+	for _, r := range q.broken[process] {
+		if r.brokenAt.After(last) {
+			last = r.brokenAt
+		}
+	}
+	runs := slices.DeleteFunc(q.broken[process], func(r run) bool { return last.Sub(r.brokenAt) > breakMemory })
 	delete(q.broken, process)
 	if !hasEnded || len(runs) == 0 {
 		q.mu.Unlock()
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -35,11 +35,21 @@
 	state    sync.Mutex
 	refusing map[netip.AddrPort]bool
 	alive    map[string]bool
+	// stalls is the number of checks that get no result in time, and checkTime how long the
+	// others take.
+	stalls    int
+	checkTime time.Duration
 }
 
-func (n *node) IsRefusing(_ context.Context, address netip.AddrPort) bool {
+func (n *node) IsRefusing(ctx context.Context, address netip.AddrPort) bool {
 	n.state.Lock()
 	defer n.state.Unlock()
+	if n.stalls > 0 {
+		n.stalls--
+		<-ctx.Done()
+		return false
+	}
+	time.Sleep(n.checkTime)
 	return n.refusing[address]
 }
 
@@ -358,3 +368,32 @@
 		}
 	})
 }
+
+// On a host that stood still for seconds, the check of a process took longer than the requests
+// that broke off there were kept, or its time was up without a result. No crash was recorded, and
+// the request crashed further endpoints.
+func TestLateCheckRecordsTheCrash(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		stalls    int
+		checkTime time.Duration
+		want      int
+	}{
+		{"in time", 0, 0, 1},
+		{"late", 0, 6 * time.Second, 1},
+		{"no result at first", 2, 0, 1},
+		{"no result", maxChecks, 0, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork(1)[0]
+				n.stalls, n.checkTime = tc.stalls, tc.checkTime
+				n.crashUnder(key("bad"), 0)
+				time.Sleep(10 * time.Second)
+				if diff := cmp.Diff(tc.want, n.Find(request(key("bad"))).Crashes); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
