docs/design, internal/opener: openings of programs without a row, as a page and pure decisions

While the store is away, programs that need only a budget wait for their row. The page states a right to open them within a withheld share of the budget, and the package has its decisions: the row, the tenure of a holder, the witnesses, and what is charged. Nothing uses the package yet.

--- /dev/null
+++ b/internal/opener/right.go
@@ -0,0 +1,130 @@
+// Package opener decides which programs may be opened without a row while the
+// platform's store is unavailable, and up to which part of their budgets. It has no I/O.
+//
+// Programs are divided into slots. Each slot has a right, a row of the store. A Tenure
+// is the time for which one process holds a right; its openings are known to two
+// witnesses. docs/design/outage-budgets.md has the rules and why they hold.
+package opener
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// SlotCount is the number of slots.
+	SlotCount = 64
+	// witnessCount is the number of processes that know a holder's openings.
+	witnessCount = 2
+	// format is the version of Right's encoding.
+	format = 1
+	// permille is the whole of a budget in the unit of shares.
+	permille = 1000
+	// maxLifted limits the hashes in a right's row to 24 KiB, that of other rows. A
+	// slot without room lifts and opens no more programs.
+	maxLifted = 3000
+)
+
+var (
+	// ErrMalformed means that a row is no valid Right. Nothing is known of its holder.
+	ErrMalformed = errors.New("malformed right")
+	// ErrLaterFormat means that a row was written by a later version of the program. It
+	// must not be overwritten.
+	ErrLaterFormat = errors.New("right of a later version")
+)
+
+// Former is a holder of a right whose openings may not be recorded.
+type Former struct {
+	Tenure    string   `cbor:"1,keyasint"`
+	Holder    string   `cbor:"2,keyasint"`
+	Witnesses []string `cbor:"3,keyasint"`
+}
+
+// Right is the row of a slot.
+type Right struct {
+	Format int `cbor:"1,keyasint"`
+	// Holder is the incarnation of the holder, and Tenure unique to each taking.
+	Holder string `cbor:"2,keyasint"`
+	Tenure string `cbor:"3,keyasint"`
+	// Witnesses are the incarnations of the processes that know the openings. Without
+	// two of them the holder opens nothing.
+	Witnesses []string `cbor:"4,keyasint"`
+	// Share is the part of a program's budget that can be used without a row, in
+	// thousandths.
+	Share int64 `cbor:"5,keyasint"`
+	// Former is the previous holder until its openings are recorded.
+	Former *Former `cbor:"6,keyasint,omitempty"`
+	// IsDeducting is true while unknown programs may have been opened by a former
+	// holder, and Deducted is for how long it has been true at least.
+	IsDeducting bool          `cbor:"7,keyasint,omitempty"`
+	Deducted    time.Duration `cbor:"8,keyasint,omitempty"`
+	// Lifted and LiftedBefore are the hashes of programs that no holder opens any
+	// more. LiftedBefore has those that were added longer ago.
+	Lifted       []uint64 `cbor:"9,keyasint,omitempty"`
+	LiftedBefore []uint64 `cbor:"10,keyasint,omitempty"`
+}
+
+// Encode returns the value of the row.
+func (r Right) Encode() ([]byte, error) {
+	r.Format = format
+	value, err := cbor.Marshal(r)
+	return value, eris.Wrap(err, "encode a right")
+}
+
+// Decode returns the Right of a row's value. The error is ErrMalformed or
+// ErrLaterFormat.
+func Decode(value []byte) (Right, error) {
+	var version struct {
+		Format int `cbor:"1,keyasint"`
+	}
+	if err := cbor.Unmarshal(value, &version); err != nil {
+		return Right{}, ErrMalformed
+	}
+	if version.Format > format {
+		return Right{}, ErrLaterFormat
+	}
+	var r Right
+	if err := cbor.Unmarshal(value, &r); err != nil || !r.isValid() {
+		return Right{}, ErrMalformed
+	}
+	return r, nil
+}
+
+func (r *Right) isValid() bool {
+	return r.Format == format && r.Holder != "" && r.Tenure != "" && r.Share > 0 && r.Share <= permille &&
+		areWitnesses(r.Witnesses, r.Holder) && r.Deducted >= 0 && len(r.Lifted)+len(r.LiftedBefore) <= maxLifted &&
+		(r.Former == nil || r.Former.Holder != "" && r.Former.Tenure != "" && areWitnesses(r.Former.Witnesses, r.Former.Holder))
+}
+
+// areWitnesses reports whether the names are none, or two that differ from each other
+// and from the holder.
+func areWitnesses(names []string, holder string) bool {
+	return len(names) == 0 || len(names) == witnessCount && names[0] != names[1] && !slices.Contains(names, holder) && !slices.Contains(names, "")
+}
+
+// isSettled reports whether all openings of former holders are recorded.
+func (r *Right) isSettled() bool { return r.Former == nil && !r.IsDeducting }
+
+// IsLifted reports whether no holder opens the program any more.
+func (r *Right) IsLifted(program string) bool {
+	hash := xxhash.Sum64String(program)
+	return slices.Contains(r.Lifted, hash) || slices.Contains(r.LiftedBefore, hash)
+}
+
+// Slot returns the slot of the program.
+func Slot(program string) int { return int(xxhash.Sum64String(program) % SlotCount) }
+
+// Allowance returns the part of a budget that can be used without a row. It never
+// exceeds Withheld.
+func Allowance(budget, share int64) int64 {
+	return budget/permille*share + budget%permille*share/permille
+}
+
+// Withheld returns the part of a budget that is not granted by rows until the program
+// is lifted.
+func Withheld(budget, share int64) int64 { return budget - Allowance(budget, permille-share) }
