internal/opener: programs of exactly the age of Life are still lifted

A lifted program was dropped from the right at the age of Life, at which it may still have a turn. Openings of which nothing was used can be dropped.

--- a/internal/opener/opener_test.go
+++ b/internal/opener/opener_test.go
@@ -331,6 +331,9 @@
 		return
 	}
 	t := p.tenure
+	if m.draw(3, "dropped") == 0 {
+		t.DropUnused()
+	}
 	submit := func(w opener.Write, ok bool) {
 		if ok {
 			m.writeRight(p, t, w)
--- a/internal/opener/tenure.go
+++ b/internal/opener/tenure.go
@@ -264,6 +264,12 @@
 	return programs
 }
 
+// DropUnused removes the openings of which nothing was used. They begin anew if they are
+// asked for again.
+func (t *Tenure) DropUnused() {
+	maps.DeleteFunc(t.openings, func(_ string, o *opening) bool { return !o.isStopped && o.committed() == 0 })
+}
+
 // Lift stops the programs and returns the write that lifts them. There is none if the
 // process does not hold the right or the row has no room.
 func (t *Tenure) Lift(programs []string) (Write, bool) {
@@ -364,7 +370,8 @@
 		next.IsDeducting, next.Deducted = false, 0
 	case t.right.IsDeducting && deducted-t.right.Deducted >= t.terms.deduction()/checkpointDivisor:
 		next.Deducted = deducted
-	case now.Sub(t.rotatedAt) >= t.terms.Life && len(t.right.Lifted)+len(t.right.LiftedBefore) > 0:
+	case now.Sub(t.rotatedAt) > t.terms.Life && // A program may have a turn at the age of Life.
+		len(t.right.Lifted)+len(t.right.LiftedBefore) > 0:
 		next.Lifted, next.LiftedBefore = nil, t.right.Lifted
 		t.rotatedAt = now
 	default:
