internal/bookkeeper, internal/composer: open programs without a row while the store is away

Programs that need only a budget were refused while the store was away. With Budgets.OutageShare above 0 (default 0, off) the bookkeepers hold the rights of package opener: they withhold the share in new rows, open programs within it during an outage, and charge them when the store is back. Bookkeepers are then selected by slot. Members state their share, and none opens programs until all do. Without the setting no row, call or selection changes.

--- a/internal/bookkeeper/actor.go
+++ b/internal/bookkeeper/actor.go
@@ -10,6 +10,7 @@
 
 	"github.com/wigeonstand/wigeonstand/internal/batcher"
 	"github.com/wigeonstand/wigeonstand/internal/logger"
+	"github.com/wigeonstand/wigeonstand/internal/opener"
 	"github.com/wigeonstand/wigeonstand/internal/storer"
 )
 
@@ -59,6 +60,12 @@
 	isReclaiming     bool
 	reclaimedVersion int64
 	lastUsed         time.Time
+	// charge is what the program used without a row, while it is written to the row.
+	charge *int64
+	// isReporting and isLifting are true while witnesses or the holder of the right
+	// are asked.
+	isReporting bool
+	isLifting   bool
 }
 
 // state is the state of the Bookkeeper's actor.
@@ -69,6 +76,8 @@
 	send     func(message any)
 	reclaim  Reclaimer
 	log      *logger.Logger
+	// rights is nil without budgets for outages.
+	rights *rights
 	// isRetired is true once the ledgers have been handed over.
 	isRetired bool
 }
@@ -83,6 +92,7 @@
 			p.homes.forget(m.session, m.failedEndpoint)
 			p.homes.record(m.session, m.endpoint)
 		}
+		s.rights.settle(m)
 	case writeResult:
 		s.handleWrite(m)
 	case releaseMessage:
@@ -95,6 +105,8 @@
 		s.adopt(m.handovers)
 	case sweepMessage:
 		s.sweep()
+	default:
+		s.rights.receive(s, m)
 	}
 }
 
@@ -103,16 +115,22 @@
 		m.reply <- OpenResponse{Status: Retired}
 		return
 	}
-	p := s.programs[m.Program]
-	if p == nil {
-		p = &programState{ledger: newLedger(s.holder)}
-		s.programs[m.Program] = p
-	}
+	p := s.program(m.Program)
 	p.lastUsed = time.Now()
 	p.waiting = append(p.waiting, m)
 	s.advance(m.Program, p)
 }
 
+// program returns the state of the program, which may be new.
+func (s *state) program(name string) *programState {
+	p := s.programs[name]
+	if p == nil {
+		p = &programState{ledger: newLedger(s.holder, s.share())}
+		s.programs[name] = p
+	}
+	return p
+}
+
 // advance answers waiting requests in order until one needs a larger grant or
 // tokens of other holders, and starts that write or reclaim.
 func (s *state) advance(program string, p *programState) {
@@ -124,8 +142,8 @@
 			p.waiting = p.waiting[1:]
 			continue
 		}
-		hasStarted := p.ledger.hasStarted()
-		switch p.ledger.reserve(m.Turn, m.Tokens, m.Budget, now) {
+		hasStarted := p.ledger.hasStarted() || s.rights.isOpen(m.Program)
+		switch result := p.ledger.reserve(m.Turn, m.Tokens, m.Budget, now); result {
 		case granted:
 			m.reply <- OpenResponse{HasStarted: hasStarted, Home: p.homes.of(m.Session)}
 		case exhausted:
@@ -136,11 +154,22 @@
 				Status: Exhausted, HasStarted: hasStarted,
 				Used: p.ledger.used, Reserved: p.ledger.committed() - p.ledger.used, GrantedElsewhere: p.ledger.grantedToOthers,
 			}
-		case pending:
-			if !p.isWriting {
-				s.writeGrant(program, p, m)
+		case pending, withheld:
+			switch s.rights.reserve(s, p, m, now) {
+			case opener.Granted:
+				m.reply <- OpenResponse{HasStarted: hasStarted, Home: p.homes.of(m.Session)}
+			case opener.Unreported:
+				return
+			default:
+				switch {
+				case p.isWriting:
+				case result == withheld:
+					s.lift(program, p, m.deadline)
+				default:
+					s.writeGrant(program, p, m)
+				}
+				return
 			}
-			return
 		}
 		p.waiting = p.waiting[1:]
 	}
@@ -187,19 +216,21 @@
 		// effect before the next write, which then conflicts, or never.
 		s.log.Log(eventGrantNotWritten, "Program", m.program, "Row", p.ledger.version, "Waiting", len(p.waiting), "Cause", err)
 		s.refuseWaiting(p)
+		p.charge = nil // The step of the right, or the turn that waits, begins again.
 		return
 	case p.ledger.isClosedBy(current):
 		if len(p.waiting) == 0 {
 			delete(s.programs, m.program)
 			return
 		}
-		p.ledger = newLedger(s.holder)
+		p.ledger = newLedger(s.holder, s.share())
 		p.ledger.load(version, current)
 	case conflict != nil:
 		p.ledger.load(version, current)
 	default:
 		p.ledger.applyWrite(version, current)
 	}
+	s.continueCharge(m.program, p)
 	s.advance(m.program, p)
 }
 
@@ -229,7 +260,7 @@
 		if n := p.ledger.expire(now.Add(-turnTimeout)); n > 0 {
 			s.log.Log(eventTurnsExpired, "Program", program, "Turns", n)
 		}
-		if now.Sub(p.lastUsed) <= idleTimeout || len(p.waiting) > 0 || p.isWriting || p.isReclaiming {
+		if now.Sub(p.lastUsed) <= idleTimeout || len(p.waiting) > 0 || p.isWriting || p.isReclaiming || p.charge != nil {
 			continue
 		}
 		if p.ledger.isLoaded && !p.ledger.hasGrant() && p.ledger.committed() == 0 {
--- a/internal/bookkeeper/bookkeeper.go
+++ b/internal/bookkeeper/bookkeeper.go
@@ -166,6 +166,11 @@
 	pid    *actor.PID
 	// verdicts are exchanged with the calls of Open.
 	verdicts VerdictGossiper
+	// readRights reads the rights and sends them to the actor; nil without budgets for
+	// outages.
+	readRights func(ctx context.Context)
+	// stopRights ends the calls that concern rights and waits for them.
+	stopRights func()
 
 	stopMu    sync.RWMutex
 	isStopped bool
@@ -212,6 +217,12 @@
 func (k *Bookkeeper) Run(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
+	if k.readRights != nil {
+		var reads sync.WaitGroup
+		reads.Go(func() { k.runRights(ctx) })
+		defer reads.Wait()
+		defer k.stopRights()
+	}
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/bookkeeper/bookkeeper_test.go
+++ b/internal/bookkeeper/bookkeeper_test.go
@@ -38,10 +38,10 @@
 }
 
 // start starts a bookkeeper with a name that was not used before.
-func (f *fleet) start(name string) *bookkeeper.Bookkeeper {
+func (f *fleet) start(name string, options ...bookkeeper.Option) *bookkeeper.Bookkeeper {
 	ctx, cancel := context.WithCancel(f.ctx)
 	j := batcher.New(f.rows.For(name))
-	k := bookkeeper.New(name, j, f.reclaim)
+	k := bookkeeper.New(name, j, f.reclaim, options...)
 	f.work.Go(func() { j.Run(ctx) })
 	f.work.Go(func() { k.Run(ctx) })
 	f.mu.Lock()
--- a/internal/bookkeeper/client.go
+++ b/internal/bookkeeper/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -78,7 +79,7 @@
 
 // Handlers returns the handlers of calls from other instances, by method.
 func (k *Bookkeeper) Handlers(gossiper Gossiper) map[string]messenger.Handler {
-	return map[string]messenger.Handler{
+	handlers := map[string]messenger.Handler{
 		methodOpen: messenger.Handle(func(ctx context.Context, in OpenRequest) (OpenResponse, error) {
 			gossiper.Merge(in.Observations)
 			k.verdicts.MergeVerdicts(in.Verdicts)
@@ -91,6 +92,8 @@
 		methodAdopt:   messenger.Handle(k.Adopt),
 		methodPing:    messenger.Handle(func(context.Context, Ping) (Ping, error) { return Ping{}, nil }),
 	}
+	maps.Copy(handlers, k.rightsHandlers())
+	return handlers
 }
 
 // Client calls the bookkeeper of a program, on this or another instance. It is
@@ -100,11 +103,18 @@
 	members  Members
 	caller   Caller
 	gossiper Gossiper
+	// keyOf returns the key by which a program's bookkeeper is selected: that of its
+	// slot if the bookkeeper holds the slot's right.
+	keyOf func(program string) string
 }
 
 // NewClient returns a Client of the local bookkeeper and those of the members.
 func NewClient(local *Bookkeeper, members Members, caller Caller, gossiper Gossiper) *Client {
-	return &Client{local: local, members: members, caller: caller, gossiper: gossiper}
+	keyOf := func(program string) string { return program }
+	if local.readRights != nil {
+		keyOf = slotKey
+	}
+	return &Client{local: local, members: members, caller: caller, gossiper: gossiper, keyOf: keyOf}
 }
 
 // Open reserves the tokens of a turn. It returns the instance that made the
@@ -113,7 +123,7 @@
 func (c *Client) Open(ctx context.Context, in OpenRequest) (OpenResponse, discoverer.Member, error) {
 	deadline := time.Now().Add(in.Wait)
 	for {
-		m := c.members.Bookkeepers(in.Program)[0]
+		m := c.members.Bookkeepers(c.keyOf(in.Program))[0]
 		in.Observations, in.Verdicts = c.gossiper.Observations(), c.local.verdicts.Verdicts()
 		in.Wait = min(time.Until(deadline), bookkeeperTimeout)
 		out, err := call(ctx, c, m, methodOpen, in.Wait, in, c.local.Open)
--- a/internal/bookkeeper/events.go
+++ b/internal/bookkeeper/events.go
@@ -15,4 +15,12 @@
 		"a program's row could not be written; its turns are refused", "Check how the store is reached (event 5024).")
 	eventTurnsExpired = logger.Define(5043, "TurnsExpired", log.WarnLevel,
 		"turns were never closed and count as fully used", "Check the instance that served them.")
+	eventRightTaken = logger.Define(5044, "RightTaken", log.InfoLevel,
+		"the right to open the programs of a slot without a row was taken", "None.")
+	eventRightMalformed = logger.Define(5045, "RightMalformed", log.ErrorLevel,
+		"the row of a right is malformed or of a later version; it grants nothing", "Find the writer of the row. A later version is expected during an upgrade.")
+	eventOpeningsRecorded = logger.Define(5046, "OpeningsRecorded", log.InfoLevel,
+		"programs that were opened without a row were charged what they used", "None.")
+	eventDeductionBegan = logger.Define(5047, "DeductionBegan", log.WarnLevel,
+		"neither the former holder of a right nor its witnesses answered; no program of the slot is opened without a row for a day", "None, if instances were lost; see docs/operators/incidents-entry.md.")
 )
--- a/internal/bookkeeper/handover.go
+++ b/internal/bookkeeper/handover.go
@@ -24,6 +24,7 @@
 	// rest of its grant passes to the successor.
 	Committed int64 `cbor:"5,keyasint"`
 	Homes     homes `cbor:"6,keyasint,omitzero"`
+	Withheld  int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // AdoptRequest hands ledgers over.
@@ -64,7 +65,7 @@
 		if p.ledger.isLoaded {
 			handovers = append(handovers, Handover{
 				Program: program, Version: p.ledger.version, Grants: p.ledger.grants,
-				Holder: s.holder, Committed: p.ledger.committed(), Homes: p.homes,
+				Holder: s.holder, Committed: p.ledger.committed(), Homes: p.homes, Withheld: p.ledger.withheld,
 			})
 		}
 	}
@@ -79,16 +80,12 @@
 		s.log.Log(eventBooksAdopted, "From", handovers[0].Holder, "Books", len(handovers))
 	}
 	for _, h := range handovers {
-		p := s.programs[h.Program]
-		if p == nil {
-			p = &programState{ledger: newLedger(s.holder)}
-			s.programs[h.Program] = p
-		}
+		p := s.program(h.Program)
 		p.lastUsed = time.Now()
 		if p.homes.Last == "" {
 			p.homes = h.Homes
 		}
-		p.ledger.inherit(h.Version, row{Grants: h.Grants}, h.Holder, h.Committed)
+		p.ledger.inherit(h.Version, row{Grants: h.Grants, Withheld: h.Withheld}, h.Holder, h.Committed)
 	}
 }
 
@@ -106,7 +103,7 @@
 	}
 	bySuccessor := map[string]*successor{}
 	for _, h := range handovers {
-		m := c.members.Bookkeepers(h.Program)[0]
+		m := c.members.Bookkeepers(c.keyOf(h.Program))[0]
 		if m.Instance == c.members.Self().Instance {
 			continue // No other bookkeeper is known; the grants stay with this holder.
 		}
--- a/internal/bookkeeper/ledger.go
+++ b/internal/bookkeeper/ledger.go
@@ -6,6 +6,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
+
+	"github.com/wigeonstand/wigeonstand/internal/opener"
 )
 
 // Table names the store table that has one row per program.
@@ -22,6 +24,9 @@
 type row struct {
 	// Grants maps each holder to its tokens.
 	Grants map[string]int64 `cbor:"1,keyasint"`
+	// Withheld is the part of the budget that is not granted until the program is
+	// lifted, as it may be used without a row; see package opener.
+	Withheld int64 `cbor:"2,keyasint,omitempty"`
 }
 
 func decodeRow(value []byte) (row, error) {
@@ -45,6 +50,8 @@
 	exhausted
 	// pending means that a larger grant must be written first.
 	pending
+	// withheld means that the program must be lifted first.
+	withheld
 )
 
 // reservation holds the tokens that an open turn may use.
@@ -57,6 +64,10 @@
 // safe for concurrent use.
 type ledger struct {
 	holder string
+	// share is the part of a budget to withhold in a new row, in thousandths, and
+	// withheld that of the row in tokens.
+	share    int64
+	withheld int64
 	// version and grants are those of the row; grantedToOthers is the sum of the
 	// grants of the other holders.
 	version         int64
@@ -78,14 +89,14 @@
 	isClosing bool
 }
 
-func newLedger(holder string) *ledger {
-	return &ledger{holder: holder, reservations: map[string]reservation{}}
+func newLedger(holder string, share int64) *ledger {
+	return &ledger{holder: holder, share: share, reservations: map[string]reservation{}}
 }
 
 // load sets the version and the grants from a row. The uncommitted part of
 // inherited grants is added to this holder's grant.
 func (l *ledger) load(version int64, r row) {
-	l.version, l.grantedToOthers, l.isLoaded = version, 0, true
+	l.version, l.grantedToOthers, l.withheld, l.isLoaded = version, 0, r.Withheld, true
 	l.grants = make(map[string]int64, len(r.Grants)+1)
 	for holder, grant := range r.Grants {
 		if committed, found := l.inherited[holder]; found && committed < grant {
@@ -142,7 +153,7 @@
 func (l *ledger) closedRow() row {
 	l.release()
 	l.isClosing = true
-	r := row{Grants: maps.Clone(l.grants)}
+	r := row{Grants: maps.Clone(l.grants), Withheld: l.withheld}
 	delete(r.Grants, l.holder)
 	if l.used > 0 {
 		r.Grants[settledHolder] += l.used
@@ -164,7 +175,7 @@
 
 // reduceGrants lowers the grants of other holders to their committed tokens.
 func (l *ledger) reduceGrants(committed map[string]int64) {
-	reduced := row{Grants: make(map[string]int64, len(l.grants))}
+	reduced := row{Grants: make(map[string]int64, len(l.grants)), Withheld: l.withheld}
 	for holder, grant := range l.grants {
 		if committedTokens, given := committed[holder]; given {
 			grant = min(grant, committedTokens)
@@ -202,10 +213,28 @@
 	case l.grantedToOthers+l.committed()+tokens > budget:
 		// Before the row is loaded, grantedToOthers is zero, which is a lower bound.
 		return exhausted
+	case l.isLoaded && l.withheld > 0 && l.grantedToOthers+l.committed()+tokens > budget-l.withheld:
+		return withheld
 	}
 	return pending
 }
 
+// isCharged reports whether the row has what the program used without a row.
+func (l *ledger) isCharged() bool { return l.isLoaded && l.version != 0 && l.withheld == 0 }
+
+// chargedRow returns the row with the tokens that the program used without a row.
+func (l *ledger) chargedRow(tokens int64) row {
+	r := row{Grants: make(map[string]int64, len(l.grants)+1)}
+	maps.Copy(r.Grants, l.grants)
+	if grant := l.grant(); grant > 0 {
+		r.Grants[l.holder] = grant
+	}
+	if tokens > 0 {
+		r.Grants[settledHolder] += tokens
+	}
+	return r
+}
+
 // settle replaces a turn's reservation by the tokens that the turn used.
 func (l *ledger) settle(turn string, used int64) {
 	t, found := l.reservations[turn]
@@ -235,13 +264,21 @@
 // several data centres has as many holders, and if all of them die, the rest of
 // the budget must still allow further turns.
 func (l *ledger) nextRow(tokens, budget int64) row {
-	r := row{Grants: make(map[string]int64, len(l.grants)+1)}
+	r := row{Grants: make(map[string]int64, len(l.grants)+1), Withheld: l.withheld}
+	if l.version == 0 && l.share > 0 {
+		r.Withheld = opener.Withheld(budget, l.share)
+	}
 	maps.Copy(r.Grants, l.grants)
 	need := l.committed() + tokens
+	budget -= r.Withheld
 	left := budget - l.grantedToOthers - l.committed()
 	// Nothing is granted ahead of need from a budget of few turns: if this holder
 	// died, the rest would not suffice for a turn.
 	ahead := max(min(left*aheadPercent/100, aheadTurns*tokens)-tokens/2, 0)
 	r.Grants[l.holder] = max(l.grant(), need, min(need+ahead, budget-l.grantedToOthers))
+	if r.Withheld > 0 {
+		// A turn that doesn't fit waits until the program is lifted.
+		r.Grants[l.holder] = max(l.grant(), min(r.Grants[l.holder], budget-l.grantedToOthers))
+	}
 	return r
 }
--- /dev/null
+++ b/internal/bookkeeper/rights_test.go
@@ -0,0 +1,374 @@
+package bookkeeper_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/wigeonstand/wigeonstand/internal/bookkeeper"
+	"github.com/wigeonstand/wigeonstand/internal/discoverer"
+	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
+	"github.com/wigeonstand/wigeonstand/internal/messenger"
+	"github.com/wigeonstand/wigeonstand/internal/registrar"
+	"github.com/wigeonstand/wigeonstand/internal/storer"
+)
+
+const (
+	outageShare  = 250
+	outageBudget = 40 * turnTokens
+)
+
+// outageFleet is a data centre whose bookkeepers open programs without a row.
+type outageFleet struct {
+	*dataCentre
+	isAway             atomic.Bool
+	opened, deductions atomic.Int64
+	spent              map[string]int64
+}
+
+func newOutageFleet(t *testing.T, f *fleet, n int) *outageFleet {
+	t.Helper()
+	o := &outageFleet{spent: map[string]int64{}, dataCentre: &dataCentre{fleet: f, network: &network{
+		handlers: map[netip.AddrPort]map[string]messenger.Handler{}, silent: map[netip.AddrPort]bool{},
+	}}}
+	for range n {
+		o.add(t)
+	}
+	return o
+}
+
+// add starts a further instance.
+func (o *outageFleet) add(t *testing.T) {
+	t.Helper()
+	i := len(o.members)
+	self := discoverer.Member{
+		Instance: fmt.Sprintf("entry-%02d", i), Incarnation: fmt.Sprintf("process-%02d", i), DataCentre: "dc", Cores: 1,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1), OutageShare: outageShare,
+	}
+	members := discoverer.New(self, o.rows.For(self.Instance))
+	var held atomic.Int64
+	k := o.start(self.Incarnation, bookkeeper.WithOutageBudgets(bookkeeper.OutageBudgets{
+		Share: outageShare, Rows: o.rows.For(self.Instance), Members: members, Caller: o.network,
+		IsStoreAway: o.isAway.Load, CountOpened: func() { o.opened.Add(1) },
+		SetHeld: func(_, deductions int) { o.deductions.Add(int64(deductions) - held.Swap(int64(deductions))) },
+	}))
+	o.members = append(o.members, members)
+	o.clients = append(o.clients, bookkeeper.NewClient(k, members, o.network, registrar.New()))
+	o.network.mu.Lock()
+	defer o.network.mu.Unlock()
+	o.network.handlers[self.Address] = k.Handlers(registrar.New())
+}
+
+// killInstance stops an instance without notice to the others.
+func (o *outageFleet) killInstance(i int) {
+	self := o.members[i].Self()
+	o.kill(self.Incarnation)
+	o.network.mu.Lock()
+	defer o.network.mu.Unlock()
+	delete(o.network.handlers, self.Address)
+}
+
+func (o *outageFleet) isAlive(i int) bool {
+	return o.bookkeeper(o.members[i].Self().Incarnation) != nil
+}
+
+// pass lets the time pass, in which the living instances maintain the membership.
+func (o *outageFleet) pass(t *testing.T, d time.Duration) {
+	t.Helper()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Second) {
+		for i, m := range o.members {
+			if o.isAlive(i) && !o.isAway.Load() {
+				if err := m.WriteHeartbeat(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		for i, m := range o.members {
+			if _, _, err := m.Refresh(t.Context()); err != nil && o.isAlive(i) && !o.isAway.Load() {
+				t.Fatal(err)
+			}
+		}
+	}
+}
+
+func (o *outageFleet) setAway(isAway bool) {
+	o.isAway.Store(isAway)
+	setOutage(o.fleet, isAway)
+	for i, m := range o.members {
+		if isAway && o.isAlive(i) {
+			o.bookkeeper(m.Self().Incarnation).StoreLost()
+		}
+	}
+}
+
+// turn runs a turn at the client, which uses the tokens.
+func (o *outageFleet) turn(t *testing.T, client int, program string, used int64) bookkeeper.Status {
+	t.Helper()
+	status, _ := o.runTurn(t, client, program, fmt.Sprint("turn-", time.Now().UnixNano(), "-", o.spent[program]), outageBudget, used)
+	if status == bookkeeper.OK {
+		o.spent[program] += used
+	}
+	if o.spent[program] > outageBudget {
+		t.Fatalf("%s used %d tokens of %d", program, o.spent[program], int64(outageBudget))
+	}
+	return status
+}
+
+// spendRest uses up the program's budget and returns what was used of it.
+func (o *outageFleet) spendRest(t *testing.T, client int, program string) int64 {
+	t.Helper()
+	for range 2 * outageBudget / turnTokens {
+		if o.turn(t, client, program, turnTokens) != bookkeeper.OK {
+			break
+		}
+	}
+	return o.spent[program]
+}
+
+const outagePrograms = 20
+
+func program(i int) string { return fmt.Sprint("program-", i) }
+
+// openDuringOutage runs two turns of new programs at all clients, during an outage, and
+// requires that they are served.
+func (o *outageFleet) openDuringOutage(t *testing.T, first int) {
+	t.Helper()
+	o.setAway(true)
+	o.pass(t, 2*time.Second)
+	for i := first; i < first+outagePrograms; i++ {
+		client := i % len(o.clients)
+		if !o.isAlive(client) {
+			client = len(o.clients) - 1
+		}
+		for range 2 {
+			if status := o.turn(t, client, program(i), 70); status != bookkeeper.OK {
+				t.Errorf("%s during the outage: status %v", program(i), status)
+			}
+		}
+	}
+}
+
+// Guards against new programs that are refused during an outage, and against budgets that
+// forget what was used meanwhile.
+func TestNewProgramsAreServedDuringOutage(t *testing.T) {
+	runFleet(t, 1, func(t *testing.T, f *fleet) {
+		o := newOutageFleet(t, f, 4)
+		o.pass(t, 12*time.Second)
+		for round := range 2 {
+			first := round * outagePrograms
+			o.openDuringOutage(t, first)
+			// No program gets more than the share.
+			for o.turn(t, 0, program(first), turnTokens) == bookkeeper.OK {
+			}
+			if most := int64(outageBudget * outageShare / 1000); o.spent[program(first)] > most {
+				t.Errorf("%d tokens were used without a row, want at most %d", o.spent[program(first)], most)
+			}
+			o.setAway(false)
+			o.pass(t, 10*time.Second)
+			for i := first; i < first+3; i++ {
+				// The last turn of the tokens that were used in parts doesn't fit.
+				if used := o.spendRest(t, i%4, program(i)); used <= outageBudget-2*turnTokens {
+					t.Errorf("%s could use %d of %d tokens", program(i), used, int64(outageBudget))
+				}
+			}
+		}
+		if diff := cmp.Diff(int64(2*outagePrograms), o.opened.Load()); diff != "" {
+			t.Errorf("programs opened without a row: %s", diff)
+		}
+	})
+}
+
+// Guards against budgets that are exceeded, or rights that stay blocked, after a holder
+// ended during an outage: its witnesses know what it opened.
+func TestHolderEndsDuringOutage(t *testing.T) {
+	runFleet(t, 1, func(t *testing.T, f *fleet) {
+		o := newOutageFleet(t, f, 5)
+		o.pass(t, 12*time.Second)
+		o.openDuringOutage(t, 0)
+		for i, m := range o.members {
+			if m.Self().Instance == o.members[0].Bookkeepers("p00")[0].Instance {
+				o.killInstance(i)
+			}
+		}
+		o.setAway(false)
+		o.add(t)
+		o.pass(t, 40*time.Second)
+		for i := range 5 {
+			o.pass(t, time.Second) // Instances without heartbeats lose their rights.
+			o.spendRest(t, len(o.clients)-1, program(i))
+		}
+		o.openDuringOutage(t, 100)
+		if diff := cmp.Diff(int64(0), o.deductions.Load()); diff != "" {
+			t.Errorf("deductions: %s", diff)
+		}
+	})
+}
+
+// Guards against budgets that are exceeded after all instances ended during an outage, when
+// nobody knows what they opened: programs have their rest.
+func TestAllInstancesEndDuringOutage(t *testing.T) {
+	runFleet(t, 1, func(t *testing.T, f *fleet) {
+		o := newOutageFleet(t, f, 4)
+		o.pass(t, 12*time.Second)
+		o.openDuringOutage(t, 0)
+		for i := range o.clients {
+			o.killInstance(i)
+		}
+		o.setAway(false)
+		for range 4 {
+			o.add(t)
+		}
+		o.pass(t, 60*time.Second)
+		if o.deductions.Load() == 0 {
+			t.Error("no deduction is in force")
+		}
+		for i := range 5 {
+			o.pass(t, time.Second) // Instances without heartbeats lose their rights.
+			used := o.spendRest(t, 4+i%4, program(i)) - 2*70
+			if least := int64(outageBudget*(1000-outageShare)/1000 - 2*turnTokens); used < least {
+				t.Errorf("%s could use %d tokens by rows, want at least %d", program(i), used, least)
+			}
+		}
+	})
+}
+
+// Guards against rows that grant something although they are no valid right.
+func TestMalformedRightGrantsNothing(t *testing.T) {
+	later := []byte{0xa1, 0x01, 0x02}
+	for name, value := range map[string][]byte{"malformed": []byte("x"), "later version": later} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, 1, func(t *testing.T, f *fleet) {
+				key := func(i int) storer.RowKey {
+					return storer.RowKey{Table: bookkeeper.RightsTable, Partition: "rights", Name: storer.PartitionName(i)}
+				}
+				for i := range 64 {
+					f.rows.Put(key(i), value)
+				}
+				o := newOutageFleet(t, f, 4)
+				o.pass(t, 12*time.Second)
+				o.setAway(true)
+				if status := o.turn(t, 0, "p", 70); status != bookkeeper.Unavailable {
+					t.Errorf("status %v", status)
+				}
+				o.isAway.Store(false)
+				f.rows.SetFaults(fakeplatform.RowFaults{})
+				page, err := f.rows.For("x").List(t.Context(), storer.Range{Table: bookkeeper.RightsTable, Partition: "rights"})
+				if err != nil {
+					t.Fatal(err)
+				}
+				if isKept := string(page.Records[0].Value) == string(value); isKept != (name == "later version") {
+					t.Errorf("the row was kept: %v", isKept)
+				}
+			})
+		})
+	}
+}
+
+// Guards against budgets that are exceeded by what is opened without a row, while the store
+// fails, and instances are killed and become unreachable for others. The decisions are
+// checked more widely in package opener.
+func TestBudgetsHoldWithOpeningsUnderFaults(t *testing.T) {
+	opened := int64(0)
+	for seed := range uint64(30) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			runFleet(t, seed, func(t *testing.T, f *fleet) {
+				o := newOutageFleet(t, f, 4)
+				o.pass(t, 8*time.Second)
+				openingsUnderFaults(t, o, seed)
+				opened += o.opened.Load()
+			})
+		})
+	}
+	if opened < 100 {
+		t.Errorf("%d programs were opened without a row, which is too few to show anything", opened)
+	}
+}
+
+func openingsUnderFaults(t *testing.T, o *outageFleet, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 11))
+	var mu sync.Mutex
+	var turns sync.WaitGroup
+	living := func() int {
+		for {
+			if i := random.IntN(len(o.clients)); o.isAlive(i) {
+				return i
+			}
+		}
+	}
+	for step := range 120 {
+		switch random.IntN(16) {
+		case 0, 1:
+			o.setAway(!o.isAway.Load())
+		case 2:
+			if !o.isAway.Load() {
+				o.rows.SetFaults(fakeplatform.RowFaults{LoseAnswers: random.Float64() / 2, LandLate: time.Duration(random.IntN(3000)) * time.Millisecond})
+			}
+		case 3:
+			o.network.mu.Lock()
+			o.network.silent[o.members[living()].Self().Address] = true
+			o.network.mu.Unlock()
+		case 4, 5:
+			o.network.mu.Lock()
+			clear(o.network.silent)
+			o.network.mu.Unlock()
+		case 6:
+			if random.IntN(3) == 0 {
+				o.killInstance(living())
+				o.add(t)
+			}
+		case 7, 8:
+			o.passBesideFaults(t, time.Duration(1+random.IntN(6))*time.Second)
+		}
+		client, used := o.clients[living()], int64(random.IntN(turnTokens+1))
+		in := bookkeeper.OpenRequest{
+			Program: program(step/30*3 + random.IntN(3)), Turn: fmt.Sprint(step), Tokens: turnTokens, Budget: outageBudget, Wait: time.Second,
+		}
+		loseClose := random.IntN(8) == 0
+		turns.Go(func() {
+			for n := range 6 {
+				in := in
+				in.Turn = fmt.Sprint(in.Turn, "-", n)
+				out, member, err := client.Open(t.Context(), in)
+				if err != nil || out.Status != bookkeeper.OK {
+					return
+				}
+				mu.Lock()
+				o.spent[in.Program] += used
+				mu.Unlock()
+				if !loseClose {
+					// A lost call is one of the faults.
+					_ = client.Close(t.Context(), member, bookkeeper.CloseRequest{Program: in.Program, Turn: in.Turn, Used: used, Wait: time.Second})
+				}
+			}
+		})
+		time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
+	}
+	turns.Wait()
+	for name, spent := range o.spent {
+		if spent > outageBudget {
+			t.Errorf("%s used %d tokens of %d", name, spent, int64(outageBudget))
+		}
+	}
+}
+
+// passBesideFaults lets the time pass. Heartbeats may fail.
+func (o *outageFleet) passBesideFaults(t *testing.T, d time.Duration) {
+	t.Helper()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Second) {
+		for i, m := range o.members {
+			if o.isAlive(i) {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				_ = m.WriteHeartbeat(ctx) // A failed call of the store is one of the faults.
+				_, _, _ = m.Refresh(ctx)  // The same.
+				cancel()
+			}
+		}
+	}
+}
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -146,11 +146,14 @@
 			if from == rerouter.Lost {
 				e.batcher.Resume()
 			}
+			if to == rerouter.Lost {
+				e.bookkeeper.StoreLost()
+			}
 		}))
 	self := discoverer.Member{
 		Instance: settings.Instance, Incarnation: settings.Instance + "/" + ulid.Make().String(),
 		Address: settings.PeerAddress, DataCentre: settings.DataCentre,
-		Cores: settings.CoreShare * float64(settings.Cores),
+		Cores: settings.CoreShare * float64(settings.Cores), OutageShare: outageShare(settings),
 	}
 	e.discoverer = discoverer.New(self, e.rerouter, discoverer.WithSeeds(settings.Seeds))
 	e.rerouter.SetRelays(e.discoverer)
@@ -169,8 +172,9 @@
 		pruner.Table{Name: transcriber.Table, MaxAge: func() time.Duration { return orphanRetentionFactor * pruner.RowRetention(e.longestRetention()) }},
 		pruner.Table{Name: bookkeeper.Table, MaxAge: func() time.Duration { return budgetRetention }})
 	quarantine := quarantiner.New(e.tunneler, e.registry, e.discoverer, e.peerClient, quarantiner.WithLogger(e.log))
+	bookkeeperOptions := []bookkeeper.Option{bookkeeper.WithLogger(e.log), bookkeeper.WithPruner(e.pruner.Schedule), bookkeeper.WithVerdicts(quarantine)}
 	e.bookkeeper = bookkeeper.New(self.Incarnation, e.batcher, bookkeeper.NewReclaimer(e.discoverer, e.peerClient),
-		bookkeeper.WithLogger(e.log), bookkeeper.WithPruner(e.pruner.Schedule), bookkeeper.WithVerdicts(quarantine))
+		append(bookkeeperOptions, e.outageBudgets(metrics)...)...)
 	e.budgets = bookkeeper.NewClient(e.bookkeeper, e.discoverer, e.peerClient, e.registry)
 	permits := rationer.New(e.discoverer, e.peerClient, rationer.WithLogger(e.log), rationer.WithCounter(metrics.countPermit))
 	streams := resumer.New(e.discoverer, e.peerClient, resumer.WithLogger(e.log))
--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -1,6 +1,7 @@
 package composer
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -21,6 +22,10 @@
 	retries           *prometheus.CounterVec
 	storeCalls        *prometheus.CounterVec
 	permits           *prometheus.CounterVec
+	openedWithoutRow  *prometheus.CounterVec
+	// rightsHeld and deductions are read by gauges.
+	rightsHeld atomic.Int64
+	deductions atomic.Int64
 }
 
 func newMetrics(m *meter.Meter, s *sender.Sender, endpoints *registrar.Registry) *metrics {
@@ -30,10 +35,13 @@
 		retries:           m.NewCounter("entry_retries_total", "Further attempts by reason.", "Reason"),
 		storeCalls:        m.NewCounter("entry_store_calls_total", "Calls to the store by operation, way and result.", "Operation", "Way", "Result"),
 		permits:           m.NewCounter("entry_permits_total", "Permits asked for, of endpoints with a limit, by result.", "Result"),
+		openedWithoutRow:  m.NewCounter("entry_programs_without_row_total", "Programs opened without a row while the store was away."),
 		requestSeconds:    m.NewHistogram("entry_request_seconds", "Time from arrival to the end of the answer.", "Route"),
 		firstEventSeconds: m.FirstTokenSeconds,
 	}
 	m.NewGaugeFunc("entry_connections_opened", "Connections opened to endpoints.", func() float64 { return float64(s.ConnectionsOpened()) })
+	m.NewGaugeFunc("entry_rights_held", "Rights to open programs without a row that this instance holds.", func() float64 { return float64(out.rightsHeld.Load()) })
+	m.NewGaugeFunc("entry_rights_deducting", "Rights held whose programs are not opened without a row, as those of a lost holder are unknown.", func() float64 { return float64(out.deductions.Load()) })
 	m.NewGaugeFunc("entry_limited_endpoints", "Endpoints that state a limit of requests a second.", func() float64 { return float64(endpoints.LimitedCount()) })
 	return out
 }
--- a/internal/configurer/entry.go
+++ b/internal/configurer/entry.go
@@ -47,6 +47,7 @@
 	Log         EntryLog
 	Admission   Admission
 	Placement   Placement
+	Budgets     Budgets
 }
 
 // EntryLog configures the log.
@@ -79,6 +80,14 @@
 	Margin float64 `validate:"min=0"`
 }
 
+// Budgets configures the token budgets of programs.
+type Budgets struct {
+	// OutageShare is the fraction of its budget that a new program may use while the
+	// store is unavailable. It is withheld otherwise until the program needs it. Zero
+	// means that new programs wait for the store. All instances must have the same.
+	OutageShare float64 `validate:"min=0,max=0.5"`
+}
+
 // DefaultEntrySettings returns the values of the settings that have a default.
 func DefaultEntrySettings() *EntrySettings {
 	return &EntrySettings{
--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -70,6 +70,8 @@
 	Cores float64 `cbor:"6,keyasint"`
 	// Interval is the time until the next heartbeat.
 	Interval time.Duration `cbor:"7,keyasint"`
+	// OutageShare is the part of budgets that the instance withholds, in thousandths.
+	OutageShare int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // memberState is a member with the local time since which its row has not changed.
