internal/bookkeeper: take no vacant right beside instances without the setting

While the setting is rolled out, instances without it grant whole budgets by rows. A right that was taken clean meanwhile would open their programs once they are gone. Vacant rights are now taken when all known members state the share, and a slot that then has rows without a withheld share begins with a deduction. The package's tests pass with -race.

--- a/internal/bookkeeper/rights.go
+++ b/internal/bookkeeper/rights.go
@@ -287,7 +287,9 @@
 
 func (r *rights) handleRead(s *state, m rightsRead) {
 	r.chargesLeft = chargesPerRead
-	r.isShareCommon = !slices.ContainsFunc(r.Members.Ranking("", maxMembers), func(m discoverer.Member) bool { return m.OutageShare < r.Share })
+	r.isShareCommon = !slices.ContainsFunc(r.Members.Ranking("", maxMembers), func(m discoverer.Member) bool {
+		return m.Incarnation != "" && m.OutageShare < r.Share // A seed has no incarnation.
+	})
 	r.witness.Prune(time.Now().Add(-usageWindow - programLife))
 	if m.err != nil {
 		return // The path to the store is logged where it changes.
@@ -365,6 +367,10 @@
 	}
 	current := sl.current
 	if current.Version == 0 {
+		if !r.isShareCommon {
+			sl.isChecked = false // Others still write rows without a withheld share.
+			return
+		}
 		if !sl.isChecked {
 			r.run(func() { s.send(r.checkVacancy(i)) })
 			return
--- a/internal/bookkeeper/rights_test.go
+++ b/internal/bookkeeper/rights_test.go
@@ -46,11 +46,17 @@
 
 // add starts a further instance.
 func (o *outageFleet) add(t *testing.T) {
+	t.Helper()
+	o.addWithShare(t, outageShare)
+}
+
+// addWithShare starts a further instance that states the share.
+func (o *outageFleet) addWithShare(t *testing.T, share int64) {
 	t.Helper()
 	i := len(o.members)
 	self := discoverer.Member{
 		Instance: fmt.Sprintf("entry-%02d", i), Incarnation: fmt.Sprintf("process-%02d", i), DataCentre: "dc", Cores: 1,
-		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1), OutageShare: outageShare,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1), OutageShare: share,
 	}
 	members := discoverer.New(self, o.rows.For(self.Instance))
 	var held atomic.Int64
@@ -239,6 +245,32 @@
 	})
 }
 
+// Guards against openings while instances that withhold nothing still write rows, and of the
+// programs that have such rows.
+func TestNothingIsOpenedBesideInstancesWithoutTheSetting(t *testing.T) {
+	runFleet(t, 1, func(t *testing.T, f *fleet) {
+		o := newOutageFleet(t, f, 4)
+		o.addWithShare(t, 0)
+		o.pass(t, 12*time.Second)
+		o.rows.Put(storer.PartitionedKey(bookkeeper.Table, "p"), []byte{0xa1, 0x01, 0xa0}) // No grants, nothing withheld.
+		for _, hasOther := range []bool{true, false} {
+			if !hasOther {
+				o.killInstance(4)
+				o.pass(t, 40*time.Second)
+			}
+			o.setAway(true)
+			if status := o.turn(t, 0, "p", 70); status != bookkeeper.Unavailable {
+				t.Errorf("beside another instance %v: status %v", hasOther, status)
+			}
+			o.setAway(false)
+			o.pass(t, 5*time.Second)
+		}
+		if o.deductions.Load() != 1 {
+			t.Errorf("%d slots have a deduction, want that of the program with a row", o.deductions.Load())
+		}
+	})
+}
+
 // Guards against rows that grant something although they are no valid right.
 func TestMalformedRightGrantsNothing(t *testing.T) {
 	later := []byte{0xa1, 0x01, 0x02}
