--- a/internal/opener/opener_test.go
+++ b/internal/opener/opener_test.go
@@ -367,7 +367,11 @@
 	former := *r.Former
 	openings, isKnown := p.toSettle[former.Tenure]
 	if !isKnown {
-		for _, name := range append([]string{former.Holder}, former.Witnesses...) {
+		names := append([]string{former.Holder}, former.Witnesses...)
+		if i := m.draw(2*len(names), "asked"); i < len(names) {
+			names = names[i : i+1] // The others don't learn of it.
+		}
+		for _, name := range names {
 			m.send(p, name, func(to *process) {
 				var found map[string]int64
 				switch known := to.tenures[former.Tenure]; {
