--- a/internal/bookkeeper/bookkeeper.go
+++ b/internal/bookkeeper/bookkeeper.go
@@ -182,6 +182,11 @@
 	// apportioner divides scarce capacity between the accounts of new programs.
 	apportioner *apportioner.Apportioner
 	needs       Needs
+	// readRights reads the rights and sends them to the actor; nil without budgets for
+	// outages.
+	readRights func(ctx context.Context)
+	// stopRights ends the calls that concern rights and waits for them.
+	stopRights func()
 
 	stopMu    sync.RWMutex
 	isStopped bool
@@ -238,6 +243,12 @@
 func (k *Bookkeeper) Run(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
+	if k.readRights != nil {
+		var reads sync.WaitGroup
+		reads.Go(func() { k.runRights(ctx) })
+		defer reads.Wait()
+		defer k.stopRights()
+	}
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -158,11 +158,14 @@
 			if from == rerouter.Lost {
 				e.batcher.Resume()
 			}
+			if to == rerouter.Lost {
+				e.bookkeeper.StoreLost()
+			}
 		}))
 	self := discoverer.Member{
 		Instance: settings.Instance, Incarnation: settings.Instance + "/" + ulid.Make().String(),
 		Address: settings.PeerAddress, DataCentre: settings.DataCentre,
-		Cores: settings.CoreShare * float64(settings.Cores),
+		Cores: settings.CoreShare * float64(settings.Cores), OutageShare: outageShare(settings),
 	}
 	e.discoverer = discoverer.New(self, e.rerouter, discoverer.WithSeeds(settings.Seeds))
 	e.rerouter.SetRelays(e.discoverer)
@@ -185,8 +188,11 @@
 		pruner.Table{Name: bookkeeper.Table, MaxAge: func() time.Duration { return budgetRetention }})
 	e.quarantine = quarantiner.New(e.tunneler, e.registry, e.discoverer, e.peerClient, quarantiner.WithLogger(e.log), quarantiner.WithTimeouts(e.extender.WithTimeout))
 	needs := estimator.New()
+	bookkeeperOptions := []bookkeeper.Option{
+		bookkeeper.WithLogger(e.log), bookkeeper.WithPruner(e.pruner.Schedule), bookkeeper.WithVerdicts(e.quarantine), bookkeeper.WithNeeds(needs),
+	}
 	e.bookkeeper = bookkeeper.New(self.Incarnation, e.batcher, bookkeeper.NewReclaimer(e.discoverer, e.peerClient),
-		bookkeeper.WithLogger(e.log), bookkeeper.WithPruner(e.pruner.Schedule), bookkeeper.WithVerdicts(e.quarantine), bookkeeper.WithNeeds(needs))
+		append(bookkeeperOptions, e.outageBudgets(metrics)...)...)
 	e.budgets = bookkeeper.NewClient(e.bookkeeper, e.discoverer, e.peerClient, e.registry, bookkeeper.WithTimeouts(e.extender.WithTimeout))
 	permits := rationer.New(e.discoverer, e.peerClient, rationer.WithLogger(e.log), rationer.WithCounter(metrics.countPermit))
 	quotas := e.newQuotas(metrics)
--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -31,6 +32,10 @@
 	programs          *prometheus.CounterVec
 	accounts          *labelLimit
 	pressure          prometheus.Gauge
+	openedWithoutRow  *prometheus.CounterVec
+	// rightsHeld and deductions are read by gauges.
+	rightsHeld atomic.Int64
+	deductions atomic.Int64
 }
 
 func newMetrics(m *meter.Meter, s *sender.Sender, endpoints *registrar.Registry) *metrics {
@@ -44,6 +49,7 @@
 		programs:          m.NewCounter("entry_new_programs_total", "New programs by account, scarcest resource and result.", "Account", "Binding", "Result"),
 		accounts:          newLabelLimit(maxAccountLabels),
 		pressure:          m.NewGauge("entry_contention_pressure", "Pressure that the last new program met on its scarcest resource; all are refused at 1."),
+		openedWithoutRow:  m.NewCounter("entry_programs_without_row_total", "Programs opened without a row while the store was away."),
 		requestSeconds:    m.NewHistogram("entry_request_seconds", "Time from arrival to the end of the answer.", "Route"),
 		firstEventSeconds: m.FirstTokenSeconds,
 		placements:        m.NewCounter("entry_placements_total", "Requests placed by expected end, by way: at home, at an endpoint that invites, drawn, or else as by TwoByHash.", "Way"),
@@ -51,6 +57,8 @@
 		expectedWait:      m.NewHistogram("entry_expected_wait_seconds", "Expected wait at the endpoint that was selected by expected end."),
 	}
 	m.NewGaugeFunc("entry_connections_opened", "Connections opened to endpoints.", func() float64 { return float64(s.ConnectionsOpened()) })
+	m.NewGaugeFunc("entry_rights_held", "Rights to open programs without a row that this instance holds.", func() float64 { return float64(out.rightsHeld.Load()) })
+	m.NewGaugeFunc("entry_rights_deducting", "Rights held whose programs are not opened without a row, as those of a lost holder are unknown.", func() float64 { return float64(out.deductions.Load()) })
 	m.NewGaugeFunc("entry_limited_endpoints", "Endpoints that state a limit of requests a second.", func() float64 { return float64(endpoints.LimitedCount()) })
 	m.NewGaugeFunc("entry_learned_endpoints", "Endpoints of whose speeds more is known than not.", func() float64 { n, _ := endpoints.LearnedCount(); return float64(n) })
 	m.NewGaugeFunc("entry_slowest_endpoint", "Time that the slowest of these endpoints needs, in multiples of the usual time.", func() float64 { _, slowest := endpoints.LearnedCount(); return slowest })
