--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -96,6 +96,13 @@
 	withdrawTimeout = 1500 * time.Millisecond
 )
 
+// soonestPolicies maps the values of the setting Placement.Policy.
+var soonestPolicies = map[string]relayer.Soonest{
+	configurer.PlacementTwoByHash: relayer.SoonestNever,
+	configurer.PlacementByPace:    relayer.SoonestWherePaced,
+	configurer.PlacementSoonest:   relayer.SoonestAlways,
+}
+
 // Platform holds the platform's store, headers and configuration source.
 type Platform struct {
 	Rows    storer.Rows
@@ -213,7 +220,7 @@
 				SoftLimit: settings.Admission.NewPrograms, HardLimit: settings.Admission.NoPrograms,
 				MinRetryAfter: settings.Admission.ReturnLeast, MaxRetryAfter: settings.Admission.ReturnMost,
 			},
-			Margin: settings.Placement.Margin, IsSoonest: settings.Placement.Policy == configurer.PlacementSoonest,
+			Margin: settings.Placement.Margin, Soonest: soonestPolicies[settings.Placement.Policy],
 			ByNeed: settings.Admission.Policy == configurer.AdmissionNeed,
 		},
 	})
--- a/internal/configurer/entry.go
+++ b/internal/configurer/entry.go
@@ -99,14 +99,16 @@
 // The values of Placement.Policy.
 const (
 	PlacementTwoByHash = "TwoByHash"
+	PlacementByPace    = "ByPace"
 	PlacementSoonest   = "Soonest"
 )
 
 // Placement configures the choice of an endpoint.
 type Placement struct {
 	// Policy selects the endpoint: TwoByHash by load and Margin, Soonest by the
-	// expected end of the request.
-	Policy string `validate:"oneof=TwoByHash Soonest"`
+	// expected end of the request. ByPace is Soonest for services whose endpoints state
+	// their pace, as their speeds differ, and TwoByHash for others.
+	Policy string `validate:"oneof=TwoByHash ByPace Soonest"`
 	// Margin is the load, in requests per slot, by which a program's home endpoint
 	// may exceed the least loaded endpoint.
 	Margin float64 `validate:"min=0"`
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -146,6 +146,8 @@
 	readAt      time.Time
 	// capacities holds the queue capacities of the endpoints of services that shed.
 	capacities map[string]queueCapacity
+	// paced holds the services whose endpoints state their pace.
+	paced map[string]bool
 	// removed holds endpoints whose registrations have gone lately, by address.
 	removed map[netip.AddrPort]removal
 }
@@ -188,7 +190,7 @@
 func New() *Registry {
 	return &Registry{
 		byID: map[string]*entry{}, services: map[string][]*entry{}, announced: map[process]*announcement{}, versionSeen: map[serviceVersion]time.Time{},
-		means: map[string]meanLoad{}, invitations: map[string][]invitation{}, removed: map[netip.AddrPort]removal{}, toldTo: map[string]uint64{}, usual: map[workKind]*usual{},
+		means: map[string]meanLoad{}, invitations: map[string][]invitation{}, removed: map[netip.AddrPort]removal{}, paced: map[string]bool{}, toldTo: map[string]uint64{}, usual: map[workKind]*usual{},
 		capacities: map[string]queueCapacity{},
 	}
 }
@@ -345,9 +347,25 @@
 	defer r.mu.Unlock()
 	if e := r.byID[id]; e != nil {
 		e.load, e.reportedAt, e.outstandingAtReport = load, time.Now(), e.outstanding
+		r.lockedRecordPace(e)
 	}
 }
 
+// lockedRecordPace records whether the endpoint stated its pace with its load.
+func (r *Registry) lockedRecordPace(e *entry) {
+	if e.load.Pace > 0 {
+		r.paced[e.Service] = true
+	}
+}
+
+// StatesPace reports whether an endpoint of the service has stated its pace: the endpoints share
+// their machines, so that their speeds differ.
+func (r *Registry) StatesPace(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.paced[service]
+}
+
 // Observation is one instance's knowledge of an endpoint, sent to other instances:
 // the reported load and the last failure.
 type Observation struct {
@@ -438,6 +456,7 @@
 		if at := now.Add(-o.Age); e != nil && at.After(e.reportedAt) {
 			e.load = Load{Running: o.Running, Waiting: o.Waiting, Slots: o.Slots, Pace: float64(max(o.PacePercent, 0)) / percent}
 			e.reportedAt, e.outstandingAtReport = at, e.outstanding
+			r.lockedRecordPace(e)
 		}
 		if e != nil {
 			e.mergeChanges(o, e.reportedAt, now)
--- a/internal/registrar/speed_test.go
+++ b/internal/registrar/speed_test.go
@@ -102,3 +102,21 @@
 		t.Errorf("%+v", u)
 	}
 }
+
+// Guards against endpoints of unequal machines that are taken for equal ones: a service counts as
+// paced as soon as this or another instance has a load with a pace of one of its endpoints.
+func TestServicesWithAPaceAreKnown(t *testing.T) {
+	own, other := registrar.New(), registrar.New()
+	for _, r := range []*registrar.Registry{own, other} {
+		r.Replace([]registrar.Endpoint{newEndpoint("a")})
+		r.Report("a", registrar.Load{Running: 1, Slots: 8})
+		if r.StatesPace("s") {
+			t.Error("no endpoint has stated a pace")
+		}
+	}
+	own.Report("a", registrar.Load{Running: 1, Slots: 8, Pace: 1.5})
+	other.Merge(own.Observations())
+	if !own.StatesPace("s") || !other.StatesPace("s") || own.StatesPace("t") {
+		t.Error("the pace is not known, or taken for that of another service")
+	}
+}
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -88,8 +88,11 @@
 
 // placeCall places a call to a plain service.
 func (x *exchange) placeCall(fleet chooser.Fleet, excluded map[string]bool) (registrar.Candidate, error) {
-	if c, isPlaced := x.placeSoonest(x.work(), "", excluded); isPlaced {
-		return c, nil
+	hasObject := x.call.Object != "" && x.route.SessionAffinity
+	if !hasObject {
+		if c, isPlaced := x.placeSoonest(x.work(), "", excluded); isPlaced {
+			return c, nil
+		}
 	}
 	candidates, err := x.awaitRoom(excluded)
 	if err != nil {
@@ -99,7 +102,7 @@
 		if x.suspicion().Crashes > 0 {
 			return chooser.ForSuspect(x.request().Key.String(), candidates)
 		}
-		if x.call.Object != "" && x.route.SessionAffinity {
+		if hasObject {
 			if i := chooser.ForObject(x.call.Object, candidates); i >= 0 {
 				return i
 			}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -82,6 +82,18 @@
 	IsDetour(endpoint registrar.Endpoint) bool
 }
 
+// Soonest says which requests are placed by their expected end.
+type Soonest int
+
+const (
+	// SoonestNever places none by their expected end.
+	SoonestNever Soonest = iota
+	// SoonestWherePaced places those to services whose endpoints state their pace.
+	SoonestWherePaced
+	// SoonestAlways places all.
+	SoonestAlways
+)
+
 // Policy holds the parameters of admission and placement.
 type Policy struct {
 	Admission admitter.Policy
@@ -91,8 +103,9 @@
 	// Margin is the number of requests per slot by which the load of a turn's home
 	// endpoint may exceed that of the least loaded endpoint.
 	Margin float64
-	// IsSoonest places requests by their expected end instead of by load and margin.
-	IsSoonest bool
+	// Soonest says which requests are placed by their expected end instead of by load and
+	// margin.
+	Soonest Soonest
 }
 
 // Config holds the dependencies and parameters of a Relayer.
