internal/registrar, internal/relayer: only an unusual pace makes a service uneven

Cause: ByPace placed by expected end wherever endpoints state a pace, also where all are equal.

Change: a service is uneven for 30 s after an endpoint stated a pace that differs from the usual one by a tenth.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -99,7 +99,7 @@
 // soonestPolicies maps the values of the setting Placement.Policy.
 var soonestPolicies = map[string]relayer.Soonest{
 	configurer.PlacementTwoByHash: relayer.SoonestNever,
-	configurer.PlacementByPace:    relayer.SoonestWherePaced,
+	configurer.PlacementByPace:    relayer.SoonestWhereUneven,
 	configurer.PlacementSoonest:   relayer.SoonestAlways,
 }
 
--- a/internal/configurer/entry.go
+++ b/internal/configurer/entry.go
@@ -106,8 +106,8 @@
 // Placement configures the choice of an endpoint.
 type Placement struct {
 	// Policy selects the endpoint: TwoByHash by load and Margin, Soonest by the
-	// expected end of the request. ByPace is Soonest for services whose endpoints state
-	// their pace, as their speeds differ, and TwoByHash for others.
+	// expected end of the request. ByPace is Soonest for services whose endpoints stated
+	// an unusual pace lately, as their speeds differ, and TwoByHash for others.
 	Policy string `validate:"oneof=TwoByHash ByPace Soonest"`
 	// Margin is the load, in requests per slot, by which a program's home endpoint
 	// may exceed the least loaded endpoint.
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -146,8 +146,8 @@
 	readAt      time.Time
 	// capacities holds the queue capacities of the endpoints of services that shed.
 	capacities map[string]queueCapacity
-	// paced holds the services whose endpoints state their pace.
-	paced map[string]bool
+	// unevenAt is, by service, when one of its endpoints last stated an unusual pace.
+	unevenAt map[string]time.Time
 	// removed holds endpoints whose registrations have gone lately, by address.
 	removed map[netip.AddrPort]removal
 }
@@ -190,7 +190,7 @@
 func New() *Registry {
 	return &Registry{
 		byID: map[string]*entry{}, services: map[string][]*entry{}, announced: map[process]*announcement{}, versionSeen: map[serviceVersion]time.Time{},
-		means: map[string]meanLoad{}, invitations: map[string][]invitation{}, removed: map[netip.AddrPort]removal{}, paced: map[string]bool{}, toldTo: map[string]uint64{}, usual: map[workKind]*usual{},
+		means: map[string]meanLoad{}, invitations: map[string][]invitation{}, removed: map[netip.AddrPort]removal{}, unevenAt: map[string]time.Time{}, toldTo: map[string]uint64{}, usual: map[workKind]*usual{},
 		capacities: map[string]queueCapacity{},
 	}
 }
@@ -351,19 +351,28 @@
 	}
 }
 
-// lockedRecordPace records whether the endpoint stated its pace with its load.
+const (
+	// unevenPace is by how much a stated pace differs from the usual one if the machine is
+	// shared with other work.
+	unevenPace = 0.1
+	// unevenMemory is how long a service counts as uneven after such a pace.
+	unevenMemory = 30 * time.Second
+)
+
+// lockedRecordPace records whether the endpoint stated an unusual pace with its load.
 func (r *Registry) lockedRecordPace(e *entry) {
-	if e.load.Pace > 0 {
-		r.paced[e.Service] = true
+	if e.load.Pace > 0 && math.Abs(e.load.Pace-1) > unevenPace {
+		r.unevenAt[e.Service] = e.reportedAt
 	}
 }
 
-// StatesPace reports whether an endpoint of the service has stated its pace: the endpoints share
-// their machines, so that their speeds differ.
-func (r *Registry) StatesPace(service string) bool {
+// IsUneven reports whether an endpoint of the service has stated an unusual pace lately: the
+// endpoints share their machines with other work, so that their speeds differ.
+func (r *Registry) IsUneven(service string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.paced[service]
+	at, isKnown := r.unevenAt[service]
+	return isKnown && time.Since(at) <= unevenMemory
 }
 
 // Observation is one instance's knowledge of an endpoint, sent to other instances:
--- a/internal/registrar/speed_test.go
+++ b/internal/registrar/speed_test.go
@@ -103,20 +103,28 @@
 	}
 }
 
-// Guards against endpoints of unequal machines that are taken for equal ones: a service counts as
-// paced as soon as this or another instance has a load with a pace of one of its endpoints.
-func TestServicesWithAPaceAreKnown(t *testing.T) {
-	own, other := registrar.New(), registrar.New()
-	for _, r := range []*registrar.Registry{own, other} {
-		r.Replace([]registrar.Endpoint{newEndpoint("a")})
-		r.Report("a", registrar.Load{Running: 1, Slots: 8})
-		if r.StatesPace("s") {
-			t.Error("no endpoint has stated a pace")
+// Guards against endpoints of unequal machines that are taken for equal ones, and the reverse: a
+// service is uneven while this or another instance has a recent load with an unusual pace.
+func TestUnevenServicesAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		own, other := registrar.New(), registrar.New()
+		for _, r := range []*registrar.Registry{own, other} {
+			r.Replace([]registrar.Endpoint{newEndpoint("a")})
+			r.Report("a", registrar.Load{Running: 1, Slots: 8})
+			r.Report("a", registrar.Load{Running: 1, Slots: 8, Pace: 1})
+			if r.IsUneven("s") {
+				t.Error("no endpoint has stated an unusual pace")
+			}
 		}
-	}
-	own.Report("a", registrar.Load{Running: 1, Slots: 8, Pace: 1.5})
-	other.Merge(own.Observations())
-	if !own.StatesPace("s") || !other.StatesPace("s") || own.StatesPace("t") {
-		t.Error("the pace is not known, or taken for that of another service")
-	}
+		time.Sleep(100 * time.Millisecond)
+		own.Report("a", registrar.Load{Running: 1, Slots: 8, Pace: 1.5})
+		other.Merge(own.Observations())
+		if !own.IsUneven("s") || !other.IsUneven("s") || own.IsUneven("t") {
+			t.Error("the pace is not known, or taken for that of another service")
+		}
+		time.Sleep(time.Minute)
+		if own.IsUneven("s") {
+			t.Error("the service is still uneven")
+		}
+	})
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -88,8 +88,9 @@
 const (
 	// SoonestNever places none by their expected end.
 	SoonestNever Soonest = iota
-	// SoonestWherePaced places those to services whose endpoints state their pace.
-	SoonestWherePaced
+	// SoonestWhereUneven places those to services whose endpoints state that their pace is
+	// not the usual one.
+	SoonestWhereUneven
 	// SoonestAlways places all.
 	SoonestAlways
 )
--- a/internal/relayer/soonest.go
+++ b/internal/relayer/soonest.go
@@ -40,7 +40,7 @@
 // if the request has to be placed otherwise: it is suspected of crashes, or the few endpoints
 // that were drawn are excluded, have failed lately or have a limit.
 func (x *exchange) placeSoonest(w chooser.Work, version string, excluded map[string]bool) (registrar.Candidate, bool) {
-	if x.Policy.Soonest == SoonestNever || x.Policy.Soonest == SoonestWherePaced && !x.Endpoints.StatesPace(x.service) {
+	if x.Policy.Soonest == SoonestNever || x.Policy.Soonest == SoonestWhereUneven && !x.Endpoints.IsUneven(x.service) {
 		return registrar.Candidate{}, false
 	}
 	c, way := x.drawSoonest(w, version, excluded)
