--- a/hack/regression.sh
+++ b/hack/regression.sh
@@ -11,6 +11,9 @@
 sites=(
   further/swf-anfragen
   further-grown/swf-anfragen-grown
+  shifted/laulukaar-stand-now-grown
+  demands/frioteca-yards-grown
+  demands/macleish-lamps-grown
   large/laulukaar-stand-large
   grown/laulukaar-stand-grown
   grown/binfold-hq-grown
--- a/internal/bookkeeper/rights.go
+++ b/internal/bookkeeper/rights.go
@@ -40,7 +40,7 @@
 	// from a holder that is gone, and transferReads from one that is no longer the
 	// slot's bookkeeper. Members are avoided for 2 s after a failed call.
 	takeoverReads = 3
-	// vacantReads is the same for a right that nobody has taken yet: instances that
+	// vacantReads is the same for a right that has not been taken yet: instances that
 	// start at the same time don't know each other at first.
 	vacantReads   = 2
 	transferReads = 5
@@ -162,7 +162,7 @@
 	formerSealed struct {
 		slot   int
 		former string
-		// openings is nil if nobody answered.
+		// openings is nil if no instance answered.
 		openings map[string]int64
 	}
 	openingReported struct {
--- a/internal/bookkeeper/rights_test.go
+++ b/internal/bookkeeper/rights_test.go
@@ -218,7 +218,7 @@
 }
 
 // Guards against budgets that are exceeded after all instances ended during an outage, when
-// nobody knows what they opened: programs have their rest.
+// no instance knows what they opened: programs have their rest.
 func TestAllInstancesEndDuringOutage(t *testing.T) {
 	runFleet(t, 1, func(t *testing.T, f *fleet) {
 		o := newOutageFleet(t, f, 4)
--- a/internal/opener/right.go
+++ b/internal/opener/right.go
@@ -110,7 +110,7 @@
 // isSettled reports whether all openings of former holders are recorded.
 func (r *Right) isSettled() bool { return r.Former == nil && !r.IsDeducting }
 
-// IsLifted reports whether no holder opens the program any more.
+// IsLifted reports whether no holder may open the program from now on.
 func (r *Right) IsLifted(program string) bool {
 	hash := xxhash.Sum64String(program)
 	return slices.Contains(r.Lifted, hash) || slices.Contains(r.LiftedBefore, hash)
--- a/internal/registrar/draw.go
+++ b/internal/registrar/draw.go
@@ -81,7 +81,7 @@
 	return e
 }
 
-// lockedDropInvitations drops the invitations of endpoints that are not registered any more, and of
+// lockedDropInvitations drops the invitations of endpoints that are no longer registered, and of
 // services without requests.
 func (r *Registry) lockedDropInvitations() {
 	for service, list := range r.invitations {
