internal/allotter, internal/admitter, internal/relayer: dead field, plainer comments

Cause: the length of the window was kept in tenure although rights no longer wait for a window; two comments had figures of speech. Change: the field is removed and the comments are reworded.

--- a/internal/admitter/need.go
+++ b/internal/admitter/need.go
@@ -32,7 +32,7 @@
 	// (wigeonbench contention).
 	softEngineLoad = 0.8
 	hardEngineLoad = 1.1
-	// lastPriority is the least urgent priority that is told apart, and levelCount the number
+	// lastPriority is the least urgent priority that is distinguished, and levelCount the number
 	// of levels: each priority in time, and then each priority late.
 	lastPriority = 2
 	levelCount   = 2 * (lastPriority + 1)
--- a/internal/allotter/right.go
+++ b/internal/allotter/right.go
@@ -47,7 +47,6 @@
 // lists and every member that it knows has confirmed that.
 type tenure struct {
 	members Members
-	window  time.Duration
 	// observedAt is the time of the last look, startedAt the beginning of the current
 	// lease, and completeAt when all members had confirmed; zero if not.
 	observedAt, startedAt, completeAt time.Time
--- a/internal/relayer/contention.go
+++ b/internal/relayer/contention.go
@@ -19,7 +19,7 @@
 	Call(program, service string)
 	// Progress returns where a program stands that has the time left to its target.
 	Progress(program, route string, first bool, left time.Duration) estimator.Progress
-	// Need returns what programs of a route need, as far as it is learned, and otherwise as the
+	// Need returns what programs of a route need: what was learned, and otherwise as the
 	// caller states it. Context returns the mean number of tokens that a turn holds.
 	Need(route string, promptTokens, maxTokens int64) estimator.Need
 	Context() float64
