--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -185,6 +185,7 @@
 		watcherOptions = append(watcherOptions, watcher.WithMaxWait(settings.RevokeDeadline/readsPerRevokeDeadline))
 	}
 	e.watcher = watcher.New(platform.Source, e.rerouter, e.registry, watcherOptions...)
+	observeConfiguration(e.meter, e.watcher)
 	var batcherOptions []batcher.Option
 	if settings.OnePartition {
 		batcherOptions = append(batcherOptions, batcher.WithSinglePartition())
--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -71,6 +71,7 @@
 	m := meter.New()
 	newMetrics(m, sender.New(), registrar.New())
 	observeQuotas(m, nil)
+	observeConfiguration(m, nil)
 	return m.Describe()
 }
 
@@ -147,6 +148,19 @@
 	m.quotaRequests.WithLabelValues(string(result)).Inc()
 }
 
+// configuration states what is known of the configuration in force.
+type configuration interface {
+	ConfirmedAt() time.Time
+	ConfigurationBytes() int64
+}
+
+// observeConfiguration adds the metrics of the configuration, which may be nil if they are only
+// described.
+func observeConfiguration(m *meter.Meter, c configuration) {
+	m.NewGaugeFunc("entry_configuration_age_seconds", "Time since the configuration in force was known to be the newest one; grows while reads of it fail.", func() float64 { return time.Since(c.ConfirmedAt()).Seconds() })
+	m.NewGaugeFunc("entry_configuration_bytes", "Size of the configuration in force.", func() float64 { return float64(c.ConfigurationBytes()) })
+}
+
 // observeQuotas adds the metrics of the permits that this instance issues; usage may be nil.
 func observeQuotas(m *meter.Meter, usage func() allotter.Usage) {
 	add := func(name, help string, value func(allotter.Usage) float64) {
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -82,6 +82,8 @@
 	registrations *tracker.Tracker
 
 	table atomic.Pointer[matcher.Table]
+	// tableBytes is the size of the configuration in force.
+	tableBytes atomic.Int64
 	// isComplete is set once the endpoints have been read.
 	isComplete atomic.Bool
 	// tableRowVersion is the version of the last decoded row of the configuration.
@@ -151,6 +153,9 @@
 // it has never been read from the store.
 func (w *Watcher) ConfirmedAt() time.Time { return w.configuration.ReadAt() }
 
+// ConfigurationBytes returns the size of the configuration in force, as stored.
+func (w *Watcher) ConfigurationBytes() int64 { return w.tableBytes.Load() }
+
 // IsComplete reports whether both the configuration and the endpoints have been
 // read.
 func (w *Watcher) IsComplete() bool { return w.isComplete.Load() && w.Table() != nil }
@@ -159,13 +164,13 @@
 func (w *Watcher) Run(ctx context.Context) {
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
-	tasks.Go(func() { w.pollLoop(ctx, "Configuration", w.pollConfiguration) })
-	tasks.Go(func() { w.pollLoop(ctx, "Endpoints", w.pollEndpoints) })
+	tasks.Go(func() { w.pollLoop(ctx, "Configuration", w.configuration, w.pollConfiguration) })
+	tasks.Go(func() { w.pollLoop(ctx, "Endpoints", w.registrations, w.pollEndpoints) })
 }
 
 // pollLoop calls poll until ctx ends. After a failure the next call does not wait
 // for changes, so that it detects the end of an outage without delay.
-func (w *Watcher) pollLoop(ctx context.Context, what string, poll func(context.Context, time.Duration) error) {
+func (w *Watcher) pollLoop(ctx context.Context, what string, copied *tracker.Tracker, poll func(context.Context, time.Duration) error) {
 	isFailing := false
 	for {
 		wait, interval := w.maxWait, pollInterval
@@ -178,7 +183,7 @@
 		}
 		if err != nil {
 			if interval = retryInterval; !isFailing {
-				w.log.Log(eventPollFailed, "What", what, "Cause", err)
+				w.log.Log(eventPollFailed, "What", what, "ReadAgo", age(copied.ReadAt()), "Cause", err)
 			}
 			if !w.IsComplete() {
 				interval = pollInterval
@@ -196,6 +201,14 @@
 	}
 }
 
+// age returns the time since at, or zero if at is zero.
+func age(at time.Time) time.Duration {
+	if at.IsZero() {
+		return 0
+	}
+	return time.Since(at)
+}
+
 // WithMaxWait bounds the time that a read waits for a change, and thereby the age of
 // ConfirmedAt while the store responds.
 func WithMaxWait(d time.Duration) Option { return func(w *Watcher) { w.maxWait = min(d, changeWait) } }
@@ -210,6 +223,7 @@
 }
 
 func (w *Watcher) pollConfiguration(ctx context.Context, wait time.Duration) error {
+	lastRead := w.configuration.ReadAt()
 	if _, err := w.configuration.Refresh(ctx, wait); err != nil {
 		return err
 	}
@@ -227,7 +241,9 @@
 		return nil
 	}
 	w.table.Store(table)
-	w.log.Log(eventConfigurationApplied, "Version", table.Version, "Row", record.Version)
+	w.tableBytes.Store(int64(len(record.Value)))
+	// The version was written after the read before this one.
+	w.log.Log(eventConfigurationApplied, "Version", table.Version, "Row", record.Version, "Bytes", len(record.Value), "LastReadAgo", age(lastRead))
 	return nil
 }
 
