internal/extender, platform: a response that is under way restarts the timeout of its call

Callers saw requests handled by configurations that were older than the confirmed one. Cause: a read of the store had 150 ms to six times the duration of the last read, whichever read that was, for the response and its whole transfer. A configuration with 4,800 routes takes longer over a link of 22 Mbit/s; each failure discarded what had arrived, and the next small read set the limit back to 150 ms.

--- a/internal/extender/extender.go
+++ b/internal/extender/extender.go
@@ -1,6 +1,7 @@
-// Package extender bounds calls by the time in which this process could run. On a busy or
-// frozen host, timers and responses are delayed alike: a timeout in elapsed time then says
-// nothing about the callee.
+// Package extender bounds calls by the time in which this process could run and the call made
+// no progress. On a busy or frozen host, timers and responses are delayed alike: a timeout in
+// elapsed time then says nothing about the callee. Nor does the time that a large response takes
+// on a slow link.
 package extender
 
 import (
@@ -96,38 +97,84 @@
 	return took - expected
 }
 
+// timeout is the timeout of one context.
+type timeout struct {
+	extender *Extender
+	length   time.Duration
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+
+	mu    sync.Mutex
+	timer *time.Timer
+	// start is when the timeout began, and delay the sum of all delays until then.
+	start time.Time
+	delay time.Duration
+	// extended is by how much the timeout was extended, and late the sum of the delays of
+	// its timer. Those of a frozen process may fire before the delay is measured.
+	extended, late time.Duration
+	// respondedAt is the time of the first progress; zero if there was none.
+	respondedAt time.Time
+}
+
+type timeoutKey struct{}
+
 // WithTimeout returns a context that ends with the cause context.DeadlineExceeded once the
-// process could run for the timeout, and like ctx before. The end is delayed by at most
-// maxExtension after the timeout.
-func (e *Extender) WithTimeout(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+// process could run for the timeout without progress of the call, and like ctx before. The end
+// is delayed by at most maxExtension after the timeout.
+func (e *Extender) WithTimeout(ctx context.Context, length time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	start, delay := time.Now(), e.delay()
-	var (
-		mu    sync.Mutex
-		timer *time.Timer
-		// extended is by how much the timeout was extended, and late the sum of the delays of
-		// its timer. Those of a frozen process may fire before the delay is measured.
-		extended, late time.Duration
-	)
-	mu.Lock()
-	defer mu.Unlock()
-	timer = time.AfterFunc(timeout, func() {
-		// Run may still wait for its first turn.
-		runtime.Gosched()
-		mu.Lock()
-		defer mu.Unlock()
-		elapsed := time.Since(start)
-		late += delayOf(elapsed-timeout-extended-late, 0)
-		left := min(timeout-elapsed+max(e.delay()-delay, late), maxExtension-extended)
-		if left <= 0 || ctx.Err() != nil {
-			cancel(context.DeadlineExceeded)
-			return
-		}
-		extended += left
-		timer.Reset(left)
-	})
-	return ctx, func() {
-		timer.Stop()
+	t := &timeout{extender: e, length: length, cancel: cancel, start: time.Now(), delay: e.delay()}
+	t.ctx = context.WithValue(ctx, timeoutKey{}, t)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.timer = time.AfterFunc(length, t.fire)
+	return t.ctx, func() {
+		t.timer.Stop()
 		cancel(context.Canceled)
 	}
 }
+
+func (t *timeout) fire() {
+	// Run may still wait for its first turn.
+	runtime.Gosched()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	elapsed := time.Since(t.start)
+	t.late += delayOf(elapsed-t.length-t.extended-t.late, 0)
+	left := min(t.length-elapsed+max(t.extender.delay()-t.delay, t.late), maxExtension-t.extended)
+	if left <= 0 || t.ctx.Err() != nil {
+		t.cancel(context.DeadlineExceeded)
+		return
+	}
+	t.extended += left
+	t.timer.Reset(left)
+}
+
+// Progress restarts the timeout of a context that WithTimeout returned: a response that is
+// under way shows that the callee is there, however long the transfer takes. Other contexts are
+// not affected.
+func Progress(ctx context.Context) {
+	t, ok := ctx.Value(timeoutKey{}).(*timeout)
+	if !ok || ctx.Err() != nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.start, t.delay, t.extended, t.late = time.Now(), t.extender.delay(), 0, 0
+	if t.respondedAt.IsZero() {
+		t.respondedAt = t.start
+	}
+	t.timer.Reset(t.length)
+}
+
+// RespondedAt returns the time of the first Progress of a context that WithTimeout returned, or
+// zero if there was none.
+func RespondedAt(ctx context.Context) time.Time {
+	t, ok := ctx.Value(timeoutKey{}).(*timeout)
+	if !ok {
+		return time.Time{}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.respondedAt
+}
--- a/internal/extender/extender_test.go
+++ b/internal/extender/extender_test.go
@@ -108,3 +108,31 @@
 		}
 	})
 }
+
+// A response that takes longer than the timeout on a slow link was cut off while it arrived.
+func TestProgressRestartsTheTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		ctx, cancel := extender.New().WithTimeout(t.Context(), 150*time.Millisecond)
+		defer cancel()
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			extender.Progress(context.WithValue(ctx, struct{}{}, nil))
+		}
+		if err := ctx.Err(); err != nil {
+			t.Errorf("%v while the call made progress", err)
+		}
+		if diff := cmp.Diff(start.Add(100*time.Millisecond), extender.RespondedAt(ctx)); diff != "" {
+			t.Error(diff)
+		}
+		<-ctx.Done()
+		if diff := cmp.Diff(2150*time.Millisecond, time.Since(start)); diff != "" {
+			t.Error(diff)
+		}
+		extender.Progress(ctx) // It has no effect after the end.
+		extender.Progress(t.Context())
+		if diff := cmp.Diff(context.DeadlineExceeded, context.Cause(ctx), cmp.Comparer(errors.Is)); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/internal/rerouter/relay.go
+++ b/internal/rerouter/relay.go
@@ -36,10 +36,11 @@
 		bounded, cancel := r.withTimeout(ctx, r.timeout(op.isWrite)+op.wait+relayMargin)
 		err := relayed(bounded, m)
 		isTimeout := errors.Is(context.Cause(bounded), context.DeadlineExceeded)
+		took := responseTime(bounded, start)
 		cancel()
 		r.countCall(op.name, Relayed.String(), resultName(err))
 		if ctx.Err() == nil {
-			r.adaptTimeouts(op, isResponse(err), isTimeout, time.Since(start))
+			r.adaptTimeouts(op, isResponse(err), isTimeout, took)
 		}
 		if isResponse(err) {
 			r.recordRelayResult(m, true)
--- a/internal/rerouter/rerouter.go
+++ b/internal/rerouter/rerouter.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/wigeonstand/wigeonstand/internal/discoverer"
+	"github.com/wigeonstand/wigeonstand/internal/extender"
 	"github.com/wigeonstand/wigeonstand/internal/storer"
 )
 
@@ -92,7 +93,7 @@
 }
 
 // Timeouts returns a context that ends after the timeout with the cause
-// context.DeadlineExceeded.
+// context.DeadlineExceeded. That of package extender restarts while a response is under way.
 type Timeouts func(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
 
 // Rerouter implements storer.Rows on the path that works. It is safe for concurrent
@@ -384,7 +385,7 @@
 	if isOutdated {
 		return err
 	}
-	r.adaptTimeouts(op, ok, errors.Is(err, storer.ErrInDoubt) && time.Since(start) >= limit, time.Since(start))
+	r.adaptTimeouts(op, ok, errors.Is(err, storer.ErrInDoubt) && time.Since(start) >= limit, responseTime(bounded, start))
 	switch {
 	case ok:
 		r.setPath(Direct, nil)
@@ -405,6 +406,15 @@
 	return err
 }
 
+// responseTime returns the time from the start of a call to its response, without that of the
+// transfer if the callee reports progress.
+func responseTime(ctx context.Context, start time.Time) time.Duration {
+	if at := extender.RespondedAt(ctx); !at.IsZero() {
+		return at.Sub(start)
+	}
+	return time.Since(start)
+}
+
 // recordDirect records the result of a direct call that started at the given time. It reports
 // whether the result is outdated: a failure if the store has responded to another call since,
 // and a response to a call that waited for changes if the store has refused another one since.
