internal/messenger, internal/bootstrapper: long replies of instances arrive in parts

Replies above 64 KiB are now sent in parts, each of which restarts the timeout of the call. Instances of earlier versions reply at once and get replies at once. TestLongRepliesArriveInParts: the reply of 6 MB failed before.

--- a/internal/bootstrapper/bootstrapper.go
+++ b/internal/bootstrapper/bootstrapper.go
@@ -23,8 +23,7 @@
 	// maxAttempts is the maximum number of instances asked for one copy. The
 	// settings name at most three instances.
 	maxAttempts = 3
-	// callTimeout limits one call. The transfer of a table of 3,000 rows takes about
-	// ten milliseconds.
+	// callTimeout limits the time until a copy, or its next part, arrives.
 	callTimeout = 500 * time.Millisecond
 )
 
@@ -57,17 +56,32 @@
 
 // Bootstrapper fetches and serves copies of tables. It is safe for concurrent use.
 type Bootstrapper struct {
-	members Members
-	caller  Caller
-	log     *logger.Logger
+	members     Members
+	caller      Caller
+	log         *logger.Logger
+	withTimeout Timeouts
 
 	mu        sync.Mutex
 	snapshots map[Table]func() (storer.Page, bool)
 }
 
+// Timeouts returns a context that ends after the timeout. That of package extender restarts while
+// a reply is under way.
+type Timeouts func(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
+
+// Option sets one property of a Bootstrapper.
+type Option func(*Bootstrapper)
+
+// WithTimeouts sets the source of the timeouts of calls, context.WithTimeout by default.
+func WithTimeouts(t Timeouts) Option { return func(b *Bootstrapper) { b.withTimeout = t } }
+
 // New returns a Bootstrapper that has no copies to serve.
-func New(members Members, caller Caller, log *logger.Logger) *Bootstrapper {
-	return &Bootstrapper{members: members, caller: caller, log: log, snapshots: map[Table]func() (storer.Page, bool){}}
+func New(members Members, caller Caller, log *logger.Logger, options ...Option) *Bootstrapper {
+	b := &Bootstrapper{members: members, caller: caller, log: log, withTimeout: context.WithTimeout, snapshots: map[Table]func() (storer.Page, bool){}}
+	for _, option := range options {
+		option(b)
+	}
+	return b
 }
 
 // Register sets the function that returns this instance's copy of the table, and
@@ -84,12 +98,14 @@
 	members := b.members.Relays()
 	failure := eris.Errorf("none of %d other instances has a copy of table %s", len(members), table.Name)
 	members = members[:min(len(members), maxAttempts)]
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	responses, failures := make([]fetchResponse, len(members)), make([]error, len(members))
 	var calls sync.WaitGroup
 	for i, m := range members {
-		calls.Go(func() { failures[i] = b.caller.Call(ctx, m.Address, methodFetch, table, &responses[i]) })
+		calls.Go(func() {
+			ctx, cancel := b.withTimeout(ctx, callTimeout)
+			defer cancel()
+			failures[i] = b.caller.Call(ctx, m.Address, methodFetch, table, &responses[i])
+		})
 	}
 	calls.Wait()
 	newest := -1
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -178,7 +178,7 @@
 	e.rerouter.SetRelays(e.discoverer)
 	e.tunneler = tunneler.New(e.dialEndpoint, e.peerClient, e.discoverer, e.registry,
 		tunneler.WithLogger(e.log), tunneler.WithTimeouts(e.extender.WithTimeout), tunneler.WithSilenceObserver(e.sender.CloseIdle))
-	tableCopies := bootstrapper.New(e.discoverer, e.peerClient, e.log)
+	tableCopies := bootstrapper.New(e.discoverer, e.peerClient, e.log, bootstrapper.WithTimeouts(e.extender.WithTimeout))
 	platform.Source.EndpointRemoved = func(endpoint registrar.Endpoint) { e.sender.CloseIdle(endpoint.Address) }
 	watcherOptions := []watcher.Option{watcher.WithLogger(e.log), watcher.WithBootstrapper(tableCopies)}
 	if settings.RevokeStrict {
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -20,6 +20,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/wigeonstand/wigeonstand/internal/dialer"
+	"github.com/wigeonstand/wigeonstand/internal/extender"
 	"github.com/wigeonstand/wigeonstand/internal/logger"
 )
 
@@ -32,6 +33,8 @@
 	ackTimeout = 500 * time.Millisecond
 	// idleTimeout is the time after which an unused connection is closed.
 	idleTimeout = 20 * time.Second
+	// maxReplyBytes limits a reply that arrives in parts.
+	maxReplyBytes = 16 << 20
 	// maxIdle and maxIdlePerAddress limit the number of unused connections.
 	maxIdle           = 256
 	maxIdlePerAddress = 8
@@ -52,6 +55,12 @@
 	// Failure is the error text of a call without a reply: the method is unknown
 	// or its handler returned an error.
 	Failure string `cbor:"3,keyasint,omitempty"`
+	// TakesParts is set in requests of clients that take long replies in parts. Instances of
+	// versions without it reply at once.
+	TakesParts bool `cbor:"4,keyasint,omitempty"`
+	// Rest is, in a reply, the ID of the rest that follows; in a request, the ID of the rest to
+	// continue with.
+	Rest string `cbor:"5,keyasint,omitempty"`
 }
 
 // cborEncoding implements drpc.Encoding.
@@ -84,6 +93,7 @@
 	streams  map[string]StreamHandler
 	drpc     *drpcserver.Server
 	log      *logger.Logger
+	rests    remainders
 }
 
 // Option sets one property of a Server.
@@ -112,6 +122,13 @@
 }
 
 func (s *Server) call(ctx context.Context, in *envelope) (*envelope, error) {
+	if in.Rest != "" {
+		part, rest, err := s.rests.next(in.Rest)
+		if err != nil {
+			return &envelope{Failure: err.Error()}, nil
+		}
+		return &envelope{Body: part, Rest: rest}, nil
+	}
 	handler := s.handlers[in.Method]
 	if handler == nil {
 		return &envelope{Failure: "unknown method " + in.Method}, nil
@@ -124,7 +141,11 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "encode the reply")
 	}
-	return &envelope{Body: body}, nil
+	if !in.TakesParts {
+		return &envelope{Body: body}, nil
+	}
+	part, rest := s.rests.split(body)
+	return &envelope{Body: part, Rest: rest}, nil
 }
 
 // handle calls the handler. A panic, for example because of a message that no current
@@ -230,12 +251,23 @@
 	})
 	// Close returns the connection to the pool.
 	defer func() { _ = conn.Close() }()
-	var reply envelope
-	if err := conn.Invoke(ctx, rpc, cborEncoding{}, &envelope{Method: method, Body: body}, &reply); err != nil {
-		return eris.Wrapf(err, "call %s at %s", method, address)
-	}
-	if reply.Failure != "" {
-		return eris.Errorf("call %s at %s: %s", method, address, reply.Failure)
+	content, request := []byte(nil), &envelope{Method: method, Body: body, TakesParts: rpc == rpcName}
+	for {
+		var reply envelope
+		if err := conn.Invoke(ctx, rpc, cborEncoding{}, request, &reply); err != nil {
+			return eris.Wrapf(err, "call %s at %s", method, address)
+		}
+		if reply.Failure != "" {
+			return eris.Errorf("call %s at %s: %s", method, address, reply.Failure)
+		}
+		if content = append(content, reply.Body...); reply.Rest == "" {
+			break
+		}
+		if len(content) > maxReplyBytes {
+			return eris.Errorf("call %s at %s: the reply exceeds %d bytes", method, address, maxReplyBytes)
+		}
+		extender.Progress(ctx)
+		request = &envelope{Rest: reply.Rest}
 	}
-	return eris.Wrap(cbor.Unmarshal(reply.Body, out), "decode the reply")
+	return eris.Wrap(cbor.Unmarshal(content, out), "decode the reply")
 }
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/rotisserie/eris"
 
+	"github.com/wigeonstand/wigeonstand/internal/extender"
 	"github.com/wigeonstand/wigeonstand/internal/messenger"
 )
 
@@ -103,3 +104,34 @@
 		t.Error(err)
 	}
 }
+
+// A reply with a large configuration was cut off by a timeout meant for small ones, and one above
+// 4 MiB could not be sent at all.
+func TestLongRepliesArriveInParts(t *testing.T) {
+	address := serve(t, map[string]messenger.Handler{
+		"Repeat": messenger.Handle(func(_ context.Context, n int) (message, error) {
+			return message{Text: strings.Repeat("0123456789", n)}, nil
+		}),
+	})
+	client := messenger.NewClient()
+	defer client.Close()
+	for _, n := range []int{0, 1, 6_500, 6_600, 50_000, 600_000} {
+		ctx, cancel := extender.New().WithTimeout(t.Context(), 5*time.Second)
+		var out message
+		if err := client.Call(ctx, address, "Repeat", n, &out); err != nil {
+			t.Errorf("%d bytes: %v", 10*n, err)
+		}
+		cancel()
+		if out.Text != strings.Repeat("0123456789", n) {
+			t.Errorf("got %d of %d bytes", len(out.Text), 10*n)
+		}
+		if diff := cmp.Diff(10*n > 64<<10, !extender.RespondedAt(ctx).IsZero()); diff != "" {
+			t.Errorf("progress with %d bytes: %s", 10*n, diff)
+		}
+	}
+	compact := messenger.CompactClient{Client: client}
+	var out message
+	if err := compact.Call(t.Context(), address, "Repeat", 50_000, &out); err != nil || len(out.Text) != 500_000 {
+		t.Errorf("got %d bytes, %v", len(out.Text), err)
+	}
+}
