internal/rerouter, internal/watcher: polls that failed follow the path to the store at once

A second way in which an instance serves an older configuration than the confirmed one: the store leaves it without responses from the moment of a change on. Causes: a poll slept for 0.5 s after a failure, whatever the path; the first failure did not lead to a probe; a read that had waited for changes in vain was repeated through others with the same wait, which others without responses made twice 1.1 s; and each candidate without a response held a read up by its whole timeout.

A failed read requests a probe, a poll that failed is repeated when a path is found, without waiting for changes, and a relayed read goes to a further instance when a response is 100 ms late.

--- a/internal/rerouter/relay.go
+++ b/internal/rerouter/relay.go
@@ -13,45 +13,70 @@
 	"github.com/wigeonstand/wigeonstand/internal/storer"
 )
 
-// relayRead returns a function that calls the method of another instance and stores
-// the result in page.
-func (r *Rerouter) relayRead(method string, in any, page *storer.Page) func(context.Context, discoverer.Member) error {
-	return func(ctx context.Context, m discoverer.Member) error {
+// relayedCall is a call through another instance. accept stores its result, which there is if err
+// is nil or the store's response.
+type relayedCall func(ctx context.Context, m discoverer.Member) (accept func(), err error)
+
+// relayRead returns a call of the method of another instance, whose result it stores in page.
+func (r *Rerouter) relayRead(method string, in any, page *storer.Page) relayedCall {
+	return func(ctx context.Context, m discoverer.Member) (func(), error) {
 		var out relayedPage
 		if err := r.caller.Call(ctx, m.Address, method, in, &out); err != nil {
-			return errors.Join(storer.ErrUnavailable, err)
+			return nil, errors.Join(storer.ErrUnavailable, err)
 		}
-		*page = out.Page
-		return out.err()
+		return func() { *page = out.Page }, out.err()
 	}
 }
 
-// callRelays makes a call through one of the relay candidates, in their order, and
-// updates the path.
-func (r *Rerouter) callRelays(ctx context.Context, op operation, relayed func(context.Context, discoverer.Member) error) error {
+// relayResult is the result of a call through one instance.
+type relayResult struct {
+	accept func()
+	err    error
+}
+
+// callRelays makes a call through one of the relay candidates, in their order, and updates the
+// path. A read goes to the next candidate, too, if a response is late: the store may leave the
+// candidate without responses as it does this instance, which takes the candidate long to notice.
+func (r *Rerouter) callRelays(ctx context.Context, op operation, relayed relayedCall) error {
 	failure := storer.ErrUnavailable
 	inDoubt := false
-	for _, m := range r.relayCandidates() {
-		start := time.Now()
-		bounded, cancel := r.withTimeout(ctx, r.timeout(op.isWrite)+op.wait+relayMargin)
-		err := relayed(bounded, m)
-		isTimeout := errors.Is(context.Cause(bounded), context.DeadlineExceeded)
-		took := responseTime(bounded, start)
-		cancel()
-		r.countCall(op.name, Relayed.String(), resultName(err))
-		if ctx.Err() == nil {
-			r.adaptTimeouts(op, isResponse(err), isTimeout, took)
-		}
-		if isResponse(err) {
-			r.recordRelayResult(m, true)
-			return err
+	candidates := r.relayCandidates()
+	calls, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan relayResult, len(candidates))
+	started, running := 0, 0
+	startNext := func() {
+		m := candidates[started]
+		started, running = started+1, running+1
+		go func() { results <- r.callRelay(calls, op, m, relayed) }()
+	}
+	late := time.NewTimer(op.wait + hedgeDelay)
+	defer late.Stop()
+	for started < len(candidates) || running > 0 {
+		if running == 0 {
+			startNext()
+			late.Reset(op.wait + hedgeDelay)
 		}
-		if ctx.Err() != nil {
-			return err
+		select {
+		case <-late.C:
+			if !op.isWrite && started < len(candidates) {
+				startNext()
+				late.Reset(op.wait + hedgeDelay)
+			}
+		case result := <-results:
+			running--
+			if isResponse(result.err) {
+				if result.accept != nil {
+					result.accept()
+				}
+				return result.err
+			}
+			if ctx.Err() != nil {
+				return result.err
+			}
+			inDoubt = inDoubt || errors.Is(result.err, storer.ErrInDoubt)
+			failure = result.err
 		}
-		r.recordRelayResult(m, false)
-		inDoubt = inDoubt || errors.Is(err, storer.ErrInDoubt)
-		failure = err
 	}
 	if path, _ := r.Path(); path != Direct {
 		r.setPath(Lost, failure)
@@ -62,6 +87,20 @@
 	return failure
 }
 
+// callRelay makes a call through the instance and records whether it relayed the call.
+func (r *Rerouter) callRelay(ctx context.Context, op operation, m discoverer.Member, relayed relayedCall) relayResult {
+	start := time.Now()
+	bounded, cancel := r.withTimeout(ctx, r.timeout(op.isWrite)+op.wait+relayMargin)
+	defer cancel()
+	accept, err := relayed(bounded, m)
+	r.countCall(op.name, Relayed.String(), resultName(err))
+	if ctx.Err() == nil {
+		r.adaptTimeouts(op, isResponse(err), errors.Is(context.Cause(bounded), context.DeadlineExceeded), responseTime(bounded, start))
+		r.recordRelayResult(m, isResponse(err))
+	}
+	return relayResult{accept: accept, err: err}
+}
+
 // relayCandidates returns up to maxRelayAttempts instances: first those without a
 // relay failure, then those with the oldest failures. The store may refuse other
 // instances, too, so that the same ones must not be asked each time.
--- a/internal/rerouter/rerouter.go
+++ b/internal/rerouter/rerouter.go
@@ -42,7 +42,9 @@
 	// which the path is no longer Direct.
 	maxDirectFailures = 2
 	// maxRelayAttempts is the maximum number of instances that a call is relayed to.
-	maxRelayAttempts = 2
+	maxRelayAttempts = 3
+	// hedgeDelay is the time after which a read is relayed to another instance, too.
+	hedgeDelay = 100 * time.Millisecond
 	// relayMargin is added to the timeout of a call for its relaying.
 	relayMargin = 100 * time.Millisecond
 )
@@ -181,6 +183,13 @@
 	return r.path, r.lastResponse
 }
 
+// Restored returns a channel that is closed when a path is found after the path was Lost.
+func (r *Rerouter) Restored() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.restored
+}
+
 // Transact implements storer.Rows.
 func (r *Rerouter) Transact(ctx context.Context, changes []storer.Change) (int64, error) {
 	var version int64
@@ -192,13 +201,12 @@
 			return storer.ErrResponseLost
 		}
 		return err
-	}, func(ctx context.Context, m discoverer.Member) error {
+	}, func(ctx context.Context, m discoverer.Member) (func(), error) {
 		var out relayedTransaction
 		if err := r.caller.Call(ctx, m.Address, methodTransact, relayTransaction{Changes: changes}, &out); err != nil {
-			return errors.Join(storer.ErrInDoubt, err)
+			return nil, errors.Join(storer.ErrInDoubt, err)
 		}
-		version = out.Version
-		return out.err()
+		return func() { version = out.Version }, out.err()
 	})
 	return version, err
 }
@@ -269,7 +277,7 @@
 // because of its conditions. While the path is Lost, calls fail immediately and Run
 // looks for a path.
 func (r *Rerouter) call(ctx context.Context, op operation,
-	direct func(context.Context) error, relayed func(context.Context, discoverer.Member) error,
+	direct func(context.Context) error, relayed relayedCall,
 ) error {
 	path, _ := r.Path()
 	if path == Lost {
@@ -282,6 +290,11 @@
 		if path, _ = r.Path(); isResponse(failure) || path == Direct || ctx.Err() != nil {
 			return failure
 		}
+		if op.wait > 0 {
+			// Another instance without responses would take as long. The next read need not wait
+			// for changes, as there may be some.
+			return failure
+		}
 		inDoubt = errors.Is(failure, storer.ErrInDoubt)
 	}
 	err := r.callRelays(ctx, op, relayed)
@@ -401,6 +414,8 @@
 		r.mu.Unlock()
 		if lost {
 			r.setPath(Lost, err)
+		} else if op != probe {
+			r.requestProbe() // A failure alone may be a lost response; the next read may be late.
 		}
 	}
 	return err
--- a/internal/watcher/rejected_test.go
+++ b/internal/watcher/rejected_test.go
@@ -73,7 +73,7 @@
 		r := rerouter.New(rows.For(m.Instance), peers, rerouter.WithTimeouts(extender.New().WithTimeout))
 		r.SetRelays(peers)
 		f.handlers[m.Address] = r.Handlers()
-		w := watcher.New(source(), r, registrar.New())
+		w := watcher.New(source(), r, registrar.New(), watcher.WithRestored(r.Restored))
 		f.watchers[m.Instance] = w
 		f.running.Go(func() { r.Run(ctx) })
 		f.running.Go(func() { w.Run(ctx) })
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -77,6 +77,7 @@
 	registry     *registrar.Registry
 	log          *logger.Logger
 	maxWait      time.Duration
+	restored     func() <-chan struct{}
 
 	configuration *tracker.Tracker
 	registrations *tracker.Tracker
@@ -118,6 +119,12 @@
 // be read, which also serves this instance's copies to others.
 func WithBootstrapper(b Bootstrapper) Option { return func(w *Watcher) { w.bootstrapper = b } }
 
+// WithRestored sets a function that returns a channel which is closed when the store, unreachable
+// before, can be read again. Polls that failed are then repeated at once.
+func WithRestored(restored func() <-chan struct{}) Option {
+	return func(w *Watcher) { w.restored = restored }
+}
+
 // WithLogger sets the logger of events.
 func WithLogger(l *logger.Logger) Option { return func(w *Watcher) { w.log = l } }
 
@@ -125,7 +132,7 @@
 func New(source Source, rows tracker.Reader, registry *registrar.Registry, options ...Option) *Watcher {
 	w := &Watcher{
 		source: source, registry: registry, log: logger.Discard(),
-		endpoints: map[string]registration{}, maxWait: changeWait,
+		endpoints: map[string]registration{}, maxWait: changeWait, restored: func() <-chan struct{} { return nil },
 	}
 	for _, option := range options {
 		option(w)
@@ -192,11 +199,17 @@
 		isFailing = err != nil
 		// The jitter spreads the calls of instances that start together.
 		timer := time.NewTimer(interval*9/10 + rand.N(interval/5))
+		var restored <-chan struct{}
+		if isFailing {
+			restored = w.restored()
+		}
 		select {
 		case <-ctx.Done():
 			timer.Stop()
 			return
 		case <-timer.C:
+		case <-restored:
+			timer.Stop()
 		}
 	}
 }
