--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +16,8 @@
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
 	"github.com/wigeonstand/wigeonstand/internal/storer"
 	"github.com/wigeonstand/wigeonstand/internal/watcher"
+	"github.com/wigeonstand/wigeonstand/platform"
+	"github.com/wigeonstand/wigeonstand/platform/standin"
 )
 
 var (
@@ -289,3 +292,37 @@
 func (copyOf) Register(bootstrapper.Table, func() (storer.Page, bool)) {}
 
 func (c copyOf) Fetch(context.Context, bootstrapper.Table) (storer.Page, error) { return c.page, nil }
+
+// Instances that read an odd entry among the registrations ended, or followed the list no more.
+func TestRegistrationsAreFollowedBesideOddOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows, registry := fakeplatform.NewRows(1), registrar.New()
+		odd := standin.MalformedRegistrations()
+		w := watcher.New(watcher.Source{
+			ConfigurationKey: storer.RowKey{Table: platform.TableConfiguration, Name: platform.KeyConfiguration},
+			EndpointTable:    platform.TableEndpoints, DecodeTable: platform.DecodeConfiguration, DecodeEndpoint: platform.DecodeEndpoint,
+		}, boundedRows{rows.For("x")}, registry)
+		var want []string
+		for i, text := range odd {
+			rows.Put(storer.RowKey{Table: platform.TableEndpoints, Name: fmt.Sprintf("odd-%d", i)}, []byte(text))
+			id := fmt.Sprintf("sound-%d", i)
+			want = append(want, id)
+			sound := standin.Registration{ID: id, Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), DataCentre: "z", Slots: 1}
+			if err := standin.Register(rows, sound); err != nil {
+				t.Fatal(err)
+			}
+			poll(t, w)
+			if diff := cmp.Diff(i+1, count(registry)); diff != "" {
+				t.Fatalf("beside %.100s: %s", text, diff)
+			}
+		}
+		for i, id := range want { // A sound registration becomes odd, and an odd one is removed.
+			rows.Put(storer.RowKey{Table: platform.TableEndpoints, Name: id}, []byte(odd[i]))
+			rows.Remove(storer.RowKey{Table: platform.TableEndpoints, Name: fmt.Sprintf("odd-%d", i)})
+			poll(t, w)
+			if diff := cmp.Diff(len(want)-i-1, count(registry)); diff != "" {
+				t.Fatalf("after %.100s: %s", odd[i], diff)
+			}
+		}
+	})
+}
