internal/sender: a response without a request's ID is not taken on a reused connection

Report of another operator: a faulty replica writes an earlier refusal once more on a kept connection; callers are told that a request has not run that runs (REFUSED), or it runs at a second replica (TWICE). A repeated refusal that names its request was skipped here before. One without an ID was taken for that of the request that was written last: TestRepeatedRefusalIsNotThatOfTheNextRequest failed with status 503 in six of its cases, whether the refusal arrived before or after that request was written.

A response that names no request is now an error on a reused connection, so that its request counts as one that may have run, and a connection whose response named no request is not used again: a refusal that is repeated there could not be told from the next one. TestResponseThatEndsWithItsConnection (neither a length nor chunks) passes, and passed before.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -339,10 +339,7 @@
 	return x.Sender.Send(ctx, sender.Request{
 		Address: c.Address, Method: x.call.Method, Target: x.call.Target, Host: x.call.Host,
 		Header: x.Dialect.EncodeDispatch(&x.call, d), Body: body, IsRepeatable: x.route.Idempotent(),
-		IsMatch: func(h http.Header) bool {
-			id := x.Dialect.DecodeResponseHead(http.StatusOK, h).ID
-			return id == "" || id == x.call.ID
-		},
+		ID: x.call.ID, ResponseID: func(h http.Header) string { return x.Dialect.DecodeResponseHead(http.StatusOK, h).ID },
 		MaxIdle: maxIdleConnections(x.table.Services[x.service].MaxConnections, x.CountInstances()),
 	})
 }
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -71,9 +71,10 @@
 	Body   []byte
 	// IsRepeatable is true if the request may be sent again when its connection fails.
 	IsRepeatable bool
-	// IsMatch reports whether a response header belongs to this request. If it is
-	// nil, every response does.
-	IsMatch func(http.Header) bool
+	// ID identifies the request. ResponseID returns the ID of the request that a response names
+	// in its header, or "" if it names none. If it is nil, every response is the request's.
+	ID         string
+	ResponseID func(http.Header) string
 	// MaxIdle is the number of idle connections to the endpoint that may be kept; zero for
 	// the default.
 	MaxIdle int
@@ -106,6 +107,9 @@
 	// expires is the end of its use, cautiousUntil that for requests that must not be
 	// repeated.
 	expires, cautiousUntil time.Time
+	// isReused is set once the connection has been in the pool, which holds only those whose
+	// responses named their requests.
+	isReused bool
 }
 
 // Sender sends requests and pools connections. It is safe for concurrent use.
@@ -250,6 +254,7 @@
 		return
 	}
 	now := time.Now()
+	cn.isReused = true
 	cn.expires = now.Add(share(idleTimeout, idleTimeoutShare))
 	cn.cautiousUntil = now.Add(share(idleTimeout, cautiousShare))
 	s.mu.Lock()
@@ -288,7 +293,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if r.IsMatch == nil || r.IsMatch(response.Header) {
+		isOwn, err := cn.isResponseTo(r, response.Header)
+		if err != nil {
+			return nil, err
+		}
+		if isOwn {
 			return s.newResponse(cn, r, response, written), nil
 		}
 		// This is a late, duplicate response to an earlier request.
@@ -299,6 +308,22 @@
 	return nil, eris.New("too many responses to other requests on the connection")
 }
 
+// errUnattributed means that a response on a reused connection names no request. It may be a
+// repeated one to an earlier request.
+var errUnattributed = eris.New("the response names no request, unlike those before it on its connection")
+
+// isResponseTo reports whether the response with the header is that to the request.
+func (cn *conn) isResponseTo(r Request, header http.Header) (bool, error) {
+	if r.ResponseID == nil {
+		return true, nil
+	}
+	id := r.ResponseID(header)
+	if id == "" && cn.isReused {
+		return false, errUnattributed
+	}
+	return id == "" || id == r.ID, nil
+}
+
 // limitReader returns errHeadTooLarge once left bytes have been read. A negative left is no
 // limit.
 type limitReader struct {
@@ -360,7 +385,8 @@
 	if request.MaxIdle > 0 {
 		r.maxIdle = min(r.maxIdle, request.MaxIdle)
 	}
-	if !response.Close {
+	isNamed := request.ResponseID == nil || request.ResponseID(response.Header) != ""
+	if !response.Close && isNamed {
 		r.idleTimeout = idleTimeout(response.Header)
 	}
 	return r
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -60,7 +62,7 @@
 	defer cancel()
 	r, err := s.Send(ctx, sender.Request{
 		Address: address, Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Id": {id}},
-		IsMatch: func(h http.Header) bool { return h.Get("Id") == id },
+		ID: id, ResponseID: func(h http.Header) string { return h.Get("Id") },
 	})
 	if err != nil {
 		return "", err
@@ -194,3 +196,109 @@
 		t.Errorf("connections opened: %s", diff)
 	}
 }
+
+// refusalOf returns the refusal of the request with the ID; an empty one is left out.
+func refusalOf(id string) string {
+	if id != "" {
+		id = "Id: " + id + "\r\n"
+	}
+	return "HTTP/1.1 503 Service Unavailable\r\n" + id + "Not-Executed: 1\r\nKeep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n"
+}
+
+// A faulty endpoint wrote an earlier refusal once more on a kept connection. It was taken for that
+// of the next request, which ran, so that the caller was told that it had not, or it ran elsewhere.
+func TestRepeatedRefusalIsNotThatOfTheNextRequest(t *testing.T) {
+	for name, c := range map[string]struct{ first, repeated string }{
+		"with its ID":         {refusalOf("first"), refusalOf("first")},
+		"without an ID":       {refusalOf("first"), refusalOf("")},
+		"never with an ID":    {refusalOf(""), refusalOf("")},
+		"twice":               {refusalOf("first"), refusalOf("first") + refusalOf("first")},
+		"both ways":           {refusalOf("first"), refusalOf("first") + refusalOf("")},
+		"with an interim one": {refusalOf("first"), "HTTP/1.1 100 Continue\r\n\r\n" + refusalOf("")},
+	} {
+		for _, isLate := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/late %t", name, isLate), func(t *testing.T) {
+				var refused sync.Map // The connections that have carried the refusal.
+				address := serve(t, func(w io.Writer, id string) {
+					// The test checks what arrives.
+					if id == "first" {
+						refused.Store(w, true)
+						_, _ = io.WriteString(w, c.first)
+						return
+					}
+					if _, isReused := refused.Load(w); isReused {
+						_, _ = io.WriteString(w, c.repeated)
+					}
+					if isLate {
+						<-time.After(20 * time.Millisecond)
+					}
+					_, _ = io.WriteString(w, response(id, "own"))
+				})
+				s := sender.New()
+				defer s.Close()
+				for _, id := range []string{"first", "second"} {
+					r, err := s.Send(t.Context(), sender.Request{
+						Address: address, Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"Id": {id}},
+						ResponseID: func(h http.Header) string { return h.Get("Id") }, ID: id,
+					})
+					if err != nil {
+						if errors.Is(err, sender.ErrNotSent) || id == "first" {
+							t.Errorf("%s: %v", id, err)
+						}
+						continue // Whether it ran is not known.
+					}
+					if got := r.Header.Get("Id"); got != id && id != "first" {
+						t.Errorf("%s got status %d of %q", id, r.Status, got)
+					}
+					if _, err := io.ReadAll(r.Body); err != nil {
+						t.Error(err)
+					}
+					r.Close()
+				}
+			})
+		}
+	}
+}
+
+// A response may have neither a length nor chunks and end with its connection. It is complete if
+// the connection was closed, and not if it was reset, and its connection is not used again.
+func TestResponseThatEndsWithItsConnection(t *testing.T) {
+	for name, c := range map[string]struct {
+		end      func(*net.TCPConn) error
+		complete bool
+	}{
+		"closed": {end: (*net.TCPConn).Close, complete: true},
+		"half closed": {end: func(c *net.TCPConn) error {
+			err := c.CloseWrite()
+			time.AfterFunc(time.Second, func() { _ = c.Close() })
+			return err
+		}, complete: true},
+		"reset": {end: func(c *net.TCPConn) error {
+			if err := c.SetLinger(0); err != nil {
+				return err
+			}
+			return c.Close()
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := serve(t, func(w io.Writer, id string) {
+				_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nKeep-Alive: timeout=5\r\n\r\nbo", id)
+				<-time.After(20 * time.Millisecond)
+				_, _ = io.WriteString(w, "dy")
+				<-time.After(20 * time.Millisecond)
+				_ = c.end(w.(*net.TCPConn)) // The test checks what arrives.
+			})
+			s := sender.New()
+			defer s.Close()
+			for i := range 2 {
+				got, err := send(t, s, address, fmt.Sprint("r", i))
+				if diff := cmp.Diff(c.complete, err == nil); diff != "" || c.complete && got != "body" {
+					t.Errorf("%q, %v: %s", got, err, diff)
+				}
+			}
+			if diff := cmp.Diff(int64(2), s.ConnectionsOpened()); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
