internal/relayer, internal/resumer: streams go on at the only version if it is certain only

Here a caller that doesn't name what it resumes got the only version that was registered at the time, from an instance that had just started, too. TestStreamsAreNotJoinedAfterAllInstancesRestart: answered 200 with events of v2 after two of v1. Named streams were refused, as their records are lost.

The version must be certain in both cases: the instance has read the registrations for as long as a stream may be resumed, or has the list of one that did, for which it asks when it starts. At the first start of a deployment, which the platform states, there are no streams of before.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -117,25 +117,26 @@
 	logOutput *logger.RateLimitedWriter
 	meter     *meter.Meter
 
-	dialEndpoint sender.Dial
-	peerClient   *messenger.Client
-	sender       *sender.Sender
-	extender     *extender.Extender
-	rerouter     *rerouter.Rerouter
-	tunneler     *tunneler.Tunneler
-	discoverer   *discoverer.Discoverer
-	registry     *registrar.Registry
-	watcher      *watcher.Watcher
-	batcher      *batcher.Batcher
-	pruner       *pruner.Pruner
-	bookkeeper   *bookkeeper.Bookkeeper
-	budgets      *bookkeeper.Client
-	relayer      *relayer.Relayer
-	runQuotas    func(context.Context)
-	peerServer   *messenger.Server
-	quarantine   *quarantiner.Quarantiner
-	isLeaving    atomic.Bool
-	wasReady     atomic.Bool
+	dialEndpoint  sender.Dial
+	peerClient    *messenger.Client
+	sender        *sender.Sender
+	extender      *extender.Extender
+	rerouter      *rerouter.Rerouter
+	tunneler      *tunneler.Tunneler
+	discoverer    *discoverer.Discoverer
+	registry      *registrar.Registry
+	watcher       *watcher.Watcher
+	batcher       *batcher.Batcher
+	pruner        *pruner.Pruner
+	bookkeeper    *bookkeeper.Bookkeeper
+	budgets       *bookkeeper.Client
+	relayer       *relayer.Relayer
+	runQuotas     func(context.Context)
+	learnVersions func(context.Context)
+	peerServer    *messenger.Server
+	quarantine    *quarantiner.Quarantiner
+	isLeaving     atomic.Bool
+	wasReady      atomic.Bool
 	// hasQuarantines is set once other instances were asked for theirs.
 	hasQuarantines atomic.Bool
 }
@@ -204,7 +205,11 @@
 	e.budgets = bookkeeper.NewClient(e.bookkeeper, e.discoverer, e.peerClient, e.registry, bookkeeper.WithTimeouts(e.extender.WithTimeout))
 	permits := rationer.New(e.discoverer, e.peerClient, rationer.WithLogger(e.log), rationer.WithCounter(metrics.countPermit))
 	quotas := e.newQuotas(metrics)
-	streams := resumer.New(e.discoverer, e.peerClient, resumer.WithLogger(e.log), resumer.WithTimeouts(e.extender.WithTimeout))
+	if settings.FirstStart {
+		e.registry.ExpectNoStreams()
+	}
+	streams := resumer.New(e.discoverer, e.peerClient, e.registry, resumer.WithLogger(e.log), resumer.WithTimeouts(e.extender.WithTimeout))
+	e.learnVersions = streams.LearnVersions
 	e.relayer = relayer.New(relayer.Config{
 		Tables: e.watcher, Endpoints: e.registry, Sender: e.sender, Permits: permits, Streams: streams, Quarantine: e.quarantine, Paths: e.tunneler, Needs: needs, Shares: apportioner.New(), Dialect: platform.Dialect,
 		Budgets:            e.budgets,
@@ -306,7 +311,7 @@
 	serve(func() error { return ready.Serve(listeners[1]) })
 	serve(func() error { return e.peerServer.Serve(work, listeners[2]) })
 	serve(func() error { return admin.Serve(listeners[3]) })
-	for _, run := range []func(context.Context){e.logOutput.Run, e.extender.Run, e.rerouter.Run, e.batcher.Run, e.pruner.Run, e.bookkeeper.Run, e.watcher.Run, e.maintainMembership, e.learnQuarantines, e.runQuotas} {
+	for _, run := range []func(context.Context){e.logOutput.Run, e.extender.Run, e.rerouter.Run, e.batcher.Run, e.pruner.Run, e.bookkeeper.Run, e.watcher.Run, e.maintainMembership, e.learnQuarantines, e.learnVersions, e.runQuotas} {
 		running.Go(func() { run(work) })
 	}
 	e.log.Log(eventStarted, "DataCentre", e.settings.DataCentre, "Incarnation", e.discoverer.Self().Incarnation)
--- a/internal/composer/versions_test.go
+++ b/internal/composer/versions_test.go
@@ -274,3 +274,41 @@
 		t.Errorf("%+v: %s", next, diff)
 	}
 }
+
+// All instances were killed at once and came back, while the engines of one version had just been
+// replaced by those of another. Streams that callers took up, without naming what they resume,
+// were joined from the two versions.
+func TestStreamsAreNotJoinedAfterAllInstancesRestart(t *testing.T) {
+	t.Parallel()
+	f := newVersionedFleet(t, 2, "v1", "v1")
+	first := sessionCall("first", "p")
+	first.StopAfter = 2
+	begun := f.doOnceStoreAnswers(f.instances[0], first)
+	if len(begun.Events()) != 2 {
+		t.Fatalf("%+v", begun)
+	}
+	for _, e := range f.engines {
+		standin.Unregister(f.rows, e.ID)
+	}
+	later := standin.NewEndpoint("engine-2-v2", 6, 10*time.Millisecond, 9)
+	f.registerVersion(later, standin.ServiceEngine, "v2")
+	f.engines = append(f.engines, later)
+	for _, in := range f.instances {
+		f.stop(in)
+	}
+	var started []*instance
+	for i := range 2 {
+		started = append(started, f.start(fmt.Sprintf("entry-%d", 10+i)))
+	}
+	for _, in := range started {
+		f.awaitReady(in)
+	}
+	for i, resumes := range []string{"", "first"} {
+		again := sessionCall(fmt.Sprint("again-", i), "p")
+		again.Resumes, again.LastEventID = resumes, 2
+		reply := f.doOnceStoreAnswers(started[i], again)
+		if !reply.IsNotRun() || len(f.enginesOf(again.ID)) != 0 {
+			t.Errorf("taken up as %q: %+v", resumes, reply)
+		}
+	}
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -144,6 +144,8 @@
 	// registrations, and readAt when these were first read.
 	versionSeen map[serviceVersion]time.Time
 	readAt      time.Time
+	// hasAllVersions is set if versionSeen has those before readAt, too.
+	hasAllVersions bool
 	// capacities holds the queue capacities of the endpoints of services that shed.
 	capacities map[string]queueCapacity
 	// unevenAt is, by service, when one of its endpoints last stated an unusual pace.
--- a/internal/registrar/version.go
+++ b/internal/registrar/version.go
@@ -31,9 +31,64 @@
 	}
 }
 
+// SeenVersion is a software version of a service of which endpoints were registered lately.
+type SeenVersion struct {
+	Service string `cbor:"1,keyasint"`
+	Version string `cbor:"2,keyasint"`
+	// Age is the time since the last of them was registered.
+	Age time.Duration `cbor:"3,keyasint"`
+}
+
+// SeenVersions returns the versions that may have begun a stream that can still be resumed. They
+// are complete if this instance has read the registrations for that long, or has the list of
+// an instance that had.
+func (r *Registry) SeenVersions() (seen []SeenVersion, isComplete bool) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for v, at := range r.versionSeen {
+		if age := now.Sub(at); age <= versionMemory {
+			seen = append(seen, SeenVersion{Service: v.service, Version: v.version, Age: age})
+		}
+	}
+	for _, e := range r.byID {
+		seen = append(seen, SeenVersion{Service: e.Service, Version: e.Version})
+	}
+	return seen, r.lockedHasAllVersions(now)
+}
+
+// MergeVersions adds the complete list of another instance to the versions seen. It reports
+// whether the list is complete then, which takes that this instance has read the registrations.
+func (r *Registry) MergeVersions(seen []SeenVersion) bool {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.readAt.IsZero() {
+		return false
+	}
+	for _, s := range seen {
+		v, at := serviceVersion{s.Service, s.Version}, now.Add(-max(s.Age, 0))
+		if at.After(r.versionSeen[v]) {
+			r.versionSeen[v] = at
+		}
+	}
+	r.hasAllVersions = true
+	return true
+}
+
+// ExpectNoStreams states that no stream was begun before this instance started.
+func (r *Registry) ExpectNoStreams() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hasAllVersions = true
+}
+
+func (r *Registry) lockedHasAllVersions(now time.Time) bool {
+	return !r.readAt.IsZero() && (r.hasAllVersions || now.Sub(r.readAt) > versionMemory)
+}
+
 // OnlyVersion returns the software version of the service's endpoints if all those that
-// were registered lately have the same. It is certain if this instance has read the
-// registrations for as long as a stream may be resumed.
+// were registered lately have the same. It is certain if SeenVersions is complete.
 func (r *Registry) OnlyVersion(service string) (version string, isOnly, isCertain bool) {
 	now := time.Now()
 	r.mu.Lock()
@@ -52,5 +107,5 @@
 	if len(versions) != 1 {
 		return "", false, false
 	}
-	return versions[0], true, now.Sub(r.readAt) > versionMemory
+	return versions[0], true, r.lockedHasAllVersions(now)
 }
--- a/internal/relayer/resume.go
+++ b/internal/relayer/resume.go
@@ -56,8 +56,8 @@
 // lookUpOrigin returns what began the stream. If there is no record, it is the only version
 // that the service had lately; a caller that doesn't say which stream it resumes has none.
 //
-// The search is repeated: an instance that has just started may not know the others yet, and
-// a record may still be on its way.
+// The search is repeated: an instance that has just started may not know the others yet, nor
+// which versions they have seen, and a record may still be on its way.
 func (t *turn) lookUpOrigin() (resumer.Origin, bool) {
 	for attempt := 1; ; attempt++ {
 		if t.call.Resumes != "" {
@@ -66,10 +66,10 @@
 			}
 		}
 		version, isOnly, isCertain := t.Endpoints.OnlyVersion(t.service)
-		if isOnly && (isCertain || t.call.Resumes == "") {
+		if isOnly && isCertain {
 			return resumer.Origin{Service: t.service, Version: version}, true
 		}
-		if t.call.Resumes == "" || attempt == maxOriginSearches || t.timeLeft() < minServiceTime {
+		if t.call.Resumes == "" && !isOnly || attempt == maxOriginSearches || t.timeLeft() < minServiceTime {
 			return resumer.Origin{}, false
 		}
 		timer := time.NewTimer(originSearchPause)
--- a/internal/resumer/resumer.go
+++ b/internal/resumer/resumer.go
@@ -9,8 +9,10 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -19,11 +21,13 @@
 	"github.com/wigeonstand/wigeonstand/internal/discoverer"
 	"github.com/wigeonstand/wigeonstand/internal/logger"
 	"github.com/wigeonstand/wigeonstand/internal/messenger"
+	"github.com/wigeonstand/wigeonstand/internal/registrar"
 )
 
 const (
-	methodRecord = "RecordStream"
-	methodFind   = "FindStream"
+	methodRecord   = "RecordStream"
+	methodFind     = "FindStream"
+	methodVersions = "SeenVersions"
 	// copies is the number of other instances that keep a record, and maxAsked the number
 	// of those that may have one: some may not answer.
 	copies   = 2
@@ -31,6 +35,10 @@
 	// recordTimeout limits the copying of a record, and findTimeout the search for one.
 	recordTimeout = 600 * time.Millisecond
 	findTimeout   = 300 * time.Millisecond
+	// learnInterval is the time between the first attempts to find an instance that has seen all
+	// versions, and maxLearnInterval that between later ones.
+	learnInterval    = 100 * time.Millisecond
+	maxLearnInterval = 2 * time.Second
 	// retention is how long a record is kept at least; callers take up a stream within
 	// the timeout of its route.
 	retention = 30 * time.Second
@@ -56,6 +64,12 @@
 	Self() discoverer.Member
 }
 
+// Versions knows which versions had endpoints lately.
+type Versions interface {
+	SeenVersions() (seen []registrar.SeenVersion, isComplete bool)
+	MergeVersions(seen []registrar.SeenVersion) bool
+}
+
 // Caller calls other instances.
 type Caller interface {
 	Call(ctx context.Context, address netip.AddrPort, method string, in, out any) error
@@ -67,6 +81,12 @@
 	Origin Origin `cbor:"2,keyasint"`
 }
 
+// versionsResponse has all versions that had endpoints lately if IsComplete is true.
+type versionsResponse struct {
+	IsComplete bool                    `cbor:"1,keyasint"`
+	Seen       []registrar.SeenVersion `cbor:"2,keyasint"`
+}
+
 // findResponse holds the origin if IsFound is true.
 type findResponse struct {
 	IsFound bool   `cbor:"1,keyasint"`
@@ -75,9 +95,10 @@
 
 // Resumer keeps and finds records. It is safe for concurrent use.
 type Resumer struct {
-	members Members
-	caller  Caller
-	log     *logger.Logger
+	members  Members
+	caller   Caller
+	versions Versions
+	log      *logger.Logger
 
 	withTimeout Timeouts
 
@@ -100,8 +121,8 @@
 func WithTimeouts(t Timeouts) Option { return func(r *Resumer) { r.withTimeout = t } }
 
 // New returns a Resumer without records.
-func New(members Members, caller Caller, options ...Option) *Resumer {
-	r := &Resumer{members: members, caller: caller, log: logger.Discard(), withTimeout: context.WithTimeout, recent: map[string]Origin{}, rotatedAt: time.Now()}
+func New(members Members, caller Caller, versions Versions, options ...Option) *Resumer {
+	r := &Resumer{members: members, caller: caller, versions: versions, log: logger.Discard(), withTimeout: context.WithTimeout, recent: map[string]Origin{}, rotatedAt: time.Now()}
 	for _, option := range options {
 		option(r)
 	}
@@ -119,6 +140,40 @@
 			origin, isFound := r.find(stream)
 			return findResponse{IsFound: isFound, Origin: origin}, nil
 		}),
+		methodVersions: messenger.Handle(func(context.Context, struct{}) (versionsResponse, error) {
+			seen, isComplete := r.versions.SeenVersions()
+			if !isComplete {
+				seen = nil
+			}
+			return versionsResponse{IsComplete: isComplete, Seen: seen}, nil
+		}),
+	}
+}
+
+// LearnVersions asks other instances which versions had endpoints lately, until this one knows all
+// of them. If all instances have started at the same moment, none knows those before.
+func (r *Resumer) LearnVersions(ctx context.Context) {
+	for attempt := range math.MaxInt {
+		if _, isComplete := r.versions.SeenVersions(); isComplete {
+			return
+		}
+		// Each attempt asks another instance.
+		if others := r.others(r.members.Self().Incarnation + strconv.Itoa(attempt)); len(others) > 0 {
+			var out versionsResponse
+			bounded, cancel := r.withTimeout(ctx, findTimeout)
+			err := r.caller.Call(bounded, others[0].Address, methodVersions, struct{}{}, &out)
+			cancel()
+			if err == nil && out.IsComplete && r.versions.MergeVersions(out.Seen) {
+				return
+			}
+		}
+		timer := time.NewTimer(min(learnInterval<<min(attempt/2, 10), maxLearnInterval))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
 	}
 }
 
--- a/internal/resumer/resumer_test.go
+++ b/internal/resumer/resumer_test.go
@@ -19,6 +19,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/discoverer"
 	"github.com/wigeonstand/wigeonstand/internal/extender"
 	"github.com/wigeonstand/wigeonstand/internal/messenger"
+	"github.com/wigeonstand/wigeonstand/internal/registrar"
 	"github.com/wigeonstand/wigeonstand/internal/resumer"
 )
 
@@ -26,8 +27,9 @@
 type fleet struct {
 	members []discoverer.Member
 
-	mu       sync.Mutex
-	handlers map[netip.AddrPort]map[string]messenger.Handler
+	mu         sync.Mutex
+	handlers   map[netip.AddrPort]map[string]messenger.Handler
+	registries map[int]*registrar.Registry
 	// delay is how long a call takes, and options are those of the resumers.
 	delay   time.Duration
 	options []resumer.Option
@@ -80,7 +82,7 @@
 }
 
 func newFleet(size int, options ...resumer.Option) (*fleet, []*resumer.Resumer) {
-	f := &fleet{delay: 2 * time.Millisecond, options: options, handlers: map[netip.AddrPort]map[string]messenger.Handler{}}
+	f := &fleet{delay: 2 * time.Millisecond, options: options, handlers: map[netip.AddrPort]map[string]messenger.Handler{}, registries: map[int]*registrar.Registry{}}
 	for i := range size {
 		f.members = append(f.members, discoverer.Member{
 			Instance: fmt.Sprint("i-", i), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000),
@@ -95,7 +97,9 @@
 
 func (f *fleet) start(i int) *resumer.Resumer {
 	in := &instance{fleet: f, index: i}
-	r := resumer.New(in, in, f.options...)
+	registry := registrar.New()
+	f.registries[i] = registry
+	r := resumer.New(in, in, registry, f.options...)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.handlers[f.members[i].Address] = r.Handlers()
@@ -232,3 +236,47 @@
 		}
 	})
 }
+
+// An instance that starts takes the versions of before from another one. If all have started, none
+// knows them, and the version of now is not taken for the only one.
+func TestVersionsOfBeforeTheStartAreLearned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, all := newFleet(4)
+		register := func(version string, instances ...int) {
+			for _, i := range instances {
+				f.registries[i].Replace([]registrar.Endpoint{{ID: "e-" + version, Service: "s", Version: version}})
+			}
+		}
+		type only struct {
+			Version           string
+			IsOnly, IsCertain bool
+		}
+		check := func(when string, i int, want only) {
+			t.Helper()
+			version, isOnly, isCertain := f.registries[i].OnlyVersion("s")
+			if diff := gocmp.Diff(want, only{version, isOnly, isCertain}); diff != "" {
+				t.Errorf("%s: %s", when, diff)
+			}
+		}
+		learn := func(r *resumer.Resumer, limit time.Duration) {
+			ctx, cancel := context.WithTimeout(t.Context(), limit)
+			defer cancel()
+			r.LearnVersions(ctx)
+		}
+		register("v1", 0, 1, 2, 3)
+		learn(all[0], 10*time.Second)
+		check("all have just started", 0, only{"v1", true, false})
+		f.registries[1].ExpectNoStreams()
+		learn(all[0], 10*time.Second)
+		check("one knows all versions", 0, only{"v1", true, true})
+		time.Sleep(time.Minute)
+		register("v2", 1, 2, 3)
+		restarted := f.start(0)
+		learn(restarted, 2*time.Second)
+		check("nothing is read", 0, only{})
+		register("v2", 0)
+		check("just read", 0, only{"v2", true, false})
+		learn(restarted, 10*time.Second)
+		check("v1 has just gone", 0, only{})
+	})
+}
