--- a/cmd/wigeonstand/cmd/entry.go
+++ b/cmd/wigeonstand/cmd/entry.go
@@ -15,6 +15,8 @@
 	"github.com/wigeonstand/wigeonstand/platform"
 )
 
+const firstStartFlag = "first-start"
+
 func newEntryCmd() *cli.Command {
 	return &cli.Command{
 		Name:  "entry",
@@ -24,9 +26,18 @@
 which also keeps durable state. SIGTERM stops the instance within the grace period.
 SIGHUP makes it read the settings file again and log errors in it.
 
+--first-start is not a setting, as the settings file may be read by instances of an earlier
+version, too, which reject settings that they don't know.
+
 Example:
   wigeonstand entry -f /etc/wigeonstand/node.yaml`,
-		Flags: []cli.Flag{settingsFileFlag()},
+		Flags: []cli.Flag{
+			settingsFileFlag(),
+			&cli.BoolFlag{
+				Name: firstStartFlag, Sources: cli.EnvVars("WIGEONSTAND_FIRST_START"),
+				Usage: "the whole deployment starts for the first time: no instance ran before",
+			},
+		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			file := c.String("file")
 			settings, err := configurer.LoadEntry(file)
@@ -35,13 +46,17 @@
 			}
 			store := platform.NewStore(settings.StoreAddress)
 			defer store.Close()
+			var options []composer.Option
+			if c.Bool(firstStartFlag) {
+				options = append(options, composer.WithFirstStart())
+			}
 			entry, err := composer.New(settings, composer.Platform{
 				Rows: store, Dialect: platform.Dialect{}, Source: watcher.Source{
 					ConfigurationKey: storer.RowKey{Table: platform.TableConfiguration, Name: platform.KeyConfiguration},
 					EndpointTable:    platform.TableEndpoints,
 					DecodeTable:      platform.DecodeConfiguration, DecodeEndpoint: platform.DecodeEndpoint,
 				},
-			}, c.Root().Writer)
+			}, c.Root().Writer, options...)
 			if err != nil {
 				return err
 			}
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -147,6 +147,10 @@
 // WithEndpointDial sets the function that opens connections to endpoints.
 func WithEndpointDial(dial sender.Dial) Option { return func(e *Entry) { e.dialEndpoint = dial } }
 
+// WithFirstStart states that the whole deployment starts for the first time, so that there are no
+// streams to go on with.
+func WithFirstStart() Option { return func(e *Entry) { e.registry.ExpectNoStreams() } }
+
 // New returns an Entry that has not been started. It writes its log lines to out.
 func New(settings *configurer.EntrySettings, platform Platform, out io.Writer, options ...Option) (*Entry, error) {
 	e := &Entry{dialEndpoint: sender.NewDial(), settings: settings, logOutput: logger.NewRateLimitedWriter(out), meter: meter.New(), registry: registrar.New()}
@@ -205,9 +209,6 @@
 	e.budgets = bookkeeper.NewClient(e.bookkeeper, e.discoverer, e.peerClient, e.registry, bookkeeper.WithTimeouts(e.extender.WithTimeout))
 	permits := rationer.New(e.discoverer, e.peerClient, rationer.WithLogger(e.log), rationer.WithCounter(metrics.countPermit))
 	quotas := e.newQuotas(metrics)
-	if settings.FirstStart {
-		e.registry.ExpectNoStreams()
-	}
 	streams := resumer.New(e.discoverer, e.peerClient, e.registry, resumer.WithLogger(e.log), resumer.WithTimeouts(e.extender.WithTimeout))
 	e.learnVersions = streams.LearnVersions
 	e.relayer = relayer.New(relayer.Config{
--- a/internal/configurer/entry.go
+++ b/internal/configurer/entry.go
@@ -42,9 +42,6 @@
 	// that the process may use.
 	Cores     int     `validate:"min=1"`
 	CoreShare float64 `validate:"gt=0,max=1"`
-	// FirstStart says that the whole deployment starts for the first time, so that there is nothing
-	// to go on with.
-	FirstStart bool
 	// GracePeriod is the time from the stop signal to the end of the process.
 	GracePeriod time.Duration `validate:"min=1s"`
 	// RevokeStrict refuses requests with keys of client accounts while the configuration has not
