--- a/cmd/wigeonsoak/main.go
+++ b/cmd/wigeonsoak/main.go
@@ -37,6 +37,7 @@
   wigeonsoak --seed 100 --seeds 50 --length 10s`,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "binary", Value: "bin/wigeonstand", Usage: "the program to run"},
+			&cli.StringFlag{Name: "other-binary", Usage: "the program of every second instance, such as an earlier build"},
 			&cli.StringFlag{Name: "folder", Value: "run/soak", Usage: "where logs and settings are written"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "the first seed"},
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "how many seeds"},
@@ -56,7 +57,7 @@
 	for i := range c.Int("seeds") {
 		seed := c.Uint64("seed") + uint64(i)
 		report, err := soaker.Run(ctx, soaker.Config{
-			Binary: c.String("binary"), Folder: filepath.Join(c.String("folder"), fmt.Sprint(seed)), Seed: seed,
+			Binary: c.String("binary"), OtherBinary: c.String("other-binary"), Folder: filepath.Join(c.String("folder"), fmt.Sprint(seed)), Seed: seed,
 			Length: c.Duration("length"), Instances: c.Int("instances"), Engines: c.Int("engines"),
 			Services: c.Int("services"), Callers: c.Int("callers"), Calm: c.Bool("calm"),
 		})
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -31,6 +31,8 @@
 	Engines   int
 	Services  int
 	Callers   int
+	// OtherBinary, if set, is the program of every second instance: another build beside Binary.
+	OtherBinary string
 	// Calm leaves the faults out.
 	Calm bool
 }
@@ -168,6 +170,9 @@
 	in := &instance{
 		name: fmt.Sprintf("entry-%d", i), host: fmt.Sprintf("127.88.%d.%d", s.Seed%200, i+1), binary: s.Binary, folder: s.Folder,
 	}
+	if s.OtherBinary != "" && i%2 == 1 {
+		in.binary = s.OtherBinary
+	}
 	store, err := serve(ctx, standin.NewStore(s.rows.For(in.name)))
 	if err != nil {
 		return err
--- a/internal/watcher/rejected_test.go
+++ b/internal/watcher/rejected_test.go
@@ -20,6 +20,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/messenger"
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
 	"github.com/wigeonstand/wigeonstand/internal/rerouter"
+	"github.com/wigeonstand/wigeonstand/internal/storer"
 	"github.com/wigeonstand/wigeonstand/internal/watcher"
 )
 
@@ -69,18 +70,23 @@
 		f.members = append(f.members, discoverer.Member{Instance: f.name(i), Address: address})
 	}
 	for _, m := range f.members {
-		peers := peersOf{f, m.Instance}
-		r := rerouter.New(rows.For(m.Instance), peers, rerouter.WithTimeouts(extender.New().WithTimeout))
-		r.SetRelays(peers)
-		f.handlers[m.Address] = r.Handlers()
-		w := watcher.New(source(), r, registrar.New(), watcher.WithRestored(r.Restored))
-		f.watchers[m.Instance] = w
-		f.running.Go(func() { r.Run(ctx) })
-		f.running.Go(func() { w.Run(ctx) })
+		f.handlers[m.Address] = f.run(ctx, m.Instance).Handlers()
 	}
 	return f
 }
 
+// run starts an instance.
+func (f *instances) run(ctx context.Context, name string, options ...watcher.Option) *rerouter.Rerouter {
+	peers := peersOf{f, name}
+	r := rerouter.New(f.rows.For(name), peers, rerouter.WithTimeouts(extender.New().WithTimeout))
+	r.SetRelays(peers)
+	w := watcher.New(source(), r, registrar.New(), append(options, watcher.WithRestored(r.Restored))...)
+	f.watchers[name] = w
+	f.running.Go(func() { r.Run(ctx) })
+	f.running.Go(func() { w.Run(ctx) })
+	return r
+}
+
 // Instances that the store rejects, in any way and at any moment, read a change through others.
 func TestChangeReachesInstancesThatTheStoreRejects(t *testing.T) {
 	const deadline = 3 * time.Second
@@ -126,3 +132,38 @@
 		}
 	}
 }
+
+// An instance that starts while the store rejects it, with a copy that is older than the one of
+// others, must not keep it.
+func TestOldCopyAtTheStartIsReplacedWhileTheStoreRejects(t *testing.T) {
+	const deadline = 3 * time.Second
+	rejected := map[string]bool{"late": true, "entry-0": true}
+	for name, faults := range map[string]fakeplatform.RowFaults{"refused": {Refused: rejected}, "unanswered": {Unanswered: rejected}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				rows := fakeplatform.NewRows(1)
+				rows.Put(configuration, []byte("1"))
+				rows.Put(endpoint("a"), []byte("ready"))
+				old, err := rows.For("x").List(ctx, storer.Range{Table: configuration.Table})
+				if err != nil {
+					t.Fatal(err)
+				}
+				f := start(ctx, rows, 6)
+				defer f.running.Wait()
+				defer cancel()
+				time.Sleep(5 * time.Second)
+				rows.SetFaults(faults)
+				rows.Put(configuration, []byte("2"))
+				time.Sleep(5 * time.Second)
+				f.run(ctx, "late", watcher.WithBootstrapper(copyOf{old}))
+				time.Sleep(deadline)
+				for _, instance := range []string{"late", "entry-0", "entry-1"} {
+					if diff := cmp.Diff(int64(2), f.watchers[instance].Table().Version); diff != "" {
+						t.Errorf("%s: %s", instance, diff)
+					}
+				}
+			})
+		})
+	}
+}
