internal/rerouter: the time to send a transaction is not that of a late response

Over 22 Mbit/s, transactions above 270 KB were cut off and repeated without end. A write now has the time in addition that its values take at 1 MiB/s.

--- a/internal/rerouter/relay.go
+++ b/internal/rerouter/relay.go
@@ -90,7 +90,8 @@
 // callRelay makes a call through the instance and records whether it relayed the call.
 func (r *Rerouter) callRelay(ctx context.Context, op operation, m discoverer.Member, relayed relayedCall) relayResult {
 	start := time.Now()
-	bounded, cancel := r.withTimeout(ctx, r.timeout(op.isWrite)+op.wait+relayMargin)
+	// The instance sends the call on once it has it whole.
+	bounded, cancel := r.withTimeout(ctx, r.timeout(op.isWrite)+op.wait+2*op.transfer+relayMargin)
 	defer cancel()
 	accept, err := relayed(bounded, m)
 	r.countCall(op.name, Relayed.String(), resultName(err))
--- a/internal/rerouter/rerouter.go
+++ b/internal/rerouter/rerouter.go
@@ -28,6 +28,9 @@
 	writeTimeout = 2500 * time.Millisecond
 	// timeoutFactor is the ratio of a timeout to the duration of the last call.
 	timeoutFactor = 6
+	// minBytesPerSecond is the rate at which writes are sent at least. The smallest instances have
+	// links of 2.75 MB/s, which other traffic shares.
+	minBytesPerSecond = 1 << 20
 	// probeInterval is the time between probes while the path is not Direct.
 	probeInterval = 250 * time.Millisecond
 	// maxDirectProbes limits the probes that wait for the store at the same time.
@@ -62,6 +65,8 @@
 	isWrite bool
 	// wait is the time for which the store may delay its response.
 	wait time.Duration
+	// transfer is the time that the call may take until it has been sent.
+	transfer time.Duration
 }
 
 // probe is the operation of probes.
@@ -193,8 +198,9 @@
 // Transact implements storer.Rows.
 func (r *Rerouter) Transact(ctx context.Context, changes []storer.Change) (int64, error) {
 	var version int64
-	err := r.call(ctx, operation{name: "Transact", isWrite: true}, func(ctx context.Context) (err error) {
-		watched, stop := r.watchWrite(ctx)
+	transfer := transferTime(changes)
+	err := r.call(ctx, operation{name: "Transact", isWrite: true, transfer: transfer}, func(ctx context.Context) (err error) {
+		watched, stop := r.watchWrite(ctx, transfer)
 		defer stop()
 		version, err = r.direct.Transact(watched, changes)
 		if errors.Is(err, storer.ErrInDoubt) && errors.Is(context.Cause(watched), storer.ErrResponseLost) {
@@ -211,20 +217,29 @@
 	return version, err
 }
 
-// watchWrite returns a context for a direct write. If the response is late, a read
-// distinguishes a lost response from a slow store. If the read succeeds in time, the
-// context ends and the write can be repeated. Otherwise the write continues, as a
-// repetition would only add to the load of the store. The read is made at once when
-// the path is restored: a write that was sent during an outage of a silent store
-// gets no response after it. The context also ends when the path becomes Relayed,
-// so that the write can be relayed.
-func (r *Rerouter) watchWrite(ctx context.Context) (context.Context, func()) {
+// transferTime returns the time that a slow link may take for the changes.
+func transferTime(changes []storer.Change) time.Duration {
+	bytes := 0
+	for _, c := range changes {
+		bytes += len(c.Value)
+	}
+	return time.Duration(bytes) * time.Second / minBytesPerSecond
+}
+
+// watchWrite returns a context for a direct write, which takes the given time to be sent. If
+// the response is late, a read distinguishes a lost response from a slow store. If the read
+// succeeds in time, the context ends and the write can be repeated. Otherwise the write
+// continues, as a repetition would only add to the load of the store. The read is made at once
+// when the path is restored: a write that was sent during an outage of a silent store gets no
+// response after it. The context also ends when the path becomes Relayed, so that the write can
+// be relayed.
+func (r *Rerouter) watchWrite(ctx context.Context, transfer time.Duration) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	r.mu.Lock()
 	rerouted := r.rerouted
 	r.mu.Unlock()
 	go func() {
-		for wait := r.timeout(true); ; wait *= 2 {
+		for wait := r.timeout(true) + transfer; ; wait *= 2 {
 			r.mu.Lock()
 			restored := r.restored
 			r.mu.Unlock()
@@ -380,7 +395,7 @@
 	start := time.Now()
 	limit := r.timeout(op.isWrite) + op.wait
 	if op.isWrite {
-		limit = writeTimeout
+		limit = writeTimeout + op.transfer
 	}
 	bounded, cancel := r.withTimeout(ctx, limit)
 	defer cancel()
--- a/internal/watcher/transfer_test.go
+++ b/internal/watcher/transfer_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -26,55 +25,6 @@
 // linkBytesPerSecond is the link of the smallest instances: 22 Mbit/s.
 const linkBytesPerSecond = 22_000_000 / 8
 
-// link is a net.Listener whose connections, made by Dial, deliver what is written to them at
-// the rate of the link.
-type link struct {
-	accepted chan net.Conn
-	closed   chan struct{}
-}
-
-type linkConn struct{ net.Conn }
-
-// Write implements net.Conn.
-func (c linkConn) Write(b []byte) (written int, err error) {
-	const packetBytes = 16 << 10
-	for len(b) > 0 && err == nil {
-		packet := b[:min(len(b), packetBytes)]
-		time.Sleep(time.Duration(len(packet)) * time.Second / linkBytesPerSecond)
-		var n int
-		n, err = c.Conn.Write(packet)
-		written, b = written+n, b[n:]
-	}
-	return written, err
-}
-
-// Accept implements net.Listener.
-func (l *link) Accept() (net.Conn, error) {
-	select {
-	case conn := <-l.accepted:
-		return linkConn{conn}, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-// Close implements net.Listener.
-func (l *link) Close() error { close(l.closed); return nil }
-
-// Addr implements net.Listener.
-func (l *link) Addr() net.Addr { return &net.TCPAddr{} }
-
-// Dial opens a connection to the listener.
-func (l *link) Dial(ctx context.Context, _, _ string) (net.Conn, error) {
-	near, far := net.Pipe()
-	select {
-	case l.accepted <- far:
-		return near, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
 // Reads of a large configuration were cut off while it was under way on a slow link, each time
 // again, so that an older one stayed in force.
 func TestLargeConfigurationIsReadOverASlowLink(t *testing.T) {
@@ -87,7 +37,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				rows := fakeplatform.NewRows(1)
-				l := &link{accepted: make(chan net.Conn), closed: make(chan struct{})}
+				l := standin.NewLink(linkBytesPerSecond)
 				server := &http.Server{Handler: standin.NewStore(rows.For("self")), ReadHeaderTimeout: time.Minute}
 				go func() { _ = server.Serve(l) }() // It ends with the test.
 				store := platform.NewStore(netip.MustParseAddrPort("10.0.0.1:80"), platform.WithDial(l.Dial))
