internal/soaker: large configurations and odd registrations

A third of the configurations that the operator of the soak writes have 4,000 further routes, and odd registrations stand among those of the endpoints.

--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
+	"github.com/wigeonstand/wigeonstand/internal/storer"
 	"github.com/wigeonstand/wigeonstand/platform/standin"
 )
 
@@ -54,6 +55,8 @@
 	settleTime = 2 * time.Second
 	faultGap   = 700 * time.Millisecond
 	faultLife  = 3 * time.Second
+	// largeConfiguration is the number of further routes of some configurations.
+	largeConfiguration = 4_000
 	// versions is the number of software versions of the endpoints of a service.
 	versions = 2
 	// maxSeeds is how many addresses the settings name at most, as on the platform.
@@ -155,6 +158,9 @@
 		}
 		s.services = append(s.services, e)
 	}
+	for i, text := range standin.MalformedRegistrations() {
+		s.rows.Put(storer.RowKey{Table: "servers", Name: fmt.Sprintf("odd-%d", i)}, []byte(text))
+	}
 	if err := standin.WriteAccounts(s.rows, s.version, s.accounts.next()); err != nil {
 		return err
 	}
@@ -383,7 +389,15 @@
 
 func (s *soak) configure() {
 	s.version += 1 + s.random.IntN(3)
-	if err := standin.WriteAccounts(s.rows, s.version, s.accounts.next(), fmt.Sprintf("/further-%d/", s.version)); err != nil {
+	routes := 1
+	if s.random.IntN(3) == 0 {
+		routes = largeConfiguration
+	}
+	prefixes := make([]string, routes)
+	for i := range prefixes {
+		prefixes[i] = fmt.Sprintf("/further-%d-%d/", s.version, i)
+	}
+	if err := standin.WriteAccounts(s.rows, s.version, s.accounts.next(), prefixes...); err != nil {
 		s.violate("the configuration cannot be written: %v", err)
 	}
 }
