--- a/internal/extender/extender_test.go
+++ b/internal/extender/extender_test.go
@@ -117,7 +117,9 @@
 		defer cancel()
 		for range 20 {
 			time.Sleep(100 * time.Millisecond)
-			extender.Progress(context.WithValue(ctx, struct{}{}, nil))
+			callee, end := context.WithCancel(ctx)
+			extender.Progress(callee)
+			end()
 		}
 		if err := ctx.Err(); err != nil {
 			t.Errorf("%v while the call made progress", err)
