--- a/internal/rerouter/relay.go
+++ b/internal/rerouter/relay.go
@@ -40,7 +40,7 @@
 func (r *Rerouter) callRelays(ctx context.Context, op operation, relayed relayedCall) error {
 	failure := storer.ErrUnavailable
 	inDoubt := false
-	candidates := r.relayCandidates()
+	candidates := r.relayCandidates(op)
 	calls, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan relayResult, len(candidates))
@@ -102,10 +102,14 @@
 	return relayResult{accept: accept, err: err}
 }
 
-// relayCandidates returns up to maxRelayAttempts instances: first those without a
-// relay failure, then those with the oldest failures. The store may refuse other
-// instances, too, so that the same ones must not be asked each time.
-func (r *Rerouter) relayCandidates() []discoverer.Member {
+// relayCandidates returns the instances for a call: first those without a relay failure, then
+// those with the oldest failures. The store may refuse other instances, too, so that the same
+// ones must not be asked each time.
+func (r *Rerouter) relayCandidates(op operation) []discoverer.Member {
+	limit := maxRelayedReads
+	if op.isWrite {
+		limit = maxRelayedWrites
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.relays == nil {
@@ -115,7 +119,7 @@
 	slices.SortStableFunc(members, func(a, b discoverer.Member) int {
 		return r.relayFailures[a.Instance].Compare(r.relayFailures[b.Instance])
 	})
-	return members[:min(len(members), maxRelayAttempts)]
+	return members[:min(len(members), limit)]
 }
 
 // recordRelayResult records whether the instance relayed a call. A success does not
--- a/internal/rerouter/rerouter.go
+++ b/internal/rerouter/rerouter.go
@@ -44,8 +44,10 @@
 	// maxDirectFailures is the number of consecutive failed direct reads after
 	// which the path is no longer Direct.
 	maxDirectFailures = 2
-	// maxRelayAttempts is the maximum number of instances that a call is relayed to.
-	maxRelayAttempts = 3
+	// maxRelayedReads and maxRelayedWrites are the maximum numbers of instances that a call is
+	// relayed to. Those for a write are asked one after the other.
+	maxRelayedReads  = 3
+	maxRelayedWrites = 2
 	// hedgeDelay is the time after which a read is relayed to another instance, too.
 	hedgeDelay = 100 * time.Millisecond
 	// relayMargin is added to the timeout of a call for its relaying.
