--- a/review/_harness/client.go
+++ b/review/_harness/client.go
@@ -43,8 +43,8 @@
 		return a
 	}
 	out.Host, out.GetBody = hostName, nil
-	out.Header.Set("Attempt-Id", r.id)
-	out.Header.Set("Deadline-Ms", strconv.FormatInt(r.deadline.Milliseconds(), 10))
+	out.Header.Set(names["id"], r.id)
+	out.Header.Set(names["deadline"], strconv.FormatInt(r.deadline.Milliseconds(), 10))
 	for name, value := range r.headers {
 		out.Header.Set(name, value)
 	}
@@ -83,7 +83,7 @@
 
 // isWhole reports whether the answer is a whole success of a replica.
 func (a answer) isWhole() bool {
-	return a.status == http.StatusOK && a.isComplete && a.header.Get("Server-Signature") != ""
+	return a.status == http.StatusOK && a.isComplete && a.header.Get(names["signature"]) != ""
 }
 
 func (a answer) String() string {
--- a/review/_harness/world.go
+++ b/review/_harness/world.go
@@ -110,8 +110,8 @@
 // register writes the registration of a replica.
 func (w *world) register(id, service, address, zone, state string, slots int, born int64, sequence int) error {
 	value, err := json.Marshal(map[string]any{
-		"service": service, "address": address, "zone": zone, "version": "v1", "batch_slots": slots,
-		"state": state, "cold_remaining_ms": 0, "sequence": sequence, "born": born,
+		"service": service, "address": address, "zone": zone, "version": "v1", names["slots"]: slots,
+		"state": state, names["cold"]: 0, "sequence": sequence, "born": born,
 	})
 	if err != nil {
 		return err
