internal/opener, internal/bookkeeper: a lost holder's share is withheld only from programs that it may have opened

Cause: the holder of a right may open programs without a row in an outage. If it and both of its witnesses end, nobody knows which; the successor withheld the share from all programs of the slot for 24 hours, also from those that no lost holder can have opened.

Change: a right states a reach in its row, and its holder opens only programs whose aims are within it. A program that has no row when its row is created, and whose aim is later than the end of the lost holder plus its reach, is cleared, which its row keeps; a cleared program can be lifted during a deduction. The end of the holder is known once another process runs at its instance, or at a witness's, else a window after the takeover. A turn of another program that needs the share is refused at once instead of after 1.8 s. Windows also pass while a host is suspended.

Tests of bookkeeper state aims now, as callers do; a program without one is not opened without a row.

--- a/internal/bookkeeper/actor.go
+++ b/internal/bookkeeper/actor.go
@@ -19,6 +19,7 @@
 type (
 	openMessage struct {
 		OpenRequest
+		aim      opener.Aim
 		deadline time.Time
 		reply    chan<- OpenResponse
 	}
@@ -115,6 +116,7 @@
 		m.reply <- OpenResponse{Status: Retired}
 		return
 	}
+	s.rights.extend(m.ProgramTimeLeft)
 	p := s.program(m.Program)
 	p.lastUsed = time.Now()
 	p.waiting = append(p.waiting, m)
@@ -178,6 +180,9 @@
 // writeGrant submits a write of the row with a grant that suffices for m.
 func (s *state) writeGrant(program string, p *programState, m openMessage) {
 	next := p.ledger.nextRow(m.Tokens, m.Budget)
+	if p.ledger.version == 0 {
+		next.Clearance = s.rights.clearance(m)
+	}
 	value, err := cbor.Marshal(next)
 	if err != nil {
 		m.reply <- OpenResponse{Status: Unavailable}
@@ -215,7 +220,7 @@
 		// The expected version stays the same: an in-doubt write either takes
 		// effect before the next write, which then conflicts, or never.
 		s.log.Log(eventGrantNotWritten, "Program", m.program, "Row", p.ledger.version, "Waiting", len(p.waiting), "Cause", err)
-		s.refuseWaiting(p)
+		s.refuseWaiting(p, Unavailable)
 		p.charge = nil // The step of the right, or the turn that waits, begins again.
 		return
 	case p.ledger.isClosedBy(current):
@@ -243,10 +248,10 @@
 	return conflict.Current[0].Version, r, err
 }
 
-// refuseWaiting answers all waiting requests with Unavailable.
-func (s *state) refuseWaiting(p *programState) {
+// refuseWaiting answers all waiting requests with the status.
+func (s *state) refuseWaiting(p *programState, status Status) {
 	for _, m := range p.waiting {
-		m.reply <- OpenResponse{Status: Unavailable}
+		m.reply <- OpenResponse{Status: status}
 	}
 	p.waiting = nil
 }
--- a/internal/bookkeeper/bookkeeper.go
+++ b/internal/bookkeeper/bookkeeper.go
@@ -22,6 +22,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/batcher"
 	"github.com/wigeonstand/wigeonstand/internal/estimator"
 	"github.com/wigeonstand/wigeonstand/internal/logger"
+	"github.com/wigeonstand/wigeonstand/internal/opener"
 	"github.com/wigeonstand/wigeonstand/internal/pruner"
 	"github.com/wigeonstand/wigeonstand/internal/quarantiner"
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
@@ -63,6 +64,9 @@
 	InDoubt
 	// Retired means that the bookkeeper has handed its ledgers over.
 	Retired
+	// Withheld means that the turn needs the part of the budget that a lost holder of a right
+	// may have handed out.
+	Withheld
 )
 
 // OpenRequest asks to reserve tokens for a turn.
@@ -82,6 +86,10 @@
 	Session string `cbor:"7,keyasint,omitempty"`
 	// Verdicts are those of the caller on requests that crash endpoints.
 	Verdicts []quarantiner.Verdict `cbor:"8,keyasint,omitempty"`
+	// ProgramTimeLeft is the time until the program should end, and Timeout that for which the
+	// caller waits, as the caller's request stated them; zero if it did not.
+	ProgramTimeLeft time.Duration `cbor:"16,keyasint,omitempty"`
+	Timeout         time.Duration `cbor:"17,keyasint,omitempty"`
 	// Contender asks for capacity for a program that may be new; nil otherwise.
 	Contender *apportioner.Contender `cbor:"14,keyasint,omitempty"`
 }
@@ -276,7 +284,8 @@
 // Open reserves the tokens of a turn.
 func (k *Bookkeeper) Open(ctx context.Context, in OpenRequest) (OpenResponse, error) {
 	reply := make(chan OpenResponse, 1)
-	k.send(openMessage{OpenRequest: in, deadline: time.Now().Add(in.Wait), reply: reply})
+	now := time.Now()
+	k.send(openMessage{OpenRequest: in, aim: opener.NewAim(in.ProgramTimeLeft, in.Timeout, now), deadline: now.Add(in.Wait), reply: reply})
 	timer := time.NewTimer(in.Wait)
 	defer timer.Stop()
 	select {
--- a/internal/bookkeeper/events.go
+++ b/internal/bookkeeper/events.go
@@ -22,5 +22,5 @@
 	eventOpeningsRecorded = logger.Define(5046, "OpeningsRecorded", log.InfoLevel,
 		"programs that were opened without a row were charged what they used", "None.")
 	eventDeductionBegan = logger.Define(5047, "DeductionBegan", log.WarnLevel,
-		"neither the former holder of a right nor its witnesses answered; no program of the slot is opened without a row for a day", "None, if instances were lost; see docs/operators/incidents-entry.md.")
+		"neither the former holder of a right nor its witnesses answered; programs that the holder may have opened don't get the withheld part of their budgets for a day", "None, if instances were lost; see docs/operators/incidents-entry.md.")
 )
--- a/internal/bookkeeper/handover.go
+++ b/internal/bookkeeper/handover.go
@@ -25,6 +25,7 @@
 	Committed int64 `cbor:"5,keyasint"`
 	Homes     homes `cbor:"6,keyasint,omitzero"`
 	Withheld  int64 `cbor:"7,keyasint,omitempty"`
+	Clearance int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // AdoptRequest hands ledgers over.
@@ -65,7 +66,7 @@
 		if p.ledger.isLoaded {
 			handovers = append(handovers, Handover{
 				Program: program, Version: p.ledger.version, Grants: p.ledger.grants,
-				Holder: s.holder, Committed: p.ledger.committed(), Homes: p.homes, Withheld: p.ledger.withheld,
+				Holder: s.holder, Committed: p.ledger.committed(), Homes: p.homes, Withheld: p.ledger.withheld, Clearance: p.ledger.clearance,
 			})
 		}
 	}
@@ -85,7 +86,7 @@
 		if p.homes.Last == "" {
 			p.homes = h.Homes
 		}
-		p.ledger.inherit(h.Version, row{Grants: h.Grants, Withheld: h.Withheld}, h.Holder, h.Committed)
+		p.ledger.inherit(h.Version, row{Grants: h.Grants, Withheld: h.Withheld, Clearance: h.Clearance}, h.Holder, h.Committed)
 	}
 }
 
--- a/internal/bookkeeper/ledger.go
+++ b/internal/bookkeeper/ledger.go
@@ -27,6 +27,8 @@
 	// Withheld is the part of the budget that is not granted until the program is
 	// lifted, as it may be used without a row; see package opener.
 	Withheld int64 `cbor:"2,keyasint,omitempty"`
+	// Clearance is the opener.Tenure's when the row was created.
+	Clearance int64 `cbor:"3,keyasint,omitempty"`
 }
 
 func decodeRow(value []byte) (row, error) {
@@ -66,8 +68,9 @@
 	holder string
 	// share is the part of a budget to withhold in a new row, in thousandths, and
 	// withheld that of the row in tokens.
-	share    int64
-	withheld int64
+	share     int64
+	withheld  int64
+	clearance int64
 	// version and grants are those of the row; grantedToOthers is the sum of the
 	// grants of the other holders.
 	version         int64
@@ -96,7 +99,7 @@
 // load sets the version and the grants from a row. The uncommitted part of
 // inherited grants is added to this holder's grant.
 func (l *ledger) load(version int64, r row) {
-	l.version, l.grantedToOthers, l.withheld, l.isLoaded = version, 0, r.Withheld, true
+	l.version, l.grantedToOthers, l.withheld, l.clearance, l.isLoaded = version, 0, r.Withheld, r.Clearance, true
 	l.grants = make(map[string]int64, len(r.Grants)+1)
 	for holder, grant := range r.Grants {
 		if committed, found := l.inherited[holder]; found && committed < grant {
@@ -153,7 +156,7 @@
 func (l *ledger) closedRow() row {
 	l.release()
 	l.isClosing = true
-	r := row{Grants: maps.Clone(l.grants), Withheld: l.withheld}
+	r := row{Grants: maps.Clone(l.grants), Withheld: l.withheld, Clearance: l.clearance}
 	delete(r.Grants, l.holder)
 	if l.used > 0 {
 		r.Grants[settledHolder] += l.used
@@ -175,7 +178,7 @@
 
 // reduceGrants lowers the grants of other holders to their committed tokens.
 func (l *ledger) reduceGrants(committed map[string]int64) {
-	reduced := row{Grants: make(map[string]int64, len(l.grants)), Withheld: l.withheld}
+	reduced := row{Grants: make(map[string]int64, len(l.grants)), Withheld: l.withheld, Clearance: l.clearance}
 	for holder, grant := range l.grants {
 		if committedTokens, given := committed[holder]; given {
 			grant = min(grant, committedTokens)
@@ -264,7 +267,7 @@
 // several data centres has as many holders, and if all of them die, the rest of
 // the budget must still allow further turns.
 func (l *ledger) nextRow(tokens, budget int64) row {
-	r := row{Grants: make(map[string]int64, len(l.grants)+1), Withheld: l.withheld}
+	r := row{Grants: make(map[string]int64, len(l.grants)+1), Withheld: l.withheld, Clearance: l.clearance}
 	if l.version == 0 && l.share > 0 {
 		r.Withheld = opener.Withheld(budget, l.share)
 	}
--- a/internal/bookkeeper/rights.go
+++ b/internal/bookkeeper/rights.go
@@ -70,6 +70,9 @@
 	Bookkeepers(program string) []discoverer.Member
 	Ranking(key string, n int) []discoverer.Member
 	FindIncarnation(incarnation string) (discoverer.Member, bool)
+	// HasEnded reports whether a read of the members that began after the time shows that
+	// the process with the incarnation has ended.
+	HasEnded(incarnation string, after time.Time) bool
 	Self() discoverer.Member
 }
 
@@ -119,6 +122,8 @@
 	chargesLeft int
 	// isShareCommon is true if all known members withhold as much as this process uses.
 	isShareCommon bool
+	// reach is the Reach that suffices for the programs seen so far.
+	reach time.Duration
 }
 
 type slot struct {
@@ -173,8 +178,7 @@
 	}
 	programLifted struct {
 		program string
-		tokens  int64
-		isKnown bool
+		LiftResponse
 	}
 	vacancyChecked struct {
 		slot         int
@@ -192,6 +196,24 @@
 	return s.rights.Share
 }
 
+// extend takes note of a program with the time left until its aim.
+func (r *rights) extend(left time.Duration) {
+	if r != nil && left > 0 {
+		r.reach = max(r.reach, opener.ReachFor(left))
+	}
+}
+
+// clearance returns the clearance for the new row of a program.
+func (r *rights) clearance(m openMessage) int64 {
+	if r == nil {
+		return 0
+	}
+	if t := r.slots[opener.Slot(m.Program)].tenure; t != nil {
+		return t.Clearance(m.aim)
+	}
+	return 0
+}
+
 // run runs f in a goroutine, unless stop was called.
 func (r *rights) run(f func()) {
 	r.workMu.Lock()
@@ -281,7 +303,7 @@
 	case sealMessage:
 		m.reply <- r.seal(m.SealRequest)
 	case liftMessage:
-		m.reply <- r.liftHere(s, m.program)
+		m.reply <- r.liftHere(s, m.LiftRequest)
 	}
 }
 
@@ -481,8 +503,6 @@
 	switch unrecorded := t.Unrecorded(); {
 	case right.Former != nil:
 		r.settleFormer(s, i, right, submit)
-	case right.IsDeducting:
-		submit(t.Advance(time.Now()))
 	case len(unrecorded) > 0:
 		if r.IsStoreAway() {
 			return
@@ -498,6 +518,8 @@
 		}
 	case t.IsInDoubt():
 		submit(t.Resolve())
+	case right.Reach < r.reach && !r.IsStoreAway():
+		submit(t.Extend(r.reach))
 	default:
 		submit(t.Advance(time.Now()))
 	}
@@ -515,7 +537,7 @@
 func (r *rights) record(s *state, t *opener.Tenure, right opener.Right, programs []string) {
 	var recorded []string
 	for _, program := range programs {
-		tokens, isKnown := t.Committed(program)
+		tokens, isKnown := t.Committed(program, 0)
 		if isKnown && r.charge(s, program, tokens) {
 			t.Recorded(program)
 			recorded = append(recorded, program)
@@ -536,13 +558,20 @@
 	if sl.former != former.Tenure {
 		sl.former, sl.openings, sl.sealAttempts = former.Tenure, nil, 0
 	}
+	ended := 0
+	for _, process := range append([]string{former.Holder}, former.Witnesses...) {
+		if r.Members.HasEnded(process, sl.tenure.HeldAt()) {
+			sl.tenure.FormerHasEnded(time.Now())
+			ended++
+		}
+	}
 	switch {
 	case sl.openings != nil:
 	case sl.isAsking:
 		return
-	case sl.sealAttempts >= maxSealAttempts:
-		s.log.Log(eventDeductionBegan, "Slot", slotNames[i], "Former", former.Holder, "Witnesses", former.Witnesses)
-		submit(sl.tenure.Deduct())
+	case sl.sealAttempts >= maxSealAttempts || ended > len(former.Witnesses):
+		s.log.Log(eventDeductionBegan, "Slot", slotNames[i], "Former", former.Holder, "Witnesses", former.Witnesses, "Reach", former.Reach, "Ended", ended)
+		submit(sl.tenure.Deduct(time.Now()))
 		return
 	default:
 		sl.sealAttempts++
@@ -614,7 +643,7 @@
 		return opener.Refused
 	}
 	isNew := !r.isOpen(m.Program)
-	result := t.Reserve(m.Program, m.Turn, m.Tokens, m.Budget, now)
+	result := t.Reserve(opener.Program{Name: m.Program, Budget: m.Budget, Aim: m.aim, Clearance: p.ledger.clearance}, m.Turn, m.Tokens, now)
 	switch {
 	case result == opener.Granted && isNew:
 		r.CountOpened()
@@ -657,7 +686,8 @@
 	}
 	p.isLifting = true
 	holder := s.rights.slots[opener.Slot(program)].current.Right.Holder
-	s.rights.run(func() { s.rights.askToLift(s, holder, program, deadline) })
+	in := LiftRequest{Program: program, Clearance: p.ledger.clearance}
+	s.rights.run(func() { s.rights.askToLift(s, holder, in, deadline) })
 }
 
 func (s *state) handleLifted(m programLifted) {
@@ -666,27 +696,35 @@
 		return
 	}
 	p.isLifting = false
-	if !m.isKnown {
-		s.refuseWaiting(p)
+	if !m.IsKnown {
+		status := Unavailable
+		if m.IsRefused {
+			status = Withheld
+		}
+		s.refuseWaiting(p, status)
 		return
 	}
 	if !p.ledger.isCharged() && p.charge == nil {
-		p.charge = &m.tokens
+		p.charge = &m.Tokens
 		s.continueCharge(m.program, p)
 	}
 }
 
 // liftHere lifts the program if this process holds the right.
-func (r *rights) liftHere(s *state, program string) LiftResponse {
-	sl := &r.slots[opener.Slot(program)]
+func (r *rights) liftHere(s *state, in LiftRequest) LiftResponse {
+	sl := &r.slots[opener.Slot(in.Program)]
 	right, isHolder := sl.right()
 	if !isHolder || r.IsStoreAway() {
 		return LiftResponse{} // A program that is being lifted isn't used without a row.
 	}
-	tokens, isKnown := sl.tenure.Committed(program)
-	if !isKnown && !sl.isWriting && !right.IsLifted(program) {
-		if w, ok := sl.tenure.Lift([]string{program}); ok {
-			r.write(s, opener.Slot(program), w)
+	if !sl.tenure.CanLift(in.Program, in.Clearance) {
+		// Only a deduction lasts longer than a turn can wait.
+		return LiftResponse{IsRefused: right.Former == nil}
+	}
+	tokens, isKnown := sl.tenure.Committed(in.Program, in.Clearance)
+	if !isKnown && !sl.isWriting && !right.IsLifted(in.Program) {
+		if w, ok := sl.tenure.Lift([]string{in.Program}); ok {
+			r.write(s, opener.Slot(in.Program), w)
 		}
 	}
 	return LiftResponse{IsKnown: isKnown, Tokens: tokens}
--- a/internal/bookkeeper/rights_calls.go
+++ b/internal/bookkeeper/rights_calls.go
@@ -57,6 +57,8 @@
 // LiftRequest asks the holder of a right to open a program no more.
 type LiftRequest struct {
 	Program string `cbor:"1,keyasint"`
+	// Clearance is that of the program's row.
+	Clearance int64 `cbor:"2,keyasint,omitempty"`
 }
 
 // LiftResponse states what the program used, or may still use, without a row, if that is
@@ -64,6 +66,8 @@
 type LiftResponse struct {
 	IsKnown bool  `cbor:"1,keyasint"`
 	Tokens  int64 `cbor:"2,keyasint,omitempty"`
+	// IsRefused is true if it will not be known soon.
+	IsRefused bool `cbor:"3,keyasint,omitempty"`
 }
 
 var errUnknownProcess = errors.New("the process is not a known instance")
@@ -80,8 +84,8 @@
 		reply chan<- map[string]int64
 	}
 	liftMessage struct {
-		program string
-		reply   chan<- LiftResponse
+		LiftRequest
+		reply chan<- LiftResponse
 	}
 )
 
@@ -133,7 +137,7 @@
 		return LiftResponse{}, nil
 	}
 	reply := make(chan LiftResponse, 1)
-	k.send(liftMessage{program: in.Program, reply: reply})
+	k.send(liftMessage{LiftRequest: in, reply: reply})
 	return await(ctx, reply)
 }
 
@@ -228,13 +232,13 @@
 
 // askToLift asks the holder of the right to lift the program until it states what was
 // used without a row, or until the deadline.
-func (r *rights) askToLift(s *state, holder, program string, deadline time.Time) {
+func (r *rights) askToLift(s *state, holder string, in LiftRequest, deadline time.Time) {
 	ctx, cancel := context.WithDeadline(r.ctx, deadline)
 	defer cancel()
 	for {
-		out, err := r.askOnce(ctx, s, holder, program)
-		if (err == nil && out.IsKnown) || ctx.Err() != nil {
-			s.send(programLifted{program: program, tokens: out.Tokens, isKnown: out.IsKnown})
+		out, err := r.askOnce(ctx, s, holder, in)
+		if (err == nil && (out.IsKnown || out.IsRefused)) || ctx.Err() != nil {
+			s.send(programLifted{program: in.Program, LiftResponse: out})
 			return
 		}
 		r.pause(ctx)
@@ -251,12 +255,12 @@
 	}
 }
 
-func (r *rights) askOnce(ctx context.Context, s *state, holder, program string) (out LiftResponse, err error) {
+func (r *rights) askOnce(ctx context.Context, s *state, holder string, in LiftRequest) (out LiftResponse, err error) {
 	if holder == s.holder {
 		reply := make(chan LiftResponse, 1)
-		s.send(liftMessage{program: program, reply: reply})
+		s.send(liftMessage{LiftRequest: in, reply: reply})
 		return await(ctx, reply)
 	}
-	err = r.call(ctx, holder, methodLift, LiftRequest{Program: program}, &out)
+	err = r.call(ctx, holder, methodLift, in, &out)
 	return out, err
 }
--- a/internal/bookkeeper/rights_test.go
+++ b/internal/bookkeeper/rights_test.go
@@ -31,11 +31,27 @@
 	isAway             atomic.Bool
 	opened, deductions atomic.Int64
 	spent              map[string]int64
+	// aims are the times at which programs should end.
+	aims map[string]time.Time
+}
+
+// usualAim is the time from the first turn of a program to its aim.
+const usualAim = 3 * time.Second
+
+// openRequest returns the request for a turn of a program.
+func (o *outageFleet) openRequest(program, turn string) bookkeeper.OpenRequest {
+	if _, found := o.aims[program]; !found {
+		o.aims[program] = time.Now().Add(usualAim)
+	}
+	return bookkeeper.OpenRequest{
+		Program: program, Turn: turn, Tokens: turnTokens, Budget: outageBudget, Wait: time.Second,
+		ProgramTimeLeft: time.Until(o.aims[program]), Timeout: time.Second,
+	}
 }
 
 func newOutageFleet(t *testing.T, f *fleet, n int) *outageFleet {
 	t.Helper()
-	o := &outageFleet{spent: map[string]int64{}, dataCentre: &dataCentre{fleet: f, network: &network{
+	o := &outageFleet{spent: map[string]int64{}, aims: map[string]time.Time{}, dataCentre: &dataCentre{fleet: f, network: &network{
 		handlers: map[netip.AddrPort]map[string]messenger.Handler{}, silent: map[netip.AddrPort]bool{},
 	}}}
 	for range n {
@@ -53,9 +69,20 @@
 // addWithShare starts a further instance that states the share.
 func (o *outageFleet) addWithShare(t *testing.T, share int64) {
 	t.Helper()
-	i := len(o.members)
+	o.members, o.clients = append(o.members, nil), append(o.clients, nil)
+	o.startProcess(t, len(o.members)-1, "1", share)
+}
+
+// restart starts a process in place of one that ended.
+func (o *outageFleet) restart(t *testing.T, i int, process string) {
+	t.Helper()
+	o.startProcess(t, i, process, outageShare)
+}
+
+func (o *outageFleet) startProcess(t *testing.T, i int, process string, share int64) {
+	t.Helper()
 	self := discoverer.Member{
-		Instance: fmt.Sprintf("entry-%02d", i), Incarnation: fmt.Sprintf("process-%02d", i), DataCentre: "dc", Cores: 1,
+		Instance: fmt.Sprintf("entry-%02d", i), Incarnation: fmt.Sprintf("entry-%02d/%s", i, process), DataCentre: "dc", Cores: 1,
 		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1), OutageShare: share,
 	}
 	members := discoverer.New(self, o.rows.For(self.Instance))
@@ -65,8 +92,7 @@
 		IsStoreAway: o.isAway.Load, CountOpened: func() { o.opened.Add(1) },
 		SetHeld: func(_, deductions int) { o.deductions.Add(int64(deductions) - held.Swap(int64(deductions))) },
 	}))
-	o.members = append(o.members, members)
-	o.clients = append(o.clients, bookkeeper.NewClient(k, members, o.network, registrar.New()))
+	o.members[i], o.clients[i] = members, bookkeeper.NewClient(k, members, o.network, registrar.New())
 	o.network.mu.Lock()
 	defer o.network.mu.Unlock()
 	o.network.handlers[self.Address] = k.Handlers(registrar.New())
@@ -117,9 +143,18 @@
 // turn runs a turn at the client, which uses the tokens.
 func (o *outageFleet) turn(t *testing.T, client int, program string, used int64) bookkeeper.Status {
 	t.Helper()
-	status, _ := o.runTurn(t, client, program, fmt.Sprint("turn-", time.Now().UnixNano(), "-", o.spent[program]), outageBudget, used)
+	in := o.openRequest(program, fmt.Sprint("turn-", time.Now().UnixNano(), "-", o.spent[program]))
+	in.Wait = 3 * time.Second
+	out, member, err := o.clients[client].Open(t.Context(), in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	status := out.Status
 	if status == bookkeeper.OK {
 		o.spent[program] += used
+		if err := o.clients[client].Close(t.Context(), member, bookkeeper.CloseRequest{Program: program, Turn: in.Turn, Used: used}); err != nil {
+			t.Error(err)
+		}
 	}
 	if o.spent[program] > outageBudget {
 		t.Fatalf("%s used %d tokens of %d", program, o.spent[program], int64(outageBudget))
@@ -245,6 +280,38 @@
 	})
 }
 
+// Guards against programs that never get the last part of their budgets because they began
+// in the day after all instances ended: none of these opened a program that did not live yet.
+func TestProgramsThatBeginAfterAllInstancesEndedHaveTheirBudgets(t *testing.T) {
+	runFleet(t, 1, func(t *testing.T, f *fleet) {
+		o := newOutageFleet(t, f, 4)
+		o.pass(t, 12*time.Second)
+		o.openDuringOutage(t, 0)
+		for i := range o.clients {
+			o.killInstance(i)
+		}
+		o.setAway(false)
+		for i := range o.clients {
+			o.restart(t, i, "2")
+		}
+		o.pass(t, 20*time.Second)
+		if o.deductions.Load() == 0 {
+			t.Error("no deduction is in force")
+		}
+		for i := 100; i < 108; i++ {
+			o.pass(t, time.Second) // Instances without heartbeats lose their rights.
+			if used := o.spendRest(t, i%4, program(i)); used != outageBudget {
+				t.Errorf("%s could use %d tokens of %d", program(i), used, int64(outageBudget))
+			}
+		}
+		// Those that may have been opened are held to what is left for certain.
+		for i := range outagePrograms {
+			o.pass(t, time.Second)
+			o.spendRest(t, i%4, program(i))
+		}
+	})
+}
+
 // Guards against openings while instances that withhold nothing still write rows, and of the
 // programs that have such rows.
 func TestNothingIsOpenedBesideInstancesWithoutTheSetting(t *testing.T) {
@@ -359,9 +426,11 @@
 			o.passBesideFaults(t, time.Duration(1+random.IntN(6))*time.Second)
 		}
 		client, used := o.clients[living()], int64(random.IntN(turnTokens+1))
-		in := bookkeeper.OpenRequest{
-			Program: program(step/30*3 + random.IntN(3)), Turn: fmt.Sprint(step), Tokens: turnTokens, Budget: outageBudget, Wait: time.Second,
+		name := program(step/30*3 + random.IntN(3))
+		if _, found := o.aims[name]; !found {
+			o.aims[name] = time.Now().Add(time.Duration(1+random.IntN(40)) * time.Second)
 		}
+		in := o.openRequest(name, fmt.Sprint(step))
 		loseClose := random.IntN(8) == 0
 		turns.Go(func() {
 			for n := range 6 {
--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"slices"
 	"sort"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,7 +60,8 @@
 
 // Member describes an instance, as stored in its row.
 type Member struct {
-	// Instance is the name. Incarnation is unique to each process of the instance.
+	// Instance is the name. Incarnation is unique to each process of the instance; it is the
+	// name, a slash, and what tells the processes apart.
 	Instance    string         `cbor:"1,keyasint"`
 	Incarnation string         `cbor:"2,keyasint"`
 	Address     netip.AddrPort `cbor:"3,keyasint"`
@@ -447,6 +449,24 @@
 	return Member{}, false
 }
 
+// HasEnded reports whether a read of the members that began after the time shows another
+// process at the instance of the incarnation, which was in the list before that time. An
+// instance has one process at a time.
+func (d *Discoverer) HasEnded(incarnation string, after time.Time) bool {
+	i := strings.LastIndexByte(incarnation, '/')
+	if i < 0 || incarnation == d.self.Incarnation {
+		return false
+	}
+	instance := incarnation[:i]
+	if instance == d.self.Instance {
+		return true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m := d.members[instance]
+	return m != nil && m.Incarnation != "" && m.Incarnation != incarnation && d.readAt.After(after)
+}
+
 // Relays returns other instances through which this one may access the store, in an
 // order that differs between instances. While no member is known, these are the seeds.
 func (d *Discoverer) Relays() []Member {
--- a/internal/opener/opener_test.go
+++ b/internal/opener/opener_test.go
@@ -23,6 +23,8 @@
 	grants   map[string]int64
 	charged  int64
 	withheld int64
+	// clearance is the Tenure.Clearance when the row was created.
+	clearance int64
 }
 
 // byRows returns the sum of the grants without what openings were charged.
@@ -43,6 +45,8 @@
 	budget int64
 	born   time.Duration
 	handed int64
+	// aim is when the program should end, as all of its requests state it.
+	aim time.Duration
 }
 
 type turn struct {
@@ -100,7 +104,7 @@
 }
 
 // counts shows what the checks covered.
-type counts struct{ runs, checks, opened, lifted, settled, deducted, exhausted int }
+type counts struct{ runs, checks, opened, lifted, settled, deducted, exhausted, cleared int }
 
 func (m *model) time() time.Time { return time.Unix(0, 0).Add(m.now) }
 
@@ -138,7 +142,20 @@
 
 func (m *model) newProgram() *program {
 	m.names++
-	return &program{name: fmt.Sprint("program-", m.names), born: m.now, budget: []int64{1000, 997, 40}[m.draw(3, "budget")]}
+	return &program{
+		name: fmt.Sprint("program-", m.names), born: m.now, budget: []int64{1000, 997, 40}[m.draw(3, "budget")], aim: m.newAim(),
+	}
+}
+
+func (m *model) newAim() time.Duration {
+	return m.now + []time.Duration{3 * time.Second, opener.MinReach, 10 * time.Second, time.Minute, terms.Life}[m.draw(5, "aim")]
+}
+
+// aimOf returns the aim that a request states which was on its way for some time.
+func (m *model) aimOf(on *program) opener.Aim {
+	const timeout = 3 * time.Second
+	delay := time.Duration(m.draw(4, "delay")) * timeout / 3
+	return opener.NewAim(on.aim-m.now+delay, timeout, m.time())
 }
 
 // program returns a program that may still have turns.
@@ -337,16 +354,19 @@
 	}
 	switch {
 	case r.Former != nil:
+		for _, name := range append([]string{r.Former.Holder}, r.Former.Witnesses...) {
+			if m.find(name) == nil && m.draw(2, "known to have ended") == 0 {
+				t.FormerHasEnded(m.time())
+			}
+		}
 		m.settleFormer(p, r, submit)
-	case r.IsDeducting:
-		submit(t.Advance(m.time()))
 	case len(t.Unrecorded()) > 0:
 		for _, name := range t.Unrecorded() {
 			if !r.IsLifted(name) {
 				submit(t.Lift(t.Unrecorded()))
 				return
 			}
-			tokens, _ := t.Committed(name)
+			tokens, _ := t.Committed(name, 0)
 			if m.charge(p, name, tokens) {
 				t.Recorded(name)
 				for _, witness := range r.Witnesses {
@@ -358,6 +378,8 @@
 		submit(t.Replace(m.witnessesFor(p)))
 	case t.IsInDoubt():
 		submit(t.Resolve())
+	case m.draw(4, "extended") == 0:
+		submit(t.Extend(opener.ReachFor(time.Duration(1+m.draw(70, "reach")) * time.Second)))
 	default:
 		submit(t.Advance(m.time()))
 	}
@@ -415,7 +437,8 @@
 	t := p.tenure
 	m.names++
 	id := fmt.Sprint("turn-", m.names)
-	switch t.Reserve(on.name, id, tokens, on.budget, m.time()) {
+	asking := opener.Program{Name: on.name, Budget: on.budget, Aim: m.aimOf(on), Clearance: p.views[on.name].clearance}
+	switch t.Reserve(asking, id, tokens, m.time()) {
 	case opener.Granted:
 		m.counts.opened++
 		m.hand(p, on, id, tokens, false)
@@ -445,6 +468,12 @@
 	next := view
 	if view.version == 0 {
 		next.withheld = opener.Withheld(on.budget, share)
+		if p.tenure != nil {
+			next.clearance = p.tenure.Clearance(m.aimOf(on))
+			if next.clearance > 0 {
+				m.counts.cleared++
+			}
+		}
 	}
 	next.grants = maps.Clone(view.grants)
 	if next.grants == nil {
@@ -460,6 +489,8 @@
 			m.t.Fatalf("%s was told falsely that its budget is spent: %+v", on.name, view)
 		}
 		m.counts.exhausted++
+		// A program that has no end begins anew after it was told that its budget is spent.
+		on.aim = m.newAim()
 		return true
 	}
 	if view.version == 0 {
@@ -471,12 +502,12 @@
 
 // askToLift asks the holder of the right to lift the program, and charges what it says.
 func (m *model) askToLift(p *process, on *program) {
+	clearance := p.views[on.name].clearance
 	handle := func(holder *process) {
-		r, isHolder := holder.right()
-		if !isHolder {
+		if _, isHolder := holder.right(); !isHolder {
 			return
 		}
-		if tokens, isKnown := holder.tenure.Committed(on.name); isKnown {
+		if tokens, isKnown := holder.tenure.Committed(on.name, clearance); isKnown {
 			m.counts.lifted++
 			charge := func(*process) { m.charge(p, on.name, tokens) }
 			if holder == p {
@@ -484,7 +515,7 @@
 				return
 			}
 			m.send(holder, p.name, charge)
-		} else if r.Former == nil && !r.IsDeducting {
+		} else if holder.tenure.CanLift(on.name, clearance) {
 			if w, ok := holder.tenure.Lift([]string{on.name}); ok {
 				m.writeRight(holder, holder.tenure, w)
 			}
@@ -559,8 +590,10 @@
 	case op < 157:
 		p = m.processes[draw(len(m.processes), "taker")]
 		active(func() { m.take(p) })
-	case op < 160:
+	case op < 159:
 		m.maintain()
+	case op < 160:
+		m.loseHolders()
 	case op < 163:
 		active(func() {
 			if _, isHolder := p.right(); isHolder {
@@ -578,7 +611,7 @@
 	case op < 180:
 		active(func() {
 			if r, isHolder := p.right(); isHolder && r.Former != nil {
-				if w, ok := p.tenure.Deduct(); ok {
+				if w, ok := p.tenure.Deduct(m.time()); ok {
 					m.counts.deducted++
 					m.writeRight(p, p.tenure, w)
 				}
@@ -666,7 +699,7 @@
 	m.take(p)
 	m.deliverAll()
 	if r, isHolder := p.right(); isHolder && r.Former != nil && m.draw(4, "without asking") == 0 {
-		if w, ok := p.tenure.Deduct(); ok {
+		if w, ok := p.tenure.Deduct(m.time()); ok {
 			m.counts.deducted++
 			m.writeRight(p, p.tenure, w)
 			m.deliverAll()
@@ -681,9 +714,65 @@
 	}
 }
 
+// loseHolders opens programs during an outage, ends the holder and its witnesses, or cuts them
+// off from another process, and lets that one take the right, count their openings as lost and
+// serve the programs.
+func (m *model) loseHolders() {
+	holder := m.find(m.right.Holder)
+	if holder == nil || holder.tenure == nil {
+		return
+	}
+	m.isOutage = true
+	for range 1 + m.draw(6, "openings") {
+		on, tokens := m.program(), 1+int64(m.draw(8, "tokens"))
+		m.openWithoutRow(holder, on, tokens)
+		m.deliverMessages()
+		m.openWithoutRow(holder, on, tokens)
+	}
+	m.now += time.Duration(m.draw(8, "length")) * time.Second
+	isKilled := m.draw(3, "cut off") > 0
+	next := m.start()
+	for _, name := range append([]string{m.right.Holder}, m.right.Witnesses...) {
+		switch p := m.find(name); {
+		case p == nil:
+		case isKilled:
+			m.kill(p)
+		default:
+			m.cut[[2]string{name, next.name}], m.cut[[2]string{next.name, name}], p.isCutOff = true, true, true
+		}
+	}
+	for len(m.processes) < 3 {
+		m.start()
+	}
+	m.isOutage = false
+	for range 3 {
+		m.readRight(next)
+		m.deliverAll()
+		m.take(next)
+		m.deliverAll()
+		m.step(next)
+		m.now += time.Duration(m.draw(12, "pause")) * time.Second
+		if w, ok := next.tenure.Deduct(m.time()); ok {
+			m.counts.deducted++
+			m.writeRight(next, next.tenure, w)
+			m.deliverAll()
+		}
+		if !isKilled && !holder.isDead {
+			m.openWithoutRow(holder, m.program(), 1)
+			m.deliverMessages()
+		}
+		for range 1 + m.draw(3, "programs") {
+			m.spendAt(next, m.program())
+		}
+	}
+}
+
 // spend uses the program's budget by rows, as far as it is granted, at one process.
 func (m *model) spend(on *program) {
-	p := m.processes[m.draw(len(m.processes), "spender")]
+	m.spendAt(m.processes[m.draw(len(m.processes), "spender")], on)
+}
+
+func (m *model) spendAt(p *process, on *program) {
 	if p.isFrozen {
 		return
 	}
@@ -724,7 +813,7 @@
 		for _, p := range m.processes {
 			r, isHolder := p.right()
 			isReported := !slices.ContainsFunc(r.Witnesses, func(name string) bool { return m.find(name) == nil })
-			if isHolder && isReported && p.tenure.MayOpen(m.time()) && len(p.tenure.Unrecorded()) == 0 {
+			if isHolder && isReported && !r.IsDeducting && p.tenure.MayOpen(m.time()) && len(p.tenure.Unrecorded()) == 0 {
 				return p
 			}
 		}
@@ -749,7 +838,7 @@
 				m.step(p)
 				if r, isHolder := p.right(); isHolder && r.Former != nil {
 					if asked[r.Former.Tenure]++; asked[r.Former.Tenure] > rounds/2 {
-						if w, ok := p.tenure.Deduct(); ok {
+						if w, ok := p.tenure.Deduct(m.time()); ok {
 							m.writeRight(p, p.tenure, w)
 						}
 					}
@@ -769,6 +858,7 @@
 
 func (m *model) checkNewProgram(holder *process) {
 	on := m.newProgram()
+	on.aim = m.now + time.Second // Within the reach, however late the request is.
 	for range 3 {
 		m.openWithoutRow(holder, on, 1)
 		m.deliverAll()
--- a/internal/opener/right.go
+++ b/internal/opener/right.go
@@ -43,6 +43,18 @@
 	Tenure    string   `cbor:"1,keyasint"`
 	Holder    string   `cbor:"2,keyasint"`
 	Witnesses []string `cbor:"3,keyasint"`
+	// Reach is that of the right when it had this holder.
+	Reach time.Duration `cbor:"4,keyasint,omitempty"`
+}
+
+// Lost describes the tenures whose openings nobody knows.
+type Lost struct {
+	// Before is the version of the row at which the oldest tenure began that is not lost.
+	Before int64 `cbor:"1,keyasint"`
+	// Reach is the longest of the lost tenures; zero if one of them is not known.
+	Reach time.Duration `cbor:"2,keyasint,omitempty"`
+	// HasEnded is true once none of their holders can open programs.
+	HasEnded bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Right is the row of a slot.
@@ -59,14 +71,18 @@
 	Share int64 `cbor:"5,keyasint"`
 	// Former is the previous holder until its openings are recorded.
 	Former *Former `cbor:"6,keyasint,omitempty"`
-	// IsDeducting is true while unknown programs may have been opened by a former
-	// holder, and Deducted is for how long it has been true at least.
+	// IsDeducting is true while programs that a lost holder opened may live, and Deducted is
+	// for how long it has been true at least. Any program may be among them if Lost is nil.
 	IsDeducting bool          `cbor:"7,keyasint,omitempty"`
 	Deducted    time.Duration `cbor:"8,keyasint,omitempty"`
 	// Lifted and LiftedBefore are the hashes of programs that no holder opens any
 	// more. LiftedBefore has those that were added longer ago.
 	Lifted       []uint64 `cbor:"9,keyasint,omitempty"`
 	LiftedBefore []uint64 `cbor:"10,keyasint,omitempty"`
+	// Reach limits the time from the opening of a program to its aim. It is zero in rows of
+	// versions of the program that did not limit it.
+	Reach time.Duration `cbor:"11,keyasint,omitempty"`
+	Lost  *Lost         `cbor:"12,keyasint,omitempty"`
 }
 
 // Encode returns the value of the row.
@@ -97,8 +113,8 @@
 
 func (r *Right) isValid() bool {
 	return r.Format == format && r.Holder != "" && r.Tenure != "" && r.Share > 0 && r.Share <= permille &&
-		areWitnesses(r.Witnesses, r.Holder) && r.Deducted >= 0 && len(r.Lifted)+len(r.LiftedBefore) <= maxLifted &&
-		(r.Former == nil || r.Former.Holder != "" && r.Former.Tenure != "" && areWitnesses(r.Former.Witnesses, r.Former.Holder))
+		areWitnesses(r.Witnesses, r.Holder) && r.Deducted >= 0 && r.Reach >= 0 && (r.Lost == nil || r.Lost.Reach >= 0) && len(r.Lifted)+len(r.LiftedBefore) <= maxLifted &&
+		(r.Former == nil || r.Former.Reach >= 0 && r.Former.Holder != "" && r.Former.Tenure != "" && areWitnesses(r.Former.Witnesses, r.Former.Holder))
 }
 
 // areWitnesses reports whether the names are none, or two that differ from each other
@@ -107,8 +123,18 @@
 	return len(names) == 0 || len(names) == witnessCount && names[0] != names[1] && !slices.Contains(names, holder) && !slices.Contains(names, "")
 }
 
-// isSettled reports whether all openings of former holders are recorded.
-func (r *Right) isSettled() bool { return r.Former == nil && !r.IsDeducting }
+// isCleared reports whether no lost holder opened a program of which the given version is
+// Tenure.Clearance.
+func (r *Right) isCleared(clearance int64) bool {
+	return !r.IsDeducting || r.Lost != nil && clearance > 0 && clearance >= r.Lost.Before
+}
+
+func (r *Right) lostBefore() int64 {
+	if r.Lost == nil {
+		return 0
+	}
+	return r.Lost.Before
+}
 
 // IsLifted reports whether no holder may open the program from now on.
 func (r *Right) IsLifted(program string) bool {
--- a/internal/opener/tenure.go
+++ b/internal/opener/tenure.go
@@ -60,6 +60,14 @@
 	right   Right
 	version int64
 	isHeld  bool
+	// began is the version that the first write expects. Later tenures have higher ones.
+	began int64
+	// heldAt is when the row was first known to name this tenure. No former holder had its
+	// right confirmed after that.
+	heldAt time.Time
+	// formerEnd and lostEnd are when the former holder and the lost ones could last open
+	// programs.
+	formerEnd, lostEnd time.Time
 	// isEnded is true once the right has another holder or the tenure was sealed.
 	isEnded     bool
 	confirmedAt time.Time
@@ -89,19 +97,19 @@
 // once Observe has seen the row. Witnesses are two other processes, or none.
 func Take(self string, slot int, current Current, witnesses []string, share int64, terms Terms) (*Tenure, Write) {
 	t := &Tenure{
-		id: fmt.Sprintf("%s/%d/%d", self, slot, current.Version), terms: terms, version: current.Version,
+		id: fmt.Sprintf("%s/%d/%d", self, slot, current.Version), terms: terms, version: current.Version, began: current.Version,
 		unresolved: map[int]struct{}{}, openings: map[string]*opening{}, stopped: map[uint64]struct{}{},
 	}
 	old := current.Right
-	next := Right{Format: format, Holder: self, Tenure: t.id, Witnesses: witnesses, Share: share}
+	next := Right{Format: format, Holder: self, Tenure: t.id, Witnesses: witnesses, Share: share, Reach: MinReach}
 	switch {
 	case current.IsMalformed:
 		next.IsDeducting = true
 	case current.Version != 0:
 		next.Lifted, next.LiftedBefore = old.Lifted, old.LiftedBefore
-		next.Former, next.IsDeducting, next.Deducted = old.Former, old.IsDeducting, old.Deducted
-		if old.isSettled() && len(old.Witnesses) > 0 {
-			next.Former = &Former{Tenure: old.Tenure, Holder: old.Holder, Witnesses: old.Witnesses}
+		next.Former, next.IsDeducting, next.Deducted, next.Lost = old.Former, old.IsDeducting, old.Deducted, old.Lost
+		if old.Former == nil && len(old.Witnesses) > 0 {
+			next.Former = &Former{Tenure: old.Tenure, Holder: old.Holder, Witnesses: old.Witnesses, Reach: old.Reach}
 		}
 	}
 	return t, t.write(next)
@@ -146,9 +154,13 @@
 		clear(t.unresolved) // They expect the former version.
 	}
 	if !t.isHeld {
-		t.isHeld, t.rotatedAt = true, now
+		t.isHeld, t.rotatedAt, t.heldAt = true, now, now
+		t.formerEnd, t.lostEnd = now.Add(t.terms.Window), now.Add(t.terms.Window)
+		if r.Lost != nil && r.Lost.HasEnded {
+			t.lostEnd = now
+		}
 	}
-	if r.IsDeducting && !t.right.IsDeducting {
+	if r.IsDeducting && (!t.right.IsDeducting || r.lostBefore() != t.right.lostBefore()) {
 		t.deductingSince, t.deductedBefore = now, r.Deducted
 	}
 	t.right, t.version = r, version
@@ -170,12 +182,45 @@
 
 // isConfirmed reports whether tokens may be used without a row.
 func (t *Tenure) isConfirmed(now time.Time) bool {
-	return t.isHeld && !t.isEnded && now.Before(t.confirmedAt.Add(t.terms.Window))
+	return t.isHeld && !t.isEnded && elapsed(t.confirmedAt, now) < t.terms.Window
+}
+
+// elapsed returns the time since then. The monotonic clock does not count the time for which a
+// host is suspended; the time of day does, but may be set back.
+func elapsed(since, now time.Time) time.Duration {
+	return max(now.Sub(since), now.Round(0).Sub(since.Round(0)))
 }
 
 // MayOpen reports whether programs may be opened.
 func (t *Tenure) MayOpen(now time.Time) bool {
-	return t.isConfirmed(now) && t.right.isSettled() && !t.IsInDoubt() && len(t.right.Witnesses) == witnessCount
+	return t.isConfirmed(now) && t.right.Former == nil && !t.IsInDoubt() && len(t.right.Witnesses) == witnessCount
+}
+
+// HeldAt returns when the row was first known to name this tenure; zero before.
+func (t *Tenure) HeldAt() time.Time { return t.heldAt }
+
+// FormerHasEnded records that the former holder or one of its witnesses has ended, so that it
+// opens no programs from now on.
+func (t *Tenure) FormerHasEnded(now time.Time) {
+	if now.Before(t.formerEnd) {
+		t.formerEnd = now
+	}
+}
+
+// Clearance returns what to record in the row of a program that has none yet: a version that
+// is positive if no former holder whose openings are unknown opened the program. A program
+// that one of them opened, and that was not told since that its budget is spent, has an aim
+// within the reach.
+func (t *Tenure) Clearance(aim Aim) int64 {
+	right, isHolder := t.Right()
+	former, lost := right.Former, right.Lost
+	switch {
+	case !isHolder, former == nil && !right.IsDeducting,
+		former != nil && (former.Reach == 0 || !aim.isAfter(t.formerEnd.Add(former.Reach))),
+		right.IsDeducting && (lost == nil || lost.Reach == 0 || !aim.isAfter(t.lostEnd.Add(lost.Reach))):
+		return 0
+	}
+	return t.began
 }
 
 // Result is the result of Reserve.
@@ -190,21 +235,31 @@
 	Unreported
 )
 
+// Program is a program that asks for tokens without a row.
+type Program struct {
+	Name   string
+	Budget int64
+	Aim    Aim
+	// Clearance is that of the program's row; zero if that is not known.
+	Clearance int64
+}
+
 // Reserve reserves the tokens for a turn of a program without a row. It has no effect
 // if the turn is open.
-func (t *Tenure) Reserve(program, turn string, tokens, budget int64, now time.Time) Result {
+func (t *Tenure) Reserve(p Program, turn string, tokens int64, now time.Time) Result {
 	if !t.isConfirmed(now) {
 		return Refused
 	}
-	o := t.openings[program]
+	o := t.openings[p.Name]
 	if o == nil {
-		_, isStopped := t.stopped[xxhash.Sum64String(program)]
-		allowance := Allowance(budget, t.right.Share)
-		if isStopped || tokens > allowance || !t.MayOpen(now) || t.right.IsLifted(program) || t.isFull() {
+		_, isStopped := t.stopped[xxhash.Sum64String(p.Name)]
+		allowance := Allowance(p.Budget, t.right.Share)
+		if isStopped || tokens > allowance || !t.MayOpen(now) || t.right.IsLifted(p.Name) || t.isFull() ||
+			!p.Aim.isWithin(now.Add(t.right.Reach)) || !t.right.isCleared(p.Clearance) {
 			return Refused
 		}
 		o = &opening{allowance: allowance, unreported: slices.Clone(t.right.Witnesses), reservations: map[string]int64{}}
-		t.openings[program] = o
+		t.openings[p.Name] = o
 	}
 	if _, isOpen := o.reservations[turn]; isOpen {
 		return Granted
@@ -296,18 +351,24 @@
 }
 
 // Committed returns what the program used, or may still use, without a row. It is known
-// once the program is lifted and no opening of a former holder is unrecorded; then it
-// never rises again.
-func (t *Tenure) Committed(program string) (tokens int64, isKnown bool) {
+// once the program is lifted, no opening of a former holder is unrecorded, and the clearance
+// of its row shows that no lost holder opened it; then it never rises again.
+func (t *Tenure) Committed(program string, clearance int64) (tokens int64, isKnown bool) {
 	right, isHolder := t.Right()
-	if !isHolder || !right.isSettled() || !right.IsLifted(program) {
+	if !isHolder || right.Former != nil || !right.IsLifted(program) {
 		return 0, false
 	}
 	if o := t.openings[program]; o != nil {
-		o.isStopped = true
+		o.isStopped = true // It would not have been opened without clearance.
 		return o.committed(), true
 	}
-	return 0, true
+	return 0, right.isCleared(clearance)
+}
+
+// CanLift reports whether lifting a program with the clearance lets Committed be known.
+func (t *Tenure) CanLift(program string, clearance int64) bool {
+	right, isHolder := t.Right()
+	return isHolder && right.Former == nil && (t.openings[program] != nil || right.isCleared(clearance))
 }
 
 // Recorded records that the program's row has what was used without a row.
@@ -329,6 +390,16 @@
 	return t.write(next), true
 }
 
+// Extend returns the write after which programs with a later aim may be opened.
+func (t *Tenure) Extend(reach time.Duration) (Write, bool) {
+	if right, isHolder := t.Right(); !isHolder || right.Reach >= reach {
+		return Write{}, false
+	}
+	next := t.right
+	next.Reach = reach
+	return t.write(next), true
+}
+
 // Resolve returns the write that ends the doubt about an earlier one: once it took
 // effect or conflicted, the earlier one can't.
 func (t *Tenure) Resolve() (Write, bool) {
@@ -351,10 +422,32 @@
 
 // Deduct returns the write that begins a deduction, as the openings of the former holder
 // are unknown.
-func (t *Tenure) Deduct() (Write, bool) {
+func (t *Tenure) Deduct(now time.Time) (Write, bool) {
+	former, wasDeducting, old := t.right.Former, t.right.IsDeducting, t.right.Lost
 	w, ok := t.FinishSettling()
-	w.Right.IsDeducting, w.Right.Deducted = true, 0
-	return w, ok
+	if !ok {
+		return w, false
+	}
+	lost := Lost{Before: t.began, Reach: former.Reach}
+	end := t.formerEnd
+	if wasDeducting {
+		if end = later(end, t.lostEnd); old == nil || old.Reach == 0 {
+			lost.Reach = 0
+		} else if lost.Reach > 0 {
+			lost.Reach = max(lost.Reach, old.Reach)
+		}
+	}
+	t.lostEnd = end
+	lost.HasEnded = !now.Before(end)
+	w.Right.IsDeducting, w.Right.Deducted, w.Right.Lost = true, 0, &lost
+	return w, true
+}
+
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
 }
 
 // Advance returns the write that is due with time: the end or the progress of a
@@ -367,7 +460,10 @@
 	deducted := t.deductedBefore + now.Sub(t.deductingSince)
 	switch {
 	case t.right.IsDeducting && deducted >= t.terms.deduction():
-		next.IsDeducting, next.Deducted = false, 0
+		next.IsDeducting, next.Deducted, next.Lost = false, 0, nil
+	case t.right.IsDeducting && t.right.Lost != nil && !t.right.Lost.HasEnded && !now.Before(t.lostEnd):
+		lost := *t.right.Lost
+		lost.HasEnded, next.Lost = true, &lost
 	case t.right.IsDeducting && deducted-t.right.Deducted >= t.terms.deduction()/checkpointDivisor:
 		next.Deducted = deducted
 	case now.Sub(t.rotatedAt) > t.terms.Life && // A program may have a turn at the age of Life.
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -176,7 +176,7 @@
 	}
 	out, member, err := t.Budgets.Open(t.ctx, bookkeeper.OpenRequest{
 		Program: t.call.Program, Turn: t.call.ID, Tokens: t.call.MaxTokens, Budget: t.call.Budget, Wait: t.storeWait(),
-		Session: t.call.Session, Contender: t.contender,
+		Session: t.call.Session, Contender: t.contender, Timeout: t.call.Timeout, ProgramTimeLeft: t.call.programTimeLeft(),
 	})
 	t.bookkeeper, t.refusedShare = member, out.RefusedShare
 	if out.Need != nil {
@@ -190,6 +190,8 @@
 			eris.Errorf("%d tokens used, %d reserved, %d granted to other instances, %d requested",
 				out.Used, out.Reserved, out.GrantedElsewhere, t.call.MaxTokens),
 			"the budget of %d tokens is exhausted", t.call.Budget)
+	case out.Status == bookkeeper.Withheld:
+		return answerer.New(answerer.StoreUnavailable, "the turn needs tokens that an instance which ended may have handed out").WithRetryAfter(t.storeRetryAfter())
 	case out.Status != bookkeeper.OK:
 		return answerer.New(answerer.StoreUnavailable, "the reservation cannot be recorded").WithRetryAfter(t.storeRetryAfter())
 	}
