internal/bookkeeper: a planned stop releases the rights, so that rolls cause no deductions

Cause: a holder that stopped as planned left its right as it was. Its successor then asked it and its witnesses for openings; these had been stopped as well by then, and the slot got a deduction although nothing had failed.

Change: with the handover of its ledgers a holder ends its tenures and removes the witnesses from the rows, unless openings are unrecorded. A successor has nothing to ask for.

Result: TestPlannedStopOfAllInstancesLosesNoOpenings failed before (deductions, nothing opened in the next outage) and passes.

--- a/internal/bookkeeper/handover.go
+++ b/internal/bookkeeper/handover.go
@@ -57,6 +57,7 @@
 
 func (s *state) retire() []Handover {
 	s.isRetired = true
+	s.rights.release(s)
 	var handovers []Handover
 	for program, p := range s.programs {
 		for _, m := range p.waiting {
--- a/internal/bookkeeper/rights.go
+++ b/internal/bookkeeper/rights.go
@@ -214,6 +214,24 @@
 	return 0
 }
 
+// release ends the tenures of this process, so that successors need not ask for their
+// openings: after a planned stop of many instances none of those that know them is left.
+func (r *rights) release(s *state) {
+	if r == nil {
+		return
+	}
+	for i := range r.slots {
+		sl := &r.slots[i]
+		if sl.tenure == nil {
+			continue
+		}
+		if w, ok := sl.tenure.Release(); ok {
+			s.log.Log(eventRightReleased, "Slot", slotNames[i], "Row", w.Expected)
+			r.write(s, i, w)
+		}
+	}
+}
+
 // run runs f in a goroutine, unless stop was called.
 func (r *rights) run(f func()) {
 	r.workMu.Lock()
--- a/internal/bookkeeper/rights_test.go
+++ b/internal/bookkeeper/rights_test.go
@@ -312,6 +312,31 @@
 	})
 }
 
+// Guards against deductions after planned stops of all instances, one after the other: a
+// right's holder and its witnesses are gone when its successor asks for its openings.
+func TestPlannedStopOfAllInstancesLosesNoOpenings(t *testing.T) {
+	runFleet(t, 1, func(t *testing.T, f *fleet) {
+		o := newOutageFleet(t, f, 6)
+		o.pass(t, 12*time.Second)
+		for i := range o.clients {
+			if err := o.members[i].Deregister(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			if err := o.clients[i].HandOver(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			o.pass(t, time.Second)
+			o.killInstance(i)
+			o.restart(t, i, "2")
+		}
+		o.pass(t, 40*time.Second)
+		if diff := cmp.Diff(int64(0), o.deductions.Load()); diff != "" {
+			t.Errorf("deductions: %s", diff)
+		}
+		o.openDuringOutage(t, 0)
+	})
+}
+
 // Guards against openings while instances that withhold nothing still write rows, and of the
 // programs that have such rows.
 func TestNothingIsOpenedBesideInstancesWithoutTheSetting(t *testing.T) {
--- a/internal/opener/opener_test.go
+++ b/internal/opener/opener_test.go
@@ -629,9 +629,20 @@
 		m.isOutage = true
 	case op < 196:
 		m.endFaults()
-	case op < 198:
+	case op < 197:
 		m.kill(p)
 		m.start()
+	case op < 198:
+		active(func() {
+			if p.tenure != nil {
+				if w, ok := p.tenure.Release(); ok {
+					m.writeRight(p, p.tenure, w)
+					m.deliverSome()
+				}
+			}
+			m.kill(p)
+			m.start()
+		})
 	default:
 		switch draw(6, "rare") {
 		case 0:
--- a/internal/opener/tenure.go
+++ b/internal/opener/tenure.go
@@ -400,6 +400,19 @@
 	return t.write(next), true
 }
 
+// Release ends the tenure and returns the write after which a successor need not ask for its
+// openings. There is none while openings are unrecorded.
+func (t *Tenure) Release() (Write, bool) {
+	_, isHolder := t.Right()
+	t.end()
+	if !isHolder || len(t.Unrecorded()) > 0 || len(t.right.Witnesses) == 0 {
+		return Write{}, false
+	}
+	next := t.right
+	next.Witnesses = nil
+	return t.write(next), true
+}
+
 // Resolve returns the write that ends the doubt about an earlier one: once it took
 // effect or conflicted, the earlier one can't.
 func (t *Tenure) Resolve() (Write, bool) {
