internal/registrar, internal/relayer: an instance out of step does not guess the version of a stream

Cause: without a record of what began a stream, it goes on at the only version that the instance saw in the last 30 s. That was taken for certain however old the registrations were.

Change: it is certain only if the registrations were read since the request arrived, and without a gap of 2.5 s in the reads of the last 30 s. After a gap the versions are learned from another instance again. Otherwise the resumption is refused as not run, as before.

--- a/internal/composer/versions_test.go
+++ b/internal/composer/versions_test.go
@@ -12,7 +12,9 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/wigeonstand/wigeonstand/internal/answerer"
+	"github.com/wigeonstand/wigeonstand/internal/composer"
 	"github.com/wigeonstand/wigeonstand/internal/correlator"
+	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
 	"github.com/wigeonstand/wigeonstand/platform/standin"
 )
 
@@ -312,3 +314,53 @@
 		}
 	}
 }
+
+// An instance gets no answers from the store for a moment, as an engine of another version joins.
+// A stream that another instance began there was taken up at it, and went on at the only version
+// that it knew.
+func TestInstanceOutOfStepDoesNotGuessTheVersionOfAStream(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 0, 0, 0)
+	f.options = func(string) []composer.Option { return []composer.Option{composer.WithFirstStart()} }
+	join := func(id, version string) {
+		e := standin.NewEndpoint(id, 6, 40*time.Millisecond, 1)
+		f.engines = append(f.engines, e)
+		f.registerVersion(e, standin.ServiceEngine, version)
+	}
+	join("engine-0-v1", "v1")
+	for i := range 2 {
+		f.instances = append(f.instances, f.start(fmt.Sprintf("entry-%d", i)))
+	}
+	for _, in := range f.instances {
+		f.awaitReady(in)
+	}
+	<-time.After(1500 * time.Millisecond) // The instances have discovered each other.
+	if reply := f.doOnceStoreAnswers(f.instances[1], sessionCall("usual", "usual")); !reply.IsComplete {
+		t.Fatalf("%+v", reply)
+	}
+	f.rows.SetFaults(fakeplatform.RowFaults{Unanswered: map[string]bool{"entry-1": true}})
+	join("engine-1-v2", "v2")
+	var begun standin.Reply
+	var began string
+	f.await("a stream begins at the new version", func() bool {
+		id := fmt.Sprint("first-", time.Now().UnixNano())
+		first := sessionCall(id, id)
+		first.StopAfter = 2
+		begun = f.do(f.instances[0], first)
+		ran := f.enginesOf(first.ID)
+		began = first.ID
+		return len(ran) == 1 && versionOf(ran[0]) == "v2" && len(begun.Events()) == 2
+	})
+	again := sessionCall("again", "p")
+	again.LastEventID = 2
+	reply := f.do(f.instances[1], again)
+	for _, e := range f.enginesOf("again") {
+		if versionOf(e) != "v2" {
+			t.Errorf("%s began at v2 and went on at %s: %+v", began, e.ID, reply)
+		}
+	}
+	if !reply.IsComplete && !reply.IsNotRun() {
+		t.Errorf("neither served nor refused: %+v", reply)
+	}
+	f.rows.SetFaults(fakeplatform.RowFaults{})
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -146,6 +146,8 @@
 	readAt      time.Time
 	// hasAllVersions is set if versionSeen has those before readAt, too.
 	hasAllVersions bool
+	// confirmedAt is when the last successful read of the registrations began.
+	confirmedAt time.Time
 	// capacities holds the queue capacities of the endpoints of services that shed.
 	capacities map[string]queueCapacity
 	// unevenAt is, by service, when one of its endpoints last stated an unusual pace.
--- a/internal/registrar/version.go
+++ b/internal/registrar/version.go
@@ -9,6 +9,10 @@
 // last endpoint with it is gone: longer than callers take to resume a stream.
 const versionMemory = 30 * time.Second
 
+// maxReadGap is the time between two reads of the registrations up to which no version can
+// have come and gone unseen: an endpoint is registered for longer.
+const maxReadGap = 2500 * time.Millisecond
+
 // serviceVersion is a software version of the endpoints of a service.
 type serviceVersion struct{ service, version string }
 
@@ -31,6 +35,20 @@
 	}
 }
 
+// RecordRead records that the registrations are those of a read of the store that began at
+// the time. An instance that could not read them for a while, because it stood still or was cut
+// off, may have missed versions.
+func (r *Registry) RecordRead(startedAt time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.confirmedAt.IsZero() && startedAt.Sub(r.confirmedAt) > maxReadGap {
+		r.readAt, r.hasAllVersions = startedAt, false
+	}
+	if startedAt.After(r.confirmedAt) {
+		r.confirmedAt = startedAt
+	}
+}
+
 // SeenVersion is a software version of a service of which endpoints were registered lately.
 type SeenVersion struct {
 	Service string `cbor:"1,keyasint"`
@@ -88,8 +106,9 @@
 }
 
 // OnlyVersion returns the software version of the service's endpoints if all those that
-// were registered lately have the same. It is certain if SeenVersions is complete.
-func (r *Registry) OnlyVersion(service string) (version string, isOnly, isCertain bool) {
+// were registered lately have the same. It is certain if SeenVersions is complete, and no other
+// version was registered before the given time.
+func (r *Registry) OnlyVersion(service string, until time.Time) (version string, isOnly, isCertain bool) {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -107,5 +126,5 @@
 	if len(versions) != 1 {
 		return "", false, false
 	}
-	return versions[0], true, r.lockedHasAllVersions(now)
+	return versions[0], true, r.lockedHasAllVersions(now) && !r.confirmedAt.Before(until)
 }
--- a/internal/registrar/version_test.go
+++ b/internal/registrar/version_test.go
@@ -21,7 +21,7 @@
 		r := registrar.New()
 		check := func(when string, want result) {
 			t.Helper()
-			version, isOnly, isCertain := r.OnlyVersion("s")
+			version, isOnly, isCertain := r.OnlyVersion("s", time.Time{})
 			if diff := cmp.Diff(want, result{version, isOnly, isCertain}); diff != "" {
 				t.Errorf("%s: %s", when, diff)
 			}
@@ -44,3 +44,36 @@
 		check("the first is long gone", result{"v1.1", true, true})
 	})
 }
+
+// An instance that stood still, or was cut off from the store, does not know which versions have
+// joined meanwhile. It took the one that it knew for the only one, and streams that had begun
+// elsewhere at a new one went on at it (ORDER).
+func TestVersionIsUncertainWhileRegistrationsAreNotRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := registrar.New()
+		pass := func(d time.Duration) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Second) {
+				r.RecordRead(time.Now())
+			}
+		}
+		check := func(when string, want bool) {
+			t.Helper()
+			if _, _, isCertain := r.OnlyVersion("s", time.Now()); isCertain != want {
+				t.Errorf("%s: certain %v, want %v", when, isCertain, want)
+			}
+		}
+		r.Replace([]registrar.Endpoint{newEndpoint("a")})
+		pass(time.Minute)
+		r.RecordRead(time.Now())
+		check("just read", true)
+		time.Sleep(time.Millisecond)
+		check("a request has arrived since", false)
+		time.Sleep(5 * time.Second)
+		check("not read for 5 s", false)
+		r.RecordRead(time.Now())
+		check("a version may have come and gone", false)
+		pass(time.Minute)
+		r.RecordRead(time.Now())
+		check("read for a minute again", true)
+	})
+}
--- a/internal/relayer/resume.go
+++ b/internal/relayer/resume.go
@@ -65,7 +65,8 @@
 				return origin, true
 			}
 		}
-		version, isOnly, isCertain := t.Endpoints.OnlyVersion(t.service)
+		// Other instances may have known of a version before this one, and begun the stream there.
+		version, isOnly, isCertain := t.Endpoints.OnlyVersion(t.service, t.arrival)
 		if isOnly && isCertain {
 			return resumer.Origin{Service: t.service, Version: version}, true
 		}
--- a/internal/resumer/resumer.go
+++ b/internal/resumer/resumer.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"math"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -150,24 +149,20 @@
 	}
 }
 
-// LearnVersions asks other instances which versions had endpoints lately, until this one knows all
-// of them. If all instances have started at the same moment, none knows those before.
+// LearnVersions asks other instances which versions had endpoints lately, whenever this one does
+// not know all of them, until ctx ends. If all instances have started at the same moment, none
+// knows those before.
 func (r *Resumer) LearnVersions(ctx context.Context) {
-	for attempt := range math.MaxInt {
-		if _, isComplete := r.versions.SeenVersions(); isComplete {
-			return
-		}
-		// Each attempt asks another instance.
-		if others := r.others(r.members.Self().Incarnation + strconv.Itoa(attempt)); len(others) > 0 {
-			var out versionsResponse
-			bounded, cancel := r.withTimeout(ctx, findTimeout)
-			err := r.caller.Call(bounded, others[0].Address, methodVersions, struct{}{}, &out)
-			cancel()
-			if err == nil && out.IsComplete && r.versions.MergeVersions(out.Seen) {
-				return
-			}
+	attempt := 0
+	for {
+		wait := maxLearnInterval
+		if _, isComplete := r.versions.SeenVersions(); isComplete || r.learnFrom(ctx, attempt) {
+			attempt = 0
+		} else {
+			wait = min(learnInterval<<min(attempt/2, 10), maxLearnInterval)
+			attempt++
 		}
-		timer := time.NewTimer(min(learnInterval<<min(attempt/2, 10), maxLearnInterval))
+		timer := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -177,6 +172,20 @@
 	}
 }
 
+// learnFrom asks one instance, another one at each attempt. It reports whether this instance
+// knows all versions then.
+func (r *Resumer) learnFrom(ctx context.Context, attempt int) bool {
+	others := r.others(r.members.Self().Incarnation + strconv.Itoa(attempt))
+	if len(others) == 0 {
+		return false
+	}
+	var out versionsResponse
+	bounded, cancel := r.withTimeout(ctx, findTimeout)
+	defer cancel()
+	err := r.caller.Call(bounded, others[0].Address, methodVersions, struct{}{}, &out)
+	return err == nil && out.IsComplete && r.versions.MergeVersions(out.Seen)
+}
+
 // Record keeps what began the stream and copies it to other instances, without waiting
 // for them.
 func (r *Resumer) Record(stream string, origin Origin) {
--- a/internal/resumer/resumer_test.go
+++ b/internal/resumer/resumer_test.go
@@ -253,7 +253,7 @@
 		}
 		check := func(when string, i int, want only) {
 			t.Helper()
-			version, isOnly, isCertain := f.registries[i].OnlyVersion("s")
+			version, isOnly, isCertain := f.registries[i].OnlyVersion("s", time.Time{})
 			if diff := gocmp.Diff(want, only{version, isOnly, isCertain}); diff != "" {
 				t.Errorf("%s: %s", when, diff)
 			}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -278,6 +278,7 @@
 	if changed || !w.isComplete.Load() || !w.graceUntil.IsZero() {
 		w.replace(w.withLapsed(w.decode()))
 	}
+	w.registry.RecordRead(w.registrations.ReadAt())
 	w.isComplete.Store(true)
 	return nil
 }
