internal/opener: a cleared program is lifted only once no lost holder can open programs

Change: clearance counts only if none of the lost holders can open programs any more, as one of each's three processes has ended or its window has passed. After the loss of all instances that is known at once.

Result: TestBudgetsHoldForSeedsThatFailed failed before and passes.

--- a/internal/opener/opener_test.go
+++ b/internal/opener/opener_test.go
@@ -931,3 +931,12 @@
 	})
 	t.Logf("%+v", *total)
 }
+
+// A program that was cleared, lifted and told that its budget is spent returned with a new aim,
+// with which a lost holder opened it that was only cut off.
+func TestBudgetsHoldForSeedsThatFailed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.SampledFrom([]uint64{0x5e896}).Draw(t, "seed")
+		(&model{t: t, counts: &counts{}, random: rand.New(rand.NewPCG(seed, 1))}).run(1500)
+	})
+}
--- a/internal/opener/right.go
+++ b/internal/opener/right.go
@@ -124,9 +124,10 @@
 }
 
 // isCleared reports whether no lost holder opened a program of which the given version is
-// Tenure.Clearance.
+// Tenure.Clearance. While one can still open programs, this one may be told that its budget is
+// spent and return with an aim that the holder accepts.
 func (r *Right) isCleared(clearance int64) bool {
-	return !r.IsDeducting || r.Lost != nil && clearance > 0 && clearance >= r.Lost.Before
+	return !r.IsDeducting || r.Lost != nil && r.Lost.HasEnded && clearance > 0 && clearance >= r.Lost.Before
 }
 
 func (r *Right) lostBefore() int64 {
