internal/relayer: a resumption that is no stream of events does not end the caller's stream

Callers saw a stream of two of five events that ended as if it were complete, when its resumption was answered with a success without a body: 204, no content type, or a length of 0.

Cause: the end of a response without any event counted as the end of the stream.

Change: after the first event, only a 200 with text/event-stream and a body continues a stream. The stand-in endpoint learns scripted responses, which may break off at any byte.

Result: TestFailureAfterABreakDoesNotEndTheStream (19 responses after three breaks) failed before for these three, 9 of 57 cases, and passes. TestHeadThatBreaksOffIsNoResponse passes before and after: heads that are cut at any byte reach no caller as a success.

--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"slices"
 	"sync"
@@ -349,7 +350,7 @@
 			t.recordServed()
 		}
 		return err
-	case !head.IsSigned:
+	case !head.IsSigned, t.isHeadWritten && !isEventStream(response):
 		return errInvalidResponse
 	}
 	err = t.forwardEvents(c, response)
@@ -364,6 +365,13 @@
 	return err
 }
 
+// isEventStream reports whether the response may be the rest of a stream. One without a body
+// would end the caller's stream as if it were complete.
+func isEventStream(response *sender.Response) bool {
+	mediaType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	return err == nil && mediaType == "text/event-stream" && response.Status == http.StatusOK && response.Length != 0
+}
+
 // forwardEvents forwards the events of the candidate as they arrive.
 func (t *turn) forwardEvents(c registrar.Candidate, response *sender.Response) error {
 	events := splitter.New(response.Body)
