internal/closer, internal/relayer: a broken stream of an HTTP/1.0 caller ends with a reset

Change: from the first event until the stream is complete, the connection has a linger time of zero, so that its end is a reset, also if the process is killed.

Result: the HTTP/1.0 callers in TestFailureAfterABreakDoesNotEndTheStream failed before, all of them, and pass.

--- a/internal/closer/closer.go
+++ b/internal/closer/closer.go
@@ -6,6 +6,7 @@
 package closer
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -82,6 +83,27 @@
 	}
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// ConnContext must be set as the ConnContext hook of the server.
+func (c *Closer) ConnContext(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, nc)
+}
+
+// ResetUntilComplete makes the connection of the request with the context end with a reset,
+// even if the process is killed, until the returned function is called. A response that has
+// neither chunks nor a length would otherwise look complete when it breaks off.
+func ResetUntilComplete(ctx context.Context) (complete func()) {
+	cn, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return func() {}
+	}
+	// If a connection has no such option, its end remains an orderly one.
+	_ = cn.setLinger(0)
+	return func() { _ = cn.setLinger(-1) }
+}
+
 type listener struct {
 	net.Listener
 	closer *Closer
@@ -144,6 +166,15 @@
 	return n, err
 }
 
+// setLinger sets for how many seconds a close waits for unsent data; with zero it resets the
+// connection, and with a negative value it does neither.
+func (c *conn) setLinger(seconds int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return nil
+}
+
 func (c *conn) setState(state connState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -295,7 +295,7 @@
 	}
 	connections := closer.New()
 	callers := &http.Server{
-		Handler: connections.Handler(e.relayer), ConnState: connections.ConnState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: connections.Handler(e.relayer), ConnState: connections.ConnState, ConnContext: connections.ConnContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: stdlog.New(errorLogWriter{e.log}, "", 0),
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: headerTimeout}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -194,6 +194,10 @@
 	// deadline is when the response must be complete.
 	deadline time.Time
 	access   accessRecord
+	// hasNoChunks is true if the caller's version of HTTP has none, and completeResponse is
+	// called at the end of a complete stream then.
+	hasNoChunks      bool
+	completeResponse func()
 	// identity is that of what the caller sent; nil until it is needed.
 	identity *quarantiner.Identity
 	// breakCount is the number of attempts that broke off at an endpoint.
@@ -202,7 +206,10 @@
 
 // ServeHTTP implements http.Handler.
 func (rl *Relayer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{Relayer: rl, writer: w, arrival: time.Now(), table: rl.Tables.Table()}
+	x := &exchange{
+		Relayer: rl, writer: w, arrival: time.Now(), table: rl.Tables.Table(),
+		hasNoChunks: !r.ProtoAtLeast(1, 1), completeResponse: func() {},
+	}
 	defer x.logAccess()
 	if x.table == nil {
 		x.refuse(answerer.New(answerer.StoreUnavailable, "no configuration is known yet").WithRetryAfter(shortRetryAfter), "NoConfiguration")
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -18,6 +18,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/apportioner"
 	"github.com/wigeonstand/wigeonstand/internal/bookkeeper"
 	"github.com/wigeonstand/wigeonstand/internal/chooser"
+	"github.com/wigeonstand/wigeonstand/internal/closer"
 	"github.com/wigeonstand/wigeonstand/internal/discoverer"
 	"github.com/wigeonstand/wigeonstand/internal/pruner"
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
@@ -419,6 +420,9 @@
 	t.isHeadWritten = true
 	t.access.firstEvent = time.Since(t.arrival)
 	t.Metrics.ObserveFirstEvent(t.access.firstEvent)
+	if t.hasNoChunks {
+		t.completeResponse = closer.ResetUntilComplete(t.ctx)
+	}
 	t.Dialect.EncodeResponse(response.Header, t.writer.Header())
 	t.writer.WriteHeader(response.Status)
 	t.access.status = response.Status
@@ -460,6 +464,7 @@
 	}
 	t.recordEnd()
 	if !t.route.Retained || t.call.ID == "" {
+		t.completeResponse()
 		return
 	}
 	retention := t.route.Retention
@@ -478,6 +483,7 @@
 	if err != nil || out.Status != bookkeeper.OK {
 		t.abort("NotRecorded", err)
 	}
+	t.completeResponse()
 	t.Transcripts.Cache(record)
 }
 
