internal/watcher, internal/registrar: the only version of a service is confirmed by a read

Change: the instance asks the store once, without waiting, whether there are changes since the version that its registry reflects; concurrent requests share the answer. Whether versions may have come and gone unseen is no longer told from the length of a gap, but from the history: it was read in full unless a full read followed a gap, or a row was removed that was never seen. So an outage of the store in itself makes nothing uncertain.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -212,7 +212,7 @@
 	streams := resumer.New(e.discoverer, e.peerClient, e.registry, resumer.WithLogger(e.log), resumer.WithTimeouts(e.extender.WithTimeout))
 	e.learnVersions = streams.LearnVersions
 	e.relayer = relayer.New(relayer.Config{
-		Tables: e.watcher, Endpoints: e.registry, Sender: e.sender, Permits: permits, Streams: streams, Quarantine: e.quarantine, Paths: e.tunneler, Needs: needs, Shares: apportioner.New(), Dialect: platform.Dialect,
+		Tables: e.watcher, Endpoints: e.registry, Registrations: e.watcher, Sender: e.sender, Permits: permits, Streams: streams, Quarantine: e.quarantine, Paths: e.tunneler, Needs: needs, Shares: apportioner.New(), Dialect: platform.Dialect,
 		Budgets:            e.budgets,
 		Transcripts:        transcriber.New(e.rerouter),
 		IsStoreUnreachable: func() bool { path, _ := e.rerouter.Path(); return path == rerouter.Lost },
--- a/internal/registrar/version.go
+++ b/internal/registrar/version.go
@@ -9,10 +9,6 @@
 // last endpoint with it is gone: longer than callers take to resume a stream.
 const versionMemory = 30 * time.Second
 
-// maxReadGap is the time between two reads of the registrations up to which no version can
-// have come and gone unseen: an endpoint is registered for longer.
-const maxReadGap = 2500 * time.Millisecond
-
 // serviceVersion is a software version of the endpoints of a service.
 type serviceVersion struct{ service, version string }
 
@@ -36,12 +32,13 @@
 }
 
 // RecordRead records that the registrations are those of a read of the store that began at
-// the time. An instance that could not read them for a while, because it stood still or was cut
-// off, may have missed versions.
-func (r *Registry) RecordRead(startedAt time.Time) {
+// the time. HasMissed states that registrations may have come and gone since the read before, as
+// this instance could not read them for a while: versions that it does not know may have begun
+// streams.
+func (r *Registry) RecordRead(startedAt time.Time, hasMissed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.confirmedAt.IsZero() && startedAt.Sub(r.confirmedAt) > maxReadGap {
+	if hasMissed {
 		r.readAt, r.hasAllVersions = startedAt, false
 	}
 	if startedAt.After(r.confirmedAt) {
@@ -49,6 +46,13 @@
 	}
 }
 
+// IsReadSince reports whether the registrations are those of a read that began after the time.
+func (r *Registry) IsReadSince(t time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.confirmedAt.After(t)
+}
+
 // SeenVersion is a software version of a service of which endpoints were registered lately.
 type SeenVersion struct {
 	Service string `cbor:"1,keyasint"`
--- a/internal/registrar/version_test.go
+++ b/internal/registrar/version_test.go
@@ -53,7 +53,7 @@
 		r := registrar.New()
 		pass := func(d time.Duration) {
 			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Second) {
-				r.RecordRead(time.Now())
+				r.RecordRead(time.Now(), false)
 			}
 		}
 		check := func(when string, want bool) {
@@ -64,16 +64,18 @@
 		}
 		r.Replace([]registrar.Endpoint{newEndpoint("a")})
 		pass(time.Minute)
-		r.RecordRead(time.Now())
+		r.RecordRead(time.Now(), false)
 		check("just read", true)
 		time.Sleep(time.Millisecond)
 		check("a request has arrived since", false)
 		time.Sleep(5 * time.Second)
 		check("not read for 5 s", false)
-		r.RecordRead(time.Now())
+		r.RecordRead(time.Now(), false)
+		check("all changes since were read", true)
+		r.RecordRead(time.Now(), true)
 		check("a version may have come and gone", false)
 		pass(time.Minute)
-		r.RecordRead(time.Now())
+		r.RecordRead(time.Now(), false)
 		check("read for a minute again", true)
 	})
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -63,6 +63,13 @@
 	Find(ctx context.Context, stream string) (resumer.Origin, bool)
 }
 
+// Registrations are those of the endpoints in the store.
+type Registrations interface {
+	// ConfirmEndpoints makes sure that the registry has the registrations as of a time after the
+	// given one, if the store answers and has no changes.
+	ConfirmEndpoints(ctx context.Context, since time.Time)
+}
+
 // Quarantine finds the requests that crash endpoints.
 type Quarantine interface {
 	// IsWatching reports whether any request is under suspicion. Otherwise Find need not be
@@ -111,12 +118,14 @@
 
 // Config holds the dependencies and parameters of a Relayer.
 type Config struct {
-	Tables      Tables
-	Endpoints   *registrar.Registry
-	Budgets     Budgets
-	Transcripts Transcripts
-	Sender      Sender
-	Permits     Permits
+	Tables    Tables
+	Endpoints *registrar.Registry
+	// Registrations are those that Endpoints reflects.
+	Registrations Registrations
+	Budgets       Budgets
+	Transcripts   Transcripts
+	Sender        Sender
+	Permits       Permits
 	// Quotas is nil if the deployment has no quotas.
 	Quotas     Quotas
 	Streams    Streams
--- a/internal/relayer/resume.go
+++ b/internal/relayer/resume.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -15,6 +16,8 @@
 	// the time between two of them.
 	maxOriginSearches = 3
 	originSearchPause = 100 * time.Millisecond
+	// confirmTimeout limits the read of the store that shows whether endpoints have joined.
+	confirmTimeout = 300 * time.Millisecond
 )
 
 // begin records what began the stream, if it has not begun before.
@@ -65,8 +68,7 @@
 				return origin, true
 			}
 		}
-		// Other instances may have known of a version before this one, and begun the stream there.
-		version, isOnly, isCertain := t.Endpoints.OnlyVersion(t.service, t.arrival)
+		version, isOnly, isCertain := t.onlyVersion()
 		if isOnly && isCertain {
 			return resumer.Origin{Service: t.service, Version: version}, true
 		}
@@ -83,6 +85,19 @@
 	}
 }
 
+// onlyVersion returns the only version that the service had lately. Other instances may have known
+// of another one before this instance, and begun the stream there: it is certain only if the
+// registrations were read after the request arrived.
+func (t *turn) onlyVersion() (version string, isOnly, isCertain bool) {
+	if version, isOnly, isCertain = t.Endpoints.OnlyVersion(t.service, t.arrival); !isOnly || isCertain {
+		return version, isOnly, isCertain
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, confirmTimeout)
+	defer cancel()
+	t.Registrations.ConfirmEndpoints(ctx, t.arrival)
+	return t.Endpoints.OnlyVersion(t.service, t.arrival)
+}
+
 // version returns the version at which the turn must run; empty for any.
 func (t *turn) version() string {
 	if t.origin == nil {
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -21,6 +21,10 @@
 // endpoints they amount to 7,500 rows per second.
 const listInterval = 2 * time.Minute
 
+// maxListGap is the time without a read up to which a full read counts as continuous: rows
+// exist for longer.
+const maxListGap = 2500 * time.Millisecond
+
 // Reader is the part of storer.Rows that a Tracker uses.
 type Reader interface {
 	List(ctx context.Context, r storer.Range) (storer.Page, error)
@@ -46,6 +50,8 @@
 	readAt time.Time
 	// nextList is the time of the next full read; zero before the first one.
 	nextList time.Time
+	// hasMissed is set if rows came and went without being seen, or may have.
+	hasMissed bool
 }
 
 // Option sets one property of a Tracker.
@@ -81,6 +87,9 @@
 	}
 	records, version, err := t.list(ctx)
 	if err == nil {
+		if last := t.ReadAt(); !last.IsZero() && start.Sub(last) > maxListGap {
+			t.recordMissed()
+		}
 		t.recordRead(start)
 	}
 	if err != nil && t.nextList.IsZero() && t.fallback != nil {
@@ -105,6 +114,29 @@
 	t.readAt = start
 }
 
+func (t *Tracker) recordMissed() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.hasMissed = true
+}
+
+// TakeMissed reports whether rows came and went since its last call without being seen, or may
+// have, as the history of changes was not read in full.
+func (t *Tracker) TakeMissed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	hasMissed := t.hasMissed
+	t.hasMissed = false
+	return hasMissed
+}
+
+// Version returns the version of the store that the copy reflects; zero before the first read.
+func (t *Tracker) Version() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
+}
+
 // ReadAt returns a time at which the copy was not older than the store, or zero if it has never
 // been read from the store. It is the time before the last successful read, as the response may
 // have been late.
@@ -152,6 +184,9 @@
 		}
 		changed = true
 		if r.Deleted {
+			if _, isKnown := t.records[r.Name]; !isKnown {
+				t.hasMissed = true
+			}
 			delete(t.records, r.Name)
 			continue
 		}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -73,6 +73,7 @@
 // and IsComplete are safe for concurrent use, also while Run runs.
 type Watcher struct {
 	source       Source
+	rows         tracker.Reader
 	bootstrapper Bootstrapper
 	registry     *registrar.Registry
 	log          *logger.Logger
@@ -90,6 +91,10 @@
 	// tableRowVersion is the version of the last decoded row of the configuration.
 	tableRowVersion int64
 	endpoints       map[string]registration
+	// endpointsVersion is the version of the store that the registry reflects; zero before
+	// the endpoints are read. Confirming is held while it is compared with the store.
+	endpointsVersion atomic.Int64
+	confirming       sync.Mutex
 	// lastRead is the time of the last successful read of the endpoints; hasFailed
 	// is set if a later read failed.
 	lastRead  time.Time
@@ -131,7 +136,7 @@
 // New returns a Watcher that updates the registry.
 func New(source Source, rows tracker.Reader, registry *registrar.Registry, options ...Option) *Watcher {
 	w := &Watcher{
-		source: source, registry: registry, log: logger.Discard(),
+		source: source, rows: rows, registry: registry, log: logger.Discard(),
 		endpoints: map[string]registration{}, maxWait: changeWait, restored: func() <-chan struct{} { return nil },
 	}
 	for _, option := range options {
@@ -160,6 +165,25 @@
 // it has never been read from the store.
 func (w *Watcher) ConfirmedAt() time.Time { return w.configuration.ReadAt() }
 
+// ConfirmEndpoints asks the store for changes of the registrations, if they were not read after
+// the time. Without any, the registry has them as of a time after it.
+func (w *Watcher) ConfirmEndpoints(ctx context.Context, since time.Time) {
+	w.confirming.Lock()
+	defer w.confirming.Unlock()
+	version := w.endpointsVersion.Load()
+	if version == 0 || w.registry.IsReadSince(since) {
+		return
+	}
+	start := time.Now()
+	page, err := w.rows.Changes(ctx, w.source.EndpointTable, version, 0)
+	if err != nil {
+		return // The path to the store is logged where it changes.
+	}
+	if len(page.Records) == 0 && page.Version >= version {
+		w.registry.RecordRead(start, false)
+	}
+}
+
 // ConfigurationBytes returns the size of the configuration in force, as stored.
 func (w *Watcher) ConfigurationBytes() int64 { return w.tableBytes.Load() }
 
@@ -278,7 +302,8 @@
 	if changed || !w.isComplete.Load() || !w.graceUntil.IsZero() {
 		w.replace(w.withLapsed(w.decode()))
 	}
-	w.registry.RecordRead(w.registrations.ReadAt())
+	w.registry.RecordRead(w.registrations.ReadAt(), w.registrations.TakeMissed())
+	w.endpointsVersion.Store(w.registrations.Version())
 	w.isComplete.Store(true)
 	return nil
 }
