internal/soaker, platform/standin: the soak sees gaps, repeats and false ends of streams

The soak checked the order of events only inside whole answers, and its endpoints broke streams only inside an event and always sent chunks. It could not show ORDER.

Change: endpoints break streams between two events too, send streams without chunks or a length that end with their connection, and answer resumptions with errors that look like events. One in four callers speaks HTTP/1.0. The events and their data are checked in every answer, also a broken one, and over all attempts of a stream. Two faults of the loopback proxy are fixed, which such streams showed: a reset became an orderly close, and bytes were passed on behind dropped ones, as TCP never does.

--- a/internal/opener/aim.go
+++ b/internal/opener/aim.go
@@ -6,10 +6,11 @@
 	// aimTolerance is the most by which the aims differ that the requests of one program
 	// state: they are in milliseconds, and clocks run at slightly different rates.
 	aimTolerance = 500 * time.Millisecond
-	// MinReach is the Reach of a right whose holder has seen no program yet, and MaxReach the
-	// longest. After the loss of a holder and its witnesses, programs that begin within the
-	// reach cannot be told from those that the holder opened.
+	// MinReach is the Reach of a right whose holder has seen no program yet. After the loss of a
+	// holder and its witnesses, programs that begin within the reach cannot be told from those
+	// that the holder opened.
 	MinReach = 4 * time.Second
+	// MaxReach is the longest Reach. Programs with later aims are not opened.
 	MaxReach = 2 * time.Minute
 )
 
--- a/internal/soaker/soak_caller.go
+++ b/internal/soaker/soak_caller.go
@@ -21,6 +21,8 @@
 	turnTries    = 3
 	maxTurns     = 8
 	callDeadline = 3 * time.Second
+	// One in oldCallers speaks HTTP/1.0.
+	oldCallers = 4
 	// lastTries is how often a kept turn is asked for after the faults.
 	lastTries = 4
 )
@@ -141,6 +143,12 @@
 			reply.Body, reply.IsComplete = reply.Body+more.Body, more.IsComplete
 		}
 		c.count(c.report.Checks, "stream taken up")
+		for i, number := range reply.Events() {
+			if number != i+1 {
+				c.violate("ORDER: the stream that began as %s has the events %v", id, reply.Events())
+				break
+			}
+		}
 		if versions := reply.Versions(); len(versions) > 1 {
 			c.violate("ORDER: the stream that began as %s has events of versions %v", id, versions)
 		}
@@ -174,7 +182,13 @@
 	}
 	call.Method, call.Host, call.Deadline = http.MethodPost, standin.Host, callDeadline
 	// The end of the run does not cut a request short.
-	reply := standin.Do(context.WithoutCancel(ctx), c.client, in.callers(), call)
+	ctx = context.WithoutCancel(ctx)
+	var reply standin.Reply
+	if c.index%oldCallers == 0 {
+		reply = standin.DoHTTP10(ctx, in.callers(), call)
+	} else {
+		reply = standin.Do(ctx, c.client, in.callers(), call)
+	}
 	c.sent = append(c.sent, sentCall{call, reply})
 	name := fmt.Sprint(reply.Status)
 	if reply.Status == http.StatusOK && !reply.IsComplete {
@@ -185,7 +199,23 @@
 	return reply, call.ID
 }
 
+// checkEvents checks that what came of a stream, whether it is whole or broke off, is the
+// request's own and without a gap.
+func (c *caller) checkEvents(call standin.Call, reply standin.Reply) {
+	c.count(c.report.Checks, "events")
+	want := ""
+	for number := range len(reply.Events()) {
+		want += fmt.Sprintf("%s.%d\n", call.ID, call.LastEventID+number+1)
+	}
+	if got := (standin.Reply{Body: wholeEvents(reply.Body)}).EventData(); !strings.HasPrefix(want, got) {
+		c.violate("ORDER: %s, resumed after %d, got the data %q", call.ID, call.LastEventID, got)
+	}
+}
+
 func (c *caller) checkAnswer(call standin.Call, reply standin.Reply) {
+	if reply.Status == http.StatusOK && call.MaxTokens > 0 {
+		c.checkEvents(call, reply)
+	}
 	if reply.Status != http.StatusOK || !reply.IsComplete {
 		return
 	}
--- a/internal/soaker/soak_proxy.go
+++ b/internal/soaker/soak_proxy.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -87,12 +89,15 @@
 
 func (l *link) pipe(to, from net.Conn, epoch int, outward bool) {
 	buffer := make([]byte, pieceSize)
+	hasDropped := false
 	for {
 		n, err := from.Read(buffer)
 		l.mu.Lock()
 		fault, silenced := l.fault, epoch != l.epoch
 		l.mu.Unlock()
-		drop := silenced || fault == linkSilent || (fault == linkOneWay && outward)
+		// TCP delivers nothing behind a gap, so that what follows dropped bytes is dropped, too.
+		drop := hasDropped || silenced || fault == linkSilent || (fault == linkOneWay && outward)
+		hasDropped = hasDropped || drop && n > 0
 		if n > 0 && !drop {
 			if fault == linkSlow {
 				time.Sleep(slowDelay)
@@ -103,7 +108,11 @@
 		}
 		if err != nil {
 			if !drop {
-				// Either end's close is the other's.
+				// Either end's close is the other's, and so is a reset: an orderly close would
+				// end a response that has no length.
+				if tcp, ok := to.(*net.TCPConn); ok && !errors.Is(err, io.EOF) {
+					_ = tcp.SetLinger(0)
+				}
 				_ = to.Close()
 			}
 			_ = from.Close()
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -348,7 +348,9 @@
 func (s *soak) setEndpointFaults(on bool) {
 	faults := standin.EndpointFaults{}
 	if on {
-		faults = standin.EndpointFaults{Dropped: 0.1, Truncated: 0.1, Rejected: 0.2, Duplicated: 0.1}
+		faults = standin.EndpointFaults{
+			Dropped: 0.1, Truncated: 0.1, Rejected: 0.2, Duplicated: 0.1, BrokenBetween: 0.2, Unframed: 0.3, FailedResumption: 0.3,
+		}
 	}
 	for _, e := range append(append([]*standin.Endpoint(nil), s.services...), s.engines...) {
 		e.SetFaults(faults)
