internal/relayer, internal/splitter, platform: event IDs increase, and 0 is one

What callers saw: if an endpoint numbers its events from 0, a stream that broke off after its first event began anew within the response, and the caller got 0, 0. If IDs step by more than one, no such stream came whole: the second event counted as behind a gap, and after three resumptions the stream broke off. A caller that took up its stream after event 0 got a new one, at any software version.

Cause: the number 0 stood for "no event", in the splitter, the relayer and the platform's headers, and IDs were required to step by one.

Change: an ID that may be absent is a type of its own (splitter.EventID). Within a response and at a resumption, an event that the caller has is left out, and any larger ID goes on. A larger step is a gap only where the version of the service has numbered its events by one so far: after one such step at a resumption, after 16 within a response.

Evidence: TestBrokenStreamGoesOnAfterItsLastEventWhateverItsNumbers failed before in four of five numberings (from zero, below zero, tokens, uneven steps; it passed from one), and TestStreamTakenUpAfterEventZeroIsAResumption failed. TestFailureAfterABreakDoesNotEndTheStream, with its gap, passes as before.

--- a/internal/composer/fleet_test.go
+++ b/internal/composer/fleet_test.go
@@ -126,13 +126,19 @@
 // registerVersion registers the endpoint with a version of its software.
 func (f *fleet) registerVersion(e *standin.Endpoint, service, version string) {
 	f.t.Helper()
-	server := httptest.NewServer(e)
+	f.registerHandler(e, standin.Registration{ID: e.ID, Service: service, Slots: e.Slots, Version: version})
+}
+
+// registerHandler serves the handler on a free address and registers it there.
+func (f *fleet) registerHandler(handler http.Handler, r standin.Registration) {
+	f.t.Helper()
+	server := httptest.NewServer(handler)
 	f.t.Cleanup(server.Close)
-	f.registrations[e.ID] = standin.Registration{
-		ID: e.ID, Service: service, Address: netip.MustParseAddrPort(server.Listener.Addr().String()),
-		DataCentre: "dc-1", Slots: e.Slots, Version: version,
+	r.Address, r.DataCentre = netip.MustParseAddrPort(server.Listener.Addr().String()), "dc-1"
+	f.registrations[r.ID] = r
+	if err := standin.Register(f.rows, r); err != nil {
+		f.t.Fatal(err)
 	}
-	f.setDraining(e, false)
 }
 
 // setDraining registers the endpoint again, as draining or as ready.
--- a/internal/relayer/access.go
+++ b/internal/relayer/access.go
@@ -94,8 +94,8 @@
 	if x.route != nil {
 		pairs = append(pairs, "Route", x.route.Name, "Version", x.table.Version)
 	}
-	if x.call.LastEventID > 0 {
-		pairs = append(pairs, "Resumes", x.call.Resumes, "ResumesAfter", x.call.LastEventID)
+	if x.call.LastEvent.IsSet {
+		pairs = append(pairs, "Resumes", x.call.Resumes, "ResumesAfter", x.call.LastEvent.Number)
 	}
 	add(a.status != 0, "Status", a.status)
 	add(x.call.Timeout > 0, "Timeout", x.call.Timeout)
--- a/internal/relayer/call.go
+++ b/internal/relayer/call.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
+	"github.com/wigeonstand/wigeonstand/internal/splitter"
 )
 
 // Call holds the decoded header of a caller's request.
@@ -49,9 +50,9 @@
 	// PreviousTurn is the ID of the turn that this turn continues; empty if there
 	// is none.
 	PreviousTurn string
-	// LastEventID is the number of the event after which the caller resumes a
-	// stream; zero to start at the first.
-	LastEventID int64
+	// LastEvent is the event after which the caller resumes a stream; not set to start
+	// at the first.
+	LastEvent splitter.EventID
 	// Object identifies what a request concerns; empty if unknown. Requests with the same one run
 	// faster at the same endpoint.
 	Object string
@@ -78,9 +79,9 @@
 	Priority int
 	// Account is the name of the account that sent the request; omitted if empty.
 	Account string
-	// LastEventID is the number of the event after which the stream resumes; zero
-	// to start at the first.
-	LastEventID int64
+	// LastEvent is the event after which the stream resumes; not set to start at the
+	// first.
+	LastEvent splitter.EventID
 }
 
 // The faults of stated loads. A malformed load is not used at all; of one with an invalid
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -171,12 +171,13 @@
 // Relayer is the HTTP handler of callers' requests. It is safe for concurrent use.
 type Relayer struct {
 	Config
-	memory *memoryBudget
+	memory     *memoryBudget
+	numberings *numberings
 }
 
 // New returns a Relayer.
 func New(config Config) *Relayer {
-	return &Relayer{Config: config, memory: newMemoryBudget(config.MaxBufferedBytes)}
+	return &Relayer{Config: config, memory: newMemoryBudget(config.MaxBufferedBytes), numberings: newNumberings()}
 }
 
 const (
--- a/internal/relayer/resume.go
+++ b/internal/relayer/resume.go
@@ -34,7 +34,7 @@
 // findOrigin finds what began the stream that the caller resumes. It reports whether the
 // turn may go on; if not, the request has been refused.
 func (t *turn) findOrigin() bool {
-	if t.call.LastEventID <= 0 {
+	if !t.call.LastEvent.IsSet {
 		return true
 	}
 	t.isFirst = false
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -70,8 +70,9 @@
 	// output is the text that a retained turn has generated.
 	output     []byte
 	eventCount int
-	// lastEventID is the number of the last event that was forwarded.
-	lastEventID   int64
+	// lastEvent is the last event that the caller has, in this attempt or in the one that it
+	// resumes.
+	lastEvent     splitter.EventID
 	isHeadWritten bool
 	attempt       attempt
 	// origin is what began the stream; nil while it has not begun. It goes on at that
@@ -234,7 +235,7 @@
 // run sends the turn to an endpoint and forwards its events. An interrupted stream
 // is resumed after the last forwarded event if the route allows it.
 func (t *turn) run() {
-	t.lastEventID = t.call.LastEventID
+	t.lastEvent = t.call.LastEvent
 	attempted := map[string]bool{}
 	sent, failedConnects := 0, 0
 	var resumeAt *registrar.Candidate
@@ -280,7 +281,7 @@
 		}
 		t.Metrics.CountRetry(failureReason(err))
 		t.Log.Log(eventRetried, "Request", t.call.ID, "Program", t.call.Program, "Endpoint", c.ID,
-			"EndpointVersion", c.Version, "Key", t.access.key, "Reason", failureReason(err), "Cause", err, "LastEvent", t.lastEventID)
+			"EndpointVersion", c.Version, "Key", t.access.key, "Reason", failureReason(err), "Cause", err, "LastEvent", t.lastEvent)
 	}
 }
 
@@ -322,14 +323,14 @@
 // if the response is complete.
 func (t *turn) relay(c registrar.Candidate) (err error) {
 	t.Endpoints.Begin(c.ID)
-	t.attempt = attempt{isPartial: t.lastEventID > 0}
+	t.attempt = attempt{isPartial: t.lastEvent.IsSet}
 	start, outcome := time.Now(), registrar.Failed
 	end := sync.OnceFunc(func() { t.Endpoints.End(c.ID, outcome) })
 	defer func() {
 		end()
 		t.recordBreak(c, start, err)
 	}()
-	dispatch := Dispatch{Timeout: t.timeLeft(), Priority: t.rank(), LastEventID: t.lastEventID}
+	dispatch := Dispatch{Timeout: t.timeLeft(), Priority: t.rank(), LastEvent: t.lastEvent}
 	response, err := t.send(t.ctx, c, dispatch, t.prompt)
 	if err != nil {
 		if t.ctx.Err() != nil {
@@ -376,6 +377,7 @@
 // forwardEvents forwards the events of the candidate as they arrive.
 func (t *turn) forwardEvents(c registrar.Candidate, response *sender.Response) error {
 	events := splitter.New(response.Body)
+	follower := t.numberings.follow(resumer.Origin{Service: c.Service, Version: c.Version}, t.lastEvent)
 	controller := http.NewResponseController(t.writer)
 	for {
 		event, err := events.Next()
@@ -386,10 +388,10 @@
 			return err
 		}
 		t.attempt.count()
-		if event.ID > 0 && event.ID <= t.lastEventID {
+		switch follower.next(event.ID) {
+		case isRepeated:
 			continue // A resumed stream may repeat forwarded events.
-		}
-		if event.ID > 0 && t.lastEventID > 0 && event.ID != t.lastEventID+1 {
+		case isBehindGap:
 			return errInvalidResponse
 		}
 		t.begin(c)
@@ -399,8 +401,8 @@
 			return errors.Join(errCallerDisconnected, err)
 		}
 		t.eventCount++
-		if event.ID > 0 {
-			t.lastEventID = event.ID
+		if event.ID.IsSet {
+			t.lastEvent = event.ID
 		}
 		if t.route.Retained {
 			t.output = append(append(t.output, event.Data...), '\n')
--- a/internal/splitter/splitter.go
+++ b/internal/splitter/splitter.go
@@ -15,10 +15,28 @@
 // maxEventBytes limits one event; engines send a few hundred bytes.
 const maxEventBytes = 1 << 20
 
+// EventID is the number of an event in its stream. Numbers may begin at zero.
+type EventID struct {
+	// IsSet is false for no event.
+	IsSet  bool
+	Number int64
+}
+
+// NewEventID returns the ID with the number.
+func NewEventID(number int64) EventID { return EventID{IsSet: true, Number: number} }
+
+// String returns the number, or "none" if the ID is not set.
+func (id EventID) String() string {
+	if !id.IsSet {
+		return "none"
+	}
+	return strconv.FormatInt(id.Number, 10)
+}
+
 // Event is one complete event.
 type Event struct {
-	// ID is the number in the id field; zero if there is none.
-	ID int64
+	// ID is the number in the id field; not set if there is none.
+	ID EventID
 	// Data is the value of the data fields, joined by line feeds.
 	Data []byte
 	// Raw is the event as received, including its final blank line.
@@ -77,7 +95,7 @@
 		switch string(name) {
 		case "id":
 			if id, err := strconv.ParseInt(string(value), 10, 64); err == nil {
-				e.ID = id
+				e.ID = NewEventID(id)
 			}
 		case "data":
 			if !first {
