internal/relayer, internal/sender, platform: a deadline or a budget of zero is not none

What callers saw: a request with Deadline-Ms: 0 ran, with the deadline of its route, and one with Token-Budget: 0 got as many tokens as it asked for.

Besides, the time left was sent in whole milliseconds, 0 for less than one, and the caller's own header was sent where none was left; and a request whose context had ended was still written to an idle connection in some cases.

Change: presence is kept beside both values. No time is refused at once as not run (429 Infeasible), an empty budget with 402. Endpoints get 1 ms at least, and nothing is sent once the context has ended.

--- a/internal/relayer/access.go
+++ b/internal/relayer/access.go
@@ -98,7 +98,7 @@
 		pairs = append(pairs, "Resumes", x.call.Resumes, "ResumesAfter", x.call.LastEvent.Number)
 	}
 	add(a.status != 0, "Status", a.status)
-	add(x.call.Timeout > 0, "Timeout", x.call.Timeout)
+	add(x.call.HasTimeout, "Timeout", x.call.Timeout)
 	add(x.call.HasProgramDeadline, "ProgramTimeLeft", x.call.ProgramTimeLeft)
 	add(a.kind != "", "Kind", a.kind)
 	add(a.reason != "", "Reason", a.reason)
--- a/internal/relayer/call.go
+++ b/internal/relayer/call.go
@@ -24,8 +24,9 @@
 	// Credentials holds the header values with the key. They are forwarded only in deployments
 	// without accounts, whose endpoints may need them.
 	Credentials []string
-	// Timeout is how long the caller waits; zero if the header does not give it.
-	Timeout time.Duration
+	// Timeout is how long the caller waits. It is valid only if HasTimeout is set.
+	Timeout    time.Duration
+	HasTimeout bool
 
 	// Program is the ID of the program; empty for a request outside a program.
 	Program string
@@ -37,8 +38,9 @@
 	ProgramTimeLeft    time.Duration
 	HasProgramDeadline bool
 	// Budget is the number of tokens that all turns of the program together may
-	// generate; zero for a request without a budget.
-	Budget int64
+	// generate. It is valid only if HasBudget is set.
+	Budget    int64
+	HasBudget bool
 	// PromptTokens is the size of the turn's prompt, MaxTokens the limit of its
 	// output.
 	PromptTokens int64
@@ -73,7 +75,7 @@
 type Dispatch struct {
 	// Endpoint is the ID of the endpoint that must serve the request.
 	Endpoint string
-	// Timeout is the time until the endpoint's deadline.
+	// Timeout is the time until the endpoint's deadline; omitted if zero.
 	Timeout time.Duration
 	// Priority is the priority in the endpoint's queue; omitted if negative.
 	Priority int
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -183,6 +183,8 @@
 const (
 	// defaultMaxBodyBytes limits a request body if the configuration has no limit.
 	defaultMaxBodyBytes = 4 << 20
+	// minTimeout is the shortest deadline of an endpoint: none would be that of the caller.
+	minTimeout = time.Millisecond
 	// defaultTimeout is the timeout of a request whose header has none.
 	defaultTimeout = 30 * time.Second
 )
@@ -234,12 +236,19 @@
 		x.refuse(answerer.New(answerer.NotFound, "no route matches the request"), "NoRoute")
 		return
 	}
-	if !x.authenticate() || !x.readBody(r) {
+	if !x.authenticate() {
 		return
 	}
-	timeout := x.call.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
+	timeout := defaultTimeout
+	if x.call.HasTimeout {
+		timeout = x.call.Timeout
+	}
+	if timeout == 0 {
+		x.refuse(answerer.New(answerer.Infeasible, "the caller does not wait for a response").WithRetryAfter(shortRetryAfter), "NoTime")
+		return
+	}
+	if !x.readBody(r) {
+		return
 	}
 	if x.route.Timeout > 0 {
 		timeout = min(timeout, x.route.Timeout)
@@ -349,7 +358,7 @@
 // send sends the request to the candidate and returns its response once the head
 // has been read.
 func (x *exchange) send(ctx context.Context, c registrar.Candidate, d Dispatch, body []byte) (*sender.Response, error) {
-	d.Endpoint, d.Account = c.ID, x.accountName()
+	d.Endpoint, d.Account, d.Timeout = c.ID, x.accountName(), max(d.Timeout, minTimeout)
 	x.access.endpoint, x.access.version = c.ID, c.Version
 	x.access.load, x.access.loadAge, x.access.limit = c.Load, c.Age, c.Limit
 	x.access.sendCount++
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -174,9 +174,12 @@
 
 // reserve reserves the turn's tokens in the program's budget.
 func (t *turn) reserve() error {
-	if t.call.Budget <= 0 {
+	if !t.call.HasBudget {
 		return nil
 	}
+	if t.call.Budget == 0 {
+		return answerer.New(answerer.BudgetExhausted, "the budget is empty")
+	}
 	out, member, err := t.Budgets.Open(t.ctx, bookkeeper.OpenRequest{
 		Program: t.call.Program, Turn: t.call.ID, Tokens: t.call.MaxTokens, Budget: t.call.Budget, Wait: t.storeWait(),
 		Session: t.call.Session, Contender: t.contender, Timeout: t.call.Timeout, ProgramTimeLeft: t.call.programTimeLeft(),
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -180,6 +180,9 @@
 // When ctx ends, the connection is closed, also while the body is being read. If
 // the error is ErrNotSent, the request cannot have run.
 func (s *Sender) Send(ctx context.Context, r Request) (*Response, error) {
+	if ctx.Err() != nil {
+		return nil, &notSentError{context.Cause(ctx)}
+	}
 	cn, err := s.connect(ctx, r)
 	if err != nil {
 		return nil, &notSentError{err}
