internal/relayer: a stream that is taken up after its last event ends

What callers saw: a caller that had all events of its stream and lost its end took it up after the last event, and got 502. The rest of such a stream has no events, which counted as no response.

Change: a complete stream without events is the answer to a resumption that a caller asked for.

Evidence: TestStreamTakenUpAfterItsLastEventEnds failed before (502), and passes.

--- a/internal/composer/numbering_test.go
+++ b/internal/composer/numbering_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strconv"
 	"testing"
 
@@ -43,6 +44,26 @@
 	}
 }
 
+// A caller lost the end of its stream and took it up after the last event. The rest, a stream without
+// events, was answered 502.
+func TestStreamTakenUpAfterItsLastEventEnds(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 0, 0, 0)
+	engine := &standin.NumberedEngine{ID: "engine", Numbers: []int{1, 2}, BreakAfter: 1}
+	f.registerHandler(engine, standin.Registration{ID: engine.ID, Service: standin.ServiceEngine, Slots: 8, Version: "v1"})
+	f.instances = append(f.instances, f.start("entry-0"))
+	f.awaitReady(f.instances[0])
+	if begun := f.doOnceStoreAnswers(f.instances[0], sessionCall("first", "p")); !begun.IsComplete {
+		t.Fatalf("%+v", begun)
+	}
+	// The first response to a request breaks off after one event, of which there is none here.
+	again := sessionCall("again", "p")
+	again.Resumes, again.LastEventID = "first", 2
+	if reply := f.doOnceStoreAnswers(f.instances[0], again); reply.Status != http.StatusOK || !reply.IsComplete || reply.Body != "" || !reply.IsSigned() {
+		t.Errorf("%+v", reply)
+	}
+}
+
 // A caller took up a stream after its event 0 while engines of two versions served. The stream
 // began anew at either of them.
 func TestStreamTakenUpAfterEventZeroIsAResumption(t *testing.T) {
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -359,6 +359,11 @@
 		return errInvalidResponse
 	}
 	err = t.forwardEvents(c, response)
+	if err == nil && t.call.LastEvent.IsSet && isEventStream(response) {
+		// The caller may have all events and miss only the end.
+		t.begin(c)
+		t.writeHead(response)
+	}
 	switch {
 	case err == nil:
 		outcome = registrar.Served
