internal/relayer: a broken stream goes on elsewhere only within max_attempts

Cause: a resumption asked for a permit of the endpoint that had the stream without any wait, and went on among all others if there was none. Nothing counted the endpoints at which the turn may have run.

Change: they are counted. While the last one neither ended nor left and is not cut off, the stream goes on elsewhere only within the route's max_attempts; otherwise it waits for a permit there, and fails then.

--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -75,6 +75,8 @@
 	lastEvent     splitter.EventID
 	isHeadWritten bool
 	attempt       attempt
+	// ranAt holds the endpoints at which the turn may have run.
+	ranAt map[string]bool
 	// origin is what began the stream; nil while it has not begun. It goes on at that
 	// version only.
 	origin *resumer.Origin
@@ -238,7 +240,7 @@
 // run sends the turn to an endpoint and forwards its events. An interrupted stream
 // is resumed after the last forwarded event if the route allows it.
 func (t *turn) run() {
-	t.lastEvent = t.call.LastEvent
+	t.lastEvent, t.ranAt = t.call.LastEvent, map[string]bool{}
 	attempted := map[string]bool{}
 	sent, failedConnects := 0, 0
 	var resumeAt *registrar.Candidate
@@ -271,6 +273,9 @@
 		}
 		sent++
 		isNotRun := errors.Is(err, errNotRun)
+		if !isNotRun {
+			t.ranAt[c.ID] = true
+		}
 		mayContinue := t.ctx.Err() == nil && sent <= maxResumes && !errors.Is(err, errCallerDisconnected)
 		switch {
 		case mayContinue && isNotRun && !t.isHeadWritten && sent < t.route.MaxAttempts:
@@ -289,8 +294,8 @@
 }
 
 // chooseEndpoint chooses the endpoint for the turn. An interrupted stream resumes
-// at resumeAt while that endpoint accepts requests: it has the prompt in its cache, and
-// a resumption there stays within the route's limit on attempts.
+// at resumeAt while that endpoint accepts requests: it has the prompt in its cache. It goes on
+// elsewhere only within the route's limit on attempts.
 func (t *turn) chooseEndpoint(excluded map[string]bool, resumeAt *registrar.Candidate) (registrar.Candidate, error) {
 	maxWait := maxPermitWait
 	if t.isFirst {
@@ -300,15 +305,19 @@
 		if c, isPlaced := t.placeSoonest(t.work(), t.version(), excluded); isPlaced {
 			return c, nil
 		}
-	}
-	candidates := t.candidates(excluded)
-	if resumeAt != nil && t.Endpoints.Accepts(resumeAt.Endpoint) {
-		same := slices.DeleteFunc(slices.Clone(candidates), func(c registrar.Candidate) bool { return c.ID != resumeAt.ID })
-		if c, err := t.place(same, 0, func(same []registrar.Candidate) int { return len(same) - 1 }); err == nil {
-			return c, nil
+	} else if t.isReachable(*resumeAt, excluded) {
+		same := slices.DeleteFunc(t.exchange.candidates(excluded), func(c registrar.Candidate) bool { return c.ID != resumeAt.ID })
+		mayMove := len(t.ranAt) < t.route.MaxAttempts
+		wait := maxWait
+		if mayMove {
+			wait = 0
+		}
+		c, err := t.place(same, wait, func(same []registrar.Candidate) int { return len(same) - 1 })
+		if err == nil || !mayMove {
+			return c, err
 		}
 	}
-	return t.place(candidates, maxWait, func(candidates []registrar.Candidate) int {
+	return t.place(t.candidates(excluded), maxWait, func(candidates []registrar.Candidate) int {
 		if t.suspicion().Crashes > 0 {
 			return chooser.ForSuspect(t.request().Key.String(), candidates)
 		}
@@ -319,6 +328,12 @@
 	})
 }
 
+// isReachable reports whether the endpoint, at which the turn may have run, has neither ended nor
+// left, and is not cut off from this instance.
+func (t *turn) isReachable(c registrar.Candidate, excluded map[string]bool) bool {
+	return !excluded[c.ID] && t.Endpoints.Accepts(c.Endpoint) && !t.Paths.IsDetour(c.Endpoint)
+}
+
 // errCallerDisconnected means that writing to the caller failed.
 var errCallerDisconnected = errors.New("caller disconnected")
 
