internal/splitter, internal/relayer, platform: event IDs need not be integers

Cause: such an ID counted as none, and a stream without a last event begins anew.

Change: an ID that is not an integer in its usual form is kept and sent as the text that it is. Texts have no order; only the last event itself is recognized if it is repeated. An ID that could end a header counts as none.

Evidence: TestBrokenStreamGoesOnAfterItsLastEventWhateverItsIDs failed before with hexadecimal numbers, words, fractions and numbers beyond 64 bits; it passes.

--- a/internal/composer/numbering_test.go
+++ b/internal/composer/numbering_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -54,3 +55,45 @@
 		t.Errorf("a stream of unknown version was resumed: %+v", reply)
 	}
 }
+
+// newTextFleet returns a fleet of one instance with the engine.
+func newTextFleet(t *testing.T, engine *standin.TextEngine) *fleet {
+	t.Helper()
+	f := newFleet(t, 0, 0, 0)
+	engine.ID = "engine"
+	f.registerHandler(engine, standin.Registration{ID: engine.ID, Service: standin.ServiceEngine, Slots: 8, Version: "v1"})
+	f.instances = append(f.instances, f.start("entry-0"))
+	f.awaitReady(f.instances[0])
+	return f
+}
+
+// Callers got events twice if a stream broke off after an event whose ID was not a whole number in decimals.
+func TestBrokenStreamGoesOnAfterItsLastEventWhateverItsIDs(t *testing.T) {
+	t.Parallel()
+	for name, ids := range map[string][]string{
+		"hexadecimal": {"8", "9", "a", "b", "10"},
+		"words":       {"alpha", "beta", "gamma"},
+		"large":       {"18446744073709551615", "18446744073709551616", "18446744073709551617"},
+		"fractions":   {"1.5", "2.5", "3.5"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			engine := &standin.TextEngine{}
+			for i, id := range ids {
+				engine.Texts = append(engine.Texts, fmt.Sprintf("id: %s\ndata: text-%d\n\n", id, i))
+			}
+			f := newTextFleet(t, engine)
+			for after := 1; after < len(ids); after++ {
+				engine.BreakAfter = after
+				id := fmt.Sprint(name, "-", after)
+				reply := f.doOnceStoreAnswers(f.instances[0], sessionCall(id, id))
+				if diff := cmp.Diff(strings.Join(engine.Texts, ""), reply.Body); diff != "" || !reply.IsComplete {
+					t.Errorf("broken off after %d events: %+v: %s", after, reply, diff)
+				}
+				if diff := cmp.Diff([]string{"", ids[after-1]}, engine.Requests(id)); diff != "" {
+					t.Errorf("broken off after %d events, what the engine was asked for: %s", after, diff)
+				}
+			}
+		})
+	}
+}
--- a/internal/relayer/access.go
+++ b/internal/relayer/access.go
@@ -95,7 +95,7 @@
 		pairs = append(pairs, "Route", x.route.Name, "Version", x.table.Version)
 	}
 	if x.call.LastEvent.IsSet {
-		pairs = append(pairs, "Resumes", x.call.Resumes, "ResumesAfter", x.call.LastEvent.Number)
+		pairs = append(pairs, "Resumes", x.call.Resumes, "ResumesAfter", x.call.LastEvent)
 	}
 	add(a.status != 0, "Status", a.status)
 	add(x.call.HasTimeout, "Timeout", x.call.Timeout)
--- a/internal/relayer/numbering.go
+++ b/internal/relayer/numbering.go
@@ -92,12 +92,16 @@
 	}
 	known, previous := f.numberings.of(f.origin), f.previous
 	f.previous = id
-	if previous.IsSet && id.Number > previous.Number {
+	if previous.IsSet && previous.Text == "" && id.Text == "" && id.Number > previous.Number {
 		f.numberings.observe(f.origin, id.Number-previous.Number)
 	}
 	switch {
 	case !f.last.IsSet:
-	case id.Number <= f.last.Number:
+	case id == f.last:
+		return isRepeated
+	case id.Text != "" || f.last.Text != "":
+		// Texts have no order.
+	case id.Number < f.last.Number:
 		return isRepeated
 	case id.Number > f.last.Number+1 && !known.hasLargerSteps && known.stepsByOne >= minStepsFor(previous == f.last):
 		return isBehindGap
--- a/internal/relayer/numbering_test.go
+++ b/internal/relayer/numbering_test.go
@@ -67,3 +67,16 @@
 	}
 	return numbers
 }
+
+// IDs that are no numbers have no order; all that is known is which event was the last.
+func TestResumptionGoesOnAfterAnIDThatIsNoNumber(t *testing.T) {
+	f := newNumberings().follow(resumer.Origin{}, splitter.ParseEventID("a"))
+	var got []sequel
+	for _, id := range []string{"a", "b", "b", "10", "11", "9", "1f", "20"} {
+		got = append(got, f.next(splitter.ParseEventID(id)))
+	}
+	want := []sequel{isRepeated, isNext, isRepeated, isNext, isNext, isRepeated, isNext, isNext}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/splitter/splitter.go
+++ b/internal/splitter/splitter.go
@@ -1,5 +1,5 @@
 // Package splitter splits a stream of server-sent events into events. Of their
-// fields it parses id, as a number, and data.
+// fields it parses id and data.
 package splitter
 
 import (
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"strings"
 
 	"github.com/rotisserie/eris"
 )
@@ -15,27 +16,49 @@
 // maxEventBytes limits one event; engines send a few hundred bytes.
 const maxEventBytes = 1 << 20
 
-// EventID is the number of an event in its stream. Numbers may begin at zero.
+// maxIDBytes limits the ID of an event, which is sent in a header where a stream resumes.
+const maxIDBytes = 256
+
+// EventID identifies an event in its stream. Most IDs are numbers, which may begin at zero.
 type EventID struct {
 	// IsSet is false for no event.
-	IsSet  bool
+	IsSet bool
+	// Number is the ID if Text is empty.
 	Number int64
+	// Text is an ID that is not a number in its usual form; empty for a number.
+	Text string
 }
 
 // NewEventID returns the ID with the number.
 func NewEventID(number int64) EventID { return EventID{IsSet: true, Number: number} }
 
-// String returns the number, or "none" if the ID is not set.
+// ParseEventID returns the ID with the text. It is not set if the text is empty or cannot be sent
+// in a header.
+func ParseEventID(text string) EventID {
+	if number, err := strconv.ParseInt(text, 10, 64); err == nil && strconv.FormatInt(number, 10) == text {
+		return NewEventID(number)
+	}
+	isUnsafe := func(c rune) bool { return c < ' ' || c == 0x7f }
+	if text == "" || len(text) > maxIDBytes || strings.TrimSpace(text) != text || strings.ContainsFunc(text, isUnsafe) {
+		return EventID{}
+	}
+	return EventID{IsSet: true, Text: text}
+}
+
+// String returns the ID as it was parsed, or "none" if it is not set.
 func (id EventID) String() string {
-	if !id.IsSet {
+	switch {
+	case !id.IsSet:
 		return "none"
+	case id.Text != "":
+		return id.Text
 	}
 	return strconv.FormatInt(id.Number, 10)
 }
 
 // Event is one complete event.
 type Event struct {
-	// ID is the number in the id field; not set if there is none.
+	// ID is the value of the id field; not set if there is none.
 	ID EventID
 	// Data is the value of the data fields, joined by line feeds.
 	Data []byte
@@ -94,9 +117,7 @@
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch string(name) {
 		case "id":
-			if id, err := strconv.ParseInt(string(value), 10, 64); err == nil {
-				e.ID = NewEventID(id)
-			}
+			e.ID = ParseEventID(string(value))
 		case "data":
 			if !first {
 				e.Data = append(e.Data, '\n')
