internal/splitter, internal/relayer: comments are no events of a turn

What callers saw: nothing at first. If an endpoint sends comments or a retry field between two events, each counted as an event: its tokens were charged to the program's budget, and the next turn was run with an empty line for it in its prompt (UNASKED).

Our stand-ins send a comment only without end.

Change: an event that has neither an ID nor data is forwarded as before, but neither charged nor recorded.

--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -390,7 +390,9 @@
 		if err != nil {
 			return err
 		}
-		t.attempt.count()
+		if !event.IsEmpty() {
+			t.attempt.count()
+		}
 		switch follower.next(event.ID) {
 		case isRepeated:
 			continue // A resumed stream may repeat forwarded events.
@@ -403,12 +405,8 @@
 		if _, err := t.writer.Write(event.Raw); err != nil {
 			return errors.Join(errCallerDisconnected, err)
 		}
-		t.eventCount++
-		if event.ID.IsSet {
-			t.lastEvent = event.ID
-		}
-		if t.route.Retained {
-			t.output = append(append(t.output, event.Data...), '\n')
+		if !event.IsEmpty() {
+			t.recordEvent(event)
 		}
 		if err := controller.Flush(); err != nil {
 			return errors.Join(errCallerDisconnected, err)
@@ -416,6 +414,17 @@
 	}
 }
 
+// recordEvent records an event that was written to the caller.
+func (t *turn) recordEvent(event splitter.Event) {
+	t.eventCount++
+	if event.ID.IsSet {
+		t.lastEvent = event.ID
+	}
+	if t.route.Retained {
+		t.output = append(append(t.output, event.Data...), '\n')
+	}
+}
+
 // writeHead writes the status and the header of the first endpoint that sent an
 // event.
 func (t *turn) writeHead(response *sender.Response) {
--- a/internal/splitter/splitter.go
+++ b/internal/splitter/splitter.go
@@ -60,12 +60,16 @@
 type Event struct {
 	// ID is the value of the id field; not set if there is none.
 	ID EventID
-	// Data is the value of the data fields, joined by line feeds.
+	// Data is the value of the data fields, joined by line feeds; nil if there is none.
 	Data []byte
 	// Raw is the event as received, including its final blank line.
 	Raw []byte
 }
 
+// IsEmpty reports whether the event has neither an ID nor data: it consists of comments, or of
+// fields that concern the connection alone.
+func (e Event) IsEmpty() bool { return !e.ID.IsSet && e.Data == nil }
+
 // Splitter reads events. It is not safe for concurrent use.
 type Splitter struct{ r *bufio.Reader }
 
@@ -111,7 +115,6 @@
 }
 
 func parse(e Event) Event {
-	first := true
 	for line := range bytes.Lines(e.Raw) {
 		name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
@@ -119,11 +122,12 @@
 		case "id":
 			e.ID = ParseEventID(string(value))
 		case "data":
-			if !first {
+			if e.Data == nil {
+				e.Data = []byte{}
+			} else {
 				e.Data = append(e.Data, '\n')
 			}
 			e.Data = append(e.Data, value...)
-			first = false
 		}
 	}
 	return e
--- a/internal/splitter/splitter_test.go
+++ b/internal/splitter/splitter_test.go
@@ -38,6 +38,9 @@
 		{"no ID", "id:\ndata: a\n\n", []splitter.Event{
 			{Data: []byte("a"), Raw: []byte("id:\ndata: a\n\n")},
 		}, io.EOF},
+		{"comment and empty data", ": a\n\ndata\ndata:\n\n", []splitter.Event{
+			{Raw: []byte(": a\n\n")}, {Data: []byte("\n"), Raw: []byte("data\ndata:\n\n")},
+		}, io.EOF},
 		{"partial event", "id: 1\ndata: a\n\nid: 2\nda", []splitter.Event{
 			{ID: splitter.NewEventID(1), Data: []byte("a"), Raw: []byte("id: 1\ndata: a\n\n")},
 		}, io.ErrUnexpectedEOF},
