internal/relayer: a stream is not resumed after an event without an ID

Cause: only events with an ID counted as the last one that the caller has; without one, the stream had not begun. Our stand-ins give each event an ID.

Change: such a stream breaks off instead. An event without an ID is left out together with the event before it if a resumption repeats both.

Evidence: TestBrokenStreamDoesNotRepeatEventsWithoutIDs failed before with streams in which all, and some, events have no ID, and TestEventsWithoutIDsAreRepeatedWithTheOneBefore; both pass.

--- a/internal/composer/numbering_test.go
+++ b/internal/composer/numbering_test.go
@@ -97,3 +97,27 @@
 		})
 	}
 }
+
+// Callers got events twice if a stream broke off after an event without an ID.
+func TestBrokenStreamDoesNotRepeatEventsWithoutIDs(t *testing.T) {
+	t.Parallel()
+	for name, texts := range map[string][]string{
+		"all":  {"data: a\n\n", "data: b\n\n", "data: c\n\n"},
+		"some": {"id: 1\ndata: a\n\n", "data: b\n\n", "id: 2\ndata: c\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			engine := &standin.TextEngine{Texts: texts}
+			f := newTextFleet(t, engine)
+			for after := 1; after < len(texts); after++ {
+				engine.BreakAfter = after
+				id := fmt.Sprint(name, "-", after)
+				reply := f.doOnceStoreAnswers(f.instances[0], sessionCall(id, id))
+				whole := strings.Join(texts, "")
+				if !strings.HasPrefix(whole, reply.Body) || reply.IsComplete != (reply.Body == whole) {
+					t.Errorf("broken off after %d events: %+v", after, reply)
+				}
+			}
+		})
+	}
+}
--- a/internal/relayer/numbering.go
+++ b/internal/relayer/numbering.go
@@ -82,14 +82,20 @@
 	origin     resumer.Origin
 	// last is the last event that the caller has, and previous the last one of this response.
 	last, previous splitter.EventID
+	// isBehind is set while the response repeats events before the last one.
+	isBehind bool
 }
 
 // next tells what the next event of the response is. An event without an ID belongs to the one
 // before it.
 func (f *follower) next(id splitter.EventID) sequel {
 	if !id.IsSet {
+		if f.isBehind {
+			return isRepeated
+		}
 		return isNext
 	}
+	f.isBehind = false
 	known, previous := f.numberings.of(f.origin), f.previous
 	f.previous = id
 	if previous.IsSet && previous.Text == "" && id.Text == "" && id.Number > previous.Number {
@@ -102,6 +108,7 @@
 	case id.Text != "" || f.last.Text != "":
 		// Texts have no order.
 	case id.Number < f.last.Number:
+		f.isBehind = true
 		return isRepeated
 	case id.Number > f.last.Number+1 && !known.hasLargerSteps && known.stepsByOne >= minStepsFor(previous == f.last):
 		return isBehindGap
--- a/internal/relayer/numbering_test.go
+++ b/internal/relayer/numbering_test.go
@@ -80,3 +80,16 @@
 		t.Error(diff)
 	}
 }
+
+// An event without an ID belongs to the one before it: the caller has both, or may lack this one.
+func TestEventsWithoutIDsAreRepeatedWithTheOneBefore(t *testing.T) {
+	f := newNumberings().follow(resumer.Origin{}, splitter.NewEventID(2))
+	var got []sequel
+	for _, id := range []string{"1", "", "2", "", "3", ""} {
+		got = append(got, f.next(splitter.ParseEventID(id)))
+	}
+	want := []sequel{isRepeated, isRepeated, isRepeated, isNext, isNext, isNext}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -72,7 +72,10 @@
 	eventCount int
 	// lastEvent is the last event that the caller has, in this attempt or in the one that it
 	// resumes.
-	lastEvent     splitter.EventID
+	lastEvent splitter.EventID
+	// hasUnnamed is set if the caller has an event without an ID after lastEvent. No resumption
+	// can go on there.
+	hasUnnamed    bool
 	isHeadWritten bool
 	attempt       attempt
 	// origin is what began the stream; nil while it has not begun. It goes on at that
@@ -276,7 +279,7 @@
 		case mayContinue && isNotRun && !t.isHeadWritten && sent < t.route.MaxAttempts:
 			attempted[c.ID] = true
 			resumeAt = nil
-		case mayContinue && !isNotRun && t.route.Resumable && !t.mayBeCause():
+		case mayContinue && !isNotRun && t.route.Resumable && !t.hasUnnamed && !t.mayBeCause():
 			resumeAt = &c
 		default:
 			t.fail(failure)
@@ -417,6 +420,7 @@
 // recordEvent records an event that was written to the caller.
 func (t *turn) recordEvent(event splitter.Event) {
 	t.eventCount++
+	t.hasUnnamed = !event.ID.IsSet
 	if event.ID.IsSet {
 		t.lastEvent = event.ID
 	}
