--- /dev/null
+++ b/internal/composer/killed_test.go
@@ -0,0 +1,41 @@
+package composer_test
+
+import (
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/wigeonstand/wigeonstand/platform/standin"
+)
+
+// An engine that is killed ends the connections of its streams in order. A stream that has neither
+// chunks nor a length ended as if it were complete.
+func TestStreamOfAnEngineThatEndedIsNotComplete(t *testing.T) {
+	t.Parallel()
+	for name, path := range map[string]string{"retained": standin.PathRetained, "resumable": standin.PathSession} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 1, 0, 0)
+			e := standin.NewEndpoint("engine", 5, 0, 1)
+			server := httptest.NewServer(e)
+			t.Cleanup(server.Close)
+			e.Script = func(id string, _ int) string {
+				_ = server.Listener.Close() // The engine ends as it closes the connection.
+				return brokenStream(id, noChunks, "")
+			}
+			if err := standin.Register(f.rows, standin.Registration{
+				ID: e.ID, Service: standin.ServiceEngine, Address: netip.MustParseAddrPort(server.Listener.Addr().String()), DataCentre: "dc-1", Slots: e.Slots,
+			}); err != nil {
+				t.Fatal(err)
+			}
+			call := sessionCall("turn", "p")
+			call.Path = path + "x"
+			reply := f.doUntilAccepted(f.instances[0], call)
+			if diff := cmp.Diff([]int{1, 2}, reply.Events()); diff != "" || reply.IsComplete {
+				t.Errorf("%+v: %s", reply, diff)
+			}
+		})
+	}
+}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -52,6 +53,10 @@
 	maxInterimResponses = 8
 	// maxHeadBytes limits a response head together with the interim ones before it.
 	maxHeadBytes = 64 << 10
+	// exitTime is the time between the end of the connections of a process that is killed and that
+	// of its listener, at most. checkTimeout limits the check whether it listens.
+	exitTime     = 5 * time.Millisecond
+	checkTimeout = 100 * time.Millisecond
 	// maxInlineBodyBytes is the size up to which a body is written before the
 	// response is read. It is below the TCP window, so the write does not block.
 	maxInlineBodyBytes = 16 << 10
@@ -75,6 +80,9 @@
 	// in its header, or "" if it names none. If it is nil, every response is the request's.
 	ID         string
 	ResponseID func(http.Header) string
+	// ChecksEnd is true if a body that ends with its connection is complete only if a process
+	// listens at the address then. It takes another connection.
+	ChecksEnd bool
 	// MaxIdle is the number of idle connections to the endpoint that may be kept; zero for
 	// the default.
 	MaxIdle int
@@ -88,6 +96,8 @@
 	Body *bufio.Reader
 	// Length is the length of the body in bytes; -1 if the header does not give it.
 	Length int64
+	// IsFramed is false if the body has neither a length nor chunks and ends with the connection.
+	IsFramed bool
 
 	conn        *conn
 	idleTimeout time.Duration
@@ -188,7 +198,7 @@
 		return nil, &notSentError{err}
 	}
 	stop := context.AfterFunc(ctx, func() { discard(cn) })
-	response, err := s.exchange(cn, r)
+	response, err := s.exchange(ctx, cn, r)
 	if err != nil {
 		stop()
 		discard(cn)
@@ -274,7 +284,7 @@
 }
 
 // exchange writes the request and reads responses until one belongs to it.
-func (s *Sender) exchange(cn *conn, r Request) (*Response, error) {
+func (s *Sender) exchange(ctx context.Context, cn *conn, r Request) (*Response, error) {
 	written := make(chan struct{})
 	head := appendHead(nil, r)
 	if len(r.Body) <= maxInlineBodyBytes {
@@ -301,7 +311,7 @@
 			return nil, err
 		}
 		if isOwn {
-			return s.newResponse(cn, r, response, written), nil
+			return s.newResponse(ctx, cn, r, response, written), nil
 		}
 		// This is a late, duplicate response to an earlier request.
 		if err := skipBody(response); err != nil {
@@ -379,12 +389,55 @@
 	return nil
 }
 
-func (s *Sender) newResponse(cn *conn, request Request, response *http.Response, written chan struct{}) *Response {
+// unframedBody reads a body that ends with its connection. The connections of a process that is
+// killed end as if their responses were complete, but it no longer listens.
+type unframedBody struct {
+	io.Reader
+	hasEnded func() bool
+}
+
+// Read implements io.Reader.
+func (b *unframedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) && b.hasEnded() {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// hasEnded reports whether no process listens at the address of an endpoint that has just closed a
+// connection, or whether ctx ended before this was known.
+func (s *Sender) hasEnded(ctx context.Context, address netip.AddrPort) bool {
+	timer := time.NewTimer(exitTime)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return true
+	case <-timer.C:
+	}
+	s.mu.Lock()
+	s.opened++
+	s.mu.Unlock()
+	bounded, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	cn, err := s.dial(bounded, "tcp", address.String())
+	if err == nil {
+		discard(cn)
+	}
+	return errors.Is(err, syscall.ECONNREFUSED) || ctx.Err() != nil
+}
+
+func (s *Sender) newResponse(ctx context.Context, cn *conn, request Request, response *http.Response, written chan struct{}) *Response {
 	r := &Response{
 		Status: response.StatusCode, Header: response.Header,
-		Body: bufio.NewReader(response.Body), Length: response.ContentLength,
+		Length: response.ContentLength, IsFramed: response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
 		conn: cn, sender: s, body: response.Body, written: written, maxIdle: maxIdlePerEndpoint,
 	}
+	var body io.Reader = response.Body
+	if request.ChecksEnd && !r.IsFramed {
+		body = &unframedBody{Reader: body, hasEnded: func() bool { return s.hasEnded(ctx, cn.address) }}
+	}
+	r.Body = bufio.NewReader(body)
 	if request.MaxIdle > 0 {
 		r.maxIdle = min(r.maxIdle, request.MaxIdle)
 	}
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -302,3 +302,42 @@
 		})
 	}
 }
+
+// The connections of a process that is killed end as if they were closed in order. Responses that end
+// with their connection looked complete then.
+func TestResponseOfAProcessThatEndedIsNotComplete(t *testing.T) {
+	for name, isEnded := range map[string]bool{"closed": false, "ended": true} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = listener.Close() }()
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = http.ReadRequest(bufio.NewReader(conn)) // The response is the same to any request.
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nbo")
+				_ = conn.Close()
+				if isEnded {
+					_ = listener.Close()
+				}
+			}()
+			s := sender.New()
+			defer s.Close()
+			r, err := s.Send(t.Context(), sender.Request{
+				Address: netip.MustParseAddrPort(listener.Addr().String()), Method: http.MethodGet, Target: "/", Host: "h", ChecksEnd: true,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer r.Close()
+			body, err := io.ReadAll(r.Body)
+			if diff := cmp.Diff("bo", string(body)); diff != "" || r.IsFramed || errors.Is(err, io.ErrUnexpectedEOF) != isEnded || (err == nil) == isEnded {
+				t.Errorf("%v: %s", err, diff)
+			}
+		})
+	}
+}
