internal/relayer: an empty rest that ends with its connection does not end a stream

What callers saw: a stream broke off, its resumption was answered with the head of a stream that has neither chunks nor a length, and the connection closed without an event. The stream ended as if it were complete, also where it had broken off within an event (ORDER), for callers of HTTP/1.1 too.

Cause: a response without events and without framing is the same as a connection that failed after the head.

Change: such a resumption has failed. One that is framed, or brings an event, counts as before.

Evidence: the new case "no events" of TestFailureAfterABreakDoesNotEndTheStream failed before in 6 of 6 combinations of breaks and callers; it passes.

--- a/internal/composer/broken_test.go
+++ b/internal/composer/broken_test.go
@@ -44,6 +44,7 @@
 		"no content type":        withBody("200 OK"),
 		"no type, no body":       standin.ResponseHead(id, "200 OK", noChunks) + "\r\n",
 		"a text":                 withBody("200 OK", "Content-Type: text/plain"),
+		"no events":              standin.ResponseHead(id, "200 OK", eventStream, noChunks) + "\r\n",
 		"no length":              standin.ResponseHead(id, "200 OK", eventStream, "Content-Length: 0") + "\r\n",
 		"a gap":                  standin.ResponseHead(id, "200 OK", eventStream, chunked) + "\r\n" + standin.Chunk(standin.Event(id, 4)) + "0\r\n\r\n",
 		"another error unsigned": "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 13\r\n\r\n" + stranger,
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -385,9 +385,13 @@
 	events := splitter.New(response.Body)
 	follower := t.numberings.follow(resumer.Origin{Service: c.Service, Version: c.Version}, t.lastEvent)
 	controller := http.NewResponseController(t.writer)
+	before := t.eventCount
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
+			if !response.IsFramed && t.attempt.isPartial && t.eventCount == before {
+				return errInvalidResponse // The connection may as well have failed.
+			}
 			return nil
 		}
 		if err != nil {
