internal/relayer: a stream taken up after its last event is complete

What callers saw: a caller that has all events of a stream, but not its end, takes it up after the last one. The endpoint sends the head of a stream and no event, and the caller was answered 502, each time.

Cause: a response without events counted as broken off, although that is what remains of the stream.

Change: a framed stream without events is forwarded, if the caller resumes one. A length of 0 counts as a failure, as before.

Evidence: TestStreamTakenUpAfterItsLastEventIsComplete failed before; it passes, and so does TestFailureAfterABreakDoesNotEndTheStream. TestStreamThatBreaksOffAfterItsLastEventIsComplete passed before, too.

--- a/internal/composer/framing_test.go
+++ b/internal/composer/framing_test.go
@@ -53,3 +53,32 @@
 		})
 	}
 }
+
+// A caller that had got all events but not the end of its stream was told that the request had failed,
+// each time that it took the stream up.
+func TestStreamTakenUpAfterItsLastEventIsComplete(t *testing.T) {
+	t.Parallel()
+	engine := &standin.TextEngine{BreakAfter: -1, Texts: []string{standin.Event("e", 1), standin.Event("e", 2)}}
+	f := newTextFleet(t, engine)
+	first := f.doOnceStoreAnswers(f.instances[0], sessionCall("first", "p"))
+	if diff := cmp.Diff([]int{1, 2}, first.Events()); diff != "" {
+		t.Fatalf("%+v: %s", first, diff)
+	}
+	again := sessionCall("again", "p")
+	again.Resumes, again.LastEventID = "first", 2
+	reply := f.doOnceStoreAnswers(f.instances[0], again)
+	if reply.Status != http.StatusOK || !reply.IsComplete || !reply.IsSigned() || reply.Body != "" {
+		t.Errorf("%+v", reply)
+	}
+}
+
+// The stream broke off after its last event, so that the rest is empty.
+func TestStreamThatBreaksOffAfterItsLastEventIsComplete(t *testing.T) {
+	t.Parallel()
+	engine := &standin.TextEngine{BreakAfter: 2, Texts: []string{standin.Event("e", 1), standin.Event("e", 2)}}
+	f := newTextFleet(t, engine)
+	reply := f.doOnceStoreAnswers(f.instances[0], sessionCall("first", "p"))
+	if diff := cmp.Diff(strings.Join(engine.Texts, ""), reply.Body); diff != "" || !reply.IsComplete {
+		t.Errorf("%+v: %s", reply, diff)
+	}
+}
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -392,6 +392,9 @@
 			if !response.IsFramed && t.attempt.isPartial && t.eventCount == before {
 				return errInvalidResponse // The connection may as well have failed.
 			}
+			if t.attempt.isPartial && isEventStream(response) {
+				t.writeHead(response) // The caller has all events.
+			}
 			return nil
 		}
 		if err != nil {
