--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -72,7 +72,10 @@
 	eventCount int
 	// lastEvent is the last event that the caller has, in this attempt or in the one that it
 	// resumes.
-	lastEvent     splitter.EventID
+	lastEvent splitter.EventID
+	// hasUnnamed is set if the caller has an event without an ID after lastEvent. No resumption
+	// can go on there.
+	hasUnnamed    bool
 	isHeadWritten bool
 	attempt       attempt
 	// ranAt holds the endpoints at which the turn may have run.
@@ -281,7 +284,7 @@
 		case mayContinue && isNotRun && !t.isHeadWritten && sent < t.route.MaxAttempts:
 			attempted[c.ID] = true
 			resumeAt = nil
-		case mayContinue && !isNotRun && t.route.Resumable && !t.mayBeCause():
+		case mayContinue && !isNotRun && t.route.Resumable && !t.hasUnnamed && !t.mayBeCause():
 			resumeAt = &c
 		default:
 			t.fail(failure)
@@ -402,15 +405,24 @@
 	events := splitter.New(response.Body)
 	follower := t.numberings.follow(resumer.Origin{Service: c.Service, Version: c.Version}, t.lastEvent)
 	controller := http.NewResponseController(t.writer)
+	before := t.eventCount
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
+			if !response.IsFramed && t.attempt.isPartial && t.eventCount == before {
+				return errInvalidResponse // The connection may as well have failed.
+			}
+			if t.attempt.isPartial && isEventStream(response) {
+				t.writeHead(response) // The caller has all events.
+			}
 			return nil
 		}
 		if err != nil {
 			return err
 		}
-		t.attempt.count()
+		if !event.IsEmpty() {
+			t.attempt.count()
+		}
 		switch follower.next(event.ID) {
 		case isRepeated:
 			continue // A resumed stream may repeat forwarded events.
@@ -423,12 +435,8 @@
 		if _, err := t.writer.Write(event.Raw); err != nil {
 			return errors.Join(errCallerDisconnected, err)
 		}
-		t.eventCount++
-		if event.ID.IsSet {
-			t.lastEvent = event.ID
-		}
-		if t.route.Retained {
-			t.output = append(append(t.output, event.Data...), '\n')
+		if !event.IsEmpty() {
+			t.recordEvent(event)
 		}
 		if err := controller.Flush(); err != nil {
 			return errors.Join(errCallerDisconnected, err)
@@ -436,6 +444,18 @@
 	}
 }
 
+// recordEvent records an event that was written to the caller.
+func (t *turn) recordEvent(event splitter.Event) {
+	t.eventCount++
+	t.hasUnnamed = !event.ID.IsSet
+	if event.ID.IsSet {
+		t.lastEvent = event.ID
+	}
+	if t.route.Retained {
+		t.output = append(append(t.output, event.Data...), '\n')
+	}
+}
+
 // writeHead writes the status and the header of the first endpoint that sent an
 // event.
 func (t *turn) writeHead(response *sender.Response) {
