internal/sender, internal/relayer: what shows that an unframed response is incomplete

Cause: the write took the error of the socket, and its result was not looked at.

Change: at the end of an unframed body a failed write counts as a reset.

--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -80,9 +80,10 @@
 	// in its header, or "" if it names none. If it is nil, every response is the request's.
 	ID         string
 	ResponseID func(http.Header) string
-	// ChecksEnd is true if a body that ends with its connection is complete only if a process
-	// listens at the address then. It takes another connection.
-	ChecksEnd bool
+	// MayHaveFailed reports, at the end of a body that ends with its connection, whether the
+	// endpoint may have ended unplanned. Then the body is complete only if a process listens at the
+	// address, which takes another connection to see. If it is nil, such a body is complete.
+	MayHaveFailed func() bool
 	// MaxIdle is the number of idle connections to the endpoint that may be kept; zero for
 	// the default.
 	MaxIdle int
@@ -105,8 +106,24 @@
 	sender      *Sender
 	body        io.Closer
 	stopCancel  func() bool
-	// written is closed when the request has been sent completely.
-	written chan struct{}
+	upload      *upload
+}
+
+// upload is the sending of a request.
+type upload struct {
+	// ended is closed when all has been sent or err is set.
+	ended chan struct{}
+	err   error
+}
+
+// isComplete reports whether all has been sent.
+func (u *upload) isComplete() bool {
+	select {
+	case <-u.ended:
+		return u.err == nil
+	default:
+		return false
+	}
 }
 
 type conn struct {
@@ -285,20 +302,19 @@
 
 // exchange writes the request and reads responses until one belongs to it.
 func (s *Sender) exchange(ctx context.Context, cn *conn, r Request) (*Response, error) {
-	written := make(chan struct{})
+	sent := &upload{ended: make(chan struct{})}
 	head := appendHead(nil, r)
 	if len(r.Body) <= maxInlineBodyBytes {
-		close(written)
+		close(sent.ended)
 		if _, err := cn.Write(append(head, r.Body...)); err != nil {
 			return nil, eris.Wrap(err, "send the request")
 		}
 	} else {
 		// The endpoint may respond before it has read a long body.
 		go func() {
+			defer close(sent.ended)
 			buffers := net.Buffers{head, r.Body}
-			if _, err := buffers.WriteTo(cn.Conn); err == nil {
-				close(written)
-			}
+			_, sent.err = buffers.WriteTo(cn.Conn)
 		}()
 	}
 	for range maxStaleResponses + 1 {
@@ -311,7 +327,7 @@
 			return nil, err
 		}
 		if isOwn {
-			return s.newResponse(ctx, cn, r, response, written), nil
+			return s.newResponse(ctx, cn, r, response, sent), nil
 		}
 		// This is a late, duplicate response to an earlier request.
 		if err := skipBody(response); err != nil {
@@ -389,32 +405,51 @@
 	return nil
 }
 
-// unframedBody reads a body that ends with its connection. The connections of a process that is
-// killed end as if their responses were complete, but it no longer listens.
+// unframedBody reads a body that ends with its connection.
 type unframedBody struct {
 	io.Reader
-	hasEnded func() bool
+	hasFailed func() bool
 }
 
 // Read implements io.Reader.
 func (b *unframedBody) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
-	if errors.Is(err, io.EOF) && b.hasEnded() {
+	if errors.Is(err, io.EOF) && b.hasFailed() {
 		err = io.ErrUnexpectedEOF
 	}
 	return n, err
 }
 
-// hasEnded reports whether no process listens at the address of an endpoint that has just closed a
-// connection, or whether ctx ended before this was known.
-func (s *Sender) hasEnded(ctx context.Context, address netip.AddrPort) bool {
+// hasFailed reports whether a connection that seems to have been closed in order was not, or
+// whether ctx ended before this was known. The kernel reports a reset to a pending write alone, and
+// closes the connections of a process that is killed in order.
+func (s *Sender) hasFailed(ctx context.Context, r Request, sent *upload) bool {
 	timer := time.NewTimer(exitTime)
 	defer timer.Stop()
 	select {
+	case <-ctx.Done():
+		return true
+	case <-sent.ended:
+		if sent.err != nil {
+			return true
+		}
+	case <-timer.C: // The endpoint has closed one direction only.
+		return false
+	}
+	if r.MayHaveFailed == nil || !r.MayHaveFailed() {
+		return false
+	}
+	select {
 	case <-ctx.Done():
 		return true
 	case <-timer.C:
+		return s.isGone(ctx, r.Address)
 	}
+}
+
+// isGone reports whether no process listens at the address, or whether ctx ended before this was
+// known.
+func (s *Sender) isGone(ctx context.Context, address netip.AddrPort) bool {
 	s.mu.Lock()
 	s.opened++
 	s.mu.Unlock()
@@ -427,15 +462,15 @@
 	return errors.Is(err, syscall.ECONNREFUSED) || ctx.Err() != nil
 }
 
-func (s *Sender) newResponse(ctx context.Context, cn *conn, request Request, response *http.Response, written chan struct{}) *Response {
+func (s *Sender) newResponse(ctx context.Context, cn *conn, request Request, response *http.Response, sent *upload) *Response {
 	r := &Response{
 		Status: response.StatusCode, Header: response.Header,
 		Length: response.ContentLength, IsFramed: response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
-		conn: cn, sender: s, body: response.Body, written: written, maxIdle: maxIdlePerEndpoint,
+		conn: cn, sender: s, body: response.Body, upload: sent, maxIdle: maxIdlePerEndpoint,
 	}
 	var body io.Reader = response.Body
-	if request.ChecksEnd && !r.IsFramed {
-		body = &unframedBody{Reader: body, hasEnded: func() bool { return s.hasEnded(ctx, cn.address) }}
+	if !r.IsFramed {
+		body = &unframedBody{Reader: body, hasFailed: func() bool { return s.hasFailed(ctx, request, sent) }}
 	}
 	r.Body = bufio.NewReader(body)
 	if request.MaxIdle > 0 {
@@ -464,9 +499,7 @@
 // isComplete reports whether the request was sent and the response read to its
 // end.
 func (r *Response) isComplete() bool {
-	select {
-	case <-r.written:
-	default:
+	if !r.upload.isComplete() {
 		return false
 	}
 	_, err := r.Body.Peek(1)
