internal/relayer: requests of a stopping instance log when they were read and what was left

What operators saw: a call that the end of the grace period cut was logged as Canceled, as if its caller had left, and nothing said when its body was complete.

Package stopper knows only the time as yet.

--- a/internal/closer/closer.go
+++ b/internal/closer/closer.go
@@ -83,6 +83,13 @@
 	}
 }
 
+// Count returns the number of open connections.
+func (c *Closer) Count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.conns)
+}
+
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -42,6 +42,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/rerouter"
 	"github.com/wigeonstand/wigeonstand/internal/resumer"
 	"github.com/wigeonstand/wigeonstand/internal/sender"
+	"github.com/wigeonstand/wigeonstand/internal/stopper"
 	"github.com/wigeonstand/wigeonstand/internal/storer"
 	"github.com/wigeonstand/wigeonstand/internal/transcriber"
 	"github.com/wigeonstand/wigeonstand/internal/tunneler"
@@ -134,6 +135,7 @@
 	runQuotas     func(context.Context)
 	learnVersions func(context.Context)
 	peerServer    *messenger.Server
+	stop          *stopper.Stopper
 	quarantine    *quarantiner.Quarantiner
 	isLeaving     atomic.Bool
 	wasReady      atomic.Bool
@@ -153,7 +155,7 @@
 
 // New returns an Entry that has not been started. It writes its log lines to out.
 func New(settings *configurer.EntrySettings, platform Platform, out io.Writer, options ...Option) (*Entry, error) {
-	e := &Entry{dialEndpoint: sender.NewDial(), settings: settings, logOutput: logger.NewRateLimitedWriter(out), meter: meter.New(), registry: registrar.New()}
+	e := &Entry{dialEndpoint: sender.NewDial(), settings: settings, logOutput: logger.NewRateLimitedWriter(out), meter: meter.New(), registry: registrar.New(), stop: stopper.New()}
 	e.log = newLogger(settings.Log, e.logOutput).With("Instance", settings.Instance)
 	for _, option := range options {
 		option(e)
@@ -219,6 +221,7 @@
 		IsConfigurationDoubtful: func() bool {
 			return settings.RevokeStrict && time.Since(e.watcher.ConfirmedAt()) > settings.RevokeDeadline
 		},
+		Stop:     e.stop,
 		Instance: settings.Instance, CountInstances: e.discoverer.Count,
 		DataCentre: settings.DataCentre, Log: e.log, ServedShare: settings.Log.ServedShare, Metrics: metrics,
 		MaxBufferedBytes: int64(settings.MemoryMB) << 20 / bufferedMemoryDivisor,
@@ -343,6 +346,7 @@
 // requests that have been read, and closes the connections.
 func (e *Entry) shutdown(callers *http.Server, connections *closer.Closer) {
 	start := time.Now()
+	e.stop.Begin(e.settings.GracePeriod - e.settings.GracePeriod/shutdownReserveDivisor)
 	e.isLeaving.Store(true)
 	e.log.Log(eventStopping)
 	var withdrawal sync.WaitGroup
@@ -357,7 +361,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(e.settings.GracePeriod-e.settings.GracePeriod/shutdownReserveDivisor))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
-		e.log.Log(eventRequestsCut, "Cause", err)
+		e.log.Log(eventRequestsCut, "Cause", err, "Connections", connections.Count())
 		_ = callers.Close() // Open connections end with the process in any case.
 	}
 	e.tunneler.Wait(ctx)
--- a/internal/relayer/access.go
+++ b/internal/relayer/access.go
@@ -29,6 +29,10 @@
 		"unused tokens of a turn could not be released", "None; the bookkeeper charges the turn its full reservation.")
 )
 
+// minLoggedReadTime is the time from which the reading of a body is logged. Most bodies arrive with
+// their heads.
+const minLoggedReadTime = 100 * time.Millisecond
+
 // accessRecord holds the values of a request's access log line.
 type accessRecord struct {
 	outcome  string
@@ -54,7 +58,9 @@
 	refusedShare float64
 	sendCount    int
 	firstEvent   time.Duration
-	recordTime   time.Duration
+	// readTime is the time from the request's arrival to the end of its body.
+	readTime   time.Duration
+	recordTime time.Duration
 	// key identifies what the caller sent, in a request that broke off at an endpoint.
 	key string
 	// retryAfter is the time to come back that a refused caller was given.
@@ -114,6 +120,10 @@
 	if a.binding != "" && a.binding != admitter.NoResource {
 		pairs = append(pairs, "Pressure", a.pressure, "RefusedShare", a.refusedShare)
 	}
+	add(a.readTime >= minLoggedReadTime, "Read", a.readTime)
+	if left, isStopping := x.Stop.Left(); isStopping {
+		pairs = append(pairs, "GraceLeft", left)
+	}
 	add(a.firstEvent > 0, "First", a.firstEvent)
 	add(a.recordTime > 0, "Held", a.recordTime)
 	add(a.retryAfter > 0, "RetryAfter", a.retryAfter)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -26,6 +26,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
 	"github.com/wigeonstand/wigeonstand/internal/resumer"
 	"github.com/wigeonstand/wigeonstand/internal/sender"
+	"github.com/wigeonstand/wigeonstand/internal/stopper"
 	"github.com/wigeonstand/wigeonstand/internal/transcriber"
 )
 
@@ -151,6 +152,8 @@
 	// MaxBufferedBytes limits the memory for large bodies of plain responses, all together.
 	MaxBufferedBytes int64
 	Metrics          Metrics
+	// Stop tells when the instance stops; nil if it never does.
+	Stop *stopper.Stopper
 }
 
 // Metrics records the metrics of requests.
@@ -176,6 +179,9 @@
 
 // New returns a Relayer.
 func New(config Config) *Relayer {
+	if config.Stop == nil {
+		config.Stop = stopper.New()
+	}
 	return &Relayer{Config: config, memory: newMemoryBudget(config.MaxBufferedBytes)}
 }
 
@@ -289,7 +295,7 @@
 		// The caller stopped sending, so the connection cannot be reused.
 		x.abort("Canceled", err)
 	}
-	x.body = body
+	x.body, x.access.readTime = body, time.Since(x.arrival)
 	return true
 }
 
