internal/closer: connections with a part of a request's head are kept in a planned stop

What callers saw: a request whose head was completed later than 2.5 s into a planned stop was closed without an answer, although it never ran. A pipelined request of which a part had been read together with the one before was answered 400, which callers don't repeat.

Cause: http.Server.Shutdown counts a connection as idle until the head of its request is complete, and closes it. The Closer took a connection for idle although the server had bytes of its next request.

The callers' listener is closed and Closer.Drain waits for the connections in place of Shutdown: it closes those that are idle, or have had no byte of a request for 500 ms, and keeps all others. The server sets a second deadline on an idle connection when it has bytes of the next request, which shows that it is active.

--- a/internal/closer/closer.go
+++ b/internal/closer/closer.go
@@ -67,9 +67,13 @@
 // response did not announce the close may also be sending its next request.
 const minIdle = 100 * time.Millisecond
 
+// minNew is how long a connection without a byte of a request is kept: a client sends its first
+// request as soon as the connection is open.
+const minNew = 500 * time.Millisecond
+
 // CloseIdle closes the connections that have been idle for at least minIdle and,
-// if includeNew is set, those that never carried a request. After the first call
-// each response announces that its connection closes.
+// if includeNew is set, those that have carried no byte of a request for minNew. After the
+// first call each response announces that its connection closes.
 func (c *Closer) CloseIdle(includeNew bool) {
 	c.mu.Lock()
 	c.isClosing = true
@@ -83,6 +87,29 @@
 	}
 }
 
+// drainInterval is the time between two passes of Drain over the connections.
+const drainInterval = 50 * time.Millisecond
+
+// Drain closes connections as they become idle, until none is left or ctx ends, and returns the
+// number of those that are left. Unlike http.Server.Shutdown it keeps those on which a part of a
+// request's head has been read: the request is served, or refused, once its head is complete. The
+// listener must have been closed.
+func (c *Closer) Drain(ctx context.Context) (left int) {
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for {
+		c.CloseIdle(true)
+		if left = c.Count(); left == 0 {
+			return 0
+		}
+		select {
+		case <-ctx.Done():
+			return left
+		case <-ticker.C:
+		}
+	}
+}
+
 // Count returns the number of open connections.
 func (c *Closer) Count() int {
 	c.mu.Lock()
@@ -122,7 +149,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cn := &conn{Conn: nc, state: stateNew}
+	cn := &conn{Conn: nc, state: stateNew, stateSince: time.Now()}
 	l.closer.mu.Lock()
 	l.closer.conns[cn] = true
 	l.closer.mu.Unlock()
@@ -150,6 +177,8 @@
 	mu         sync.Mutex
 	state      connState
 	stateSince time.Time
+	// hasIdleDeadline is true if the server has set a deadline in stateIdle.
+	hasIdleDeadline bool
 }
 
 // Read implements net.Conn.
@@ -163,7 +192,7 @@
 		// which is served as usual.
 		c.state = stateActive
 		if wasClosing {
-			return n, errors.Join(err, c.SetReadDeadline(time.Time{}))
+			return n, errors.Join(err, c.Conn.SetReadDeadline(time.Time{}))
 		}
 		return n, err
 	}
@@ -173,6 +202,21 @@
 	return n, err
 }
 
+// SetReadDeadline implements net.Conn. The server sets a first deadline when a connection becomes
+// idle, and a second one when it has bytes of the next request, which it may have read together
+// with the request before.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == stateIdle {
+		if c.hasIdleDeadline {
+			c.state = stateActive
+		}
+		c.hasIdleDeadline = true
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // setLinger sets for how many seconds a close waits for unsent data; with zero it resets the
 // connection, and with a negative value it does neither.
 func (c *conn) setLinger(seconds int) error {
@@ -186,7 +230,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state != stateClosing {
-		c.state, c.stateSince = state, time.Now()
+		c.state, c.stateSince, c.hasIdleDeadline = state, time.Now(), false
 	}
 }
 
@@ -194,10 +238,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	isIdle := c.state == stateIdle && time.Since(c.stateSince) >= minIdle
-	if isIdle || (includeNew && c.state == stateNew) {
+	isUnused := includeNew && c.state == stateNew && time.Since(c.stateSince) >= minNew
+	// A deadline that the server set meanwhile would replace that of an earlier call.
+	if isIdle || isUnused || c.state == stateClosing {
 		c.state = stateClosing
 		// The deadline ends the pending read, and the server closes the connection.
 		// If it cannot be set, the client or the end of the process closes it.
-		_ = c.SetReadDeadline(time.Unix(1, 0))
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 	}
 }
--- a/internal/closer/closer_test.go
+++ b/internal/closer/closer_test.go
@@ -13,6 +13,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/wigeonstand/wigeonstand/internal/closer"
 )
 
@@ -231,3 +233,73 @@
 		})
 	}
 }
+
+// Guards against requests that were closed although they had begun to arrive (issue 47): the server
+// took a connection as idle on which a part of a request's head had been read.
+func TestDrainKeepsConnectionsWithPartOfAHead(t *testing.T) {
+	c := closer.New()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{
+		Handler:   c.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) })),
+		ConnState: c.ConnState, ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute,
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Serve(c.Listener(l)) // Ends as the listener closes.
+	}()
+	conns := map[string]net.Conn{}
+	for name, text := range map[string]string{
+		"unused": "", "first request": "GET / HT", "second request": "GET / HTTP/1.1\r\nHost: x\r\n\r\nGET / HT",
+		"idle": "GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+	} {
+		nc, err := net.Dial("tcp", l.Addr().String()) //nolint:noctx // It is local.
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = nc.Close() }() // The test needs nothing more from it.
+		if _, err := io.WriteString(nc, text); err != nil {
+			t.Fatal(err)
+		}
+		conns[name] = nc
+	}
+	time.Sleep(200 * time.Millisecond) // The parts are read.
+	_ = l.Close()                      // No further connection is needed.
+	left := make(chan int, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { left <- c.Drain(ctx) }()
+	time.Sleep(time.Second)
+	statuses := map[string][]int{}
+	for name, nc := range conns {
+		// The unused and the idle connection are closed.
+		_, _ = io.WriteString(nc, "TP/1.1\r\nHost: x\r\n\r\n")
+		_ = nc.SetReadDeadline(time.Now().Add(2 * time.Second))
+		r := bufio.NewReader(nc)
+		for {
+			response, err := http.ReadResponse(r, nil) //nolint:bodyclose // It has no body.
+			if err != nil {
+				break
+			}
+			statuses[name] = append(statuses[name], response.StatusCode)
+		}
+	}
+	want := map[string][]int{"first request": {http.StatusTeapot}, "second request": {http.StatusTeapot, http.StatusTeapot}, "idle": {http.StatusTeapot}}
+	if diff := cmp.Diff(want, statuses); diff != "" {
+		t.Error(diff)
+	}
+	select {
+	case n := <-left:
+		if n != 0 {
+			t.Errorf("%d connections are left", n)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the drain goes on without connections")
+		cancel()
+		<-left
+	}
+	<-done
+}
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -299,14 +299,14 @@
 	connections := closer.New()
 	callers := &http.Server{
 		Handler: connections.Handler(e.relayer), ConnState: connections.ConnState, ConnContext: connections.ConnContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: stdlog.New(errorLogWriter{e.log}, "", 0),
+		ErrorLog:    stdlog.New(errorLogWriter{e.log}, "", 0),
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: headerTimeout}
 	admin := &http.Server{Handler: e.meter.Handler(), ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 4)
 	serve := func(run func() error) {
 		running.Go(func() {
-			if err := run(); err != nil && !errors.Is(err, http.ErrServerClosed) && work.Err() == nil {
+			if err := run(); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) && work.Err() == nil {
 				failed <- err
 			}
 		})
@@ -321,7 +321,7 @@
 	e.log.Log(eventStarted, "DataCentre", e.settings.DataCentre, "Incarnation", e.discoverer.Self().Incarnation)
 
 	err = e.wait(ctx, failed, reload, reloadSettings)
-	e.shutdown(callers, connections)
+	e.shutdown(callers, listeners[0], connections)
 	// Their connections end with the process.
 	_ = ready.Close()
 	_ = admin.Close()
@@ -344,7 +344,7 @@
 
 // shutdown waits until the load balancer has removed the instance, completes the
 // requests that have been read, and closes the connections.
-func (e *Entry) shutdown(callers *http.Server, connections *closer.Closer) {
+func (e *Entry) shutdown(callers *http.Server, listener net.Listener, connections *closer.Closer) {
 	start := time.Now()
 	e.stop.Begin(e.settings.GracePeriod - e.settings.GracePeriod/shutdownReserveDivisor)
 	e.isLeaving.Store(true)
@@ -357,13 +357,13 @@
 		connections.CloseIdle(false)
 		time.Sleep(closeInterval)
 	}
-	connections.CloseIdle(true)
+	_ = listener.Close() // Callers' connections end with the process in any case.
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(e.settings.GracePeriod-e.settings.GracePeriod/shutdownReserveDivisor))
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		e.log.Log(eventRequestsCut, "Cause", err, "Connections", connections.Count())
-		_ = callers.Close() // Open connections end with the process in any case.
+	if left := connections.Drain(ctx); left > 0 {
+		e.log.Log(eventRequestsCut, "Connections", left)
 	}
+	_ = callers.Close()
 	e.tunneler.Wait(ctx)
 	e.sender.Close()
 	e.peerClient.Close()
