internal/stopper: a stopping instance passes on only what it can answer

What callers saw: calls whose bodies were completed late in the grace period of a planned stop were passed on and cut at its end without an answer, among them calls that may not be repeated; bodies completed after that were cut unread.

Cause: nothing bounded what a stopping instance passes on.

stopper.MaxWait decides from the time left in the grace period, the request's deadline and the time that requests of its route take at endpoints whether it may be passed on, and how long it may wait for that. The relayer asks it when the head is complete, before each attempt, and for waits for permits, room and the store; while a body is being read, the request is refused at the latest moment. Refusals are Stopping (503, not run, Retry-After 50 ms). At nine tenths of the grace period the contexts of all requests end, and calls still at work are answered 502 instead of being cut; connections stay open until 0.95 so that what is completed by then is refused. Tunnels for other instances are opened no longer once the listener is closed, so that they are not cut.

Refusals state their length, so that a caller whose body is incomplete has the whole of them.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -65,9 +65,12 @@
 	closeInterval = 100 * time.Millisecond
 	// drainDelayDivisor limits drainDelay to a fraction of the grace period.
 	drainDelayDivisor = 3
-	// shutdownReserveDivisor gives the fraction of the grace period that is kept
-	// for the steps after the callers' server has shut down.
-	shutdownReserveDivisor = 10
+	// answerReserveDivisor gives the fraction of the grace period at whose end no answers of
+	// endpoints are waited for any more, and closeReserveDivisor the fraction that is kept for the
+	// steps after the callers' connections have been closed. Between the two, requests that are
+	// completed are refused.
+	answerReserveDivisor = 10
+	closeReserveDivisor  = 20
 	// maxStoreOutage is how long the store may be unreachable before the instance
 	// reports that it is not ready.
 	maxStoreOutage = 1500 * time.Millisecond
@@ -299,6 +302,7 @@
 	connections := closer.New()
 	callers := &http.Server{
 		Handler: connections.Handler(e.relayer), ConnState: connections.ConnState, ConnContext: connections.ConnContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		BaseContext: func(net.Listener) context.Context { return e.stop.Context() },
 		ErrorLog:    stdlog.New(errorLogWriter{e.log}, "", 0),
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: headerTimeout}
@@ -343,10 +347,11 @@
 }
 
 // shutdown waits until the load balancer has removed the instance, completes the
-// requests that have been read, and closes the connections.
+// requests that have been read, and closes the connections. What is still passed on to
+// endpoints meanwhile is decided by package stopper.
 func (e *Entry) shutdown(callers *http.Server, listener net.Listener, connections *closer.Closer) {
 	start := time.Now()
-	e.stop.Begin(e.settings.GracePeriod - e.settings.GracePeriod/shutdownReserveDivisor)
+	e.stop.Begin(e.settings.GracePeriod - e.settings.GracePeriod/answerReserveDivisor)
 	e.isLeaving.Store(true)
 	e.log.Log(eventStopping)
 	var withdrawal sync.WaitGroup
@@ -358,7 +363,9 @@
 		time.Sleep(closeInterval)
 	}
 	_ = listener.Close() // Callers' connections end with the process in any case.
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(e.settings.GracePeriod-e.settings.GracePeriod/shutdownReserveDivisor))
+	// The endpoints of the tunnels that are open have the rest of the grace period for their answers.
+	e.tunneler.StopServing()
+	ctx, cancel := context.WithDeadline(context.Background(), start.Add(e.settings.GracePeriod-e.settings.GracePeriod/closeReserveDivisor))
 	defer cancel()
 	if left := connections.Drain(ctx); left > 0 {
 		e.log.Log(eventRequestsCut, "Connections", left)
--- a/internal/composer/stop_test.go
+++ b/internal/composer/stop_test.go
@@ -106,13 +106,58 @@
 	}
 }
 
+// Guards against retries that begin too late in the grace period to be answered in it.
+func TestCallIsNotRetriedAtTheEndOfAPlannedStop(t *testing.T) {
+	t.Parallel()
+	const grace, serviceTime, latest = 3 * time.Second, 300 * time.Millisecond, 2500 * time.Millisecond
+	f := newFleetWithGrace(t, grace, 1, 1, 2)
+	for _, service := range f.services {
+		service.ServiceTime, service.Slots = serviceTime, 64
+	}
+	f.warmUp(f.instances[0], standin.PathLookup)
+	for _, service := range f.services {
+		service.SetFaults(standin.EndpointFaults{Dropped: 1})
+	}
+	began := time.Now()
+	var work sync.WaitGroup
+	for i := range 8 {
+		work.Go(func() {
+			call := standin.Call{ID: fmt.Sprintf("late-%d", i), Method: http.MethodPost, Host: standin.Host, Path: standin.PathLookup + "x", Body: "in", Deadline: 5 * time.Second}
+			// It is passed on before the latest moment, and breaks off after it.
+			reply := standin.DoSlowly(t.Context(), f.instances[0].settings.CallerListen.String(), call, standin.Pace{BodyAt: began.Add(1850 * time.Millisecond)})
+			runs := f.runsOf(call.ID)
+			isRefused := reply.Status == http.StatusServiceUnavailable && runs == 0
+			isUnknown := reply.Status == http.StatusBadGateway && runs == 1
+			if took := time.Since(began); !isRefused && !isUnknown || took > latest {
+				t.Errorf("%s: status %d after %s, %d runs, %v", call.ID, reply.Status, took, runs, reply.Err)
+			}
+		})
+	}
+	f.stop(f.instances[0])
+	work.Wait()
+}
+
 // Guards against calls without an answer that are at work when the grace period ends: their callers
-// must learn at once that they may have run.
+// must learn at once that they may have run. A stream must not look complete.
 func TestCallAtWorkAtTheEndOfAPlannedStopIsAnswered(t *testing.T) {
 	t.Parallel()
 	f := newFleetWithGrace(t, shortGrace, 1, 1, 1)
-	f.services[0].ServiceTime = 4 * time.Second
+	f.services[0].ServiceTime, f.engines[0].Events = 4*time.Second, 400
 	var work sync.WaitGroup
+	for name, do := range map[string]func(standin.Call) standin.Reply{
+		"http11": func(c standin.Call) standin.Reply { return f.do(f.instances[0], c) },
+		"http10": func(c standin.Call) standin.Reply {
+			c.Method, c.Host, c.Deadline = http.MethodPost, standin.Host, 5*time.Second
+			return standin.DoHTTP10(t.Context(), f.instances[0].settings.CallerListen.String(), c)
+		},
+	} {
+		work.Go(func() {
+			reply := do(turnCall(name, name, "", "in"))
+			if reply.Status != http.StatusOK || reply.IsComplete || len(reply.Events()) == 0 {
+				t.Errorf("%s: status %d, complete %v, %d events", name, reply.Status, reply.IsComplete, len(reply.Events()))
+			}
+		})
+	}
 	for _, path := range []string{standin.PathPost, standin.PathLookup} {
 		work.Go(func() {
 			reply := f.do(f.instances[0], standin.Call{ID: path, Path: path + "x"})
@@ -121,7 +166,7 @@
 			}
 		})
 	}
-	f.await("both run", func() bool { return f.services[0].Running() == 2 })
+	f.await("all run", func() bool { return f.services[0].Running() == 2 && f.engines[0].Running() == 2 })
 	began := time.Now()
 	f.stop(f.instances[0])
 	if took := time.Since(began); took > shortGrace {
--- a/internal/relayer/access.go
+++ b/internal/relayer/access.go
@@ -1,7 +1,9 @@
 package relayer
 
 import (
+	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -75,10 +77,12 @@
 	x.access.status, x.access.cause = response.Status, e.Cause
 	x.Metrics.CountRefusal(e.Kind, reason)
 	header := x.writer.Header()
+	text := string(e.Kind) + ": " + e.Detail + "\n"
 	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set("Content-Length", strconv.Itoa(len(text)))
 	x.Dialect.EncodeRefusal(header, x.call.ID, response.RetryAfter)
 	x.writer.WriteHeader(response.Status)
-	if _, err := x.writer.Write([]byte(string(e.Kind) + ": " + e.Detail + "\n")); err != nil {
+	if _, err := io.WriteString(x.writer, text); err != nil {
 		x.access.cause = err
 	}
 }
--- a/internal/relayer/full.go
+++ b/internal/relayer/full.go
@@ -31,7 +31,7 @@
 // After that a safe call goes to any of them, as it may be sent again if it is shed, and an
 // unsafe one is refused.
 func (x *exchange) awaitRoom(excluded map[string]bool) ([]registrar.Candidate, error) {
-	deadline := time.Now().Add(min(maxRoomWait, x.timeLeft()/permitWaitDivisor))
+	deadline := time.Now().Add(x.limitWait(min(maxRoomWait, x.timeLeft()/permitWaitDivisor)))
 	for {
 		all := x.candidates(excluded)
 		if !x.Policy.ByNeed {
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -41,7 +41,7 @@
 // place selects one of the candidates with the function and gets a permit for it if it has
 // a limit. If none without a limit is left, it waits for a permit for up to maxWait.
 func (x *exchange) place(candidates []registrar.Candidate, maxWait time.Duration, choose func([]registrar.Candidate) int) (registrar.Candidate, error) {
-	maxWait = min(maxWait, x.timeLeft()/permitWaitDivisor)
+	maxWait = x.limitWait(min(maxWait, x.timeLeft()/permitWaitDivisor))
 	var soonest registrar.Candidate
 	soonestWait, denials := time.Duration(-1), 0
 	for {
@@ -120,6 +120,10 @@
 // refuseUnplaced refuses a request for which no endpoint was found and that no attempt may
 // have run.
 func (x *exchange) refuseUnplaced(cause error) {
+	if errors.Is(cause, errStopping) || x.isAnswerTimeOver() {
+		x.refuseStopping()
+		return
+	}
 	if errors.Is(cause, errQuarantined) {
 		x.refuseQuarantined(x.suspicion().Left)
 		return
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -50,6 +50,10 @@
 			failure.addUnplaced(err)
 			break
 		}
+		if !x.mayPassOn(false) {
+			failure.addUnplaced(errStopping)
+			break
+		}
 		attempted[c.ID] = true
 		isDone, err := x.attemptPlain(c, sent+1 < x.route.MaxAttempts)
 		if isDone {
@@ -88,10 +92,10 @@
 }
 
 // addUnplaced records that there was no endpoint for a further attempt, which is the cause
-// of a refusal only if the endpoints have used up their limits or are full, or if the request
-// is quarantined.
+// of a refusal only if the endpoints have used up their limits or are full, if the request is
+// quarantined, or if the instance stops.
 func (f *failedAttempts) addUnplaced(err error) {
-	if !f.mayHaveRun && (errors.Is(err, errNoPermit) || errors.Is(err, errQuarantined) || errors.Is(err, errEndpointsFull)) {
+	if !f.mayHaveRun && (errors.Is(err, errNoPermit) || errors.Is(err, errQuarantined) || errors.Is(err, errEndpointsFull) || errors.Is(err, errStopping)) {
 		f.err = err
 	}
 }
@@ -146,6 +150,7 @@
 	x.recordServed()
 	if response.Status < http.StatusMultipleChoices {
 		x.recordCall(c, start, head)
+		x.durations.Record(x.service, x.route.Name, time.Since(start))
 	}
 	x.Dialect.EncodeResponse(response.Header, x.writer.Header())
 	x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -171,6 +176,10 @@
 
 // refuseMaybeRun refuses a request that may have run at an endpoint.
 func (x *exchange) refuseMaybeRun(err error) {
+	if x.isAnswerTimeOver() {
+		x.refuse(answerer.Wrap(answerer.OutcomeUnknown, err, "the instance stops before the endpoint has responded"), "Stopping")
+		return
+	}
 	if x.ctx.Err() != nil {
 		x.refuse(answerer.Wrap(answerer.DeadlineRan, err, "no response before the deadline"), "Deadline")
 		return
--- a/internal/relayer/quota.go
+++ b/internal/relayer/quota.go
@@ -49,7 +49,7 @@
 	d, err := x.Quotas.Permit(x.ctx, allotter.Request{
 		Account: x.account.Name, Version: x.table.Version, Rate: x.account.Rate, Burst: x.account.Burst,
 		Program: x.call.Program, Route: x.route.Name, ID: x.call.ID, IsUnderWay: isUnderWay,
-		MaxWait: min(x.timeLeft()/quotaWaitDivisor, maxQuotaWait),
+		MaxWait: x.limitWait(min(x.timeLeft()/quotaWaitDivisor, maxQuotaWait)),
 	})
 	return permission{d, err}
 }
@@ -73,6 +73,8 @@
 		return true
 	case x.isCallerDisconnected():
 		x.abort("Canceled", p.err)
+	case p.err != nil && x.isAnswerTimeOver():
+		x.refuseStopping()
 	case p.err != nil:
 		x.refuse(answerer.Wrap(answerer.DeadlineNotRun, p.err, "no permit before the deadline"), "Deadline")
 	case p.Result == allotter.Unreachable:
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -175,6 +175,8 @@
 type Relayer struct {
 	Config
 	memory *memoryBudget
+	// durations are those of the requests at endpoints.
+	durations *stopper.Durations
 }
 
 // New returns a Relayer.
@@ -182,7 +184,7 @@
 	if config.Stop == nil {
 		config.Stop = stopper.New()
 	}
-	return &Relayer{Config: config, memory: newMemoryBudget(config.MaxBufferedBytes)}
+	return &Relayer{Config: config, memory: newMemoryBudget(config.MaxBufferedBytes), durations: stopper.NewDurations()}
 }
 
 const (
@@ -239,7 +241,7 @@
 		x.refuse(answerer.New(answerer.NotFound, "no route matches the request"), "NoRoute")
 		return
 	}
-	if !x.authenticate() || !x.readBody(r) {
+	if !x.authenticate() {
 		return
 	}
 	timeout := x.call.Timeout
@@ -250,6 +252,14 @@
 		timeout = min(timeout, x.route.Timeout)
 	}
 	x.deadline = x.arrival.Add(timeout)
+	x.service = x.route.PickService(xxhash.Sum64String(x.placementKey()))
+	if !x.mayPassOn(false) {
+		x.refuseStopping()
+		return
+	}
+	if !x.readBody(r) {
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
 	x.ctx = ctx
@@ -257,7 +267,6 @@
 		x.refuseQuarantined(left)
 		return
 	}
-	x.service = x.route.PickService(xxhash.Sum64String(x.placementKey()))
 	if x.route.Kind == matcher.Stream {
 		x.serveTurn()
 		return
@@ -285,10 +294,14 @@
 		x.refuse(answerer.New(answerer.TooLarge, "the body has %d bytes, more than the limit of %d", r.ContentLength, limit), "BodyLength")
 		return false
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.writer, r.Body, limit))
-	var tooLarge *http.MaxBytesError
+	watch := x.watchBody()
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	isRefused := watch.end()
 	switch {
-	case errors.As(err, &tooLarge):
+	case isRefused:
+		return false
+	case int64(len(body)) > limit:
+		x.writer.Header().Set("Connection", "close")
 		x.refuse(answerer.New(answerer.TooLarge, "the body is larger than the limit of %d bytes", limit), "BodyLength")
 		return false
 	case err != nil:
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -168,7 +168,7 @@
 	if !t.IsStoreUnreachable() {
 		limit = max(limit, total/2)
 	}
-	return max(min(limit, maxStoreWait)-time.Since(t.arrival), 0)
+	return t.limitWait(max(min(limit, maxStoreWait)-time.Since(t.arrival), 0))
 }
 
 // reserve reserves the turn's tokens in the program's budget.
@@ -239,6 +239,7 @@
 	sent, failedConnects := 0, 0
 	var resumeAt *registrar.Candidate
 	var failure failedAttempts
+	var passedOnAt time.Time
 	for {
 		if t.suspicion().Left > 0 {
 			failure.addUnplaced(errQuarantined)
@@ -251,9 +252,20 @@
 			t.fail(failure)
 			return
 		}
+		if !t.mayPassOn(t.isHeadWritten) {
+			failure.addUnplaced(errStopping)
+			t.fail(failure)
+			return
+		}
+		if passedOnAt.IsZero() {
+			passedOnAt = time.Now()
+		}
 		err = t.relay(c)
 		if err == nil {
 			t.finish()
+			if t.access.outcome == "Served" {
+				t.durations.Record(t.service, t.route.Name, time.Since(passedOnAt))
+			}
 			return
 		}
 		failure.add(err)
@@ -493,6 +505,8 @@
 	switch {
 	case errors.Is(failure.err, errCallerDisconnected):
 		t.abort("Canceled", failure.err)
+	case t.isHeadWritten && t.isAnswerTimeOver():
+		t.abort("Stopped", failure.err)
 	case t.isHeadWritten && !t.isCallerDisconnected():
 		t.abort("BrokenOff", failure.err)
 	default:
--- a/internal/tunneler/tunnel.go
+++ b/internal/tunneler/tunnel.go
@@ -97,12 +97,17 @@
 	return map[string]messenger.StreamHandler{methodTunnel: t.serve}
 }
 
-// Wait waits until the tunnels that this instance serves have ended, or ctx ends. Other instances
-// are told to open further ones elsewhere.
-func (t *Tunneler) Wait(ctx context.Context) {
+// StopServing lets other instances open further tunnels elsewhere.
+func (t *Tunneler) StopServing() {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.isStopping = true
-	t.mu.Unlock()
+}
+
+// Wait calls StopServing and waits until the tunnels that this instance serves have ended, or ctx
+// ends.
+func (t *Tunneler) Wait(ctx context.Context) {
+	t.StopServing()
 	ended := make(chan struct{})
 	go func() {
 		t.tunnels.Wait()
