internal/relayer: the wait of a turn for the store counts from the end of its body

What callers saw: a first turn whose body took longer than 1.8 s was refused as StoreUnavailable ("the reservation cannot be recorded"), also in calm. Found in the log of late bodies in planned stops.

Cause: the wait of 1.8 s, after which callers give up a stream without data, counted from the end of the head. A body that took longer left no time for the grant's row.

--- a/internal/composer/stop_test.go
+++ b/internal/composer/stop_test.go
@@ -174,3 +174,16 @@
 	}
 	work.Wait()
 }
+
+// Guards against refusals of turns whose bodies take longer than a turn may wait for the store: they
+// were not given any time for it.
+func TestTurnWithASlowBodyIsServed(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 1, 1)
+	call := turnCall("slow", "slow", "", "in\n")
+	call.Method, call.Host, call.Deadline = http.MethodPost, standin.Host, 5*time.Second
+	reply := standin.DoSlowly(t.Context(), f.instances[0].settings.CallerListen.String(), call, standin.Pace{BodyAt: time.Now().Add(2500 * time.Millisecond)})
+	if reply.Status != http.StatusOK || !reply.IsComplete {
+		t.Errorf("%+v", reply)
+	}
+}
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -161,14 +161,16 @@
 
 // storeWait returns how much longer the turn may wait for the store. It leaves
 // minServiceTime for the endpoint. A caller with a short timeout waits for up to
-// half of it, unless the store is known to be unreachable.
+// half of it, unless the store is known to be unreachable. maxStoreWait counts from the end of the
+// turn's body.
 func (t *turn) storeWait() time.Duration {
 	total := t.deadline.Sub(t.arrival)
 	limit := total - minServiceTime
 	if !t.IsStoreUnreachable() {
 		limit = max(limit, total/2)
 	}
-	return t.limitWait(max(min(limit, maxStoreWait)-time.Since(t.arrival), 0))
+	waited := time.Since(t.arrival)
+	return t.limitWait(max(min(limit-waited, maxStoreWait-(waited-t.access.readTime)), 0))
 }
 
 // reserve reserves the turn's tokens in the program's budget.
