internal/relayer: streams are expected to take as long as nearly all others, also if they may be resumed

A stopping instance passed resumable streams on if 80% of them would have ended in time, as a safe call that takes longer is answered 502. A stream that has begun can only be broken off.

No test: the table of stopper.MaxWait is the same, the class of the route is one expression.

--- a/internal/relayer/stop.go
+++ b/internal/relayer/stop.go
@@ -38,7 +38,7 @@
 // lately, and otherwise as the operator states for calls and other instances have learned of turns;
 // zero if that is not known.
 func (x *exchange) expectedTime() time.Duration {
-	if expected := x.durations.Expected(x.service, x.route.Name, x.route.Idempotent()); expected > 0 {
+	if expected := x.durations.Expected(x.service, x.route.Name, x.route.Kind == matcher.Safe); expected > 0 {
 		return expected
 	}
 	if x.route.Kind == matcher.Stream {
--- a/internal/stopper/durations.go
+++ b/internal/stopper/durations.go
@@ -14,8 +14,8 @@
 	// maxKinds bounds the memory. The routes of a configuration are some tens.
 	maxKinds = 1000
 	// percentRepeatable and percentUnrepeatable are the percentages of the last requests that took
-	// as long as what is expected, or less. A request that is cut costs its caller more if it may not be
-	// repeated; one that is refused costs it an attempt at another instance.
+	// as long as what is expected, or less. A request that is interrupted costs its caller more if it
+	// can't just be repeated; one that is refused costs it an attempt at another instance.
 	percentRepeatable   = 80
 	percentUnrepeatable = 99
 )
@@ -61,7 +61,7 @@
 }
 
 // Expected returns the time in which an endpoint of the service serves most requests of the
-// route, nearly all if they may not be repeated. If few of the route are known, it is that of
+// route, and nearly all of those that can't just be repeated. If few of the route are known, it is that of
 // the service's requests; zero if few of these are known, too.
 func (d *Durations) Expected(service, route string, isRepeatable bool) time.Duration {
 	percent := percentUnrepeatable
