--- a/internal/relayer/access.go
+++ b/internal/relayer/access.go
@@ -37,10 +37,12 @@
 
 // accessRecord holds the values of a request's access log line.
 type accessRecord struct {
-	outcome  string
-	status   int
-	kind     answerer.Kind
-	reason   string
+	outcome string
+	status  int
+	kind    answerer.Kind
+	reason  string
+	// detail is what a refused caller was told, and cause what it was not told.
+	detail   string
 	cause    error
 	endpoint string
 	// version is that of the endpoint's software.
@@ -74,7 +76,7 @@
 	response := e.Response()
 	x.access.retryAfter = response.RetryAfter
 	x.access.outcome, x.access.kind, x.access.reason = "Refused", e.Kind, reason
-	x.access.status, x.access.cause = response.Status, e.Cause
+	x.access.status, x.access.detail, x.access.cause = response.Status, e.Detail, e.Cause
 	x.Metrics.CountRefusal(e.Kind, reason)
 	header := x.writer.Header()
 	text := string(e.Kind) + ": " + e.Detail + "\n"
@@ -132,6 +134,7 @@
 	add(a.recordTime > 0, "Held", a.recordTime)
 	add(a.retryAfter > 0, "RetryAfter", a.retryAfter)
 	add(a.cause != nil, "Cause", a.cause)
+	add(a.cause == nil && a.detail != "", "Detail", a.detail)
 	event := eventFailed
 	if a.outcome == "Served" && a.status < http.StatusBadRequest {
 		if event = eventServed; !x.isLogged() {
