--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -42,6 +42,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/rerouter"
 	"github.com/wigeonstand/wigeonstand/internal/resumer"
 	"github.com/wigeonstand/wigeonstand/internal/sender"
+	"github.com/wigeonstand/wigeonstand/internal/stopper"
 	"github.com/wigeonstand/wigeonstand/internal/storer"
 	"github.com/wigeonstand/wigeonstand/internal/transcriber"
 	"github.com/wigeonstand/wigeonstand/internal/tunneler"
@@ -64,9 +65,12 @@
 	closeInterval = 100 * time.Millisecond
 	// drainDelayDivisor limits drainDelay to a fraction of the grace period.
 	drainDelayDivisor = 3
-	// shutdownReserveDivisor gives the fraction of the grace period that is kept
-	// for the steps after the callers' server has shut down.
-	shutdownReserveDivisor = 10
+	// answerReserveDivisor gives the fraction of the grace period at whose end no answers of
+	// endpoints are waited for any more, and closeReserveDivisor the fraction that is kept for the
+	// steps after the callers' connections have been closed. Between the two, requests that are
+	// completed are refused.
+	answerReserveDivisor = 10
+	closeReserveDivisor  = 20
 	// maxStoreOutage is how long the store may be unreachable before the instance
 	// reports that it is not ready.
 	maxStoreOutage = 1500 * time.Millisecond
@@ -134,6 +138,7 @@
 	runQuotas     func(context.Context)
 	learnVersions func(context.Context)
 	peerServer    *messenger.Server
+	stop          *stopper.Stopper
 	quarantine    *quarantiner.Quarantiner
 	isLeaving     atomic.Bool
 	wasReady      atomic.Bool
@@ -153,7 +158,7 @@
 
 // New returns an Entry that has not been started. It writes its log lines to out.
 func New(settings *configurer.EntrySettings, platform Platform, out io.Writer, options ...Option) (*Entry, error) {
-	e := &Entry{dialEndpoint: sender.NewDial(), settings: settings, logOutput: logger.NewRateLimitedWriter(out), meter: meter.New(), registry: registrar.New()}
+	e := &Entry{dialEndpoint: sender.NewDial(), settings: settings, logOutput: logger.NewRateLimitedWriter(out), meter: meter.New(), registry: registrar.New(), stop: stopper.New()}
 	e.log = newLogger(settings.Log, e.logOutput).With("Instance", settings.Instance)
 	for _, option := range options {
 		option(e)
@@ -219,6 +224,7 @@
 		IsConfigurationDoubtful: func() bool {
 			return settings.RevokeStrict && time.Since(e.watcher.ConfirmedAt()) > settings.RevokeDeadline
 		},
+		Stop:     e.stop,
 		Instance: settings.Instance, CountInstances: e.discoverer.Count,
 		DataCentre: settings.DataCentre, Log: e.log, ServedShare: settings.Log.ServedShare, Metrics: metrics,
 		MaxBufferedBytes: int64(settings.MemoryMB) << 20 / bufferedMemoryDivisor,
@@ -296,14 +302,15 @@
 	connections := closer.New()
 	callers := &http.Server{
 		Handler: connections.Handler(e.relayer), ConnState: connections.ConnState, ConnContext: connections.ConnContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: stdlog.New(errorLogWriter{e.log}, "", 0),
+		BaseContext: func(net.Listener) context.Context { return e.stop.Context() },
+		ErrorLog:    stdlog.New(errorLogWriter{e.log}, "", 0),
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: headerTimeout}
 	admin := &http.Server{Handler: e.meter.Handler(), ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 4)
 	serve := func(run func() error) {
 		running.Go(func() {
-			if err := run(); err != nil && !errors.Is(err, http.ErrServerClosed) && work.Err() == nil {
+			if err := run(); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) && work.Err() == nil {
 				failed <- err
 			}
 		})
@@ -318,7 +325,7 @@
 	e.log.Log(eventStarted, "DataCentre", e.settings.DataCentre, "Incarnation", e.discoverer.Self().Incarnation)
 
 	err = e.wait(ctx, failed, reload, reloadSettings)
-	e.shutdown(callers, connections)
+	e.shutdown(callers, listeners[0], connections)
 	// Their connections end with the process.
 	_ = ready.Close()
 	_ = admin.Close()
@@ -340,9 +347,11 @@
 }
 
 // shutdown waits until the load balancer has removed the instance, completes the
-// requests that have been read, and closes the connections.
-func (e *Entry) shutdown(callers *http.Server, connections *closer.Closer) {
+// requests that have been read, and closes the connections. What is still passed on to
+// endpoints meanwhile is decided by package stopper.
+func (e *Entry) shutdown(callers *http.Server, listener net.Listener, connections *closer.Closer) {
 	start := time.Now()
+	e.stop.Begin(e.settings.GracePeriod - e.settings.GracePeriod/answerReserveDivisor)
 	e.isLeaving.Store(true)
 	e.log.Log(eventStopping)
 	var withdrawal sync.WaitGroup
@@ -353,13 +362,15 @@
 		connections.CloseIdle(false)
 		time.Sleep(closeInterval)
 	}
-	connections.CloseIdle(true)
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(e.settings.GracePeriod-e.settings.GracePeriod/shutdownReserveDivisor))
+	_ = listener.Close() // Callers' connections end with the process in any case.
+	// The endpoints of the tunnels that are open have the rest of the grace period for their answers.
+	e.tunneler.StopServing()
+	ctx, cancel := context.WithDeadline(context.Background(), start.Add(e.settings.GracePeriod-e.settings.GracePeriod/closeReserveDivisor))
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		e.log.Log(eventRequestsCut, "Cause", err)
-		_ = callers.Close() // Open connections end with the process in any case.
+	if left := connections.Drain(ctx); left > 0 {
+		e.log.Log(eventRequestsCut, "Connections", left)
 	}
+	_ = callers.Close()
 	e.tunneler.Wait(ctx)
 	e.sender.Close()
 	e.peerClient.Close()
--- a/internal/relayer/access.go
+++ b/internal/relayer/access.go
@@ -1,7 +1,9 @@
 package relayer
 
 import (
+	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,12 +31,18 @@
 		"unused tokens of a turn could not be released", "None; the bookkeeper charges the turn its full reservation.")
 )
 
+// minLoggedReadTime is the time from which the reading of a body is logged. Most bodies arrive with
+// their heads.
+const minLoggedReadTime = 100 * time.Millisecond
+
 // accessRecord holds the values of a request's access log line.
 type accessRecord struct {
-	outcome  string
-	status   int
-	kind     answerer.Kind
-	reason   string
+	outcome string
+	status  int
+	kind    answerer.Kind
+	reason  string
+	// detail is what a refused caller was told, and cause what it was not told.
+	detail   string
 	cause    error
 	endpoint string
 	// version is that of the endpoint's software.
@@ -54,7 +62,9 @@
 	refusedShare float64
 	sendCount    int
 	firstEvent   time.Duration
-	recordTime   time.Duration
+	// readTime is the time from the request's arrival to the end of its body.
+	readTime   time.Duration
+	recordTime time.Duration
 	// key identifies what the caller sent, in a request that broke off at an endpoint.
 	key string
 	// retryAfter is the time to come back that a refused caller was given.
@@ -66,13 +76,15 @@
 	response := e.Response()
 	x.access.retryAfter = response.RetryAfter
 	x.access.outcome, x.access.kind, x.access.reason = "Refused", e.Kind, reason
-	x.access.status, x.access.cause = response.Status, e.Cause
+	x.access.status, x.access.detail, x.access.cause = response.Status, e.Detail, e.Cause
 	x.Metrics.CountRefusal(e.Kind, reason)
 	header := x.writer.Header()
+	text := string(e.Kind) + ": " + e.Detail + "\n"
 	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set("Content-Length", strconv.Itoa(len(text)))
 	x.Dialect.EncodeRefusal(header, x.call.ID, response.RetryAfter)
 	x.writer.WriteHeader(response.Status)
-	if _, err := x.writer.Write([]byte(string(e.Kind) + ": " + e.Detail + "\n")); err != nil {
+	if _, err := io.WriteString(x.writer, text); err != nil {
 		x.access.cause = err
 	}
 }
@@ -114,10 +126,15 @@
 	if a.binding != "" && a.binding != admitter.NoResource {
 		pairs = append(pairs, "Pressure", a.pressure, "RefusedShare", a.refusedShare)
 	}
+	add(a.readTime >= minLoggedReadTime, "Read", a.readTime)
+	if left, isStopping := x.Stop.Left(); isStopping {
+		pairs = append(pairs, "GraceLeft", left)
+	}
 	add(a.firstEvent > 0, "First", a.firstEvent)
 	add(a.recordTime > 0, "Held", a.recordTime)
 	add(a.retryAfter > 0, "RetryAfter", a.retryAfter)
 	add(a.cause != nil, "Cause", a.cause)
+	add(a.cause == nil && a.detail != "", "Detail", a.detail)
 	event := eventFailed
 	if a.outcome == "Served" && a.status < http.StatusBadRequest {
 		if event = eventServed; !x.isLogged() {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -26,6 +26,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
 	"github.com/wigeonstand/wigeonstand/internal/resumer"
 	"github.com/wigeonstand/wigeonstand/internal/sender"
+	"github.com/wigeonstand/wigeonstand/internal/stopper"
 	"github.com/wigeonstand/wigeonstand/internal/transcriber"
 )
 
@@ -151,6 +152,8 @@
 	// MaxBufferedBytes limits the memory for large bodies of plain responses, all together.
 	MaxBufferedBytes int64
 	Metrics          Metrics
+	// Stop tells when the instance stops; nil if it never does.
+	Stop *stopper.Stopper
 }
 
 // Metrics records the metrics of requests.
@@ -173,11 +176,16 @@
 	Config
 	memory     *memoryBudget
 	numberings *numberings
+	// durations are those of the requests at endpoints.
+	durations *stopper.Durations
 }
 
 // New returns a Relayer.
 func New(config Config) *Relayer {
-	return &Relayer{Config: config, memory: newMemoryBudget(config.MaxBufferedBytes), numberings: newNumberings()}
+	if config.Stop == nil {
+		config.Stop = stopper.New()
+	}
+	return &Relayer{Config: config, memory: newMemoryBudget(config.MaxBufferedBytes), numberings: newNumberings(), durations: stopper.NewDurations()}
 }
 
 const (
@@ -247,13 +255,18 @@
 		x.refuse(answerer.New(answerer.Infeasible, "the caller does not wait for a response").WithRetryAfter(shortRetryAfter), "NoTime")
 		return
 	}
-	if !x.readBody(r) {
-		return
-	}
 	if x.route.Timeout > 0 {
 		timeout = min(timeout, x.route.Timeout)
 	}
 	x.deadline = x.arrival.Add(timeout)
+	x.service = x.route.PickService(xxhash.Sum64String(x.placementKey()))
+	if !x.mayPassOn(false) {
+		x.refuseStopping()
+		return
+	}
+	if !x.readBody(r) {
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
 	x.ctx = ctx
@@ -261,7 +274,6 @@
 		x.refuseQuarantined(left)
 		return
 	}
-	x.service = x.route.PickService(xxhash.Sum64String(x.placementKey()))
 	if x.route.Kind == matcher.Stream {
 		x.serveTurn()
 		return
@@ -289,17 +301,21 @@
 		x.refuse(answerer.New(answerer.TooLarge, "the body has %d bytes, more than the limit of %d", r.ContentLength, limit), "BodyLength")
 		return false
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.writer, r.Body, limit))
-	var tooLarge *http.MaxBytesError
+	watch := x.watchBody()
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	isRefused := watch.end()
 	switch {
-	case errors.As(err, &tooLarge):
+	case isRefused:
+		return false
+	case int64(len(body)) > limit:
+		x.writer.Header().Set("Connection", "close")
 		x.refuse(answerer.New(answerer.TooLarge, "the body is larger than the limit of %d bytes", limit), "BodyLength")
 		return false
 	case err != nil:
 		// The caller stopped sending, so the connection cannot be reused.
 		x.abort("Canceled", err)
 	}
-	x.body = body
+	x.body, x.access.readTime = body, time.Since(x.arrival)
 	return true
 }
 
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -167,14 +167,16 @@
 
 // storeWait returns how much longer the turn may wait for the store. It leaves
 // minServiceTime for the endpoint. A caller with a short timeout waits for up to
-// half of it, unless the store is known to be unreachable.
+// half of it, unless the store is known to be unreachable. maxStoreWait counts from the end of the
+// turn's body.
 func (t *turn) storeWait() time.Duration {
 	total := t.deadline.Sub(t.arrival)
 	limit := total - minServiceTime
 	if !t.IsStoreUnreachable() {
 		limit = max(limit, total/2)
 	}
-	return max(min(limit, maxStoreWait)-time.Since(t.arrival), 0)
+	waited := time.Since(t.arrival)
+	return t.limitWait(max(min(limit-waited, maxStoreWait-(waited-t.access.readTime)), 0))
 }
 
 // reserve reserves the turn's tokens in the program's budget.
@@ -248,6 +250,7 @@
 	sent, failedConnects := 0, 0
 	var resumeAt *registrar.Candidate
 	var failure failedAttempts
+	var passedOnAt time.Time
 	for {
 		if t.suspicion().Left > 0 {
 			failure.addUnplaced(errQuarantined)
@@ -260,9 +263,20 @@
 			t.fail(failure)
 			return
 		}
+		if !t.mayPassOn(t.isHeadWritten) {
+			failure.addUnplaced(errStopping)
+			t.fail(failure)
+			return
+		}
+		if passedOnAt.IsZero() {
+			passedOnAt = time.Now()
+		}
 		err = t.relay(c)
 		if err == nil {
 			t.finish()
+			if t.access.outcome == "Served" {
+				t.durations.Record(t.service, t.route.Name, time.Since(passedOnAt))
+			}
 			return
 		}
 		failure.add(err)
@@ -538,6 +552,8 @@
 	switch {
 	case errors.Is(failure.err, errCallerDisconnected):
 		t.abort("Canceled", failure.err)
+	case t.isHeadWritten && t.isAnswerTimeOver():
+		t.abort("Stopped", failure.err)
 	case t.isHeadWritten && !t.isCallerDisconnected():
 		t.abort("BrokenOff", failure.err)
 	default:
