internal/relayer: the empty software version is a version

What callers saw: where endpoints state the empty text as their version and others another one, a stream that the former had begun was taken up at the latter (ORDER), by instances that place by the expected end.

Change: that placement gets what began the stream, or nil, as the other one does.

Evidence: TestStreamsGoOnAtTheEmptyVersionThatBeganThem failed before (6 streams changed the version); it passes.

--- a/internal/composer/versions_test.go
+++ b/internal/composer/versions_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/wigeonstand/wigeonstand/internal/answerer"
 	"github.com/wigeonstand/wigeonstand/internal/composer"
+	"github.com/wigeonstand/wigeonstand/internal/configurer"
 	"github.com/wigeonstand/wigeonstand/internal/correlator"
 	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
 	"github.com/wigeonstand/wigeonstand/platform/standin"
@@ -364,3 +365,37 @@
 	}
 	f.rows.SetFaults(fakeplatform.RowFaults{})
 }
+
+// The empty text is a version like any other. Streams that it began were taken up at any version by
+// instances that place by the expected end.
+func TestStreamsGoOnAtTheEmptyVersionThatBeganThem(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 0, 0, 0)
+	for i := range 4 {
+		e := standin.NewEndpoint(fmt.Sprint("engine-", i), 6, 20*time.Millisecond, uint64(i))
+		f.engines = append(f.engines, e)
+		f.registerHandler(e, standin.Registration{ID: e.ID, Service: standin.ServiceEngine, Slots: e.Slots, HasEmptyVersion: i%2 == 0})
+	}
+	f.instances = append(f.instances, f.startWithSettings("entry-0", func(s *settings) { s.Placement.Policy = configurer.PlacementSoonest }))
+	f.awaitReady(f.instances[0])
+	const streams = 20
+	began := 0
+	for i := range streams {
+		first := sessionCall(fmt.Sprint("first-", i), fmt.Sprint("p-", i))
+		first.StopAfter, first.Budget = 2, 0 // Without a budget, no instance knows which engine has the prompt.
+		f.doOnceStoreAnswers(f.instances[0], first)
+		if len(f.engines[0].Runs(first.ID))+len(f.engines[2].Runs(first.ID)) == 0 {
+			continue
+		}
+		began++
+		again := sessionCall(fmt.Sprint("again-", i), first.Program)
+		again.Resumes, again.LastEventID, again.Budget = first.ID, 2, 0
+		reply := f.doOnceStoreAnswers(f.instances[0], again)
+		if others := len(f.engines[1].Runs(again.ID)) + len(f.engines[3].Runs(again.ID)); others > 0 || reply.Status != http.StatusOK {
+			t.Errorf("%s was taken up %d times at another version: %+v", first.ID, others, reply)
+		}
+	}
+	if began == 0 {
+		t.Errorf("none of %d streams was begun at the empty version", streams)
+	}
+}
--- a/internal/relayer/place.go
+++ b/internal/relayer/place.go
@@ -90,7 +90,7 @@
 func (x *exchange) placeCall(fleet chooser.Fleet, excluded map[string]bool) (registrar.Candidate, error) {
 	hasObject := x.call.Object != "" && x.route.SessionAffinity
 	if !hasObject {
-		if c, isPlaced := x.placeSoonest(x.work(), "", excluded); isPlaced {
+		if c, isPlaced := x.placeSoonest(x.work(), nil, excluded); isPlaced {
 			return c, nil
 		}
 	}
--- a/internal/relayer/resume.go
+++ b/internal/relayer/resume.go
@@ -98,14 +98,6 @@
 	return t.Endpoints.OnlyVersion(t.service, t.arrival)
 }
 
-// version returns the version at which the turn must run; empty for any.
-func (t *turn) version() string {
-	if t.origin == nil {
-		return ""
-	}
-	return t.origin.Version
-}
-
 // candidates returns the endpoints at which the turn may run: those of the version that
 // began its stream, once it has begun.
 func (t *turn) candidates(excluded map[string]bool) []registrar.Candidate {
--- a/internal/relayer/soonest.go
+++ b/internal/relayer/soonest.go
@@ -6,6 +6,7 @@
 
 	"github.com/wigeonstand/wigeonstand/internal/chooser"
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
+	"github.com/wigeonstand/wigeonstand/internal/resumer"
 )
 
 // The ways in which a request gets its endpoint by its expected end.
@@ -38,12 +39,13 @@
 
 // placeSoonest places the work by its expected end, if the policy is to do so. It reports false
 // if the request has to be placed otherwise: it is suspected of crashes, or the few endpoints
-// that were drawn are excluded, have failed lately or have a limit.
-func (x *exchange) placeSoonest(w chooser.Work, version string, excluded map[string]bool) (registrar.Candidate, bool) {
+// that were drawn are excluded, have failed lately or have a limit. If origin is not nil, the
+// endpoint has its version.
+func (x *exchange) placeSoonest(w chooser.Work, origin *resumer.Origin, excluded map[string]bool) (registrar.Candidate, bool) {
 	if x.Policy.Soonest == SoonestNever || x.Policy.Soonest == SoonestWhereUneven && !x.Endpoints.IsUneven(x.service) {
 		return registrar.Candidate{}, false
 	}
-	c, way := x.drawSoonest(w, version, excluded)
+	c, way := x.drawSoonest(w, origin, excluded)
 	x.Metrics.CountPlacement(way)
 	x.access.placement = placement{way: way}
 	if way == placedOtherwise {
@@ -55,13 +57,13 @@
 	return c, true
 }
 
-func (x *exchange) drawSoonest(w chooser.Work, version string, excluded map[string]bool) (c registrar.Candidate, way string) {
+func (x *exchange) drawSoonest(w chooser.Work, origin *resumer.Origin, excluded map[string]bool) (c registrar.Candidate, way string) {
 	if x.suspicion().Crashes > 0 {
 		return c, placedOtherwise
 	}
 	var buffer [registrar.MaxDrawn]registrar.Candidate
 	drawn := slices.DeleteFunc(x.Endpoints.Draw(buffer[:0], x.service, w.Home, x.DataCentre), func(c registrar.Candidate) bool {
-		return c.Avoid || c.Limit.IsSet || excluded[c.ID] || (version != "" && c.Version != version) || x.Paths.IsDetour(c.Endpoint)
+		return c.Avoid || c.Limit.IsSet || excluded[c.ID] || (origin != nil && c.Version != origin.Version) || x.Paths.IsDetour(c.Endpoint)
 	})
 	i := chooser.ForWork(w, drawn)
 	switch {
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -300,7 +300,7 @@
 		maxWait = maxFirstPermitWait
 	}
 	if resumeAt == nil {
-		if c, isPlaced := t.placeSoonest(t.work(), t.version(), excluded); isPlaced {
+		if c, isPlaced := t.placeSoonest(t.work(), t.origin, excluded); isPlaced {
 			return c, nil
 		}
 	}
