internal/sender: Close does not wait for a body that is kept back

What callers saw: by reading, no response to a request that an endpoint had refused as not run, if it sent the head and kept back the body: neither another endpoint nor the deadline followed.

Cause: Close looks whether the response has been read to its end, to keep the connection. It had stopped the cancellation of the connection before, so that nothing limited the read. Our stand-ins send the whole response at once, or close the connection.

Change: the look is limited to 10 ms; after that, the connection is closed.

Evidence: TestCloseDoesNotWaitForTheBody failed before, with a length and with chunks (not closed within 2 s, with a context of 100 ms); it passes.

--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -57,6 +57,8 @@
 	// of its listener, at most. checkTimeout limits the check whether it listens.
 	exitTime     = 5 * time.Millisecond
 	checkTimeout = 100 * time.Millisecond
+	// endTimeout limits the wait for the end of a response whose caller needs no more of it.
+	endTimeout = 10 * time.Millisecond
 	// maxInlineBodyBytes is the size up to which a body is written before the
 	// response is read. It is below the TCP window, so the write does not block.
 	maxInlineBodyBytes = 16 << 10
@@ -469,8 +471,12 @@
 	default:
 		return false
 	}
+	// The endpoint may keep the rest back.
+	if err := r.conn.SetReadDeadline(time.Now().Add(endTimeout)); err != nil {
+		return false
+	}
 	_, err := r.Body.Peek(1)
-	return errors.Is(err, io.EOF)
+	return errors.Is(err, io.EOF) && r.conn.SetReadDeadline(time.Time{}) == nil
 }
 
 // idleTimeout returns the endpoint's idle timeout.
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -341,3 +341,34 @@
 		})
 	}
 }
+
+// An endpoint sent the head of a response and kept the body back. Close waited for it, also after the
+// context of the request had ended.
+func TestCloseDoesNotWaitForTheBody(t *testing.T) {
+	for name, head := range map[string]string{
+		"length": "HTTP/1.1 503 Service Unavailable\r\nId: a\r\nContent-Length: 5\r\n\r\n",
+		"chunks": "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := serve(t, func(w io.Writer, _ string) { _, _ = io.WriteString(w, head) }) // The test fails without the head.
+			s := sender.New()
+			defer s.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			defer cancel()
+			r, err := s.Send(ctx, sender.Request{Address: address, Method: http.MethodGet, Target: "/", Host: "h"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			closed := make(chan struct{})
+			go func() {
+				r.Close()
+				close(closed)
+			}()
+			select {
+			case <-closed:
+			case <-time.After(2 * time.Second):
+				t.Error("not closed within 2 s")
+			}
+		})
+	}
+}
