--- a/internal/composer/numbering_test.go
+++ b/internal/composer/numbering_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"strconv"
 	"strings"
 	"testing"
@@ -45,23 +44,6 @@
 	}
 }
 
-// A caller lost the end of its stream and took it up after the last event. The rest, a stream without
-// events, was answered 502.
-func TestStreamTakenUpAfterItsLastEventEnds(t *testing.T) {
-	t.Parallel()
-	engine := &standin.TextEngine{Texts: []string{standin.Event("e", 1), standin.Event("e", 2)}}
-	engine.BreakAfter(-1)
-	f := newTextFleet(t, engine)
-	if begun := f.doOnceStoreAnswers(f.instances[0], sessionCall("first", "p")); !begun.IsComplete {
-		t.Fatalf("%+v", begun)
-	}
-	again := sessionCall("again", "p")
-	again.Resumes, again.LastEventID = "first", 2
-	if reply := f.doOnceStoreAnswers(f.instances[0], again); reply.Status != http.StatusOK || !reply.IsComplete || reply.Body != "" || !reply.IsSigned() {
-		t.Errorf("%+v", reply)
-	}
-}
-
 // A caller took up a stream after its event 0 while engines of two versions served. The stream
 // began anew at either of them.
 func TestStreamTakenUpAfterEventZeroIsAResumption(t *testing.T) {
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -75,7 +75,10 @@
 	lastEvent splitter.EventID
 	// hasUnnamed is set if the caller has an event without an ID after lastEvent. No resumption
 	// can go on there.
-	hasUnnamed    bool
+	hasUnnamed bool
+	// hasFallen is set if the caller has an event whose ID was not larger than that of the
+	// event before. IDs do not tell where the stream goes on then.
+	hasFallen     bool
 	isHeadWritten bool
 	attempt       attempt
 	// ranAt holds the endpoints at which the turn may have run.
@@ -298,7 +301,7 @@
 		case mayContinue && isNotRun && !t.isHeadWritten && sent < t.route.MaxAttempts:
 			attempted[c.ID] = true
 			resumeAt = nil
-		case mayContinue && !isNotRun && t.route.Resumable && !t.hasUnnamed && !t.mayBeCause():
+		case mayContinue && !isNotRun && t.route.Resumable && !t.hasUnnamed && !t.hasFallen && !t.mayBeCause():
 			resumeAt = &c
 		default:
 			t.fail(failure)
@@ -319,7 +322,7 @@
 		maxWait = maxFirstPermitWait
 	}
 	if resumeAt == nil {
-		if c, isPlaced := t.placeSoonest(t.work(), t.version(), excluded); isPlaced {
+		if c, isPlaced := t.placeSoonest(t.work(), t.origin, excluded); isPlaced {
 			return c, nil
 		}
 	} else if t.isReachable(*resumeAt, excluded) {
@@ -391,11 +394,6 @@
 		return errInvalidResponse
 	}
 	err = t.forwardEvents(c, response)
-	if err == nil && t.call.LastEvent.IsSet && isEventStream(response) {
-		// The caller may have all events and miss only the end.
-		t.begin(c)
-		t.writeHead(response)
-	}
 	switch {
 	case err == nil:
 		outcome = registrar.Served
@@ -463,6 +461,7 @@
 	t.eventCount++
 	t.hasUnnamed = !event.ID.IsSet
 	if event.ID.IsSet {
+		t.hasFallen = t.hasFallen || !event.ID.MayFollow(t.lastEvent)
 		t.lastEvent = event.ID
 	}
 	if t.route.Retained {
