internal/relayer, internal/splitter: a response arrives as it is once it goes on

What callers saw: events whose ID was not larger than that of the event before were left out, and the stream ended as complete without them (ORDER: a piece is missing), on routes that are not resumable, too.

Cause: the filter for events that a resumption repeats was applied to the whole of each response.

Change: only events before the first further one of a resumption are left out. A stream whose IDs did not increase is not resumed, as they do not tell where it goes on.

Evidence: TestResponseArrivesWhateverItsIDs failed before with IDs that are repeated, restart and fall, on both kinds of route; it passes.

--- a/internal/composer/framing_test.go
+++ b/internal/composer/framing_test.go
@@ -1,6 +1,7 @@
 package composer_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -82,3 +83,27 @@
 		t.Errorf("%+v: %s", reply, diff)
 	}
 }
+
+// A response arrives as it is, also where its IDs don't increase by the letter. Events with the ID of
+// one before were left out, and the stream was complete without them.
+func TestResponseArrivesWhateverItsIDs(t *testing.T) {
+	t.Parallel()
+	for name, ids := range map[string][]int{"repeated": {0, 0, 1, 1, 2}, "restarted": {1, 2, 1, 2}, "falling": {3, 2, 1}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			engine := &standin.TextEngine{BreakAfter: -1}
+			for i, id := range ids {
+				engine.Texts = append(engine.Texts, fmt.Sprintf("id: %d\ndata: text-%d\n\n", id, i))
+			}
+			f := newTextFleet(t, engine)
+			for _, path := range []string{standin.PathSession, standin.PathRetained} {
+				call := sessionCall("turn"+path, "p")
+				call.Path = path + "x"
+				reply := f.doOnceStoreAnswers(f.instances[0], call)
+				if diff := cmp.Diff(strings.Join(engine.Texts, ""), reply.Body); diff != "" || !reply.IsComplete {
+					t.Errorf("%+v: %s", reply, diff)
+				}
+			}
+		})
+	}
+}
--- a/internal/relayer/numbering.go
+++ b/internal/relayer/numbering.go
@@ -61,7 +61,7 @@
 
 // follow returns a follower of a response of the origin to a request for the events after last.
 func (n *numberings) follow(origin resumer.Origin, last splitter.EventID) *follower {
-	return &follower{numberings: n, origin: origin, last: last}
+	return &follower{numberings: n, origin: origin, last: last, hasPassed: !last.IsSet}
 }
 
 // sequel is what an event is to those before it.
@@ -82,8 +82,9 @@
 	origin     resumer.Origin
 	// last is the last event that the caller has, and previous the last one of this response.
 	last, previous splitter.EventID
-	// isBehind is set while the response repeats events before the last one.
-	isBehind bool
+	// isBehind is set while the response repeats events before the last one, and hasPassed once
+	// it has brought a further one. From then on, it arrives as it is.
+	isBehind, hasPassed bool
 }
 
 // next tells what the next event of the response is. An event without an ID belongs to the one
@@ -103,17 +104,17 @@
 	}
 	switch {
 	case !f.last.IsSet:
-	case id == f.last:
+	case !f.hasPassed && id == f.last:
 		return isRepeated
 	case id.Text != "" || f.last.Text != "":
 		// Texts have no order.
-	case id.Number < f.last.Number:
+	case !f.hasPassed && id.Number < f.last.Number:
 		f.isBehind = true
 		return isRepeated
 	case id.Number > f.last.Number+1 && !known.hasLargerSteps && known.stepsByOne >= minStepsFor(previous == f.last):
 		return isBehindGap
 	}
-	f.last = id
+	f.last, f.hasPassed = id, true
 	return isNext
 }
 
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -75,7 +75,10 @@
 	lastEvent splitter.EventID
 	// hasUnnamed is set if the caller has an event without an ID after lastEvent. No resumption
 	// can go on there.
-	hasUnnamed    bool
+	hasUnnamed bool
+	// hasFallen is set if the caller has an event whose ID was not larger than that of the
+	// event before. IDs do not tell where the stream goes on then.
+	hasFallen     bool
 	isHeadWritten bool
 	attempt       attempt
 	// origin is what began the stream; nil while it has not begun. It goes on at that
@@ -279,7 +282,7 @@
 		case mayContinue && isNotRun && !t.isHeadWritten && sent < t.route.MaxAttempts:
 			attempted[c.ID] = true
 			resumeAt = nil
-		case mayContinue && !isNotRun && t.route.Resumable && !t.hasUnnamed && !t.mayBeCause():
+		case mayContinue && !isNotRun && t.route.Resumable && !t.hasUnnamed && !t.hasFallen && !t.mayBeCause():
 			resumeAt = &c
 		default:
 			t.fail(failure)
@@ -429,6 +432,7 @@
 	t.eventCount++
 	t.hasUnnamed = !event.ID.IsSet
 	if event.ID.IsSet {
+		t.hasFallen = t.hasFallen || !event.ID.MayFollow(t.lastEvent)
 		t.lastEvent = event.ID
 	}
 	if t.route.Retained {
--- a/internal/splitter/splitter.go
+++ b/internal/splitter/splitter.go
@@ -56,6 +56,15 @@
 	return strconv.FormatInt(id.Number, 10)
 }
 
+// MayFollow reports whether the ID may be that of an event after the one with the other ID, which
+// may be not set: numbers increase, and texts differ.
+func (id EventID) MayFollow(other EventID) bool {
+	if !other.IsSet || id.Text != "" || other.Text != "" {
+		return id != other
+	}
+	return id.Number > other.Number
+}
+
 // Event is one complete event.
 type Event struct {
 	// ID is the value of the id field; not set if there is none.
--- a/internal/splitter/splitter_test.go
+++ b/internal/splitter/splitter_test.go
@@ -88,3 +88,26 @@
 		}
 	}
 }
+
+func TestMayFollow(t *testing.T) {
+	parse := splitter.ParseEventID
+	for _, c := range []struct {
+		before, after string
+		want          bool
+	}{
+		{"", "0", true},
+		{"0", "1", true},
+		{"1", "5", true},
+		{"1", "1", false},
+		{"2", "1", false},
+		{"a", "b", true},
+		{"b", "a", true},
+		{"a", "a", false},
+		{"9", "a", true},
+		{"f", "10", true},
+	} {
+		if diff := cmp.Diff(c.want, parse(c.after).MayFollow(parse(c.before))); diff != "" {
+			t.Errorf("%q after %q: %s", c.after, c.before, diff)
+		}
+	}
+}
