--- a/internal/composer/framing_test.go
+++ b/internal/composer/framing_test.go
@@ -96,6 +96,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			engine := &standin.TextEngine{}
+			engine.BreakAfter(-1)
 			for i, id := range ids {
 				engine.Texts = append(engine.Texts, fmt.Sprintf("id: %d\ndata: text-%d\n\n", id, i))
 			}
--- a/internal/relayer/numbering.go
+++ b/internal/relayer/numbering.go
@@ -7,24 +7,19 @@
 	"github.com/wigeonstand/wigeonstand/internal/splitter"
 )
 
-const (
-	// minSteps is the number of steps by one after which a larger step of a resumption is a gap,
-	// and minStepsWithin that after which one within a response is: an endpoint that numbers
-	// events otherwise has shown a larger step by then.
-	minSteps       = 1
-	minStepsWithin = 16
-	// maxNumberings limits the versions of services whose numbering is kept.
-	maxNumberings = 1000
-)
+// maxNumberings limits the versions of services whose numbering is kept.
+const maxNumberings = 1000
 
 // numbering is what is known of how events are numbered. All that is certain is that IDs increase:
-// they may count events, tokens or something else.
-type numbering struct {
-	// stepsByOne is the number of events that had the number after that of the event before, up
-	// to minStepsWithin.
-	stepsByOne     int
-	hasLargerSteps bool
-}
+// they may count events, tokens or something else. Zero means that nothing is known.
+type numbering int
+
+const (
+	// isByOne: each event had the number after that of the event before.
+	isByOne numbering = iota + 1
+	// hasLargerSteps: numbers also step by more than one, so that no step shows a gap.
+	hasLargerSteps
+)
 
 // numberings keeps the numberings of the versions of services. It is safe for concurrent use.
 type numberings struct {
@@ -42,21 +37,19 @@
 
 // observe records a step between two events that came one after the other in a response.
 func (n *numberings) observe(origin resumer.Origin, step int64) {
+	observed := isByOne
+	if step != 1 {
+		observed = hasLargerSteps
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	known := n.known[origin]
-	switch {
-	case step != 1:
-		known.hasLargerSteps = true
-	case known.stepsByOne < minStepsWithin:
-		known.stepsByOne++
-	default:
+	if n.known[origin] >= observed {
 		return
 	}
 	if len(n.known) >= maxNumberings {
 		clear(n.known)
 	}
-	n.known[origin] = known
+	n.known[origin] = observed
 }
 
 // follow returns a follower of a response of the origin to a request for the events after last.
@@ -97,7 +90,7 @@
 		return isNext
 	}
 	f.isBehind = false
-	known, previous := f.numberings.of(f.origin), f.previous
+	previous := f.previous
 	f.previous = id
 	if previous.IsSet && previous.Text == "" && id.Text == "" && id.Number > previous.Number {
 		f.numberings.observe(f.origin, id.Number-previous.Number)
@@ -111,18 +104,9 @@
 	case !f.hasPassed && id.Number < f.last.Number:
 		f.isBehind = true
 		return isRepeated
-	case id.Number > f.last.Number+1 && !known.hasLargerSteps && known.stepsByOne >= minStepsFor(previous == f.last):
+	case !f.hasPassed && previous != f.last && id.Number > f.last.Number+1 && f.numberings.of(f.origin) == isByOne:
 		return isBehindGap
 	}
 	f.last, f.hasPassed = id, true
 	return isNext
 }
-
-// minStepsFor returns the number of steps by one after which a larger one is a gap. IsWithin says
-// that both events are of the same response.
-func minStepsFor(isWithin bool) int {
-	if isWithin {
-		return minStepsWithin
-	}
-	return minSteps
-}
