--- a/cmd/wigeonsoak/main.go
+++ b/cmd/wigeonsoak/main.go
@@ -47,6 +47,11 @@
 			&cli.IntFlag{Name: "services", Value: 3},
 			&cli.IntFlag{Name: "callers", Value: 12},
 			&cli.BoolFlag{Name: "calm", Usage: "inject no faults"},
+			&cli.BoolFlag{Name: "planned-only", Usage: "inject planned stops, configurations and releases alone"},
+			&cli.BoolFlag{Name: "http10", Value: true, Usage: "let some callers speak HTTP/1.0"},
+			&cli.BoolFlag{Name: "version-mix", Value: true, Usage: "run endpoints of several software versions"},
+			&cli.BoolFlag{Name: "event-numbering", Value: true, Usage: "draw how events are numbered, in place of 1, 2, 3"},
+			&cli.StringFlag{Name: "profile", Usage: "the numbers and times of a deployment: laulukaar-stand"},
 		},
 		Action: run,
 	}
@@ -56,11 +61,19 @@
 	failed := 0
 	for i := range c.Int("seeds") {
 		seed := c.Uint64("seed") + uint64(i)
-		report, err := soaker.Run(ctx, soaker.Config{
+		config := soaker.Config{
 			Binary: c.String("binary"), OtherBinary: c.String("other-binary"), Folder: filepath.Join(c.String("folder"), fmt.Sprint(seed)), Seed: seed,
 			Length: c.Duration("length"), Instances: c.Int("instances"), Engines: c.Int("engines"),
 			Services: c.Int("services"), Callers: c.Int("callers"), Calm: c.Bool("calm"),
-		})
+			PlannedOnly: c.Bool("planned-only"), NoHTTP10: !c.Bool("http10"), SingleVersion: !c.Bool("version-mix"),
+			CountsFromOne: !c.Bool("event-numbering"),
+		}
+		if name := c.String("profile"); name != "" {
+			if err := config.Apply(name); err != nil {
+				return err
+			}
+		}
+		report, err := soaker.Run(ctx, config)
 		if err != nil {
 			return fmt.Errorf("seed %d: %w", seed, err)
 		}
--- a/internal/soaker/soak_caller.go
+++ b/internal/soaker/soak_caller.go
@@ -6,8 +6,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/wigeonstand/wigeonstand/platform/standin"
@@ -21,8 +19,15 @@
 	turnTries    = 3
 	maxTurns     = 8
 	callDeadline = 3 * time.Second
-	// One in oldCallers speaks HTTP/1.0.
-	oldCallers = 4
+	// One in oldCallers speaks HTTP/1.0, and one in slowCallers sends slow unsafe calls alone.
+	oldCallers  = 4
+	slowCallers = 4
+	// One in zeroCalls states zeros, and one stream in leftStreams is left early.
+	zeroCalls   = 24
+	leftStreams = 16
+	// streamGap is the time without data after which callers leave a stream: two seconds, four
+	// times the objective or eight times the allowed pause, whichever is longest.
+	streamGap = 2 * time.Second
 	// lastTries is how often a kept turn is asked for after the faults.
 	lastTries = 4
 )
@@ -40,8 +45,10 @@
 
 // sentCall is a call with the answer that it got.
 type sentCall struct {
-	call  standin.Call
-	reply standin.Reply
+	call         standin.Call
+	reply        standin.Reply
+	instance     *instance
+	began, ended time.Time
 }
 
 // keptTurn is a turn whose answer came whole, with its transcript.
@@ -55,6 +62,10 @@
 }
 
 func (c *caller) run(ctx context.Context) {
+	if c.index%slowCallers == 1 {
+		c.runSlow(ctx)
+		return
+	}
 	for program := 0; ctx.Err() == nil; program++ {
 		c.play(ctx, fmt.Sprintf("p-%d-%d", c.index, program))
 	}
@@ -78,6 +89,9 @@
 			break
 		}
 		previous = kept
+		if c.random.IntN(zeroCalls) == 0 {
+			c.sendZeros(ctx)
+		}
 		for range c.random.IntN(3) {
 			path := []string{standin.PathLookup, standin.PathPost}[c.random.IntN(2)]
 			c.do(ctx, standin.Call{Path: path + "x", Body: program, Program: program})
@@ -97,17 +111,23 @@
 	}
 	var reply standin.Reply
 	for try := range turnTries {
-		input := fmt.Sprintf("input %d of %s\n", c.requests, program)
-		call := standin.Call{Path: path + "x", Body: input, Program: program, Budget: callerBudget, MaxTokens: callerMost}
+		events := 1 + c.random.IntN(mostEvents)
+		input := fmt.Sprintf("input %d of %s, %s\n", c.requests, program, standin.StateEvents(events))
+		call := standin.Call{
+			Path: path + "x", Body: input, Program: program, Budget: callerBudget, MaxTokens: callerMost, Gap: streamGap,
+		}
 		if retained {
 			call.Previous = previous.id
 		}
-		var id string
-		reply, id = c.do(ctx, call)
-		*tokens += len(reply.Events()) * standin.EventTokens
+		if c.random.IntN(leftStreams) == 0 {
+			call.StopAfter = 1 + c.random.IntN(events)
+		}
+		s := c.begin(ctx, call, events)
+		reply, id := s.first().reply, s.first().call.ID
 		if !retained {
-			reply = c.takeUp(ctx, call, id, reply, tokens)
+			reply = c.takeUp(ctx, s)
 		}
+		*tokens += standin.Tokens(s.events)
 		if reply.Status == http.StatusOK && reply.IsComplete {
 			kept := keptTurn{id: id, program: program, transcript: previous.transcript + input + reply.EventData()}
 			if retained {
@@ -127,44 +147,6 @@
 	return reply, keptTurn{}
 }
 
-// takeUp takes up a stream that broke off, at other instances.
-func (c *caller) takeUp(ctx context.Context, call standin.Call, id string, reply standin.Reply, tokens *int) standin.Reply {
-	if !reply.IsComplete {
-		reply.Body = wholeEvents(reply.Body)
-	}
-	for try := 0; try < turnTries && reply.Status == http.StatusOK && !reply.IsComplete && len(reply.Events()) > 0 && ctx.Err() == nil; try++ {
-		call.Resumes, call.LastEventID = id, len(reply.Events())
-		more, _ := c.do(ctx, call)
-		*tokens += len(more.Events()) * standin.EventTokens
-		if more.Status == http.StatusOK {
-			if !more.IsComplete {
-				more.Body = wholeEvents(more.Body)
-			}
-			reply.Body, reply.IsComplete = reply.Body+more.Body, more.IsComplete
-		}
-		c.count(c.report.Checks, "stream taken up")
-		for i, number := range reply.Events() {
-			if number != i+1 {
-				c.violate("ORDER: the stream that began as %s has the events %v", id, reply.Events())
-				break
-			}
-		}
-		if versions := reply.Versions(); len(versions) > 1 {
-			c.violate("ORDER: the stream that began as %s has events of versions %v", id, versions)
-		}
-	}
-	return reply
-}
-
-// wholeEvents returns the text up to the end of its last whole event.
-func wholeEvents(text string) string {
-	end := strings.LastIndex(text, "\n\n")
-	if end < 0 {
-		return ""
-	}
-	return text[:end+2]
-}
-
 func (c *caller) checkBody(id, want string) {
 	c.count(c.report.Checks, "transcript")
 	if runs, body := c.runsOf(id); runs > 0 && body != want {
@@ -174,100 +156,64 @@
 
 // do sends a call to an instance of chance and checks the answer by itself.
 func (c *caller) do(ctx context.Context, call standin.Call) (standin.Reply, string) {
-	in := c.instances[c.random.IntN(len(c.instances))]
-	c.requests++
-	call.ID = fmt.Sprintf("r-%d-%d", c.index, c.requests)
-	if call.Key == "" {
-		call.Key, call.ForgedAccount = c.accounts.newestKey(c.index%accountCount), "forged"
-	}
-	call.Method, call.Host, call.Deadline = http.MethodPost, standin.Host, callDeadline
-	// The end of the run does not cut a request short.
-	ctx = context.WithoutCancel(ctx)
-	var reply standin.Reply
-	if c.index%oldCallers == 0 {
-		reply = standin.DoHTTP10(ctx, in.callers(), call)
-	} else {
-		reply = standin.Do(ctx, c.client, in.callers(), call)
-	}
-	c.sent = append(c.sent, sentCall{call, reply})
-	name := fmt.Sprint(reply.Status)
-	if reply.Status == http.StatusOK && !reply.IsComplete {
-		name = "200 broken off"
-	}
-	c.count(c.report.Answers, name)
-	c.checkAnswer(call, reply)
-	return reply, call.ID
-}
-
-// checkEvents checks that what came of a stream, whether it is whole or broke off, is the
-// request's own and without a gap.
-func (c *caller) checkEvents(call standin.Call, reply standin.Reply) {
-	c.count(c.report.Checks, "events")
-	want := ""
-	for number := range len(reply.Events()) {
-		want += fmt.Sprintf("%s.%d\n", call.ID, call.LastEventID+number+1)
-	}
-	if got := (standin.Reply{Body: wholeEvents(reply.Body)}).EventData(); !strings.HasPrefix(want, got) {
-		c.violate("ORDER: %s, resumed after %d, got the data %q", call.ID, call.LastEventID, got)
-	}
+	sent := c.send(ctx, c.instances[c.random.IntN(len(c.instances))], call)
+	return sent.reply, sent.call.ID
 }
 
-func (c *caller) checkAnswer(call standin.Call, reply standin.Reply) {
-	if reply.Status == http.StatusOK && call.MaxTokens > 0 {
-		c.checkEvents(call, reply)
-	}
-	if reply.Status != http.StatusOK || !reply.IsComplete {
-		return
+// send sends a call to the instance and checks the answer by itself.
+func (c *caller) send(ctx context.Context, in *instance, call standin.Call) sentCall {
+	send := func(ctx context.Context, call standin.Call) standin.Reply {
+		return standin.Do(ctx, c.client, in.callers(), call)
 	}
-	c.count(c.report.Checks, "answer")
-	if reply.Signature() != standin.SignatureOf(call.ID) {
-		c.violate("MIXED: %s was answered with the signature %q", call.ID, reply.Signature())
-	}
-	if call.MaxTokens > 0 {
-		if versions := reply.Versions(); len(versions) > 1 {
-			c.violate("ORDER: %s got events of versions %v", call.ID, versions)
-		}
-		if !slices.Equal([]int{1, 2, 3, 4, 5}[call.LastEventID:], reply.Events()) {
-			c.violate("ORDER: %s got the events %v", call.ID, reply.Events())
+	if c.isOld() {
+		send = func(ctx context.Context, call standin.Call) standin.Reply {
+			return standin.DoHTTP10(ctx, in.callers(), call)
 		}
-		return
 	}
-	if want := "answer to " + call.ID + "\n"; reply.Body != want {
-		c.violate("MIXED: %s was answered %q", call.ID, reply.Body)
+	if call.Deadline == 0 {
+		call.Deadline = callDeadline
 	}
+	return c.sendBy(ctx, in, call, send)
 }
 
-// check checks what can be said only when everything has ended: how often each
-// request ran, and that each kept turn is found again.
-func (c *caller) check(ctx context.Context) {
-	for _, s := range c.sent {
-		runs, _ := c.runsOf(s.call.ID)
-		c.checkAccount(s.call)
-		idempotent := s.call.Path == standin.PathLookup+"x" || s.call.Path == standin.PathSession+"x"
-		c.count(c.report.Checks, "at most once")
-		if runs > 1 && !idempotent {
-			c.violate("TWICE: %s ran %d times", s.call.ID, runs)
-		}
-		if s.reply.IsNotRun() && runs > 0 && !idempotent {
-			c.violate("REFUSED: %s was answered %d, but ran", s.call.ID, s.reply.Status)
-		}
+func (c *caller) isOld() bool { return c.index%oldCallers == 0 && !c.NoHTTP10 }
+
+// sendBy sends a call with the function, keeps it and checks the answer by itself.
+func (c *caller) sendBy(ctx context.Context, in *instance, call standin.Call, send func(context.Context, standin.Call) standin.Reply) sentCall {
+	c.requests++
+	call.ID = fmt.Sprintf("r-%d-%d", c.index, c.requests)
+	if call.Key == "" {
+		call.Key, call.ForgedAccount = c.accounts.newestKey(c.index%accountCount), "forged"
 	}
-	for _, kept := range c.kept[max(0, len(c.kept)-lastTries):] {
-		c.count(c.report.Checks, "kept turn")
-		if !c.isFound(ctx, kept) {
-			c.violate("LOST: turn %s is not found after the faults", kept.id)
-		}
+	call.Method, call.Host = http.MethodPost, standin.Host
+	sent := sentCall{instance: in, began: time.Now()}
+	// The end of the run does not cut a request short.
+	sent.reply = send(context.WithoutCancel(ctx), call)
+	sent.call, sent.ended = call, time.Now()
+	sent.reply.IsComplete = sent.reply.IsComplete && !sent.reply.HasLeft
+	c.sent = append(c.sent, sent)
+	name := fmt.Sprint(sent.reply.Status)
+	switch {
+	case sent.reply.HasLeft:
+		name += " left"
+	case sent.reply.Status == http.StatusOK && !sent.reply.IsComplete:
+		name += " broken off"
 	}
+	c.count(c.report.Answers, name)
+	c.checkAnswer(sent)
+	return sent
 }
 
 func (c *caller) isFound(ctx context.Context, kept keptTurn) bool {
 	for try := range lastTries {
-		reply, id := c.do(ctx, standin.Call{
-			Path: standin.PathRetained + "x", Body: "again\n", Program: fmt.Sprintf("new-%d-%d", c.index, c.requests),
-			Budget: callerBudget, MaxTokens: callerMost, Previous: kept.id,
-		})
-		if reply.Status == http.StatusOK && reply.IsComplete {
-			c.checkBody(id, kept.transcript+"again\n")
+		const events = 2
+		input := "again " + standin.StateEvents(events) + "\n"
+		s := c.begin(ctx, standin.Call{
+			Path: standin.PathRetained + "x", Body: input, Program: fmt.Sprintf("new-%d-%d", c.index, c.requests),
+			Budget: callerBudget, MaxTokens: callerMost, Previous: kept.id, Gap: streamGap,
+		}, events)
+		if reply := s.first().reply; reply.Status == http.StatusOK && reply.IsComplete {
+			c.checkBody(s.first().call.ID, kept.transcript+input)
 			return true
 		}
 		sleep(ctx, time.Duration(try+1)*300*time.Millisecond)
--- /dev/null
+++ b/internal/soaker/soak_endpoint.go
@@ -0,0 +1,171 @@
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/platform/standin"
+)
+
+// The times of an endpoint that leaves: it serves for drainTime after the store has its report,
+// and up to drainExtra more while requests run.
+const (
+	drainTime  = 2 * time.Second
+	drainExtra = 4 * time.Second
+	drainPoll  = 50 * time.Millisecond
+)
+
+const (
+	enginePace  = 8 * time.Millisecond
+	servicePace = 5 * time.Millisecond
+	// mostEvents is the largest number of events of a stream.
+	mostEvents = callerMost / standin.EventTokens
+)
+
+// endpoint is a stand-in for an endpoint with its link.
+type endpoint struct {
+	*standin.Endpoint
+	kind         string
+	registration standin.Registration
+	link         *link
+	// end ends its server, and left is when the store had its report that it leaves; both are
+	// guarded by the mutex of soak.
+	end  context.CancelFunc
+	left time.Time
+}
+
+// addEndpoint starts an endpoint of the software version.
+func (s *soak) addEndpoint(ctx context.Context, kind, version string) error {
+	s.mu.Lock()
+	i := s.added
+	s.added++
+	s.mu.Unlock()
+	events, pace, slots := 0, servicePace, s.ServiceSlots
+	if kind == standin.ServiceEngine {
+		events, pace, slots = mostEvents, enginePace, s.EngineSlots
+	}
+	// Callers ask endpoints after the run, so that only the server ends with ctx.
+	serving, end := context.WithCancel(ctx)
+	e := &endpoint{Endpoint: standin.NewEndpoint(fmt.Sprintf("%s-%d", kind, i), events, pace, s.Seed+uint64(i)), kind: kind, end: end}
+	e.Version, e.Numbering, e.VariesFraming, e.RunsOn = version, s.numbering(version), true, i%3 == 2
+	if slots > 0 {
+		e.Slots = slots
+	}
+	e.SetFaults(usualFaults())
+	target, err := serve(serving, e)
+	if err != nil {
+		end()
+		return err
+	}
+	if e.link, err = newLink(serving, "127.0.0.1:0", target, e.ID); err != nil {
+		end()
+		return err
+	}
+	e.registration = standin.Registration{
+		ID: e.ID, Service: kind, Address: e.link.address(), DataCentre: dataCentre(i % max(s.DataCentres, 1)), Slots: e.Slots, Version: version,
+	}
+	s.mu.Lock()
+	s.endpoints, s.links = append(s.endpoints, e), append(s.links, e.link)
+	s.mu.Unlock()
+	return standin.Register(s.rows, e.registration)
+}
+
+func dataCentre(i int) string { return fmt.Sprint("dc-", i+1) }
+
+// numbering returns the numbering of the events of all engines of the version.
+func (s *soak) numbering(version string) standin.Numbering {
+	if s.CountsFromOne {
+		return standin.Numbering{}
+	}
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(version)) // It returns no error.
+	return standin.DrawNumbering(rand.New(rand.NewPCG(s.Seed, hash.Sum64())))
+}
+
+// versionOf returns the software version of the i-th endpoint of a kind.
+func (s *soak) versionOf(i int) string {
+	if s.SingleVersion {
+		return "v0"
+	}
+	return fmt.Sprint("v", i%versions)
+}
+
+// allEndpoints returns the endpoints, those that have left too.
+func (s *soak) allEndpoints() []*endpoint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.endpoints)
+}
+
+func (s *soak) drawLink() *link {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.links[s.random.IntN(len(s.links))]
+}
+
+// release replaces an endpoint: one joins, of another software version unless the run has a single
+// one, and the oldest of the kind leaves while its requests run.
+func (s *soak) release(ctx context.Context) {
+	kind := []string{standin.ServiceEngine, standin.ServicePlain}[s.random.IntN(2)]
+	s.mu.Lock()
+	var oldest *endpoint
+	for _, e := range s.endpoints {
+		if e.kind == kind && e.left.IsZero() {
+			oldest = e
+			break
+		}
+	}
+	version := s.versionOf(0)
+	if !s.SingleVersion {
+		version = fmt.Sprint("v", versions+s.added)
+		if s.random.IntN(2) == 0 {
+			version = s.endpoints[len(s.endpoints)-1].Version
+		}
+	}
+	oldest.left = time.Now()
+	s.mu.Unlock()
+	if err := s.addEndpoint(s.lifetime, kind, version); err != nil {
+		s.violate("an endpoint cannot be started: %v", err)
+		return
+	}
+	oldest.registration.Draining = true
+	if err := standin.Register(s.rows, oldest.registration); err != nil {
+		s.violate("an endpoint cannot be registered: %v", err)
+		return
+	}
+	oldest.SetLeaving(true)
+	s.changes.Go(func() {
+		sleep(ctx, drainTime)
+		for deadline := time.Now().Add(drainExtra); oldest.Running() > 0 && time.Now().Before(deadline); {
+			time.Sleep(drainPoll)
+		}
+		standin.Unregister(s.rows, oldest.ID)
+		oldest.end()
+	})
+}
+
+// ServeHTTP implements http.Handler.
+func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.Endpoint.ServeHTTP(w, r) }
+
+// runs returns the executions of the request at all endpoints.
+func (s *soak) runs(id string) []standin.Run {
+	var runs []standin.Run
+	for _, e := range s.allEndpoints() {
+		runs = append(runs, e.Runs(id)...)
+	}
+	return runs
+}
+
+// runsOf returns how often endpoints ran the request, and the body of the first run.
+func (s *soak) runsOf(id string) (runs int, body string) {
+	all := s.runs(id)
+	if len(all) == 0 {
+		return 0, ""
+	}
+	return len(all), all[0].Body
+}
--- a/internal/soaker/soak_instance.go
+++ b/internal/soaker/soak_instance.go
@@ -19,13 +19,18 @@
 	host   string
 	binary string
 	folder string
-	store  *link
-	peers  *link
+	// dataCentre is that of the instance.
+	dataCentre string
+	store      *link
+	peers      *link
 	// seeds are the peers' addresses of some instances that started before.
 	seeds   []string
 	command *exec.Cmd
 	ended   chan struct{}
 
+	// starting is held by restart: one that overlaps another finds its process running.
+	starting sync.Mutex
+
 	mu      sync.Mutex
 	frozen  bool
 	stopped bool
@@ -36,7 +41,7 @@
 // settings writes the settings file.
 func (in *instance) settings() error {
 	text := fmt.Sprintf(`Instance: %s
-DataCentre: dc-1
+DataCentre: %[6]s
 CallerListen: %[2]s:7101
 ReadyListen: %[2]s:7102
 PeerListen: %[2]s:7103
@@ -45,7 +50,7 @@
 AdminListen: %[2]s:7104
 StoreAddress: %[4]s
 GracePeriod: 6s
-`, in.name, in.host, in.peers.address(), in.store.address(), strings.Join(in.seeds, ", "))
+`, in.name, in.host, in.peers.address(), in.store.address(), strings.Join(in.seeds, ", "), in.dataCentre)
 	return os.WriteFile(in.file("yaml"), []byte(text), 0o600)
 }
 
@@ -99,6 +104,16 @@
 	}
 }
 
+// stop begins a planned stop, unless one is under way.
+func (in *instance) stop() {
+	in.mu.Lock()
+	stopped := in.stopped
+	in.mu.Unlock()
+	if !stopped {
+		in.signal(syscall.SIGTERM)
+	}
+}
+
 // kill ends the process at once and waits for it.
 func (in *instance) kill() {
 	if ended := in.signal(syscall.SIGKILL); ended != nil {
@@ -108,6 +123,8 @@
 
 // restart makes sure that a process runs and is not frozen.
 func (in *instance) restart() error {
+	in.starting.Lock()
+	defer in.starting.Unlock()
 	in.mu.Lock()
 	running, stopped, ended := in.isRunning(), in.stopped, in.ended
 	in.mu.Unlock()
--- a/internal/soaker/soak_proxy.go
+++ b/internal/soaker/soak_proxy.go
@@ -33,6 +33,8 @@
 type link struct {
 	listener net.Listener
 	target   string
+	// subject is the instance or endpoint that a fault of the link disturbs.
+	subject string
 
 	mu    sync.Mutex
 	fault linkFault
@@ -41,12 +43,12 @@
 	conns map[net.Conn]bool
 }
 
-func newLink(ctx context.Context, listen, target string) (*link, error) {
+func newLink(ctx context.Context, listen, target, subject string) (*link, error) {
 	listener, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, err
 	}
-	l := &link{listener: listener, target: target, conns: map[net.Conn]bool{}}
+	l := &link{listener: listener, target: target, subject: subject, conns: map[net.Conn]bool{}}
 	context.AfterFunc(ctx, func() {
 		_ = listener.Close() // The link ends with its context.
 		l.reset()
--- /dev/null
+++ b/internal/soaker/soak_zero.go
@@ -0,0 +1,48 @@
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/platform/standin"
+)
+
+// zeroWait is how long a caller that states a deadline of zero waits all the same.
+const zeroWait = time.Second
+
+// zeroTurns is how many turns a program without tokens tries.
+const zeroTurns = 3
+
+// sendZeros sends a call that states a deadline, a budget or a last event of zero.
+func (c *caller) sendZeros(ctx context.Context) {
+	in := c.instances[c.random.IntN(len(c.instances))]
+	program := fmt.Sprintf("zero-%d-%d", c.index, c.requests)
+	body := program + " " + standin.StateEvents(mostEvents)
+	turn := standin.Call{Path: standin.PathSession + "x", Body: body, Program: program, Budget: callerBudget, MaxTokens: callerMost, Gap: streamGap}
+	switch c.random.IntN(3) {
+	case 0:
+		c.count(c.report.Checks, "no time")
+		call := standin.Call{Path: standin.PathLookup + "x", GracePeriod: zeroWait}
+		c.sendBy(ctx, in, call, func(ctx context.Context, call standin.Call) standin.Reply {
+			return standin.Do(ctx, c.client, in.callers(), call)
+		})
+	case 1:
+		c.count(c.report.Checks, "no budget")
+		turn.Budget = 0
+		events := 0
+		for range zeroTurns {
+			sent := c.send(ctx, in, turn)
+			if events += len(sent.reply.Events()); sent.reply.Status != http.StatusOK || events == 0 {
+				break
+			}
+		}
+		if events > 0 {
+			c.violate("BUDGET: a program without tokens got %d events: %s", events, c.describe(c.sent[len(c.sent)-1]))
+		}
+	default:
+		turn.StatesLastEventID = true
+		c.attempt(ctx, &callerStream{want: mostEvents}, in, turn)
+	}
+}
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -12,7 +12,6 @@
 	"net/netip"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -36,6 +35,20 @@
 	OtherBinary string
 	// Calm leaves the faults out.
 	Calm bool
+	// PlannedOnly leaves all out but planned stops, configurations and releases.
+	PlannedOnly bool
+	// NoHTTP10 lets all callers speak HTTP/1.1.
+	NoHTTP10 bool
+	// SingleVersion gives all endpoints one software version, and CountsFromOne numbers the events
+	// of all streams from 1.
+	SingleVersion bool
+	CountsFromOne bool
+	// DataCentres is the number of data centres; zero for one.
+	DataCentres int
+	// EngineSlots and ServiceSlots are the slots of an endpoint; zero for the stand-in's own.
+	EngineSlots, ServiceSlots int
+	// Timeouts are the timeouts of routes by their path, beside the stand-in's own.
+	Timeouts map[string]time.Duration
 }
 
 // Report is what a run found.
@@ -68,14 +81,19 @@
 	random    *rand.Rand
 	rows      *fakeplatform.Rows
 	instances []*instance
-	engines   []*standin.Endpoint
-	services  []*standin.Endpoint
-	links     []*link
 	version   int
 	accounts  accounts
+	history   history
+	// lifetime ends with the run, and changes are the planned changes under way.
+	lifetime context.Context //nolint:containedctx // Endpoints that join later end with the run.
+	changes  sync.WaitGroup
 
-	mu     sync.Mutex
-	report Report
+	mu        sync.Mutex
+	report    Report
+	endpoints []*endpoint
+	links     []*link
+	// added is the number of endpoints that have been added.
+	added int
 }
 
 // Run plays one run. It ends only processes that it started.
@@ -83,7 +101,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s := &soak{
-		Config: config, random: rand.New(rand.NewPCG(config.Seed, 3)), rows: fakeplatform.NewRows(config.Seed), version: 1,
+		Config: config, random: rand.New(rand.NewPCG(config.Seed, 3)), rows: fakeplatform.NewRows(config.Seed), version: 1, lifetime: ctx,
 		report: Report{Seed: config.Seed, Faults: map[string]int{}, Answers: map[string]int{}, Checks: map[string]int{}},
 	}
 	defer func() {
@@ -106,10 +124,13 @@
 		work.Go(func() { callers[i].run(playing) })
 	}
 	if !s.Calm {
-		work.Go(func() { s.injectLimits(playing) })
+		if !s.PlannedOnly {
+			work.Go(func() { s.injectLimits(playing) })
+		}
 		s.injectFaults(playing)
 	}
 	work.Wait()
+	s.changes.Wait()
 	if err := s.heal(); err != nil {
 		return s.report, err
 	}
@@ -128,40 +149,17 @@
 	if err := os.MkdirAll(s.Folder, 0o700); err != nil {
 		return eris.Wrap(err, "make the folder of the run")
 	}
-	endpoint := func(kind string, i, events int, pace time.Duration) (*standin.Endpoint, error) {
-		e := standin.NewEndpoint(fmt.Sprintf("%s-%d", kind, i), events, pace, s.Seed+uint64(i))
-		e.Version = fmt.Sprint("v", i%versions)
-		target, err := serve(ctx, e)
-		if err != nil {
-			return nil, err
-		}
-		l, err := newLink(ctx, "127.0.0.1:0", target)
-		if err != nil {
-			return nil, err
-		}
-		s.links = append(s.links, l)
-		return e, standin.Register(s.rows, standin.Registration{
-			ID: e.ID, Service: kind, Address: l.address(), DataCentre: "dc-1", Slots: e.Slots, Version: e.Version,
-		})
-	}
-	for i := range s.Engines {
-		e, err := endpoint(standin.ServiceEngine, i, 5, 8*time.Millisecond)
-		if err != nil {
-			return err
-		}
-		s.engines = append(s.engines, e)
-	}
-	for i := range s.Services {
-		e, err := endpoint(standin.ServicePlain, i, 0, 5*time.Millisecond)
-		if err != nil {
-			return err
+	for kind, count := range map[string]int{standin.ServiceEngine: s.Engines, standin.ServicePlain: s.Services} {
+		for i := range count {
+			if err := s.addEndpoint(ctx, kind, s.versionOf(i)); err != nil {
+				return err
+			}
 		}
-		s.services = append(s.services, e)
 	}
 	for i, text := range standin.MalformedRegistrations() {
 		s.rows.Put(storer.RowKey{Table: "servers", Name: fmt.Sprintf("odd-%d", i)}, []byte(text))
 	}
-	if err := standin.WriteAccounts(s.rows, s.version, s.accounts.next()); err != nil {
+	if err := s.writeConfiguration(); err != nil {
 		return err
 	}
 	for i := range s.Instances {
@@ -175,6 +173,7 @@
 func (s *soak) addInstance(ctx context.Context, i int) error {
 	in := &instance{
 		name: fmt.Sprintf("entry-%d", i), host: fmt.Sprintf("127.88.%d.%d", s.Seed%200, i+1), binary: s.Binary, folder: s.Folder,
+		dataCentre: dataCentre(i % max(s.DataCentres, 1)),
 	}
 	if s.OtherBinary != "" && i%2 == 1 {
 		in.binary = s.OtherBinary
@@ -183,10 +182,10 @@
 	if err != nil {
 		return err
 	}
-	if in.store, err = newLink(ctx, "127.0.0.1:0", store); err != nil {
+	if in.store, err = newLink(ctx, "127.0.0.1:0", store, in.name); err != nil {
 		return err
 	}
-	if in.peers, err = newLink(ctx, "127.0.0.1:0", in.host+":7103"); err != nil {
+	if in.peers, err = newLink(ctx, "127.0.0.1:0", in.host+":7103", in.name); err != nil {
 		return err
 	}
 	s.links = append(s.links, in.store, in.peers)
@@ -241,23 +240,6 @@
 	counts[name]++
 }
 
-// injectFaults begins a fault after each gap until ctx ends; faults overlap.
-func (s *soak) injectFaults(ctx context.Context) {
-	var work sync.WaitGroup
-	defer work.Wait()
-	for ctx.Err() == nil {
-		name, begin, end := s.drawFault()
-		life := time.Duration(s.random.Int64N(int64(faultLife)))
-		s.count(s.report.Faults, name)
-		begin()
-		work.Go(func() {
-			sleep(ctx, life)
-			end()
-		})
-		sleep(ctx, time.Duration(s.random.Int64N(int64(2*faultGap))))
-	}
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -267,128 +249,6 @@
 	}
 }
 
-// drawFault draws a fault and returns how it begins and ends.
-func (s *soak) drawFault() (name string, begin, end func()) {
-	in := s.instances[s.random.IntN(len(s.instances))]
-	l := s.links[s.random.IntN(len(s.links))]
-	nothing := func() {}
-	again := func() {
-		if err := in.restart(); err != nil {
-			s.violate("%s cannot be started: %v", in.name, err)
-		}
-	}
-	switch s.random.IntN(14) {
-	case 0:
-		return "kill", in.kill, again
-	case 1:
-		return "freeze", func() { in.signal(syscall.SIGSTOP) }, func() { in.signal(syscall.SIGCONT) }
-	case 2:
-		return "planned stop", func() { in.signal(syscall.SIGTERM) }, again
-	case 3:
-		return "hangup", func() { in.signal(syscall.SIGHUP) }, nothing
-	case 4:
-		fault := linkFault(1 + s.random.IntN(int(linkFaults)-1))
-		return fmt.Sprint("link ", [...]string{"", "slow", "silent", "one way"}[fault]),
-			func() { l.set(fault) }, func() { l.set(linkFine) }
-	case 5:
-		return "connections reset", l.reset, nothing
-	case 6:
-		return "connections silenced", l.silence, nothing
-	case 7:
-		return s.storeFault()
-	case 8:
-		return "endpoint faults", func() { s.setEndpointFaults(true) }, func() { s.setEndpointFaults(false) }
-	case 9:
-		return "configuration", func() { s.configure() }, nothing
-	case 10:
-		return "kill all", func() { s.each(func(in *instance) { in.kill() }) }, func() { s.each(func(in *instance) { s.restart(in) }) }
-	case 11:
-		return "cut off", func() { in.store.set(linkSilent); in.peers.set(linkSilent) },
-			func() { in.store.set(linkFine); in.peers.set(linkFine) }
-	case 12:
-		return "no way to the store", func() { in.store.set(linkSilent) }, func() { in.store.set(linkFine) }
-	default:
-		return s.storeFault()
-	}
-}
-
-func (s *soak) restart(in *instance) {
-	if err := in.restart(); err != nil {
-		s.violate("%s cannot be started: %v", in.name, err)
-	}
-}
-
-func (s *soak) each(f func(in *instance)) {
-	var work sync.WaitGroup
-	for _, in := range s.instances {
-		work.Go(func() { f(in) })
-	}
-	work.Wait()
-}
-
-func (s *soak) storeFault() (name string, begin, end func()) {
-	faults := []struct {
-		name string
-		rows fakeplatform.RowFaults
-	}{
-		{"store down", fakeplatform.RowFaults{Outage: true}},
-		{"store silent", fakeplatform.RowFaults{Silent: true}},
-		{"store slow", fakeplatform.RowFaults{Delay: 300 * time.Millisecond}},
-		{"store loses answers", fakeplatform.RowFaults{LoseAnswers: 0.4}},
-		{"store answers late", fakeplatform.RowFaults{LoseAnswers: 0.4, LandLate: 2 * time.Second}},
-		{"store refuses some", fakeplatform.RowFaults{Refused: map[string]bool{
-			s.instances[s.random.IntN(len(s.instances))].name: true,
-			s.instances[s.random.IntN(len(s.instances))].name: true,
-		}}},
-	}
-	f := faults[s.random.IntN(len(faults))]
-	return f.name, func() { s.rows.SetFaults(f.rows) }, func() { s.rows.SetFaults(fakeplatform.RowFaults{}) }
-}
-
-func (s *soak) setEndpointFaults(on bool) {
-	faults := standin.EndpointFaults{}
-	if on {
-		faults = standin.EndpointFaults{
-			Dropped: 0.1, Truncated: 0.1, Rejected: 0.2, Duplicated: 0.1, BrokenBetween: 0.2, Unframed: 0.3, FailedResumption: 0.3,
-		}
-	}
-	for _, e := range append(append([]*standin.Endpoint(nil), s.services...), s.engines...) {
-		e.SetFaults(faults)
-	}
-}
-
-// The limits of endpoints: from limitSettle after an endpoint stated its limit, it gets at
-// most limitFactor times what that allows in limitWindow, and limitSlack more.
-const (
-	limitRate   = 5.0
-	limitSettle = 3 * time.Second
-	limitWindow = 4 * time.Second
-	limitFactor = 1.5
-	limitSlack  = 5
-)
-
-// injectLimits lets some endpoints state a limit until ctx ends, and checks what they got.
-func (s *soak) injectLimits(ctx context.Context) {
-	random := rand.New(rand.NewPCG(s.Seed, 3))
-	var limited []*standin.Endpoint
-	for _, e := range append(append([]*standin.Endpoint(nil), s.services...), s.engines...) {
-		if random.IntN(2) == 0 {
-			e.SetLimit(limitRate)
-			limited = append(limited, e)
-		}
-	}
-	settled := time.Now().Add(limitSettle)
-	<-ctx.Done()
-	allowed := int(limitFactor*limitRate*limitWindow.Seconds()) + limitSlack
-	for _, e := range limited {
-		e.SetLimit(0)
-		s.count(s.report.Checks, "limit")
-		if n := e.MostArrivals(settled, limitWindow); n > allowed {
-			s.violate("LIMIT: %s with a limit of %g a second got %d requests in %v, allowed %d", e.ID, limitRate, n, limitWindow, allowed)
-		}
-	}
-}
-
 func (s *soak) configure() {
 	s.version += 1 + s.random.IntN(3)
 	routes := 1
@@ -399,11 +259,17 @@
 	for i := range prefixes {
 		prefixes[i] = fmt.Sprintf("/further-%d-%d/", s.version, i)
 	}
-	if err := standin.WriteAccounts(s.rows, s.version, s.accounts.next(), prefixes...); err != nil {
+	if err := s.writeConfiguration(prefixes...); err != nil {
 		s.violate("the configuration cannot be written: %v", err)
 	}
 }
 
+func (s *soak) writeConfiguration(prefixes ...string) error {
+	return standin.WriteSettings(s.rows, standin.Settings{
+		Version: s.version, Accounts: s.accounts.next(), ExtraPrefixes: prefixes, Timeouts: s.Timeouts,
+	})
+}
+
 // heal ends all faults.
 func (s *soak) heal() error {
 	s.rows.SetFaults(fakeplatform.RowFaults{})
@@ -418,21 +284,3 @@
 	}
 	return nil
 }
-
-// runs returns the executions of the request at all endpoints.
-func (s *soak) runs(id string) []standin.Run {
-	var runs []standin.Run
-	for _, e := range append(append([]*standin.Endpoint(nil), s.services...), s.engines...) {
-		runs = append(runs, e.Runs(id)...)
-	}
-	return runs
-}
-
-// runsOf returns how often endpoints ran the request, and the body of the first run.
-func (s *soak) runsOf(id string) (runs int, body string) {
-	all := s.runs(id)
-	if len(all) == 0 {
-		return 0, ""
-	}
-	return len(all), all[0].Body
-}
