internal/soaker: checks of work that goes on, of drained endpoints and of deadlines

Endpoints may not work on after the caller left or the request went on elsewhere (GONE, TWICE), get no request later than 2 s after the store had their leave (DRAIN), and get no longer deadline, also when a request is sent again. Plain responses may come late.

--- a/internal/soaker/soak_check.go
+++ b/internal/soaker/soak_check.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/wigeonstand/wigeonstand/platform/standin"
@@ -14,8 +12,10 @@
 const (
 	// deadlineSlack is by how much an endpoint may be given more time than the caller has left.
 	deadlineSlack = 500 * time.Millisecond
-	// lossSlack is the time within which a request may cross the close of its connection.
-	lossSlack = 200 * time.Millisecond
+	// goneSlack is how long an endpoint may work on after the caller has left, and moveSlack after
+	// the request went on elsewhere.
+	goneSlack = 500 * time.Millisecond
+	moveSlack = 400 * time.Millisecond
 )
 
 // checkAnswer checks the answer to a call by itself.
@@ -40,10 +40,13 @@
 // request ran, with how much time, whether its answer was lost, and that each kept turn is found
 // again.
 func (c *caller) check(ctx context.Context) {
+	arrivals := c.arrivals()
 	for _, s := range c.sent {
 		runs := c.runs(s.call.ID)
 		c.checkAccount(s.call)
 		c.checkLoss(s, runs)
+		c.checkArrivals(s, arrivals[s.call.ID])
+		c.checkRuns(s, runs)
 		idempotent := s.call.Path == standin.PathLookup+"x" || s.call.Path == standin.PathSession+"x"
 		c.count(c.report.Checks, "at most once")
 		if len(runs) > 1 && !idempotent {
@@ -53,7 +56,6 @@
 			c.violate("REFUSED: %s", c.describe(s))
 		}
 	}
-	c.checkDeadlines()
 	for _, kept := range c.kept[max(0, len(c.kept)-lastTries):] {
 		c.count(c.report.Checks, "kept turn")
 		if !c.isFound(ctx, kept) {
@@ -62,79 +64,83 @@
 	}
 }
 
-// checkLoss checks that a call in calm got a complete answer, and that of the endpoint that ran it.
-// Planned changes do not disturb the calm.
-func (c *caller) checkLoss(s sentCall, runs []standin.Run) {
-	isRefused := s.reply.Sent.IsZero()
-	if s.reply.HasLeft || isRefused || s.ended.Sub(s.reply.Sent) >= s.call.Deadline {
-		return
-	}
-	subjects := []string{s.instance.name, storeSubject}
-	for _, run := range runs {
-		subjects = append(subjects, run.Endpoint)
-	}
-	if !c.history.isCalm(s.began, s.ended, subjects...) {
-		return
-	}
-	c.count(c.report.Checks, "loss")
-	if s.reply.Status == 0 {
-		// A connection that is closed with the request unread is reset.
-		isRead := len(runs) > 0 || !errors.Is(s.reply.Err, syscall.ECONNRESET)
-		if isRead && (len(runs) > 0 || s.ended.Sub(s.reply.Sent) > lossSlack) {
-			c.violate("LOST: no answer: %s", c.describe(s))
+// arrival is a request that an endpoint read.
+type arrival struct {
+	standin.Arrival
+	endpoint *endpoint
+}
+
+// arrivals returns what endpoints read, by the ID of the request, in order.
+func (s *soak) arrivals() map[string][]arrival {
+	all := map[string][]arrival{}
+	for _, e := range s.allEndpoints() {
+		for _, a := range e.Arrivals() {
+			all[a.ID] = append(all[a.ID], arrival{a, e})
 		}
-		return
 	}
-	// The request may have passed other instances.
-	if !c.history.isCalm(s.began, s.ended, c.instanceNames()...) || !isEndpointsCalm(c, s) {
-		return
+	for _, of := range all {
+		slices.SortFunc(of, func(a, b arrival) int { return a.At.Compare(b.At) })
 	}
-	for _, run := range runs {
-		// A stream that is resumed after its last event has none, which may count as a failure.
-		isEmpty := s.call.MaxTokens > 0 && run.SentEvents == 0
-		if run.IsWhole && !isEmpty && (!s.reply.IsComplete || !s.reply.IsSigned()) {
-			c.violate("LOST: %s answered whole: %s", run.Endpoint, c.describe(s))
-			return
+	return all
+}
+
+// checkArrivals checks what endpoints read of the call while the instances were calm.
+func (c *caller) checkArrivals(s sentCall, all []arrival) {
+	for _, a := range all {
+		if !c.history.isCalm(s.began, a.At, c.instanceNames()...) {
+			continue
+		}
+		c.checkDeadline(s, all[0], a)
+		if !c.history.isCalm(s.began, a.At, storeSubject, a.endpoint.ID) {
+			continue
+		}
+		c.count(c.report.Checks, "drain")
+		if left := a.endpoint.left; !left.IsZero() && a.At.After(left.Add(drainTime)) {
+			c.violate("DRAIN: %s, which left at %s, got %s at %s: %s",
+				a.endpoint.ID, left.UTC().Format(timeFormat), a.ID, a.At.UTC().Format(timeFormat), c.describe(s))
 		}
 	}
 }
 
-// isEndpointsCalm reports whether no endpoint was disturbed during the call.
-func isEndpointsCalm(c *caller, s sentCall) bool {
-	var subjects []string
-	for _, e := range c.allEndpoints() {
-		subjects = append(subjects, e.ID)
+// checkDeadline checks that no endpoint was given more time than the caller stated, and none to
+// which a request was sent again more than was left.
+func (c *caller) checkDeadline(s sentCall, first, a arrival) {
+	c.count(c.report.Checks, "deadline")
+	if !a.HasDeadline || a.Deadline > s.call.Deadline+deadlineSlack {
+		c.violate("BUDGET: given %v of %v: %s", a.Deadline, s.call.Deadline, c.describe(s))
+	}
+	end := a.At.Add(a.Deadline - deadlineSlack)
+	isLate := a.At.Sub(first.At) > deadlineSlack && end.After(first.At.Add(first.Deadline))
+	// The deadline runs from the end of the head, which comes before that of the body.
+	if own := maxTime(s.began, s.reply.Sent).Add(s.call.Deadline); isLate && end.After(own) {
+		c.violate("BUDGET: sent again %v later with %v, given %v at first: %s", a.At.Sub(first.At), a.Deadline, first.Deadline, c.describe(s))
 	}
-	return c.history.isCalm(s.began, s.ended, subjects...)
 }
 
-// checkDeadlines checks that no endpoint was given more time than the caller stated, and none to
-// which a request was sent again more than was left.
-func (c *caller) checkDeadlines() {
-	arrivals := map[string][]standin.Arrival{}
+// checkRuns checks that endpoints ended their work on the call in calm soon after its caller had
+// left, and before it went on at another one. It does not hold for those that go on by themselves.
+func (c *caller) checkRuns(s sentCall, runs []standin.Run) {
+	subjects := c.instanceNames()
 	for _, e := range c.allEndpoints() {
-		for _, arrival := range e.Arrivals() {
-			arrivals[arrival.ID] = append(arrivals[arrival.ID], arrival)
-		}
+		subjects = append(subjects, e.ID)
 	}
-	for _, s := range c.sent {
-		all := arrivals[s.call.ID]
-		slices.SortFunc(all, func(a, b standin.Arrival) int { return a.At.Compare(b.At) })
-		for _, arrival := range all {
-			if !c.history.isCalm(s.began, arrival.At, c.instanceNames()...) {
-				continue
-			}
-			c.count(c.report.Checks, "deadline")
-			if !arrival.HasDeadline || arrival.Deadline > s.call.Deadline+deadlineSlack {
-				c.violate("BUDGET: given %v of %v: %s", arrival.Deadline, s.call.Deadline, c.describe(s))
-			}
-			end := arrival.At.Add(arrival.Deadline - deadlineSlack)
-			isLate := arrival.At.Sub(all[0].At) > deadlineSlack && end.After(all[0].At.Add(all[0].Deadline))
-			// The deadline runs from the end of the head, which comes before that of the body.
-			if own := maxTime(s.began, s.reply.Sent).Add(s.call.Deadline); isLate && end.After(own) {
-				c.violate("BUDGET: sent again %v later with %v, given %v at first: %s",
-					arrival.At.Sub(all[0].At), arrival.Deadline, all[0].Deadline, c.describe(s))
-			}
+	if !c.history.isCalm(s.began, s.ended.Add(goneSlack), subjects...) {
+		return
+	}
+	slices.SortFunc(runs, func(a, b standin.Run) int { return a.Began.Compare(b.Began) })
+	for i, run := range runs {
+		c.count(c.report.Checks, "end of work")
+		if s.reply.HasLeft && run.Began.After(s.ended.Add(goneSlack)) {
+			c.violate("GONE: reached %s after its caller had left: %s", run.Endpoint, c.describe(s))
+		}
+		if run.RunsOn {
+			continue
+		}
+		if s.reply.HasLeft && (run.Ended.IsZero() || run.Ended.After(s.ended.Add(goneSlack))) {
+			c.violate("GONE: %s worked on until %s: %s", run.Endpoint, run.Ended.UTC().Format(timeFormat), c.describe(s))
+		}
+		if i+1 < len(runs) && (run.Ended.IsZero() || run.Ended.After(runs[i+1].Began.Add(moveSlack))) {
+			c.violate("TWICE: %s worked on beside %s: %s", run.Endpoint, runs[i+1].Endpoint, c.describe(s))
 		}
 	}
 }
--- a/internal/soaker/soak_fault.go
+++ b/internal/soaker/soak_fault.go
@@ -184,7 +184,7 @@
 	if on {
 		faults = standin.EndpointFaults{
 			Dropped: 0.1, Truncated: 0.1, Rejected: 0.2, Duplicated: 0.1, BrokenBetween: 0.2, Unframed: 0.3, FailedResumption: 0.3,
-			HeadCut: 0.05, Garbled: 0.05, Preempted: 0.2,
+			HeadCut: 0.05, Garbled: 0.05, Late: 0.05, Preempted: 0.2,
 		}
 	}
 	for _, e := range s.allEndpoints() {
