--- a/internal/soaker/soak_endpoint.go
+++ b/internal/soaker/soak_endpoint.go
@@ -108,44 +108,48 @@
 	return s.links[s.random.IntN(len(s.links))]
 }
 
-// release replaces an endpoint: one joins, of another software version unless the run has a single
-// one, and the oldest of the kind leaves while its requests run.
-func (s *soak) release(ctx context.Context) {
+// drawRelease draws an endpoint that is to be replaced, the oldest of its kind, and the software
+// version of the one that joins.
+func (s *soak) drawRelease() (leaves *endpoint, version string) {
 	kind := []string{standin.ServiceEngine, standin.ServicePlain}[s.random.IntN(2)]
 	s.mu.Lock()
-	var oldest *endpoint
-	for _, e := range s.endpoints {
+	defer s.mu.Unlock()
+	for _, e := range slices.Backward(s.endpoints) {
 		if e.kind == kind && e.left.IsZero() {
-			oldest = e
-			break
+			leaves = e
 		}
 	}
-	version := s.versionOf(0)
-	if !s.SingleVersion {
-		version = fmt.Sprint("v", versions+s.added)
-		if s.random.IntN(2) == 0 {
-			version = s.endpoints[len(s.endpoints)-1].Version
-		}
+	switch {
+	case s.SingleVersion:
+		return leaves, s.versionOf(0)
+	case s.random.IntN(2) == 0:
+		return leaves, s.endpoints[len(s.endpoints)-1].Version
 	}
-	oldest.left = time.Now()
-	s.mu.Unlock()
-	if err := s.addEndpoint(s.lifetime, kind, version); err != nil {
+	return leaves, fmt.Sprint("v", versions+s.added)
+}
+
+// release replaces the endpoint, which leaves while its requests run, by one of the version.
+func (s *soak) release(ctx context.Context, leaves *endpoint, version string) {
+	if err := s.addEndpoint(s.lifetime, leaves.kind, version); err != nil {
 		s.violate("an endpoint cannot be started: %v", err)
 		return
 	}
-	oldest.registration.Draining = true
-	if err := standin.Register(s.rows, oldest.registration); err != nil {
+	leaves.registration.Draining = true
+	if err := standin.Register(s.rows, leaves.registration); err != nil {
 		s.violate("an endpoint cannot be registered: %v", err)
 		return
 	}
-	oldest.SetLeaving(true)
+	s.mu.Lock()
+	leaves.left = time.Now()
+	s.mu.Unlock()
+	leaves.SetLeaving(true)
 	s.changes.Go(func() {
 		sleep(ctx, drainTime)
-		for deadline := time.Now().Add(drainExtra); oldest.Running() > 0 && time.Now().Before(deadline); {
+		for deadline := time.Now().Add(drainExtra); leaves.Running() > 0 && time.Now().Before(deadline); {
 			time.Sleep(drainPoll)
 		}
-		standin.Unregister(s.rows, oldest.ID)
-		oldest.end()
+		standin.Unregister(s.rows, leaves.ID)
+		leaves.end()
 	})
 }
 
--- a/internal/soaker/soak_fault.go
+++ b/internal/soaker/soak_fault.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -14,7 +15,7 @@
 // fault is a fault, or a planned change, and how it begins and ends.
 type fault struct {
 	name string
-	// subjects are what an unplanned fault disturbs; a planned change has none.
+	// subjects are the instances and endpoints that it concerns, and the store.
 	subjects   []string
 	begin, end func()
 }
@@ -24,35 +25,37 @@
 	var work sync.WaitGroup
 	defer work.Wait()
 	for ctx.Err() == nil {
-		f := s.drawFault(ctx)
+		f, isPlanned := s.drawFault(ctx)
 		life := time.Duration(s.random.Int64N(int64(faultLife)))
 		s.count(s.report.Faults, f.name)
 		isOver := func() {}
-		if len(f.subjects) > 0 {
+		if !isPlanned {
 			isOver = s.history.begin(f.subjects...)
 		}
+		s.log("%s begins: %s", f.name, strings.Join(f.subjects, ", "))
 		f.begin()
 		work.Go(func() {
 			sleep(ctx, life)
 			f.end()
 			isOver()
+			s.log("%s is over: %s", f.name, strings.Join(f.subjects, ", "))
 		})
 		sleep(ctx, time.Duration(s.random.Int64N(int64(2*faultGap))))
 	}
 }
 
 // drawFault draws a planned change, or a fault if the run has faults.
-func (s *soak) drawFault(ctx context.Context) fault {
+func (s *soak) drawFault(ctx context.Context) (f fault, isPlanned bool) {
 	const planned, unplanned = 5, 11
 	kinds := planned + unplanned
 	if s.PlannedOnly {
 		kinds = planned
 	}
-	if kind := s.random.IntN(kinds); kind >= planned {
-		return s.unplannedFault(kind - planned)
-	} else {
-		return s.plannedChange(ctx, kind)
+	kind := s.random.IntN(kinds)
+	if kind < planned {
+		return s.plannedChange(ctx, kind), true
 	}
+	return s.unplannedFault(kind - planned), false
 }
 
 func nothing() {}
@@ -61,16 +64,17 @@
 	in := s.instances[s.random.IntN(len(s.instances))]
 	switch kind {
 	case 0:
-		return fault{name: "planned stop", begin: in.stop, end: func() { s.restart(in) }}
+		return fault{"planned stop", []string{in.name}, in.stop, func() { s.restart(in) }}
 	case 1:
-		return fault{name: "hangup", begin: func() { in.signal(syscall.SIGHUP) }, end: nothing}
+		return fault{"hangup", []string{in.name}, func() { in.signal(syscall.SIGHUP) }, nothing}
 	case 2:
-		return fault{name: "configuration", begin: s.configure, end: nothing}
+		return fault{"configuration", []string{storeSubject}, s.configure, nothing}
 	case 3:
 		first := s.random.IntN(len(s.instances))
-		return fault{name: "stops in turn", begin: func() { s.stopInTurn(ctx, first) }, end: nothing}
+		return fault{"stops in turn", []string{s.instances[first].name}, func() { s.stopInTurn(ctx, first) }, nothing}
 	default:
-		return fault{name: "release", begin: func() { s.release(ctx) }, end: nothing}
+		leaves, version := s.drawRelease()
+		return fault{"release", []string{leaves.ID}, func() { s.release(ctx, leaves, version) }, nothing}
 	}
 }
 
@@ -128,8 +132,10 @@
 		s.changes.Go(func() {
 			sleep(ctx, time.Duration(i)*stopGap)
 			if ctx.Err() == nil {
+				s.log("stops in turn: %s", in.name)
 				in.stop()
 				s.restart(in)
+				s.log("stops in turn: %s is back", in.name)
 			}
 		})
 	}
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -7,10 +7,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -90,6 +92,7 @@
 
 	mu        sync.Mutex
 	report    Report
+	events    io.Writer
 	endpoints []*endpoint
 	links     []*link
 	// added is the number of endpoints that have been added.
@@ -149,6 +152,12 @@
 	if err := os.MkdirAll(s.Folder, 0o700); err != nil {
 		return eris.Wrap(err, "make the folder of the run")
 	}
+	events, err := os.Create(filepath.Join(s.Folder, "faults.log"))
+	if err != nil {
+		return eris.Wrap(err, "make the log of faults")
+	}
+	context.AfterFunc(ctx, func() { _ = events.Close() }) // It is written at once.
+	s.events = events
 	for kind, count := range map[string]int{standin.ServiceEngine: s.Engines, standin.ServicePlain: s.Services} {
 		for i := range count {
 			if err := s.addEndpoint(ctx, kind, s.versionOf(i)); err != nil {
@@ -228,6 +237,14 @@
 	return false
 }
 
+// log writes a line to the log of faults in the folder of the run.
+func (s *soak) log(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// A line that is missing does not change the result.
+	_, _ = fmt.Fprintf(s.events, "%s %s\n", time.Now().UTC().Format(timeFormat), fmt.Sprintf(format, args...))
+}
+
 func (s *soak) violate(format string, args ...any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
