--- a/internal/soaker/soak_caller.go
+++ b/internal/soaker/soak_caller.go
@@ -49,6 +49,8 @@
 	reply        standin.Reply
 	instance     *instance
 	began, ended time.Time
+	// isOld is true if it was sent by HTTP/1.0.
+	isOld bool
 }
 
 // keptTurn is a turn whose answer came whole, with its transcript.
@@ -136,8 +138,8 @@
 			}
 			return reply, kept
 		}
-		if reply.Status == http.StatusNotFound && call.Previous != "" {
-			c.violate("LOST: turn %s was answered 404, but %s was answered whole", id, call.Previous)
+		if (reply.Status == http.StatusNotFound || reply.Status == http.StatusGone) && call.Previous != "" {
+			c.violate("LOST: %s was answered whole, but not found: %s", call.Previous, c.describe(s.first()))
 		}
 		if reply.Status == http.StatusPaymentRequired || ctx.Err() != nil {
 			break
@@ -162,34 +164,33 @@
 
 // send sends a call to the instance and checks the answer by itself.
 func (c *caller) send(ctx context.Context, in *instance, call standin.Call) sentCall {
-	send := func(ctx context.Context, call standin.Call) standin.Reply {
-		return standin.Do(ctx, c.client, in.callers(), call)
-	}
-	if c.isOld() {
-		send = func(ctx context.Context, call standin.Call) standin.Reply {
-			return standin.DoHTTP10(ctx, in.callers(), call)
-		}
-	}
 	if call.Deadline == 0 {
 		call.Deadline = callDeadline
 	}
-	return c.sendBy(ctx, in, call, send)
+	return c.sendBy(ctx, sentCall{call: call, instance: in, isOld: c.index%oldCallers == 0 && !c.NoHTTP10}, c.exchange)
 }
 
-func (c *caller) isOld() bool { return c.index%oldCallers == 0 && !c.NoHTTP10 }
+// exchange sends a call over the connections of the caller's client or, by HTTP/1.0, a new one.
+func (c *caller) exchange(ctx context.Context, s sentCall) standin.Reply {
+	if s.isOld {
+		return standin.DoHTTP10(ctx, s.instance.callers(), s.call)
+	}
+	return standin.Do(ctx, c.client, s.instance.callers(), s.call)
+}
 
 // sendBy sends a call with the function, keeps it and checks the answer by itself.
-func (c *caller) sendBy(ctx context.Context, in *instance, call standin.Call, send func(context.Context, standin.Call) standin.Reply) sentCall {
+func (c *caller) sendBy(ctx context.Context, sent sentCall, exchange func(context.Context, sentCall) standin.Reply) sentCall {
 	c.requests++
+	call := &sent.call
 	call.ID = fmt.Sprintf("r-%d-%d", c.index, c.requests)
 	if call.Key == "" {
 		call.Key, call.ForgedAccount = c.accounts.newestKey(c.index%accountCount), "forged"
 	}
 	call.Method, call.Host = http.MethodPost, standin.Host
-	sent := sentCall{instance: in, began: time.Now()}
+	sent.began = time.Now()
 	// The end of the run does not cut a request short.
-	sent.reply = send(context.WithoutCancel(ctx), call)
-	sent.call, sent.ended = call, time.Now()
+	sent.reply = exchange(context.WithoutCancel(ctx), sent)
+	sent.ended = time.Now()
 	sent.reply.IsComplete = sent.reply.IsComplete && !sent.reply.HasLeft
 	c.sent = append(c.sent, sent)
 	name := fmt.Sprint(sent.reply.Status)
@@ -204,7 +205,8 @@
 	return sent
 }
 
-func (c *caller) isFound(ctx context.Context, kept keptTurn) bool {
+// find goes on from the kept turn, several times. It returns the attempts.
+func (c *caller) find(ctx context.Context, kept keptTurn) (attempts []sentCall, found bool) {
 	for try := range lastTries {
 		const events = 2
 		input := "again " + standin.StateEvents(events) + "\n"
@@ -212,11 +214,12 @@
 			Path: standin.PathRetained + "x", Body: input, Program: fmt.Sprintf("new-%d-%d", c.index, c.requests),
 			Budget: callerBudget, MaxTokens: callerMost, Previous: kept.id, Gap: streamGap,
 		}, events)
+		attempts = append(attempts, s.first())
 		if reply := s.first().reply; reply.Status == http.StatusOK && reply.IsComplete {
 			c.checkBody(s.first().call.ID, kept.transcript+input)
-			return true
+			return attempts, true
 		}
 		sleep(ctx, time.Duration(try+1)*300*time.Millisecond)
 	}
-	return false
+	return attempts, false
 }
--- a/internal/soaker/soak_check.go
+++ b/internal/soaker/soak_check.go
@@ -58,8 +58,8 @@
 	}
 	for _, kept := range c.kept[max(0, len(c.kept)-lastTries):] {
 		c.count(c.report.Checks, "kept turn")
-		if !c.isFound(ctx, kept) {
-			c.violate("LOST: turn %s is not found after the faults", kept.id)
+		if attempts, found := c.find(ctx, kept); !found {
+			c.violate("LOST: turn %s is not found after the faults: %s", kept.id, c.describeAll(attempts))
 		}
 	}
 }
--- a/internal/soaker/soak_slow.go
+++ b/internal/soaker/soak_slow.go
@@ -20,7 +20,7 @@
 func (c *caller) runSlow(ctx context.Context) {
 	for ctx.Err() == nil {
 		in := c.instances[c.random.IntN(len(c.instances))]
-		conn := &standin.Conn{Address: in.callers(), IsHTTP10: c.isOld()}
+		conn := &standin.Conn{Address: in.callers(), IsHTTP10: !c.NoHTTP10 && c.random.IntN(oldCallers) == 0}
 		for range 1 + c.random.IntN(slowUses) {
 			pace := standin.Pace{}
 			within := time.Duration(c.random.Int64N(int64(slowMost)))
@@ -31,7 +31,9 @@
 				pace.Body = within
 			}
 			call := standin.Call{Path: standin.PathPost + "x", Body: fmt.Sprintf("a slow body of caller %d", c.index), Deadline: slowDeadline}
-			sent := c.sendBy(ctx, in, call, func(ctx context.Context, call standin.Call) standin.Reply { return conn.Do(ctx, call, pace) })
+			sent := c.sendBy(ctx, sentCall{call: call, instance: in, isOld: conn.IsHTTP10}, func(ctx context.Context, s sentCall) standin.Reply {
+				return conn.Do(ctx, s.call, pace)
+			})
 			if ctx.Err() != nil || sent.reply.Err != nil {
 				break
 			}
--- a/internal/soaker/soak_stream.go
+++ b/internal/soaker/soak_stream.go
@@ -90,6 +90,8 @@
 		c.failStream(s, "has events of several versions: %v", s.events)
 	case len(s.events) > s.want:
 		c.failStream(s, "has %d events, and not %d", len(s.events), s.want)
+	case sent.reply.IsComplete && standin.WholeEvents(sent.reply.Body) != sent.reply.Body:
+		c.failStream(s, "ended as complete within an event: %q", sent.reply.Body)
 	case sent.reply.IsComplete && !s.isWhole(c):
 		c.failStream(s, "ended as complete after %d events of %d", len(s.events), s.want)
 	}
@@ -134,11 +136,15 @@
 		return
 	}
 	s.hasFailed = true
-	var attempts []string
-	for _, sent := range s.attempts {
-		attempts = append(attempts, c.describe(sent))
+	c.violate("ORDER: a stream "+format+"; attempts: %s", append(args, c.describeAll(s.attempts))...)
+}
+
+func (c *caller) describeAll(attempts []sentCall) string {
+	texts := make([]string, len(attempts))
+	for i, sent := range attempts {
+		texts[i] = c.describe(sent)
 	}
-	c.violate("ORDER: a stream "+format+"; attempts: %s", append(args, strings.Join(attempts, "; "))...)
+	return strings.Join(texts, "; ")
 }
 
 // timeFormat is that of the instances' logs.
@@ -149,7 +155,7 @@
 func (c *caller) describe(sent sentCall) string {
 	var text strings.Builder
 	fmt.Fprintf(&text, "%s at %s", sent.call.ID, sent.instance.name)
-	if c.isOld() {
+	if sent.isOld {
 		text.WriteString(" by HTTP/1.0")
 	}
 	fmt.Fprintf(&text, " from %s for %v", sent.began.UTC().Format(timeFormat), sent.ended.Sub(sent.began).Round(time.Millisecond))
--- a/internal/soaker/soak_zero.go
+++ b/internal/soaker/soak_zero.go
@@ -24,10 +24,9 @@
 	switch c.random.IntN(3) {
 	case 0:
 		c.count(c.report.Checks, "no time")
-		call := standin.Call{Path: standin.PathLookup + "x", GracePeriod: zeroWait}
-		c.sendBy(ctx, in, call, func(ctx context.Context, call standin.Call) standin.Reply {
-			return standin.Do(ctx, c.client, in.callers(), call)
-		})
+		call := []standin.Call{turn, {Path: standin.PathLookup + "x"}, {Path: standin.PathPost + "x"}}[c.random.IntN(3)]
+		call.GracePeriod = zeroWait
+		c.sendBy(ctx, sentCall{call: call, instance: in}, c.exchange)
 	case 1:
 		c.count(c.report.Checks, "no budget")
 		turn.Budget = 0
