--- a/internal/soaker/soak_stream.go
+++ b/internal/soaker/soak_stream.go
@@ -158,6 +158,9 @@
 	if sent.isOld {
 		text.WriteString(" by HTTP/1.0")
 	}
+	if !sent.reply.Sent.IsZero() {
+		fmt.Fprintf(&text, ", sent whole at %s,", sent.reply.Sent.UTC().Format(timeFormat))
+	}
 	fmt.Fprintf(&text, " from %s for %v", sent.began.UTC().Format(timeFormat), sent.ended.Sub(sent.began).Round(time.Millisecond))
 	if sent.call.Resumes != "" || sent.call.StatesLastEventID {
 		fmt.Fprintf(&text, ", after event %d of %s", sent.call.LastEventID, sent.call.Resumes)
