--- a/internal/relayer/call.go
+++ b/internal/relayer/call.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
+	"github.com/wigeonstand/wigeonstand/internal/splitter"
 )
 
 // Call holds the decoded header of a caller's request.
@@ -23,8 +24,9 @@
 	// Credentials holds the header values with the key. They are forwarded only in deployments
 	// without accounts, whose endpoints may need them.
 	Credentials []string
-	// Timeout is how long the caller waits; zero if the header does not give it.
-	Timeout time.Duration
+	// Timeout is how long the caller waits. It is valid only if HasTimeout is set.
+	Timeout    time.Duration
+	HasTimeout bool
 
 	// Program is the ID of the program; empty for a request outside a program.
 	Program string
@@ -36,8 +38,9 @@
 	ProgramTimeLeft    time.Duration
 	HasProgramDeadline bool
 	// Budget is the number of tokens that all turns of the program together may
-	// generate; zero for a request without a budget.
-	Budget int64
+	// generate. It is valid only if HasBudget is set.
+	Budget    int64
+	HasBudget bool
 	// PromptTokens is the size of the turn's prompt, MaxTokens the limit of its
 	// output.
 	PromptTokens int64
@@ -49,9 +52,9 @@
 	// PreviousTurn is the ID of the turn that this turn continues; empty if there
 	// is none.
 	PreviousTurn string
-	// LastEventID is the number of the event after which the caller resumes a
-	// stream; zero to start at the first.
-	LastEventID int64
+	// LastEvent is the event after which the caller resumes a stream; not set to start
+	// at the first.
+	LastEvent splitter.EventID
 	// Object identifies what a request concerns; empty if unknown. Requests with the same one run
 	// faster at the same endpoint.
 	Object string
@@ -72,15 +75,15 @@
 type Dispatch struct {
 	// Endpoint is the ID of the endpoint that must serve the request.
 	Endpoint string
-	// Timeout is the time until the endpoint's deadline.
+	// Timeout is the time until the endpoint's deadline; omitted if zero.
 	Timeout time.Duration
 	// Priority is the priority in the endpoint's queue; omitted if negative.
 	Priority int
 	// Account is the name of the account that sent the request; omitted if empty.
 	Account string
-	// LastEventID is the number of the event after which the stream resumes; zero
-	// to start at the first.
-	LastEventID int64
+	// LastEvent is the event after which the stream resumes; not set to start at the
+	// first.
+	LastEvent splitter.EventID
 }
 
 // The faults of stated loads. A malformed load is not used at all; of one with an invalid
--- a/internal/soaker/soak_stream.go
+++ b/internal/soaker/soak_stream.go
@@ -41,7 +41,7 @@
 		call := s.first().call
 		call.StopAfter = 0
 		if len(s.events) > 0 {
-			call.Resumes, call.LastEventID = s.attempts[s.began].call.ID, s.events[len(s.events)-1].ID
+			call.Resumes, call.LastEventID, call.ResumesFromZero = s.attempts[s.began].call.ID, s.events[len(s.events)-1].ID, true
 		}
 		c.count(c.report.Checks, "stream taken up")
 		c.attempt(ctx, s, c.otherInstance(s.last().instance), call)
@@ -105,7 +105,7 @@
 	version := got[0].Version
 	numbering := c.numbering(version)
 	first := 0
-	if call.Resumes != "" || call.StatesLastEventID {
+	if call.ResumesFromZero {
 		first = numbering.After(call.LastEventID)
 	}
 	expected := make([]standin.StreamEvent, len(got))
@@ -162,7 +162,7 @@
 		fmt.Fprintf(&text, ", sent whole at %s,", sent.reply.Sent.UTC().Format(timeFormat))
 	}
 	fmt.Fprintf(&text, " from %s for %v", sent.began.UTC().Format(timeFormat), sent.ended.Sub(sent.began).Round(time.Millisecond))
-	if sent.call.Resumes != "" || sent.call.StatesLastEventID {
+	if sent.call.ResumesFromZero {
 		fmt.Fprintf(&text, ", after event %d of %s", sent.call.LastEventID, sent.call.Resumes)
 	}
 	fmt.Fprintf(&text, ", answered %d", sent.reply.Status)
--- a/internal/soaker/soak_zero.go
+++ b/internal/soaker/soak_zero.go
@@ -29,7 +29,7 @@
 		c.sendBy(ctx, sentCall{call: call, instance: in}, c.exchange)
 	case 1:
 		c.count(c.report.Checks, "no budget")
-		turn.Budget = 0
+		turn.Budget, turn.HasEmptyBudget = 0, true
 		events := 0
 		for range zeroTurns {
 			sent := c.send(ctx, in, turn)
@@ -41,7 +41,7 @@
 			c.violate("BUDGET: a program without tokens got %d events: %s", events, c.describe(c.sent[len(c.sent)-1]))
 		}
 	default:
-		turn.StatesLastEventID = true
+		turn.ResumesFromZero = true
 		c.attempt(ctx, &callerStream{want: mostEvents}, in, turn)
 	}
 }
