internal/sender: failing test of a reset that a write takes

A response that has neither a length nor chunks ends with its connection. If the endpoint resets the connection while a long body is still being sent, the kernel reports the reset to one call only.

--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -302,3 +302,43 @@
 		})
 	}
 }
+
+// A response that has neither a length nor chunks is reset while its request is still being sent.
+// The kernel reports the reset to one call only, and that may be the write.
+func TestResetDuringTheRequestDoesNotCompleteTheResponse(t *testing.T) {
+	const responses = 20
+	complete := 0
+	for range responses {
+		var listen net.ListenConfig
+		listener, err := listen.Listen(t.Context(), "tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReaderSize(conn, 512)) // The body is not read.
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nid: 1\n\n")
+			time.Sleep(20 * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0) // Close resets the connection.
+			_ = conn.Close()
+		}()
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		response, err := sender.New().Send(ctx, sender.Request{
+			Address: netip.MustParseAddrPort(listener.Addr().String()), Method: http.MethodPost, Target: "/", Host: "h", Body: make([]byte, 8<<20),
+		})
+		if err == nil {
+			if _, err = io.ReadAll(response.Body); err == nil {
+				complete++
+			}
+			response.Close()
+		}
+		cancel()
+		_ = listener.Close() // The response has ended.
+	}
+	if complete > 0 {
+		t.Errorf("%d of %d responses that were reset look complete", complete, responses)
+	}
+}
