internal/composer: failing test of a resumption that brings no events

A stream breaks off within its third event, the instance resumes it after the second, and the endpoint closes that connection in order after the head of a response with neither a length nor chunks, as a process does that is killed there. The end of a response without an event counts as the end of the stream: callers of HTTP/1.1 get two of five events, framed as complete.

--- a/internal/composer/broken_test.go
+++ b/internal/composer/broken_test.go
@@ -113,6 +113,27 @@
 	}
 }
 
+// A stream broke off within its third event, and the endpoint closed the connection of the resumption
+// after its head. Callers got a stream of two events that ended as if it were complete.
+func TestResumptionWithoutEventsDoesNotEndAStreamThatBrokeOffInAnEvent(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 1, 0)
+	framings := map[string]string{"chunks": chunked, "no-chunks": noChunks}
+	f.engines[0].Script = func(id string, resumeAfter int) string {
+		if resumeAfter == 0 {
+			return brokenStream(id, framings[id], "id: 3\nda")
+		}
+		return standin.ResponseHead(id, "200 OK", eventStream, noChunks) + "\r\n"
+	}
+	for name := range framings {
+		t.Run(name, func(t *testing.T) {
+			if reply := f.do(f.instances[0], sessionCall(name, name)); reply.IsComplete && reply.Status == http.StatusOK {
+				t.Errorf("the stream ended as if it were complete: %+v", reply)
+			}
+		})
+	}
+}
+
 // An endpoint closed its connection within the head of its response. Callers got a success with an
 // empty or short body, framed as whole.
 func TestHeadThatBreaksOffIsNoResponse(t *testing.T) {
