--- a/internal/composer/stop_test.go
+++ b/internal/composer/stop_test.go
@@ -49,23 +49,23 @@
 		id   string
 		path string
 		// startAt is late enough that the route's timeout ends after the grace period.
-		startAt time.Time
-		pace    standin.Pace
+		startAt  time.Time
+		schedule standin.Schedule
 	}
 	calls := []lateCall{
-		{id: "body-1", startAt: at(0), pace: standin.Pace{BodyAt: at(1)}},
-		{id: "body-3", startAt: at(0), pace: standin.Pace{BodyAt: at(3)}},
-		{id: "body-5.5", startAt: at(2.3), pace: standin.Pace{BodyAt: at(5.5)}},
-		{id: "body-6.35", startAt: at(2.3), pace: standin.Pace{BodyAt: at(6.35)}},
-		{id: "body-6.9", startAt: at(2.3), pace: standin.Pace{BodyAt: at(6.9)}},
-		{id: "body-7.4", startAt: at(2.3), pace: standin.Pace{BodyAt: at(7.4)}},
-		{id: "chunked-6.9", startAt: at(2.3), pace: standin.Pace{BodyAt: at(6.9), IsChunked: true}},
-		{id: "http10-6.9", startAt: at(2.3), pace: standin.Pace{BodyAt: at(6.9), IsHTTP10: true}},
-		{id: "turn-6.9", path: standin.PathRetained, startAt: at(2.3), pace: standin.Pace{BodyAt: at(6.9)}},
-		{id: "head-1", startAt: at(0), pace: standin.Pace{HeadAt: at(1)}},
-		{id: "head-3", startAt: at(2), pace: standin.Pace{HeadAt: at(3)}},
-		{id: "head-6.9", startAt: at(2), pace: standin.Pace{HeadAt: at(6.9)}},
-		{id: "head-7.4", startAt: at(2), pace: standin.Pace{HeadAt: at(7.4)}},
+		{id: "body-1", startAt: at(0), schedule: standin.Schedule{BodyAt: at(1)}},
+		{id: "body-3", startAt: at(0), schedule: standin.Schedule{BodyAt: at(3)}},
+		{id: "body-5.5", startAt: at(2.3), schedule: standin.Schedule{BodyAt: at(5.5)}},
+		{id: "body-6.35", startAt: at(2.3), schedule: standin.Schedule{BodyAt: at(6.35)}},
+		{id: "body-6.9", startAt: at(2.3), schedule: standin.Schedule{BodyAt: at(6.9)}},
+		{id: "body-7.4", startAt: at(2.3), schedule: standin.Schedule{BodyAt: at(7.4)}},
+		{id: "chunked-6.9", startAt: at(2.3), schedule: standin.Schedule{BodyAt: at(6.9), IsChunked: true}},
+		{id: "http10-6.9", startAt: at(2.3), schedule: standin.Schedule{BodyAt: at(6.9), IsHTTP10: true}},
+		{id: "turn-6.9", path: standin.PathRetained, startAt: at(2.3), schedule: standin.Schedule{BodyAt: at(6.9)}},
+		{id: "head-1", startAt: at(0), schedule: standin.Schedule{HeadAt: at(1)}},
+		{id: "head-3", startAt: at(2), schedule: standin.Schedule{HeadAt: at(3)}},
+		{id: "head-6.9", startAt: at(2), schedule: standin.Schedule{HeadAt: at(6.9)}},
+		{id: "head-7.4", startAt: at(2), schedule: standin.Schedule{HeadAt: at(7.4)}},
 	}
 	var work sync.WaitGroup
 	for _, c := range calls {
@@ -76,7 +76,7 @@
 			}
 			<-time.After(time.Until(c.startAt))
 			call.Method, call.Host, call.Deadline = http.MethodPost, standin.Host, 20*time.Second
-			reply := standin.DoSlowly(t.Context(), in.settings.CallerListen.String(), call, c.pace)
+			reply := standin.DoSlowly(t.Context(), in.settings.CallerListen.String(), call, c.schedule)
 			ran := f.runsOf(c.id)
 			switch {
 			case reply.Err != nil || !reply.IsComplete:
@@ -124,7 +124,7 @@
 		work.Go(func() {
 			call := standin.Call{ID: fmt.Sprintf("late-%d", i), Method: http.MethodPost, Host: standin.Host, Path: standin.PathLookup + "x", Body: "in", Deadline: 5 * time.Second}
 			// It is passed on before the latest moment, and breaks off after it.
-			reply := standin.DoSlowly(t.Context(), f.instances[0].settings.CallerListen.String(), call, standin.Pace{BodyAt: began.Add(1850 * time.Millisecond)})
+			reply := standin.DoSlowly(t.Context(), f.instances[0].settings.CallerListen.String(), call, standin.Schedule{BodyAt: began.Add(1850 * time.Millisecond)})
 			runs := f.runsOf(call.ID)
 			isRefused := reply.Status == http.StatusServiceUnavailable && runs == 0
 			isUnknown := reply.Status == http.StatusBadGateway && runs == 1
@@ -182,7 +182,7 @@
 	f := newFleet(t, 1, 1, 1)
 	call := turnCall("slow", "slow", "", "in\n")
 	call.Method, call.Host, call.Deadline = http.MethodPost, standin.Host, 5*time.Second
-	reply := standin.DoSlowly(t.Context(), f.instances[0].settings.CallerListen.String(), call, standin.Pace{BodyAt: time.Now().Add(2500 * time.Millisecond)})
+	reply := standin.DoSlowly(t.Context(), f.instances[0].settings.CallerListen.String(), call, standin.Schedule{BodyAt: time.Now().Add(2500 * time.Millisecond)})
 	if reply.Status != http.StatusOK || !reply.IsComplete {
 		t.Errorf("%+v", reply)
 	}
