cmd/wigeonstand: a SIGHUP during a planned stop does not end the process

What callers saw: requests that were being completed in a planned stop were cut without an answer, when a SIGHUP followed the SIGTERM (LOST).

Cause: SIGHUP was caught until the stop began. From then on it had its default action, which ends the process.

Change: it is caught from the start of the command to the end of the process.

TestHangupDuringAPlannedStopDoesNotEndTheProcess ended with "signal: hangup" before, and passes.

--- a/cmd/wigeonstand/cmd/entry.go
+++ b/cmd/wigeonstand/cmd/entry.go
@@ -39,6 +39,7 @@
 			},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			hangups := hangupSignals(ctx) // Before anything that takes time, as the signal may come at once.
 			file := c.String("file")
 			settings, err := configurer.LoadEntry(file)
 			if err != nil {
@@ -60,7 +61,7 @@
 			if err != nil {
 				return err
 			}
-			return entry.Run(ctx, hangupSignals(ctx), func() error {
+			return entry.Run(ctx, hangups, func() error {
 				_, err := configurer.LoadEntry(file)
 				return err
 			})
@@ -68,13 +69,13 @@
 	}
 }
 
-// hangupSignals returns a channel that receives a value for each SIGHUP until ctx is done.
+// hangupSignals returns a channel that receives a value for each SIGHUP until ctx is done. After that
+// the signal is ignored: its default action would end the process while it completes requests.
 func hangupSignals(ctx context.Context) <-chan struct{} {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
 	out := make(chan struct{})
 	go func() {
-		defer signal.Stop(signals)
 		for {
 			select {
 			case <-ctx.Done():
