--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -287,10 +287,12 @@
 	})
 }
 
-// heal ends all faults.
+// heal ends all faults, also those that endpoints usually have: a kept turn has few tries.
 func (s *soak) heal() error {
 	s.rows.SetFaults(fakeplatform.RowFaults{})
-	s.setEndpointFaults(false)
+	for _, e := range s.allEndpoints() {
+		e.SetFaults(standin.EndpointFaults{})
+	}
 	for _, l := range s.links {
 		l.set(linkFine)
 	}
