--- a/internal/soaker/soak_endpoint.go
+++ b/internal/soaker/soak_endpoint.go
@@ -53,6 +53,7 @@
 	serving, end := context.WithCancel(ctx)
 	e := &endpoint{Endpoint: standin.NewEndpoint(fmt.Sprintf("%s-%d", kind, i), events, pace, s.Seed+uint64(i)), kind: kind, end: end}
 	e.Version, e.Numbering, e.VariesFraming, e.RunsOn = version, s.numbering(version), true, i%3 == 2
+	e.StopsAtDeadline = true
 	if slots > 0 {
 		e.Slots = slots
 	}
