--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -54,6 +54,9 @@
 		"an endpoint's registration cannot be decoded; the endpoint gets no requests", "Find and correct the writer of the registration.")
 	eventPollFailed = logger.Define(5016, "PollFailed", log.WarnLevel,
 		"reading changes from the store failed; the last known state stays in force", "Check the store if this persists.")
+	eventRegistrationsKept = logger.Define(5017, "RegistrationsKept", log.WarnLevel,
+		"the store was away, so that registrations may have lapsed; endpoints whose registrations are missing are kept for a grace period",
+		"Check the store. If other instances reached it, see PollFailed for the reads that failed here.")
 )
 
 // Source describes the rows to watch and their encoding.
@@ -297,6 +300,7 @@
 	gap := now.Sub(w.lastRead)
 	if isOutage := w.hasFailed || gap > outageThreshold+wait; isOutage && gap > outageThreshold && !w.lastRead.IsZero() {
 		w.graceUntil = now.Add(lapseGrace)
+		w.log.Log(eventRegistrationsKept, "ReadAgo", gap, "ReadFailed", w.hasFailed)
 	}
 	w.hasFailed, w.lastRead = false, now
 	if changed || !w.isComplete.Load() || !w.graceUntil.IsZero() {
