internal/messenger: a silent connection says nothing about an instance

Callers of programs waited for a bookkeeper whose connections had gone silent, got StoreUnavailable or went to another bookkeeper, and an endpoint with a limit got a quarter of its requests for a second: a call without a reply on a pooled connection counted as the absence of the instance, and the next call took another silent one from the pool.

A call without a reply in time on a connection that was used before now fails with ErrStale, and the other unused connections to the address are closed. The client of bookkeepers suspects a member only if it answers no ping on a new connection either, and the issuer of permits is asked once more before its substitute. Calls that are canceled, those on connections that the other side closed, and those on new connections are as before.

--- a/internal/bookkeeper/client.go
+++ b/internal/bookkeeper/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net/netip"
 	"sync/atomic"
@@ -185,7 +186,7 @@
 
 // call calls the member, or the local function if the member is this instance. A
 // member may wait for the store, but the call is canceled if the member does not
-// answer a ping.
+// answer a ping. The member is suspected if it doesn't answer one on a new connection either.
 func call[In, Out any](ctx context.Context, c *Client, m discoverer.Member, method string, wait time.Duration,
 	in In, local func(context.Context, In) (Out, error),
 ) (Out, error) {
@@ -196,22 +197,34 @@
 	defer cancel()
 	var isAlive atomic.Bool
 	pingTimer := time.AfterFunc(pingDelay, func() {
-		pingCtx, stop := c.withTimeout(callCtx, pingTimeout)
-		defer stop()
-		if err := c.caller.Call(pingCtx, m.Address, methodPing, Ping{}, &Ping{}); err != nil {
+		err := c.ping(callCtx, m)
+		if !errors.Is(err, messenger.ErrStale) {
+			isAlive.Store(err == nil)
+		} else {
+			// The call itself probably waits on such a connection.
+			isAlive.Store(c.ping(callCtx, m) == nil)
+		}
+		if err != nil {
 			cancel()
-			return
 		}
-		isAlive.Store(true)
 	})
 	defer pingTimer.Stop()
 	var out Out
 	err := c.caller.Call(callCtx, m.Address, method, in, &out)
-	if err != nil && ctx.Err() == nil && !isAlive.Load() {
+	if err == nil || ctx.Err() != nil || isAlive.Load() {
+		return out, err
+	}
+	if !errors.Is(err, messenger.ErrStale) || c.ping(ctx, m) != nil {
 		c.members.Suspect(m.Instance)
-		return out, eris.Wrapf(err, "bookkeeper %s", m.Instance)
 	}
-	return out, err
+	return out, eris.Wrapf(err, "bookkeeper %s", m.Instance)
+}
+
+// ping checks whether the member answers.
+func (c *Client) ping(ctx context.Context, m discoverer.Member) error {
+	ctx, cancel := c.withTimeout(ctx, pingTimeout)
+	defer cancel()
+	return c.caller.Call(ctx, m.Address, methodPing, Ping{}, &Ping{})
 }
 
 // Ping is the request and the response of a liveness check.
--- a/internal/bookkeeper/client_test.go
+++ b/internal/bookkeeper/client_test.go
@@ -25,6 +25,8 @@
 	mu       sync.Mutex
 	handlers map[netip.AddrPort]map[string]messenger.Handler
 	silent   map[netip.AddrPort]bool
+	// stale is the number of silent connections to an address. Each of the next calls uses one.
+	stale map[netip.AddrPort]int
 	// delay is how long each call takes.
 	delay time.Duration
 }
@@ -32,7 +34,18 @@
 func (n *network) Call(ctx context.Context, address netip.AddrPort, method string, in, out any) error {
 	n.mu.Lock()
 	handler, silent, delay := n.handlers[address][method], n.silent[address], n.delay
+	isStale := n.stale[address] > 0
+	if isStale {
+		n.stale[address]--
+	}
 	n.mu.Unlock()
+	if isStale {
+		<-ctx.Done()
+		if errors.Is(context.Cause(ctx), context.Canceled) {
+			return ctx.Err()
+		}
+		return messenger.ErrStale
+	}
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
@@ -133,6 +146,27 @@
 	})
 }
 
+// A bookkeeper to which connections had gone silent counted as ended, and the instance went to another
+// one.
+func TestBookkeeperIsKeptAfterSilentConnections(t *testing.T) {
+	for _, connections := range []int{1, 2} {
+		runFleet(t, 1, func(t *testing.T, f *fleet) {
+			s := newDataCentre(t, f, 5)
+			_, keeper := s.runTurn(t, 0, "p", "first", 5000, 70)
+			for i, m := range s.members {
+				if m.Self().Instance == keeper.Instance {
+					continue
+				}
+				s.network.stale = map[netip.AddrPort]int{keeper.Address: connections}
+				status, m := s.runTurn(t, i, "p", fmt.Sprint("turn ", i), 5000, 70)
+				if status != bookkeeper.OK || m.Instance != keeper.Instance {
+					t.Errorf("%d silent connections, client %d: status %v at %s, want that of %s", connections, i, status, m.Instance, keeper.Instance)
+				}
+			}
+		})
+	}
+}
+
 // When a bookkeeper dies under load, the instances must fall back to the same next
 // one. When each instance wrote by itself, 68 writers overloaded one partition of
 // the store.
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -5,9 +5,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -48,6 +50,12 @@
 	compactName = "/c"
 )
 
+// ErrStale means that a call had no reply in time on a connection that was used before. Connections
+// may go silent one by one, so that this says nothing about the instance: the next call, on a new
+// connection, does. If the call fails on that, too, the error is another one, as it is if the
+// connection was closed: then the process has probably ended.
+var ErrStale = errors.New("no reply on a connection that was used before")
+
 // envelope is the wire form of requests and replies.
 type envelope struct {
 	Method string `cbor:"1,keyasint,omitempty"`
@@ -183,7 +191,7 @@
 
 // Client calls other instances and opens streams to them.
 type Client struct {
-	dialer      *net.Dialer
+	dialContext func(ctx context.Context, network, address string) (net.Conn, error)
 	withTimeout Timeouts
 	pool        *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
 }
@@ -197,10 +205,15 @@
 // WithTimeouts sets the source of the timeouts of connections, context.WithTimeout by default.
 func WithTimeouts(t Timeouts) ClientOption { return func(c *Client) { c.withTimeout = t } }
 
+// WithDial sets the function that opens connections.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) ClientOption {
+	return func(c *Client) { c.dialContext = dial }
+}
+
 // NewClient returns a Client.
 func NewClient(options ...ClientOption) *Client {
 	c := &Client{
-		dialer: dialer.New(0, ackTimeout), withTimeout: context.WithTimeout,
+		dialContext: dialer.New(0, ackTimeout).DialContext, withTimeout: context.WithTimeout,
 		pool: drpcpool.New[netip.AddrPort, drpcpool.Conn](drpcpool.Options{
 			Expiration: idleTimeout, Capacity: maxIdle, KeyCapacity: maxIdlePerAddress,
 		}),
@@ -216,18 +229,32 @@
 func (c *Client) dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 	ctx, cancel := c.withTimeout(ctx, dialTimeout)
 	defer cancel()
-	return c.dialer.DialContext(ctx, "tcp", address.String())
+	return c.dialContext(ctx, "tcp", address.String())
+}
+
+// closeIdle closes the unused connections to the address, so that the next call opens a new one.
+func (c *Client) closeIdle(address netip.AddrPort) {
+	for conn, found := c.pool.Take(address); found; conn, found = c.pool.Take(address) {
+		_ = conn.Close() // Unused connections have no pending data.
+	}
 }
 
 // Close closes the unused connections.
 func (c *Client) Close() { _ = c.pool.Close() } // Unused connections have no pending data.
 
 // Call calls the method of the instance at the address and decodes the reply into
-// out. If it returns an error, the call may still have been executed.
+// out. If it returns an error, the call may still have been executed. The error is ErrStale if there
+// was no reply on a connection that was used before; the unused ones to the address are then closed.
 func (c *Client) Call(ctx context.Context, address netip.AddrPort, method string, in, out any) error {
 	return c.call(ctx, address, rpcName, method, in, out)
 }
 
+// isTimeout reports whether a call with the error was not answered before ctx ended, or what it sent
+// was not acknowledged.
+func isTimeout(ctx context.Context, err error) bool {
+	return errors.Is(context.Cause(ctx), context.DeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT)
+}
+
 // CompactClient is a Client for frequent calls with small messages, which are shorter on the
 // wire.
 type CompactClient struct{ *Client }
@@ -242,7 +269,9 @@
 	if err != nil {
 		return eris.Wrap(err, "encode the request")
 	}
+	isReused := true
 	conn := c.pool.Get(ctx, address, func(ctx context.Context, address netip.AddrPort) (drpcpool.Conn, error) {
+		isReused = false
 		netConn, err := c.dial(ctx, address)
 		if err != nil {
 			return nil, err
@@ -255,7 +284,12 @@
 	for {
 		var reply envelope
 		if err := conn.Invoke(ctx, rpc, cborEncoding{}, request, &reply); err != nil {
-			return eris.Wrapf(err, "call %s at %s", method, address)
+			err = eris.Wrapf(err, "call %s at %s", method, address)
+			if isReused && isTimeout(ctx, err) {
+				c.closeIdle(address)
+				err = errors.Join(ErrStale, err)
+			}
+			return err
 		}
 		if reply.Failure != "" {
 			return eris.Errorf("call %s at %s: %s", method, address, reply.Failure)
@@ -267,6 +301,7 @@
 			return eris.Errorf("call %s at %s: the reply exceeds %d bytes", method, address, maxReplyBytes)
 		}
 		extender.Progress(ctx)
+		isReused = true
 		request = &envelope{Rest: reply.Rest}
 	}
 	return eris.Wrap(cbor.Unmarshal(content, out), "decode the reply")
--- a/internal/rationer/rationer.go
+++ b/internal/rationer/rationer.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -164,10 +165,11 @@
 	if isUnreachable {
 		return Response{}, false
 	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var out Response
-	if err := r.caller.Call(callCtx, m.Address, methodIssue, in, &out); err != nil {
+	out, err := r.call(ctx, m, in)
+	if errors.Is(err, messenger.ErrStale) && ctx.Err() == nil {
+		out, err = r.call(ctx, m, in)
+	}
+	if err != nil {
 		if ctx.Err() == nil {
 			r.mu.Lock()
 			r.unreachableUntil[m.Instance] = time.Now().Add(unreachableTimeout)
@@ -179,6 +181,13 @@
 	return out, true
 }
 
+func (r *Rationer) call(ctx context.Context, m discoverer.Member, in Request) (out Response, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err = r.caller.Call(ctx, m.Address, methodIssue, in, &out)
+	return out, err
+}
+
 // issue issues a permit on this instance. An instance that is not the first in its own
 // list, or that others may have dropped from theirs, is a substitute.
 func (r *Rationer) issue(in Request) Response {
