internal/rerouter: reads without a response are repeated on new connections

Two reads that timed out together on silent connections also made the path Lost while the store answered new connections, and a write on one was known to be lost after 1.95 s.

A read without a response now closes the idle connections and is repeated on a new one, also on behalf of other instances and to check a late write. Of the reads without a response only those that began after that count against the path, and of the calls that time out together one raises the timeouts. A poll that has no response on a new connection either waits for another path. The watcher concludes an outage from the path: it was Lost, and came back directly or only after the instances that are asked first had time to answer. An instance that the store rejects while others reach it no longer keeps removed endpoints.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -185,7 +185,7 @@
 		tunneler.WithLogger(e.log), tunneler.WithTimeouts(e.extender.WithTimeout), tunneler.WithSilenceObserver(e.sender.CloseIdle))
 	tableCopies := bootstrapper.New(e.discoverer, e.peerClient, e.log, bootstrapper.WithTimeouts(e.extender.WithTimeout))
 	platform.Source.EndpointRemoved = func(endpoint registrar.Endpoint) { e.sender.CloseIdle(endpoint.Address) }
-	watcherOptions := []watcher.Option{watcher.WithLogger(e.log), watcher.WithRestored(e.rerouter.Restored), watcher.WithBootstrapper(tableCopies)}
+	watcherOptions := []watcher.Option{watcher.WithLogger(e.log), watcher.WithRestored(e.rerouter.Restored), watcher.WithOutages(e.rerouter.WasAway), watcher.WithBootstrapper(tableCopies)}
 	if settings.RevokeStrict {
 		watcherOptions = append(watcherOptions, watcher.WithMaxWait(settings.RevokeDeadline/readsPerRevokeDeadline))
 	}
--- a/internal/rerouter/relay.go
+++ b/internal/rerouter/relay.go
@@ -96,7 +96,7 @@
 	accept, err := relayed(bounded, m)
 	r.countCall(op.name, Relayed.String(), resultName(err))
 	if ctx.Err() == nil {
-		r.adaptTimeouts(op, isResponse(err), errors.Is(context.Cause(bounded), context.DeadlineExceeded), responseTime(bounded, start))
+		r.adaptTimeouts(op, isResponse(err), errors.Is(context.Cause(bounded), context.DeadlineExceeded), start, responseTime(bounded, start))
 		r.recordRelayResult(m, isResponse(err))
 	}
 	return relayResult{accept: accept, err: err}
@@ -153,18 +153,26 @@
 		}),
 		methodList: messenger.Handle(func(ctx context.Context, in relayList) (relayedPage, error) {
 			var out relayedPage
-			err := r.serveRelayed(func() (err error) {
-				out.Page, err = r.direct.List(ctx, in.Range)
-				return err
+			err := r.serveRelayed(func() error {
+				return r.readAnew(ctx, r.timeout(false), maxTimeout, func(ctx context.Context, _ bool) (err error) {
+					out.Page, err = r.direct.List(ctx, in.Range)
+					return err
+				})
 			})
 			out.setErr(err)
 			return out, nil
 		}),
 		methodChanges: messenger.Handle(func(ctx context.Context, in relayChanges) (relayedPage, error) {
 			var out relayedPage
-			err := r.serveRelayed(func() (err error) {
-				out.Page, err = r.direct.Changes(ctx, in.Table, in.After, in.Wait)
-				return err
+			err := r.serveRelayed(func() error {
+				return r.readAnew(ctx, r.timeout(false)+in.Wait, maxTimeout, func(ctx context.Context, isRepeated bool) (err error) {
+					wait := in.Wait
+					if isRepeated {
+						wait = 0 // There may be changes since.
+					}
+					out.Page, err = r.direct.Changes(ctx, in.Table, in.After, wait)
+					return err
+				})
 			})
 			out.setErr(err)
 			return out, nil
--- a/internal/rerouter/rerouter.go
+++ b/internal/rerouter/rerouter.go
@@ -42,7 +42,7 @@
 	// probeTable is the table that probes read. It need not have rows.
 	probeTable = "probe"
 	// maxDirectFailures is the number of consecutive failed direct reads after
-	// which the path is no longer Direct.
+	// which the path is no longer Direct. All but the first are made on new connections.
 	maxDirectFailures = 2
 	// maxRelayedReads and maxRelayedWrites are the maximum numbers of instances that a call is
 	// relayed to. Those for a write are asked one after the other.
@@ -50,6 +50,9 @@
 	maxRelayedWrites = 2
 	// hedgeDelay is the time after which a read is relayed to another instance, too.
 	hedgeDelay = 100 * time.Millisecond
+	// relaySearch is how long the search for an instance that reaches the store takes at most, if
+	// one of those that are asked first does.
+	relaySearch = (maxRelayedReads + 1) * hedgeDelay
 	// relayMargin is added to the timeout of a call for its relaying.
 	relayMargin = 100 * time.Millisecond
 )
@@ -65,12 +68,17 @@
 	// name is the operation in metrics.
 	name    string
 	isWrite bool
+	// isPoll is set for reads that are repeated once there is another path.
+	isPoll bool
 	// wait is the time for which the store may delay its response.
 	wait time.Duration
 	// transfer is the time that the call may take until it has been sent.
 	transfer time.Duration
 }
 
+// isRepeatable reports whether a call without a response is made again as it is.
+func (o operation) isRepeatable() bool { return !o.isWrite && o.wait == 0 }
+
 // probe is the operation of probes.
 var probe = operation{name: "Probe"}
 
@@ -101,6 +109,12 @@
 	Call(ctx context.Context, address netip.AddrPort, method string, in, out any) error
 }
 
+// idleCloser is implemented by a store with connections, which may go silent one by one.
+type idleCloser interface {
+	// CloseIdle closes the idle connections, so that the next calls open new ones.
+	CloseIdle()
+}
+
 // Timeouts returns a context that ends after the timeout with the cause
 // context.DeadlineExceeded. That of package extender restarts while a response is under way.
 type Timeouts func(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
@@ -109,6 +123,7 @@
 // use.
 type Rerouter struct {
 	direct       storer.Rows
+	closeIdle    func()
 	caller       Caller
 	onPathChange func(from, to Path, cause error)
 	countCall    func(operation, path, result string)
@@ -126,11 +141,17 @@
 	// readTimeout bounds a read, and writeWait is the time after which the response
 	// to a write counts as late. They differ because writes are queued in a busy
 	// partition.
-	readTimeout    time.Duration
-	writeWait      time.Duration
+	readTimeout time.Duration
+	writeWait   time.Duration
+	// raisedAt is when a timeout last raised them.
+	raisedAt       time.Time
 	directFailures int
-	path           Path
-	lastResponse   time.Time
+	// renewedAt is when the idle connections were closed after the first of directFailures
+	// that had no response; zero if none of them had that reason. Reads that began earlier may
+	// have used another silent connection.
+	renewedAt    time.Time
+	path         Path
+	lastResponse time.Time
 	// lastDirect is the time of the store's last response to a direct call.
 	lastDirect time.Time
 	// lastAccepted is the last time at which the store is known to have accepted a direct
@@ -138,6 +159,9 @@
 	lastAccepted time.Time
 	// lastRefusal is the time of the last direct read that the store refused.
 	lastRefusal time.Time
+	// lostAt is when the path was last lost, and awayAt the end of the last time in which other
+	// instances did not reach the store either.
+	lostAt, awayAt time.Time
 	// restored is closed and replaced when the path changes from Lost.
 	restored chan struct{}
 	// rerouted is closed when the path becomes Relayed, and replaced when it becomes
@@ -163,12 +187,16 @@
 // WithTimeouts sets the source of the timeouts of calls, context.WithTimeout by default.
 func WithTimeouts(t Timeouts) Option { return func(r *Rerouter) { r.withTimeout = t } }
 
-// New returns a Rerouter. SetRelays must be called before it relays.
+// New returns a Rerouter. SetRelays must be called before it relays. If direct has a method
+// CloseIdle, it is called after a direct call without a response.
 func New(direct storer.Rows, caller Caller, options ...Option) *Rerouter {
 	r := &Rerouter{
 		direct: direct, caller: caller, readTimeout: minReadTimeout, writeWait: minWriteWait,
 		probeRequests: make(chan struct{}, 1), relayFailures: map[string]time.Time{}, rerouted: make(chan struct{}), restored: make(chan struct{}),
-		onPathChange: func(Path, Path, error) {}, countCall: func(string, string, string) {}, withTimeout: context.WithTimeout,
+		onPathChange: func(Path, Path, error) {}, countCall: func(string, string, string) {}, withTimeout: context.WithTimeout, closeIdle: func() {},
+	}
+	if c, ok := direct.(idleCloser); ok {
+		r.closeIdle = c.CloseIdle
 	}
 	for _, option := range options {
 		option(r)
@@ -190,6 +218,14 @@
 	return r.path, r.lastResponse
 }
 
+// WasAway reports whether the store may have been away at some time since the given one: it was
+// not reached directly, and no other instance was found that reached it.
+func (r *Rerouter) WasAway(since time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.awayAt.After(since)
+}
+
 // Restored returns a channel that is closed when a path is found after the path was Lost.
 func (r *Rerouter) Restored() <-chan struct{} {
 	r.mu.Lock()
@@ -258,10 +294,11 @@
 				timer.Stop()
 			case <-timer.C:
 			}
-			bounded, stop := r.withTimeout(ctx, minReadTimeout)
-			_, err := r.direct.List(bounded, probeRange)
-			stop()
-			r.countCall("Watch", Direct.String(), resultName(err))
+			err := r.readAnew(ctx, minReadTimeout, minReadTimeout, func(ctx context.Context, _ bool) error {
+				_, err := r.direct.List(ctx, probeRange)
+				r.countCall("Watch", Direct.String(), resultName(err))
+				return err
+			})
 			if err == nil {
 				cancel(storer.ErrResponseLost)
 				return
@@ -271,6 +308,22 @@
 	return ctx, func() { cancel(nil) }
 }
 
+// readAnew calls read, and calls it again on a new connection if there is no response within the
+// first timeout. A connection may be silent while new ones work.
+func (r *Rerouter) readAnew(ctx context.Context, first, second time.Duration, read func(ctx context.Context, isRepeated bool) error) error {
+	try := func(timeout time.Duration, isRepeated bool) error {
+		bounded, stop := r.withTimeout(ctx, timeout)
+		defer stop()
+		return read(bounded, isRepeated)
+	}
+	err := try(first, false)
+	if !isSilence(err) || ctx.Err() != nil {
+		return err
+	}
+	r.closeIdle()
+	return try(second, true)
+}
+
 // List implements storer.Rows.
 func (r *Rerouter) List(ctx context.Context, list storer.Range) (page storer.Page, err error) {
 	err = r.call(ctx, operation{name: "List"}, func(ctx context.Context) (err error) {
@@ -280,16 +333,50 @@
 	return page, err
 }
 
-// Changes implements storer.Rows.
-func (r *Rerouter) Changes(ctx context.Context, table string, after int64, wait time.Duration) (page storer.Page, err error) {
-	err = r.call(ctx, operation{name: "Changes", wait: wait}, func(ctx context.Context) (err error) {
+// Changes implements storer.Rows. If there is no response, it reads again without a wait, as there
+// may be changes since: on a new connection, and then on the path that Run finds within the wait.
+func (r *Rerouter) Changes(ctx context.Context, table string, after int64, wait time.Duration) (storer.Page, error) {
+	page, err := r.changes(ctx, table, after, wait)
+	if wait == 0 || !isSilence(err) || ctx.Err() != nil {
+		return page, err
+	}
+	page, err = r.changes(ctx, table, after, 0)
+	if isSilence(err) && r.awaitPath(ctx, wait) {
+		return r.changes(ctx, table, after, 0)
+	}
+	return page, err
+}
+
+// awaitPath waits until the path is not Lost, and at most for the given time. It reports whether
+// there is a path.
+func (r *Rerouter) awaitPath(ctx context.Context, wait time.Duration) bool {
+	r.mu.Lock()
+	path, restored := r.path, r.restored
+	r.mu.Unlock()
+	if path != Lost {
+		return path == Relayed
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-restored:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+func (r *Rerouter) changes(ctx context.Context, table string, after int64, wait time.Duration) (page storer.Page, err error) {
+	err = r.call(ctx, operation{name: "Changes", wait: wait, isPoll: true}, func(ctx context.Context) (err error) {
 		page, err = r.direct.Changes(ctx, table, after, wait)
 		return err
 	}, r.relayRead(methodChanges, relayChanges{Table: table, After: after, Wait: wait}, &page))
 	return page, err
 }
 
-// call makes a call on the current path. If the path changes during a direct call,
+// call makes a call on the current path. A direct read without a response is repeated
+// on a new connection. If the path changes during a direct call,
 // the call is repeated through another instance. A transaction can be repeated
 // because of its conditions. While the path is Lost, calls fail immediately and Run
 // looks for a path.
@@ -304,12 +391,14 @@
 	inDoubt := false
 	if path == Direct {
 		failure = r.callDirect(ctx, op, direct)
+		if path, _ = r.Path(); path == Direct && op.isRepeatable() && isSilence(failure) && ctx.Err() == nil {
+			failure = r.callDirect(ctx, op, direct)
+		}
 		if path, _ = r.Path(); isResponse(failure) || path == Direct || ctx.Err() != nil {
 			return failure
 		}
-		if op.wait > 0 {
-			// Another instance without responses would take as long. The next read need not wait
-			// for changes, as there may be some.
+		if op.isPoll {
+			// Run looks for a path with a shorter call.
 			return failure
 		}
 		inDoubt = errors.Is(failure, storer.ErrInDoubt)
@@ -406,6 +495,9 @@
 	if ctx.Err() != nil {
 		return err // The caller's cancellation does not indicate a store failure.
 	}
+	if isSilence(err) {
+		r.closeIdle() // Other connections may have gone silent, too.
+	}
 	ok := isResponse(err)
 	isRefusal := !op.isWrite && isRefusal(err) && bounded.Err() == nil
 	isOutdated := r.recordDirect(op, ok, isRefusal, start)
@@ -415,7 +507,7 @@
 	if isOutdated {
 		return err
 	}
-	r.adaptTimeouts(op, ok, errors.Is(err, storer.ErrInDoubt) && time.Since(start) >= limit, responseTime(bounded, start))
+	r.adaptTimeouts(op, ok, isSilence(err) && time.Since(start) >= limit, start, responseTime(bounded, start))
 	switch {
 	case ok:
 		r.setPath(Direct, nil)
@@ -425,11 +517,7 @@
 		}
 		r.requestProbe()
 	default:
-		r.mu.Lock()
-		r.directFailures++
-		lost := r.directFailures >= maxDirectFailures && r.path == Direct
-		r.mu.Unlock()
-		if lost {
+		if r.recordDirectFailure(isSilence(err), start) {
 			r.setPath(Lost, err)
 		} else if op != probe {
 			r.requestProbe() // A failure alone may be a lost response; the next read may be late.
@@ -468,13 +556,28 @@
 	case accepted.Before(r.lastRefusal):
 		return true
 	}
-	r.lastDirect, r.directFailures = now, 0
+	r.lastDirect, r.directFailures, r.renewedAt = now, 0, time.Time{}
 	if accepted.After(r.lastAccepted) {
 		r.lastAccepted = accepted
 	}
 	return false
 }
 
+// recordDirectFailure counts a failed direct read that started at the given time. It reports
+// whether the path is no longer Direct. Of the reads without a response, only those that began
+// after the idle connections were closed add to the first one.
+func (r *Rerouter) recordDirectFailure(isSilent bool, start time.Time) (isLost bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case !isSilent, !r.renewedAt.IsZero() && !start.Before(r.renewedAt):
+		r.directFailures++
+	case r.renewedAt.IsZero():
+		r.renewedAt, r.directFailures = time.Now(), max(r.directFailures, 1)
+	}
+	return r.directFailures >= maxDirectFailures && r.path == Direct
+}
+
 // requestProbe makes Run probe the store.
 func (r *Rerouter) requestProbe() {
 	select {
@@ -489,10 +592,10 @@
 	return time.Since(r.lastAccepted) < recentResponse
 }
 
-// adaptTimeouts sets the timeouts by the result of the last call, on whichever path. A
-// timeout of either kind of call raises both: a store that is slow with one kind is slow with
-// the other.
-func (r *Rerouter) adaptTimeouts(op operation, ok, timedOut bool, took time.Duration) {
+// adaptTimeouts sets the timeouts by the result of a call that started at the given time, on
+// whichever path. A timeout of either kind of call raises both: a store that is slow with one kind
+// is slow with the other. Of the calls that time out together, one raises them.
+func (r *Rerouter) adaptTimeouts(op operation, ok, timedOut bool, start time.Time, took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
@@ -501,7 +604,8 @@
 		r.writeWait = min(max(timeoutFactor*took, minWriteWait), maxTimeout)
 	case ok:
 		r.readTimeout = min(max(timeoutFactor*took, minReadTimeout), maxTimeout)
-	case timedOut:
+	case timedOut && !start.Before(r.raisedAt):
+		r.raisedAt = time.Now()
 		r.readTimeout = min(2*r.readTimeout, maxTimeout)
 		r.writeWait = min(2*r.writeWait, maxTimeout)
 	}
@@ -527,7 +631,13 @@
 	if from != to {
 		r.updateRerouted(to)
 	}
+	if from != Lost && to == Lost {
+		r.lostAt = time.Now()
+	}
 	if from == Lost && to != Lost {
+		if to == Direct || time.Since(r.lostAt) > relaySearch {
+			r.awayAt = time.Now()
+		}
 		close(r.restored)
 		r.restored = make(chan struct{})
 	}
@@ -559,6 +669,9 @@
 	return err == nil || errors.Is(err, storer.ErrConflict) || errors.Is(err, storer.ErrInvalid) || errors.Is(err, storer.ErrVersionExpired)
 }
 
+// isSilence reports whether a connection was opened but the response did not arrive on it.
+func isSilence(err error) bool { return errors.Is(err, storer.ErrInDoubt) }
+
 // isRefusal reports whether the store did not run the call, for another reason than a rate that
 // was exceeded.
 func isRefusal(err error) bool {
--- a/internal/watcher/rejected_test.go
+++ b/internal/watcher/rejected_test.go
@@ -30,7 +30,9 @@
 	members  []discoverer.Member
 	handlers map[netip.AddrPort]map[string]messenger.Handler
 	watchers map[string]*watcher.Watcher
-	running  sync.WaitGroup
+	// registries are those of the watchers.
+	registries map[string]*registrar.Registry
+	running    sync.WaitGroup
 }
 
 func (f *instances) name(i int) string { return fmt.Sprintf("entry-%d", i) }
@@ -64,7 +66,7 @@
 
 // start starts n instances, which run until ctx ends.
 func start(ctx context.Context, rows *fakeplatform.Rows, n int) *instances {
-	f := &instances{rows: rows, handlers: map[netip.AddrPort]map[string]messenger.Handler{}, watchers: map[string]*watcher.Watcher{}}
+	f := &instances{rows: rows, handlers: map[netip.AddrPort]map[string]messenger.Handler{}, watchers: map[string]*watcher.Watcher{}, registries: map[string]*registrar.Registry{}}
 	for i := range n {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)
 		f.members = append(f.members, discoverer.Member{Instance: f.name(i), Address: address})
@@ -80,7 +82,8 @@
 	peers := peersOf{f, name}
 	r := rerouter.New(f.rows.For(name), peers, rerouter.WithTimeouts(extender.New().WithTimeout))
 	r.SetRelays(peers)
-	w := watcher.New(source(), r, registrar.New(), append(options, watcher.WithRestored(r.Restored))...)
+	f.registries[name] = registrar.New()
+	w := watcher.New(source(), r, f.registries[name], append(options, watcher.WithRestored(r.Restored), watcher.WithOutages(r.WasAway))...)
 	f.watchers[name] = w
 	f.running.Go(func() { r.Run(ctx) })
 	f.running.Go(func() { w.Run(ctx) })
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -82,6 +82,7 @@
 	log          *logger.Logger
 	maxWait      time.Duration
 	restored     func() <-chan struct{}
+	wasAway      func(since time.Time) bool
 
 	configuration *tracker.Tracker
 	registrations *tracker.Tracker
@@ -133,6 +134,12 @@
 	return func(w *Watcher) { w.restored = restored }
 }
 
+// WithOutages sets a function that reports whether the store was unreachable on all paths at some
+// time since the given one. A read may wait for the end of an outage and succeed.
+func WithOutages(wasAway func(since time.Time) bool) Option {
+	return func(w *Watcher) { w.wasAway = wasAway }
+}
+
 // WithLogger sets the logger of events.
 func WithLogger(l *logger.Logger) Option { return func(w *Watcher) { w.log = l } }
 
@@ -141,6 +148,7 @@
 	w := &Watcher{
 		source: source, rows: rows, registry: registry, log: logger.Discard(),
 		endpoints: map[string]registration{}, maxWait: changeWait, restored: func() <-chan struct{} { return nil },
+		wasAway: func(time.Time) bool { return false },
 	}
 	for _, option := range options {
 		option(w)
@@ -298,9 +306,10 @@
 	}
 	now := time.Now()
 	gap := now.Sub(w.lastRead)
-	if isOutage := w.hasFailed || gap > outageThreshold+wait; isOutage && gap > outageThreshold && !w.lastRead.IsZero() {
+	wasAway := w.wasAway(w.lastRead)
+	if isOutage := w.hasFailed || wasAway || gap > outageThreshold+wait; isOutage && gap > outageThreshold && !w.lastRead.IsZero() {
 		w.graceUntil = now.Add(lapseGrace)
-		w.log.Log(eventRegistrationsKept, "ReadAgo", gap, "ReadFailed", w.hasFailed)
+		w.log.Log(eventRegistrationsKept, "ReadAgo", gap, "ReadFailed", w.hasFailed, "StoreAway", wasAway)
 	}
 	w.hasFailed, w.lastRead = false, now
 	if changed || !w.isComplete.Load() || !w.graceUntil.IsZero() {
