--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -54,6 +54,9 @@
 		"an endpoint's registration cannot be decoded; the endpoint gets no requests", "Find and correct the writer of the registration.")
 	eventPollFailed = logger.Define(5016, "PollFailed", log.WarnLevel,
 		"reading changes from the store failed; the last known state stays in force", "Check the store if this persists.")
+	eventRegistrationsKept = logger.Define(5017, "RegistrationsKept", log.WarnLevel,
+		"the store was away, so that registrations may have lapsed; endpoints whose registrations are missing are kept for a grace period",
+		"Check the store. If other instances reached it, see PollFailed for the reads that failed here.")
 )
 
 // Source describes the rows to watch and their encoding.
@@ -79,6 +82,7 @@
 	log          *logger.Logger
 	maxWait      time.Duration
 	restored     func() <-chan struct{}
+	wasAway      func(since time.Time) bool
 
 	configuration *tracker.Tracker
 	registrations *tracker.Tracker
@@ -130,6 +134,12 @@
 	return func(w *Watcher) { w.restored = restored }
 }
 
+// WithOutages sets a function that reports whether the store was unreachable on all paths at some
+// time since the given one. A read may wait for the end of an outage and succeed.
+func WithOutages(wasAway func(since time.Time) bool) Option {
+	return func(w *Watcher) { w.wasAway = wasAway }
+}
+
 // WithLogger sets the logger of events.
 func WithLogger(l *logger.Logger) Option { return func(w *Watcher) { w.log = l } }
 
@@ -138,6 +148,7 @@
 	w := &Watcher{
 		source: source, rows: rows, registry: registry, log: logger.Discard(),
 		endpoints: map[string]registration{}, maxWait: changeWait, restored: func() <-chan struct{} { return nil },
+		wasAway: func(time.Time) bool { return false },
 	}
 	for _, option := range options {
 		option(w)
@@ -295,8 +306,10 @@
 	}
 	now := time.Now()
 	gap := now.Sub(w.lastRead)
-	if isOutage := w.hasFailed || gap > outageThreshold+wait; isOutage && gap > outageThreshold && !w.lastRead.IsZero() {
+	wasAway := w.wasAway(w.lastRead)
+	if isOutage := w.hasFailed || wasAway || gap > outageThreshold+wait; isOutage && gap > outageThreshold && !w.lastRead.IsZero() {
 		w.graceUntil = now.Add(lapseGrace)
+		w.log.Log(eventRegistrationsKept, "ReadAgo", gap, "ReadFailed", w.hasFailed, "StoreAway", wasAway)
 	}
 	w.hasFailed, w.lastRead = false, now
 	if changed || !w.isComplete.Load() || !w.graceUntil.IsZero() {
