--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -244,21 +244,9 @@
 		x.refuse(answerer.New(answerer.NotFound, "no route matches the request"), "NoRoute")
 		return
 	}
-	if !x.authenticate() {
+	if !x.authenticate() || !x.setDeadline() {
 		return
 	}
-	timeout := defaultTimeout
-	if x.call.HasTimeout {
-		timeout = x.call.Timeout
-	}
-	if timeout == 0 {
-		x.refuse(answerer.New(answerer.Infeasible, "the caller does not wait for a response").WithRetryAfter(shortRetryAfter), "NoTime")
-		return
-	}
-	if x.route.Timeout > 0 {
-		timeout = min(timeout, x.route.Timeout)
-	}
-	x.deadline = x.arrival.Add(timeout)
 	x.service = x.route.PickService(xxhash.Sum64String(x.placementKey()))
 	if !x.mayPassOn(false) {
 		x.refuseStopping()
@@ -283,6 +271,24 @@
 	}
 }
 
+// setDeadline sets the deadline from what the caller and the route state. It reports whether there is
+// time until then; if not, the request has been refused.
+func (x *exchange) setDeadline() bool {
+	timeout := defaultTimeout
+	if x.call.HasTimeout {
+		timeout = x.call.Timeout
+	}
+	if timeout == 0 {
+		x.refuse(answerer.New(answerer.Infeasible, "the caller does not wait for a response").WithRetryAfter(shortRetryAfter), "NoTime")
+		return false
+	}
+	if x.route.Timeout > 0 {
+		timeout = min(timeout, x.route.Timeout)
+	}
+	x.deadline = x.arrival.Add(timeout)
+	return true
+}
+
 // placementKey returns the key by which a service and an endpoint are chosen: the
 // program's ID, or the request's outside a program.
 func (x *exchange) placementKey() string {
