internal/relayer, internal/reserver: bodies of requests share a part of the memory

Cause: readBody read each body whole before anything was decided about the request. Only bodies of responses had a budget. io.ReadAll copied while its buffer grew. The settlement of a turn kept its body for up to 2 s more.

A request now reserves the memory of its body before it reads it, and keeps it until the exchange ends. What does not fit is left unread, waits for up to 500 ms (750 ms for programs under way) in the order of its rank, and is then refused as not run (BacklogFull, BodyMemory). What would wait behind four times the memory is refused at once. Bodies of up to 64 KiB have memory of their own, so that they do not wait for large ones. A planned stop ends the wait. A body with a length is read into a buffer of that length. A large body that is incomplete at its deadline is refused, so that a caller that stops sending keeps no memory from others.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -56,6 +56,10 @@
 	// bufferedMemoryDivisor gives the part of the memory for large bodies of plain
 	// responses.
 	bufferedMemoryDivisor = 8
+	// smallBodyMemoryDivisor and largeBodyMemoryDivisor give the parts of the memory for small and
+	// large bodies of requests.
+	smallBodyMemoryDivisor = 12
+	largeBodyMemoryDivisor = 6
 	// drainDelay is how long the instance accepts new connections after it reports
 	// that it is not ready. The load balancer checks readiness once a second and
 	// removes an instance after two failed checks.
@@ -227,7 +231,9 @@
 		Stop:     e.stop,
 		Instance: settings.Instance, CountInstances: e.discoverer.Count,
 		DataCentre: settings.DataCentre, Log: e.log, ServedShare: settings.Log.ServedShare, Metrics: metrics,
-		MaxBufferedBytes: int64(settings.MemoryMB) << 20 / bufferedMemoryDivisor,
+		MaxBufferedBytes:  int64(settings.MemoryMB) << 20 / bufferedMemoryDivisor,
+		MaxSmallBodyBytes: int64(settings.MemoryMB) << 20 / smallBodyMemoryDivisor,
+		MaxLargeBodyBytes: int64(settings.MemoryMB) << 20 / largeBodyMemoryDivisor,
 		Policy: relayer.Policy{
 			Admission: admitter.Policy{
 				SoftLimit: settings.Admission.NewPrograms, HardLimit: settings.Admission.NoPrograms,
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -151,7 +150,10 @@
 	ServedShare float64
 	// MaxBufferedBytes limits the memory for large bodies of plain responses, all together.
 	MaxBufferedBytes int64
-	Metrics          Metrics
+	// MaxSmallBodyBytes and MaxLargeBodyBytes limit the memory for small and large bodies of
+	// requests, all together; zero is the default limit of one body.
+	MaxSmallBodyBytes, MaxLargeBodyBytes int64
+	Metrics                              Metrics
 	// Stop tells when the instance stops; nil if it never does.
 	Stop *stopper.Stopper
 }
@@ -174,7 +176,8 @@
 // Relayer is the HTTP handler of callers' requests. It is safe for concurrent use.
 type Relayer struct {
 	Config
-	memory     *memoryBudget
+	responses  *memoryBudget
+	bodies     *bodyMemory
 	numberings *numberings
 	// durations are those of the requests at endpoints.
 	durations *stopper.Durations
@@ -185,7 +188,11 @@
 	if config.Stop == nil {
 		config.Stop = stopper.New()
 	}
-	return &Relayer{Config: config, memory: newMemoryBudget(config.MaxBufferedBytes), numberings: newNumberings(), durations: stopper.NewDurations()}
+	return &Relayer{
+		Config: config, responses: newMemoryBudget(config.MaxBufferedBytes),
+		bodies:     &bodyMemory{small: newReserver(config.MaxSmallBodyBytes), large: newReserver(config.MaxLargeBodyBytes)},
+		numberings: newNumberings(), durations: stopper.NewDurations(),
+	}
 }
 
 const (
@@ -210,6 +217,8 @@
 	account *matcher.Account
 	service string
 	body    []byte
+	// memory is reserved for body until the exchange ends.
+	memory  bodyReservation
 	arrival time.Time
 	// deadline is when the response must be complete.
 	deadline time.Time
@@ -228,8 +237,9 @@
 func (rl *Relayer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{
 		Relayer: rl, writer: w, arrival: time.Now(), table: rl.Tables.Table(),
-		hasNoChunks: !r.ProtoAtLeast(1, 1), completeResponse: func() {},
+		hasNoChunks: !r.ProtoAtLeast(1, 1), completeResponse: func() {}, memory: bodyReservation{memory: rl.bodies},
 	}
+	defer x.memory.release()
 	defer x.logAccess()
 	if x.table == nil {
 		x.refuse(answerer.New(answerer.StoreUnavailable, "no configuration is known yet").WithRetryAfter(shortRetryAfter), "NoConfiguration")
@@ -292,33 +302,6 @@
 	return x.call.ID
 }
 
-func (x *exchange) readBody(r *http.Request) bool {
-	limit := x.table.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if r.ContentLength > limit {
-		x.refuse(answerer.New(answerer.TooLarge, "the body has %d bytes, more than the limit of %d", r.ContentLength, limit), "BodyLength")
-		return false
-	}
-	watch := x.watchBody()
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	isRefused := watch.end()
-	switch {
-	case isRefused:
-		return false
-	case int64(len(body)) > limit:
-		x.writer.Header().Set("Connection", "close")
-		x.refuse(answerer.New(answerer.TooLarge, "the body is larger than the limit of %d bytes", limit), "BodyLength")
-		return false
-	case err != nil:
-		// The caller stopped sending, so the connection cannot be reused.
-		x.abort("Canceled", err)
-	}
-	x.body, x.access.readTime = body, time.Since(x.arrival)
-	return true
-}
-
 // request returns the identity of what the caller sent.
 func (x *exchange) request() quarantiner.Identity {
 	if x.identity == nil {
--- a/internal/relayer/stop.go
+++ b/internal/relayer/stop.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"sync"
 	"time"
 
@@ -72,7 +71,11 @@
 // refuseStopping refuses a request that the instance can no longer pass on. It did not run.
 func (x *exchange) refuseStopping() {
 	x.writer.Header().Set("Connection", "close")
-	x.refuse(answerer.New(answerer.Stopping, "the instance is stopping").WithRetryAfter(stopRetryAfter), "Stopping")
+	x.refuse(newStopping(), "Stopping")
+}
+
+func newStopping() *answerer.Error {
+	return answerer.New(answerer.Stopping, "the instance is stopping").WithRetryAfter(stopRetryAfter)
 }
 
 // bodyWatch refuses a request while its body is being read, as soon as the instance can no longer
@@ -80,6 +83,8 @@
 type bodyWatch struct {
 	*exchange
 	cancel func() bool
+	// cancelWait ends the wait for the body's memory.
+	cancelWait context.CancelFunc
 
 	mu        sync.Mutex
 	timer     *time.Timer
@@ -87,9 +92,10 @@
 	isRefused bool
 }
 
-// watchBody starts a bodyWatch. Until it ends, the exchange must not be used.
-func (x *exchange) watchBody() *bodyWatch {
-	w := &bodyWatch{exchange: x}
+// watchBody starts a bodyWatch. Until it ends, no response must be written. It calls cancelWait if it
+// refuses the request.
+func (x *exchange) watchBody(cancelWait context.CancelFunc) *bodyWatch {
+	w := &bodyWatch{exchange: x, cancelWait: cancelWait}
 	w.cancel = x.Stop.OnBegin(w.startTimer)
 	return w
 }
@@ -109,14 +115,8 @@
 		return
 	}
 	w.isRefused = true
-	controller := http.NewResponseController(w.writer)
-	// Without it, HTTP/1 responses would wait for the rest of the body. The handler reads it, so that
-	// the caller gets the response even if it sends all before.
-	err := controller.EnableFullDuplex()
-	w.refuseStopping()
-	if err = errors.Join(err, controller.Flush()); err != nil {
-		w.access.cause = err
-	}
+	w.refuseUnread(newStopping(), "Stopping")
+	w.cancelWait()
 }
 
 // end ends the watch and reports whether the request was refused.
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -230,12 +230,14 @@
 		Program: t.call.Program, Turn: t.call.ID, Used: t.usedTokens(), Wait: settleTimeout,
 		Session: t.call.Session, Endpoint: t.servedBy, FailedEndpoint: t.failedAt,
 	}
+	// The turn must not be kept until then: its prompt's memory is reserved for others.
+	budgets, member, log := t.Budgets, t.bookkeeper, t.Log
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
-		if err := t.Budgets.Close(ctx, t.bookkeeper, in); err != nil {
+		if err := budgets.Close(ctx, member, in); err != nil {
 			// The bookkeeper charges the full reservation.
-			t.Log.Log(eventTurnUnsettled, "Request", t.call.ID, "Program", t.call.Program, "Cause", err)
+			log.Log(eventTurnUnsettled, "Request", in.Turn, "Program", in.Program, "Cause", err)
 		}
 	}()
 }
@@ -489,7 +491,7 @@
 // forwardFailure forwards an endpoint's error response. The outcome is recorded by end, and the
 // turn settled, before the caller has the response: it may repeat the turn at once.
 func (t *turn) forwardFailure(response *sender.Response, end func()) error {
-	reservation := t.memory.reservation()
+	reservation := t.responses.reservation()
 	defer reservation.release()
 	body, err := readResponse(response, reservation)
 	if err != nil {
