internal/composer: a planned stop keeps 200 ms for its last steps

TestCallAtWorkAtTheEndOfAPlannedStopIsAnswered failed twice beside load: the stop took 1.55 and 1.78 s of a grace period of 1.5 s, of which a twentieth, 75 ms, was kept for closing connections and waiting for the store. A process that is late is killed, with what it still does.

The reserve is a twentieth, and 200 ms at least; the time in which requests are refused before it is as long. With grace periods from 4 s on nothing changes.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -69,12 +69,12 @@
 	closeInterval = 100 * time.Millisecond
 	// drainDelayDivisor limits drainDelay to a fraction of the grace period.
 	drainDelayDivisor = 3
-	// answerReserveDivisor gives the fraction of the grace period at whose end no answers of
-	// endpoints are waited for any more, and closeReserveDivisor the fraction that is kept for the
-	// steps after the callers' connections have been closed. Between the two, requests that are
+	// closeReserveDivisor gives the fraction of the grace period that is kept for the steps after
+	// the callers' connections have been closed, and minCloseReserve is the least time for them.
+	// For as long before that, no answers of endpoints are waited for, and requests that are
 	// completed are refused.
-	answerReserveDivisor = 10
-	closeReserveDivisor  = 20
+	closeReserveDivisor = 20
+	minCloseReserve     = 200 * time.Millisecond
 	// maxStoreOutage is how long the store may be unreachable before the instance
 	// reports that it is not ready.
 	maxStoreOutage = 1500 * time.Millisecond
@@ -357,7 +357,8 @@
 // endpoints meanwhile is decided by package stopper.
 func (e *Entry) shutdown(callers *http.Server, listener net.Listener, connections *closer.Closer) {
 	start := time.Now()
-	e.stop.Begin(e.settings.GracePeriod - e.settings.GracePeriod/answerReserveDivisor)
+	reserve := max(e.settings.GracePeriod/closeReserveDivisor, minCloseReserve)
+	e.stop.Begin(e.settings.GracePeriod - 2*reserve)
 	e.isLeaving.Store(true)
 	e.log.Log(eventStopping)
 	var withdrawal sync.WaitGroup
@@ -371,7 +372,7 @@
 	_ = listener.Close() // Callers' connections end with the process in any case.
 	// The endpoints of the tunnels that are open have the rest of the grace period for their answers.
 	e.tunneler.StopServing()
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(e.settings.GracePeriod-e.settings.GracePeriod/closeReserveDivisor))
+	ctx, cancel := context.WithDeadline(context.Background(), start.Add(e.settings.GracePeriod-reserve))
 	defer cancel()
 	if left := connections.Drain(ctx); left > 0 {
 		e.log.Log(eventRequestsCut, "Connections", left)
