--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -15,7 +15,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -53,10 +52,6 @@
 	maxInterimResponses = 8
 	// maxHeadBytes limits a response head together with the interim ones before it.
 	maxHeadBytes = 64 << 10
-	// exitTime is the time between the end of the connections of a process that is killed and that
-	// of its listener, at most. checkTimeout limits the check whether it listens.
-	exitTime     = 5 * time.Millisecond
-	checkTimeout = 100 * time.Millisecond
 	// endTimeout limits the wait for the end of a response whose caller needs no more of it.
 	endTimeout = 10 * time.Millisecond
 	// maxInlineBodyBytes is the size up to which a body is written before the
@@ -111,23 +106,6 @@
 	upload      *upload
 }
 
-// upload is the sending of a request.
-type upload struct {
-	// ended is closed when all has been sent or err is set.
-	ended chan struct{}
-	err   error
-}
-
-// isComplete reports whether all has been sent.
-func (u *upload) isComplete() bool {
-	select {
-	case <-u.ended:
-		return u.err == nil
-	default:
-		return false
-	}
-}
-
 type conn struct {
 	net.Conn
 	reader  *bufio.Reader
@@ -407,63 +385,6 @@
 	return nil
 }
 
-// unframedBody reads a body that ends with its connection.
-type unframedBody struct {
-	io.Reader
-	hasFailed func() bool
-}
-
-// Read implements io.Reader.
-func (b *unframedBody) Read(p []byte) (int, error) {
-	n, err := b.Reader.Read(p)
-	if errors.Is(err, io.EOF) && b.hasFailed() {
-		err = io.ErrUnexpectedEOF
-	}
-	return n, err
-}
-
-// hasFailed reports whether a connection that seems to have been closed in order was not, or
-// whether ctx ended before this was known. The kernel reports a reset to a pending write alone, and
-// closes the connections of a process that is killed in order.
-func (s *Sender) hasFailed(ctx context.Context, r Request, sent *upload) bool {
-	timer := time.NewTimer(exitTime)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return true
-	case <-sent.ended:
-		if sent.err != nil {
-			return true
-		}
-	case <-timer.C: // The endpoint has closed one direction only.
-		return false
-	}
-	if r.MayHaveFailed == nil || !r.MayHaveFailed() {
-		return false
-	}
-	select {
-	case <-ctx.Done():
-		return true
-	case <-timer.C:
-		return s.isGone(ctx, r.Address)
-	}
-}
-
-// isGone reports whether no process listens at the address, or whether ctx ended before this was
-// known.
-func (s *Sender) isGone(ctx context.Context, address netip.AddrPort) bool {
-	s.mu.Lock()
-	s.opened++
-	s.mu.Unlock()
-	bounded, cancel := context.WithTimeout(ctx, checkTimeout)
-	defer cancel()
-	cn, err := s.dial(bounded, "tcp", address.String())
-	if err == nil {
-		discard(cn)
-	}
-	return errors.Is(err, syscall.ECONNREFUSED) || ctx.Err() != nil
-}
-
 func (s *Sender) newResponse(ctx context.Context, cn *conn, request Request, response *http.Response, sent *upload) *Response {
 	r := &Response{
 		Status: response.StatusCode, Header: response.Header,
