internal/composer: the memory limit of one instance does not slow the whole test process

The instance sets the runtime's memory limit to 60% of 32 MB, which holds for the test process with all of its fleets under the race detector, so that it collected garbage without a pause. The test sets the limit back once the instance is ready; its checks and times are as they were.

--- a/internal/composer/body_test.go
+++ b/internal/composer/body_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"testing"
@@ -22,8 +23,11 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, 0, 0, 1)
 			f.services[0].ServiceTime, f.services[0].Slots = serviceTime, 2*callers
+			limit := debug.SetMemoryLimit(-1)
 			in := f.startWithSettings("entry-0", func(s *settings) { s.MemoryMB = memoryMB })
 			f.awaitReady(in)
+			// The runtime's limit holds for the whole test process, which would collect garbage all the time.
+			debug.SetMemoryLimit(limit)
 			f.warmUp(in, standin.PathPost)
 
 			var mu sync.Mutex
