internal/soaker: a process that ends by itself is a violation

Change: the exit status of each process that was neither killed nor stopped is a FAULT, with the status and whether a planned stop was under way; a planned stop must end with status 0 or by SIGTERM.

--- a/internal/soaker/soak_instance.go
+++ b/internal/soaker/soak_instance.go
@@ -31,9 +31,13 @@
 	// starting is held by restart: one that overlaps another finds its process running.
 	starting sync.Mutex
 
+	// onEnd is called with the way in which a process ended, unless it was killed or ended as asked.
+	onEnd func(state *os.ProcessState, wasStopped bool)
+
 	mu      sync.Mutex
 	frozen  bool
 	stopped bool
+	killed  bool
 }
 
 func (in *instance) callers() string { return in.host + ":7101" }
@@ -71,23 +75,38 @@
 		return err
 	}
 	ended := make(chan struct{})
-	in.command, in.ended, in.frozen, in.stopped = command, ended, false, false
+	in.command, in.ended, in.frozen, in.stopped, in.killed = command, ended, false, false, false
 	go func() {
-		_ = command.Wait() // How it ended is in its log.
+		_ = command.Wait() // The state tells how it ended.
+		in.mu.Lock()
+		stopped, killed := in.stopped, in.killed
+		in.mu.Unlock()
+		if !killed && !(stopped && endedByStop(command.ProcessState)) {
+			in.onEnd(command.ProcessState, stopped)
+		}
 		close(ended)
 	}()
 	return nil
 }
 
+// endedByStop reports whether a process with the state may have ended by SIGTERM, which has its default
+// action until the process has set its handler.
+func endedByStop(state *os.ProcessState) bool {
+	status, ok := state.Sys().(syscall.WaitStatus)
+	return state.Success() || ok && status.Signaled() && status.Signal() == syscall.SIGTERM
+}
+
 // signal sends the signal to the process, if it runs. It returns a channel that
 // closes when that process ends; nil if none ever ran.
 func (in *instance) signal(s syscall.Signal) <-chan struct{} {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if in.isRunning() {
-		_ = in.command.Process.Signal(s) // It may end at this moment.
+		// The process may end at this moment. Its end is looked at under the lock.
+		_ = in.command.Process.Signal(s)
 		in.frozen = s == syscall.SIGSTOP || (in.frozen && s != syscall.SIGCONT)
 		in.stopped = in.stopped || s == syscall.SIGTERM
+		in.killed = in.killed || s == syscall.SIGKILL
 	}
 	return in.ended
 }
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -187,6 +187,10 @@
 	if s.OtherBinary != "" && i%2 == 1 {
 		in.binary = s.OtherBinary
 	}
+	in.onEnd = func(state *os.ProcessState, wasStopped bool) {
+		s.log("%s ended: %s, stopped %t", in.name, state, wasStopped)
+		s.violate("FAULT: %s ended by itself: %s, stopped %t", in.name, state, wasStopped)
+	}
 	store, err := serve(ctx, standin.NewStore(s.rows.For(in.name)))
 	if err != nil {
 		return err
