cmd/wigeonstand, internal/trapper: SIGHUP and SIGPIPE do not end the process

Cause: SIGHUP had its default action until the handler stood (20 ms after exec on an eight-core host), in the product's daemon always; the runtime raises SIGPIPE on a write to standard output without a reader. Class: a signal with its default action.

--- a/cmd/wigeonstand/cmd/entry.go
+++ b/cmd/wigeonstand/cmd/entry.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 
 	"github.com/wigeonstand/wigeonstand/internal/composer"
 	"github.com/wigeonstand/wigeonstand/internal/configurer"
 	"github.com/wigeonstand/wigeonstand/internal/storer"
+	"github.com/wigeonstand/wigeonstand/internal/trapper"
 	"github.com/wigeonstand/wigeonstand/internal/watcher"
 	"github.com/wigeonstand/wigeonstand/platform"
 )
@@ -39,7 +37,7 @@
 			},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			hangups := hangupSignals(ctx) // Before anything that takes time, as the signal may come at once.
+			hangups := trapper.Hangups(ctx)
 			file := c.String("file")
 			settings, err := configurer.LoadEntry(file)
 			if err != nil {
@@ -68,26 +66,3 @@
 		},
 	}
 }
-
-// hangupSignals returns a channel that receives a value for each SIGHUP until ctx is done. After that
-// the signal is ignored: its default action would end the process while it completes requests.
-func hangupSignals(ctx context.Context) <-chan struct{} {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	out := make(chan struct{})
-	go func() {
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-signals:
-			}
-			select {
-			case <-ctx.Done():
-				return
-			case out <- struct{}{}:
-			}
-		}
-	}()
-	return out
-}
--- a/cmd/wigeonstand/cmd/root.go
+++ b/cmd/wigeonstand/cmd/root.go
@@ -11,6 +11,8 @@
 	"syscall"
 
 	"github.com/urfave/cli/v3"
+
+	"github.com/wigeonstand/wigeonstand/internal/trapper"
 )
 
 // Exit codes.
@@ -21,6 +23,7 @@
 
 // Main runs the command line and returns the exit code.
 func Main(args []string) int {
+	trapper.IgnorePipe()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	err := newRootCmd().Run(ctx, args)
--- a/internal/trapper/trapper_test.go
+++ b/internal/trapper/trapper_test.go
@@ -1,4 +1,4 @@
-package cmd
+package trapper_test
 
 import (
 	"context"
@@ -6,12 +6,14 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/trapper"
 )
 
 // A SIGHUP during a planned stop ended the process, with the requests that it was completing.
 func TestHangupDuringAPlannedStopDoesNotEndTheProcess(t *testing.T) {
 	ctx, stop := context.WithCancel(t.Context())
-	hangups := hangupSignals(ctx)
+	hangups := trapper.Hangups(ctx)
 	hangUp := func() {
 		t.Helper()
 		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
