cmd/wigeonstand, internal/starter: a start waits for what is not there yet

Cause: the start read the settings file once and listened once, and ended on any error: a file that was being replaced, an address that the process before still had, a busy address of the metrics, a fraction, zero or unknown field in what the platform states about the machine. Class: a start that depends on the order of things outside the process. Change: settings and addresses are tried again for 15 s; metrics are served once their address is free; refused values that have a default are replaced by it and logged (check and SIGHUP still report each error). MemoryMB and Cores take fractions. What ends a start, and the panic of a component, is the last line of the log.

--- a/cmd/wigeonstand/cmd/entry.go
+++ b/cmd/wigeonstand/cmd/entry.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"time"
 
+	charmlog "github.com/charmbracelet/log"
 	"github.com/urfave/cli/v3"
 
 	"github.com/wigeonstand/wigeonstand/internal/composer"
 	"github.com/wigeonstand/wigeonstand/internal/configurer"
+	"github.com/wigeonstand/wigeonstand/internal/logger"
+	"github.com/wigeonstand/wigeonstand/internal/starter"
 	"github.com/wigeonstand/wigeonstand/internal/storer"
 	"github.com/wigeonstand/wigeonstand/internal/trapper"
 	"github.com/wigeonstand/wigeonstand/internal/watcher"
@@ -15,6 +19,17 @@
 
 const firstStartFlag = "first-start"
 
+// maxLogTime limits the writing of the last line of the log.
+const maxLogTime = 500 * time.Millisecond
+
+var (
+	eventEntryFailed = logger.Define(5131, "EntryFailed", charmlog.ErrorLevel,
+		"the process ends because of an error", "Mend the cause.")
+	eventSettingsReplaced = logger.Define(5132, "SettingsReplaced", charmlog.WarnLevel,
+		"settings were refused; unknown ones are ignored, and the others have their defaults",
+		"Correct the settings file.")
+)
+
 func newEntryCmd() *cli.Command {
 	return &cli.Command{
 		Name:  "entry",
@@ -38,31 +53,66 @@
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			hangups := trapper.Hangups(ctx)
-			file := c.String("file")
-			settings, err := configurer.LoadEntry(file)
-			if err != nil {
-				return err
-			}
-			store := platform.NewStore(settings.StoreAddress)
-			defer store.Close()
-			var options []composer.Option
-			if c.Bool(firstStartFlag) {
-				options = append(options, composer.WithFirstStart())
-			}
-			entry, err := composer.New(settings, composer.Platform{
-				Rows: store, Dialect: platform.Dialect{}, Source: watcher.Source{
-					ConfigurationKey: storer.RowKey{Table: platform.TableConfiguration, Name: platform.KeyConfiguration},
-					EndpointTable:    platform.TableEndpoints,
-					DecodeTable:      platform.DecodeConfiguration, DecodeEndpoint: platform.DecodeEndpoint,
-				},
-			}, c.Root().Writer, options...)
+			log := logger.New(c.Root().Writer, logger.WithJSON(), logger.WithMilliseconds())
+			err := runEntry(ctx, c, log, hangups)
 			if err != nil {
-				return err
+				logFailure(log, err)
 			}
-			return entry.Run(ctx, hangups, func() error {
-				_, err := configurer.LoadEntry(file)
-				return err
-			})
+			return err
+		},
+	}
+}
+
+// logFailure logs the error that ends the process. A reader of the log that takes nothing does not
+// hold up the end.
+func logFailure(log *logger.Logger, err error) {
+	logged := make(chan struct{})
+	go func() {
+		defer close(logged)
+		log.Log(eventEntryFailed, "Cause", err)
+	}()
+	select {
+	case <-logged:
+	case <-time.After(maxLogTime):
+	}
+}
+
+// runEntry runs an entry. It logs to log what precedes the entry's own log.
+func runEntry(ctx context.Context, c *cli.Command, log *logger.Logger, hangups <-chan struct{}) error {
+	file := c.String("file")
+	var settings *configurer.EntrySettings
+	err := starter.New(log).Do(ctx, "settings", func() error {
+		loaded, replaced, err := configurer.StartEntry(file)
+		if err != nil {
+			return err
+		}
+		if err := replaced.Err(); err != nil {
+			log.Log(eventSettingsReplaced, "Cause", err)
+		}
+		settings = loaded
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	store := platform.NewStore(settings.StoreAddress)
+	defer store.Close()
+	var options []composer.Option
+	if c.Bool(firstStartFlag) {
+		options = append(options, composer.WithFirstStart())
+	}
+	entry, err := composer.New(settings, composer.Platform{
+		Rows: store, Dialect: platform.Dialect{}, Source: watcher.Source{
+			ConfigurationKey: storer.RowKey{Table: platform.TableConfiguration, Name: platform.KeyConfiguration},
+			EndpointTable:    platform.TableEndpoints,
+			DecodeTable:      platform.DecodeConfiguration, DecodeEndpoint: platform.DecodeEndpoint,
 		},
+	}, c.Root().Writer, options...)
+	if err != nil {
+		return err
 	}
+	return entry.Run(ctx, hangups, func() error {
+		_, err := configurer.LoadEntry(file)
+		return err
+	})
 }
--- a/cmd/wigeonstand/cmd/process_test.go
+++ b/cmd/wigeonstand/cmd/process_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -219,3 +221,99 @@
 	p.signal(syscall.SIGHUP) // It is logged.
 	p.lives(time.Second)
 }
+
+// Guards against the end of a start whose addresses the process before it still has (issue 51).
+func TestStartWaitsForAnAddressInUse(t *testing.T) {
+	_, store := newStore(t)
+	for _, port := range []int{callerPort, readyPort, peerPort} {
+		p := newProcess(t, store, nil)
+		listener, err := net.Listen("tcp", p.address(port))
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.start(nil)
+		p.lives(700 * time.Millisecond)
+		if err := listener.Close(); err != nil {
+			t.Fatal(err)
+		}
+		p.await("ready", p.isReady)
+	}
+}
+
+// Guards against the end of an instance that could serve all but its metrics (issue 51).
+func TestMetricsAddressInUseDoesNotEndTheProcess(t *testing.T) {
+	_, store := newStore(t)
+	p := newProcess(t, store, nil)
+	listener, err := net.Listen("tcp", p.address(adminPort))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.start(nil)
+	p.await("ready", p.isReady)
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	p.await("metrics", func() bool {
+		conn, err := net.DialTimeout("tcp", p.address(adminPort), time.Second)
+		if err != nil {
+			return false
+		}
+		defer func() { _ = conn.Close() }() // The answer is all.
+		_, _ = io.WriteString(conn, "GET /metrics HTTP/1.0\r\n\r\n")
+		answer, err := io.ReadAll(conn)
+		return err == nil && bytes.Contains(answer, []byte("# TYPE"))
+	})
+}
+
+// Guards against the end of a start that reads the settings file while it is replaced (issue 51).
+func TestStartWaitsForTheSettingsFile(t *testing.T) {
+	_, store := newStore(t)
+	for _, before := range []string{"", "Instance: entry-1\nDataCen"} {
+		p := newProcess(t, store, nil)
+		text, err := os.ReadFile(p.file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Remove(p.file); err != nil {
+			t.Fatal(err)
+		}
+		if before != "" {
+			if err := os.WriteFile(p.file, []byte(before), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		p.start(nil)
+		p.lives(500 * time.Millisecond)
+		if err := os.WriteFile(p.file, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		p.await("ready", p.isReady)
+	}
+}
+
+// Guards against the end of a start by what the platform states about its machine (issue 51).
+func TestRefusedLimitsOfTheMachineDoNotEndTheStart(t *testing.T) {
+	_, store := newStore(t)
+	for name, value := range map[string]string{
+		"MemoryMB": "0", "Cores": "0.5", "CoreShare": "1.5", "StoreWrites": "", "GracePeriod": "s", "New": "1",
+	} {
+		p := newProcess(t, store, map[string]string{name: value})
+		p.start(nil)
+		p.await("ready with "+name+": "+value, p.isReady)
+	}
+}
+
+// A start that cannot succeed ends, and its log says why.
+func TestStartThatCannotSucceedEndsWithItsCause(t *testing.T) {
+	_, store := newStore(t)
+	p := newProcess(t, store, map[string]string{"CallerListen": "192.0.2.1:80"})
+	p.start(nil)
+	select {
+	case <-p.ended:
+	case <-time.After(time.Minute):
+		t.Fatal("the process still waits for an address that its machine does not have")
+	}
+	if text := p.output.String(); p.command.ProcessState.ExitCode() != 1 || !strings.Contains(text, `"EntryFailed"`) || !strings.Contains(text, "192.0.2.1:80") {
+		t.Errorf("%s", p.command.ProcessState)
+	}
+}
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	stdlog "log"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -42,6 +43,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/rerouter"
 	"github.com/wigeonstand/wigeonstand/internal/resumer"
 	"github.com/wigeonstand/wigeonstand/internal/sender"
+	"github.com/wigeonstand/wigeonstand/internal/starter"
 	"github.com/wigeonstand/wigeonstand/internal/stopper"
 	"github.com/wigeonstand/wigeonstand/internal/storer"
 	"github.com/wigeonstand/wigeonstand/internal/transcriber"
@@ -186,7 +188,7 @@
 	self := discoverer.Member{
 		Instance: settings.Instance, Incarnation: settings.Instance + "/" + ulid.Make().String(),
 		Address: settings.PeerAddress, DataCentre: settings.DataCentre,
-		Cores: settings.CoreShare * float64(settings.Cores), OutageShare: outageShare(settings),
+		Cores: settings.CoreShare * settings.Cores, OutageShare: outageShare(settings),
 	}
 	e.discoverer = discoverer.New(self, e.rerouter, discoverer.WithSeeds(settings.Seeds))
 	e.rerouter.SetRelays(e.discoverer)
@@ -231,9 +233,9 @@
 		Stop:     e.stop,
 		Instance: settings.Instance, CountInstances: e.discoverer.Count,
 		DataCentre: settings.DataCentre, Log: e.log, ServedShare: settings.Log.ServedShare, Metrics: metrics,
-		MaxBufferedBytes:  int64(settings.MemoryMB) << 20 / bufferedMemoryDivisor,
-		MaxSmallBodyBytes: int64(settings.MemoryMB) << 20 / smallBodyMemoryDivisor,
-		MaxLargeBodyBytes: int64(settings.MemoryMB) << 20 / largeBodyMemoryDivisor,
+		MaxBufferedBytes:  memoryBytes(settings) / bufferedMemoryDivisor,
+		MaxSmallBodyBytes: memoryBytes(settings) / smallBodyMemoryDivisor,
+		MaxLargeBodyBytes: memoryBytes(settings) / largeBodyMemoryDivisor,
 		Policy: relayer.Policy{
 			Admission: admitter.Policy{
 				SoftLimit: settings.Admission.NewPrograms, HardLimit: settings.Admission.NoPrograms,
@@ -257,6 +259,11 @@
 	return e, err
 }
 
+// memoryBytes returns the memory limit of the process.
+func memoryBytes(settings *configurer.EntrySettings) int64 {
+	return int64(settings.MemoryMB * (1 << 20))
+}
+
 func newLogger(settings configurer.EntryLog, out io.Writer) *logger.Logger {
 	levels := map[string]log.Level{"Debug": log.DebugLevel, "Info": log.InfoLevel, "Warn": log.WarnLevel, "Error": log.ErrorLevel}
 	options := []logger.Option{logger.WithLevel(levels[settings.Level]), logger.WithMilliseconds()}
@@ -293,16 +300,26 @@
 // Run runs the instance until ctx ends and then stops it within the grace
 // period. Each value on reload calls reloadSettings.
 func (e *Entry) Run(ctx context.Context, reload <-chan struct{}, reloadSettings func() error) error {
-	runtime.GOMAXPROCS(e.settings.Cores)
-	debug.SetMemoryLimit(int64(e.settings.MemoryMB) << 20 * memoryLimitPercent / 100)
+	runtime.GOMAXPROCS(int(math.Ceil(e.settings.Cores)))
+	debug.SetMemoryLimit(memoryBytes(e.settings) * memoryLimitPercent / 100)
 	// The components outlive ctx, because requests are served during shutdown.
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var running sync.WaitGroup
 	defer running.Wait()
 	defer cancel()
+	start := func(run func(context.Context)) {
+		running.Go(func() {
+			defer e.reportPanic()
+			run(work)
+		})
+	}
+	start(e.logOutput.Run) // Before the listeners, whose delays are logged.
 
-	listeners, err := listen(e.settings.CallerListen, e.settings.ReadyListen, e.settings.PeerListen, e.settings.AdminListen)
+	listeners, err := e.listen(ctx, e.settings.CallerListen, e.settings.ReadyListen, e.settings.PeerListen)
 	if err != nil {
+		if ctx.Err() != nil {
+			return nil
+		}
 		return err
 	}
 	connections := closer.New()
@@ -312,10 +329,9 @@
 		ErrorLog:    stdlog.New(errorLogWriter{e.log}, "", 0),
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: headerTimeout}
-	admin := &http.Server{Handler: e.meter.Handler(), ReadHeaderTimeout: headerTimeout}
-	failed := make(chan error, 4)
+	failed := make(chan error, 3)
 	serve := func(run func() error) {
-		running.Go(func() {
+		start(func(context.Context) {
 			if err := run(); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) && work.Err() == nil {
 				failed <- err
 			}
@@ -324,18 +340,15 @@
 	serve(func() error { return callers.Serve(connections.Listener(listeners[0])) })
 	serve(func() error { return ready.Serve(listeners[1]) })
 	serve(func() error { return e.peerServer.Serve(work, listeners[2]) })
-	serve(func() error { return admin.Serve(listeners[3]) })
-	for _, run := range []func(context.Context){e.logOutput.Run, e.extender.Run, e.rerouter.Run, e.batcher.Run, e.pruner.Run, e.bookkeeper.Run, e.watcher.Run, e.maintainMembership, e.learnQuarantines, e.learnVersions, e.runQuotas} {
-		running.Go(func() { run(work) })
+	for _, run := range []func(context.Context){e.serveMetrics, e.extender.Run, e.rerouter.Run, e.batcher.Run, e.pruner.Run, e.bookkeeper.Run, e.watcher.Run, e.maintainMembership, e.learnQuarantines, e.learnVersions, e.runQuotas} {
+		start(run)
 	}
 	e.log.Log(eventStarted, "DataCentre", e.settings.DataCentre, "Incarnation", e.discoverer.Self().Incarnation)
 
 	err = e.wait(ctx, failed, reload, reloadSettings)
 	e.shutdown(callers, listeners[0], connections)
-	// Their connections end with the process.
-	_ = ready.Close()
-	_ = admin.Close()
-	e.log.Log(eventStopped)
+	_ = ready.Close() // Its connections end with the process.
+	e.log.Log(eventStopped, "Cause", err)
 	return err
 }
 
@@ -434,17 +447,42 @@
 	return len(line), nil
 }
 
-func listen(addresses ...netip.AddrPort) ([]net.Listener, error) {
+// listen listens on the addresses. A start may come before the end of the process that had them.
+func (e *Entry) listen(ctx context.Context, addresses ...netip.AddrPort) ([]net.Listener, error) {
+	starting := starter.New(e.log)
 	var listeners []net.Listener
 	for _, address := range addresses {
-		listener, err := net.Listen("tcp", address.String())
+		listener, err := starting.Listen(ctx, address)
 		if err != nil {
 			for _, l := range listeners {
-				_ = l.Close() // The error of net.Listen is returned.
+				_ = l.Close() // The error of Listen is returned.
 			}
-			return nil, eris.Wrapf(err, "listen on %s", address)
+			return nil, err
 		}
 		listeners = append(listeners, listener)
 	}
 	return listeners, nil
 }
+
+// serveMetrics serves the metrics until ctx ends. Requests are served without them.
+func (e *Entry) serveMetrics(ctx context.Context) {
+	admin := &http.Server{Handler: e.meter.Handler(), ReadHeaderTimeout: headerTimeout}
+	listener, err := starter.New(e.log, starter.WithPatience(0)).Listen(ctx, e.settings.AdminListen)
+	if err != nil {
+		return // The instance stops.
+	}
+	stop := context.AfterFunc(ctx, func() { _ = admin.Close() }) // Its connections end with the process.
+	defer stop()
+	if err := admin.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		e.log.Log(eventMetricsUnavailable, "Cause", err)
+	}
+}
+
+// reportPanic writes the cause of a panic to the log before the process ends by it.
+func (e *Entry) reportPanic() {
+	if cause := recover(); cause != nil {
+		e.log.Log(eventComponentPanicked, "Cause", cause, "Stack", string(debug.Stack()))
+		e.logOutput.Flush()
+		panic(cause)
+	}
+}
--- a/internal/composer/events.go
+++ b/internal/composer/events.go
@@ -13,6 +13,11 @@
 		"the instance is stopping and reports that it is not ready", "None, if it was planned.")
 	eventStopped = logger.Define(5022, "EntryStopped", log.InfoLevel,
 		"the instance has stopped", "None.")
+	eventComponentPanicked = logger.Define(5031, "ComponentPanicked", log.ErrorLevel,
+		"a component panicked; the process ends", "Report the cause with the instance's version.")
+	eventMetricsUnavailable = logger.Define(5032, "MetricsUnavailable", log.WarnLevel,
+		"the address of the metrics cannot be listened on; the instance serves without them",
+		"Free the address or change AdminListen.")
 	eventListenerError = logger.Define(5023, "ListenerComplained", log.WarnLevel,
 		"the callers' HTTP server reported an error", "None, unless it persists.")
 	eventStorePathChanged = logger.Define(5024, "StoreWayChanged", log.WarnLevel,
--- a/internal/configurer/entry.go
+++ b/internal/configurer/entry.go
@@ -3,6 +3,9 @@
 import (
 	"net/netip"
 	"os"
+	"reflect"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -32,7 +35,7 @@
 	// StoreAddress is the address of the platform's store.
 	StoreAddress netip.AddrPort `validate:"required"`
 	// MemoryMB is the memory that the process may use, in megabytes.
-	MemoryMB int `validate:"min=16"`
+	MemoryMB float64 `validate:"min=16"`
 	// StoreWrites is the number of transactions per second that the store accepts
 	// from all instances together.
 	StoreWrites float64 `validate:"min=1"`
@@ -40,7 +43,7 @@
 	OnePartition bool
 	// Cores is the number of processor cores, and CoreShare the fraction of each
 	// that the process may use.
-	Cores     int     `validate:"min=1"`
+	Cores     float64 `validate:"gt=0"`
 	CoreShare float64 `validate:"gt=0,max=1"`
 	// GracePeriod is the time from the stop signal to the end of the process.
 	GracePeriod time.Duration `validate:"min=1s"`
@@ -145,6 +148,50 @@
 // ParseEntry reads the text of a settings file. The file name is used in errors
 // only.
 func ParseEntry(file string, text []byte) (*EntrySettings, error) {
+	settings, errors := parseEntry(file, text)
+	if err := errors.Err(); err != nil {
+		return nil, err
+	}
+	return settings, nil
+}
+
+// replaceableFields are those whose default serves if their value is refused: what the platform
+// states about the machine, and what tunes an instance. The others say who the instance is, where it
+// listens, and which requests it must refuse.
+var replaceableFields = []string{"Seeds", "MemoryMB", "StoreWrites", "Cores", "CoreShare", "GracePeriod", "Log", "Admission", "Placement"}
+
+// StartEntry is LoadEntry for the start of an instance: an unknown field is ignored, and a refused value
+// that has a default is replaced by it. The errors of both are returned as replaced.
+func StartEntry(path string) (settings *EntrySettings, replaced loader.Errors, err error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "read settings file")
+	}
+	settings, all := parseEntry(path, text)
+	defaults := reflect.ValueOf(DefaultEntrySettings()).Elem()
+	var essential loader.Errors
+	for _, item := range all {
+		name, _, _ := strings.Cut(item.Field, ".")
+		name, _, _ = strings.Cut(name, "[")
+		field := reflect.ValueOf(settings).Elem().FieldByName(name)
+		isUnknown := name != "" && !field.IsValid()
+		switch {
+		case isUnknown:
+			replaced = append(replaced, item)
+		case slices.Contains(replaceableFields, name):
+			replaced = append(replaced, item)
+			field.Set(defaults.FieldByName(name))
+		default:
+			essential = append(essential, item)
+		}
+	}
+	if err := essential.Err(); err != nil {
+		return nil, nil, err
+	}
+	return settings, replaced, nil
+}
+
+func parseEntry(file string, text []byte) (*EntrySettings, loader.Errors) {
 	settings := DefaultEntrySettings()
 	positions, err := loader.Load(loader.Source{File: file, Text: text}, settings)
 	errors := loader.AsErrors(err)
@@ -170,8 +217,5 @@
 	if settings.PeerAddress.IsValid() && settings.PeerAddress.Addr().IsUnspecified() && !errors.Has("PeerAddress") {
 		errors.Add(positions.At("PeerAddress"), "PeerAddress", "PeerAddress is required, because other instances cannot dial %s", settings.PeerAddress)
 	}
-	if err := errors.Err(); err != nil {
-		return nil, err
-	}
-	return settings, nil
+	return settings, errors
 }
--- a/internal/logger/ratelimit.go
+++ b/internal/logger/ratelimit.go
@@ -80,6 +80,9 @@
 	}
 }
 
+// Flush writes the buffered lines at once, for a process that is about to end.
+func (w *RateLimitedWriter) Flush() { w.flush() }
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
