internal/accepter: an error of accept does not end the process

Cause: by reading: net/http and drpc retry errors that net calls temporary (EMFILE, ENFILE); any other one, such as ENOBUFS or ENOMEM, ended the listener and with it the process. Class: an error of one connection that is taken for one of the process. Change: the listeners retry all errors but that of their close, and log them. Evidence: TestFailedAcceptDoesNotEndTheListener; not seen with a real kernel.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -22,6 +22,7 @@
 	"github.com/oklog/ulid/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/wigeonstand/wigeonstand/internal/accepter"
 	"github.com/wigeonstand/wigeonstand/internal/admitter"
 	"github.com/wigeonstand/wigeonstand/internal/apportioner"
 	"github.com/wigeonstand/wigeonstand/internal/batcher"
@@ -459,7 +460,7 @@
 			}
 			return nil, err
 		}
-		listeners = append(listeners, listener)
+		listeners = append(listeners, accepter.New(listener, e.log))
 	}
 	return listeners, nil
 }
@@ -473,7 +474,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = admin.Close() }) // Its connections end with the process.
 	defer stop()
-	if err := admin.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := admin.Serve(accepter.New(listener, e.log)); !errors.Is(err, http.ErrServerClosed) {
 		e.log.Log(eventMetricsUnavailable, "Cause", err)
 	}
 }
