internal/composer: a planned stop does not wait for the reader of the log

Cause: the last lines were written before the end without a limit of time; if nothing reads standard output, the process hung until it was killed. Found while the ways to end were listed. Change: the last lines have 500 ms.

--- a/cmd/wigeonstand/cmd/process_test.go
+++ b/cmd/wigeonstand/cmd/process_test.go
@@ -18,6 +18,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
 	"github.com/wigeonstand/wigeonstand/platform/standin"
 )
@@ -222,6 +224,36 @@
 	p.lives(time.Second)
 }
 
+// Guards against a planned stop that waits for a reader of the log without end (issue 51).
+func TestStopEndsWithoutAReaderOfTheLog(t *testing.T) {
+	const pipeBytes = 4096
+	_, store := newStore(t)
+	p := newProcess(t, store, nil)
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = reader.Close() }) // Nothing reads from it.
+	if _, err := unix.FcntlInt(writer.Fd(), unix.F_SETPIPE_SZ, pipeBytes); err != nil {
+		t.Fatal(err)
+	}
+	p.start(writer)
+	p.await("ready", p.isReady)
+	for range pipeBytes / 64 { // Each is logged.
+		p.signal(syscall.SIGHUP)
+		time.Sleep(5 * time.Millisecond)
+	}
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.ended:
+	case <-time.After(15 * time.Second):
+		t.Fatal("the process still runs 15 s after SIGTERM; its grace period is 2 s")
+	}
+	if !p.command.ProcessState.Success() {
+		t.Errorf("the process ended with %s", p.command.ProcessState)
+	}
+}
+
 // Guards against the end of a start whose addresses the process before it still has (issue 51).
 func TestStartWaitsForAnAddressInUse(t *testing.T) {
 	_, store := newStore(t)
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -102,6 +102,8 @@
 	orphanRetentionFactor = 2
 	// budgetRetention is how long a program's budget is kept after its last grant.
 	budgetRetention = 24 * time.Hour
+	// maxFlushTime limits the writing of the last lines of the log.
+	maxFlushTime = 500 * time.Millisecond
 	// withdrawTimeout limits the removal of the instance's own membership row and
 	// the handover of its ledgers.
 	withdrawTimeout = 1500 * time.Millisecond
@@ -303,6 +305,17 @@
 func (e *Entry) Run(ctx context.Context, reload <-chan struct{}, reloadSettings func() error) error {
 	runtime.GOMAXPROCS(int(math.Ceil(e.settings.Cores)))
 	debug.SetMemoryLimit(memoryBytes(e.settings) * memoryLimitPercent / 100)
+	// The log outlives the other components. A reader of it that takes nothing does not hold up the end.
+	logging, endLog := context.WithCancel(context.WithoutCancel(ctx))
+	logged := make(chan struct{})
+	go func() {
+		defer close(logged)
+		e.logOutput.Run(logging)
+	}()
+	defer func() {
+		endLog()
+		waitFor(logged, maxFlushTime)
+	}()
 	// The components outlive ctx, because requests are served during shutdown.
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var running sync.WaitGroup
@@ -314,7 +327,6 @@
 			run(work)
 		})
 	}
-	start(e.logOutput.Run) // Before the listeners, whose delays are logged.
 
 	listeners, err := e.listen(ctx, e.settings.CallerListen, e.settings.ReadyListen, e.settings.PeerListen)
 	if err != nil {
@@ -483,7 +495,21 @@
 func (e *Entry) reportPanic() {
 	if cause := recover(); cause != nil {
 		e.log.Log(eventComponentPanicked, "Cause", cause, "Stack", string(debug.Stack()))
-		e.logOutput.Flush()
+		flushed := make(chan struct{})
+		go func() {
+			defer close(flushed)
+			e.logOutput.Flush()
+		}()
+		waitFor(flushed, maxFlushTime)
 		panic(cause)
 	}
 }
+
+func waitFor(done <-chan struct{}, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
