internal/accepter: connections, heads and messages share a part of the memory

Cause: net/http and drpc bound each head and each message, and nothing bounded all of them; a head takes several times its size once its fields are parsed; what the kernel keeps unread grew with the number of connections. Change: each connection reserves memory at accept, and more as the head or message grows, by its bytes and lines. Peers, and readiness and metrics, have parts of their own; their heads are limited to 4 KB. The receive buffers of listeners are limited. Parts of the memory are now 1/12 small bodies, 1/8 large bodies, 1/12 responses, 1/12 callers' connections, 1/16 peers' connections.

--- a/internal/accepter/accepter.go
+++ b/internal/accepter/accepter.go
@@ -27,22 +27,46 @@
 type Listener struct {
 	net.Listener
 	log *logger.Logger
+	// budget is nil without a limit.
+	budget *Budget
+	cost   Cost
 
 	closing sync.Once
 	closed  chan struct{}
 }
 
+// Option sets one property of a Listener.
+type Option func(*Listener)
+
+// WithBudget limits the memory of the connections, whose messages have the cost.
+func WithBudget(b *Budget, cost Cost) Option {
+	return func(l *Listener) { l.budget, l.cost = b, cost }
+}
+
 // New returns a Listener that accepts from inner.
-func New(inner net.Listener, l *logger.Logger) *Listener {
-	return &Listener{Listener: inner, log: l, closed: make(chan struct{})}
+func New(inner net.Listener, l *logger.Logger, options ...Option) *Listener {
+	listener := &Listener{Listener: inner, log: l, closed: make(chan struct{})}
+	for _, option := range options {
+		option(listener)
+	}
+	return listener
 }
 
 // Accept implements net.Listener. It fails only once the listener is closed.
 func (l *Listener) Accept() (net.Conn, error) {
-	for backoff := minBackoff; ; backoff = min(2*backoff, maxBackoff) {
-		conn, err := l.Listener.Accept()
-		if err == nil || errors.Is(err, net.ErrClosed) {
-			return conn, err
+	for backoff := minBackoff; ; {
+		accepted, err := l.Listener.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return nil, err
+		case err == nil && l.budget == nil:
+			return accepted, nil
+		case err == nil:
+			if c := l.budget.admit(accepted, l.cost); c != nil {
+				return c, nil
+			}
+			_ = accepted.Close() // Nothing was read from it.
+			continue
 		}
 		l.log.Log(eventAcceptFailed, "Address", l.Addr(), "Cause", err)
 		timer := time.NewTimer(backoff)
@@ -52,6 +76,7 @@
 			return nil, net.ErrClosed
 		case <-timer.C:
 		}
+		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
--- a/internal/closer/closer.go
+++ b/internal/closer/closer.go
@@ -220,12 +220,15 @@
 // setLinger sets for how many seconds a close waits for unsent data; with zero it resets the
 // connection, and with a negative value it does neither.
 func (c *conn) setLinger(seconds int) error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		return tcp.SetLinger(seconds)
+	if lingering, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return lingering.SetLinger(seconds)
 	}
 	return nil
 }
 
+// NetConn returns the connection that c wraps.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 func (c *conn) setState(state connState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -21,6 +21,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/oklog/ulid/v2"
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 
 	"github.com/wigeonstand/wigeonstand/internal/accepter"
 	"github.com/wigeonstand/wigeonstand/internal/admitter"
@@ -58,11 +59,26 @@
 	memoryLimitPercent = 60
 	// bufferedMemoryDivisor gives the part of the memory for large bodies of plain
 	// responses.
-	bufferedMemoryDivisor = 8
+	bufferedMemoryDivisor = 12
 	// smallBodyMemoryDivisor and largeBodyMemoryDivisor give the parts of the memory for small and
 	// large bodies of requests.
 	smallBodyMemoryDivisor = 12
-	largeBodyMemoryDivisor = 6
+	largeBodyMemoryDivisor = 8
+	// connectionMemoryDivisor and peerMemoryDivisor give the parts of the memory for the connections of
+	// callers, with the heads of their requests, and for those of other instances, with their messages.
+	connectionMemoryDivisor = 12
+	peerMemoryDivisor       = 16
+	// statusMemory is that for the connections of readiness checks and metrics.
+	statusMemory = 2 << 20
+	// descriptorDivisor gives the part of the descriptors that callers' connections may use.
+	descriptorDivisor = 2
+	// The receive buffers limit what the kernel holds of a connection that is not read. It doubles them.
+	callerReceiveBuffer = 16 << 10
+	statusReceiveBuffer = 4 << 10
+	peerReceiveBuffer   = 64 << 10
+	// maxStatusHeaderBytes and statusTimeout limit the requests for readiness and metrics.
+	maxStatusHeaderBytes = 4 << 10
+	statusTimeout        = 10 * time.Second
 	// drainDelay is how long the instance accepts new connections after it reports
 	// that it is not ready. The load balancer checks readiness once a second and
 	// removes an instance after two failed checks.
@@ -328,7 +344,12 @@
 		})
 	}
 
-	listeners, err := e.listen(ctx, e.settings.CallerListen, e.settings.ReadyListen, e.settings.PeerListen)
+	callerBudget, peerBudget, statusBudget := e.newConnectionBudgets()
+	listeners, err := e.listen(ctx,
+		listenerConfig{address: e.settings.CallerListen, budget: callerBudget, cost: accepter.HeadCost, receiveBuffer: callerReceiveBuffer},
+		listenerConfig{address: e.settings.ReadyListen, budget: statusBudget, cost: accepter.HeadCost, receiveBuffer: statusReceiveBuffer},
+		listenerConfig{address: e.settings.PeerListen, budget: peerBudget, cost: accepter.MessageCost, receiveBuffer: peerReceiveBuffer},
+	)
 	if err != nil {
 		if ctx.Err() != nil {
 			return nil
@@ -337,11 +358,15 @@
 	}
 	connections := closer.New()
 	callers := &http.Server{
-		Handler: connections.Handler(e.relayer), ConnState: connections.ConnState, ConnContext: connections.ConnContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: connections.Handler(e.relayer), ConnContext: connections.ConnContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			connections.ConnState(conn, state)
+			accepter.ConnState(conn, state)
+		},
 		BaseContext: func(net.Listener) context.Context { return e.stop.Context() },
 		ErrorLog:    stdlog.New(errorLogWriter{e.log}, "", 0),
 	}
-	ready := &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: headerTimeout}
+	ready := newStatusServer(http.HandlerFunc(e.serveReady))
 	failed := make(chan error, 3)
 	serve := func(run func() error) {
 		start(func(context.Context) {
@@ -353,7 +378,7 @@
 	serve(func() error { return callers.Serve(connections.Listener(listeners[0])) })
 	serve(func() error { return ready.Serve(listeners[1]) })
 	serve(func() error { return e.peerServer.Serve(work, listeners[2]) })
-	for _, run := range []func(context.Context){e.serveMetrics, e.extender.Run, e.rerouter.Run, e.batcher.Run, e.pruner.Run, e.bookkeeper.Run, e.watcher.Run, e.maintainMembership, e.learnQuarantines, e.learnVersions, e.runQuotas} {
+	for _, run := range []func(context.Context){func(ctx context.Context) { e.serveMetrics(ctx, statusBudget) }, e.extender.Run, e.rerouter.Run, e.batcher.Run, e.pruner.Run, e.bookkeeper.Run, e.watcher.Run, e.maintainMembership, e.learnQuarantines, e.learnVersions, e.runQuotas} {
 		start(run)
 	}
 	e.log.Log(eventStarted, "DataCentre", e.settings.DataCentre, "Incarnation", e.discoverer.Self().Incarnation)
@@ -460,33 +485,61 @@
 	return len(line), nil
 }
 
+// listenerConfig is the address of a listener and the limits of its connections.
+type listenerConfig struct {
+	address       netip.AddrPort
+	budget        *accepter.Budget
+	cost          accepter.Cost
+	receiveBuffer int
+}
+
+// newConnectionBudgets returns the memory for the connections of callers, of other instances, and of
+// readiness checks and metrics.
+func (e *Entry) newConnectionBudgets() (callers, peers, status *accepter.Budget) {
+	memory := memoryBytes(e.settings)
+	size := memory / connectionMemoryDivisor
+	var descriptors unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &descriptors); err == nil {
+		size = min(size, accepter.Size(int64(min(descriptors.Cur, math.MaxInt32))/descriptorDivisor))
+	}
+	return accepter.NewBudget(size, e.log), accepter.NewBudget(memory/peerMemoryDivisor, e.log), accepter.NewBudget(statusMemory, e.log)
+}
+
+// newStatusServer returns a server of requests that have no body.
+func newStatusServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: statusTimeout, WriteTimeout: statusTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxStatusHeaderBytes, ConnState: accepter.ConnState,
+	}
+}
+
 // listen listens on the addresses. A start may come before the end of the process that had them.
-func (e *Entry) listen(ctx context.Context, addresses ...netip.AddrPort) ([]net.Listener, error) {
+func (e *Entry) listen(ctx context.Context, configs ...listenerConfig) ([]net.Listener, error) {
 	starting := starter.New(e.log)
 	var listeners []net.Listener
-	for _, address := range addresses {
-		listener, err := starting.Listen(ctx, address)
+	for _, config := range configs {
+		listener, err := starting.Listen(ctx, config.address, config.receiveBuffer)
 		if err != nil {
 			for _, l := range listeners {
 				_ = l.Close() // The error of Listen is returned.
 			}
 			return nil, err
 		}
-		listeners = append(listeners, accepter.New(listener, e.log))
+		listeners = append(listeners, accepter.New(listener, e.log, accepter.WithBudget(config.budget, config.cost)))
 	}
 	return listeners, nil
 }
 
 // serveMetrics serves the metrics until ctx ends. Requests are served without them.
-func (e *Entry) serveMetrics(ctx context.Context) {
-	admin := &http.Server{Handler: e.meter.Handler(), ReadHeaderTimeout: headerTimeout}
-	listener, err := starter.New(e.log, starter.WithPatience(0)).Listen(ctx, e.settings.AdminListen)
+func (e *Entry) serveMetrics(ctx context.Context, budget *accepter.Budget) {
+	admin := newStatusServer(e.meter.Handler())
+	listener, err := starter.New(e.log, starter.WithPatience(0)).Listen(ctx, e.settings.AdminListen, statusReceiveBuffer)
 	if err != nil {
 		return // The instance stops.
 	}
 	stop := context.AfterFunc(ctx, func() { _ = admin.Close() }) // Its connections end with the process.
 	defer stop()
-	if err := admin.Serve(accepter.New(listener, e.log)); !errors.Is(err, http.ErrServerClosed) {
+	if err := admin.Serve(accepter.New(listener, e.log, accepter.WithBudget(budget, accepter.HeadCost))); !errors.Is(err, http.ErrServerClosed) {
 		e.log.Log(eventMetricsUnavailable, "Cause", err)
 	}
 }
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcserver"
@@ -129,7 +130,20 @@
 	return s.drpc.Serve(ctx, listener)
 }
 
+// reader is a connection that limits the size of what is read of a message.
+type reader interface{ MessageRead() }
+
+// reportRead tells the connection of ctx that a message was read to its end.
+func reportRead(ctx context.Context) {
+	if transport, ok := drpcctx.Transport(ctx); ok {
+		if r, ok := transport.(reader); ok {
+			r.MessageRead()
+		}
+	}
+}
+
 func (s *Server) call(ctx context.Context, in *envelope) (*envelope, error) {
+	reportRead(ctx)
 	if in.Rest != "" {
 		part, rest, err := s.rests.next(in.Rest)
 		if err != nil {
--- a/internal/messenger/stream.go
+++ b/internal/messenger/stream.go
@@ -34,6 +34,7 @@
 	if err := raw.MsgRecv(&in, cborEncoding{}); err != nil {
 		return err
 	}
+	reportRead(raw.Context())
 	handler := s.streams[in.Method]
 	if handler == nil {
 		return eris.Errorf("unknown method %s", in.Method)
@@ -84,6 +85,7 @@
 func (s *Stream) Receive() ([]byte, error) {
 	var in envelope
 	err := s.stream.MsgRecv(&in, cborEncoding{})
+	reportRead(s.stream.Context())
 	return in.Body, err
 }
 
--- a/internal/starter/starter.go
+++ b/internal/starter/starter.go
@@ -4,12 +4,15 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 
 	"github.com/wigeonstand/wigeonstand/internal/logger"
 )
@@ -77,9 +80,19 @@
 	}
 }
 
-// Listen listens on the address as soon as it is free and present on the machine.
-func (s *Starter) Listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
-	var config net.ListenConfig
+// Listen listens on the address as soon as it is free and present on the machine. The kernel keeps about
+// receiveBuffer bytes that were not read for each connection; zero for its default.
+func (s *Starter) Listen(ctx context.Context, address netip.AddrPort, receiveBuffer int) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		if receiveBuffer == 0 {
+			return nil
+		}
+		var err error
+		// Accepted connections take the option of their listener.
+		return errors.Join(c.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
+		}), err)
+	}}
 	var listener net.Listener
 	err := s.Do(ctx, "listen on "+address.String(), func() (err error) {
 		listener, err = config.Listen(ctx, "tcp", address.String())
