internal/relayer: a stalled body gives up its memory while others wait

Cause: only bodies above 64 KB had to be complete at the deadline; smaller ones kept their memory for as long as the connection was open. Class: memory that is bounded in amount, but not in time. Change: all bodies must be complete at the deadline. While a request waits for memory, bodies of which nothing has come for 250 ms, or less than 64 KB/s for a second, are refused as not run (BacklogFull, BodyStalled). Result: an ordinary request is answered while the crowd is there (TestCrowd); TestStalledBodyGivesItsMemoryToOneThatWaits.

--- a/internal/relayer/body.go
+++ b/internal/relayer/body.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/wigeonstand/wigeonstand/internal/accepter"
 	"github.com/wigeonstand/wigeonstand/internal/answerer"
 	"github.com/wigeonstand/wigeonstand/internal/reserver"
 )
@@ -50,7 +51,10 @@
 }
 
 // bodyMemory is the memory for the bodies of all requests.
-type bodyMemory struct{ small, large *reserver.Reserver }
+type bodyMemory struct {
+	small, large *reserver.Reserver
+	readers      bodyReaders
+}
 
 func newReserver(size int64) *reserver.Reserver {
 	if size == 0 {
@@ -72,6 +76,11 @@
 		r.small += request.Size
 		return nil
 	}
+	if r.memory.large.TryReserve(request.Size) {
+		r.large += request.Size
+		return nil
+	}
+	defer r.memory.readers.startEvicting()()
 	if err := r.memory.large.Reserve(ctx, request, maxWait); err != nil {
 		return err
 	}
@@ -126,10 +135,12 @@
 		x.refuse(answerer.Wrap(answerer.TooLarge, err, "the body is larger than the limit of %d bytes or than the memory for bodies", limit), "BodyLength")
 		return false
 	case errors.Is(err, reserver.ErrFull):
-		after := bodyReturnAfter + time.Duration(randomFraction()*float64(bodyReturnSpread))
-		x.refuseUnread(answerer.Wrap(answerer.BacklogFull, err, "the memory for request bodies is in use").WithRetryAfter(min(after, x.timeLeft()/3)), "BodyMemory")
+		x.refuseWithoutMemory(err, "BodyMemory")
 		x.discardBody(r)
 		return false
+	case errors.Is(err, errBodyEvicted), errors.Is(err, accepter.ErrEvicted):
+		x.refuseWithoutMemory(err, "BodyStalled")
+		return false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		x.refuseUnread(answerer.Wrap(answerer.DeadlineNotRun, err, "the body was not complete at the deadline"), "BodyDeadline")
 		return false
@@ -141,7 +152,14 @@
 	return true
 }
 
-// receiveBody reserves memory for the body and reads it.
+// refuseWithoutMemory refuses a request whose body is not kept.
+func (x *exchange) refuseWithoutMemory(cause error, reason string) {
+	after := bodyReturnAfter + time.Duration(randomFraction()*float64(bodyReturnSpread))
+	x.refuseUnread(answerer.Wrap(answerer.BacklogFull, cause, "the memory for request bodies is in use").WithRetryAfter(min(after, x.timeLeft()/3)), reason)
+}
+
+// receiveBody reserves memory for the body and reads it. A caller that stops sending must not keep the
+// memory from others: the body must be complete at the deadline, and, while others wait for memory, go on.
 func (x *exchange) receiveBody(ctx context.Context, r *http.Request, limit int64) ([]byte, error) {
 	isUnderWay := x.isUnderWay()
 	request := reserver.Request{Size: r.ContentLength, IsUnderWay: isUnderWay, Priority: x.priority()}
@@ -152,7 +170,12 @@
 			return nil, err
 		}
 		var buffer bytes.Buffer
-		n, err := io.CopyN(&buffer, r.Body, min(smallBodyBytes, limit)+1)
+		reader, err := x.startReading(r.Body)
+		if err != nil {
+			return nil, err
+		}
+		n, err := io.CopyN(&buffer, reader, min(smallBodyBytes, limit)+1)
+		reader.end()
 		switch {
 		case errors.Is(err, io.EOF) && n <= limit:
 			x.memory.shrink(int64(buffer.Cap()))
@@ -168,22 +191,19 @@
 	if err := x.memory.reserve(ctx, request, isSmall, bodyWait(isUnderWay, x.timeLeft())); err != nil {
 		return nil, err
 	}
-	if request.Size > smallBodyBytes {
-		// A caller that stops sending must not keep the memory from others.
-		controller := http.NewResponseController(x.writer)
-		if err := controller.SetReadDeadline(x.deadline); err != nil {
-			return nil, eris.Wrap(err, "limit the time to read the body")
-		}
-		defer func() { _ = controller.SetReadDeadline(time.Time{}) }() // It fails on a closed connection only.
+	reader, err := x.startReading(r.Body)
+	if err != nil {
+		return nil, err
 	}
+	defer reader.end()
 	body := make([]byte, request.Size)
 	if r.ContentLength >= 0 {
-		_, err := io.ReadFull(r.Body, body)
+		_, err := io.ReadFull(reader, body)
 		return body, err
 	}
 	n := copy(body, start)
 	for n < len(body) {
-		read, err := r.Body.Read(body[n:])
+		read, err := reader.Read(body[n:])
 		n += read
 		if errors.Is(err, io.EOF) && int64(n) <= limit {
 			return body[:n], nil
