internal/accepter: memory of closed connections counts until they have ended

Cause: a connection that was closed for another one kept its buffer until its goroutine had run, while its memory already counted as free; buffers of drpc grow to twice what one read returns. Change: its memory is free once it has ended, for which others wait up to 200 ms; one read of a message returns 16 KB at the most.

--- a/internal/accepter/budget.go
+++ b/internal/accepter/budget.go
@@ -22,6 +22,11 @@
 	minIdle = 50 * time.Millisecond
 	// minStall is the same for a connection with a part of a request.
 	minStall = 500 * time.Millisecond
+	// maxMessageRead limits one read of a message. The reader's buffer grows with it, and a connection that
+	// was closed for others keeps its buffer until its goroutine has run.
+	maxMessageRead = 16 << 10
+	// maxEvictionTime limits the wait for the end of a connection that was closed for another one.
+	maxEvictionTime = 200 * time.Millisecond
 	// reportInterval is the time between two lines of the log about closed connections.
 	reportInterval = time.Second
 )
@@ -74,8 +79,12 @@
 	size int64
 	log  *logger.Logger
 
-	mu         sync.Mutex
-	used       int64
+	mu   sync.Mutex
+	used int64
+	// leaving is the part of used of the connections that were closed for others and have not ended.
+	leaving int64
+	// freed is closed, and replaced, when a connection has ended.
+	freed      chan struct{}
 	conns      map[*conn]struct{}
 	evictions  int
 	reportedAt time.Time
@@ -86,7 +95,7 @@
 
 // NewBudget returns a Budget of size bytes.
 func NewBudget(size int64, l *logger.Logger) *Budget {
-	return &Budget{size: size, log: l, conns: map[*conn]struct{}{}}
+	return &Budget{size: size, log: l, freed: make(chan struct{}), conns: map[*conn]struct{}{}}
 }
 
 // Evictions returns the number of connections that were closed for others or not accepted.
@@ -132,30 +141,56 @@
 }
 
 // lockedReserve reserves the memory for the connection, for which others may be closed. It reports whether
-// it has.
+// it has. It waits, without the mutex, until the connections that were closed have returned their memory.
 func (b *Budget) lockedReserve(c *conn, demand int64) bool {
+	deadline := time.Now().Add(maxEvictionTime)
 	for b.used+demand > b.size {
-		now := time.Now()
-		others := make([]*conn, 0, len(b.conns))
-		candidates := make([]candidate, 0, len(b.conns))
-		for other := range b.conns {
-			if other == c || other.isEvicted {
-				continue
+		if b.used-b.leaving+demand > b.size {
+			other := b.lockedChoose(c, c.excess+demand)
+			b.lockedCount()
+			if other == nil {
+				return false
 			}
-			others, candidates = append(others, other), append(candidates, other.lockedCandidate(now))
+			other.lockedEvict()
+			continue
 		}
-		i := chooseEviction(candidates, c.excess+demand)
-		if i < 0 {
-			b.lockedCount()
+		left := time.Until(deadline)
+		if left <= 0 {
+			break
+		}
+		freed := b.freed
+		b.mu.Unlock()
+		timer := time.NewTimer(left)
+		select {
+		case <-freed:
+		case <-timer.C:
+		}
+		timer.Stop()
+		b.mu.Lock()
+		if c.isEvicted || c.hasClosed {
 			return false
 		}
-		others[i].lockedEvict()
-		b.lockedCount()
 	}
 	b.used += demand
 	return true
 }
 
+// lockedChoose returns the connection to close for a demand of another one; nil if there is none.
+func (b *Budget) lockedChoose(c *conn, demand int64) *conn {
+	now := time.Now()
+	others := make([]*conn, 0, len(b.conns))
+	candidates := make([]candidate, 0, len(b.conns))
+	for other := range b.conns {
+		if other != c && !other.isEvicted {
+			others, candidates = append(others, other), append(candidates, other.lockedCandidate(now))
+		}
+	}
+	if i := chooseEviction(candidates, demand); i >= 0 {
+		return others[i]
+	}
+	return nil
+}
+
 func (c *conn) lockedCandidate(now time.Time) candidate {
 	switch {
 	case !c.isInMessage: // The request is at work, or its body is read.
@@ -254,6 +289,9 @@
 	if len(p) > 1 { // With one byte, net/http waits for the end of the connection while a request is at work.
 		c.waitingSince = time.Now()
 	}
+	if c.isInMessage && len(p) > maxMessageRead {
+		p = p[:maxMessageRead]
+	}
 	c.budget.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.budget.mu.Lock()
@@ -263,15 +301,13 @@
 	switch {
 	case c.isEvicted && n > 0 && wasIdle:
 		// The request that has just arrived is served.
-		if !c.budget.lockedReserve(c, connectionBytes) {
-			return 0, ErrEvicted
-		}
-		c.isEvicted, c.reserved = false, connectionBytes
+		c.isEvicted = false
+		c.budget.leaving -= c.reserved
 		err = errors.Join(err, c.Conn.SetReadDeadline(time.Time{}))
 	case c.isEvicted:
 		return 0, ErrEvicted
 	}
-	if n == 0 || !c.isInMessage {
+	if n == 0 || !c.isInMessage || c.hasClosed {
 		return n, err
 	}
 	if c.size == 0 {
@@ -281,7 +317,9 @@
 	c.lines += int64(bytes.Count(p[:n], []byte{'\n'}))
 	if demand := c.cost(c.size, c.lines) - c.excess; demand > 0 {
 		if !c.budget.lockedReserve(c, demand) {
-			c.lockedEvict()
+			if !c.isEvicted && !c.hasClosed {
+				c.lockedEvict()
+			}
 			return 0, ErrEvicted
 		}
 		c.reserved += demand
@@ -296,16 +334,14 @@
 	if !c.isEvicted {
 		c.budget.used -= c.excess
 		c.reserved -= c.excess
+		c.excess = 0
 	}
-	c.excess = 0
 }
 
-// lockedEvict ends the pending Read, and with it the connection. Its memory counts as free: its goroutine
-// is about to end.
+// lockedEvict ends the pending Read, and with it the connection.
 func (c *conn) lockedEvict() {
 	c.isEvicted = true
-	c.budget.used -= c.reserved
-	c.reserved, c.excess = 0, 0
+	c.budget.leaving += c.reserved
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // It fails on a closed connection only.
 }
 
@@ -330,8 +366,12 @@
 	if !c.hasClosed {
 		c.hasClosed = true
 		c.budget.used -= c.reserved
-		c.reserved, c.excess = 0, 0
+		if c.isEvicted {
+			c.budget.leaving -= c.reserved
+		}
 		delete(c.budget.conns, c)
+		close(c.budget.freed)
+		c.budget.freed = make(chan struct{})
 	}
 	c.budget.mu.Unlock()
 	return c.Conn.Close()
