internal/relayer: transcripts and small responses share the memory, and writing a response ends

Cause: by reading: nothing bounded the transcripts of all turns together, nor the first 256 KB of all responses; a caller that did not read kept its response for as long as the connection was open; and responses that did not fit failed at once after their requests had run. Change: a turn reserves its transcript and the copy in its prompt in the memory of bodies, and is refused as not run (TranscriptMemory) if there is none; responses reserve what exceeds 32 KB, by their length before they are read, and wait for it until the deadline; writing ends 10 s after the deadline.

--- a/internal/relayer/body.go
+++ b/internal/relayer/body.go
@@ -135,11 +135,11 @@
 		x.refuse(answerer.Wrap(answerer.TooLarge, err, "the body is larger than the limit of %d bytes or than the memory for bodies", limit), "BodyLength")
 		return false
 	case errors.Is(err, reserver.ErrFull):
-		x.refuseWithoutMemory(err, "BodyMemory")
+		x.refuseUnread(x.newMemoryFull(err), "BodyMemory")
 		x.discardBody(r)
 		return false
 	case errors.Is(err, errBodyEvicted), errors.Is(err, accepter.ErrEvicted):
-		x.refuseWithoutMemory(err, "BodyStalled")
+		x.refuseUnread(x.newMemoryFull(err), "BodyStalled")
 		return false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		x.refuseUnread(answerer.Wrap(answerer.DeadlineNotRun, err, "the body was not complete at the deadline"), "BodyDeadline")
@@ -152,10 +152,17 @@
 	return true
 }
 
-// refuseWithoutMemory refuses a request whose body is not kept.
-func (x *exchange) refuseWithoutMemory(cause error, reason string) {
+// newMemoryFull returns the error of a request that has not been passed on for lack of memory.
+func (x *exchange) newMemoryFull(cause error) *answerer.Error {
 	after := bodyReturnAfter + time.Duration(randomFraction()*float64(bodyReturnSpread))
-	x.refuseUnread(answerer.Wrap(answerer.BacklogFull, cause, "the memory for request bodies is in use").WithRetryAfter(min(after, x.timeLeft()/3)), reason)
+	return answerer.Wrap(answerer.BacklogFull, cause, "the memory for request bodies is in use").WithRetryAfter(min(after, x.timeLeft()/3))
+}
+
+// reserveMemory reserves memory for what a request needs beside its body until the exchange ends.
+func (x *exchange) reserveMemory(size int64) error {
+	isUnderWay := x.isUnderWay()
+	request := reserver.Request{Size: size, IsUnderWay: isUnderWay, Priority: x.priority()}
+	return x.memory.reserve(x.ctx, request, size <= smallBodyBytes, bodyWait(isUnderWay, x.timeLeft()))
 }
 
 // receiveBody reserves memory for the body and reads it. A caller that stops sending must not keep the
--- a/internal/relayer/memory.go
+++ b/internal/relayer/memory.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -17,7 +19,9 @@
 	maxBufferedBytes = 8 << 20
 	// unreservedBytes is the part of each body that needs no reservation, so that small
 	// responses are served while others are large.
-	unreservedBytes = 256 << 10
+	unreservedBytes = 32 << 10
+	// memoryPollInterval is the time between two attempts to reserve memory.
+	memoryPollInterval = 10 * time.Millisecond
 )
 
 // errResponseTooLarge means that the body of a plain response exceeds maxBufferedBytes,
@@ -40,10 +44,36 @@
 type memoryReservation struct {
 	budget *memoryBudget
 	size   int64
+	// ctx limits the wait for memory; nil for no wait.
+	ctx context.Context //nolint:containedctx // The reservation is that of one request.
 }
 
-// grow adds n bytes to the reservation. It reports whether the budget has them.
+// waitFor lets the reservation wait for memory until ctx ends. What was not read of a response stays at the
+// endpoint meanwhile.
+func (r *memoryReservation) waitFor(ctx context.Context) *memoryReservation {
+	r.ctx = ctx
+	return r
+}
+
+// grow adds n bytes to the reservation. It reports whether the budget has them. An empty reservation waits
+// for them; another one does not, as those that wait could hold what the others need.
 func (r *memoryReservation) grow(n int64) bool {
+	for !r.tryGrow(n) {
+		if r.ctx == nil || r.size > 0 {
+			return false
+		}
+		timer := time.NewTimer(memoryPollInterval)
+		select {
+		case <-r.ctx.Done():
+			timer.Stop()
+			return false
+		case <-timer.C:
+		}
+	}
+	return true
+}
+
+func (r *memoryReservation) tryGrow(n int64) bool {
 	if r.budget.free.Add(-n) < 0 {
 		r.budget.free.Add(n)
 		return false
@@ -60,6 +90,12 @@
 // readResponse reads the whole body. The reservation covers what exceeds unreservedBytes.
 func readResponse(response *sender.Response, reservation *memoryReservation) ([]byte, error) {
 	var body bytes.Buffer
+	if size := min(response.Length, maxBufferedBytes); size > unreservedBytes {
+		if !reservation.grow(size - unreservedBytes) {
+			return nil, eris.Wrapf(errResponseTooLarge, "no memory for %d bytes", size)
+		}
+		body.Grow(int(size) + bytes.MinRead)
+	}
 	for {
 		_, err := io.CopyN(&body, response.Body, unreservedBytes)
 		switch {
@@ -69,7 +105,7 @@
 			return nil, eris.Wrapf(errResponseTooLarge, "more than %d bytes", maxBufferedBytes)
 		case err != nil:
 			return nil, eris.Wrapf(err, "read the response body, %d bytes so far", body.Len())
-		case !reservation.grow(unreservedBytes):
+		case int64(body.Len()) > reservation.size+unreservedBytes && !reservation.grow(unreservedBytes):
 			return nil, eris.Wrapf(errResponseTooLarge, "no memory for more than %d bytes", body.Len())
 		}
 	}
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -140,7 +140,7 @@
 	if !head.IsSigned && response.Status < http.StatusMultipleChoices {
 		return false, errInvalidResponse
 	}
-	reservation := x.responses.reservation()
+	reservation := x.responses.reservation().waitFor(ctx)
 	defer reservation.release()
 	body, err := readResponse(response, reservation)
 	if err != nil {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -200,6 +200,8 @@
 	defaultMaxBodyBytes = 4 << 20
 	// minTimeout is the shortest deadline of an endpoint: none would be that of the caller.
 	minTimeout = time.Millisecond
+	// writeGrace is how long after its deadline a response may take to be written.
+	writeGrace = 10 * time.Second
 	// defaultTimeout is the timeout of a request whose header has none.
 	defaultTimeout = 30 * time.Second
 )
@@ -241,6 +243,7 @@
 	}
 	defer x.memory.release()
 	defer x.logAccess()
+	x.limitWrites(x.arrival.Add(defaultTimeout))
 	if x.table == nil {
 		x.refuse(answerer.New(answerer.StoreUnavailable, "no configuration is known yet").WithRetryAfter(shortRetryAfter), "NoConfiguration")
 		return
@@ -296,9 +299,17 @@
 		timeout = min(timeout, x.route.Timeout)
 	}
 	x.deadline = x.arrival.Add(timeout)
+	x.limitWrites(x.deadline)
 	return true
 }
 
+// limitWrites ends the writing of the response writeGrace after the deadline: a caller that does not read
+// must not keep the memory of the response.
+func (x *exchange) limitWrites(deadline time.Time) {
+	// Writers without a deadline are those of tests.
+	_ = http.NewResponseController(x.writer).SetWriteDeadline(deadline.Add(writeGrace))
+}
+
 // placementKey returns the key by which a service and an endpoint are chosen: the
 // program's ID, or the request's outside a program.
 func (x *exchange) placementKey() string {
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -20,6 +20,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/discoverer"
 	"github.com/wigeonstand/wigeonstand/internal/pruner"
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
+	"github.com/wigeonstand/wigeonstand/internal/reserver"
 	"github.com/wigeonstand/wigeonstand/internal/resumer"
 	"github.com/wigeonstand/wigeonstand/internal/sender"
 	"github.com/wigeonstand/wigeonstand/internal/splitter"
@@ -127,6 +128,9 @@
 	case errors.Is(err, errOtherAccount):
 		t.refuse(answerer.New(answerer.NotFound, "turn %s not found", t.call.PreviousTurn), "OtherAccount")
 		return false
+	case errors.Is(err, reserver.ErrFull), errors.Is(err, reserver.ErrTooLarge):
+		t.refuse(t.newMemoryFull(err), "TranscriptMemory")
+		return false
 	case err != nil:
 		t.refuse(answerer.Wrap(answerer.StoreUnavailable, err, "the transcript cannot be read").WithRetryAfter(t.storeRetryAfter()), "Transcript")
 		return false
@@ -141,6 +145,9 @@
 	return t.allows(permit)
 }
 
+// transcriptCopies is how many times a transcript is kept while its turn runs.
+const transcriptCopies = 2
+
 // readTranscript reads the transcript that the turn continues. It retries while
 // the store does not respond and storeWait allows.
 func (t *turn) readTranscript() error {
@@ -150,6 +157,10 @@
 			return errOtherAccount
 		}
 		if err == nil {
+			// The prompt is a copy of the transcript.
+			if err := t.reserveMemory(transcriptCopies * int64(len(text))); err != nil {
+				return err
+			}
 			t.previous, t.prompt = previous, append(text, t.body...)
 			return nil
 		}
@@ -408,7 +419,7 @@
 // forwardFailure forwards an endpoint's error response. The outcome is recorded by end, and the
 // turn settled, before the caller has the response: it may repeat the turn at once.
 func (t *turn) forwardFailure(response *sender.Response, end func()) error {
-	reservation := t.responses.reservation()
+	reservation := t.responses.reservation().waitFor(t.ctx)
 	defer reservation.release()
 	body, err := readResponse(response, reservation)
 	if err != nil {
