internal/relayer: a panic while a body is read does not end the process later

What callers saw: a process ended by itself in a planned stop: exit status 2 (FAULT). Cause: the timer that refuses a request whose body is late in a planned stop was ended after receiveBody had returned. net/http had panicked in receiveBody ('invalid concurrent Body.Read call', 20:13:13) and had ended the response; the timer then wrote to it from its own goroutine, where nothing recovers. Class: a goroutine of a request that outlives its handler. Change: the watch ends with receiveBody, however that ends. By reading, no other goroutine of a request writes its response; the reader of a chunked body ends in the same way. Evidence: TestPanicWhileABodyIsReadEndsItsWatch failed before, as the response was written.

--- a/internal/relayer/body.go
+++ b/internal/relayer/body.go
@@ -123,9 +123,7 @@
 	}
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
-	watch := x.watchBody(cancel)
-	body, err := x.receiveBody(ctx, r, limit)
-	isRefused := watch.end()
+	body, isRefused, err := x.receiveBodyUnlessStopping(ctx, cancel, r, limit)
 	switch {
 	case isRefused:
 		x.discardBody(r)
@@ -152,6 +150,16 @@
 	return true
 }
 
+// receiveBodyUnlessStopping is receiveBody until the instance can no longer pass the request on, which is
+// then refused.
+func (x *exchange) receiveBodyUnlessStopping(ctx context.Context, cancel context.CancelFunc, r *http.Request, limit int64) (body []byte, isRefused bool, err error) {
+	watch := x.watchBody(cancel)
+	// A panic of the body's reader must end it, too: net/http ends the response then.
+	defer func() { isRefused = watch.end() }()
+	body, err = x.receiveBody(ctx, r, limit)
+	return body, false, err
+}
+
 // newMemoryFull returns the error of a request that has not been passed on for lack of memory.
 func (x *exchange) newMemoryFull(cause error) *answerer.Error {
 	after := bodyReturnAfter + time.Duration(randomFraction()*float64(bodyReturnSpread))
@@ -181,8 +189,10 @@
 		if err != nil {
 			return nil, err
 		}
-		n, err := io.CopyN(&buffer, reader, min(smallBodyBytes, limit)+1)
-		reader.end()
+		n, err := func() (int64, error) {
+			defer reader.end()
+			return io.CopyN(&buffer, reader, min(smallBodyBytes, limit)+1)
+		}()
 		switch {
 		case errors.Is(err, io.EOF) && n <= limit:
 			x.memory.shrink(int64(buffer.Cap()))
--- a/internal/relayer/stop_test.go
+++ b/internal/relayer/stop_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,3 +62,42 @@
 		})
 	}
 }
+
+// panickingBody is a body whose connection is in use by another read.
+type panickingBody struct{ io.ReadCloser }
+
+func (panickingBody) Read([]byte) (int, error) { panic("invalid concurrent Body.Read call") }
+
+// Guards against a timer of a request that writes its response after net/http has ended it, which ended the
+// process (issue 51).
+func TestPanicWhileABodyIsReadEndsItsWatch(t *testing.T) {
+	for name, length := range map[string]int64{"with a length": 10, "in chunks": -1} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				stop := stopper.New()
+				rl := New(Config{Stop: stop, Metrics: &admission{}, Dialect: refusalDialect{}})
+				writer := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+				now := time.Now()
+				x := &exchange{
+					Relayer: rl, writer: writer, table: &matcher.Table{}, route: &matcher.Route{}, arrival: now, deadline: now.Add(time.Minute),
+					memory: bodyReservation{memory: rl.bodies},
+				}
+				r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", http.NoBody)
+				r.Body, r.ContentLength = panickingBody{}, length
+				func() {
+					defer func() {
+						if recover() == nil {
+							t.Error("the panic did not reach net/http")
+						}
+					}()
+					x.readBody(r)
+				}()
+				stop.Begin(time.Second)
+				time.Sleep(time.Minute)
+				if writer.Flushed || writer.Body.Len() > 0 {
+					t.Errorf("a response was written after the end of the request: %q", writer.Body)
+				}
+			})
+		})
+	}
+}
