internal/soaker: SIGHUP follows starts and planned stops

Cause: the soak sent SIGHUP at any time, hence hardly ever in the first milliseconds of a process or while it stops. Change: a third of the starts is followed by one within 30 ms, and each planned stop by one within 1 s.

--- a/internal/soaker/soak_instance.go
+++ b/internal/soaker/soak_instance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
@@ -35,11 +36,20 @@
 	onEnd func(state *os.ProcessState, wasStopped bool)
 
 	mu      sync.Mutex
+	starts  int
 	frozen  bool
 	stopped bool
 	killed  bool
 }
 
+const (
+	// Each hangupStarts-th start is followed by a SIGHUP within hangupDelay, and each planned stop by one
+	// within hangupStop.
+	hangupStarts = 3
+	hangupDelay  = 30 * time.Millisecond
+	hangupStop   = time.Second
+)
+
 func (in *instance) callers() string { return in.host + ":7101" }
 
 // settings writes the settings file.
@@ -76,12 +86,15 @@
 	}
 	ended := make(chan struct{})
 	in.command, in.ended, in.frozen, in.stopped, in.killed = command, ended, false, false, false
+	if in.starts++; in.starts%hangupStarts == 0 {
+		time.AfterFunc(rand.N(hangupDelay), func() { _ = command.Process.Signal(syscall.SIGHUP) }) // It may have ended.
+	}
 	go func() {
 		_ = command.Wait() // The state tells how it ended.
 		in.mu.Lock()
 		stopped, killed := in.stopped, in.killed
 		in.mu.Unlock()
-		if !killed && !(stopped && endedByStop(command.ProcessState)) {
+		if !killed && (!stopped || !endedByStop(command.ProcessState)) {
 			in.onEnd(command.ProcessState, stopped)
 		}
 		close(ended)
@@ -130,6 +143,7 @@
 	in.mu.Unlock()
 	if !stopped {
 		in.signal(syscall.SIGTERM)
+		time.AfterFunc(rand.N(hangupStop), func() { in.signal(syscall.SIGHUP) })
 	}
 }
 
