internal/composer: the events of a start that fails are in the catalogue

Cause: docs/EVENTS.md is made without the packages of commands. A stop while the start waits for its settings ended with status 1. Change: the events moved; such a stop ends with status 0.

--- a/cmd/wigeonstand/cmd/entry.go
+++ b/cmd/wigeonstand/cmd/entry.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"time"
 
-	charmlog "github.com/charmbracelet/log"
 	"github.com/urfave/cli/v3"
 
 	"github.com/wigeonstand/wigeonstand/internal/composer"
@@ -19,17 +17,6 @@
 
 const firstStartFlag = "first-start"
 
-// maxLogTime limits the writing of the last line of the log.
-const maxLogTime = 500 * time.Millisecond
-
-var (
-	eventEntryFailed = logger.Define(5131, "EntryFailed", charmlog.ErrorLevel,
-		"the process ends because of an error", "Mend the cause.")
-	eventSettingsReplaced = logger.Define(5132, "SettingsReplaced", charmlog.WarnLevel,
-		"settings were refused; unknown ones are ignored, and the others have their defaults",
-		"Correct the settings file.")
-)
-
 func newEntryCmd() *cli.Command {
 	return &cli.Command{
 		Name:  "entry",
@@ -56,27 +43,13 @@
 			log := logger.New(c.Root().Writer, logger.WithJSON(), logger.WithMilliseconds())
 			err := runEntry(ctx, c, log, hangups)
 			if err != nil {
-				logFailure(log, err)
+				composer.LogFailure(log, err)
 			}
 			return err
 		},
 	}
 }
 
-// logFailure logs the error that ends the process. A reader of the log that takes nothing does not
-// hold up the end.
-func logFailure(log *logger.Logger, err error) {
-	logged := make(chan struct{})
-	go func() {
-		defer close(logged)
-		log.Log(eventEntryFailed, "Cause", err)
-	}()
-	select {
-	case <-logged:
-	case <-time.After(maxLogTime):
-	}
-}
-
 // runEntry runs an entry. It logs to log what precedes the entry's own log.
 func runEntry(ctx context.Context, c *cli.Command, log *logger.Logger, hangups <-chan struct{}) error {
 	file := c.String("file")
@@ -87,12 +60,15 @@
 			return err
 		}
 		if err := replaced.Err(); err != nil {
-			log.Log(eventSettingsReplaced, "Cause", err)
+			composer.LogReplacedSettings(log, err)
 		}
 		settings = loaded
 		return nil
 	})
-	if err != nil {
+	switch {
+	case ctx.Err() != nil:
+		return nil // It was stopped before it had its settings.
+	case err != nil:
 		return err
 	}
 	store := platform.NewStore(settings.StoreAddress)
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -558,6 +558,21 @@
 	}
 }
 
+// LogFailure writes the error that ends the process to its log.
+func LogFailure(l *logger.Logger, err error) {
+	logged := make(chan struct{})
+	go func() {
+		defer close(logged)
+		l.Log(eventFailed, "Cause", err)
+	}()
+	waitFor(logged, maxFlushTime)
+}
+
+// LogReplacedSettings logs the errors in a settings file with which the start goes on.
+func LogReplacedSettings(l *logger.Logger, errs error) { l.Log(eventSettingsReplaced, "Cause", errs) }
+
+// waitFor waits until done is closed, up to the limit. A reader of the log that takes nothing must not hold
+// up the end of the process.
 func waitFor(done <-chan struct{}, limit time.Duration) {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
--- a/internal/composer/events.go
+++ b/internal/composer/events.go
@@ -15,6 +15,11 @@
 		"the instance has stopped", "None.")
 	eventComponentPanicked = logger.Define(5031, "ComponentPanicked", log.ErrorLevel,
 		"a component panicked; the process ends", "Report the cause with the instance's version.")
+	eventFailed = logger.Define(5131, "EntryFailed", log.ErrorLevel,
+		"the process ends because of an error", "Mend the cause.")
+	eventSettingsReplaced = logger.Define(5132, "SettingsReplaced", log.WarnLevel,
+		"settings were refused; unknown ones are ignored, and the others have their defaults",
+		"Correct the settings file.")
 	eventMetricsUnavailable = logger.Define(5032, "MetricsUnavailable", log.WarnLevel,
 		"the address of the metrics cannot be listened on; the instance serves without them",
 		"Free the address or change AdminListen.")
