internal/accepter: connections that never had a request go before idle ones

Cause: by reading: a crowd of connections without a byte took the place of callers' and instances' idle connections by the time that they had waited; an instance's connection that carries a tunnel waits for its client, too. Change: connections of which no whole message was read are closed first.

--- a/internal/accepter/budget.go
+++ b/internal/accepter/budget.go
@@ -72,7 +72,7 @@
 
 // Budget limits the memory that the connections of some listeners take. If it is in use, connections are
 // closed in this order: those whose unread message takes most, if it takes more than the new demand;
-// those without a request that have waited for one longest; those whose head is incomplete for longest, or
+// those that never had a request, and then those without one, that have waited longest; those whose head is incomplete for longest, or
 // whose client has sent nothing of a body for longest.
 // A Budget is safe for concurrent use.
 type Budget struct {
@@ -113,6 +113,8 @@
 	// excess is what its unread message takes, and isIdle is true if there is none.
 	excess int64
 	isIdle bool
+	// isUsed is true if a message was read from the connection before.
+	isUsed bool
 }
 
 // chooseEviction returns the index of the candidate to close for a demand of memory, or -1 if there is
@@ -122,7 +124,9 @@
 	rank := func(c candidate) (class int, amount int64) {
 		switch {
 		case c.excess > 0 && c.excess >= demand:
-			return 3, c.excess
+			return 4, c.excess
+		case c.isIdle && !c.isUsed && c.waited >= minIdle:
+			return 3, int64(c.waited)
 		case c.isIdle && c.waited >= minIdle:
 			return 2, int64(c.waited)
 		case c.waited >= minStall:
@@ -200,9 +204,9 @@
 		return candidate{waited: now.Sub(c.waitingSince)}
 	case c.size == 0:
 		if c.waitingSince.IsZero() {
-			return candidate{isIdle: true}
+			return candidate{isIdle: true, isUsed: c.isUsed}
 		}
-		return candidate{waited: now.Sub(c.waitingSince), isIdle: true}
+		return candidate{waited: now.Sub(c.waitingSince), isIdle: true, isUsed: c.isUsed}
 	default:
 		return candidate{waited: now.Sub(c.messageSince), excess: c.excess}
 	}
@@ -275,8 +279,10 @@
 	messageSince time.Time
 	// waitingSince is when the pending Read began; zero if there is none.
 	waitingSince time.Time
-	isEvicted    bool
-	hasClosed    bool
+	// isUsed is true once a whole message was read.
+	isUsed    bool
+	isEvicted bool
+	hasClosed bool
 }
 
 // Read implements net.Conn.
@@ -330,7 +336,7 @@
 
 // lockedReset ends the message.
 func (c *conn) lockedReset() {
-	c.isInMessage, c.size, c.lines = true, 0, 0
+	c.isInMessage, c.isUsed, c.size, c.lines = true, true, 0, 0
 	if !c.isEvicted {
 		c.budget.used -= c.excess
 		c.reserved -= c.excess
@@ -381,7 +387,7 @@
 func (c *conn) MessageRead() {
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
-	c.size, c.lines = 0, 0
+	c.isUsed, c.size, c.lines = true, 0, 0
 }
 
 // SetLinger does what net.TCPConn.SetLinger does.
--- a/internal/accepter/budget_internal_test.go
+++ b/internal/accepter/budget_internal_test.go
@@ -27,7 +27,10 @@
 		"a large head goes first":                {candidates: []candidate{idle, large, stalled}, demand: 100 << 10, want: 1},
 		"a smaller head than the demand is kept": {candidates: []candidate{large}, demand: 101 << 10, want: -1},
 		"the longest idle before stalled ones":   {candidates: []candidate{stalled, idle, {waited: 2 * time.Second, isIdle: true}}, demand: 1, want: 2},
-		"stalled before none":                    {candidates: []candidate{busy, stalled, young}, demand: 1, want: 1},
+		"a connection that was never used goes before one that was": {
+			candidates: []candidate{{waited: time.Hour, isIdle: true, isUsed: true}, idle}, demand: 1, want: 1,
+		},
+		"stalled before none": {candidates: []candidate{busy, stalled, young}, demand: 1, want: 1},
 	} {
 		if got := chooseEviction(tc.candidates, tc.demand); got != tc.want {
 			t.Errorf("%s: %d, not %d", name, got, tc.want)
