internal/relayer: a refusal of an unknown key closes a connection whose body is unread

Cause: the refusal enabled full duplex, so as not to wait for the body, and kept the connection. net/http reads the rest of the body when the request has ended, starts to watch the connection at its end, and panics when it reads the next request. Class: a body that is left to net/http in full duplex. Change: such a refusal is that of any unread body: it closes the connection, and the rest is read for up to 2 s. The other use of full duplex closes the connection.

--- a/cmd/wigeonstand/cmd/process_test.go
+++ b/cmd/wigeonstand/cmd/process_test.go
@@ -349,3 +349,42 @@
 		t.Errorf("%s", p.command.ProcessState)
 	}
 }
+
+// Guards against refusals of unread bodies after which net/http panics on the connection, which cut the next request and led to the end
+// of a process (issue 51).
+func TestRefusalsOfUnknownKeysKeepTheConnectionInOrder(t *testing.T) {
+	rows, store := newStore(t)
+	if err := standin.WriteAccounts(rows, 2, []standin.Account{{Name: "account-1", Keys: []string{"key-1"}}}); err != nil {
+		t.Fatal(err)
+	}
+	p := newProcess(t, store, nil)
+	p.start(nil)
+	p.await("ready", p.isReady)
+	var client http.Client
+	for i := range 8 {
+		body := io.Reader(strings.NewReader("a body"))
+		if i%2 == 1 {
+			body = io.MultiReader(body) // In chunks.
+		}
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+p.address(callerPort)+standin.PathPost+"x", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Host = standin.Host
+		request.Header.Set("Attempt-Id", fmt.Sprint("unknown-", i))
+		request.Header.Set("Authorization", "Bearer unknown")
+		response, err := client.Do(request)
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body) // The status is checked.
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusUnauthorized {
+			t.Errorf("request %d: status %d", i, response.StatusCode)
+		}
+	}
+	time.Sleep(500 * time.Millisecond) // The log is written.
+	if text := p.output.String(); strings.Contains(text, "panic serving") {
+		t.Error("a connection ended by a panic")
+	}
+}
--- a/internal/relayer/account.go
+++ b/internal/relayer/account.go
@@ -16,7 +16,7 @@
 
 // authenticate finds the account that holds the caller's key and drops the key. It reports
 // whether the request may go on; if not, it has been refused.
-func (x *exchange) authenticate() bool {
+func (x *exchange) authenticate(r *http.Request) bool {
 	key := x.call.Key
 	x.call.Key = ""
 	if !x.table.HasAccounts() {
@@ -35,14 +35,18 @@
 	if x.route.Public {
 		return true
 	}
-	// Otherwise the server reads a body of up to 256 KiB before it sends the response.
-	_ = http.NewResponseController(x.writer).EnableFullDuplex() // Without it the refusal is only later.
 	x.writer.Header().Set("WWW-Authenticate", "Bearer")
+	e, reason := answerer.New(answerer.Unauthenticated, "the key is unknown"), "UnknownKey"
 	if key == "" {
-		x.refuse(answerer.New(answerer.Unauthenticated, "the route requires exactly one key, in the form \"Authorization: Bearer KEY\""), "NoKey")
+		e, reason = answerer.New(answerer.Unauthenticated, "the route requires exactly one key, in the form \"Authorization: Bearer KEY\""), "NoKey"
+	}
+	if r.ContentLength == 0 {
+		x.refuse(e, reason)
 		return false
 	}
-	x.refuse(answerer.New(answerer.Unauthenticated, "the key is unknown"), "UnknownKey")
+	// The body is not waited for.
+	x.refuseUnread(e, reason)
+	x.discardBody(r)
 	return false
 }
 
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -257,7 +257,7 @@
 		x.refuse(answerer.New(answerer.NotFound, "no route matches the request"), "NoRoute")
 		return
 	}
-	if !x.authenticate() || !x.setDeadline() {
+	if !x.authenticate(r) || !x.setDeadline() {
 		return
 	}
 	x.service = x.route.PickService(xxhash.Sum64String(x.placementKey()))
