internal/soaker: a recovered panic in the log of a process is a violation

Change: after a run the logs of the instances are searched for panics that net/http and the messenger recovered.

--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -5,6 +5,7 @@
 package soaker
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -145,7 +146,23 @@
 		c.check(ctx)
 		c.checkWithdrawn(ctx)
 	}
-	return s.report, nil
+	return s.report, s.checkLogs()
+}
+
+// checkLogs looks for panics, which net/http and the messenger recover.
+func (s *soak) checkLogs() error {
+	for _, in := range s.instances {
+		text, err := os.ReadFile(in.file("log"))
+		if err != nil {
+			return eris.Wrap(err, "read the log of an instance")
+		}
+		for _, mark := range []string{"panic serving", `"CallPanicked"`} {
+			if n := bytes.Count(text, []byte(mark)); n > 0 {
+				s.violate("FAULT: %d times %s in the log of %s", n, mark, in.name)
+			}
+		}
+	}
+	return nil
 }
 
 func (s *soak) build(ctx context.Context) error {
