internal/relayer: a body is read from writers without a deadline, too

The tests of processes named headers of the platform (TestPlatformNamesAreConfinedToPackage). Change: such writers have no deadline; the stand-in names the headers.

--- a/cmd/wigeonstand/cmd/crowd_test.go
+++ b/cmd/wigeonstand/cmd/crowd_test.go
@@ -74,7 +74,7 @@
 
 // head returns the lines of a request without the empty line that ends them.
 func head(method, path string, lines ...string) string {
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %d\r\nDeadline-Ms: 3000\r\n", method, path, standin.Host, attemptCount.Add(1)) + strings.Join(append(lines, ""), "\r\n")
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %d\r\n%s: 3000\r\n", method, path, standin.Host, standin.HeaderID, attemptCount.Add(1), standin.HeaderDeadline) + strings.Join(append(lines, ""), "\r\n")
 }
 
 var attemptCount atomic.Int64
@@ -192,12 +192,11 @@
 type responder struct{ endpoint http.Handler }
 
 func (r responder) ServeHTTP(w http.ResponseWriter, request *http.Request) {
-	id := request.Header.Get("Attempt-Id")
+	id := request.Header.Get(standin.HeaderID)
 	switch request.URL.Path {
 	case pathHuge, pathLarge, pathMedium:
 		size := map[string]int{pathHuge: hugeResponseBytes, pathLarge: largeResponseBytes, pathMedium: mediumResponseBytes}[request.URL.Path]
-		w.Header().Set("Attempt-Id", id)
-		w.Header().Set("Server-Signature", standin.SignatureOf(id))
+		standin.Sign(w.Header(), id)
 		_, _ = w.Write(make([]byte, size)) // The caller may be gone.
 	case pathSlow:
 		time.Sleep(2 * time.Second)
@@ -246,8 +245,8 @@
 				p.t.Fatal(err)
 			}
 			request.Host = standin.Host
-			request.Header.Set("Attempt-Id", fmt.Sprint("ordinary-", attemptCount.Add(1)))
-			request.Header.Set("Deadline-Ms", "4000")
+			request.Header.Set(standin.HeaderID, fmt.Sprint("ordinary-", attemptCount.Add(1)))
+			request.Header.Set(standin.HeaderDeadline, "4000")
 			response, err := client.Do(request)
 			if err != nil {
 				return false
--- a/cmd/wigeonstand/cmd/process_test.go
+++ b/cmd/wigeonstand/cmd/process_test.go
@@ -371,7 +371,7 @@
 			t.Fatal(err)
 		}
 		request.Host = standin.Host
-		request.Header.Set("Attempt-Id", fmt.Sprint("unknown-", i))
+		request.Header.Set(standin.HeaderID, fmt.Sprint("unknown-", i))
 		request.Header.Set("Authorization", "Bearer unknown")
 		response, err := client.Do(request)
 		if err != nil {
--- a/internal/relayer/eviction.go
+++ b/internal/relayer/eviction.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -94,7 +95,8 @@
 func (x *exchange) startReading(body io.Reader) (*bodyReader, error) {
 	now := time.Now()
 	r := &bodyReader{body: body, controller: http.NewResponseController(x.writer), all: &x.bodies.readers, start: now, lastRead: now}
-	if err := r.controller.SetReadDeadline(x.deadline); err != nil {
+	// A writer that is no connection has no deadline.
+	if err := r.controller.SetReadDeadline(x.deadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return nil, eris.Wrap(err, "limit the time to read the body")
 	}
 	r.all.mu.Lock()
