internal/composer: connections of other instances have a tenth of the memory

Cause: an eighth of the memory, with what its connections keep until they have ended, and 64 KiB of unread bytes a connection, which Linux doubles, leave too little. Change: a tenth (477 connections at 112 MB; the target has 360 nodes) and receive buffers of 16 KiB. The bound and the crowd are as they were.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -67,7 +67,7 @@
 	// connectionMemoryDivisor and peerMemoryDivisor give the parts of the memory for the connections of
 	// callers, with the heads of their requests, and for those of other instances, with their messages.
 	connectionMemoryDivisor = 12
-	peerMemoryDivisor       = 8
+	peerMemoryDivisor       = 10
 	// statusMemory is that for the connections of readiness checks and metrics.
 	statusMemory = 2 << 20
 	// descriptorDivisor gives the part of the descriptors that callers' connections may use.
@@ -75,7 +75,7 @@
 	// The receive buffers limit what the kernel holds of a connection that is not read. It doubles them.
 	callerReceiveBuffer = 16 << 10
 	statusReceiveBuffer = 4 << 10
-	peerReceiveBuffer   = 64 << 10
+	peerReceiveBuffer   = 16 << 10
 	// maxStatusHeaderBytes and statusTimeout limit the requests for readiness and metrics.
 	maxStatusHeaderBytes = 4 << 10
 	statusTimeout        = 10 * time.Second
