--- a/cmd/wigeonstand/cmd/crowd_test.go
+++ b/cmd/wigeonstand/cmd/crowd_test.go
@@ -371,7 +371,7 @@
 	t.Logf("%d MB at the most (resident %d, unread %d), %d descriptors; before %d MB", mostMemory, most.residentMB, most.unreadMB, most.descriptors, before.residentMB)
 }
 
-// Guards against a process that ends by its memory, hangs, or answers nobody because of a crowd of clients
+// Guards against a process that ends by its memory, hangs, or does not answer because of a crowd of clients
 // that misbehave (issue 50).
 func TestCrowd(t *testing.T) {
 	for _, kind := range crowds {
