internal/rerouter: calls look for a relay until the first search has ended

A probe may find that the store is lost before a call does; until the probe's search for an instance that reaches the store ended, calls failed as not run, although that instance serves them. After a search without one they fail at once, as before. A comment is back at its test.

--- a/internal/fakeplatform/rows.go
+++ b/internal/fakeplatform/rows.go
@@ -304,15 +304,15 @@
 		r.counts.Refused++
 	}
 	r.mu.Unlock()
-	if refused {
-		return storer.ErrUnavailable
-	}
-	if faults.Silent || faults.Unanswered[caller] {
+	if !refused && (faults.Silent || faults.Unanswered[caller]) {
 		<-ctx.Done()
 		return storer.ErrInDoubt
 	}
 	if pause(ctx, faults.Delay) != nil {
 		return storer.ErrInDoubt
 	}
+	if refused {
+		return storer.ErrUnavailable
+	}
 	return nil
 }
--- a/internal/rerouter/relay.go
+++ b/internal/rerouter/relay.go
@@ -79,6 +79,9 @@
 		}
 	}
 	if path, _ := r.Path(); path != Direct {
+		r.mu.Lock()
+		r.relaysFailed = true
+		r.mu.Unlock()
 		r.setPath(Lost, failure)
 	}
 	if inDoubt {
--- a/internal/rerouter/rerouter.go
+++ b/internal/rerouter/rerouter.go
@@ -162,6 +162,8 @@
 	// lostAt is when the path was last lost, and awayAt the end of the last time in which other
 	// instances did not reach the store either.
 	lostAt, awayAt time.Time
+	// relaysFailed is set while the path is Lost and a search for a relay has ended without one.
+	relaysFailed bool
 	// restored is closed and replaced when the path changes from Lost.
 	restored chan struct{}
 	// rerouted is closed when the path becomes Relayed, and replaced when it becomes
@@ -378,13 +380,13 @@
 // call makes a call on the current path. A direct read without a response is repeated
 // on a new connection. If the path changes during a direct call,
 // the call is repeated through another instance. A transaction can be repeated
-// because of its conditions. While the path is Lost, calls fail immediately and Run
-// looks for a path.
+// because of its conditions. While the path is Lost, Run looks for a path. Until its first
+// search ends, calls look for one themselves; then they fail immediately.
 func (r *Rerouter) call(ctx context.Context, op operation,
 	direct func(context.Context) error, relayed relayedCall,
 ) error {
 	path, _ := r.Path()
-	if path == Lost {
+	if path == Lost && (op.isPoll || !r.isFirstSearch()) {
 		return storer.ErrUnreachable
 	}
 	var failure error
@@ -473,6 +475,13 @@
 	return path == Lost
 }
 
+// isFirstSearch reports whether the path may be Lost only until the first search for a relay ends.
+func (r *Rerouter) isFirstSearch() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.relaysFailed && time.Since(r.lostAt) <= relaySearch
+}
+
 // probeRelays looks for an instance that reaches the store. The path stays Lost if
 // there is none.
 func (r *Rerouter) probeRelays(ctx context.Context) {
@@ -626,7 +635,7 @@
 	from := r.path
 	r.path = to
 	if to != Lost {
-		r.lastResponse = time.Now()
+		r.lastResponse, r.relaysFailed = time.Now(), false
 	}
 	if from != to {
 		r.updateRerouted(to)
--- a/internal/rerouter/rerouter_test.go
+++ b/internal/rerouter/rerouter_test.go
@@ -129,8 +129,31 @@
 	})
 }
 
-// An instance that loses its connection to the store during a write (Laulukaar
-// inc-f21f) must relay the write once the path is Relayed.
+// A probe may find that the store is lost before a call does. Calls that came before it had found
+// another instance were refused, although that instance reached the store.
+func TestCallsAreRelayedDuringTheFirstSearch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fakeplatform.NewRows(1)
+		r, peers := newRerouter(t, rows)
+		peers.delay = 50 * time.Millisecond
+		rows.SetFaults(fakeplatform.RowFaults{Refused: map[string]bool{"self": true}, Delay: 10 * time.Millisecond})
+		_, _ = r.List(t.Context(), rowRange) // The probe that follows is the second failure.
+		time.Sleep(25 * time.Millisecond)
+		if diff := cmp.Diff(rerouter.Lost, pathOf(r)); diff != "" {
+			t.Fatal(diff)
+		}
+		if err := insert(t.Context(), r); err != nil {
+			t.Error(err)
+		}
+		if _, err := r.List(t.Context(), rowRange); err != nil {
+			t.Error(err)
+		}
+		if diff := cmp.Diff(rerouter.Relayed, pathOf(r)); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
 // Other instances that are slow, on a busy host, counted as lost for as long as they were, so
 // that turns were refused although each call would have been answered.
 func TestSlowRelaysAreNotLost(t *testing.T) {
@@ -202,6 +225,8 @@
 	})
 }
 
+// An instance that loses its connection to the store during a write (Laulukaar
+// inc-f21f) must relay the write once the path is Relayed.
 func TestUnansweredWriteIsRelayed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rows := fakeplatform.NewRows(1)
