internal/sender: the heads of all responses have one limit of memory

Cause: the heads of endpoints' responses were limited one by one to 64 KiB, which 15,000 empty fields make several times as much, and the kernel's receive buffers of connections to endpoints grew without a limit of ours. 400 callers whose endpoints stop short took a process of 112 MB to 96 (incomplete heads), 103 and 112 MB (complete ones with bodies that stop short). Change: a Sender has a limit for all heads together, 1/24 of the memory; the connection with the largest incomplete head is closed for others. Connections to endpoints have receive buffers of 32 KiB. Four crowds of endpoints; the crowds count the unread bytes of all sockets of the process.

--- a/cmd/wigeonstand/cmd/crowd_test.go
+++ b/cmd/wigeonstand/cmd/crowd_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -40,6 +41,11 @@
 	pathLarge         = standin.PathLookup + "large"
 	pathMedium        = standin.PathLookup + "medium"
 	pathSlow          = standin.PathLookup + "slow"
+	// The endpoint leaves its responses for these paths incomplete.
+	pathShortHead   = standin.PathLookup + "short-head"
+	pathInterim     = standin.PathLookup + "interim"
+	pathLargeHead   = standin.PathLookup + "large-head"
+	pathSmallChunks = standin.PathLookup + "small-chunks"
 )
 
 // crowd is a set of clients that keep their connections open.
@@ -186,6 +192,15 @@
 		c.join(peerPort, percent, func(w io.Writer) error { return endless(w, strings.Repeat("\r\n", 1<<13)) })
 		c.join(peerPort, 10*percent, func(io.Writer) error { return nil })
 	}},
+	{"heads of responses that stop short", func(c *crowd, percent int) { c.request(pathShortHead, 4*percent) }},
+	{"interim responses without end", func(c *crowd, percent int) { c.request(pathInterim, 4*percent) }},
+	{"large heads of responses whose bodies stop short", func(c *crowd, percent int) { c.request(pathLargeHead, 4*percent) }},
+	{"chunks of responses without end", func(c *crowd, percent int) { c.request(pathSmallChunks, 3*percent) }},
+}
+
+// request opens count connections and requests the path on each of them.
+func (c *crowd) request(path string, count int) {
+	c.join(callerPort, count, func(w io.Writer) error { return writeAll(w, head("GET", path), "\r\n") })
 }
 
 // responder serves a large response, a late one, and others as a stand-in does.
@@ -198,6 +213,8 @@
 		size := map[string]int{pathHuge: hugeResponseBytes, pathLarge: largeResponseBytes, pathMedium: mediumResponseBytes}[request.URL.Path]
 		standin.Sign(w.Header(), id)
 		_, _ = w.Write(make([]byte, size)) // The caller may be gone.
+	case pathShortHead, pathInterim, pathLargeHead, pathSmallChunks:
+		r.stopShort(w, request.URL.Path, id)
 	case pathSlow:
 		time.Sleep(2 * time.Second)
 		fallthrough
@@ -206,6 +223,38 @@
 	}
 }
 
+// stopShort begins a response and waits until the connection is closed.
+func (r responder) stopShort(w http.ResponseWriter, path, id string) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return // The process has closed the connection.
+	}
+	defer func() { _ = conn.Close() }() // It has no end of its own.
+	fields := http.Header{}
+	standin.Sign(fields, id)
+	var signed strings.Builder
+	if fields.Write(&signed) != nil {
+		return // A strings.Builder does not fail.
+	}
+	begin := "HTTP/1.1 200 OK\r\n" + signed.String()
+	empty := strings.Repeat("a:\r\n", 15_000)
+	switch path {
+	case pathShortHead:
+		err = writeAll(conn, begin, empty)
+	case pathInterim:
+		err = endless(conn, "HTTP/1.1 100 Continue\r\n"+strings.Repeat("a:\r\n", 1_000)+"\r\n")
+	case pathLargeHead:
+		err = writeAll(conn, begin, empty[:56_000], "Content-Length: 1000000\r\n\r\n", strings.Repeat("x", 999_999))
+	case pathSmallChunks:
+		if err = writeAll(conn, begin, "Transfer-Encoding: chunked\r\n\r\n"); err == nil {
+			err = endless(conn, strings.Repeat(standin.Chunk("x"), 1000))
+		}
+	}
+	if err == nil {
+		_, _ = io.Copy(io.Discard, conn) // Until the process closes it.
+	}
+}
+
 // newCrowdProcess starts a process with the limits of the smallest instances and warms it up.
 func newCrowdProcess(t *testing.T) *process {
 	t.Helper()
@@ -286,22 +335,33 @@
 	return u
 }
 
-// socket is an established connection at the process's address.
+// socket is an established connection of the process.
 type socket struct{ port, unread int }
 
+// sockets returns the connections whose descriptors the process has, to its endpoints, too.
 func (p *process) sockets() []socket {
 	p.t.Helper()
+	folder := fmt.Sprintf("/proc/%d/fd", p.command.Process.Pid)
+	descriptors, err := os.ReadDir(folder)
+	if err != nil {
+		return nil // The process has ended.
+	}
+	own := map[string]bool{}
+	for _, d := range descriptors {
+		// A descriptor may have been closed meanwhile.
+		if target, err := os.Readlink(filepath.Join(folder, d.Name())); err == nil {
+			own[target] = true
+		}
+	}
 	table, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	ip := netip.MustParseAddr(p.host).As4()
-	local := fmt.Sprintf("%02X%02X%02X%02X:", ip[3], ip[2], ip[1], ip[0])
 	var sockets []socket
 	for line := range strings.Lines(string(table)) {
 		fields := strings.Fields(line)
 		const established = "01"
-		if len(fields) < 5 || !strings.HasPrefix(fields[1], local) || fields[3] != established {
+		if len(fields) < 10 || fields[3] != established || !own["socket:["+fields[9]+"]"] {
 			continue
 		}
 		_, queue, _ := strings.Cut(fields[4], ":")
@@ -309,7 +369,8 @@
 		if err != nil {
 			p.t.Fatal(err)
 		}
-		port, err := strconv.ParseInt(strings.TrimPrefix(fields[1], local), 16, 32)
+		_, localPort, _ := strings.Cut(fields[1], ":")
+		port, err := strconv.ParseInt(localPort, 16, 32)
 		if err != nil {
 			p.t.Fatal(err)
 		}
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -68,6 +68,8 @@
 	// callers, with the heads of their requests, and for those of other instances, with their messages.
 	connectionMemoryDivisor = 12
 	peerMemoryDivisor       = 10
+	// responseHeadMemoryDivisor gives that for the heads of endpoints' responses.
+	responseHeadMemoryDivisor = 24
 	// statusMemory is that for the connections of readiness checks and metrics.
 	statusMemory = 2 << 20
 	// descriptorDivisor gives the part of the descriptors that callers' connections may use.
@@ -192,7 +194,7 @@
 	e.peerClient = messenger.NewClient(messenger.WithTimeouts(e.extender.WithTimeout))
 	e.sender = sender.New(sender.WithDial(func(ctx context.Context, network, address string) (net.Conn, error) {
 		return e.tunneler.Dial(ctx, network, address)
-	}))
+	}), sender.WithHeadBudget(memoryBytes(settings)/responseHeadMemoryDivisor, accepter.HeadCost))
 	metrics := newMetrics(e.meter, e.sender, e.registry)
 	e.rerouter = rerouter.New(platform.Rows, e.peerClient, rerouter.WithCallCounter(metrics.countStoreCall), rerouter.WithTimeouts(e.extender.WithTimeout),
 		rerouter.WithPathObserver(func(from, to rerouter.Path, cause error) {
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -54,6 +54,8 @@
 	maxHeadBytes = 64 << 10
 	// endTimeout limits the wait for the end of a response whose caller needs no more of it.
 	endTimeout = 10 * time.Millisecond
+	// receiveBuffer limits what the kernel holds of a response that is not read. It doubles it.
+	receiveBuffer = 32 << 10
 	// maxInlineBodyBytes is the size up to which a body is written before the
 	// response is read. It is below the TCP window, so the write does not block.
 	maxInlineBodyBytes = 16 << 10
@@ -109,7 +111,7 @@
 type conn struct {
 	net.Conn
 	reader  *bufio.Reader
-	limit   *limitReader
+	head    *headReader
 	address netip.AddrPort
 	// expires is the end of its use, cautiousUntil that for requests that must not be
 	// repeated.
@@ -122,6 +124,8 @@
 // Sender sends requests and pools connections. It is safe for concurrent use.
 type Sender struct {
 	dial Dial
+	// heads is nil without a limit.
+	heads *headBudget
 
 	mu     sync.Mutex
 	idle   map[netip.AddrPort][]*conn
@@ -147,7 +151,9 @@
 }
 
 // NewDial returns a Dial with the timeouts for endpoints.
-func NewDial() Dial { return dialer.New(dialTimeout, ackTimeout).DialContext }
+func NewDial() Dial {
+	return dialer.New(dialTimeout, ackTimeout, dialer.WithReceiveBuffer(receiveBuffer)).DialContext
+}
 
 // ConnectionsOpened returns the number of connections opened, including failed
 // attempts.
@@ -198,6 +204,7 @@
 	response, err := s.exchange(ctx, cn, r)
 	if err != nil {
 		stop()
+		cn.head.release()
 		discard(cn)
 		if ctx.Err() != nil {
 			err = eris.Wrap(context.Cause(ctx), err.Error())
@@ -226,8 +233,8 @@
 	if err != nil {
 		return nil, err
 	}
-	limit := &limitReader{Reader: raw, left: maxHeadBytes}
-	return &conn{Conn: raw, reader: bufio.NewReader(limit), limit: limit, address: r.Address}, nil
+	head := &headReader{conn: raw, budget: s.heads}
+	return &conn{Conn: raw, reader: bufio.NewReader(head), head: head, address: r.Address}, nil
 }
 
 // takeIdle removes and returns the connection to the endpoint that was used last, or
@@ -333,32 +340,10 @@
 	return id == "" || id == r.ID, nil
 }
 
-// limitReader returns errHeadTooLarge once left bytes have been read. A negative left is no
-// limit.
-type limitReader struct {
-	io.Reader
-	left int
-}
-
-var errHeadTooLarge = eris.Errorf("the response head exceeds %d bytes", maxHeadBytes)
-
-// Read implements io.Reader.
-func (l *limitReader) Read(b []byte) (int, error) {
-	if l.left < 0 {
-		return l.Reader.Read(b)
-	}
-	if l.left == 0 {
-		return 0, errHeadTooLarge
-	}
-	n, err := l.Reader.Read(b[:min(len(b), l.left)])
-	l.left -= n
-	return n, err
-}
-
 // readHead reads the next response head and skips interim responses.
 func (cn *conn) readHead(method string) (*http.Response, error) {
-	cn.limit.left = maxHeadBytes
-	defer func() { cn.limit.left = -1 }()
+	cn.head.begin()
+	defer cn.head.end()
 	for range maxInterimResponses + 1 {
 		response, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
 		if err != nil {
@@ -409,6 +394,7 @@
 // Close returns the connection to the pool if the request and the response are
 // complete, and closes it otherwise.
 func (r *Response) Close() {
+	r.conn.head.release()
 	if r.stopCancel != nil && !r.stopCancel() {
 		return
 	}
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -171,6 +171,57 @@
 
 // The idle connections of all instances together must not take all that an endpoint
 // accepts, so that each instance keeps its part of them at most.
+// Heads were limited one by one only, so that endpoints could make an instance hold any number of large ones.
+func TestHeadsOfAllResponsesAreLimited(t *testing.T) {
+	const size, count = 30_000, 8
+	begin := "HTTP/1.1 200 OK\r\nId: "
+	arrived := make(chan string, count)
+	address := serve(t, func(w io.Writer, id string) {
+		switch {
+		case strings.HasPrefix(id, "short"):
+			_, _ = io.WriteString(w, begin+id+"\r\nField: "+strings.Repeat("v", size)) // It may be closed.
+			arrived <- id
+		case id == "medium":
+			_, _ = io.WriteString(w, begin+id+"\r\nField: "+strings.Repeat("v", size/2)+"\r\nContent-Length: 2\r\n\r\nok") // As above.
+		default:
+			_, _ = io.WriteString(w, response(id, "ok")) // As above.
+		}
+	})
+	cost := func(size, _ int64) int64 { return max(size-4096, 0) }
+	s := sender.New(sender.WithHeadBudget(2*size, cost))
+	defer s.Close()
+	ended := make(chan error, count)
+	for i := range count {
+		go func() {
+			_, err := send(t, s, address, fmt.Sprint("short-", i))
+			ended <- err
+		}()
+	}
+	for range count {
+		<-arrived
+	}
+	for range count - 2 {
+		if err := <-ended; err == nil || errors.Is(err, sender.ErrNotSent) {
+			t.Errorf("got %v, want an error after the request was sent", err)
+		}
+	}
+	// Two heads fit. The larger ones give way to a smaller one, and small ones need no memory.
+	for _, id := range []string{"small", "medium", "medium", "medium"} {
+		body, err := send(t, s, address, id)
+		if err != nil {
+			t.Errorf("%s: %v", id, err)
+		}
+		if diff := cmp.Diff("ok", body); diff != "" {
+			t.Errorf("%s: %s", id, diff)
+		}
+	}
+	select {
+	case <-ended:
+	case <-time.After(time.Second):
+		t.Error("no large head gave way to a smaller one")
+	}
+}
+
 func TestIdleConnectionsAreLimited(t *testing.T) {
 	address := serve(t, func(w io.Writer, id string) { _, _ = io.WriteString(w, response(id, "body")) }) // The test checks what arrives.
 	s := sender.New()
