internal/composer: listeners and failures in files of their own; metric of closed connections

Change: the limits and listeners move to listeners.go, the last lines of the log to failure.go; the memory for connections is set with the entry; metric entry_connections_evicted.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -11,7 +11,6 @@
 	"math"
 	"net"
 	"net/http"
-	"net/netip"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -21,7 +20,6 @@
 	"github.com/charmbracelet/log"
 	"github.com/oklog/ulid/v2"
 	"github.com/rotisserie/eris"
-	"golang.org/x/sys/unix"
 
 	"github.com/wigeonstand/wigeonstand/internal/accepter"
 	"github.com/wigeonstand/wigeonstand/internal/admitter"
@@ -45,7 +43,6 @@
 	"github.com/wigeonstand/wigeonstand/internal/rerouter"
 	"github.com/wigeonstand/wigeonstand/internal/resumer"
 	"github.com/wigeonstand/wigeonstand/internal/sender"
-	"github.com/wigeonstand/wigeonstand/internal/starter"
 	"github.com/wigeonstand/wigeonstand/internal/stopper"
 	"github.com/wigeonstand/wigeonstand/internal/storer"
 	"github.com/wigeonstand/wigeonstand/internal/transcriber"
@@ -64,23 +61,8 @@
 	// large bodies of requests.
 	smallBodyMemoryDivisor = 12
 	largeBodyMemoryDivisor = 8
-	// connectionMemoryDivisor and peerMemoryDivisor give the parts of the memory for the connections of
-	// callers, with the heads of their requests, and for those of other instances, with their messages.
-	connectionMemoryDivisor = 12
-	peerMemoryDivisor       = 10
 	// responseHeadMemoryDivisor gives that for the heads of endpoints' responses.
 	responseHeadMemoryDivisor = 24
-	// statusMemory is that for the connections of readiness checks and metrics.
-	statusMemory = 2 << 20
-	// descriptorDivisor gives the part of the descriptors that callers' connections may use.
-	descriptorDivisor = 2
-	// The receive buffers limit what the kernel holds of a connection that is not read. It doubles them.
-	callerReceiveBuffer = 16 << 10
-	statusReceiveBuffer = 4 << 10
-	peerReceiveBuffer   = 16 << 10
-	// maxStatusHeaderBytes and statusTimeout limit the requests for readiness and metrics.
-	maxStatusHeaderBytes = 4 << 10
-	statusTimeout        = 10 * time.Second
 	// drainDelay is how long the instance accepts new connections after it reports
 	// that it is not ready. The load balancer checks readiness once a second and
 	// removes an instance after two failed checks.
@@ -102,15 +84,6 @@
 	// readsPerRevokeDeadline is the number of reads of the configuration that take place within
 	// RevokeDeadline at least, so that a single late one does not cause refusals.
 	readsPerRevokeDeadline = 4
-	// headerTimeout limits the reading of a request's header.
-	headerTimeout = 10 * time.Second
-	// idleTimeout closes callers' idle connections. It is above the idle timeout
-	// that operators set for callers, who reuse connections for up to four fifths
-	// of that.
-	idleTimeout = 40 * time.Second
-	// maxHeaderBytes limits a request's header. It is above the limit that
-	// operators set for callers.
-	maxHeaderBytes = 64 << 10
 	// bookkeeperWriteShare is the share of the store's write rate for bookkeepers.
 	// The rest is for heartbeats and for instances that replace a bookkeeper.
 	bookkeeperWriteShare = 0.4
@@ -120,8 +93,6 @@
 	orphanRetentionFactor = 2
 	// budgetRetention is how long a program's budget is kept after its last grant.
 	budgetRetention = 24 * time.Hour
-	// maxFlushTime limits the writing of the last lines of the log.
-	maxFlushTime = 500 * time.Millisecond
 	// withdrawTimeout limits the removal of the instance's own membership row and
 	// the handover of its ledgers.
 	withdrawTimeout = 1500 * time.Millisecond
@@ -148,6 +119,7 @@
 	logOutput *logger.RateLimitedWriter
 	meter     *meter.Meter
 
+	connections   connectionBudgets
 	dialEndpoint  sender.Dial
 	peerClient    *messenger.Client
 	sender        *sender.Sender
@@ -190,6 +162,8 @@
 	for _, option := range options {
 		option(e)
 	}
+	e.connections = newConnectionBudgets(settings, e.log)
+	observeConnections(e.meter, e.connections)
 	e.extender = extender.New()
 	e.peerClient = messenger.NewClient(messenger.WithTimeouts(e.extender.WithTimeout))
 	e.sender = sender.New(sender.WithDial(func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -346,11 +320,10 @@
 		})
 	}
 
-	callerBudget, peerBudget, statusBudget := e.newConnectionBudgets()
 	listeners, err := e.listen(ctx,
-		listenerConfig{address: e.settings.CallerListen, budget: callerBudget, cost: accepter.HeadCost, receiveBuffer: callerReceiveBuffer},
-		listenerConfig{address: e.settings.ReadyListen, budget: statusBudget, cost: accepter.HeadCost, receiveBuffer: statusReceiveBuffer},
-		listenerConfig{address: e.settings.PeerListen, budget: peerBudget, cost: accepter.MessageCost, receiveBuffer: peerReceiveBuffer},
+		listenerConfig{address: e.settings.CallerListen, budget: e.connections.callers, cost: accepter.HeadCost, receiveBuffer: callerReceiveBuffer},
+		listenerConfig{address: e.settings.ReadyListen, budget: e.connections.status, cost: accepter.HeadCost, receiveBuffer: statusReceiveBuffer},
+		listenerConfig{address: e.settings.PeerListen, budget: e.connections.peers, cost: accepter.MessageCost, receiveBuffer: peerReceiveBuffer},
 	)
 	if err != nil {
 		if ctx.Err() != nil {
@@ -380,7 +353,7 @@
 	serve(func() error { return callers.Serve(connections.Listener(listeners[0])) })
 	serve(func() error { return ready.Serve(listeners[1]) })
 	serve(func() error { return e.peerServer.Serve(work, listeners[2]) })
-	for _, run := range []func(context.Context){func(ctx context.Context) { e.serveMetrics(ctx, statusBudget) }, e.extender.Run, e.rerouter.Run, e.batcher.Run, e.pruner.Run, e.bookkeeper.Run, e.watcher.Run, e.maintainMembership, e.learnQuarantines, e.learnVersions, e.runQuotas} {
+	for _, run := range []func(context.Context){e.serveMetrics, e.extender.Run, e.rerouter.Run, e.batcher.Run, e.pruner.Run, e.bookkeeper.Run, e.watcher.Run, e.maintainMembership, e.learnQuarantines, e.learnVersions, e.runQuotas} {
 		start(run)
 	}
 	e.log.Log(eventStarted, "DataCentre", e.settings.DataCentre, "Incarnation", e.discoverer.Self().Incarnation)
@@ -477,109 +450,3 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
-
-// errorLogWriter logs the lines of an http.Server's ErrorLog as events.
-type errorLogWriter struct{ log *logger.Logger }
-
-// Write implements io.Writer.
-func (w errorLogWriter) Write(line []byte) (int, error) {
-	w.log.Log(eventListenerError, "Text", string(line))
-	return len(line), nil
-}
-
-// listenerConfig is the address of a listener and the limits of its connections.
-type listenerConfig struct {
-	address       netip.AddrPort
-	budget        *accepter.Budget
-	cost          accepter.Cost
-	receiveBuffer int
-}
-
-// newConnectionBudgets returns the memory for the connections of callers, of other instances, and of
-// readiness checks and metrics.
-func (e *Entry) newConnectionBudgets() (callers, peers, status *accepter.Budget) {
-	memory := memoryBytes(e.settings)
-	size := memory / connectionMemoryDivisor
-	var descriptors unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &descriptors); err == nil {
-		size = min(size, accepter.Size(int64(min(descriptors.Cur, math.MaxInt32))/descriptorDivisor))
-	}
-	return accepter.NewBudget(size, e.log), accepter.NewBudget(memory/peerMemoryDivisor, e.log), accepter.NewBudget(statusMemory, e.log)
-}
-
-// newStatusServer returns a server of requests that have no body.
-func newStatusServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: statusTimeout, WriteTimeout: statusTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: maxStatusHeaderBytes, ConnState: accepter.ConnState,
-	}
-}
-
-// listen listens on the addresses. A start may come before the end of the process that had them.
-func (e *Entry) listen(ctx context.Context, configs ...listenerConfig) ([]net.Listener, error) {
-	starting := starter.New(e.log)
-	var listeners []net.Listener
-	for _, config := range configs {
-		listener, err := starting.Listen(ctx, config.address, config.receiveBuffer)
-		if err != nil {
-			for _, l := range listeners {
-				_ = l.Close() // The error of Listen is returned.
-			}
-			return nil, err
-		}
-		listeners = append(listeners, accepter.New(listener, e.log, accepter.WithBudget(config.budget, config.cost)))
-	}
-	return listeners, nil
-}
-
-// serveMetrics serves the metrics until ctx ends. Requests are served without them.
-func (e *Entry) serveMetrics(ctx context.Context, budget *accepter.Budget) {
-	admin := newStatusServer(e.meter.Handler())
-	listener, err := starter.New(e.log, starter.WithPatience(0)).Listen(ctx, e.settings.AdminListen, statusReceiveBuffer)
-	if err != nil {
-		return // The instance stops.
-	}
-	stop := context.AfterFunc(ctx, func() { _ = admin.Close() }) // Its connections end with the process.
-	defer stop()
-	if err := admin.Serve(accepter.New(listener, e.log, accepter.WithBudget(budget, accepter.HeadCost))); !errors.Is(err, http.ErrServerClosed) {
-		e.log.Log(eventMetricsUnavailable, "Cause", err)
-	}
-}
-
-// reportPanic writes the cause of a panic to the log before the process ends by it.
-func (e *Entry) reportPanic() {
-	if cause := recover(); cause != nil {
-		e.log.Log(eventComponentPanicked, "Cause", cause, "Stack", string(debug.Stack()))
-		flushed := make(chan struct{})
-		go func() {
-			defer close(flushed)
-			e.logOutput.Flush()
-		}()
-		waitFor(flushed, maxFlushTime)
-		panic(cause)
-	}
-}
-
-// LogFailure writes the error that ends the process to its log.
-func LogFailure(l *logger.Logger, err error) {
-	logged := make(chan struct{})
-	go func() {
-		defer close(logged)
-		l.Log(eventFailed, "Cause", err)
-	}()
-	waitFor(logged, maxFlushTime)
-}
-
-// LogReplacedSettings logs the errors in a settings file with which the start goes on.
-func LogReplacedSettings(l *logger.Logger, errs error) { l.Log(eventSettingsReplaced, "Cause", errs) }
-
-// waitFor waits until done is closed, up to the limit. A reader of the log that takes nothing must not hold
-// up the end of the process.
-func waitFor(done <-chan struct{}, limit time.Duration) {
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case <-done:
-	case <-timer.C:
-	}
-}
--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -72,6 +72,7 @@
 	newMetrics(m, sender.New(), registrar.New())
 	observeQuotas(m, nil)
 	observeConfiguration(m, nil)
+	observeConnections(m, connectionBudgets{})
 	return m.Describe()
 }
 
