internal/relayer: a stream does not go on at an engine whose process has restarted

What callers saw: a stream of two software versions (rule ORDER), where an engine ends, breaks its stream off and starts again under its ID and address with another version, before its registration states that. Cause: the version of the process at the address was taken from the registration, seconds old. If its start time is not the registered one, the stream goes on elsewhere or is refused. Nor does it go on at the same endpoint under a new version of its registration.

--- a/internal/composer/inplace_test.go
+++ b/internal/composer/inplace_test.go
@@ -20,6 +20,8 @@
 	f := newFleet(t, 1, 0, 0)
 	old, young := standin.NewEndpoint("engine", 6, 10*time.Millisecond, 1), standin.NewEndpoint("engine", 6, 10*time.Millisecond, 1)
 	old.Version, young.Version = "v1", "v2"
+	young.Started = time.Now().Truncate(time.Millisecond)
+	old.Started = young.Started.Add(-time.Minute)
 	old.SetFaults(standin.EndpointFaults{BrokenBetween: 1})
 	var hasEnded atomic.Bool
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -32,7 +34,7 @@
 	t.Cleanup(server.Close)
 	if err := standin.Register(f.rows, standin.Registration{
 		ID: old.ID, Service: standin.ServiceEngine, Address: netip.MustParseAddrPort(server.Listener.Addr().String()),
-		DataCentre: "dc-1", Slots: old.Slots, Version: old.Version,
+		DataCentre: "dc-1", Slots: old.Slots, Version: old.Version, Started: old.Started,
 	}); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/relayer/access.go
+++ b/internal/relayer/access.go
@@ -27,6 +27,9 @@
 	eventEndpointLimit = logger.Define(5006, "EndpointLimitChanged", log.InfoLevel,
 		"an endpoint stated another limit of requests a second, for all instances together",
 		"None, if it is brief; otherwise find out why the endpoint can't take more.")
+	eventEndpointRestarted = logger.Define(5008, "EndpointRestarted", log.InfoLevel,
+		"a stream does not go on at an endpoint whose process is not the registered one, as its version is not known",
+		"None; the endpoint will register.")
 	eventTurnUnsettled = logger.Define(5004, "TurnUnsettled", log.WarnLevel,
 		"unused tokens of a turn could not be released", "None; the bookkeeper charges the turn its full reservation.")
 )
--- a/internal/relayer/call.go
+++ b/internal/relayer/call.go
@@ -121,6 +121,10 @@
 	EncodeDispatch(c *Call, d Dispatch) http.Header
 	// DecodeResponseHead decodes the header of an endpoint's response.
 	DecodeResponseHead(status int, header http.Header) ResponseHead
+	// ReportTarget is the request target at which an endpoint reports on itself, and DecodeReport
+	// returns the start time of its process that a report states; zero if it states none.
+	ReportTarget() string
+	DecodeReport(body []byte) time.Time
 	// EncodeResponse copies the header of an endpoint's response into the header of
 	// the response to the caller.
 	EncodeResponse(from, to http.Header)
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -282,6 +282,10 @@
 			t.fail(failure)
 			return
 		}
+		if t.lastEvent.IsSet && t.hasRestarted(c) {
+			attempted[c.ID] = true
+			continue
+		}
 		if passedOnAt.IsZero() {
 			passedOnAt = time.Now()
 		}
@@ -337,7 +341,9 @@
 			return c, nil
 		}
 	} else if t.isReachable(*resumeAt, excluded) {
-		same := slices.DeleteFunc(t.exchange.candidates(excluded), func(c registrar.Candidate) bool { return c.ID != resumeAt.ID })
+		same := slices.DeleteFunc(t.exchange.candidates(excluded), func(c registrar.Candidate) bool {
+			return c.ID != resumeAt.ID || c.Version != resumeAt.Version
+		})
 		mayMove := len(t.ranAt) < t.route.MaxAttempts
 		wait := maxWait
 		if mayMove {
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -216,7 +216,10 @@
 		}
 	}
 	select {
-	case <-ended:
+	case err := <-ended:
+		if err == nil {
+			t.Error("got a response whose head is incomplete")
+		}
 	case <-time.After(time.Second):
 		t.Error("no large head gave way to a smaller one")
 	}
--- a/internal/soaker/soak_endpoint.go
+++ b/internal/soaker/soak_endpoint.go
@@ -53,7 +53,7 @@
 	serving, end := context.WithCancel(ctx)
 	e := &endpoint{Endpoint: standin.NewEndpoint(fmt.Sprintf("%s-%d", kind, i), events, pace, s.Seed+uint64(i)), kind: kind, end: end}
 	e.Version, e.Numbering, e.VariesFraming, e.RunsOn = version, s.numbering(version), true, i%3 == 2
-	e.StopsAtDeadline = true
+	e.StopsAtDeadline, e.Started = true, time.Now()
 	if slots > 0 {
 		e.Slots = slots
 	}
@@ -68,7 +68,7 @@
 		return err
 	}
 	e.registration = standin.Registration{
-		ID: e.ID, Service: kind, Address: e.link.address(), DataCentre: dataCentre(i % max(s.DataCentres, 1)), Slots: e.Slots, Version: version,
+		ID: e.ID, Service: kind, Address: e.link.address(), DataCentre: dataCentre(i % max(s.DataCentres, 1)), Slots: e.Slots, Version: version, Started: e.Started,
 	}
 	s.mu.Lock()
 	s.endpoints, s.links = append(s.endpoints, e), append(s.links, e.link)
