internal/sender: connections are closed for others without the mutex

Cause: a second reading: the close of a tunnel writes, and every read of a head takes the mutex. Change: they are closed after it is released.

--- a/internal/sender/head.go
+++ b/internal/sender/head.go
@@ -35,6 +35,12 @@
 
 // reserve reserves the memory of the head, for which larger ones may be closed.
 func (b *headBudget) reserve(h *headReader) error {
+	var evicted []net.Conn // They are closed without the mutex, as the close of a tunnel writes.
+	defer func() {
+		for _, c := range evicted {
+			discard(c)
+		}
+	}()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if h.isEvicted {
@@ -55,7 +61,7 @@
 			return errHeadBudget
 		}
 		largest.isEvicted = true
-		discard(largest.conn)
+		evicted = append(evicted, largest.conn)
 		b.lockedRelease(largest)
 	}
 	b.used += demand
