platform: requests with IDs of any length are served

What callers saw: with a Program-Id, Session-Id or Attempt-Id of more than 200 bytes, or one that is no UTF-8, every turn was refused as not run. Cause: IDs of callers are keys of the store, which takes 200 bytes. The store refused the transaction, the group commit was split until the turn was alone, and its caller tried again. Memory kept such IDs, of up to 64 KB, in the records of streams, 100,000 at most. Headers to endpoints and callers have it as stated.

--- a/internal/composer/fleet_test.go
+++ b/internal/composer/fleet_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/wigeonstand/wigeonstand/internal/composer"
 	"github.com/wigeonstand/wigeonstand/internal/configurer"
 	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
@@ -290,6 +292,32 @@
 	}
 }
 
+// The store refuses keys of more than 200 bytes, and IDs of callers are keys. The pages set no limit
+// on IDs; turns with longer ones ran and were not recorded, or were never accepted.
+func TestTurnsWithLongIDsAreServed(t *testing.T) {
+	t.Parallel()
+	for name, more := range map[string]string{"long": strings.Repeat("x", 300), "no text": "\xff\xfe"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 1, 1, 0)
+			first := f.doUntilAccepted(f.instances[0], turnCall("first"+more, "p"+more, "", "one\n"))
+			if diff := cmp.Diff(http.StatusOK, first.Status); diff != "" {
+				t.Fatalf("%+v: %s", first, diff)
+			}
+			second := f.doUntilAccepted(f.instances[0], turnCall("second"+more, "p"+more, "first"+more, "two\n"))
+			body, _ := f.executedBody("second" + more)
+			if diff := cmp.Diff("one\n"+first.EventData()+"two\n", body); diff != "" {
+				t.Errorf("%+v: %s", second, diff)
+			}
+			// IDs that differ in their last byte are different ones.
+			other := f.doUntilAccepted(f.instances[0], turnCall("third"+more, "p"+more, "first"+more+"y", "three\n"))
+			if diff := cmp.Diff(http.StatusNotFound, other.Status); diff != "" {
+				t.Errorf("%+v: %s", other, diff)
+			}
+		})
+	}
+}
+
 // executedBody returns the body of the request that an engine ran.
 func (f *fleet) executedBody(id string) (string, bool) {
 	for _, e := range f.engines {
--- a/internal/fakeplatform/rows.go
+++ b/internal/fakeplatform/rows.go
@@ -7,10 +7,14 @@
 	"sort"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/wigeonstand/wigeonstand/internal/storer"
 )
 
+// maxKeyBytes limits each part of a key.
+const maxKeyBytes = 200
+
 // RowFaults sets how a Rows fails from now on.
 type RowFaults struct {
 	// Outage refuses every call.
@@ -147,11 +151,12 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	entries := 0
+	entries, isInvalid := 0, false
 	for _, c := range changes {
 		entries += c.Entries()
+		isInvalid = isInvalid || max(len(c.Table), len(c.Partition), len(c.Name)) > maxKeyBytes || !utf8.ValidString(c.Name)
 	}
-	if entries > storer.MaxEntries {
+	if entries > storer.MaxEntries || isInvalid {
 		return 0, storer.ErrInvalid
 	}
 	if r.faults.LoseAnswers > 0 && r.random.Float64() < r.faults.LoseAnswers {
--- a/internal/relayer/access.go
+++ b/internal/relayer/access.go
@@ -85,7 +85,7 @@
 	text := string(e.Kind) + ": " + e.Detail + "\n"
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	header.Set("Content-Length", strconv.Itoa(len(text)))
-	x.Dialect.EncodeRefusal(header, x.call.ID, response.RetryAfter)
+	x.Dialect.EncodeRefusal(header, x.call.StatedID, response.RetryAfter)
 	x.writer.WriteHeader(response.Status)
 	if _, err := io.WriteString(x.writer, text); err != nil {
 		x.access.cause = err
--- a/internal/relayer/call.go
+++ b/internal/relayer/call.go
@@ -10,10 +10,12 @@
 
 // Call holds the decoded header of a caller's request.
 type Call struct {
-	// ID identifies this attempt of the caller and is never reused.
-	ID     string
-	Method string
-	Host   string
+	// ID identifies this attempt of the caller and is never reused. StatedID is the text that the caller
+	// stated, of any length, which its response names.
+	ID       string
+	StatedID string
+	Method   string
+	Host     string
 	// Target is the request target as received; Path is its path.
 	Target string
 	Path   string
