cmd/wigeonstand: the test of callers that do not read counts their requests

It waited for a moment with three connections, in steps of 20 ms; two of the callers were refused after 141 and 165 ms, as the memory for responses was in use. Change: it waits until the endpoint has got the requests of three callers, which does not depend on speed. What must hold is as before: all connections end.

--- a/cmd/wigeonstand/cmd/crowd_test.go
+++ b/cmd/wigeonstand/cmd/crowd_test.go
@@ -210,6 +210,9 @@
 	id := request.Header.Get(standin.HeaderID)
 	switch request.URL.Path {
 	case pathHuge, pathLarge, pathMedium:
+		if request.URL.Path == pathHuge {
+			hugeRequests.Store(id, true)
+		}
 		size := map[string]int{pathHuge: hugeResponseBytes, pathLarge: largeResponseBytes, pathMedium: mediumResponseBytes}[request.URL.Path]
 		standin.Sign(w.Header(), id)
 		_, _ = w.Write(make([]byte, size)) // The caller may be gone.
@@ -255,6 +258,9 @@
 	}
 }
 
+// hugeRequests has the IDs of the requests for pathHuge that the endpoint has got.
+var hugeRequests sync.Map
+
 // newCrowdProcess starts a process with the limits of the smallest instances and warms it up.
 func newCrowdProcess(t *testing.T) *process {
 	t.Helper()
@@ -463,7 +469,11 @@
 		_ = w.(*net.TCPConn).SetReadBuffer(4096) // Less of the response is in transit.
 		return writeAll(w, head("GET", pathHuge, "Connection: close"), "\r\n")
 	})
-	p.await("the connections of the callers", func() bool { return p.callerConnections() >= count })
+	p.await("the requests of the callers", func() bool {
+		got := 0
+		hugeRequests.Range(func(any, any) bool { got++; return true })
+		return got >= count
+	})
 	p.await("their end", func() bool { return p.callerConnections() == 0 })
 	t.Logf("descriptors: %d, %d before", p.usage().descriptors, before.descriptors)
 	cancel()
