--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -23,12 +23,14 @@
 type socketOption struct{ level, name, value int }
 
 // Option sets one property of the connections.
-type Option func() socketOption
+type Option func(*[]socketOption)
 
 // WithReceiveBuffer sets the size of the receive buffer in bytes, which the kernel doubles. Without it,
 // the buffer grows with what the peer sends.
 func WithReceiveBuffer(size int) Option {
-	return func() socketOption { return socketOption{unix.SOL_SOCKET, unix.SO_RCVBUF, size} }
+	return func(options *[]socketOption) {
+		*options = append(*options, socketOption{unix.SOL_SOCKET, unix.SO_RCVBUF, size})
+	}
 }
 
 // New returns a dialer whose attempts to connect fail after dialTimeout, and whose
@@ -36,7 +38,7 @@
 func New(dialTimeout, ackTimeout time.Duration, options ...Option) *net.Dialer {
 	socketOptions := []socketOption{{unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds())}}
 	for _, option := range options {
-		socketOptions = append(socketOptions, option())
+		option(&socketOptions)
 	}
 	return &net.Dialer{
 		Timeout: dialTimeout,
