--- a/review/_kit2/deduction.go
+++ b/review/_kit2/deduction.go
@@ -13,7 +13,7 @@
 // budgets go on from their last turns, which were answered whole, and get no further turn.
 func deduction(w *world, isTrouble bool) ([]string, error) {
 	const path, budget, most, recovery = "/lohu930/2f", 2304, 288, 12 * time.Second
-	if err := w.configure(streamRoute("r-kept", "/lohu930/", map[string]any{"retention_enabled": true})); err != nil {
+	if err := w.configure(streamRoute("r-kept", "/lohu930/", map[string]any{names["kept"]: true})); err != nil {
 		return nil, err
 	}
 	zones := []string{"qld-a", "qld-b", "qld-c"}
--- a/review/_kit2/endpoint.go
+++ b/review/_kit2/endpoint.go
@@ -120,8 +120,8 @@
 		state = "draining"
 	}
 	text, _ := json.Marshal(map[string]any{
-		"service": e.service, "address": e.ip + ":8080", "zone": e.zone, "version": e.version, "batch_slots": e.slots, "state": state,
-		"cold_remaining_ms": 0, "sequence": e.sequence, "born": e.born.UnixMilli(),
+		"service": e.service, "address": e.ip + ":8080", "zone": e.zone, "version": e.version, names["slots"]: e.slots, "state": state,
+		names["cold"]: 0, "sequence": e.sequence, "born": e.born.UnixMilli(),
 	})
 	e.rows.Put(storer.RowKey{Table: "servers", Name: e.id}, text)
 	if e.sequence == 1 {
@@ -177,12 +177,12 @@
 		fmt.Fprintf(w, `{"phase":"combined","loaded_models":[{"name":"m","version":1,"adapter_ids":[]}],"busy":false,"sequence":0,"queued":0,"active":0,"kv_cache_used":0,"kv_cache_total":182071,"supported_models":0,"born":%d}`, born.UnixMilli())
 		return
 	case "/health":
-		w.Header().Set("Instance-Id", e.id)
-		w.Header().Set("Instance-Load", load)
+		w.Header().Set(names["instance"], e.id)
+		w.Header().Set(names["load"], load)
 		return
 	}
-	if expected := r.Header.Get("Expected-Instance"); expected != "" && expected != e.id {
-		w.Header().Set("Instance-Id", e.id)
+	if expected := r.Header.Get(names["expected"]); expected != "" && expected != e.id {
+		w.Header().Set(names["instance"], e.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -190,9 +190,9 @@
 	if err != nil {
 		return
 	}
-	attempt := r.Header.Get("Attempt-Id")
+	attempt := r.Header.Get(names["attempt"])
 	if attempt == "" {
-		w.Header().Set("Not-Executed", "1")
+		w.Header().Set(names["notRun"], "1")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -212,16 +212,16 @@
 		})
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("Attempt-Id", attempt)
-	w.Header().Set("Server-Signature", "sig."+attempt+"."+e.id)
-	w.Header().Set("Instance-Load", load)
+	w.Header().Set(names["attempt"], attempt)
+	w.Header().Set(names["signature"], "sig."+attempt+"."+e.id)
+	w.Header().Set(names["load"], load)
 	w.Header().Set("Keep-Alive", "timeout=5")
 	if e.service == plainService {
 		time.Sleep(e.workTime)
 		io.WriteString(w, "done "+attempt+"\n")
 		return
 	}
-	_, most, _ := strings.Cut(r.Header.Get("Token-Usage"), ",")
+	_, most, _ := strings.Cut(r.Header.Get(names["usage"]), ",")
 	tokens, _ := strconv.Atoi(strings.TrimSpace(most))
 	n := tokens / chunkTokens
 	if e.events > 0 {
@@ -232,7 +232,7 @@
 		from, _ = strconv.Atoi(last)
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("Weight-Versions", "1")
+	w.Header().Set(names["weights"], "1")
 	w.WriteHeader(http.StatusOK)
 	controller := http.NewResponseController(w)
 	for k := from + 1; k <= n; k++ {
@@ -294,8 +294,8 @@
 		return answer{err: err}
 	}
 	httpRequest.Host = host
-	httpRequest.Header.Set("Attempt-Id", r.attempt)
-	httpRequest.Header.Set("Deadline-Ms", strconv.FormatInt(r.timeout.Milliseconds(), 10))
+	httpRequest.Header.Set(names["attempt"], r.attempt)
+	httpRequest.Header.Set(names["deadline"], strconv.FormatInt(r.timeout.Milliseconds(), 10))
 	for k, v := range r.header {
 		httpRequest.Header.Set(k, v)
 	}
--- a/review/_kit2/handover.go
+++ b/review/_kit2/handover.go
@@ -20,8 +20,8 @@
 // turn sends a turn and counts the tokens that the caller got. Token counts are those of whole events.
 func (w *world) turn(in *instance, path string, p *program, left time.Duration) answer {
 	a := w.send(in, request{method: "POST", path: path, body: "input " + p.id, header: map[string]string{
-		"Model-Id": "m", "Program-Id": p.id, "Session-Id": p.session, "Program-Deadline-Ms": fmt.Sprint(left.Milliseconds()),
-		"Token-Budget": fmt.Sprint(p.budget), "Token-Usage": fmt.Sprintf("1840,%d", p.most), "Prompt-Prefix": "5c1e07a2:800," + p.session + ":1040",
+		"Model-Id": "m", "Program-Id": p.id, "Session-Id": p.session, names["programDeadline"]: fmt.Sprint(left.Milliseconds()),
+		names["budget"]: fmt.Sprint(p.budget), names["usage"]: fmt.Sprintf("1840,%d", p.most), names["parts"]: "5c1e07a2:800," + p.session + ":1040",
 	}})
 	p.handed += len(a.events()) * chunkTokens
 	return a
--- a/review/_kit2/lifted.go
+++ b/review/_kit2/lifted.go
@@ -16,11 +16,11 @@
 func (w *world) keptTurn(in *instance, path, program, previous string, budget, most int, aim time.Duration) (attempt string, a answer) {
 	attempt = w.newID()
 	header := map[string]string{
-		"Model-Id": "m", "Program-Id": program, "Session-Id": program, "Program-Deadline-Ms": fmt.Sprint(aim.Milliseconds()),
-		"Token-Budget": fmt.Sprint(budget), "Token-Usage": fmt.Sprintf("400,%d", most), "Prompt-Prefix": "5c1e07a2:300," + program + ":100",
+		"Model-Id": "m", "Program-Id": program, "Session-Id": program, names["programDeadline"]: fmt.Sprint(aim.Milliseconds()),
+		names["budget"]: fmt.Sprint(budget), names["usage"]: fmt.Sprintf("400,%d", most), names["parts"]: "5c1e07a2:300," + program + ":100",
 	}
 	if previous != "" {
-		header["Previous-Turn"] = previous
+		header[names["previous"]] = previous
 	}
 	return attempt, w.send(in, request{method: "POST", path: path, body: "input " + attempt, attempt: attempt, header: header})
 }
@@ -30,7 +30,7 @@
 // one of the 64 slots of programs, as a sixty-fourth of all programs of a longer time would be.
 func lifted(w *world, isTrouble bool) ([]string, error) {
 	const path, slot = "/lohu930/2f", 5
-	if err := w.configure(streamRoute("r-kept", "/lohu930/", map[string]any{"retention_enabled": true})); err != nil {
+	if err := w.configure(streamRoute("r-kept", "/lohu930/", map[string]any{names["kept"]: true})); err != nil {
 		return nil, err
 	}
 	zones := []string{"qld-a", "qld-b", "qld-c"}
--- a/review/_kit2/stale.go
+++ b/review/_kit2/stale.go
@@ -61,7 +61,7 @@
 // stale: a machine stands still while a route is added. When it wakes, it says of turns that were
 // answered whole at another machine that there is no such thing.
 func stale(w *world, isTrouble bool) ([]string, error) {
-	kept := map[string]any{"retention_enabled": true}
+	kept := map[string]any{names["kept"]: true}
 	first := streamRoute("r-first", "/lohu930/", kept)
 	if err := w.configure(first); err != nil {
 		return nil, err
@@ -87,11 +87,11 @@
 	time.Sleep(6 * time.Second)
 	header := func(program, previous string) map[string]string {
 		h := map[string]string{
-			"Model-Id": "m", "Program-Id": program, "Session-Id": program, "Program-Deadline-Ms": "8000",
-			"Token-Budget": "2304", "Token-Usage": "400,96", "Prompt-Prefix": "5c1e07a2:300," + program + ":100",
+			"Model-Id": "m", "Program-Id": program, "Session-Id": program, names["programDeadline"]: "8000",
+			names["budget"]: "2304", names["usage"]: "400,96", names["parts"]: "5c1e07a2:300," + program + ":100",
 		}
 		if previous != "" {
-			h["Previous-Turn"] = previous
+			h[names["previous"]] = previous
 		}
 		return h
 	}
--- a/review/_kit2/truncated.go
+++ b/review/_kit2/truncated.go
@@ -35,15 +35,15 @@
 			fmt.Fprintf(w, `{"phase":"combined","loaded_models":[{"name":"m","version":1,"adapter_ids":[]}],"busy":false,"sequence":0,"queued":0,"active":0,"kv_cache_used":0,"kv_cache_total":182071,"supported_models":0,"born":%d}`, born.UnixMilli())
 			return
 		case "/health":
-			w.Header().Set("Instance-Id", id)
+			w.Header().Set(names["instance"], id)
 			return
 		}
-		if expected := r.Header.Get("Expected-Instance"); expected != "" && expected != id {
-			w.Header().Set("Instance-Id", id)
+		if expected := r.Header.Get(names["expected"]); expected != "" && expected != id {
+			w.Header().Set(names["instance"], id)
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		attempt := r.Header.Get("Attempt-Id")
+		attempt := r.Header.Get(names["attempt"])
 		from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 		load := count(1)
 		defer count(-1)
@@ -112,8 +112,8 @@
 func (e *engineProcess) register(state string) {
 	e.sequence++
 	text, _ := json.Marshal(map[string]any{
-		"service": engineService, "address": e.ip + ":8080", "zone": e.zone, "version": "v1", "batch_slots": engineSlots, "state": state,
-		"cold_remaining_ms": 0, "sequence": e.sequence, "born": e.born.UnixMilli(),
+		"service": engineService, "address": e.ip + ":8080", "zone": e.zone, "version": "v1", names["slots"]: engineSlots, "state": state,
+		names["cold"]: 0, "sequence": e.sequence, "born": e.born.UnixMilli(),
 	})
 	e.rows.Put(storer.RowKey{Table: "servers", Name: e.id}, text)
 	e.log("replica %s: registered as %s", e.id, state)
@@ -134,7 +134,7 @@
 // truncated: a replica that drains is killed in the middle of its streams, which have no length.
 func truncated(w *world, isTrouble bool) ([]string, error) {
 	const path, events = "/lohu930/2f", 24
-	if err := w.configure(streamRoute("r-kept", "/lohu930/", map[string]any{"retention_enabled": true})); err != nil {
+	if err := w.configure(streamRoute("r-kept", "/lohu930/", map[string]any{names["kept"]: true})); err != nil {
 		return nil, err
 	}
 	zones := []string{"qld-a", "qld-b", "qld-c"}
@@ -177,8 +177,8 @@
 		go func() {
 			attempt, program := w.newID(), w.newID()
 			a := w.send(w.instances[i%3], request{method: "POST", path: path, body: "input " + attempt, attempt: attempt, header: map[string]string{
-				"Model-Id": "m", "Program-Id": program, "Session-Id": program, "Program-Deadline-Ms": "8000",
-				"Token-Budget": "2304", "Token-Usage": "400,288", "Prompt-Prefix": "5c1e07a2:300," + program + ":100",
+				"Model-Id": "m", "Program-Id": program, "Session-Id": program, names["programDeadline"]: "8000",
+				names["budget"]: "2304", names["usage"]: "400,288", names["parts"]: "5c1e07a2:300," + program + ":100",
 			}})
 			results <- result{attempt, a}
 		}()
@@ -208,8 +208,8 @@
 		// The caller goes on from the turn, which it holds to be complete.
 		id := w.newID()
 		next := w.send(w.instances[0], request{method: "POST", path: path, body: "next " + id, attempt: id, header: map[string]string{
-			"Model-Id": "m", "Program-Id": id, "Session-Id": id, "Program-Deadline-Ms": "8000", "Previous-Turn": r.attempt,
-			"Token-Budget": "2304", "Token-Usage": "400,288", "Prompt-Prefix": "5c1e07a2:300," + id + ":100",
+			"Model-Id": "m", "Program-Id": id, "Session-Id": id, names["programDeadline"]: "8000", names["previous"]: r.attempt,
+			names["budget"]: "2304", names["usage"]: "400,288", names["parts"]: "5c1e07a2:300," + id + ":100",
 		}, timeout: 3 * time.Second})
 		violations = append(violations, fmt.Sprintf("ORDER: the stream of attempt %s ended as complete after %d of %d events; a turn that goes on from it is answered %d", r.attempt, len(r.events()), events, next.status))
 	}
--- a/review/_kit2/version.go
+++ b/review/_kit2/version.go
@@ -44,8 +44,8 @@
 	stream := func(i int) string {
 		p := &program{id: w.newID(), session: w.newID(), budget: 24 * 288, most: 288}
 		header := map[string]string{
-			"Model-Id": "m", "Program-Id": p.id, "Session-Id": p.session, "Program-Deadline-Ms": "8000",
-			"Token-Budget": fmt.Sprint(p.budget), "Token-Usage": "1840,288", "Prompt-Prefix": "5c1e07a2:800," + p.session + ":1040",
+			"Model-Id": "m", "Program-Id": p.id, "Session-Id": p.session, names["programDeadline"]: "8000",
+			names["budget"]: fmt.Sprint(p.budget), names["usage"]: "1840,288", names["parts"]: "5c1e07a2:800," + p.session + ":1040",
 		}
 		attempt := w.newID()
 		send := func(attempt string, in *instance) answer {
--- a/review/_kit2/world.go
+++ b/review/_kit2/world.go
@@ -118,7 +118,7 @@
 		"version": version, "routes": routes,
 		"services": []map[string]any{
 			{"name": engineService, "health_path": "/health", "max_connections": 170, "protocol": "h1", "tls_enabled": false, "runtime": map[string]any{
-				"batch_slots": engineSlots, "kv_cache_tokens": 182071, "kv_token_bytes": 18432, "chunk_tokens": chunkTokens,
+				names["slots"]: engineSlots, "kv_cache_tokens": 182071, "kv_token_bytes": 18432, names["chunk"]: chunkTokens,
 			}},
 			{"name": plainService, "health_path": "/health", "max_connections": 100, "protocol": "h1", "tls_enabled": false},
 		},
@@ -135,7 +135,7 @@
 func streamRoute(name, prefix string, overrides map[string]any) map[string]any {
 	r := map[string]any{
 		"name": name, "hostname": host, "prefix": prefix, "type": "streaming", "timeout_ms": 3000, "target_latency_ms": 200,
-		"priority": 0, "service": engineService, "max_attempts": 1, "retention_enabled": false, "retention_s": 60.0,
+		"priority": 0, "service": engineService, names["attempts"]: 1, names["kept"]: false, "retention_s": 60.0,
 		"session_affinity": true, "resumable": false, "target_gap_ms": 200,
 	}
 	for k, v := range overrides {
@@ -147,7 +147,7 @@
 func plainRoute(name, prefix, kind string) map[string]any {
 	return map[string]any{
 		"name": name, "hostname": host, "prefix": prefix, "type": kind, "timeout_ms": 3000, "target_latency_ms": 500,
-		"priority": 2, "service": plainService, "max_attempts": 1,
+		"priority": 2, "service": plainService, names["attempts"]: 1,
 	}
 }
 
