--- a/review/_kit2/world.go
+++ b/review/_kit2/world.go
@@ -202,8 +202,10 @@
 	return os.WriteFile(in.file, []byte(render(string(text), fields, nil)), 0o600)
 }
 
-var section = regexp.MustCompile(`(?s)\{\{([#^])([a-z_.]+)\}\}`)
-var value = regexp.MustCompile(`\{\{([a-z_.]+)\}\}`)
+var (
+	section = regexp.MustCompile(`(?s)\{\{([#^])([a-z_.]+)\}\}`)
+	value   = regexp.MustCompile(`\{\{([a-z_.]+)\}\}`)
+)
 
 // render fills in a template as DEPLOY tells, as far as the project's template uses it.
 func render(text string, fields map[string]any, current any) string {
