internal/bookkeeper: a handover states that the rest of a grant was released

Cause: a holder that is asked for the unused rest of its grant uses no more of it until it has written the row itself. This was known to its ledger only. A planned stop handed over the row as last read and what was committed, so that the successor took the rest for its own and handed it out without a write, although the row gave it to the other bookkeeper. The same held for a rest that the close of an idle ledger had returned to the row.

Fix: the handover states the release. The successor has the rest with its next write of the row under the version that it knows. Another holder's write either came first, which the successor finds as a conflict, or no longer takes effect.

--- a/internal/bookkeeper/bookkeeper_test.go
+++ b/internal/bookkeeper/bookkeeper_test.go
@@ -285,12 +285,22 @@
 func TestBudgetHoldsUnderFaults(t *testing.T) {
 	for seed := range uint64(60) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			runFleet(t, seed, func(t *testing.T, f *fleet) { budgetUnderFaults(t, f, seed) })
+			runFleet(t, seed, func(t *testing.T, f *fleet) { budgetUnderFaults(t, f, seed, 12) })
 		})
 	}
 }
 
-func budgetUnderFaults(t *testing.T, f *fleet, seed uint64) {
+// The same with planned stops: a bookkeeper hands its ledger over to another one and ends later.
+func TestBudgetHoldsOverPlannedStopsUnderFaults(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			runFleet(t, seed, func(t *testing.T, f *fleet) { budgetUnderFaults(t, f, seed, 14) })
+		})
+	}
+}
+
+// budgetUnderFaults draws each step from the given number of kinds.
+func budgetUnderFaults(t *testing.T, f *fleet, seed uint64, kinds int) {
 	random := rand.New(rand.NewPCG(seed, 7))
 	const budget = 20 * turnTokens
 	names := []string{"a0", "b0", "c0"}
@@ -303,7 +313,7 @@
 	)
 	var turns sync.WaitGroup
 	for step := range 150 {
-		switch random.IntN(12) {
+		switch random.IntN(kinds) {
 		case 0:
 			f.rows.SetFaults(fakeplatform.RowFaults{
 				LoseAnswers: random.Float64(), LandLate: time.Duration(random.IntN(2000)) * time.Millisecond,
@@ -317,6 +327,25 @@
 			f.kill(names[i])
 			names[i] = fmt.Sprintf("%c%d", names[i][0], step)
 			f.start(names[i])
+		case 12, 13:
+			i, next := random.IntN(len(names)), random.IntN(len(names))
+			if i == next {
+				break
+			}
+			stopped := names[i]
+			handovers, err := f.bookkeeper(stopped).Retire(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := f.bookkeeper(names[next]).Adopt(t.Context(), bookkeeper.AdoptRequest{Handovers: handovers}); err != nil {
+				t.Fatal(err)
+			}
+			turns.Go(func() {
+				time.Sleep(3 * time.Second)
+				f.kill(stopped)
+			})
+			names[i] = fmt.Sprintf("%c%d", names[i][0], step)
+			f.start(names[i])
 		}
 		k, turn := f.bookkeeper(names[random.IntN(len(names))]), fmt.Sprint(step)
 		used := int64(random.IntN(turnTokens + 1))
@@ -338,6 +367,15 @@
 		time.Sleep(time.Duration(random.IntN(100)) * time.Millisecond)
 	}
 	turns.Wait()
+	// Whatever the budget seems to have left is spent.
+	f.rows.SetFaults(fakeplatform.RowFaults{})
+	for _, name := range names {
+		k := f.bookkeeper(name)
+		for i := 0; open(t, k, fmt.Sprint(name, " ", i), budget).Status == bookkeeper.OK; i++ {
+			settle(t, k, fmt.Sprint(name, " ", i), turnTokens)
+			usedTokens += turnTokens
+		}
+	}
 	if usedTokens > budget {
 		t.Errorf("%d tokens were used of a budget of %d", usedTokens, budget)
 	}
--- a/internal/bookkeeper/handover.go
+++ b/internal/bookkeeper/handover.go
@@ -21,11 +21,15 @@
 	Grants  map[string]int64 `cbor:"3,keyasint"`
 	Holder  string           `cbor:"4,keyasint"`
 	// Committed is what the holder's turns used or may still use, in tokens; the
-	// rest of its grant passes to the successor.
+	// rest of its grant passes to the successor, at once or, if it IsReleased, with the
+	// successor's next write of the row.
 	Committed int64 `cbor:"5,keyasint"`
 	Homes     homes `cbor:"6,keyasint,omitzero"`
 	Withheld  int64 `cbor:"7,keyasint,omitempty"`
 	Clearance int64 `cbor:"8,keyasint,omitempty"`
+	// IsReleased is true if the holder has released the rest of its grant since Version, so that
+	// another holder may have it.
+	IsReleased bool `cbor:"9,keyasint,omitempty"`
 }
 
 // AdoptRequest hands ledgers over.
@@ -68,6 +72,7 @@
 			handovers = append(handovers, Handover{
 				Program: program, Version: p.ledger.version, Grants: p.ledger.grants,
 				Holder: s.holder, Committed: p.ledger.committed(), Homes: p.homes, Withheld: p.ledger.withheld, Clearance: p.ledger.clearance,
+				IsReleased: p.ledger.isReleased,
 			})
 		}
 	}
@@ -87,7 +92,7 @@
 		if p.homes.Last == "" {
 			p.homes = h.Homes
 		}
-		p.ledger.inherit(h.Version, row{Grants: h.Grants, Withheld: h.Withheld, Clearance: h.Clearance}, h.Holder, h.Committed)
+		p.ledger.inherit(h.Version, row{Grants: h.Grants, Withheld: h.Withheld, Clearance: h.Clearance}, h.Holder, h.Committed, h.IsReleased)
 	}
 }
 
--- a/internal/bookkeeper/ledger.go
+++ b/internal/bookkeeper/ledger.go
@@ -79,8 +79,8 @@
 	// used is the number of tokens of this holder's grant that closed turns used.
 	used         int64
 	reservations map[string]reservation
-	// isReleased is true after the holder has released its unused tokens and until
-	// it has written the row again; meanwhile it may use at most ceiling.
+	// isReleased is true after the holder, or one that it inherited from, has released its
+	// unused tokens and until it has written the row again; meanwhile it may use at most ceiling.
 	isReleased bool
 	ceiling    int64
 	// inherited maps retired holders to the committed part of their grants; the
@@ -115,11 +115,16 @@
 	}
 }
 
-// inherit takes over the uncommitted part of a retired holder's grant.
-func (l *ledger) inherit(version int64, r row, holder string, committed int64) {
+// inherit takes over the uncommitted part of a retired holder's grant. If the holder had released
+// that part, another holder may write it to its own grant, so it is used only once this holder has
+// written the row.
+func (l *ledger) inherit(version int64, r row, holder string, committed int64, isReleased bool) {
 	if l.inherited == nil {
 		l.inherited = map[string]int64{}
 	}
+	if isReleased {
+		l.isReleased, l.ceiling = true, l.grant()
+	}
 	l.inherited[holder] = committed
 	if !l.isLoaded || version >= l.version {
 		l.load(version, r)
