internal/opener, internal/bookkeeper: a successor can tell that a lost holder opened nothing

Cause: a holder of a right may hand out a share of a program's budget without a row from the first moment of an outage, also of programs that have a row. If it and both witnesses end, every program of the slot may have been opened, and the store has no trace of when the holder last reached it.

A process states by which time of the store's clock it had started. If the process in place of the holder or a witness started less than 2.6 s after the renewal, nothing was opened and nothing is withheld (5049). A holder opens no program that it knows to have a row, and marks such rows, so that they have their whole budgets after a longer loss as well. Programs without a row are held to the rest for as long as a stopped program may return, whatever deadlines they state. Rows of programs and rights, and requests between instances, have new keys; builds before this one read them as unknown, which withholds.

--- a/internal/bookkeeper/actor.go
+++ b/internal/bookkeeper/actor.go
@@ -19,7 +19,6 @@
 type (
 	openMessage struct {
 		OpenRequest
-		aim      opener.Aim
 		deadline time.Time
 		reply    chan<- OpenResponse
 	}
@@ -116,7 +115,6 @@
 		m.reply <- OpenResponse{Status: Retired}
 		return
 	}
-	s.rights.extend(m.ProgramTimeLeft)
 	p := s.program(m.Program)
 	p.lastUsed = time.Now()
 	p.waiting = append(p.waiting, m)
@@ -180,9 +178,7 @@
 // writeGrant submits a write of the row with a grant that suffices for m.
 func (s *state) writeGrant(program string, p *programState, m openMessage) {
 	next := p.ledger.nextRow(m.Tokens, m.Budget)
-	if p.ledger.version == 0 {
-		next.Clearance = s.rights.clearance(m)
-	}
+	next.Mark = s.rights.mark(m.Program, p.ledger)
 	value, err := cbor.Marshal(next)
 	if err != nil {
 		m.reply <- OpenResponse{Status: Unavailable}
@@ -223,7 +219,7 @@
 		s.refuseWaiting(p, Unavailable)
 		p.charge = nil // The step of the right, or the turn that waits, begins again.
 		return
-	case p.ledger.isClosedBy(current):
+	case p.ledger.isClosedBy(current) && !s.rights.isMark(m.program, current.Mark):
 		if len(p.waiting) == 0 {
 			delete(s.programs, m.program)
 			return
@@ -268,7 +264,7 @@
 		if now.Sub(p.lastUsed) <= idleTimeout || len(p.waiting) > 0 || p.isWriting || p.isReclaiming || p.charge != nil {
 			continue
 		}
-		if p.ledger.isLoaded && !p.ledger.hasGrant() && p.ledger.committed() == 0 {
+		if p.ledger.isLoaded && !p.ledger.hasGrant() && p.ledger.committed() == 0 && !s.rights.isMark(program, p.ledger.mark) {
 			delete(s.programs, program)
 			continue
 		}
@@ -279,9 +275,14 @@
 }
 
 // closeLedger submits the write after which the ledger is dropped. If it fails, the
-// next sweep submits it again.
+// next sweep submits it again. A mark of this process ends with the ledger, which is how it knows
+// that the program has a row.
 func (s *state) closeLedger(program string, p *programState, now time.Time) {
-	next := p.ledger.closedRow()
+	mark := p.ledger.mark
+	if s.rights.isMark(program, mark) {
+		mark = 0
+	}
+	next := p.ledger.closedRow(mark)
 	value, err := cbor.Marshal(next)
 	if err != nil {
 		s.log.Log(eventGrantNotWritten, "Program", program, "Row", p.ledger.version, "Waiting", 0, "Cause", err)
--- a/internal/bookkeeper/bookkeeper.go
+++ b/internal/bookkeeper/bookkeeper.go
@@ -22,7 +22,6 @@
 	"github.com/wigeonstand/wigeonstand/internal/batcher"
 	"github.com/wigeonstand/wigeonstand/internal/estimator"
 	"github.com/wigeonstand/wigeonstand/internal/logger"
-	"github.com/wigeonstand/wigeonstand/internal/opener"
 	"github.com/wigeonstand/wigeonstand/internal/pruner"
 	"github.com/wigeonstand/wigeonstand/internal/quarantiner"
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
@@ -86,10 +85,6 @@
 	Session string `cbor:"7,keyasint,omitempty"`
 	// Verdicts are those of the caller on requests that crash endpoints.
 	Verdicts []quarantiner.Verdict `cbor:"8,keyasint,omitempty"`
-	// ProgramTimeLeft is the time until the program should end, and Timeout that for which the
-	// caller waits, as the caller's request stated them; zero if it did not.
-	ProgramTimeLeft time.Duration `cbor:"16,keyasint,omitempty"`
-	Timeout         time.Duration `cbor:"17,keyasint,omitempty"`
 	// Contender asks for capacity for a program that may be new; nil otherwise.
 	Contender *apportioner.Contender `cbor:"14,keyasint,omitempty"`
 }
@@ -190,9 +185,9 @@
 	// apportioner divides scarce capacity between the accounts of new programs.
 	apportioner *apportioner.Apportioner
 	needs       Needs
-	// readRights reads the rights and sends them to the actor; nil without budgets for
-	// outages.
-	readRights func(ctx context.Context)
+	// readRights reads the rights and sends them to the actor, and renewRights renews those of
+	// this process; nil without budgets for outages.
+	readRights, renewRights func(ctx context.Context)
 	// stopRights ends the calls that concern rights and waits for them.
 	stopRights func()
 
@@ -285,7 +280,7 @@
 func (k *Bookkeeper) Open(ctx context.Context, in OpenRequest) (OpenResponse, error) {
 	reply := make(chan OpenResponse, 1)
 	now := time.Now()
-	k.send(openMessage{OpenRequest: in, aim: opener.NewAim(in.ProgramTimeLeft, in.Timeout, now), deadline: now.Add(in.Wait), reply: reply})
+	k.send(openMessage{OpenRequest: in, deadline: now.Add(in.Wait), reply: reply})
 	timer := time.NewTimer(in.Wait)
 	defer timer.Stop()
 	select {
--- a/internal/bookkeeper/events.go
+++ b/internal/bookkeeper/events.go
@@ -23,6 +23,8 @@
 		"programs that were opened without a row were charged what they used", "None.")
 	eventDeductionBegan = logger.Define(5047, "DeductionBegan", log.WarnLevel,
 		"neither the former holder of a right nor its witnesses answered; programs that the holder may have opened don't get the withheld part of their budgets for a day", "None, if instances were lost; see docs/operators/incidents-entry.md.")
+	eventFormerUnused = logger.Define(5049, "FormerOpenedNothing", log.InfoLevel,
+		"neither the former holder of a right nor its witnesses answered; by its last renewal it had opened nothing", "None.")
 	eventRightReleased = logger.Define(5048, "RightReleased", log.InfoLevel,
 		"a right was given up in a planned stop; its successor need not ask for openings", "None.")
 )
--- a/internal/bookkeeper/handover.go
+++ b/internal/bookkeeper/handover.go
@@ -26,7 +26,7 @@
 	Committed int64 `cbor:"5,keyasint"`
 	Homes     homes `cbor:"6,keyasint,omitzero"`
 	Withheld  int64 `cbor:"7,keyasint,omitempty"`
-	Clearance int64 `cbor:"8,keyasint,omitempty"`
+	Mark      int64 `cbor:"10,keyasint,omitempty"`
 	// IsReleased is true if the holder has released the rest of its grant since Version, so that
 	// another holder may have it.
 	IsReleased bool `cbor:"9,keyasint,omitempty"`
@@ -71,7 +71,7 @@
 		if p.ledger.isLoaded {
 			handovers = append(handovers, Handover{
 				Program: program, Version: p.ledger.version, Grants: p.ledger.grants,
-				Holder: s.holder, Committed: p.ledger.committed(), Homes: p.homes, Withheld: p.ledger.withheld, Clearance: p.ledger.clearance,
+				Holder: s.holder, Committed: p.ledger.committed(), Homes: p.homes, Withheld: p.ledger.withheld, Mark: p.ledger.mark,
 				IsReleased: p.ledger.isReleased,
 			})
 		}
@@ -92,7 +92,7 @@
 		if p.homes.Last == "" {
 			p.homes = h.Homes
 		}
-		p.ledger.inherit(h.Version, row{Grants: h.Grants, Withheld: h.Withheld, Clearance: h.Clearance}, h.Holder, h.Committed, h.IsReleased)
+		p.ledger.inherit(h.Version, row{Grants: h.Grants, Withheld: h.Withheld, Mark: h.Mark}, h.Holder, h.Committed, h.IsReleased)
 	}
 }
 
--- a/internal/bookkeeper/ledger.go
+++ b/internal/bookkeeper/ledger.go
@@ -27,8 +27,8 @@
 	// Withheld is the part of the budget that is not granted until the program is
 	// lifted, as it may be used without a row; see package opener.
 	Withheld int64 `cbor:"2,keyasint,omitempty"`
-	// Clearance is the opener.Tenure's when the row was created.
-	Clearance int64 `cbor:"3,keyasint,omitempty"`
+	// Mark is the opener.Tenure's. Key 3 was used by earlier versions.
+	Mark int64 `cbor:"4,keyasint,omitempty"`
 }
 
 func decodeRow(value []byte) (row, error) {
@@ -68,9 +68,9 @@
 	holder string
 	// share is the part of a budget to withhold in a new row, in thousandths, and
 	// withheld that of the row in tokens.
-	share     int64
-	withheld  int64
-	clearance int64
+	share    int64
+	withheld int64
+	mark     int64
 	// version and grants are those of the row; grantedToOthers is the sum of the
 	// grants of the other holders.
 	version         int64
@@ -99,7 +99,7 @@
 // load sets the version and the grants from a row. The uncommitted part of
 // inherited grants is added to this holder's grant.
 func (l *ledger) load(version int64, r row) {
-	l.version, l.grantedToOthers, l.withheld, l.clearance, l.isLoaded = version, 0, r.Withheld, r.Clearance, true
+	l.version, l.grantedToOthers, l.withheld, l.mark, l.isLoaded = version, 0, r.Withheld, r.Mark, true
 	l.grants = make(map[string]int64, len(r.Grants)+1)
 	for holder, grant := range r.Grants {
 		if committed, found := l.inherited[holder]; found && committed < grant {
@@ -155,13 +155,13 @@
 // written.
 func (l *ledger) hasGrant() bool { return l.grants[l.holder] > 0 }
 
-// closedRow returns the row without this holder's grant; what was used of it is added
-// to settledHolder. The ledger uses no more of the grant, since the row may be
+// closedRow returns the row with the mark and without this holder's grant; what was used of it is
+// added to settledHolder. The ledger uses no more of the grant, since the row may be
 // written from now on.
-func (l *ledger) closedRow() row {
+func (l *ledger) closedRow(mark int64) row {
 	l.release()
 	l.isClosing = true
-	r := row{Grants: maps.Clone(l.grants), Withheld: l.withheld, Clearance: l.clearance}
+	r := row{Grants: maps.Clone(l.grants), Withheld: l.withheld, Mark: mark}
 	delete(r.Grants, l.holder)
 	if l.used > 0 {
 		r.Grants[settledHolder] += l.used
@@ -183,7 +183,7 @@
 
 // reduceGrants lowers the grants of other holders to their committed tokens.
 func (l *ledger) reduceGrants(committed map[string]int64) {
-	reduced := row{Grants: make(map[string]int64, len(l.grants)), Withheld: l.withheld, Clearance: l.clearance}
+	reduced := row{Grants: make(map[string]int64, len(l.grants)), Withheld: l.withheld, Mark: l.mark}
 	for holder, grant := range l.grants {
 		if committedTokens, given := committed[holder]; given {
 			grant = min(grant, committedTokens)
@@ -202,6 +202,9 @@
 	return sum
 }
 
+// hasRow reports whether the program is known to have a row.
+func (l *ledger) hasRow() bool { return l.version != 0 }
+
 // hasStarted reports whether the program has or had a turn, or another holder has
 // a grant. The holder's own grant does not count: it is written before the first
 // turn is admitted, which may then be refused.
@@ -272,7 +275,7 @@
 // several data centres has as many holders, and if all of them die, the rest of
 // the budget must still allow further turns.
 func (l *ledger) nextRow(tokens, budget int64) row {
-	r := row{Grants: make(map[string]int64, len(l.grants)+1), Withheld: l.withheld, Clearance: l.clearance}
+	r := row{Grants: make(map[string]int64, len(l.grants)+1), Withheld: l.withheld, Mark: l.mark}
 	if l.version == 0 && l.share > 0 {
 		r.Withheld = opener.Withheld(budget, l.share)
 	}
--- a/internal/bookkeeper/rights.go
+++ b/internal/bookkeeper/rights.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -54,11 +55,16 @@
 	// after one that failed.
 	peerTimeout    = 200 * time.Millisecond
 	peerRetryDelay = 100 * time.Millisecond
+	// renewalInterval is the time between two renewals of the rights that this process holds.
+	// openingSilence exceeds it by the longest time for which all instances may be down at once
+	// without a doubt about what they had opened.
+	renewalInterval = 400 * time.Millisecond
+	openingSilence  = 2600 * time.Millisecond
 	// maxMembers exceeds the number of members of any deployment, 360 by now.
 	maxMembers = 1024
 )
 
-var openerTerms = opener.Terms{Window: usageWindow, Life: programLife}
+var openerTerms = opener.Terms{Window: usageWindow, Life: programLife, Silence: openingSilence}
 
 // Lister reads rows.
 type Lister interface {
@@ -73,6 +79,9 @@
 	// HasEnded reports whether a read of the members that began after the time shows that
 	// the process with the incarnation has ended.
 	HasEnded(incarnation string, after time.Time) bool
+	// ReplacedAt returns a store's time by which the process with the incarnation had ended, as
+	// another one runs at its instance.
+	ReplacedAt(incarnation string) (time.Time, bool)
 	Self() discoverer.Member
 }
 
@@ -85,6 +94,10 @@
 	Caller  Caller
 	// IsStoreAway reports whether the store is unreachable on all paths.
 	IsStoreAway func() bool
+	// Clock returns the last reading of the store's clock. Nothing is opened without one.
+	Clock func() (storer.Reading, bool)
+	// ReturnTime returns the longest time after which a program that was stopped comes back.
+	ReturnTime func() time.Duration
 	// CountOpened is called for each program that is opened without a row, SetHeld
 	// after each read with the rights held and the deductions in force among them.
 	CountOpened func()
@@ -96,6 +109,7 @@
 	return func(k *Bookkeeper, s *state) {
 		k.readRights = func(ctx context.Context) { s.send(readRights(ctx, o.Rows)) }
 		s.rights = &rights{OutageBudgets: o, witness: opener.NewWitness()}
+		k.renewRights = func(ctx context.Context) { s.rights.readRenewal(ctx, s.send) }
 		s.rights.ctx, s.rights.cancel = context.WithCancel(context.Background())
 		k.stopRights = func() {
 			s.rights.stop()
@@ -122,8 +136,10 @@
 	chargesLeft int
 	// isShareCommon is true if all known members withhold as much as this process uses.
 	isShareCommon bool
-	// reach is the Reach that suffices for the programs seen so far.
-	reach time.Duration
+	// isHolding is true while this process holds a right, and isRenewing while a renewal is being
+	// written.
+	isHolding  atomic.Bool
+	isRenewing bool
 }
 
 type slot struct {
@@ -148,6 +164,8 @@
 	openings     map[string]int64
 	isAsking     bool
 	sealAttempts int
+	// renewal is that of the former holder; nil until it is read.
+	renewal *renewal
 }
 
 // The messages of the actor that concern rights.
@@ -167,8 +185,9 @@
 	formerSealed struct {
 		slot   int
 		former string
-		// openings is nil if no instance answered.
+		// openings is nil if no instance answered, renewal if that of the holder was not read.
 		openings map[string]int64
+		renewal  *renewal
 	}
 	openingReported struct {
 		program, tenure string
@@ -196,22 +215,24 @@
 	return s.rights.Share
 }
 
-// extend takes note of a program with the time left until its aim.
-func (r *rights) extend(left time.Duration) {
-	if r != nil && left > 0 {
-		r.reach = max(r.reach, opener.ReachFor(left))
+// mark returns the mark for the next row of a program.
+func (r *rights) mark(program string, l *ledger) int64 {
+	if r == nil {
+		return l.mark
+	}
+	if t := r.slots[opener.Slot(program)].tenure; t != nil {
+		return t.Mark(program, l.mark, !l.hasRow())
 	}
+	return l.mark
 }
 
-// clearance returns the clearance for the new row of a program.
-func (r *rights) clearance(m openMessage) int64 {
+// isMark reports whether the mark of a program's row is that of a tenure of this process.
+func (r *rights) isMark(program string, mark int64) bool {
 	if r == nil {
-		return 0
-	}
-	if t := r.slots[opener.Slot(m.Program)].tenure; t != nil {
-		return t.Clearance(m.aim)
+		return false
 	}
-	return 0
+	t := r.slots[opener.Slot(program)].tenure
+	return t != nil && t.IsMark(mark)
 }
 
 // release ends the tenures of this process, so that successors need not ask for their
@@ -298,10 +319,14 @@
 	case formerSealed:
 		sl := &r.slots[m.slot]
 		sl.isAsking = false
-		if m.former == sl.former && m.openings != nil {
-			sl.openings = m.openings
+		if m.former == sl.former && (m.openings != nil || m.renewal != nil) {
+			sl.openings, sl.renewal = m.openings, m.renewal
 			r.step(s, m.slot)
 		}
+	case renewalRead:
+		r.handleRenewal(s, m)
+	case renewalWritten:
+		r.isRenewing = false
 	case openingReported:
 		r.handleReported(s, m)
 	case programLifted:
@@ -351,6 +376,7 @@
 			}
 		}
 	}
+	r.isHolding.Store(held > 0)
 	r.SetHeld(held, deductions)
 }
 
@@ -420,7 +446,7 @@
 	}
 	t, w := opener.Take(s.holder, i, current, r.witnesses(i), r.Share, openerTerms)
 	sl.tenures[t.ID()], sl.tenure = t, t
-	sl.former, sl.openings, sl.sealAttempts = "", nil, 0
+	sl.former, sl.openings, sl.sealAttempts, sl.renewal = "", nil, 0, nil
 	s.log.Log(eventRightTaken, "Slot", slotNames[i], "Row", sl.current.Version, "From", sl.current.Right.Holder, "Deducting", w.Right.IsDeducting)
 	r.write(s, i, w)
 }
@@ -536,10 +562,8 @@
 		}
 	case t.IsInDoubt():
 		submit(t.Resolve())
-	case right.Reach < r.reach && !r.IsStoreAway():
-		submit(t.Extend(r.reach))
 	default:
-		submit(t.Advance(time.Now()))
+		submit(t.Advance(time.Now(), r.ReturnTime()))
 	}
 }
 
@@ -574,7 +598,7 @@
 func (r *rights) settleFormer(s *state, i int, right opener.Right, submit func(opener.Write, bool)) {
 	sl, former := &r.slots[i], *right.Former
 	if sl.former != former.Tenure {
-		sl.former, sl.openings, sl.sealAttempts = former.Tenure, nil, 0
+		sl.former, sl.openings, sl.sealAttempts, sl.renewal = former.Tenure, nil, 0, nil
 	}
 	ended := 0
 	for _, process := range append([]string{former.Holder}, former.Witnesses...) {
@@ -587,9 +611,13 @@
 	case sl.openings != nil:
 	case sl.isAsking:
 		return
-	case sl.sealAttempts >= maxSealAttempts || ended > len(former.Witnesses):
-		s.log.Log(eventDeductionBegan, "Slot", slotNames[i], "Former", former.Holder, "Witnesses", former.Witnesses, "Reach", former.Reach, "Ended", ended)
-		submit(sl.tenure.Deduct(time.Now()))
+	case r.hasOpenedNothing(sl, former):
+		s.log.Log(eventFormerUnused, "Slot", slotNames[i], "Former", former.Holder, "Renewed", sl.renewal.At)
+		submit(sl.tenure.FinishSettling())
+		return
+	case sl.sealAttempts >= maxSealAttempts, ended > len(former.Witnesses) && sl.renewal != nil:
+		s.log.Log(eventDeductionBegan, "Slot", slotNames[i], "Former", former.Holder, "Witnesses", former.Witnesses, "Renewal", sl.renewal, "Ended", ended)
+		submit(sl.tenure.Deduct())
 		return
 	default:
 		sl.sealAttempts++
@@ -661,7 +689,7 @@
 		return opener.Refused
 	}
 	isNew := !r.isOpen(m.Program)
-	result := t.Reserve(opener.Program{Name: m.Program, Budget: m.Budget, Aim: m.aim, Clearance: p.ledger.clearance}, m.Turn, m.Tokens, now)
+	result := t.Reserve(opener.Program{Name: m.Program, Budget: m.Budget, HasRow: p.ledger.hasRow()}, m.Turn, m.Tokens, now)
 	switch {
 	case result == opener.Granted && isNew:
 		r.CountOpened()
@@ -704,7 +732,7 @@
 	}
 	p.isLifting = true
 	holder := s.rights.slots[opener.Slot(program)].current.Right.Holder
-	in := LiftRequest{Program: program, Clearance: p.ledger.clearance}
+	in := LiftRequest{Program: program, Mark: p.ledger.mark}
 	s.rights.run(func() { s.rights.askToLift(s, holder, in, deadline) })
 }
 
@@ -735,11 +763,11 @@
 	if !isHolder || r.IsStoreAway() {
 		return LiftResponse{} // A program that is being lifted isn't used without a row.
 	}
-	if !sl.tenure.CanLift(in.Program, in.Clearance) {
+	if !sl.tenure.CanLift(in.Program, in.Mark) {
 		// Only a deduction lasts longer than a turn can wait.
 		return LiftResponse{IsRefused: right.Former == nil}
 	}
-	tokens, isKnown := sl.tenure.Committed(in.Program, in.Clearance)
+	tokens, isKnown := sl.tenure.Committed(in.Program, in.Mark)
 	if !isKnown && !sl.isWriting && !right.IsLifted(in.Program) {
 		if w, ok := sl.tenure.Lift([]string{in.Program}); ok {
 			r.write(s, opener.Slot(in.Program), w)
--- a/internal/bookkeeper/rights_calls.go
+++ b/internal/bookkeeper/rights_calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/wigeonstand/wigeonstand/internal/messenger"
@@ -57,8 +58,8 @@
 // LiftRequest asks the holder of a right to open a program no more.
 type LiftRequest struct {
 	Program string `cbor:"1,keyasint"`
-	// Clearance is that of the program's row.
-	Clearance int64 `cbor:"2,keyasint,omitempty"`
+	// Mark is that of the program's row. Key 2 was used by earlier versions.
+	Mark int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // LiftResponse states what the program used, or may still use, without a row, if that is
@@ -144,16 +145,24 @@
 // StoreLost offers the turns that wait for the store to be opened without a row.
 func (k *Bookkeeper) StoreLost() { k.send(storeLost{}) }
 
-// runRights reads the rights until ctx ends.
+// runRights reads the rights and renews those of this process until ctx ends.
 func (k *Bookkeeper) runRights(ctx context.Context) {
-	ticker := time.NewTicker(rightsInterval)
+	var work sync.WaitGroup
+	work.Go(func() { repeat(ctx, rightsInterval, k.readRights) })
+	repeat(ctx, renewalInterval, k.renewRights)
+	work.Wait()
+}
+
+// repeat calls run at the interval until ctx ends.
+func repeat(ctx context.Context, interval time.Duration, run func(ctx context.Context)) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			k.readRights(ctx)
+			run(ctx)
 		}
 	}
 }
@@ -199,7 +208,8 @@
 	_ = r.call(r.ctx, witness, methodForget, in, &ForgetResponse{})
 }
 
-// askFormer asks the former holder and its witnesses for the openings.
+// askFormer asks the former holder and its witnesses for the openings, and reads the renewal of
+// the holder if none answers.
 func (r *rights) askFormer(s *state, i int, former opener.Former) {
 	sl := &r.slots[i]
 	if former.Holder == s.holder {
@@ -226,6 +236,9 @@
 			}
 			break
 		}
+		if result.openings == nil {
+			result.renewal = r.renewalOf(r.ctx, former.Holder)
+		}
 		s.send(result)
 	})
 }
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -185,7 +185,7 @@
 		Address: settings.PeerAddress, DataCentre: settings.DataCentre,
 		Cores: settings.CoreShare * settings.Cores, OutageShare: outageShare(settings),
 	}
-	e.discoverer = discoverer.New(self, e.rerouter, discoverer.WithSeeds(settings.Seeds))
+	e.discoverer = discoverer.New(self, e.rerouter, discoverer.WithSeeds(settings.Seeds), discoverer.WithClock(readClock(platform.Rows)))
 	e.rerouter.SetRelays(e.discoverer)
 	e.tunneler = tunneler.New(e.dialEndpoint, e.peerClient, e.discoverer, e.registry,
 		tunneler.WithLogger(e.log), tunneler.WithTimeouts(e.extender.WithTimeout), tunneler.WithSilenceObserver(e.sender.CloseIdle))
@@ -211,7 +211,7 @@
 		bookkeeper.WithLogger(e.log), bookkeeper.WithPruner(e.pruner.Schedule), bookkeeper.WithVerdicts(e.quarantine), bookkeeper.WithNeeds(needs),
 	}
 	e.bookkeeper = bookkeeper.New(self.Incarnation, e.batcher, bookkeeper.NewReclaimer(e.discoverer, e.peerClient),
-		append(bookkeeperOptions, e.outageBudgets(metrics)...)...)
+		append(bookkeeperOptions, e.outageBudgets(metrics, readClock(platform.Rows))...)...)
 	e.budgets = bookkeeper.NewClient(e.bookkeeper, e.discoverer, e.peerClient, e.registry, bookkeeper.WithTimeouts(e.extender.WithTimeout))
 	permits := rationer.New(e.discoverer, e.peerClient, rationer.WithLogger(e.log), rationer.WithCounter(metrics.countPermit))
 	quotas := e.newQuotas(metrics)
--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -75,6 +75,9 @@
 	Interval time.Duration `cbor:"7,keyasint"`
 	// OutageShare is the part of budgets that the instance withholds, in thousandths.
 	OutageShare int64 `cbor:"8,keyasint,omitempty"`
+	// StartedAt is the store's time in milliseconds by which the process had started; zero until
+	// it knows that.
+	StartedAt int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // memberState is a member with the local time since which its row has not changed.
@@ -95,6 +98,11 @@
 	rows    storer.Rows
 	tracker *tracker.Tracker
 	seeds   []Member
+	clock   func() (storer.Reading, bool)
+	// createdAt is no earlier than the start of the process.
+	createdAt time.Time
+	// startedAt is self's StartedAt once it is known.
+	startedAt atomic.Int64
 
 	heartbeats atomic.Int64
 	// version is that of the last heartbeat.
@@ -136,10 +144,16 @@
 	}
 }
 
+// WithClock sets the source of readings of the store's clock.
+func WithClock(clock func() (storer.Reading, bool)) Option {
+	return func(d *Discoverer) { d.clock = clock }
+}
+
 // New returns a Discoverer that runs on the instance described by self.
 func New(self Member, rows storer.Rows, options ...Option) *Discoverer {
 	d := &Discoverer{
-		self: self, rows: rows, tracker: tracker.New(rows, Table, partition),
+		self: self, rows: rows, tracker: tracker.New(rows, Table, partition), createdAt: time.Now(),
+		clock:   func() (storer.Reading, bool) { return storer.Reading{}, false },
 		members: map[string]*memberState{}, suspectedUntil: map[string]time.Time{},
 	}
 	for _, option := range options {
@@ -153,12 +167,31 @@
 type heartbeat struct {
 	at       time.Time
 	interval time.Duration
+	// hasStart is true if the row states the start of the process.
+	hasStart bool
 }
 
 // IsHeartbeatDue reports whether this instance must write its next heartbeat.
 func (d *Discoverer) IsHeartbeatDue() bool {
 	last := d.lastHeartbeat.Load()
-	return last == nil || time.Since(last.at) >= min(last.interval, d.interval())
+	if last == nil || time.Since(last.at) >= min(last.interval, d.interval()) {
+		return true
+	}
+	return !last.hasStart && d.learnStart() != 0
+}
+
+// learnStart returns the store's time in milliseconds by which this process had started, and zero
+// while that is unknown.
+func (d *Discoverer) learnStart() int64 {
+	if at := d.startedAt.Load(); at != 0 {
+		return at
+	}
+	reading, isKnown := d.clock()
+	if !isKnown {
+		return 0
+	}
+	d.startedAt.CompareAndSwap(0, reading.AtMost(d.createdAt).UnixMilli())
+	return d.startedAt.Load()
 }
 
 // interval returns the time between two heartbeats of this instance.
@@ -174,7 +207,7 @@
 // WriteHeartbeat writes this instance's own row to the store.
 func (d *Discoverer) WriteHeartbeat(ctx context.Context) error {
 	row, started := d.self, time.Now()
-	row.Heartbeats, row.Interval = d.heartbeats.Add(1), d.interval()
+	row.Heartbeats, row.Interval, row.StartedAt = d.heartbeats.Add(1), d.interval(), d.learnStart()
 	expected := d.version.Load()
 	if expected == 0 {
 		// Until one is known to be written, an earlier one may replace a later one.
@@ -197,7 +230,7 @@
 		return err
 	}
 	d.version.Store(version)
-	d.lastHeartbeat.Store(&heartbeat{at: started, interval: row.Interval})
+	d.lastHeartbeat.Store(&heartbeat{at: started, interval: row.Interval, hasStart: row.StartedAt != 0})
 	return nil
 }
 
@@ -449,15 +482,19 @@
 	return Member{}, false
 }
 
+// InstanceOf returns the instance of an incarnation; empty if it names none.
+func InstanceOf(incarnation string) string {
+	return incarnation[:max(strings.LastIndexByte(incarnation, '/'), 0)]
+}
+
 // HasEnded reports whether a read of the members that began after the time shows another
 // process at the instance of the incarnation, which was in the list before that time. An
 // instance has one process at a time.
 func (d *Discoverer) HasEnded(incarnation string, after time.Time) bool {
-	i := strings.LastIndexByte(incarnation, '/')
-	if i < 0 || incarnation == d.self.Incarnation {
+	instance := InstanceOf(incarnation)
+	if instance == "" || incarnation == d.self.Incarnation {
 		return false
 	}
-	instance := incarnation[:i]
 	if instance == d.self.Instance {
 		return true
 	}
@@ -467,6 +504,26 @@
 	return m != nil && m.Incarnation != "" && m.Incarnation != incarnation && d.readAt.After(after)
 }
 
+// ReplacedAt returns a store's time by which the process with the incarnation had ended: another
+// one had started at its instance by then.
+func (d *Discoverer) ReplacedAt(incarnation string) (time.Time, bool) {
+	instance := InstanceOf(incarnation)
+	if instance == "" || incarnation == d.self.Incarnation {
+		return time.Time{}, false
+	}
+	startedAt := int64(0)
+	if instance == d.self.Instance {
+		startedAt = d.learnStart()
+	} else {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if m := d.members[instance]; m != nil && m.Incarnation != incarnation {
+			startedAt = m.StartedAt
+		}
+	}
+	return time.UnixMilli(startedAt), startedAt != 0
+}
+
 // Relays returns other instances through which this one may access the store, in an
 // order that differs between instances. While no member is known, these are the seeds.
 func (d *Discoverer) Relays() []Member {
--- a/internal/fakeplatform/rows.go
+++ b/internal/fakeplatform/rows.go
@@ -128,7 +128,9 @@
 }
 
 // For returns the store as the caller sees it.
-func (r *Rows) For(caller string) storer.Rows { return &rowsOf{Rows: r, caller: caller} }
+func (r *Rows) For(caller string) storer.Rows {
+	return &clockedRows{Rows: &rowsOf{Rows: r, caller: caller}}
+}
 
 type rowsOf struct {
 	*Rows
--- a/internal/opener/right.go
+++ b/internal/opener/right.go
@@ -43,18 +43,18 @@
 	Tenure    string   `cbor:"1,keyasint"`
 	Holder    string   `cbor:"2,keyasint"`
 	Witnesses []string `cbor:"3,keyasint"`
-	// Reach is that of the right when it had this holder.
-	Reach time.Duration `cbor:"4,keyasint,omitempty"`
+	// Number is that of the tenure, and Silence that of the right when it had this holder; both
+	// are zero for holders of versions of the program that did not state them.
+	Number  int64         `cbor:"5,keyasint,omitempty"`
+	Silence time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Lost describes the tenures whose openings nobody knows.
 type Lost struct {
-	// Before is the version of the row at which the oldest tenure began that is not lost.
-	Before int64 `cbor:"1,keyasint"`
-	// Reach is the longest of the lost tenures; zero if one of them is not known.
-	Reach time.Duration `cbor:"2,keyasint,omitempty"`
-	// HasEnded is true once none of their holders can open programs.
-	HasEnded bool `cbor:"3,keyasint,omitempty"`
+	// Latest is the number of the latest of these tenures.
+	Latest int64 `cbor:"1,keyasint"`
+	// IsPast is true once programs that these tenures opened no longer come without a row.
+	IsPast bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Right is the row of a slot.
@@ -79,10 +79,11 @@
 	// more. LiftedBefore has those that were added longer ago.
 	Lifted       []uint64 `cbor:"9,keyasint,omitempty"`
 	LiftedBefore []uint64 `cbor:"10,keyasint,omitempty"`
-	// Reach limits the time from the opening of a program to its aim. It is zero in rows of
-	// versions of the program that did not limit it.
-	Reach time.Duration `cbor:"11,keyasint,omitempty"`
-	Lost  *Lost         `cbor:"12,keyasint,omitempty"`
+	// Number is greater for later tenures. Silence is the time since its last renewal for which
+	// the holder opens no programs. Keys 11 and 12 were used by earlier versions.
+	Number  int64         `cbor:"13,keyasint,omitempty"`
+	Silence time.Duration `cbor:"14,keyasint,omitempty"`
+	Lost    *Lost         `cbor:"15,keyasint,omitempty"`
 }
 
 // Encode returns the value of the row.
@@ -113,8 +114,8 @@
 
 func (r *Right) isValid() bool {
 	return r.Format == format && r.Holder != "" && r.Tenure != "" && r.Share > 0 && r.Share <= permille &&
-		areWitnesses(r.Witnesses, r.Holder) && r.Deducted >= 0 && r.Reach >= 0 && (r.Lost == nil || r.Lost.Reach >= 0) && len(r.Lifted)+len(r.LiftedBefore) <= maxLifted &&
-		(r.Former == nil || r.Former.Reach >= 0 && r.Former.Holder != "" && r.Former.Tenure != "" && areWitnesses(r.Former.Witnesses, r.Former.Holder))
+		areWitnesses(r.Witnesses, r.Holder) && r.Deducted >= 0 && len(r.Lifted)+len(r.LiftedBefore) <= maxLifted &&
+		(r.Former == nil || r.Former.Holder != "" && r.Former.Tenure != "" && areWitnesses(r.Former.Witnesses, r.Former.Holder))
 }
 
 // areWitnesses reports whether the names are none, or two that differ from each other
@@ -123,18 +124,16 @@
 	return len(names) == 0 || len(names) == witnessCount && names[0] != names[1] && !slices.Contains(names, holder) && !slices.Contains(names, "")
 }
 
-// isCleared reports whether no lost holder opened a program of which the given version is
-// Tenure.Clearance. While one can still open programs, this one may be told that its budget is
-// spent and return with an aim that the holder accepts.
-func (r *Right) isCleared(clearance int64) bool {
-	return !r.IsDeducting || r.Lost != nil && r.Lost.HasEnded && clearance > 0 && clearance >= r.Lost.Before
+// isCleared reports whether no lost holder opened a program whose row has the mark.
+func (r *Right) isCleared(mark int64) bool {
+	return !r.IsDeducting || r.Lost != nil && mark > 0 && mark >= r.Lost.Latest
 }
 
-func (r *Right) lostBefore() int64 {
+func (r *Right) lostLatest() int64 {
 	if r.Lost == nil {
 		return 0
 	}
-	return r.Lost.Before
+	return r.Lost.Latest
 }
 
 // IsLifted reports whether no holder may open the program from now on.
--- a/internal/opener/tenure.go
+++ b/internal/opener/tenure.go
@@ -13,12 +13,17 @@
 // which is lost at most if the holder ends.
 const checkpointDivisor = 16
 
+// clockTolerance exceeds the difference between the store's clock and a process's over Silence.
+const clockTolerance = 50 * time.Millisecond
+
 // Terms are the durations that all instances have in common.
 type Terms struct {
 	// Window is how long a holder uses its right after the store has confirmed it.
 	Window time.Duration
 	// Life is the longest time from the first to the last turn of a program.
 	Life time.Duration
+	// Silence is the time since its last renewal for which a holder opens no programs.
+	Silence time.Duration
 }
 
 // deduction returns how long programs of an unknown holder may have turns.
@@ -66,11 +71,14 @@
 	// right confirmed after that.
 	heldAt time.Time
 	// formerEnd and lostEnd are when the former holder and the lost ones could last open
-	// programs.
+	// programs, as far as this process knows.
 	formerEnd, lostEnd time.Time
 	// isEnded is true once the right has another holder or the tenure was sealed.
 	isEnded     bool
 	confirmedAt time.Time
+	// renewedAt is when the store's time was received that the last renewal states; zero before
+	// the first.
+	renewedAt time.Time
 	// unresolved has the writes that expect the version and may still take effect.
 	unresolved map[int]struct{}
 	writes     int
@@ -101,7 +109,9 @@
 		unresolved: map[int]struct{}{}, openings: map[string]*opening{}, stopped: map[uint64]struct{}{},
 	}
 	old := current.Right
-	next := Right{Format: format, Holder: self, Tenure: t.id, Witnesses: witnesses, Share: share, Reach: MinReach}
+	next := Right{
+		Format: format, Holder: self, Tenure: t.id, Witnesses: witnesses, Share: share, Number: t.number(), Silence: terms.Silence,
+	}
 	switch {
 	case current.IsMalformed:
 		next.IsDeducting = true
@@ -109,12 +119,15 @@
 		next.Lifted, next.LiftedBefore = old.Lifted, old.LiftedBefore
 		next.Former, next.IsDeducting, next.Deducted, next.Lost = old.Former, old.IsDeducting, old.Deducted, old.Lost
 		if old.Former == nil && len(old.Witnesses) > 0 {
-			next.Former = &Former{Tenure: old.Tenure, Holder: old.Holder, Witnesses: old.Witnesses, Reach: old.Reach}
+			next.Former = &Former{Tenure: old.Tenure, Holder: old.Holder, Witnesses: old.Witnesses, Number: old.Number, Silence: old.Silence}
 		}
 	}
 	return t, t.write(next)
 }
 
+// number returns a positive number that is greater for later tenures.
+func (t *Tenure) number() int64 { return t.began + 1 }
+
 // ID returns what identifies the tenure in the row.
 func (t *Tenure) ID() string { return t.id }
 
@@ -156,11 +169,8 @@
 	if !t.isHeld {
 		t.isHeld, t.rotatedAt, t.heldAt = true, now, now
 		t.formerEnd, t.lostEnd = now.Add(t.terms.Window), now.Add(t.terms.Window)
-		if r.Lost != nil && r.Lost.HasEnded {
-			t.lostEnd = now
-		}
 	}
-	if r.IsDeducting && (!t.right.IsDeducting || r.lostBefore() != t.right.lostBefore()) {
+	if r.IsDeducting && (!t.right.IsDeducting || r.lostLatest() != t.right.lostLatest()) {
 		t.deductingSince, t.deductedBefore = now, r.Deducted
 	}
 	t.right, t.version = r, version
@@ -191,9 +201,26 @@
 	return max(now.Sub(since), now.Round(0).Sub(since.Round(0)))
 }
 
-// MayOpen reports whether programs may be opened.
+// MayOpen reports whether programs may be opened. That a renewal of the tenure is older than
+// Silence is measured by the monotonic clock alone, which never runs ahead.
 func (t *Tenure) MayOpen(now time.Time) bool {
-	return t.isConfirmed(now) && t.right.Former == nil && !t.IsInDoubt() && len(t.right.Witnesses) == witnessCount
+	return t.isConfirmed(now) && t.right.Former == nil && !t.right.IsDeducting && !t.IsInDoubt() && len(t.right.Witnesses) == witnessCount &&
+		!t.renewedAt.IsZero() && now.Sub(t.renewedAt) >= t.terms.Silence
+}
+
+// Renew records that a renewal is about to be sent, with the store's time that was received at
+// the given time. It returns false if openings are unrecorded, of which the renewal must not say
+// that there are none.
+func (t *Tenure) Renew(receivedAt time.Time) bool {
+	for _, o := range t.openings {
+		if !o.isStopped || o.committed() > 0 {
+			return false
+		}
+	}
+	if receivedAt.After(t.renewedAt) {
+		t.renewedAt = receivedAt
+	}
+	return true
 }
 
 // HeldAt returns when the row was first known to name this tenure; zero before.
@@ -207,20 +234,36 @@
 	}
 }
 
-// Clearance returns what to record in the row of a program that has none yet: a version that
-// is positive if no former holder whose openings are unknown opened the program. A program
-// that one of them opened, and that was not told since that its budget is spent, has an aim
-// within the reach.
-func (t *Tenure) Clearance(aim Aim) int64 {
+// HasOpenedNothing reports whether the former holder opened no programs since its last renewal,
+// which states the store's time renewedAt. One of the processes without which it can't open
+// programs had ended by the store's time endedAt.
+func (t *Tenure) HasOpenedNothing(renewedAt, endedAt time.Time) bool {
+	former := t.right.Former
+	return former != nil && former.Silence > 0 && endedAt.Sub(renewedAt) < former.Silence-clockTolerance
+}
+
+// Mark returns what to record in the row of a program that now has the mark, or that does not exist
+// yet: the number of this tenure if no lost holder opened the program without recording it, and
+// if this one will not open it. The caller states HasRow to Reserve for as long as the row has that
+// mark.
+func (t *Tenure) Mark(program string, mark int64, isNew bool) int64 {
 	right, isHolder := t.Right()
-	former, lost := right.Former, right.Lost
 	switch {
-	case !isHolder, former == nil && !right.IsDeducting,
-		former != nil && (former.Reach == 0 || !aim.isAfter(t.formerEnd.Add(former.Reach))),
-		right.IsDeducting && (lost == nil || lost.Reach == 0 || !aim.isAfter(t.lostEnd.Add(lost.Reach))):
+	case !isHolder, right.Former != nil, t.openings[program] != nil:
+		return mark
+	case isNew && (!right.IsDeducting || right.Lost == nil || !right.Lost.IsPast):
+		// The write of a new row may be in doubt while the program is opened.
 		return 0
+	case isNew, right.isCleared(mark):
+		return t.number()
 	}
-	return t.began
+	return mark
+}
+
+// IsMark reports whether the mark is that of this tenure, which is in force.
+func (t *Tenure) IsMark(mark int64) bool {
+	_, isHolder := t.Right()
+	return isHolder && mark == t.number()
 }
 
 // Result is the result of Reserve.
@@ -239,9 +282,8 @@
 type Program struct {
 	Name   string
 	Budget int64
-	Aim    Aim
-	// Clearance is that of the program's row; zero if that is not known.
-	Clearance int64
+	// HasRow is true if the process knows that the program has a row.
+	HasRow bool
 }
 
 // Reserve reserves the tokens for a turn of a program without a row. It has no effect
@@ -254,8 +296,7 @@
 	if o == nil {
 		_, isStopped := t.stopped[xxhash.Sum64String(p.Name)]
 		allowance := Allowance(p.Budget, t.right.Share)
-		if isStopped || tokens > allowance || !t.MayOpen(now) || t.right.IsLifted(p.Name) || t.isFull() ||
-			!p.Aim.isWithin(now.Add(t.right.Reach)) || !t.right.isCleared(p.Clearance) {
+		if p.HasRow || isStopped || tokens > allowance || !t.MayOpen(now) || t.right.IsLifted(p.Name) || t.isFull() {
 			return Refused
 		}
 		o = &opening{allowance: allowance, unreported: slices.Clone(t.right.Witnesses), reservations: map[string]int64{}}
@@ -351,24 +392,24 @@
 }
 
 // Committed returns what the program used, or may still use, without a row. It is known
-// once the program is lifted, no opening of a former holder is unrecorded, and the clearance
+// once the program is lifted, no opening of a former holder is unrecorded, and the mark
 // of its row shows that no lost holder opened it; then it never rises again.
-func (t *Tenure) Committed(program string, clearance int64) (tokens int64, isKnown bool) {
+func (t *Tenure) Committed(program string, mark int64) (tokens int64, isKnown bool) {
 	right, isHolder := t.Right()
 	if !isHolder || right.Former != nil || !right.IsLifted(program) {
 		return 0, false
 	}
 	if o := t.openings[program]; o != nil {
-		o.isStopped = true // It would not have been opened without clearance.
+		o.isStopped = true // Nothing is opened while a lost holder's openings are unknown.
 		return o.committed(), true
 	}
-	return 0, right.isCleared(clearance)
+	return 0, right.isCleared(mark)
 }
 
-// CanLift reports whether lifting a program with the clearance lets Committed be known.
-func (t *Tenure) CanLift(program string, clearance int64) bool {
+// CanLift reports whether lifting a program with the mark lets Committed be known.
+func (t *Tenure) CanLift(program string, mark int64) bool {
 	right, isHolder := t.Right()
-	return isHolder && right.Former == nil && (t.openings[program] != nil || right.isCleared(clearance))
+	return isHolder && right.Former == nil && (t.openings[program] != nil || right.isCleared(mark))
 }
 
 // Recorded records that the program's row has what was used without a row.
@@ -390,16 +431,6 @@
 	return t.write(next), true
 }
 
-// Extend returns the write after which programs with a later aim may be opened.
-func (t *Tenure) Extend(reach time.Duration) (Write, bool) {
-	if right, isHolder := t.Right(); !isHolder || right.Reach >= reach {
-		return Write{}, false
-	}
-	next := t.right
-	next.Reach = reach
-	return t.write(next), true
-}
-
 // Release ends the tenure and returns the write after which a successor need not ask for its
 // openings. There is none while openings are unrecorded.
 func (t *Tenure) Release() (Write, bool) {
@@ -435,24 +466,24 @@
 
 // Deduct returns the write that begins a deduction, as the openings of the former holder
 // are unknown.
-func (t *Tenure) Deduct(now time.Time) (Write, bool) {
+func (t *Tenure) Deduct() (Write, bool) {
 	former, wasDeducting, old := t.right.Former, t.right.IsDeducting, t.right.Lost
 	w, ok := t.FinishSettling()
 	if !ok {
 		return w, false
 	}
-	lost := Lost{Before: t.began, Reach: former.Reach}
-	end := t.formerEnd
+	end, latest := t.formerEnd, former.Number
+	if latest == 0 {
+		latest = t.number() // Its marks, if there are any, say nothing.
+	}
 	if wasDeducting {
-		if end = later(end, t.lostEnd); old == nil || old.Reach == 0 {
-			lost.Reach = 0
-		} else if lost.Reach > 0 {
-			lost.Reach = max(lost.Reach, old.Reach)
+		end = later(end, t.lostEnd)
+		if old != nil {
+			latest = max(latest, old.Latest)
 		}
 	}
 	t.lostEnd = end
-	lost.HasEnded = !now.Before(end)
-	w.Right.IsDeducting, w.Right.Deducted, w.Right.Lost = true, 0, &lost
+	w.Right.IsDeducting, w.Right.Deducted, w.Right.Lost = true, 0, &Lost{Latest: latest}
 	return w, true
 }
 
@@ -464,8 +495,9 @@
 }
 
 // Advance returns the write that is due with time: the end or the progress of a
-// deduction, or the removal of programs that were lifted longer ago than Life.
-func (t *Tenure) Advance(now time.Time) (Write, bool) {
+// deduction, or the removal of programs that were lifted longer ago than Life. Programs that were
+// stopped come back within returnTime or not at all.
+func (t *Tenure) Advance(now time.Time, returnTime time.Duration) (Write, bool) {
 	if _, isHolder := t.Right(); !isHolder {
 		return Write{}, false
 	}
@@ -474,9 +506,8 @@
 	switch {
 	case t.right.IsDeducting && deducted >= t.terms.deduction():
 		next.IsDeducting, next.Deducted, next.Lost = false, 0, nil
-	case t.right.IsDeducting && t.right.Lost != nil && !t.right.Lost.HasEnded && !now.Before(t.lostEnd):
-		lost := *t.right.Lost
-		lost.HasEnded, next.Lost = true, &lost
+	case t.right.IsDeducting && t.right.Lost != nil && !t.right.Lost.IsPast && !now.Before(t.lostEnd.Add(returnTime)):
+		next.Lost = &Lost{Latest: t.right.Lost.Latest, IsPast: true}
 	case t.right.IsDeducting && deducted-t.right.Deducted >= t.terms.deduction()/checkpointDivisor:
 		next.Deducted = deducted
 	case now.Sub(t.rotatedAt) > t.terms.Life && // A program may have a turn at the age of Life.
--- a/internal/relayer/call.go
+++ b/internal/relayer/call.go
@@ -65,14 +65,6 @@
 	Resumes string
 }
 
-// programTimeLeft returns ProgramTimeLeft, or zero without a program's deadline.
-func (c *Call) programTimeLeft() time.Duration {
-	if !c.HasProgramDeadline {
-		return 0
-	}
-	return c.ProgramTimeLeft
-}
-
 // Dispatch holds what is added to the header of the request to the endpoint.
 type Dispatch struct {
 	// Endpoint is the ID of the endpoint that must serve the request.
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -201,7 +201,7 @@
 	}
 	out, member, err := t.Budgets.Open(t.ctx, bookkeeper.OpenRequest{
 		Program: t.call.Program, Turn: t.call.ID, Tokens: t.call.MaxTokens, Budget: t.call.Budget, Wait: t.storeWait(),
-		Session: t.call.Session, Contender: t.contender, Timeout: t.call.Timeout, ProgramTimeLeft: t.call.programTimeLeft(),
+		Session: t.call.Session, Contender: t.contender,
 	})
 	t.bookkeeper, t.refusedShare = member, out.RefusedShare
 	if out.Need != nil {
--- a/internal/storer/rows.go
+++ b/internal/storer/rows.go
@@ -65,6 +65,23 @@
 // Is reports whether target is ErrConflict.
 func (c *Conflict) Is(target error) bool { return target == ErrConflict }
 
+// Reading is a reading of the store's clock, which is steady.
+type Reading struct {
+	// At is the store's time at some moment from SentAt to ReceivedAt.
+	At time.Time
+	// SentAt and ReceivedAt are the local times of the call that had it.
+	SentAt, ReceivedAt time.Time
+}
+
+// AtMost returns a store's time that is not before the given local time, which is before SentAt.
+func (r Reading) AtMost(t time.Time) time.Time { return r.At.Add(t.Sub(r.SentAt)) }
+
+// Clock is implemented by stores whose responses state the store's time.
+type Clock interface {
+	// LastReading returns the last reading, if there is one.
+	LastReading() (Reading, bool)
+}
+
 // Range selects the rows of a partition with From <= name < To, in name order.
 // An empty From or To and a zero Limit mean no bound.
 type Range struct {
