internal/sender: a response with an invalid status ends the request

Callers saw: responses of an endpoint in trouble with status 600 or 999, body and signature and all, on all kinds of routes. Statuses below 100 and 101 ended as 502, but a response in their body was taken for the answer to the request.

Cause: http.ReadResponse accepts any three digits. Statuses of 200 and more counted as final, all others as interim responses after which the next head is read, from the body if there is one.

Change: statuses below 100, 101, and those above 599 end the request and its connection like other bytes that are no response. So do interim responses that announce a body.

Evidence: TestResponseWithAnInvalidStatusIsNoAnswer failed before for 600 and 999 (four routes, HTTP/1.0 and 1.1 of endpoints and callers, direct and through tunnels), TestInvalidStatusEndsTheRequest in 18 of 52 cases, TestInterimResponseWithABodyEndsTheRequest in 2 of 3.

--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -50,6 +50,8 @@
 	// maxInterimResponses is the number of 1xx responses that are skipped before a
 	// response.
 	maxInterimResponses = 8
+	// maxStatus is the highest status code of HTTP.
+	maxStatus = 599
 	// maxHeadBytes limits a response head together with the interim ones before it.
 	maxHeadBytes = 64 << 10
 	// endTimeout limits the wait for the end of a response whose caller needs no more of it.
@@ -349,13 +351,26 @@
 		if err != nil {
 			return nil, eris.Wrap(err, "read the response head")
 		}
-		if response.StatusCode >= http.StatusOK {
+		switch status := response.StatusCode; {
+		case status < http.StatusContinue, status == http.StatusSwitchingProtocols, status > maxStatus:
+			// What follows need not be a response to the request, whatever it looks like.
+			return nil, eris.Errorf("invalid status %03d of a response", status)
+		case status >= http.StatusOK:
 			return response, nil
+		case hasBody(response):
+			return nil, eris.Errorf("interim response with status %d and a body", status)
 		}
 	}
 	return nil, eris.New("too many interim responses")
 }
 
+// hasBody reports whether the header of an interim response announces a body, which would be
+// taken for the next response.
+func hasBody(response *http.Response) bool {
+	length := response.Header.Get("Content-Length")
+	return length != "" && length != "0" || len(response.TransferEncoding) > 0 || response.Header.Get("Transfer-Encoding") != ""
+}
+
 // skipBody reads the body to its end, so that the next response can be read.
 func skipBody(response *http.Response) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStaleResponseBytes+1))
