internal/dispatcher: a response with an invalid status is no answer of a service

`wigeonstand serve` took responses of services with the statuses 000, 099, 101, 600 and 999 for their answers. The outcome of such a call is unknown now, as without a response. TestCallWithAnInvalidStatusHasNoAnswer failed before for all five.

--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -18,6 +18,8 @@
 
 const (
 	contentTypeJSON = "application/json"
+	// maxStatus is the highest status code of HTTP.
+	maxStatus = 599
 	// maximumErrorBytes bounds how much of the body of an error response is logged.
 	maximumErrorBytes = 512
 )
@@ -76,6 +78,10 @@
 		return nil, x.connFailure(err, Unknown)
 	}
 	x.trace.responseStarted()
+	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
+		_ = response.Body.Close() // The connection is not used again.
+		return nil, x.connFailure(eris.Wrapf(errProtocol, "status %03d", response.StatusCode), Unknown)
+	}
 	return response, nil
 }
 
