platform: responses of the store share a part of the memory

A store that sends bytes without end made a process of 112 MB use 189 MB (heads), 122 MB (bodies of failures) and 102 MB (rows), so that the platform ends it, with the requests of all its callers.

Cause: each response was limited to 12 MiB, its head by net/http to 10 MiB, and nothing limited all of them. A reader of several tables has ten calls and more at a time.

--- a/cmd/wigeonstand/cmd/crowd_test.go
+++ b/cmd/wigeonstand/cmd/crowd_test.go
@@ -18,6 +18,7 @@
 	"testing"
 	"time"
 
+	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
 	"github.com/wigeonstand/wigeonstand/platform/standin"
 )
 
@@ -208,6 +209,10 @@
 
 func (r responder) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	id := request.Header.Get(standin.HeaderID)
+	if strings.HasPrefix(request.URL.Path, pathPlain) {
+		standin.Endless{}.ServeHTTP(w, request)
+		return
+	}
 	switch request.URL.Path {
 	case pathHuge, pathLarge, pathMedium:
 		if request.URL.Path == pathHuge {
@@ -265,6 +270,12 @@
 func newCrowdProcess(t *testing.T) *process {
 	t.Helper()
 	rows, store := newStore(t)
+	return startCrowdProcess(t, rows, store)
+}
+
+// startCrowdProcess is newCrowdProcess with a store.
+func startCrowdProcess(t *testing.T, rows *fakeplatform.Rows, store netip.AddrPort) *process {
+	t.Helper()
 	endpoint := standin.NewEndpoint("app-1", 0, 5*time.Millisecond, 1)
 	endpoint.Slots = 1000
 	server := httptest.NewServer(responder{endpoint})
@@ -275,6 +286,13 @@
 	if err := standin.Register(rows, registration); err != nil {
 		t.Fatal(err)
 	}
+	engine := httptest.NewServer(standin.Endless{})
+	t.Cleanup(engine.Close)
+	registration.ID, registration.Service = "engine-1", standin.ServiceEngine
+	registration.Address = netip.MustParseAddrPort(engine.Listener.Addr().String())
+	if err := standin.Register(rows, registration); err != nil {
+		t.Fatal(err)
+	}
 	p := newProcess(t, store, map[string]string{"MemoryMB": strconv.Itoa(crowdMemoryMB)})
 	p.start(nil)
 	p.await("ready", p.isReady)
@@ -406,8 +424,11 @@
 
 // endure plays the crowds and checks that the process lives, stays within its limits and answers an
 // ordinary request while the crowd is there and after it.
-func endure(t *testing.T, join func(c *crowd)) {
-	p := newCrowdProcess(t)
+func endure(t *testing.T, join func(c *crowd)) { endureAt(t, newCrowdProcess(t), join) }
+
+// endureAt is endure at a process.
+func endureAt(t *testing.T, p *process, join func(c *crowd)) {
+	t.Helper()
 	before := p.usage()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
--- a/cmd/wigeonstand/cmd/entry.go
+++ b/cmd/wigeonstand/cmd/entry.go
@@ -71,7 +71,7 @@
 	case err != nil:
 		return err
 	}
-	store := platform.NewStore(settings.StoreAddress)
+	store := platform.NewStore(settings.StoreAddress, platform.WithResponseMemory(composer.StoreMemory(settings)))
 	defer store.Close()
 	var options []composer.Option
 	if c.Bool(firstStartFlag) {
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -61,6 +61,8 @@
 	// large bodies of requests.
 	smallBodyMemoryDivisor = 12
 	largeBodyMemoryDivisor = 8
+	// storeMemoryDivisor gives that for the responses of the store.
+	storeMemoryDivisor = 4
 	// responseHeadMemoryDivisor gives that for the heads of endpoints' responses.
 	responseHeadMemoryDivisor = 24
 	// drainDelay is how long the instance accepts new connections after it reports
@@ -254,6 +256,11 @@
 	return e, err
 }
 
+// StoreMemory returns the memory for the responses of the store that are being read.
+func StoreMemory(settings *configurer.EntrySettings) int64 {
+	return memoryBytes(settings) / storeMemoryDivisor
+}
+
 // memoryBytes returns the memory limit of the process.
 func memoryBytes(settings *configurer.EntrySettings) int64 {
 	return int64(settings.MemoryMB * (1 << 20))
