internal/bookkeeper: the end of a lost holder is taken from rows that are newer than its right

Three ways remained in which a successor could take another process's start for the end of a holder, or withhold a share without need:

- the row of the members may be that of a process before the holder, if the holder took its right before its own row was written.
A right is taken only by a process that is in the list, the read of the members must be newer than the takeover, and a start before the renewal is no end;
- the store's time of a long wait for changes was taken for that of its beginning;
- a deduction began as soon as three ends were known, also if one of the processes had not stated its start yet.

--- a/internal/bookkeeper/renewals.go
+++ b/internal/bookkeeper/renewals.go
@@ -126,14 +126,28 @@
 	return &renewal{}
 }
 
-// hasOpenedNothing reports whether the former holder's renewal, and the time by which it or one of
-// its witnesses had ended, leave no time in which it could have opened programs.
-func (r *rights) hasOpenedNothing(sl *slot, former opener.Former) bool {
+// ends has the times of the store's clock by which a former holder and its witnesses had ended, as far as
+// they are known, and the number of them that are known to have ended.
+func (r *rights) ends(former opener.Former, heldAt time.Time) (times []time.Time, ended int) {
+	for _, process := range append([]string{former.Holder}, former.Witnesses...) {
+		if !r.Members.HasEnded(process, heldAt) {
+			continue
+		}
+		ended++
+		if endedAt, isKnown := r.Members.ReplacedAt(process); isKnown {
+			times = append(times, endedAt)
+		}
+	}
+	return times, ended
+}
+
+// hasOpenedNothing reports whether the former holder's renewal, and the times by which it or its
+// witnesses had ended, leave no time in which it could have opened programs.
+func (sl *slot) hasOpenedNothing(former opener.Former, ends []time.Time) bool {
 	if sl.renewal == nil || sl.renewal.At == 0 || slices.Contains(sl.renewal.Unsettled, former.Tenure) {
 		return false
 	}
-	return slices.ContainsFunc(append([]string{former.Holder}, former.Witnesses...), func(process string) bool {
-		endedAt, isKnown := r.Members.ReplacedAt(process)
-		return isKnown && sl.tenure.HasOpenedNothing(time.UnixMilli(sl.renewal.At), endedAt)
+	return slices.ContainsFunc(ends, func(endedAt time.Time) bool {
+		return sl.tenure.HasOpenedNothing(time.UnixMilli(sl.renewal.At), endedAt)
 	})
 }
--- a/internal/bookkeeper/rights.go
+++ b/internal/bookkeeper/rights.go
@@ -82,6 +82,8 @@
 	// ReplacedAt returns a store's time by which the process with the incarnation had ended, as
 	// another one runs at its instance.
 	ReplacedAt(incarnation string) (time.Time, bool)
+	// IsCurrent reports whether this process has written its row of the members.
+	IsCurrent() bool
 	Self() discoverer.Member
 }
 
@@ -415,7 +417,8 @@
 // takeIfDue takes the right of a slot if this instance is its bookkeeper.
 func (r *rights) takeIfDue(s *state, i int) {
 	sl, self := &r.slots[i], r.Members.Self()
-	if _, isHolder := sl.right(); isHolder || s.isRetired || sl.isWriting || !sl.isKnown ||
+	// Others find the end of this process by its row of the members.
+	if _, isHolder := sl.right(); isHolder || s.isRetired || sl.isWriting || !sl.isKnown || !r.Members.IsCurrent() ||
 		r.Members.Bookkeepers(slotNames[i])[0].Instance != self.Instance {
 		sl.reads = 0
 		return
@@ -600,22 +603,19 @@
 	if sl.former != former.Tenure {
 		sl.former, sl.openings, sl.sealAttempts, sl.renewal = former.Tenure, nil, 0, nil
 	}
-	ended := 0
-	for _, process := range append([]string{former.Holder}, former.Witnesses...) {
-		if r.Members.HasEnded(process, sl.tenure.HeldAt()) {
-			sl.tenure.FormerHasEnded(time.Now())
-			ended++
-		}
+	ends, ended := r.ends(former, sl.tenure.HeldAt())
+	if ended > 0 {
+		sl.tenure.FormerHasEnded(time.Now())
 	}
 	switch {
 	case sl.openings != nil:
 	case sl.isAsking:
 		return
-	case r.hasOpenedNothing(sl, former):
+	case sl.hasOpenedNothing(former, ends):
 		s.log.Log(eventFormerUnused, "Slot", slotNames[i], "Former", former.Holder, "Renewed", sl.renewal.At)
 		submit(sl.tenure.FinishSettling())
 		return
-	case sl.sealAttempts >= maxSealAttempts, ended > len(former.Witnesses) && sl.renewal != nil:
+	case sl.sealAttempts >= maxSealAttempts, len(ends) > len(former.Witnesses) && sl.renewal != nil:
 		s.log.Log(eventDeductionBegan, "Slot", slotNames[i], "Former", former.Holder, "Witnesses", former.Witnesses, "Renewal", sl.renewal, "Ended", ended)
 		submit(sl.tenure.Deduct())
 		return
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -433,14 +433,15 @@
 func (e *Entry) maintainMembership(ctx context.Context) {
 	const refreshInterval = time.Second
 	for {
+		// The first heartbeat states the start of the process by the store's clock, which is read before.
+		if joined, left, err := e.discoverer.Refresh(ctx); err == nil && len(joined)+len(left) > 0 {
+			e.log.Log(eventMembersChanged, "Came", joined, "Went", left, "Living", e.discoverer.Count())
+		}
 		if e.discoverer.IsHeartbeatDue() && !e.isLeaving.Load() {
 			if err := e.discoverer.WriteHeartbeat(ctx); err != nil && ctx.Err() == nil {
 				e.log.Log(eventHeartbeatFailed, "Cause", err)
 			}
 		}
-		if joined, left, err := e.discoverer.Refresh(ctx); err == nil && len(joined)+len(left) > 0 {
-			e.log.Log(eventMembersChanged, "Came", joined, "Went", left, "Living", e.discoverer.Count())
-		}
 		e.batcher.SetRate(bookkeeperWriteShare * e.settings.StoreWrites / float64(e.discoverer.BookkeeperCount()))
 		timer := time.NewTimer(refreshInterval)
 		select {
--- a/internal/opener/tenure.go
+++ b/internal/opener/tenure.go
@@ -236,10 +236,10 @@
 
 // HasOpenedNothing reports whether the former holder opened no programs since its last renewal,
 // which states the store's time renewedAt. One of the processes without which it can't open
-// programs had ended by the store's time endedAt.
+// programs had ended by the store's time endedAt. A time before the renewal is not that of an end.
 func (t *Tenure) HasOpenedNothing(renewedAt, endedAt time.Time) bool {
 	former := t.right.Former
-	return former != nil && former.Silence > 0 && endedAt.Sub(renewedAt) < former.Silence-clockTolerance
+	return former != nil && former.Silence > 0 && !endedAt.Before(renewedAt) && endedAt.Sub(renewedAt) < former.Silence-clockTolerance
 }
 
 // Mark returns what to record in the row of a program that now has the mark, or that does not exist
@@ -467,20 +467,18 @@
 // Deduct returns the write that begins a deduction, as the openings of the former holder
 // are unknown.
 func (t *Tenure) Deduct() (Write, bool) {
-	former, wasDeducting, old := t.right.Former, t.right.IsDeducting, t.right.Lost
+	former, wasDeducting := t.right.Former, t.right.IsDeducting
 	w, ok := t.FinishSettling()
 	if !ok {
 		return w, false
 	}
-	end, latest := t.formerEnd, former.Number
+	latest := former.Number // Those that were lost before have lower ones.
 	if latest == 0 {
 		latest = t.number() // Its marks, if there are any, say nothing.
 	}
+	end := t.formerEnd
 	if wasDeducting {
 		end = later(end, t.lostEnd)
-		if old != nil {
-			latest = max(latest, old.Latest)
-		}
 	}
 	t.lostEnd = end
 	w.Right.IsDeducting, w.Right.Deducted, w.Right.Lost = true, 0, &Lost{Latest: latest}
