internal/opener: a full list of lifted programs ends openings and not lifting

Cause: the hashes of lifted programs in a right's row are bounded, and a full list ended lifting, which every program needs, instead of openings, which are for outages.

Change: a full list is replaced by one mark in the row: all programs count as lifted, nothing is opened. The age is in the row, by the store's clock. Such rows have format 2, which builds before this one leave alone; the tests of later formats use 3.

Evidence: TestProgramsGetTheirBudgetsAfterThousandsOfOthers failed before (50 of 3,050 refused). The rapid model plays a quarter of its runs with lists of two programs, 2,000 of each test without a violation.

--- a/internal/bookkeeper/renewals.go
+++ b/internal/bookkeeper/renewals.go
@@ -60,6 +60,15 @@
 	}
 }
 
+// storeTime returns the time by the store's clock; zero if there is no reading of it.
+func (r *rights) storeTime() time.Time {
+	reading, isKnown := r.Clock()
+	if !isKnown {
+		return time.Time{}
+	}
+	return reading.At.Add(time.Since(reading.ReceivedAt))
+}
+
 // readRenewals returns the row of an instance. Its version is zero if there is none.
 func (r *rights) readRenewals(ctx context.Context, instance string) (storer.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, rightsTimeout)
--- a/internal/bookkeeper/rights.go
+++ b/internal/bookkeeper/rights.go
@@ -64,7 +64,7 @@
 	maxMembers = 1024
 )
 
-var openerTerms = opener.Terms{Window: usageWindow, Life: programLife, Silence: openingSilence}
+var openerTerms = opener.Terms{Window: usageWindow, Life: programLife, Silence: openingSilence, MaxLifted: opener.MaxLifted}
 
 // Lister reads rows.
 type Lister interface {
@@ -555,7 +555,7 @@
 			return
 		}
 		if slices.ContainsFunc(unrecorded, func(program string) bool { return !right.IsLifted(program) }) {
-			submit(t.Lift(unrecorded))
+			submit(t.Lift(unrecorded, r.storeTime()))
 			return
 		}
 		r.record(s, t, right, unrecorded)
@@ -566,7 +566,7 @@
 	case t.IsInDoubt():
 		submit(t.Resolve())
 	default:
-		submit(t.Advance(time.Now(), r.ReturnTime()))
+		submit(t.Advance(time.Now(), r.storeTime(), r.ReturnTime()))
 	}
 }
 
@@ -626,7 +626,7 @@
 	}
 	programs := slices.Sorted(maps.Keys(sl.openings))
 	if slices.ContainsFunc(programs, func(program string) bool { return !right.IsLifted(program) }) {
-		submit(sl.tenure.Lift(programs))
+		submit(sl.tenure.Lift(programs, r.storeTime()))
 		return
 	}
 	isDone := true
@@ -769,7 +769,7 @@
 	}
 	tokens, isKnown := sl.tenure.Committed(in.Program, in.Mark)
 	if !isKnown && !sl.isWriting && !right.IsLifted(in.Program) {
-		if w, ok := sl.tenure.Lift([]string{in.Program}); ok {
+		if w, ok := sl.tenure.Lift([]string{in.Program}, r.storeTime()); ok {
 			r.write(s, opener.Slot(in.Program), w)
 		}
 	}
--- a/internal/bookkeeper/rights_test.go
+++ b/internal/bookkeeper/rights_test.go
@@ -16,6 +16,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/discoverer"
 	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
 	"github.com/wigeonstand/wigeonstand/internal/messenger"
+	"github.com/wigeonstand/wigeonstand/internal/opener"
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
 	"github.com/wigeonstand/wigeonstand/internal/storer"
 )
@@ -434,7 +435,7 @@
 
 // Guards against rows that grant something although they are no valid right.
 func TestMalformedRightGrantsNothing(t *testing.T) {
-	later := []byte{0xa1, 0x01, 0x02}
+	later := []byte{0xa1, 0x01, 0x03}
 	for name, value := range map[string][]byte{"malformed": []byte("x"), "later version": later} {
 		t.Run(name, func(t *testing.T) {
 			runFleet(t, 1, func(t *testing.T, f *fleet) {
@@ -567,3 +568,39 @@
 		}
 	}
 }
+
+// Guards against programs that never get the last part of their budgets because thousands of others of their
+// slot had theirs: the list of lifted programs in the right's row is bounded.
+func TestProgramsGetTheirBudgetsAfterThousandsOfOthers(t *testing.T) {
+	runFleet(t, 1, func(t *testing.T, f *fleet) {
+		o := newOutageFleet(t, f, 3)
+		o.pass(t, 12*time.Second)
+		refused, n := 0, 0
+		for served := 0; served < opener.MaxLifted+50; n++ {
+			name := program(n)
+			if opener.Slot(name) != 5 {
+				continue
+			}
+			if served%20 == 0 {
+				o.pass(t, time.Second) // Instances without heartbeats lose their rights.
+			}
+			served++
+			in := openRequest(name, "t")
+			in.Budget = turnTokens // The turn needs the last part of it.
+			in.Wait = 3 * time.Second
+			if out, _, err := o.clients[0].Open(t.Context(), in); err != nil || out.Status != bookkeeper.OK {
+				refused++
+			}
+		}
+		if refused > 0 {
+			t.Errorf("%d programs were refused", refused)
+		}
+		o.setAway(true)
+		o.pass(t, 4*time.Second)
+		for ; opener.Slot(program(n)) != 5; n++ {
+		}
+		if status := o.turn(t, 0, program(n), 70); status != bookkeeper.Unavailable {
+			t.Errorf("a program was opened while lifted ones are not listed: status %v", status)
+		}
+	})
+}
--- a/internal/opener/opener_test.go
+++ b/internal/opener/opener_test.go
@@ -15,7 +15,7 @@
 
 const share = 250
 
-var terms = opener.Terms{Window: 30 * time.Second, Life: 10 * time.Minute, Silence: 3 * time.Second}
+var terms = opener.Terms{Window: 30 * time.Second, Life: 10 * time.Minute, Silence: 3 * time.Second, MaxLifted: opener.MaxLifted}
 
 // returnTime is the longest pause of a program.
 const returnTime = 2 * time.Minute
@@ -98,9 +98,11 @@
 type model struct {
 	t *rapid.T
 	// random makes the choices if it is set: those of rapid are mostly small numbers.
-	random    *rand.Rand
-	now       time.Duration
-	isOutage  bool
+	random   *rand.Rand
+	now      time.Duration
+	isOutage bool
+	// isSmall is true if the lists of lifted programs are short.
+	isSmall   bool
 	version   int64
 	right     opener.Right
 	rightAt   int64
@@ -120,7 +122,16 @@
 }
 
 // counts shows what the checks covered.
-type counts struct{ runs, checks, opened, lifted, settled, deducted, exhausted, marked, unopened int }
+type counts struct{ runs, checks, opened, lifted, settled, deducted, exhausted, marked, unopened, overflowed int }
+
+// terms are those of the run, in some of which lists of lifted programs are full at once.
+func (m *model) terms() opener.Terms {
+	t := terms
+	if m.isSmall {
+		t.MaxLifted = 2
+	}
+	return t
+}
 
 func (m *model) time() time.Time { return time.Unix(0, 0).Add(m.now) }
 
@@ -282,6 +293,9 @@
 				m.t.Fatalf("%+v: %v", w.Right, err)
 			}
 			m.rightAt, m.isBadRow = m.version, false
+			if m.right.Overflow == opener.Unlisted {
+				m.counts.overflowed++
+			}
 		}
 		c := m.current()
 		return func() { m.observe(p, c, startedAt) }
@@ -306,7 +320,7 @@
 	if _, isHolder := p.right(); !p.hasRead || isHolder {
 		return
 	}
-	t, w := opener.Take(p.name, 0, p.seen, m.witnessesFor(p), share, terms)
+	t, w := opener.Take(p.name, 0, p.seen, m.witnessesFor(p), share, m.terms())
 	if known := p.tenures[t.ID()]; known != nil {
 		if _, isHeld := known.Right(); isHeld || known.HasEnded() {
 			return
@@ -422,7 +436,7 @@
 	case len(t.Unrecorded()) > 0:
 		for _, name := range t.Unrecorded() {
 			if !r.IsLifted(name) {
-				submit(t.Lift(t.Unrecorded()))
+				submit(t.Lift(t.Unrecorded(), m.time()))
 				return
 			}
 			tokens, _ := t.Committed(name, 0)
@@ -438,7 +452,7 @@
 	case t.IsInDoubt():
 		submit(t.Resolve())
 	default:
-		submit(t.Advance(m.time(), returnTime))
+		submit(t.Advance(m.time(), m.time(), returnTime))
 	}
 }
 
@@ -475,7 +489,7 @@
 	isDone := true
 	for _, name := range slices.Sorted(maps.Keys(openings)) {
 		if !r.IsLifted(name) {
-			submit(p.tenure.Lift(slices.Sorted(maps.Keys(openings))))
+			submit(p.tenure.Lift(slices.Sorted(maps.Keys(openings)), m.time()))
 			return
 		}
 		isDone = m.charge(p, name, openings[name]) && isDone
@@ -579,7 +593,7 @@
 			}
 			m.send(holder, p.name, charge)
 		} else if holder.tenure.CanLift(on.name, mark) {
-			if w, ok := holder.tenure.Lift([]string{on.name}); ok {
+			if w, ok := holder.tenure.Lift([]string{on.name}, m.time()); ok {
 				m.writeRight(holder, holder.tenure, w)
 			}
 		}
@@ -935,12 +949,13 @@
 		}
 	}
 	const rounds = 40
-	end := m.now + terms.Window + terms.Life + 8*time.Minute
+	end := m.now + terms.Window + 4*terms.Life + 8*time.Minute
 	isFree := func() *process {
 		for _, p := range m.processes {
 			r, isHolder := p.right()
 			isReported := !slices.ContainsFunc(r.Witnesses, func(name string) bool { return m.find(name) == nil })
-			if isHolder && isReported && !r.IsDeducting && p.tenure.MayOpen(m.time()) && len(p.tenure.Unrecorded()) == 0 {
+			hasRoom := len(r.Lifted)+len(r.LiftedBefore) < m.terms().MaxLifted
+			if isHolder && isReported && hasRoom && !r.IsDeducting && p.tenure.MayOpen(m.time()) && len(p.tenure.Unrecorded()) == 0 {
 				return p
 			}
 		}
@@ -1012,6 +1027,7 @@
 func (m *model) run(steps int) {
 	m.rows, m.cut = map[string]programRow{}, map[[2]string]bool{}
 	m.renewals, m.replacedAt = map[string]renewal{}, map[string]time.Duration{}
+	m.isSmall = m.draw(4, "lists") == 0
 	for range 4 {
 		m.start()
 	}
--- a/internal/opener/right.go
+++ b/internal/opener/right.go
@@ -21,13 +21,14 @@
 	SlotCount = 64
 	// witnessCount is the number of processes that know a holder's openings.
 	witnessCount = 2
-	// format is the version of Right's encoding.
-	format = 1
+	// format is the version of Right's encoding, and overflowFormat that of rows with an Overflow,
+	// which earlier versions of the program must not take over.
+	format         = 1
+	overflowFormat = 2
 	// permille is the whole of a budget in the unit of shares.
 	permille = 1000
-	// maxLifted limits the hashes in a right's row to 24 KiB, that of other rows. A
-	// slot without room lifts and opens no more programs.
-	maxLifted = 3000
+	// MaxLifted limits the hashes in a right's row to 24 KiB, that of other rows.
+	MaxLifted = 3000
 )
 
 var (
@@ -84,11 +85,30 @@
 	Number  int64         `cbor:"13,keyasint,omitempty"`
 	Silence time.Duration `cbor:"14,keyasint,omitempty"`
 	Lost    *Lost         `cbor:"15,keyasint,omitempty"`
+	// Overflow is set while programs may be lifted that are not listed; nothing is opened.
+	Overflow Overflow `cbor:"16,keyasint,omitempty"`
+	// RotatedAt is the store's time in milliseconds since which Lifted has programs; zero if unknown.
+	RotatedAt int64 `cbor:"17,keyasint,omitempty"`
 }
 
+// Overflow is the state of a right whose list of lifted programs was full.
+type Overflow int
+
+const (
+	// Listed means that all lifted programs are listed.
+	Listed Overflow = iota
+	// Unlisted means that all programs count as lifted, and none is listed.
+	Unlisted
+	// Relisted means that those are listed which were lifted since RotatedAt.
+	Relisted
+)
+
 // Encode returns the value of the row.
 func (r Right) Encode() ([]byte, error) {
 	r.Format = format
+	if r.Overflow != Listed {
+		r.Format = overflowFormat
+	}
 	value, err := cbor.Marshal(r)
 	return value, eris.Wrap(err, "encode a right")
 }
@@ -102,7 +122,7 @@
 	if err := cbor.Unmarshal(value, &version); err != nil {
 		return Right{}, ErrMalformed
 	}
-	if version.Format > format {
+	if version.Format > overflowFormat {
 		return Right{}, ErrLaterFormat
 	}
 	var r Right
@@ -113,8 +133,8 @@
 }
 
 func (r *Right) isValid() bool {
-	return r.Format == format && r.Holder != "" && r.Tenure != "" && r.Share > 0 && r.Share <= permille &&
-		areWitnesses(r.Witnesses, r.Holder) && r.Deducted >= 0 && len(r.Lifted)+len(r.LiftedBefore) <= maxLifted &&
+	return (r.Format == format || r.Format == overflowFormat) && r.Overflow >= Listed && r.Overflow <= Relisted && r.RotatedAt >= 0 && r.Holder != "" && r.Tenure != "" && r.Share > 0 && r.Share <= permille &&
+		areWitnesses(r.Witnesses, r.Holder) && r.Deducted >= 0 && len(r.Lifted)+len(r.LiftedBefore) <= MaxLifted &&
 		(r.Former == nil || r.Former.Holder != "" && r.Former.Tenure != "" && areWitnesses(r.Former.Witnesses, r.Former.Holder))
 }
 
@@ -138,6 +158,9 @@
 
 // IsLifted reports whether no holder may open the program from now on.
 func (r *Right) IsLifted(program string) bool {
+	if r.Overflow == Unlisted {
+		return true
+	}
 	hash := xxhash.Sum64String(program)
 	return slices.Contains(r.Lifted, hash) || slices.Contains(r.LiftedBefore, hash)
 }
--- a/internal/opener/right_test.go
+++ b/internal/opener/right_test.go
@@ -41,6 +41,7 @@
 		"holder as a witness":  func(r *opener.Right) { r.Witnesses = []string{"a", "b"} },
 		"former without names": func(r *opener.Right) { r.Former = &opener.Former{} },
 		"negative deduction":   func(r *opener.Right) { r.Deducted = -1 },
+		"no overflow":          func(r *opener.Right) { r.Overflow = 3 },
 		"too many lifted":      func(r *opener.Right) { r.Lifted = make([]uint64, 3001) },
 	} {
 		bad := valid
@@ -53,8 +54,8 @@
 			t.Errorf("%s: %v", name, err)
 		}
 	}
-	if _, err := opener.Decode([]byte{0xa1, 0x01, 0x02}); !errors.Is(err, opener.ErrLaterFormat) {
-		t.Errorf("format 2: %v", err)
+	if _, err := opener.Decode([]byte{0xa1, 0x01, 0x03}); !errors.Is(err, opener.ErrLaterFormat) {
+		t.Errorf("format 3: %v", err)
 	}
 }
 
--- a/internal/opener/tenure.go
+++ b/internal/opener/tenure.go
@@ -24,6 +24,8 @@
 	Life time.Duration
 	// Silence is the time since its last renewal for which a holder opens no programs.
 	Silence time.Duration
+	// MaxLifted is the number of lifted programs that are listed, at most the constant.
+	MaxLifted int
 }
 
 // deduction returns how long programs of an unknown holder may have turns.
@@ -85,7 +87,6 @@
 	// deductingSince is when the row was first known to have Deducted deductedBefore.
 	deductingSince time.Time
 	deductedBefore time.Duration
-	rotatedAt      time.Time
 
 	openings map[string]*opening
 	// stopped has the hashes of programs that this holder opens no more and that are
@@ -116,7 +117,7 @@
 	case current.IsMalformed:
 		next.IsDeducting = true
 	case current.Version != 0:
-		next.Lifted, next.LiftedBefore = old.Lifted, old.LiftedBefore
+		next.Lifted, next.LiftedBefore, next.Overflow, next.RotatedAt = old.Lifted, old.LiftedBefore, old.Overflow, old.RotatedAt
 		next.Former, next.IsDeducting, next.Deducted, next.Lost = old.Former, old.IsDeducting, old.Deducted, old.Lost
 		if old.Former == nil && len(old.Witnesses) > 0 {
 			next.Former = &Former{Tenure: old.Tenure, Holder: old.Holder, Witnesses: old.Witnesses, Number: old.Number, Silence: old.Silence}
@@ -167,7 +168,7 @@
 		clear(t.unresolved) // They expect the former version.
 	}
 	if !t.isHeld {
-		t.isHeld, t.rotatedAt, t.heldAt = true, now, now
+		t.isHeld, t.heldAt = true, now
 		t.formerEnd, t.lostEnd = now.Add(t.terms.Window), now.Add(t.terms.Window)
 	}
 	if r.IsDeducting && (!t.right.IsDeducting || r.lostLatest() != t.right.lostLatest()) {
@@ -177,6 +178,9 @@
 	if startedAt.After(t.confirmedAt) {
 		t.confirmedAt = startedAt
 	}
+	if r.Overflow == Unlisted {
+		clear(t.stopped)
+	}
 	for _, hash := range slices.Concat(r.Lifted, r.LiftedBefore) {
 		delete(t.stopped, hash)
 	}
@@ -204,7 +208,7 @@
 // MayOpen reports whether programs may be opened. That a renewal of the tenure is older than
 // Silence is measured by the monotonic clock alone, which never runs ahead.
 func (t *Tenure) MayOpen(now time.Time) bool {
-	return t.isConfirmed(now) && t.right.Former == nil && !t.right.IsDeducting && !t.IsInDoubt() && len(t.right.Witnesses) == witnessCount &&
+	return t.isConfirmed(now) && t.right.Former == nil && !t.right.IsDeducting && t.right.Overflow == Listed && !t.IsInDoubt() && len(t.right.Witnesses) == witnessCount &&
 		!t.renewedAt.IsZero() && now.Sub(t.renewedAt) >= t.terms.Silence
 }
 
@@ -317,7 +321,7 @@
 
 // isFull reports whether the row has no room to lift the openings and another program.
 func (t *Tenure) isFull() bool {
-	return len(t.right.Lifted)+len(t.right.LiftedBefore)+len(t.openings)+len(t.stopped) >= maxLifted
+	return len(t.right.Lifted)+len(t.right.LiftedBefore)+len(t.openings)+len(t.stopped) >= t.terms.MaxLifted
 }
 
 // Unreported returns the witnesses that must acknowledge the opening of the program,
@@ -367,8 +371,9 @@
 }
 
 // Lift stops the programs and returns the write that lifts them. There is none if the
-// process does not hold the right or the row has no room.
-func (t *Tenure) Lift(programs []string) (Write, bool) {
+// process does not hold the right. If the row has no room, all programs of the slot count as lifted.
+// StoreTime is the time by the store's clock; zero if it is not known.
+func (t *Tenure) Lift(programs []string, storeTime time.Time) (Write, bool) {
 	if _, isHolder := t.Right(); !isHolder {
 		return Write{}, false
 	}
@@ -379,8 +384,14 @@
 			next.Lifted = append(next.Lifted, xxhash.Sum64String(program))
 		}
 	}
-	if len(next.Lifted)+len(next.LiftedBefore) > maxLifted {
-		return Write{}, false
+	if next.RotatedAt == 0 {
+		next.RotatedAt = millis(storeTime)
+	}
+	if len(next.Lifted)+len(next.LiftedBefore) > t.terms.MaxLifted {
+		next.Overflow, next.RotatedAt, next.Lifted, next.LiftedBefore = Unlisted, millis(storeTime), nil, nil
+		for _, o := range t.openings {
+			o.isStopped = true
+		}
 	}
 	for _, program := range programs {
 		t.stopped[xxhash.Sum64String(program)] = struct{}{}
@@ -494,8 +505,8 @@
 
 // Advance returns the write that is due with time: the end or the progress of a
 // deduction, or the removal of programs that were lifted longer ago than Life. Programs that were
-// stopped come back within returnTime or not at all.
-func (t *Tenure) Advance(now time.Time, returnTime time.Duration) (Write, bool) {
+// stopped come back within returnTime or not at all. StoreTime is that of Lift.
+func (t *Tenure) Advance(now, storeTime time.Time, returnTime time.Duration) (Write, bool) {
 	if _, isHolder := t.Right(); !isHolder {
 		return Write{}, false
 	}
@@ -508,16 +519,36 @@
 		next.Lost = &Lost{Latest: t.right.Lost.Latest, IsPast: true}
 	case t.right.IsDeducting && deducted-t.right.Deducted >= t.terms.deduction()/checkpointDivisor:
 		next.Deducted = deducted
-	case now.Sub(t.rotatedAt) > t.terms.Life && // A program may have a turn at the age of Life.
-		len(t.right.Lifted)+len(t.right.LiftedBefore) > 0:
-		next.Lifted, next.LiftedBefore = nil, t.right.Lifted
-		t.rotatedAt = now
+	case !storeTime.IsZero() && t.right.RotatedAt == 0 && t.hasLifted():
+		next.RotatedAt = millis(storeTime)
+	case !storeTime.IsZero() && t.hasLifted() && storeTime.Sub(time.UnixMilli(t.right.RotatedAt)) > t.terms.Life:
+		// A program may have a turn at the age of Life.
+		next.Lifted, next.LiftedBefore, next.RotatedAt = nil, t.right.Lifted, millis(storeTime)
+		switch t.right.Overflow {
+		case Unlisted:
+			next.Overflow = Relisted
+		case Listed, Relisted:
+			next.Overflow = Listed
+		}
 	default:
 		return Write{}, false
 	}
 	return t.write(next), true
 }
 
+// hasLifted reports whether the row has something to rotate.
+func (t *Tenure) hasLifted() bool {
+	return t.right.Overflow != Listed || len(t.right.Lifted)+len(t.right.LiftedBefore) > 0
+}
+
+// millis returns the time in milliseconds, and zero for none.
+func millis(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
 // Seal ends the tenure and returns what was used, or may still be used, of each program
 // without a row.
 func (t *Tenure) Seal() map[string]int64 {
--- a/internal/opener/tenure_test.go
+++ b/internal/opener/tenure_test.go
@@ -70,7 +70,7 @@
 func TestTwoLossesInARow(t *testing.T) {
 	now := start
 	_, row := taken(t, "a", opener.Current{}, now)
-	second, row := taken(t, "b", row, now)
+	second, _ := taken(t, "b", row, now)
 	w, ok := second.Deduct()
 	if !ok {
 		t.Fatal("no deduction")
@@ -80,10 +80,10 @@
 	if mark := second.Mark("p", 0, true); mark != 0 {
 		t.Errorf("mark %d during the time in which programs return", mark)
 	}
-	if w, ok := second.Advance(now.Add(terms.Window+returnTime-1), returnTime); ok && w.Right.Lost.IsPast {
+	if w, ok := second.Advance(now.Add(terms.Window+returnTime-1), time.Time{}, returnTime); ok && w.Right.Lost.IsPast {
 		t.Error("the time in which programs return ended early")
 	}
-	third, row := taken(t, "c", row, now)
+	third, _ := taken(t, "c", row, now)
 	third.FormerHasEnded(now) // The first holder may have been cut off only.
 	if w, ok = third.Deduct(); !ok {
 		t.Fatal("no deduction")
@@ -92,10 +92,10 @@
 	if diff := cmp.Diff(&opener.Lost{Latest: 11}, row.Right.Lost); diff != "" {
 		t.Error(diff)
 	}
-	if w, ok := third.Advance(now.Add(terms.Window+returnTime-1), returnTime); ok && w.Right.Lost.IsPast {
+	if w, ok := third.Advance(now.Add(terms.Window+returnTime-1), time.Time{}, returnTime); ok && w.Right.Lost.IsPast {
 		t.Error("the time in which programs return ended early")
 	}
-	if w, ok = third.Advance(now.Add(terms.Window+returnTime), returnTime); !ok || !w.Right.Lost.IsPast {
+	if w, ok = third.Advance(now.Add(terms.Window+returnTime), time.Time{}, returnTime); !ok || !w.Right.Lost.IsPast {
 		t.Errorf("the time in which programs return has no end: %+v", w.Right.Lost)
 	}
 }
