--- a/internal/bookkeeper/handover.go
+++ b/internal/bookkeeper/handover.go
@@ -71,7 +71,7 @@
 		if p.ledger.isLoaded {
 			handovers = append(handovers, Handover{
 				Program: program, Version: p.ledger.version, Grants: p.ledger.grants,
-				Holder: s.holder, Committed: p.ledger.committed(), Homes: p.homes, Withheld: p.ledger.withheld, Mark: p.ledger.mark,
+				Holder: s.holder, Committed: p.ledger.committed(), Homes: p.homes.clone(), Withheld: p.ledger.withheld, Mark: p.ledger.mark,
 				IsReleased: p.ledger.isReleased,
 			})
 		}
--- a/internal/bookkeeper/handover_test.go
+++ b/internal/bookkeeper/handover_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/wigeonstand/wigeonstand/internal/bookkeeper"
@@ -76,3 +77,43 @@
 		})
 	}
 }
+
+// The handover was encoded while turns that ended meanwhile changed what it states: a process of two cores
+// could end by it. The race detector shows it.
+func TestHandoverIsNotChangedByTurnsThatEnd(t *testing.T) {
+	runFleet(t, 1, func(t *testing.T, f *fleet) {
+		k := f.start("a")
+		const budget, turns = 64 * turnTokens, 32
+		in := bookkeeper.CloseRequest{Program: "p", Used: 1, Endpoint: "e"}
+		for i := range turns {
+			open(t, k, fmt.Sprint(i), budget)
+		}
+		in.Turn, in.Session = "0", "s"
+		if _, err := k.Close(t.Context(), in); err != nil {
+			t.Fatal(err)
+		}
+		handovers, err := k.Retire(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		encoded := make(chan error, 1)
+		go func() {
+			var failure error
+			for range 100 {
+				if _, err := cbor.Marshal(handovers); err != nil {
+					failure = err
+				}
+			}
+			encoded <- failure
+		}()
+		for i := 1; i < turns; i++ {
+			in.Turn, in.Session = fmt.Sprint(i), fmt.Sprint("s", i)
+			if _, err := k.Close(t.Context(), in); err != nil {
+				t.Error(err)
+			}
+		}
+		if err := <-encoded; err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/internal/bookkeeper/homes.go
+++ b/internal/bookkeeper/homes.go
@@ -1,6 +1,9 @@
 package bookkeeper
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // maxHomes limits the sessions of one program whose homes are known. Programs that
 // start sub-agents without end must not fill the memory.
@@ -21,6 +24,11 @@
 	Failed map[string][]string `cbor:"3,keyasint,omitempty"`
 }
 
+// clone returns a copy that settle does not change.
+func (h *homes) clone() homes {
+	return homes{Last: h.Last, BySession: maps.Clone(h.BySession), Failed: maps.Clone(h.Failed)}
+}
+
 // of returns the home of the session. A new session has that of the program: the
 // prompt of a sub-agent begins with the prompt of its parent.
 func (h *homes) of(session string) string {
