--- a/internal/relayer/stop.go
+++ b/internal/relayer/stop.go
@@ -103,7 +103,10 @@
 func (w *bodyWatch) startTimer() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if wait, isStopping := w.maxStopWait(false); isStopping && !w.hasEnded {
+	if w.hasEnded {
+		return // The exchange is changed without the mutex from then on.
+	}
+	if wait, isStopping := w.maxStopWait(false); isStopping {
 		w.timer = time.AfterFunc(max(wait, 0), w.refuse)
 	}
 }
