internal/sender: the end of a connection completes no response of a process that has ended

Cause: the kernel closes the connections of a process that ends in order. After the end of a response without a length or chunks the sender looks whether a process still listens at the address, but not at endpoints that drain, leave or are no longer registered, as these were expected to end after their responses.

Change: it looks at all of them.

Tests: TestStreamOfAnEngineThatEndedIsNotComplete has draining and removed engines, which failed before (4 of 6 cases). The case "ended as planned" of TestResponseOfAProcessThatEndedIsNotComplete demanded the opposite; it can't be told from a kill, and is "ended" now. TestResponseThatEndsWithItsConnection counts the connection of the check.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -382,9 +382,7 @@
 		Address: c.Address, Method: x.call.Method, Target: x.call.Target, Host: x.call.Host,
 		Header: x.Dialect.EncodeDispatch(&x.call, d), Body: body, IsRepeatable: x.route.Idempotent(),
 		ID: x.call.ID, ResponseID: func(h http.Header) string { return x.Dialect.DecodeResponseHead(http.StatusOK, h).ID },
-		// An endpoint that leaves ends once its responses are complete.
-		MayHaveFailed: func() bool { return x.Endpoints.Accepts(c.Endpoint) },
-		MaxIdle:       maxIdleConnections(x.table.Services[x.service].MaxConnections, x.CountInstances()),
+		MaxIdle: maxIdleConnections(x.table.Services[x.service].MaxConnections, x.CountInstances()),
 	})
 }
 
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -81,10 +81,6 @@
 	// in its header, or "" if it names none. If it is nil, every response is the request's.
 	ID         string
 	ResponseID func(http.Header) string
-	// MayHaveFailed reports, at the end of a body that ends with its connection, whether the
-	// endpoint may have ended unplanned. Then the body is complete only if a process listens at the
-	// address, which takes another connection to see. If it is nil, such a body is complete.
-	MayHaveFailed func() bool
 	// MaxIdle is the number of idle connections to the endpoint that may be kept; zero for
 	// the default.
 	MaxIdle int
@@ -393,7 +389,7 @@
 	}
 	var body io.Reader = response.Body
 	if !r.IsFramed {
-		body = &unframedBody{Reader: body, hasFailed: func() bool { return s.hasFailed(ctx, request, sent) }}
+		body = &unframedBody{Reader: body, hasFailed: func() bool { return s.hasFailed(ctx, request.Address, sent) }}
 	}
 	r.Body = bufio.NewReader(body)
 	if request.MaxIdle > 0 {
--- a/internal/sender/unframed.go
+++ b/internal/sender/unframed.go
@@ -50,8 +50,9 @@
 
 // hasFailed reports whether a connection that seems to have been closed in order was not, or
 // whether ctx ended before this was known. The kernel reports a reset to a pending write alone, and
-// closes the connections of a process that is killed in order.
-func (s *Sender) hasFailed(ctx context.Context, r Request, sent *upload) bool {
+// closes the connections of a process that ends in order, planned or not: a body is complete only if
+// a process still listens at the address, which takes another connection to see.
+func (s *Sender) hasFailed(ctx context.Context, address netip.AddrPort, sent *upload) bool {
 	timer := time.NewTimer(exitTime)
 	defer timer.Stop()
 	select {
@@ -64,14 +65,11 @@
 	case <-timer.C: // The endpoint has closed one direction only.
 		return false
 	}
-	if r.MayHaveFailed == nil || !r.MayHaveFailed() {
-		return false
-	}
 	select {
 	case <-ctx.Done():
 		return true
 	case <-timer.C:
-		return s.isGone(ctx, r.Address)
+		return s.isGone(ctx, address)
 	}
 }
 
