internal/soaker: budgets for outages, programs that return, and the kill of an endpoint that drains

Now Budgets.OutageShare is that of the deploy file, one in three programs is one that was stopped before, and an endpoint that drains may be killed while its responses run, which end with their connections.

--- a/internal/soaker/soak_caller.go
+++ b/internal/soaker/soak_caller.go
@@ -25,6 +25,8 @@
 	// One in zeroCalls states zeros, and one stream in leftStreams is left early.
 	zeroCalls   = 24
 	leftStreams = 16
+	// One in returningPrograms is one that was stopped before.
+	returningPrograms = 3
 	// streamGap is the time without data after which callers leave a stream: two seconds, four
 	// times the objective or eight times the allowed pause, whichever is longest.
 	streamGap = 2 * time.Second
@@ -41,6 +43,14 @@
 	requests int
 	sent     []sentCall
 	kept     []keptTurn
+	// stopped are programs that were stopped by refusals, with the tokens that they got.
+	stopped []stoppedProgram
+}
+
+// stoppedProgram is a program that may return.
+type stoppedProgram struct {
+	id     string
+	tokens int
 }
 
 // sentCall is a call with the answer that it got.
@@ -69,15 +79,19 @@
 		return
 	}
 	for program := 0; ctx.Err() == nil; program++ {
-		c.play(ctx, fmt.Sprintf("p-%d-%d", c.index, program))
+		next := stoppedProgram{id: fmt.Sprintf("p-%d-%d", c.index, program)}
+		if len(c.stopped) > 0 && c.random.IntN(returningPrograms) == 0 {
+			next, c.stopped = c.stopped[0], c.stopped[1:]
+			c.count(c.report.Checks, "program returned")
+		}
+		c.play(ctx, next.id, next.tokens)
 	}
 }
 
-// play plays one program: a chain of turns with calls of services between them.
-func (c *caller) play(ctx context.Context, program string) {
+// play plays one program, which has had the tokens: a chain of turns with calls of services between them.
+func (c *caller) play(ctx context.Context, program string, tokens int) {
 	retained := c.random.IntN(2) == 0
 	previous := keptTurn{}
-	tokens := 0
 	turns := 1 + c.random.IntN(maxTurns)
 	if c.random.IntN(8) == 0 {
 		turns = 1000 // Ends by its budget.
@@ -88,6 +102,7 @@
 		}
 		reply, kept := c.turn(ctx, program, retained, previous, &tokens)
 		if reply.Status != http.StatusOK || !reply.IsComplete {
+			c.stopped = append(c.stopped, stoppedProgram{program, tokens})
 			break
 		}
 		previous = kept
--- a/internal/soaker/soak_endpoint.go
+++ b/internal/soaker/soak_endpoint.go
@@ -131,26 +131,52 @@
 
 // release replaces the endpoint, which leaves while its requests run, by one of the version.
 func (s *soak) release(ctx context.Context, leaves *endpoint, version string) {
+	if !s.drain(leaves, version) {
+		return
+	}
+	s.changes.Go(func() {
+		sleep(ctx, drainTime)
+		for deadline := time.Now().Add(drainExtra); leaves.Running() > 0 && time.Now().Before(deadline); {
+			time.Sleep(drainPoll)
+		}
+		standin.Unregister(s.rows, leaves.ID)
+		leaves.end()
+	})
+}
+
+// drain starts an endpoint of the version and reports that the other one leaves. The result tells whether
+// it has.
+func (s *soak) drain(leaves *endpoint, version string) bool {
 	if err := s.addEndpoint(s.lifetime, leaves.kind, version); err != nil {
 		s.violate("an endpoint cannot be started: %v", err)
-		return
+		return false
 	}
 	leaves.registration.Draining = true
 	if err := standin.Register(s.rows, leaves.registration); err != nil {
 		s.violate("an endpoint cannot be registered: %v", err)
-		return
+		return false
 	}
 	s.mu.Lock()
 	leaves.left = time.Now()
 	s.mu.Unlock()
 	leaves.SetLeaving(true)
+	return true
+}
+
+// killDraining ends an endpoint that drains while its streams run, which have neither a length nor chunks.
+func (s *soak) killDraining(leaves *endpoint, version string) {
+	const drained = 300 * time.Millisecond
+	leaves.SetFaults(standin.EndpointFaults{Unframed: 1})
+	if !s.drain(leaves, version) {
+		return
+	}
 	s.changes.Go(func() {
-		sleep(ctx, drainTime)
-		for deadline := time.Now().Add(drainExtra); leaves.Running() > 0 && time.Now().Before(deadline); {
-			time.Sleep(drainPoll)
+		time.Sleep(drained)
+		for deadline := time.Now().Add(drainTime); leaves.Running() == 0 && time.Now().Before(deadline); {
+			time.Sleep(drainPoll / 10)
 		}
-		standin.Unregister(s.rows, leaves.ID)
 		leaves.end()
+		standin.Unregister(s.rows, leaves.ID)
 	})
 }
 
--- a/internal/soaker/soak_fault.go
+++ b/internal/soaker/soak_fault.go
@@ -46,7 +46,7 @@
 
 // drawFault draws a planned change, or a fault if the run has faults.
 func (s *soak) drawFault(ctx context.Context) (f fault, isPlanned bool) {
-	const planned, unplanned = 5, 11
+	const planned, unplanned = 5, 12
 	kinds := planned + unplanned
 	if s.PlannedOnly {
 		kinds = planned
@@ -118,6 +118,10 @@
 		}
 	case 8:
 		return fault{"no way to the store", []string{in.name}, func() { in.store.set(linkSilent) }, func() { in.store.set(linkFine) }}
+	case 9:
+		leaves, version := s.drawRelease()
+		subjects := append(s.instanceNames(), leaves.ID) // Requests of its streams go on elsewhere.
+		return fault{"kill of an endpoint that drains", subjects, func() { s.killDraining(leaves, version) }, nothing}
 	default:
 		return s.storeFault()
 	}
--- a/internal/soaker/soak_instance.go
+++ b/internal/soaker/soak_instance.go
@@ -64,6 +64,7 @@
 AdminListen: %[2]s:7104
 StoreAddress: %[4]s
 GracePeriod: 6s
+Budgets: {OutageShare: 0.25}
 `, in.name, in.host, in.peers.address(), in.store.address(), strings.Join(in.seeds, ", "), in.dataCentre)
 	return os.WriteFile(in.file("yaml"), []byte(text), 0o600)
 }
