--- a/internal/accepter/budget.go
+++ b/internal/accepter/budget.go
@@ -107,7 +107,7 @@
 	return &Budget{size: size, log: l, freed: make(chan struct{}), conns: map[*conn]struct{}{}, collector: runtimeCollector{}}
 }
 
-// collector collects the memory that is not in use any more.
+// collector collects unreachable memory.
 type collector interface {
 	// collect returns after a collection.
 	collect()
