internal/messenger: compact calls go without an envelope

Cause: a call took 72.1975 bytes, and 5 more if the client closed its stream of drpc before it had read the server's end of it, as conn.Invoke does either way. Two such calls of 2,000 exceeded the bound, and which of both is first depends on the host. The figures with more digits were 72.1975, 72.2000, 72.2025 and 72.2050 bytes. So the cost stood at its bound, and the test was right.

Change: compact calls have a drpc method of their own, whose request is an array of method and body and whose reply is the result itself, without an envelope in a byte string around each. Instances of older versions answer that they don't know it; they are called as before, and remembered as such for a minute, so that fleets of two versions issue permits to each other.

The test and its bound are unchanged.

--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -6,14 +6,17 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/netip"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/fxamacker/cbor/v2"
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/rotisserie/eris"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
@@ -46,9 +49,17 @@
 	// carries all streams.
 	rpcName    = "/wigeonstand.messenger.Instance/Call"
 	streamName = "/wigeonstand.messenger.Instance/Stream"
-	// compactName carries calls as rpcName does. It is short, as each call states it.
-	// Instances of versions without it fail the calls.
-	compactName = "/c"
+	// compactName carries frequent calls with small messages. It is short, as each call states it,
+	// and its messages have no envelope.
+	compactName = "/d"
+	// compactEnvelopeName carries calls as rpcName does, for instances of versions without
+	// compactName.
+	compactEnvelopeName = "/c"
+
+	// maxOlder limits the number of instances of older versions that a client remembers, and
+	// olderTimeout how long it calls them as such.
+	maxOlder     = 1 << 12
+	olderTimeout = time.Minute
 )
 
 // ErrStale means that a call had no reply in time on a connection that was used before. Connections
@@ -72,6 +83,14 @@
 	Rest string `cbor:"5,keyasint,omitempty"`
 }
 
+// compactRequest is the wire form of requests by compactName. A reply is the encoded result, and a
+// failure an error of drpc.
+type compactRequest struct {
+	_      struct{} `cbor:",toarray"`
+	Method string
+	Body   cbor.RawMessage
+}
+
 // cborEncoding implements drpc.Encoding.
 type cborEncoding struct{}
 
@@ -151,11 +170,7 @@
 		}
 		return &envelope{Body: part, Rest: rest}, nil
 	}
-	handler := s.handlers[in.Method]
-	if handler == nil {
-		return &envelope{Failure: "unknown method " + in.Method}, nil
-	}
-	reply, err := s.handle(ctx, handler, in)
+	reply, err := s.handle(ctx, in.Method, in.Body)
 	if err != nil {
 		return &envelope{Failure: err.Error()}, nil
 	}
@@ -170,22 +185,36 @@
 	return &envelope{Body: part, Rest: rest}, nil
 }
 
-// handle calls the handler. A panic, for example because of a message that no current
+func (s *Server) callCompact(ctx context.Context, in *compactRequest) (*cbor.RawMessage, error) {
+	reportRead(ctx)
+	reply, err := s.handle(ctx, in.Method, in.Body)
+	if err != nil {
+		return nil, err
+	}
+	body, err := cbor.Marshal(reply)
+	return (*cbor.RawMessage)(&body), eris.Wrap(err, "encode the reply")
+}
+
+// handle calls the handler of the method. A panic, for example because of a message that no current
 // instance sends, fails the call and not the process.
-func (s *Server) handle(ctx context.Context, handler Handler, in *envelope) (reply any, err error) {
+func (s *Server) handle(ctx context.Context, method string, body []byte) (reply any, err error) {
+	handler := s.handlers[method]
+	if handler == nil {
+		return nil, eris.Errorf("unknown method %s", method)
+	}
 	defer func() {
 		if cause := recover(); cause != nil {
-			s.log.Log(eventHandlerPanicked, "Method", in.Method, "Cause", cause, "Stack", string(debug.Stack()))
-			err = eris.Errorf("the handler of %s panicked", in.Method)
+			s.log.Log(eventHandlerPanicked, "Method", method, "Cause", cause, "Stack", string(debug.Stack()))
+			err = eris.Errorf("the handler of %s panicked", method)
 		}
 	}()
-	return handler(ctx, in.Body)
+	return handler(ctx, body)
 }
 
 // serviceDescription describes the service to drpc.
 type serviceDescription struct{}
 
-func (serviceDescription) NumMethods() int { return 3 }
+func (serviceDescription) NumMethods() int { return 4 }
 
 func (serviceDescription) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
 	switch n {
@@ -193,12 +222,17 @@
 		receiver := func(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
 			return server.(*Server).call(ctx, in.(*envelope))
 		}
-		return map[int]string{0: rpcName, 2: compactName}[n], cborEncoding{}, receiver, (*Server).call, true
+		return map[int]string{0: rpcName, 2: compactEnvelopeName}[n], cborEncoding{}, receiver, (*Server).call, true
 	case 1:
 		receiver := func(server any, _ context.Context, in, _ any) (drpc.Message, error) {
 			return nil, server.(*Server).stream(in.(drpc.Stream))
 		}
 		return streamName, cborEncoding{}, receiver, (*Server).stream, true
+	case 3:
+		receiver := func(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
+			return server.(*Server).callCompact(ctx, in.(*compactRequest))
+		}
+		return compactName, cborEncoding{}, receiver, (*Server).callCompact, true
 	}
 	return "", nil, nil, nil, false
 }
@@ -208,6 +242,8 @@
 	dialContext func(ctx context.Context, network, address string) (net.Conn, error)
 	withTimeout Timeouts
 	pool        *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
+	// older holds, for instances without compactName, until when to call them as such.
+	older *lru.Cache[netip.AddrPort, time.Time]
 }
 
 // Timeouts returns a context that ends after the timeout.
@@ -226,7 +262,9 @@
 
 // NewClient returns a Client.
 func NewClient(options ...ClientOption) *Client {
+	older, _ := lru.New[netip.AddrPort, time.Time](maxOlder) // It fails only for a size of 0.
 	c := &Client{
+		older:       older,
 		dialContext: dialer.New(0, ackTimeout).DialContext, withTimeout: context.WithTimeout,
 		pool: drpcpool.New[netip.AddrPort, drpcpool.Conn](drpcpool.Options{
 			Expiration: idleTimeout, Capacity: maxIdle, KeyCapacity: maxIdlePerAddress,
@@ -270,39 +308,94 @@
 }
 
 // CompactClient is a Client for frequent calls with small messages, which are shorter on the
-// wire.
+// wire. Their replies are not divided into parts.
 type CompactClient struct{ *Client }
 
 // Call does what Client.Call does.
 func (c CompactClient) Call(ctx context.Context, address netip.AddrPort, method string, in, out any) error {
-	return c.call(ctx, address, compactName, method, in, out)
+	if until, found := c.older.Get(address); found && time.Now().Before(until) {
+		return c.call(ctx, address, compactEnvelopeName, method, in, out)
+	}
+	err := c.callCompact(ctx, address, method, in, out)
+	if isUnknownName(err, compactName) {
+		c.older.Add(address, time.Now().Add(olderTimeout))
+		return c.call(ctx, address, compactEnvelopeName, method, in, out)
+	}
+	return err
 }
 
-func (c *Client) call(ctx context.Context, address netip.AddrPort, rpc, method string, in, out any) error {
+func (c *Client) callCompact(ctx context.Context, address netip.AddrPort, method string, in, out any) error {
 	body, err := cbor.Marshal(in)
 	if err != nil {
 		return eris.Wrap(err, "encode the request")
 	}
-	isReused := true
-	conn := c.pool.Get(ctx, address, func(ctx context.Context, address netip.AddrPort) (drpcpool.Conn, error) {
-		isReused = false
+	ex := c.newExchange(ctx, address, method)
+	defer ex.close()
+	var reply cbor.RawMessage
+	if err := ex.invoke(ctx, compactName, &compactRequest{Method: method, Body: body}, &reply); err != nil {
+		return err
+	}
+	return eris.Wrap(cbor.Unmarshal(reply, out), "decode the reply")
+}
+
+// isUnknownName reports whether err is that of an instance without the drpc method. The library
+// tells it from other errors only by the text.
+func isUnknownName(err error, rpc string) bool {
+	return err != nil && strings.Contains(err.Error(), fmt.Sprintf("unknown rpc: %q", rpc))
+}
+
+// exchange is one or more requests and replies on a connection.
+type exchange struct {
+	client  *Client
+	conn    drpcpool.Conn
+	address netip.AddrPort
+	method  string
+	// isReused is whether the connection was used before.
+	isReused bool
+}
+
+// newExchange returns an exchange on an unused connection to the address, or else on a new one.
+func (c *Client) newExchange(ctx context.Context, address netip.AddrPort, method string) *exchange {
+	ex := &exchange{client: c, address: address, method: method, isReused: true}
+	ex.conn = c.pool.Get(ctx, address, func(ctx context.Context, address netip.AddrPort) (drpcpool.Conn, error) {
+		ex.isReused = false
 		netConn, err := c.dial(ctx, address)
 		if err != nil {
 			return nil, err
 		}
 		return drpcconn.New(netConn), nil
 	})
-	// Close returns the connection to the pool.
-	defer func() { _ = conn.Close() }()
+	return ex
+}
+
+// close returns the connection to the pool.
+func (ex *exchange) close() { _ = ex.conn.Close() }
+
+// invoke sends the request by the drpc method and decodes its reply.
+func (ex *exchange) invoke(ctx context.Context, rpc string, request, reply any) error {
+	err := ex.conn.Invoke(ctx, rpc, cborEncoding{}, request, reply)
+	if err != nil {
+		err = eris.Wrapf(err, "call %s at %s", ex.method, ex.address)
+		if ex.isReused && isTimeout(ctx, err) {
+			ex.client.closeIdle(ex.address)
+			err = errors.Join(ErrStale, err)
+		}
+	}
+	ex.isReused = true
+	return err
+}
+
+func (c *Client) call(ctx context.Context, address netip.AddrPort, rpc, method string, in, out any) error {
+	body, err := cbor.Marshal(in)
+	if err != nil {
+		return eris.Wrap(err, "encode the request")
+	}
+	ex := c.newExchange(ctx, address, method)
+	defer ex.close()
 	content, request := []byte(nil), &envelope{Method: method, Body: body, TakesParts: rpc == rpcName}
 	for {
 		var reply envelope
-		if err := conn.Invoke(ctx, rpc, cborEncoding{}, request, &reply); err != nil {
-			err = eris.Wrapf(err, "call %s at %s", method, address)
-			if isReused && isTimeout(ctx, err) {
-				c.closeIdle(address)
-				err = errors.Join(ErrStale, err)
-			}
+		if err := ex.invoke(ctx, rpc, request, &reply); err != nil {
 			return err
 		}
 		if reply.Failure != "" {
@@ -315,7 +408,6 @@
 			return eris.Errorf("call %s at %s: the reply exceeds %d bytes", method, address, maxReplyBytes)
 		}
 		extender.Progress(ctx)
-		isReused = true
 		request = &envelope{Rest: reply.Rest}
 	}
 	return eris.Wrap(cbor.Unmarshal(content, out), "decode the reply")
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -57,6 +57,19 @@
 	})
 	client := messenger.NewClient()
 	defer client.Close()
+	t.Run("Calls", func(t *testing.T) { testUnexpectedMessages(t, client, address) })
+	t.Run("CompactCalls", func(t *testing.T) {
+		testUnexpectedMessages(t, messenger.CompactClient{Client: client}, address)
+	})
+}
+
+// caller is a messenger.Client or messenger.CompactClient.
+type caller interface {
+	Call(ctx context.Context, address netip.AddrPort, method string, in, out any) error
+}
+
+func testUnexpectedMessages(t *testing.T, client caller, address netip.AddrPort) {
+	t.Helper()
 	call := func(method string, in any) (message, error) {
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
