internal/relayer, internal/watcher: an older configuration denies nothing for good

Cause: requests that the configuration in force does not allow were refused with 404, 401 and 413 whatever its age.

Change: such a refusal needs a configuration that was the newest one within ConfigurationDeadline, 2 s by default. Otherwise one read of the store for all that wait shows whether it has changed, and the request is matched again when the change is in force; if that stays unknown, it is refused with 503. ConfirmedAt changes after the configuration is in force, not before. Finding the route, the account and the stated length are one step now, as they are repeated together.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -223,10 +223,14 @@
 		Tables: e.watcher, Endpoints: e.registry, Registrations: e.watcher, Sender: e.sender, Permits: permits, Streams: streams, Quarantine: e.quarantine, Paths: e.tunneler, Needs: needs, Shares: apportioner.New(), Dialect: platform.Dialect,
 		Budgets:            e.budgets,
 		Transcripts:        transcriber.New(e.rerouter),
-		IsStoreUnreachable: func() bool { path, _ := e.rerouter.Path(); return path == rerouter.Lost },
+		IsStoreUnreachable: e.isStoreUnreachable,
 		IsConfigurationDoubtful: func() bool {
 			return settings.RevokeStrict && time.Since(e.watcher.ConfirmedAt()) > settings.RevokeDeadline
 		},
+		ConfirmConfiguration: func(ctx context.Context) bool {
+			maxAge := settings.ConfigurationDeadline
+			return e.watcher.IsConfirmed(maxAge) || !e.isStoreUnreachable() && e.watcher.ConfirmConfiguration(ctx, maxAge)
+		},
 		Stop:     e.stop,
 		Instance: settings.Instance, CountInstances: e.discoverer.Count,
 		DataCentre: settings.DataCentre, Log: e.log, ServedShare: settings.Log.ServedShare, Metrics: metrics,
@@ -428,6 +432,12 @@
 	}
 }
 
+// isStoreUnreachable reports whether there is no path to the store.
+func (e *Entry) isStoreUnreachable() bool {
+	path, _ := e.rerouter.Path()
+	return path == rerouter.Lost
+}
+
 // maintainMembership sends heartbeats, refreshes the list of members and adapts the
 // write rate to the number of bookkeepers.
 func (e *Entry) maintainMembership(ctx context.Context) {
--- a/internal/configurer/entry.go
+++ b/internal/configurer/entry.go
@@ -47,6 +47,10 @@
 	CoreShare float64 `validate:"gt=0,max=1"`
 	// GracePeriod is the time from the stop signal to the end of the process.
 	GracePeriod time.Duration `validate:"min=1s"`
+	// ConfigurationDeadline is the time after its acknowledgement by the store within which a change of
+	// the configuration takes effect. Requests that the configuration in force does not allow are
+	// refused with 503 if it may be older, as the newest one may allow them.
+	ConfigurationDeadline time.Duration `validate:"gt=0s"`
 	// RevokeStrict refuses requests with keys of client accounts while the configuration has not
 	// been confirmed for RevokeDeadline, as the keys may have been revoked. Otherwise the last
 	// configuration stays in force.
@@ -128,7 +132,7 @@
 // DefaultEntrySettings returns the values of the settings that have a default.
 func DefaultEntrySettings() *EntrySettings {
 	return &EntrySettings{
-		MemoryMB: 128, Cores: 1, CoreShare: 1, StoreWrites: 800, GracePeriod: 8 * time.Second, RevokeDeadline: 5 * time.Second,
+		MemoryMB: 128, Cores: 1, CoreShare: 1, StoreWrites: 800, GracePeriod: 8 * time.Second, ConfigurationDeadline: 2 * time.Second, RevokeDeadline: 5 * time.Second,
 		Log:       EntryLog{Format: LogJSON, Level: "Info", ServedShare: 1},
 		Admission: Admission{Policy: AdmissionMeanLoad, NewPrograms: 1.2, NoPrograms: 2, ReturnLeast: 200 * time.Millisecond, ReturnMost: 900 * time.Millisecond},
 		Placement: Placement{Policy: PlacementTwoByHash, Margin: 1.5},
@@ -158,7 +162,7 @@
 // replaceableFields are those whose default serves if their value is refused: what the platform
 // states about the machine, and what tunes an instance. The others say who the instance is, where it
 // listens, and which requests it must refuse.
-var replaceableFields = []string{"Seeds", "MemoryMB", "StoreWrites", "Cores", "CoreShare", "GracePeriod", "Log", "Admission", "Placement"}
+var replaceableFields = []string{"Seeds", "MemoryMB", "StoreWrites", "Cores", "CoreShare", "GracePeriod", "ConfigurationDeadline", "Log", "Admission", "Placement"}
 
 // StartEntry is LoadEntry for the start of an instance: an unknown field is ignored, and a refused value
 // that has a default is replaced by it. The errors of both are returned as replaced.
--- a/internal/relayer/body.go
+++ b/internal/relayer/body.go
@@ -109,14 +109,7 @@
 // readBody reads the request's body, for which it reserves memory before. If it reports false, the
 // request has been refused.
 func (x *exchange) readBody(r *http.Request) bool {
-	limit := x.table.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if r.ContentLength > limit {
-		x.refuse(answerer.New(answerer.TooLarge, "the body has %d bytes, more than the limit of %d", r.ContentLength, limit), "BodyLength")
-		return false
-	}
+	limit := maxBodyBytes(x.table)
 	if r.ContentLength == 0 {
 		x.access.readTime = time.Since(x.arrival)
 		return true
@@ -128,6 +121,10 @@
 	case isRefused:
 		x.discardBody(r)
 		return false
+	case errors.Is(err, errBodyTooLarge) && !x.isBodyLimitConfirmed(ctx, limit):
+		refused := newUnconfirmed("it can't be confirmed that the body is larger than the limit")
+		x.refuseUnread(refused.err, refused.reason)
+		return false
 	case errors.Is(err, reserver.ErrTooLarge), errors.Is(err, errBodyTooLarge):
 		x.writer.Header().Set("Connection", "close")
 		x.refuse(answerer.Wrap(answerer.TooLarge, err, "the body is larger than the limit of %d bytes or than the memory for bodies", limit), "BodyLength")
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -146,6 +146,10 @@
 	// IsConfigurationDoubtful reports whether the configuration has not been confirmed for so
 	// long that requests with keys are refused; nil if they never are.
 	IsConfigurationDoubtful func() bool
+	// ConfirmConfiguration reports whether the table in force is recent enough to refuse what it
+	// does not allow. It may read the store, after which the table may be another one. It is nil if
+	// the table always is.
+	ConfirmConfiguration func(ctx context.Context) bool
 	// ServedShare is the share of programs whose served requests are logged.
 	ServedShare float64
 	// MaxBufferedBytes limits the memory for large bodies of plain responses, all together.
@@ -253,11 +257,7 @@
 		x.refuse(answerer.Wrap(answerer.BadRequest, err, "%s", err), "Malformed")
 		return
 	}
-	if x.route = x.table.Match(x.call.Host, x.call.Path); x.route == nil {
-		x.refuse(answerer.New(answerer.NotFound, "no route matches the request"), "NoRoute")
-		return
-	}
-	if !x.authenticate(r) || !x.setDeadline() {
+	if !x.match(r) || !x.setDeadline() {
 		return
 	}
 	x.service = x.route.PickService(xxhash.Sum64String(x.placementKey()))
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/wigeonstand/wigeonstand/internal/bootstrapper"
 	"github.com/wigeonstand/wigeonstand/internal/logger"
@@ -90,6 +91,9 @@
 	table atomic.Pointer[matcher.Table]
 	// tableBytes is the size of the configuration in force.
 	tableBytes atomic.Int64
+	// confirmedAt is what ConfirmedAt returns; nil for zero.
+	confirmedAt   atomic.Pointer[time.Time]
+	confirmations singleflight.Group
 	// isComplete is set once the endpoints have been read.
 	isComplete atomic.Bool
 	// tableRowVersion is the version of the last decoded row of the configuration.
@@ -172,10 +176,6 @@
 // Table returns the routing table in force, or nil before the first read.
 func (w *Watcher) Table() *matcher.Table { return w.table.Load() }
 
-// ConfirmedAt returns a time at which the configuration in force was the newest one, or zero if
-// it has never been read from the store.
-func (w *Watcher) ConfirmedAt() time.Time { return w.configuration.ReadAt() }
-
 // ConfirmEndpoints asks the store for changes of the registrations, if they were not read after
 // the time. Without any, the registry has them as of a time after it.
 func (w *Watcher) ConfirmEndpoints(ctx context.Context, since time.Time) {
@@ -275,6 +275,8 @@
 	if _, err := w.configuration.Refresh(ctx, wait); err != nil {
 		return err
 	}
+	// It is the newest one only once it is in force.
+	defer func() { w.recordConfirmed(w.configuration.ReadAt()) }()
 	record, found := w.configuration.Get(w.source.ConfigurationKey.Name)
 	if !found || record.Version == w.tableRowVersion {
 		return nil
