internal/relayer: a stream is of the process to which its connection was opened

A replica crashes, is back at once under its ID with other software and serves streams before it registers. When it crashes again they go on at replicas of the software of before.

Cause: the version that began a stream was that of the registration at its first event, whatever process answered.

Change: the origin of a stream is the process to which its connection was opened. If the registered one is not known to have run since, the endpoint is asked for its start time, beside the stream; until then there is no record, and the stream does not go on before the answer is known. Another process's version is that of the registration with its start time, or unknown.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -273,6 +273,17 @@
 	return e != nil && processOf(e.Endpoint) == processOf(endpoint) && e.accepts()
 }
 
+// Find returns the endpoint that is registered under the ID.
+func (r *Registry) Find(id string) (Endpoint, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.byID[id]
+	if e == nil {
+		return Endpoint{}, false
+	}
+	return e.Endpoint, true
+}
+
 // Endpoints returns the registered endpoints.
 func (r *Registry) Endpoints() []Endpoint {
 	r.mu.Lock()
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -183,6 +183,7 @@
 	responses  *memoryBudget
 	bodies     *bodyMemory
 	numberings *numberings
+	processes  *processes
 	// durations are those of the requests at endpoints.
 	durations *stopper.Durations
 }
@@ -195,7 +196,7 @@
 	return &Relayer{
 		Config: config, responses: newMemoryBudget(config.MaxBufferedBytes),
 		bodies:     &bodyMemory{small: newReserver(config.MaxSmallBodyBytes), large: newReserver(config.MaxLargeBodyBytes)},
-		numberings: newNumberings(), durations: stopper.NewDurations(),
+		numberings: newNumberings(), processes: newProcesses(), durations: stopper.NewDurations(),
 	}
 }
 
--- a/internal/relayer/resume.go
+++ b/internal/relayer/resume.go
@@ -20,17 +20,6 @@
 	confirmTimeout = 300 * time.Millisecond
 )
 
-// begin records what began the stream, if it has not begun before.
-func (t *turn) begin(c registrar.Candidate) {
-	if t.origin != nil {
-		return
-	}
-	t.origin = &resumer.Origin{Service: c.Service, Version: c.Version}
-	if t.route.Resumable {
-		t.Streams.Record(t.call.ID, *t.origin)
-	}
-}
-
 // findOrigin finds what began the stream that the caller resumes. It reports whether the
 // turn may go on; if not, the request has been refused.
 func (t *turn) findOrigin() bool {
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -50,7 +50,7 @@
 		case isBehindGap:
 			return errInvalidResponse
 		}
-		t.begin(c)
+		t.begin(c, response.ConnectedAt)
 		t.writeHead(response)
 		t.servedBy = c.ID
 		if _, err := t.writer.Write(event.Raw); err != nil {
--- a/internal/relayer/turn.go
+++ b/internal/relayer/turn.go
@@ -85,6 +85,9 @@
 	// origin is what began the stream; nil while it has not begun. It goes on at that
 	// version only.
 	origin *resumer.Origin
+	// askedOrigin returns what began the stream once the endpoint has been asked, or is closed if that
+	// is not known; nil if it need not be asked.
+	askedOrigin <-chan resumer.Origin
 }
 
 func (x *exchange) serveTurn() {
@@ -316,7 +319,7 @@
 		case mayContinue && isNotRun && !t.isHeadWritten && sent < t.route.MaxAttempts:
 			attempted[c.ID] = true
 			resumeAt = nil
-		case mayContinue && !isNotRun && t.route.Resumable && !t.hasUnnamed && !t.hasFallen && !t.mayBeCause():
+		case mayContinue && !isNotRun && t.route.Resumable && !t.hasUnnamed && !t.hasFallen && !t.mayBeCause() && t.isOriginKnown():
 			resumeAt = &c
 		default:
 			t.fail(failure)
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -96,6 +96,8 @@
 	Length int64
 	// IsFramed is false if the body has neither a length nor chunks and ends with the connection.
 	IsFramed bool
+	// ConnectedAt is when the connection to the endpoint was opened.
+	ConnectedAt time.Time
 
 	conn        *conn
 	idleTimeout time.Duration
@@ -111,6 +113,8 @@
 	reader  *bufio.Reader
 	head    *headReader
 	address netip.AddrPort
+	// openedAt is when it was opened.
+	openedAt time.Time
 	// expires is the end of its use, cautiousUntil that for requests that must not be
 	// repeated.
 	expires, cautiousUntil time.Time
@@ -232,7 +236,7 @@
 		return nil, err
 	}
 	head := &headReader{conn: raw, budget: s.heads}
-	return &conn{Conn: raw, reader: bufio.NewReader(head), head: head, address: r.Address}, nil
+	return &conn{Conn: raw, reader: bufio.NewReader(head), head: head, address: r.Address, openedAt: time.Now()}, nil
 }
 
 // takeIdle removes and returns the connection to the endpoint that was used last, or
@@ -385,7 +389,7 @@
 	r := &Response{
 		Status: response.StatusCode, Header: response.Header,
 		Length: response.ContentLength, IsFramed: response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
-		conn: cn, sender: s, body: response.Body, upload: sent, maxIdle: maxIdlePerEndpoint,
+		ConnectedAt: cn.openedAt, conn: cn, sender: s, body: response.Body, upload: sent, maxIdle: maxIdlePerEndpoint,
 	}
 	var body io.Reader = response.Body
 	if !r.IsFramed {
