internal/quarantiner: instances without turns ask for verdicts

Cause: verdicts came with the calls to bookkeepers that precede turns, and with the answers to an instance's own reports of crashes.

Change: each instance asks one bookkeeper, drawn at random, once a second.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -364,7 +364,7 @@
 	serve(func() error { return callers.Serve(connections.Listener(listeners[0])) })
 	serve(func() error { return ready.Serve(listeners[1]) })
 	serve(func() error { return e.peerServer.Serve(work, listeners[2]) })
-	for _, run := range []func(context.Context){e.serveMetrics, e.extender.Run, e.rerouter.Run, e.batcher.Run, e.pruner.Run, e.bookkeeper.Run, e.watcher.Run, e.maintainMembership, e.learnQuarantines, e.learnVersions, e.runQuotas} {
+	for _, run := range []func(context.Context){e.serveMetrics, e.extender.Run, e.rerouter.Run, e.batcher.Run, e.pruner.Run, e.bookkeeper.Run, e.watcher.Run, e.maintainMembership, e.learnQuarantines, e.quarantine.Run, e.learnVersions, e.runQuotas} {
 		start(run)
 	}
 	e.log.Log(eventStarted, "DataCentre", e.settings.DataCentre, "Incarnation", e.discoverer.Self().Incarnation)
--- a/internal/composer/crash_test.go
+++ b/internal/composer/crash_test.go
@@ -245,3 +245,20 @@
 	t.Logf("sound calls: %d served, %d not", served, failed)
 	ledger.check(t)
 }
+
+// A call that crashes endpoints came again at instances that get calls and no turns: each of them sent it
+// once, as verdicts came with the calls of turns alone (BUDGET, play "poison" of review/).
+func TestCallThatCrashesEndpointsIsKeptFromOthersWithoutTurns(t *testing.T) {
+	t.Parallel()
+	const instances, pause = 10, 800 * time.Millisecond
+	f, ledger := newMortalFleet(t, instances, 0, 5)
+	path := standin.PathLookup + poison
+	for i, in := range f.instances {
+		f.do(in, standin.Call{ID: fmt.Sprint("call-", i), Path: path, Body: poison})
+		<-time.After(pause)
+	}
+	late, crashes := ledger.retries(path)
+	if crashes < 3 || late > maxPoisonRetries {
+		t.Errorf("%d crashes, %d sends later than %v after the third, want %d at most", crashes, late, crashSettle, maxPoisonRetries)
+	}
+}
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -121,6 +121,30 @@
 // tell sends the verdicts of one instance to another, as with the calls to bookkeepers.
 func tell(from, to *node) { to.MergeVerdicts(from.Verdicts()) }
 
+// Guards against an instance that gets no turns, and therefore no verdicts.
+func TestVerdictsReachInstancesWithoutTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := newNetwork(6)
+		bad := key("bad")
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		for _, n := range nodes {
+			running.Go(func() { n.Run(ctx) })
+		}
+		for i, n := range nodes[1:4] {
+			n.crashUnder(bad, i)
+		}
+		time.Sleep(2 * pullInterval)
+		for i, n := range nodes {
+			if n.Find(request(bad)).Left == 0 {
+				t.Errorf("instance %d would send the request", i)
+			}
+		}
+		cancel()
+		running.Wait()
+	})
+}
+
 // Three instances see one crash each. None of them knew that it was the third.
 func TestCrashesOfDifferentInstancesAddUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
