internal/bookkeeper: only bookkeepers read the rights every second

The store accepts 2,000 reads/s from all instances together.

Cause: each instance listed the rights every second, whether it could take one or not.

Change: bookkeepers, holders, and those that were within the last minute read them each second as before; others every ten seconds. One that becomes a bookkeeper begins with the next second.

--- a/internal/bookkeeper/rights.go
+++ b/internal/bookkeeper/rights.go
@@ -28,6 +28,10 @@
 	// rightsInterval is the time between two reads of the rights, each of which
 	// confirms those that this process holds.
 	rightsInterval = time.Second
+	// idleReadInterval is that of processes that have not been bookkeepers for concernMemory, after
+	// which they lift no programs.
+	idleReadInterval = 10 * time.Second
+	concernMemory    = time.Minute
 	// rightsTimeout limits a read of the rights.
 	rightsTimeout = 2 * time.Second
 	// rightWriteTimeout limits a write of a right.
@@ -109,7 +113,11 @@
 // WithOutageBudgets allows programs to be opened without a row while the store is away.
 func WithOutageBudgets(o OutageBudgets) Option {
 	return func(k *Bookkeeper, s *state) {
-		k.readRights = func(ctx context.Context) { s.send(readRights(ctx, o.Rows)) }
+		k.readRights = func(ctx context.Context) {
+			if s.rights.isReadDue() {
+				s.send(readRights(ctx, o.Rows))
+			}
+		}
 		s.rights = &rights{OutageBudgets: o, witness: opener.NewWitness()}
 		k.renewRights = func(ctx context.Context) { s.rights.readRenewal(ctx, s.send) }
 		s.rights.ctx, s.rights.cancel = context.WithCancel(context.Background())
@@ -142,6 +150,9 @@
 	// written.
 	isHolding  atomic.Bool
 	isRenewing bool
+	// readAt is when the rights were last read, and concernedAt when this process was last known to
+	// need them. Only isReadDue uses them.
+	readAt, concernedAt time.Time
 }
 
 type slot struct {
@@ -273,6 +284,20 @@
 	r.work.Wait()
 }
 
+// isReadDue reports whether the rights are to be read now: by bookkeepers at each interval, so that they
+// take rights and confirm them. Other processes read them now and then, to be ready to become one.
+func (r *rights) isReadDue() bool {
+	now, self := time.Now(), r.Members.Self().Instance
+	if r.isHolding.Load() || slices.ContainsFunc(r.Members.Bookkeepers(""), func(m discoverer.Member) bool { return m.Instance == self }) {
+		r.concernedAt = now
+	}
+	if now.Sub(r.concernedAt) > concernMemory && now.Sub(r.readAt) < idleReadInterval {
+		return false
+	}
+	r.readAt = now
+	return true
+}
+
 // readRights reads the rows of all slots.
 func readRights(ctx context.Context, rows Lister) rightsRead {
 	ctx, cancel := context.WithTimeout(ctx, rightsTimeout)
--- a/internal/bookkeeper/rights_test.go
+++ b/internal/bookkeeper/rights_test.go
@@ -32,6 +32,8 @@
 	isAway             atomic.Bool
 	opened, deductions atomic.Int64
 	spent              map[string]int64
+	// centres is the number of data centres.
+	centres int
 }
 
 // returnTime is the longest time after which a program that was stopped comes back.
@@ -47,7 +49,13 @@
 
 func newOutageFleet(t *testing.T, f *fleet, n int) *outageFleet {
 	t.Helper()
-	o := &outageFleet{spent: map[string]int64{}, dataCentre: &dataCentre{fleet: f, network: &network{
+	return newWideOutageFleet(t, f, n, 1)
+}
+
+// newWideOutageFleet returns n instances in so many data centres.
+func newWideOutageFleet(t *testing.T, f *fleet, n, centres int) *outageFleet {
+	t.Helper()
+	o := &outageFleet{spent: map[string]int64{}, centres: centres, dataCentre: &dataCentre{fleet: f, network: &network{
 		handlers: map[netip.AddrPort]map[string]messenger.Handler{}, silent: map[netip.AddrPort]bool{},
 	}}}
 	for range n {
@@ -78,8 +86,8 @@
 func (o *outageFleet) startProcess(t *testing.T, i int, process string, share int64) {
 	t.Helper()
 	self := discoverer.Member{
-		Instance: fmt.Sprintf("entry-%02d", i), Incarnation: fmt.Sprintf("entry-%02d/%s", i, process), DataCentre: "dc", Cores: 1,
-		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1), OutageShare: share,
+		Instance: fmt.Sprintf("entry-%02d", i), Incarnation: fmt.Sprintf("entry-%02d/%s", i, process), DataCentre: fmt.Sprint("dc-", i%o.centres), Cores: 1,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1), OutageShare: share,
 	}
 	rows := o.rows.For(self.Instance)
 	clock, isClock := rows.(storer.Clock)
