internal/relayer: a stream of unknown version has a record that says so

An instance without a record takes the only version that the service had lately for it, if it has read the registrations for 30 s, and would have joined the two. Now the record has no version, so that the stream goes on nowhere.

--- a/internal/composer/inplace_test.go
+++ b/internal/composer/inplace_test.go
@@ -76,7 +76,8 @@
 		}
 		// The caller takes the stream up at another instance.
 		call.Resumes, call.ID = call.ID, call.ID+"-again"
-		call.LastEventID = len(reply.StreamEvents())
+		events := reply.StreamEvents()
+		call.LastEventID = events[len(events)-1].ID
 		if again := f.do(f.instances[1], call); len(again.Versions()) > 0 && !slices.Equal(again.Versions(), versions) {
 			t.Errorf("%s began at %v and goes on with events of %v", call.Resumes, versions, again.Versions())
 		}
--- a/internal/relayer/restart.go
+++ b/internal/relayer/restart.go
@@ -114,9 +114,10 @@
 		defer cancel()
 		defer close(asked)
 		version, isKnown := x.askVersion(ctx, c)
+		origin := resumer.Origin{Service: c.Service, Version: version}
+		// The record of an unknown version keeps other instances from taking the only one that they know for it.
+		x.Streams.Record(stream, origin)
 		if isKnown {
-			origin := resumer.Origin{Service: c.Service, Version: version}
-			x.Streams.Record(stream, origin)
 			asked <- origin
 		}
 	}()
