--- a/internal/bookkeeper/rights_cost_test.go
+++ b/internal/bookkeeper/rights_cost_test.go
@@ -11,7 +11,7 @@
 	"github.com/wigeonstand/wigeonstand/internal/storer"
 )
 
-// measure adds larger fleets, of which that of 300 takes minutes:
+// measure adds larger fleets:
 //
 //	go test -run TestCostOfRights -v ./internal/bookkeeper -args -measure
 var measure = flag.Bool("measure", false, "measure the cost of rights for large fleets, too")
