--- a/internal/soaker/soak_endpoint.go
+++ b/internal/soaker/soak_endpoint.go
@@ -45,35 +45,42 @@
 	i := s.added
 	s.added++
 	s.mu.Unlock()
+	e, target, err := s.startProcess(ctx, kind, fmt.Sprintf("%s-%d", kind, i), version, i)
+	if err != nil {
+		return err
+	}
+	if e.link, err = newLink(ctx, "127.0.0.1:0", target, e.ID); err != nil {
+		e.end()
+		return err
+	}
+	e.registration = standin.Registration{
+		ID: e.ID, Service: kind, Address: e.link.address(), DataCentre: dataCentre(i % max(s.DataCentres, 1)), Slots: e.Slots, Version: version, Started: e.Started,
+	}
+	s.mu.Lock()
+	s.endpoints, s.links = append(s.endpoints, e), append(s.links, e.link)
+	s.mu.Unlock()
+	return standin.Register(s.rows, e.registration)
+}
+
+// startProcess starts the n-th process of an endpoint, and returns the address of its server. It has no link.
+func (s *soak) startProcess(ctx context.Context, kind, id, version string, n int) (e *endpoint, target string, err error) {
 	events, pace, slots := 0, servicePace, s.ServiceSlots
 	if kind == standin.ServiceEngine {
 		events, pace, slots = mostEvents, enginePace, s.EngineSlots
 	}
 	// Callers ask endpoints after the run, so that only the server ends with ctx.
 	serving, end := context.WithCancel(ctx)
-	e := &endpoint{Endpoint: standin.NewEndpoint(fmt.Sprintf("%s-%d", kind, i), events, pace, s.Seed+uint64(i)), kind: kind, end: end}
-	e.Version, e.Numbering, e.VariesFraming, e.RunsOn = version, s.numbering(version), true, i%3 == 2
+	e = &endpoint{Endpoint: standin.NewEndpoint(id, events, pace, s.Seed+uint64(n)), kind: kind, end: end}
+	e.Version, e.Numbering, e.VariesFraming, e.RunsOn = version, s.numbering(version), true, n%3 == 2
 	e.StopsAtDeadline, e.Started = true, time.Now()
 	if slots > 0 {
 		e.Slots = slots
 	}
 	e.SetFaults(usualFaults())
-	target, err := serve(serving, e)
-	if err != nil {
+	if target, err = serve(serving, e); err != nil {
 		end()
-		return err
-	}
-	if e.link, err = newLink(serving, "127.0.0.1:0", target, e.ID); err != nil {
-		end()
-		return err
-	}
-	e.registration = standin.Registration{
-		ID: e.ID, Service: kind, Address: e.link.address(), DataCentre: dataCentre(i % max(s.DataCentres, 1)), Slots: e.Slots, Version: version, Started: e.Started,
 	}
-	s.mu.Lock()
-	s.endpoints, s.links = append(s.endpoints, e), append(s.links, e.link)
-	s.mu.Unlock()
-	return standin.Register(s.rows, e.registration)
+	return e, target, err
 }
 
 func dataCentre(i int) string { return fmt.Sprint("dc-", i+1) }
@@ -180,6 +187,37 @@
 	})
 }
 
+// restartInPlace ends the process of an endpoint and starts one of the version under its ID and at its address. It
+// registers after the delay, and breaks its requests off soon after that.
+func (s *soak) restartInPlace(old *endpoint, version string, delay time.Duration) {
+	const registered = 200 * time.Millisecond
+	s.mu.Lock()
+	n := s.added
+	s.added++
+	s.mu.Unlock()
+	e, target, err := s.startProcess(s.lifetime, old.kind, old.ID, version, n)
+	if err != nil {
+		s.violate("an endpoint cannot be started: %v", err)
+		return
+	}
+	e.link, e.registration = old.link, old.registration
+	e.registration.Version, e.registration.Started = version, e.Started
+	s.mu.Lock()
+	old.left = time.Now()
+	s.endpoints = append(s.endpoints, e)
+	s.mu.Unlock()
+	e.link.moveTo(target)
+	old.end()
+	s.changes.Go(func() {
+		time.Sleep(delay)
+		if err := standin.Register(s.rows, e.registration); err != nil {
+			s.violate("an endpoint cannot be registered: %v", err)
+		}
+		time.Sleep(registered)
+		e.link.reset()
+	})
+}
+
 // ServeHTTP implements http.Handler.
 func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.Endpoint.ServeHTTP(w, r) }
 
--- a/internal/soaker/soak_fault.go
+++ b/internal/soaker/soak_fault.go
@@ -20,6 +20,9 @@
 	begin, end func()
 }
 
+// heartbeat is how late a process registers at most.
+const heartbeat = 1200 * time.Millisecond
+
 // injectFaults begins a fault after each gap until ctx ends; faults overlap.
 func (s *soak) injectFaults(ctx context.Context) {
 	var work sync.WaitGroup
@@ -46,7 +49,7 @@
 
 // drawFault draws a planned change, or a fault if the run has faults.
 func (s *soak) drawFault(ctx context.Context) (f fault, isPlanned bool) {
-	const planned, unplanned = 5, 12
+	const planned, unplanned = 5, 13
 	kinds := planned + unplanned
 	if s.PlannedOnly {
 		kinds = planned
@@ -122,6 +125,11 @@
 		leaves, version := s.drawRelease()
 		subjects := append(s.instanceNames(), leaves.ID) // Requests of its streams go on elsewhere.
 		return fault{"kill of an endpoint that drains", subjects, func() { s.killDraining(leaves, version) }, nothing}
+	case 10:
+		old, version := s.drawRelease()
+		delay := time.Duration(s.random.Int64N(int64(heartbeat)))
+		subjects := append(s.instanceNames(), old.ID) // As above.
+		return fault{"restart of an endpoint in its place", subjects, func() { s.restartInPlace(old, version, delay) }, nothing}
 	default:
 		return s.storeFault()
 	}
--- a/internal/soaker/soak_proxy.go
+++ b/internal/soaker/soak_proxy.go
@@ -32,12 +32,12 @@
 // link is a loopback proxy before one target.
 type link struct {
 	listener net.Listener
-	target   string
 	// subject is the instance or endpoint that a fault of the link disturbs.
 	subject string
 
-	mu    sync.Mutex
-	fault linkFault
+	mu     sync.Mutex
+	target string
+	fault  linkFault
 	// epoch rises when connections that are open go silent for good.
 	epoch int
 	conns map[net.Conn]bool
@@ -70,7 +70,10 @@
 }
 
 func (l *link) connect(near net.Conn) {
-	far, err := net.DialTimeout("tcp", l.target, time.Second)
+	l.mu.Lock()
+	target := l.target
+	l.mu.Unlock()
+	far, err := net.DialTimeout("tcp", target, time.Second)
 	if err != nil {
 		_ = near.Close() // The target is down; its caller sees that.
 		return
@@ -136,6 +139,14 @@
 	l.epoch++
 }
 
+// moveTo resets the open connections and connects later ones to the target.
+func (l *link) moveTo(target string) {
+	l.mu.Lock()
+	l.target = target
+	l.mu.Unlock()
+	l.reset()
+}
+
 // reset closes the open connections with a reset.
 func (l *link) reset() {
 	l.mu.Lock()
