--- a/internal/soaker/soak_endpoint.go
+++ b/internal/soaker/soak_endpoint.go
@@ -188,9 +188,9 @@
 }
 
 // restartInPlace ends the process of an endpoint and starts one of the version under its ID and at its address. It
-// registers after the delay, and breaks its requests off soon after that.
+// registers after the delay. Its requests break off several times until soon after that.
 func (s *soak) restartInPlace(old *endpoint, version string, delay time.Duration) {
-	const registered = 200 * time.Millisecond
+	const breakInterval, registered = 130 * time.Millisecond, 200 * time.Millisecond
 	s.mu.Lock()
 	n := s.added
 	s.added++
@@ -209,7 +209,9 @@
 	e.link.moveTo(target)
 	old.end()
 	s.changes.Go(func() {
-		time.Sleep(delay)
+		for registration := time.Now().Add(delay); time.Now().Before(registration); e.link.reset() {
+			time.Sleep(min(breakInterval, time.Until(registration)))
+		}
 		if err := standin.Register(s.rows, e.registration); err != nil {
 			s.violate("an endpoint cannot be registered: %v", err)
 		}
