--- a/internal/bookkeeper/rights_cost_test.go
+++ b/internal/bookkeeper/rights_cost_test.go
@@ -19,16 +19,15 @@
 // rate is the number of calls of the store a second.
 type rate struct{ writes, reads float64 }
 
-// storeRate returns the rate over the time, and the number of bookkeepers.
-func storeRate(t *testing.T, instances, centres int, hasRights bool) (out rate, bookkeepers int, rowBytes []int) {
+// storeRate returns the rate of a fleet without turns, the number of its bookkeepers, and the sizes of the rights' rows.
+func storeRate(t *testing.T, instances, centres int, hasRights bool) (calls rate, bookkeepers int, rowBytes []int) {
 	t.Helper()
 	runFleet(t, 1, func(t *testing.T, f *fleet) {
 		const settling, length = 15 * time.Second, 10 * time.Second
 		o := newWideOutageFleet(t, f, instances, centres)
 		if !hasRights {
-			for i := range o.members { // Without bookkeepers the membership remains.
-				o.kill(o.members[i].Self().Incarnation)
-				f.bookkeepers[o.members[i].Self().Incarnation] = nil
+			for _, m := range o.members {
+				o.kill(m.Self().Incarnation) // What the membership takes remains.
 			}
 		}
 		pass := func(d time.Duration) {
@@ -49,14 +48,14 @@
 		before, start := f.rows.Counts(), time.Now()
 		pass(length)
 		after, seconds := f.rows.Counts(), time.Since(start).Seconds()
-		out = rate{
+		calls = rate{
 			writes: float64(after.Transactions-before.Transactions) / seconds,
 			reads:  float64(after.Lists-before.Lists+after.Feeds-before.Feeds) / seconds,
 		}
 		bookkeepers = len(o.members[0].Bookkeepers(""))
 		rowBytes = rightSizes(t, f.rows)
 	})
-	return out, bookkeepers, rowBytes
+	return calls, bookkeepers, rowBytes
 }
 
 // rightSizes returns the sizes of the rights' rows.
