internal/discoverer: instances that start together know each other at once

Callers saw: an instance that the store refused in its first second stayed without a path to the store, though others could have relayed its calls: withdrawn keys stayed in force and new versions were not applied there, until the store served it again. Instances with Seeds were not affected.

Cause: since the first heartbeat comes after the read of the members, as it states the start of the process by the store's clock. Of instances that start together none was in the list that the others read; the next read came a second later.

Change: Join reads the members before and after the first heartbeat.

TestInstancesThatJoinTogetherKnowEachOther needs the new function.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -442,15 +442,11 @@
 // write rate to the number of bookkeepers.
 func (e *Entry) maintainMembership(ctx context.Context) {
 	const refreshInterval = time.Second
+	joined, err := e.discoverer.Join(ctx)
+	e.logMembers(joined, nil)
 	for {
-		// The first heartbeat states the start of the process by the store's clock, which is read before.
-		if joined, left, err := e.discoverer.Refresh(ctx); err == nil && len(joined)+len(left) > 0 {
-			e.log.Log(eventMembersChanged, "Came", joined, "Went", left, "Living", e.discoverer.Count())
-		}
-		if e.discoverer.IsHeartbeatDue() && !e.isLeaving.Load() {
-			if err := e.discoverer.WriteHeartbeat(ctx); err != nil && ctx.Err() == nil {
-				e.log.Log(eventHeartbeatFailed, "Cause", err)
-			}
+		if err != nil && ctx.Err() == nil {
+			e.log.Log(eventHeartbeatFailed, "Cause", err)
 		}
 		e.batcher.SetRate(bookkeeperWriteShare * e.settings.StoreWrites / float64(e.discoverer.BookkeeperCount()))
 		timer := time.NewTimer(refreshInterval)
@@ -460,6 +456,19 @@
 			return
 		case <-timer.C:
 		}
+		err = nil
+		if e.discoverer.IsHeartbeatDue() && !e.isLeaving.Load() {
+			err = e.discoverer.WriteHeartbeat(ctx)
+		}
+		if joined, left, err := e.discoverer.Refresh(ctx); err == nil {
+			e.logMembers(joined, left)
+		}
+	}
+}
+
+func (e *Entry) logMembers(joined, left []string) {
+	if len(joined)+len(left) > 0 {
+		e.log.Log(eventMembersChanged, "Came", joined, "Went", left, "Living", e.discoverer.Count())
 	}
 }
 
--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -234,6 +234,17 @@
 	return nil
 }
 
+// Join writes the first heartbeat between two reads of the members and returns the names of those
+// that were read. The first read brings the store's clock, by which the heartbeat states the start
+// of the process. The second one finds instances that have joined meanwhile, so that this one has
+// relays if the store does not serve it from then on. Failed reads are left to Refresh.
+func (d *Discoverer) Join(ctx context.Context) (joined []string, err error) {
+	joined, _, _ = d.Refresh(ctx)
+	err = d.WriteHeartbeat(ctx)
+	more, _, _ := d.Refresh(ctx)
+	return append(joined, more...), err
+}
+
 // Deregister deletes this instance's own row from the store. From then on the
 // instance selects itself as a bookkeeper only if it knows no other in its data centre.
 func (d *Discoverer) Deregister(ctx context.Context) error {
--- a/internal/discoverer/discoverer_test.go
+++ b/internal/discoverer/discoverer_test.go
@@ -1,6 +1,7 @@
 package discoverer_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,7 @@
 
 	"github.com/wigeonstand/wigeonstand/internal/discoverer"
 	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
+	"github.com/wigeonstand/wigeonstand/internal/storer"
 )
 
 func member(i int, cores float64) discoverer.Member {
@@ -42,6 +44,39 @@
 	}
 }
 
+// joiningRows has another instance join just before the first transaction.
+type joiningRows struct {
+	storer.Rows
+	join func()
+}
+
+func (r *joiningRows) Transact(ctx context.Context, changes []storer.Change) (int64, error) {
+	if join := r.join; join != nil {
+		r.join = nil
+		join()
+	}
+	return r.Rows.Transact(ctx, changes)
+}
+
+// Guards against an instance without relays: instances that start together read the members before
+// any of them had joined, so that one that the store refused within its first second knew no other.
+func TestInstancesThatJoinTogetherKnowEachOther(t *testing.T) {
+	rows := fakeplatform.NewRows(1)
+	own := &joiningRows{Rows: rows.For("own")}
+	own.join = func() { startInstances(t, rows, 1) }
+	joining := discoverer.New(member(1, 0.8), own)
+	joined, err := joining.Join(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]string{"entry-00", "entry-01"}, joined); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff([]string{"entry-00"}, names(joining.Relays())); diff != "" {
+		t.Errorf("relays: %s", diff)
+	}
+}
+
 func names(members []discoverer.Member) []string {
 	var out []string
 	for _, m := range members {
