internal/sender: the test of the heads' limit waits until the large heads are read

Cause: the test waited until six of eight large heads had been refused, not until the other two had been read. While these are at 24 kB each, a medium one still fits, and nothing has to give way.

Change: the large heads differ in size, and the test waits until the limit has been asked for the whole size of those that are left. What it checks is unchanged.

--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -175,34 +175,61 @@
 func TestHeadsOfAllResponsesAreLimited(t *testing.T) {
 	const size, count = 30_000, 8
 	begin := "HTTP/1.1 200 OK\r\nId: "
+	short := func(i int) string {
+		return fmt.Sprint(begin, "short-", i, "\r\nField: ", strings.Repeat("v", size+i))
+	}
 	arrived := make(chan string, count)
 	address := serve(t, func(w io.Writer, id string) {
-		switch {
-		case strings.HasPrefix(id, "short"):
-			_, _ = io.WriteString(w, begin+id+"\r\nField: "+strings.Repeat("v", size)) // It may be closed.
+		var i int
+		if _, err := fmt.Sscanf(id, "short-%d", &i); err == nil {
+			_, _ = io.WriteString(w, short(i)) // It may be closed.
 			arrived <- id
-		case id == "medium":
+			return
+		}
+		if id == "medium" {
 			_, _ = io.WriteString(w, begin+id+"\r\nField: "+strings.Repeat("v", size/2)+"\r\nContent-Length: 2\r\n\r\nok") // As above.
-		default:
-			_, _ = io.WriteString(w, response(id, "ok")) // As above.
+			return
 		}
+		_, _ = io.WriteString(w, response(id, "ok")) // As above.
 	})
-	cost := func(size, _ int64) int64 { return max(size-4096, 0) }
+	var read sync.Map // The sizes of the heads, which tell the short ones apart.
+	cost := func(size, _ int64) int64 {
+		read.Store(size, true)
+		return max(size-4096, 0)
+	}
 	s := sender.New(sender.WithHeadBudget(2*size, cost))
 	defer s.Close()
-	ended := make(chan error, count)
+	type result struct {
+		i   int
+		err error
+	}
+	ended := make(chan result, count)
+	open := map[int]bool{}
 	for i := range count {
+		open[i] = true
 		go func() {
 			_, err := send(t, s, address, fmt.Sprint("short-", i))
-			ended <- err
+			ended <- result{i, err}
 		}()
 	}
 	for range count {
 		<-arrived
 	}
 	for range count - 2 {
-		if err := <-ended; err == nil || errors.Is(err, sender.ErrNotSent) {
-			t.Errorf("got %v, want an error after the request was sent", err)
+		r := <-ended
+		delete(open, r.i)
+		if r.err == nil || errors.Is(r.err, sender.ErrNotSent) {
+			t.Errorf("got %v, want an error after the request was sent", r.err)
+		}
+	}
+	for i := range open {
+		for deadline := time.Now().Add(time.Second); ; <-time.After(time.Millisecond) {
+			if _, isRead := read.Load(int64(len(short(i)))); isRead {
+				break
+			}
+			if time.Now().After(deadline) {
+				t.Fatalf("short-%d was not read to its end", i)
+			}
 		}
 	}
 	// Two heads fit. The larger ones give way to a smaller one, and small ones need no memory.
@@ -216,8 +243,8 @@
 		}
 	}
 	select {
-	case err := <-ended:
-		if err == nil {
+	case r := <-ended:
+		if r.err == nil {
 			t.Error("got a response whose head is incomplete")
 		}
 	case <-time.After(time.Second):
