internal/watcher: a configuration that is still being decoded confirms nothing

Cause: to confirm the configuration in force the instance asked the store for changes since the version that it had read. While a change is being decoded, which takes longer the larger it is, there are none since then, and the older configuration in force counted as the newest one.

Change: changes are asked for since the version up to which they are in force.

Result: the case "changed and read" of TestConfigurationIsConfirmedAfterASuspension failed before: in 50 of 50 requests version 1 was in force when it was confirmed, while version 2 was being decoded.

--- a/internal/watcher/confirm.go
+++ b/internal/watcher/confirm.go
@@ -61,7 +61,8 @@
 }
 
 func (w *Watcher) confirm(ctx context.Context, maxAge time.Duration) error {
-	version := w.configuration.Version()
+	// The copy may have changes that are still being decoded.
+	version := w.versionInForce.Load()
 	if version == 0 {
 		return nil // It was never read.
 	}
--- a/internal/watcher/confirm_test.go
+++ b/internal/watcher/confirm_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
+	"github.com/wigeonstand/wigeonstand/internal/matcher"
 	"github.com/wigeonstand/wigeonstand/internal/registrar"
 	"github.com/wigeonstand/wigeonstand/internal/storer"
 	"github.com/wigeonstand/wigeonstand/internal/tracker"
@@ -34,11 +35,14 @@
 	const maxAge, suspension, delay = 2 * time.Second, 4 * time.Second, 10 * time.Millisecond
 	for name, tc := range map[string]struct {
 		isChanged, isOutage, isFollowed bool
-		want                            bool
-		wantVersion                     int64
+		// decoding is how long the new configuration takes to be decoded; the requests arrive meanwhile.
+		decoding    time.Duration
+		want        bool
+		wantVersion int64
 	}{
 		"unchanged":                {want: true, wantVersion: 1},
 		"changed and followed":     {isChanged: true, isFollowed: true, want: true, wantVersion: 2},
+		"changed and read":         {isChanged: true, isFollowed: true, decoding: 10 * delay, want: true, wantVersion: 2},
 		"changed but not in force": {isChanged: true, wantVersion: 1},
 		"store away":               {isOutage: true, wantVersion: 1},
 	} {
@@ -46,7 +50,15 @@
 			synctest.Test(t, func(t *testing.T) {
 				rows, reads := fakeplatform.NewRows(1), &atomic.Int32{}
 				rows.Put(configuration, []byte("1"))
-				w := watcher.New(source(), countingReader{boundedRows{rows.For("x")}, reads}, registrar.New())
+				from := source()
+				decode := from.DecodeTable
+				from.DecodeTable = func(value []byte) (*matcher.Table, error) {
+					if string(value) == "2" {
+						time.Sleep(tc.decoding)
+					}
+					return decode(value)
+				}
+				w := watcher.New(from, countingReader{boundedRows{rows.For("x")}, reads}, registrar.New())
 				poll(t, w)
 				if !w.ConfirmConfiguration(t.Context(), maxAge) {
 					t.Error("the configuration is not confirmed after it was read")
@@ -56,18 +68,23 @@
 					rows.Put(configuration, []byte("2"))
 				}
 				rows.SetFaults(fakeplatform.RowFaults{Delay: delay, Outage: tc.isOutage})
-				before, start := reads.Load(), time.Now()
+				before := reads.Load()
 				var waiting, following sync.WaitGroup
+				if tc.isFollowed {
+					following.Go(func() { poll(t, w) })
+				}
+				time.Sleep(tc.decoding / 2)
+				start := time.Now()
 				for range 50 {
 					waiting.Go(func() {
 						if diff := cmp.Diff(tc.want, w.ConfirmConfiguration(t.Context(), maxAge)); diff != "" {
 							t.Error(diff)
 						}
+						if diff := cmp.Diff(tc.wantVersion, w.Table().Version); diff != "" {
+							t.Errorf("in force when it was confirmed: %s", diff)
+						}
 					})
 				}
-				if tc.isFollowed {
-					following.Go(func() { poll(t, w) })
-				}
 				waiting.Wait()
 				if elapsed := time.Since(start); elapsed > 300*time.Millisecond {
 					t.Errorf("decided after %v", elapsed)
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -91,6 +91,8 @@
 	table atomic.Pointer[matcher.Table]
 	// tableBytes is the size of the configuration in force.
 	tableBytes atomic.Int64
+	// versionInForce is the version of the store up to which changes of the configuration are in force.
+	versionInForce atomic.Int64
 	// confirmedAt is what ConfirmedAt returns; nil for zero.
 	confirmedAt   atomic.Pointer[time.Time]
 	confirmations singleflight.Group
@@ -276,7 +278,10 @@
 		return err
 	}
 	// It is the newest one only once it is in force.
-	defer func() { w.recordConfirmed(w.configuration.ReadAt()) }()
+	defer func() {
+		w.versionInForce.Store(w.configuration.Version())
+		w.recordConfirmed(w.configuration.ReadAt())
+	}()
 	record, found := w.configuration.Get(w.source.ConfigurationKey.Name)
 	if !found || record.Version == w.tableRowVersion {
 		return nil
