internal/allotter: the log names the members for which an instance waits

Cause: the logs of an instance that refuses requests as QuotaUnknown showed neither that its tenure has not begun nor for which members it waits, so that the hypotheses of docs/incidents/return.md could not be told apart.

Change: event 5123, QuotaTenurePending, from 2 s after a lease began and every 2 s, with the number of members that have yet to confirm, up to ten names, and whether the list was read since.

--- a/internal/allotter/allotter.go
+++ b/internal/allotter/allotter.go
@@ -29,8 +29,18 @@
 	eventTenureEnded = logger.Define(5122, "QuotaTenureEnded", log.WarnLevel,
 		"this instance was interrupted or could not write its heartbeats and issues no permits for quotas",
 		"None, if it is brief; otherwise find out why the instance does not reach the store or gets no processor time.")
+	eventTenurePending = logger.Define(5123, "QuotaTenurePending", log.WarnLevel,
+		"this instance issues no permits for quotas yet, as members have not confirmed that they have it in their lists",
+		"See whether the named members run and can be reached.")
 )
 
+// pendingLogInterval is the time between two log lines about members that have yet to confirm this
+// instance, and from the beginning of its lease to the first one.
+const pendingLogInterval = 2 * time.Second
+
+// maxLoggedMembers limits the members that a log line names.
+const maxLoggedMembers = 10
+
 // Members selects the issuers of permits.
 type Members interface {
 	// Ranking returns the n members with the highest hashes for the key, highest first.
@@ -100,6 +110,8 @@
 	tenure   tenure
 	needs    needs
 	accounts map[string]*account
+	// pendingLoggedAt is when the last line about members that have yet to confirm was logged.
+	pendingLoggedAt time.Time
 
 	client client
 }
@@ -160,6 +172,7 @@
 	defer a.mu.Unlock()
 	a.lockedObserve(now)
 	a.lockedForget(now)
+	a.lockedLogPending(now)
 	t := &a.tenure
 	if t.startedAt.IsZero() || !t.completeAt.IsZero() || now.Sub(t.introducedAt) < introduceInterval {
 		return nil
@@ -168,6 +181,21 @@
 	return t.unconfirmed()
 }
 
+// lockedLogPending logs for which members this instance waits before it issues permits.
+func (a *Allotter) lockedLogPending(now time.Time) {
+	t := &a.tenure
+	if t.startedAt.IsZero() || !t.completeAt.IsZero() || now.Sub(t.startedAt) < pendingLogInterval || now.Sub(a.pendingLoggedAt) < pendingLogInterval {
+		return
+	}
+	a.pendingLoggedAt = now
+	unconfirmed := t.unconfirmed()
+	names := make([]string, 0, maxLoggedMembers)
+	for _, m := range unconfirmed[:min(len(unconfirmed), maxLoggedMembers)] {
+		names = append(names, m.Instance)
+	}
+	a.log.Log(eventTenurePending, "For", now.Sub(t.startedAt), "Unconfirmed", len(unconfirmed), "Members", names, "WasRead", t.members.ReadAt().After(t.startedAt))
+}
+
 // Usage describes the accounts for which this instance issues permits.
 type Usage struct {
 	// Accounts is their number.
