--- /dev/null
+++ b/internal/allotter/return_test.go
@@ -0,0 +1,87 @@
+package allotter
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// recoveryTime is the time after the return of the instances by which each account is to be served,
+// as the bound `recovery_s` of the users states.
+const recoveryTime = 15 * time.Second
+
+// killAll ends all processes at once, and starts those of the instances that come back after the
+// time.
+func (f *fleet) killAll(down time.Duration, away map[int]bool) {
+	for i := range f.nodes {
+		f.kill(i)
+	}
+	time.Sleep(down)
+	for i := range f.nodes {
+		if !away[i] {
+			f.restart(i)
+		}
+	}
+}
+
+// timeUntilServed sends requests of each account at instances that are back, and returns the time
+// until the first one of each has a permit; limit for accounts that have none by then.
+func (f *fleet) timeUntilServed(accounts int, away map[int]bool, limit time.Duration) []time.Duration {
+	start, out := time.Now(), make([]time.Duration, accounts)
+	var work sync.WaitGroup
+	for k := range accounts {
+		out[k] = limit
+		work.Go(func() {
+			for id := 0; time.Since(start) < limit; id++ {
+				i := f.draw(len(f.nodes))
+				if away[i] {
+					continue
+				}
+				in := Request{Account: fmt.Sprint("account-", k), Version: 1, Rate: 20, Route: "r", ID: fmt.Sprint(k, "-", id), IsUnderWay: true}
+				if f.request(i, in, 0).Result == Granted {
+					out[k] = time.Since(start)
+					return
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+	}
+	work.Wait()
+	return out
+}
+
+// Guards against a return that waits for all instances: after the loss of all of them, no account
+// was served until the rows of those that stay away were dropped.
+func TestAccountsAreServedAfterTheLossOfAllInstancesAlthoughSomeStayAway(t *testing.T) {
+	const size, accounts = 40, 80
+	for _, test := range []struct {
+		away int
+		down time.Duration
+	}{{0, 1400 * time.Millisecond}, {1, 1400 * time.Millisecond}, {3, 1400 * time.Millisecond}, {size / 10, 1400 * time.Millisecond}, {3, 25 * time.Second}} {
+		t.Run(fmt.Sprint(test.away, "-", test.down), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(size, 1, 0)
+				time.Sleep(30 * time.Second)
+				away := map[int]bool{}
+				for i := range test.away {
+					away[7*i] = true
+				}
+				f.killAll(test.down, away)
+				times := f.timeUntilServed(accounts, away, time.Minute)
+				f.stop()
+				late, longest := 0, time.Duration(0)
+				for _, d := range times {
+					if longest = max(longest, d); d > recoveryTime {
+						late++
+					}
+				}
+				t.Logf("the first request of each account was served after %v at the longest", longest)
+				if late > 0 {
+					t.Errorf("%d of %d accounts are not served within %v", late, accounts, recoveryTime)
+				}
+			})
+		})
+	}
+}
