internal/allotter, internal/discoverer: issuers of quotas wait only for members that may issue without knowing them

Cause: an instance issued permits only when all members in its list had confirmed that it is in theirs, and a member that stays away is listed for 13 or 43 s from the first read of each new process. Rows of machines that were removed for good were never deleted.

Change: each row states since which version of the store the instance has had one (a new process replaces the row of the former one on condition and takes that over), and up to which version it had read the others. A member that had read the row of an instance, or for which two others precede for the account, needs to confirm nothing. Members are dropped by deleting their rows after they have lapsed, so that all instances drop them at the same version, and not each by its clock. A lease ends early if a heartbeat with a shorter interval may have been written.

Why it holds: of three issuers the last one in the order would need a table without one of the others; docs/design/quotas.md has the cases.

--- a/internal/allotter/allotter.go
+++ b/internal/allotter/allotter.go
@@ -1,15 +1,16 @@
 // Package allotter keeps the quotas of client accounts over all instances. Each request of an
 // account with a quota needs a permit, which the two instances with the highest rendezvous
 // hashes for the account issue, each from a token bucket for half of the bound on the account's
-// requests in a sliding window. An instance begins to issue permits, with an empty bucket, only
-// after all members that it knows have confirmed that they have it in their lists, so that no
-// three instances issue permits of one account at a time. See docs/design/quotas.md.
+// requests in a sliding window. An instance begins to issue an account's permits, with an empty
+// bucket, only after all members that may do so are known to have it in their tables of members, so
+// that no three instances issue permits of one account at a time. See docs/design/quotas.md.
 package allotter
 
 import (
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,17 +26,17 @@
 		"an instance that issues permits for the quotas of accounts did not answer",
 		"None, if the instance was stopped; otherwise see its log.")
 	eventTenureBegan = logger.Define(5121, "QuotaTenureBegan", log.InfoLevel,
-		"all members have this instance in their lists; it issues permits for quotas after one window", "None.")
+		"this instance may issue permits for quotas: its lease is current and its row is in the table of members", "None.")
 	eventTenureEnded = logger.Define(5122, "QuotaTenureEnded", log.WarnLevel,
-		"this instance was interrupted or could not write its heartbeats and issues no permits for quotas",
+		"this instance was interrupted, could not write its heartbeats or lost its row, and issues no permits for quotas",
 		"None, if it is brief; otherwise find out why the instance does not reach the store or gets no processor time.")
 	eventTenurePending = logger.Define(5123, "QuotaTenurePending", log.WarnLevel,
-		"this instance issues no permits for quotas yet, as members have not confirmed that they have it in their lists",
+		"members may not have this instance in their tables; it issues no permits for the accounts for which they may do so",
 		"See whether the named members run and can be reached.")
 )
 
-// pendingLogInterval is the time between two log lines about members that have yet to confirm this
-// instance, and from the beginning of its lease to the first one.
+// pendingLogInterval is the time between two log lines about members that may not have this
+// instance in their tables, and from the last change of them to the first one.
 const pendingLogInterval = 2 * time.Second
 
 // maxLoggedMembers limits the members that a log line names.
@@ -43,13 +44,14 @@
 
 // Members selects the issuers of permits.
 type Members interface {
-	// Ranking returns the n members with the highest hashes for the key, highest first.
-	Ranking(key string, n int) []discoverer.Member
+	// RowRanking returns the n members with the highest hashes for the key, highest first.
+	RowRanking(key string, n int) []discoverer.Member
 	// IsCurrent reports whether this instance has written its heartbeats, so that no other
-	// instance has dropped it from its list.
+	// instance has deleted its row.
 	IsCurrent() bool
-	// ReadAt returns when the last successful read of the list of members began.
-	ReadAt() time.Time
+	// Rows returns the rows of the other members and this instance's own as read last, and when
+	// that read began. The version of the own row is zero if it was not there.
+	Rows() (others []discoverer.Row, own discoverer.Row, readAt time.Time)
 	Self() discoverer.Member
 }
 
@@ -110,7 +112,7 @@
 	tenure   tenure
 	needs    needs
 	accounts map[string]*account
-	// pendingLoggedAt is when the last line about members that have yet to confirm was logged.
+	// pendingLoggedAt is when the last line about such members was logged.
 	pendingLoggedAt time.Time
 
 	client client
@@ -154,8 +156,8 @@
 	ticker := time.NewTicker(observeInterval)
 	defer ticker.Stop()
 	for {
-		if unconfirmed := a.observe(time.Now()); len(unconfirmed) > 0 {
-			go a.introduce(ctx, unconfirmed)
+		if unsure := a.observe(time.Now()); len(unsure) > 0 {
+			go a.introduce(ctx, unsure)
 		}
 		select {
 		case <-ctx.Done():
@@ -165,35 +167,34 @@
 	}
 }
 
-// observe looks at the list of members. It returns those to which this instance must introduce
+// observe looks at the table of members. It returns those to which this instance must introduce
 // itself now.
-func (a *Allotter) observe(now time.Time) []discoverer.Member {
+func (a *Allotter) observe(now time.Time) []discoverer.Row {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.lockedObserve(now)
 	a.lockedForget(now)
 	a.lockedLogPending(now)
 	t := &a.tenure
-	if t.startedAt.IsZero() || !t.completeAt.IsZero() || now.Sub(t.introducedAt) < introduceInterval {
+	if !t.isValid || len(t.unsure) == 0 || now.Sub(t.introducedAt) < introduceInterval {
 		return nil
 	}
 	t.introducedAt = now
-	return t.unconfirmed()
+	return slices.Clone(t.unsure)
 }
 
-// lockedLogPending logs for which members this instance waits before it issues permits.
+// lockedLogPending logs which members may not have this instance in their tables.
 func (a *Allotter) lockedLogPending(now time.Time) {
 	t := &a.tenure
-	if t.startedAt.IsZero() || !t.completeAt.IsZero() || now.Sub(t.startedAt) < pendingLogInterval || now.Sub(a.pendingLoggedAt) < pendingLogInterval {
+	if !t.isValid || len(t.unsure) == 0 || now.Sub(t.unsureAt) < pendingLogInterval || now.Sub(a.pendingLoggedAt) < pendingLogInterval {
 		return
 	}
 	a.pendingLoggedAt = now
-	unconfirmed := t.unconfirmed()
 	names := make([]string, 0, maxLoggedMembers)
-	for _, m := range unconfirmed[:min(len(unconfirmed), maxLoggedMembers)] {
+	for _, m := range t.unsure[:min(len(t.unsure), maxLoggedMembers)] {
 		names = append(names, m.Instance)
 	}
-	a.log.Log(eventTenurePending, "For", now.Sub(t.startedAt), "Unconfirmed", len(unconfirmed), "Members", names, "WasRead", t.members.ReadAt().After(t.startedAt))
+	a.log.Log(eventTenurePending, "For", now.Sub(t.unsureAt), "Unsure", len(t.unsure), "Members", names)
 }
 
 // Usage describes the accounts for which this instance issues permits.
--- a/internal/allotter/client.go
+++ b/internal/allotter/client.go
@@ -190,7 +190,7 @@
 	a.client.mu.Unlock()
 	if !ok || now.Sub(r.at) > rankingMaxAge {
 		r = ranking{at: now}
-		for _, m := range a.members.Ranking(program.account, issuersPerAccount) {
+		for _, m := range a.members.RowRanking(program.account, issuersPerAccount) {
 			r.issuers = append(r.issuers, m.Address)
 		}
 	}
--- a/internal/allotter/fleet_test.go
+++ b/internal/allotter/fleet_test.go
@@ -112,13 +112,21 @@
 
 // keepMembership does what composer's maintainMembership does.
 func (n *node) keepMembership() {
+	hasJoined := false
 	n.loop(time.Second, func() {
 		ctx, cancel := context.WithTimeout(n.ctx, time.Second)
 		defer cancel()
+		if !hasJoined {
+			hasJoined = true
+			_, _ = n.Join(ctx) // It is written and read again.
+			return
+		}
 		if n.IsHeartbeatDue() {
 			_ = n.WriteHeartbeat(ctx) // It is written again.
 		}
-		_, _, _ = n.Refresh(ctx) // It is read again.
+		if _, _, err := n.Refresh(ctx); err == nil {
+			_ = n.DeleteLapsed(ctx) // It is tried again.
+		}
 	})
 }
 
--- a/internal/allotter/issuer.go
+++ b/internal/allotter/issuer.go
@@ -32,7 +32,7 @@
 		// The time is taken for each, after the look at the members: a permit counts at
 		// the time at which this instance was last known to have the right.
 		now := time.Now()
-		if now.Sub(a.tenure.observedAt) > observeInterval {
+		if elapsed(a.tenure.observedAt, now) > observeInterval {
 			a.lockedObserve(now)
 		}
 		acct := a.accounts[i.Account]
@@ -47,36 +47,30 @@
 		if part == 0 {
 			out.Results = append(out.Results, newResult(notIssuer, 0))
 			if len(out.Issuers) == 0 {
-				for _, m := range a.members.Ranking(i.Account, issuersPerAccount) {
+				for _, m := range a.members.RowRanking(i.Account, issuersPerAccount) {
 					out.Issuers = append(out.Issuers, m.Address)
 				}
 			}
 			continue
 		}
-		acct.begin(&acct.right, &a.tenure, a.start)
+		acct.begin(&acct.right, a.start)
 		out.Results = append(out.Results, acct.decide(now.Sub(a.start), i, part, randomFraction()))
 	}
 	return out
 }
 
-// lockedNewRight returns the right for an account that is new to this instance. The list may have
-// changed since the last look, and changes while it is read: a right that begins with an earlier
-// list must hold in the current one, too.
+// lockedNewRight returns the right for an account that is new to this instance.
 func (a *Allotter) lockedNewRight(name string, now time.Time) right {
-	for {
-		a.lockedObserve(now)
-		var r right
-		r.update(&a.tenure, name)
-		if a.lockedObserve(now); r.epoch == a.tenure.epoch {
-			return r
-		}
-	}
+	a.lockedObserve(now)
+	var r right
+	r.update(&a.tenure, name)
+	return r
 }
 
-// lockedObserve looks at the list of members and updates the rights if it has changed.
+// lockedObserve looks at the table of members and updates the rights if they have changed.
 func (a *Allotter) lockedObserve(now time.Time) {
 	t := &a.tenure
-	epoch, wasStarted, wasComplete := t.epoch, !t.startedAt.IsZero(), !t.completeAt.IsZero()
+	epoch, wasValid := t.epoch, t.isValid
 	t.observe(now)
 	if t.epoch != epoch {
 		for name, acct := range a.accounts {
@@ -84,10 +78,10 @@
 		}
 	}
 	switch {
-	case wasComplete && t.completeAt.IsZero():
-		a.log.Log(eventTenureEnded, "IsCurrent", t.members.IsCurrent(), "WasStarted", wasStarted)
-	case !wasComplete && !t.completeAt.IsZero():
-		a.log.Log(eventTenureBegan, "Members", len(t.listed)+1)
+	case wasValid && !t.isValid:
+		a.log.Log(eventTenureEnded, "IsCurrent", t.members.IsCurrent(), "IsListed", t.own.Version != 0)
+	case !wasValid && t.isValid:
+		a.log.Log(eventTenureBegan, "Members", len(t.others)+1, "Unsure", len(t.unsure))
 	}
 }
 
@@ -100,14 +94,14 @@
 	}
 }
 
-// confirm handles the introduction of an instance. If the instance is in this one's list,
+// confirm handles the introduction of an instance. If the instance is in this one's table,
 // this instance issues no permits from now on for the accounts for which the other one is
 // an issuer in its place.
 func (a *Allotter) confirm(in introduction) introductionResponse {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.lockedObserve(time.Now())
-	for _, m := range a.tenure.listed {
+	for _, m := range a.tenure.others {
 		if m.Instance == in.Instance && m.Incarnation == in.Incarnation {
 			return introductionResponse{IsListed: true}
 		}
@@ -116,10 +110,10 @@
 }
 
 // introduce introduces this instance to the members.
-func (a *Allotter) introduce(ctx context.Context, members []discoverer.Member) {
+func (a *Allotter) introduce(ctx context.Context, members []discoverer.Row) {
 	self := a.members.Self()
 	a.mu.Lock()
-	startedAt := a.tenure.startedAt
+	term := a.tenure.term
 	a.mu.Unlock()
 	var calls errgroup.Group
 	calls.SetLimit(introduceConcurrency)
@@ -134,7 +128,7 @@
 			}
 			a.mu.Lock()
 			defer a.mu.Unlock()
-			if a.tenure.startedAt.Equal(startedAt) {
+			if a.tenure.term == term {
 				a.tenure.confirmed[m.Incarnation] = true
 			}
 			return nil
--- a/internal/allotter/messages.go
+++ b/internal/allotter/messages.go
@@ -75,7 +75,7 @@
 	Instance, Incarnation string
 }
 
-// introductionResponse says whether the instance is in the list of the one that responds,
+// introductionResponse says whether the instance is in the table of the one that responds,
 // which therefore issues no permits in its place.
 type introductionResponse struct {
 	_        struct{} `cbor:",toarray"`
--- a/internal/allotter/return_test.go
+++ b/internal/allotter/return_test.go
@@ -71,6 +71,7 @@
 				f.killAll(test.down, away)
 				times := f.timeUntilServed(accounts, away, time.Minute)
 				f.stop()
+				time.Sleep(time.Second) // All calls end.
 				late, longest := 0, time.Duration(0)
 				for _, d := range times {
 					if longest = max(longest, d); d > recoveryTime {
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -460,9 +460,14 @@
 		if e.discoverer.IsHeartbeatDue() && !e.isLeaving.Load() {
 			err = e.discoverer.WriteHeartbeat(ctx)
 		}
-		if joined, left, err := e.discoverer.Refresh(ctx); err == nil {
+		joined, left, readErr := e.discoverer.Refresh(ctx)
+		if readErr == nil {
 			e.logMembers(joined, left)
 		}
+		// Issuers of quotas keep members until their rows are deleted.
+		if readErr == nil && e.settings.QuotaWindow > 0 && !e.isLeaving.Load() {
+			err = errors.Join(err, e.discoverer.DeleteLapsed(ctx))
+		}
 	}
 }
 
--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -53,6 +53,10 @@
 	// bookkeeper. With few bookkeepers, each batches the writes of many programs;
 	// all of them share the write rate of one partition of the store.
 	membersPerBookkeeper = 20
+	// maxDeleters limits the instances that try to delete the row of a lapsed member, each
+	// deleterDelay after the one before.
+	maxDeleters  = 3
+	deleterDelay = 3 * time.Second
 )
 
 // minCores is assumed for a member that reports no cores.
@@ -78,6 +82,50 @@
 	// StartedAt is the store's time in milliseconds by which the process had started; zero until
 	// it knows that.
 	StartedAt int64 `cbor:"9,keyasint,omitempty"`
+	// ContinuousFrom is a version of the store from which the instance has had a row at all times,
+	// also of earlier processes; zero in the row that was created last.
+	ContinuousFrom int64 `cbor:"10,keyasint,omitempty"`
+	// ReadVersion is the version of the store up to which the instance had read the table when it
+	// wrote the row: notRead if it had not, and zero from builds that do not state it.
+	ReadVersion int64 `cbor:"11,keyasint,omitempty"`
+}
+
+// notRead is the ReadVersion of an instance that has not read the table.
+const notRead = -1
+
+// Row is the row of a member as it was read last.
+type Row struct {
+	Member
+	Version int64
+}
+
+// ExistsFrom returns a version of the store from which the instance has had a row at all times.
+func (r *Row) ExistsFrom() int64 {
+	if r.ContinuousFrom != 0 {
+		return r.ContinuousFrom
+	}
+	return r.Version
+}
+
+// Knows reports whether the member has the other row's instance in its table whenever it relies on
+// that: it does so only after a read that began after it had written its first row. The instance
+// stays in its table until the row is deleted.
+func (r *Row) Knows(other *Row) bool {
+	from := other.ExistsFrom()
+	if r.ReadVersion > 0 && from <= r.ReadVersion {
+		return true
+	}
+	isFirst := r.ReadVersion == notRead || r.ReadVersion != 0 && r.Heartbeats == 1
+	return isFirst && from <= r.Version
+}
+
+// StatesKnowledge reports whether the member's build states what it has read, and keeps others in
+// its table until their rows are deleted.
+func (r *Row) StatesKnowledge() bool { return r.ReadVersion != 0 }
+
+// Outranks reports whether the member has a higher score than the other one for the key.
+func (r *Row) Outranks(key string, other *Row) bool {
+	return score(key, r.Member) > score(key, other.Member)
 }
 
 // memberState is a member with the local time since which its row has not changed.
@@ -105,8 +153,9 @@
 	startedAt atomic.Int64
 
 	heartbeats atomic.Int64
-	// version is that of the last heartbeat.
+	// version is that of the last heartbeat, and continuousFrom the ContinuousFrom of the next one.
 	version        atomic.Int64
+	continuousFrom atomic.Int64
 	lastHeartbeat  atomic.Pointer[heartbeat]
 	isDeregistered atomic.Bool
 
@@ -114,8 +163,12 @@
 	members        map[string]*memberState
 	suspectedUntil map[string]time.Time
 	refreshedAt    time.Time
-	// readAt is when the last successful read of the members began.
-	readAt time.Time
+	// readAt is when the last successful read of the members began, and readVersion the version
+	// of the store that it brought.
+	readAt      time.Time
+	readVersion int64
+	// own is this instance's row as read last, of any process; its version is zero if there is none.
+	own Row
 	// selected caches the bookkeepers; nil after a change.
 	selected *selection
 }
@@ -208,32 +261,57 @@
 func (d *Discoverer) WriteHeartbeat(ctx context.Context) error {
 	row, started := d.self, time.Now()
 	row.Heartbeats, row.Interval, row.StartedAt = d.heartbeats.Add(1), d.interval(), d.learnStart()
-	expected := d.version.Load()
+	expected, from := d.version.Load(), d.continuousFrom.Load()
+	d.mu.Lock()
+	if row.ReadVersion = d.readVersion; d.readAt.IsZero() {
+		row.ReadVersion = notRead
+	}
 	if expected == 0 {
-		// Until one is known to be written, an earlier one may replace a later one.
-		expected, row.Interval = storer.AnyVersion, bookkeeperInterval
+		// Until one is known to be written, an earlier one may be written late.
+		row.Interval = bookkeeperInterval
+		if expected = d.own.Version; expected != 0 {
+			from = d.own.ExistsFrom()
+		}
 	}
-	value, err := cbor.Marshal(row)
-	if err != nil {
-		return eris.Wrap(err, "encode the member")
+	d.mu.Unlock()
+	// One that is written without a response counts for the others.
+	if last := d.lastHeartbeat.Load(); last != nil && row.Interval < last.interval {
+		d.lastHeartbeat.Store(&heartbeat{at: last.at, interval: row.Interval, hasStart: last.hasStart})
 	}
-	// The condition keeps a heartbeat that takes effect late from replacing a later one, whose
-	// interval may be longer.
-	change := storer.Change{RowKey: d.key(), Expected: expected, Value: value}
-	version, err := d.rows.Transact(ctx, []storer.Change{change})
+	// The condition keeps a heartbeat that takes effect late from replacing a later one, and shows
+	// whether the row has been deleted since it was read.
+	version, err := d.writeRow(ctx, row, expected, from)
 	var conflict *storer.Conflict
 	if errors.As(err, &conflict) {
-		change.Expected = d.ownVersion(conflict)
-		version, err = d.rows.Transact(ctx, []storer.Change{change})
+		current := d.currentRow(conflict)
+		if expected, from = current.Version, 0; expected != 0 {
+			from = current.ExistsFrom()
+		}
+		version, err = d.writeRow(ctx, row, expected, from)
 	}
 	if err != nil {
 		return err
 	}
+	if from == 0 {
+		from = version
+	}
 	d.version.Store(version)
+	d.continuousFrom.Store(from)
 	d.lastHeartbeat.Store(&heartbeat{at: started, interval: row.Interval, hasStart: row.StartedAt != 0})
 	return nil
 }
 
+// writeRow writes this instance's own row on the condition that it has the expected version; zero
+// if there is none.
+func (d *Discoverer) writeRow(ctx context.Context, row Member, expected, continuousFrom int64) (version int64, err error) {
+	row.ContinuousFrom = continuousFrom
+	value, err := cbor.Marshal(row)
+	if err != nil {
+		return 0, eris.Wrap(err, "encode the member")
+	}
+	return d.rows.Transact(ctx, []storer.Change{{RowKey: d.key(), Expected: expected, Value: value}})
+}
+
 // Join writes the first heartbeat between two reads of the members and returns the names of those
 // that were read. The first read brings the store's clock, by which the heartbeat states the start
 // of the process. The second one finds instances that have joined meanwhile, so that this one has
@@ -260,23 +338,30 @@
 	if !errors.As(err, &conflict) {
 		return err
 	}
-	if change.Expected = d.ownVersion(conflict); change.Expected == storer.AnyVersion {
-		return nil // The row is another process's.
+	current := d.currentRow(conflict)
+	if current.Incarnation != d.self.Incarnation {
+		return nil // The row is another process's, or has been deleted.
 	}
+	change.Expected = current.Version
 	_, err = d.rows.Transact(ctx, []storer.Change{change})
 	return err
 }
 
-// ownVersion returns the version of this process's row after a conflict with a heartbeat that had
-// no answer and was written; AnyVersion if the row is another process's.
-func (d *Discoverer) ownVersion(conflict *storer.Conflict) int64 {
+// currentRow returns this instance's own row, of any process, as a conflict states it; its version
+// is zero if there is none.
+func (d *Discoverer) currentRow(conflict *storer.Conflict) Row {
 	for _, current := range conflict.Current {
-		var m Member
-		if cbor.Unmarshal(current.Value, &m) == nil && m.Incarnation == d.self.Incarnation {
-			return current.Version
+		if current.Version == 0 || current.Deleted {
+			continue
+		}
+		row := Row{Version: current.Version}
+		// A row of another format is replaced, and the instance counts as new.
+		if err := cbor.Unmarshal(current.Value, &row.Member); err != nil {
+			row.Member = Member{}
 		}
+		return row
 	}
-	return storer.AnyVersion
+	return Row{}
 }
 
 func (d *Discoverer) key() storer.RowKey {
@@ -290,10 +375,7 @@
 	if _, err := d.tracker.Refresh(ctx, 0); err != nil {
 		return nil, nil, err
 	}
-	joined, left = d.update(d.tracker.Records())
-	d.mu.Lock()
-	d.readAt = start
-	d.mu.Unlock()
+	joined, left = d.update(d.tracker.Records(), start, d.tracker.Version())
 	return joined, left, nil
 }
 
@@ -305,10 +387,12 @@
 	return d.readAt
 }
 
-func (d *Discoverer) update(records []storer.Record) (joined, left []string) {
+// update takes over the rows that were read at the version, by a read that began at the time.
+func (d *Discoverer) update(records []storer.Record, readAt time.Time, version int64) (joined, left []string) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.readAt, d.readVersion, d.own = readAt, version, Row{}
 	// Time during which the store could not be read does not count towards a
 	// member's timeout: heartbeats probably could not be written either.
 	gap := time.Duration(0)
@@ -322,6 +406,9 @@
 		if err := cbor.Unmarshal(r.Value, &m); err != nil || m.Instance != r.Name {
 			continue // Only this system writes the table, so the row has an older format.
 		}
+		if m.Instance == d.self.Instance {
+			d.own = Row{Member: m, Version: r.Version}
+		}
 		known := d.members[r.Name]
 		if known == nil || known.version != r.Version {
 			if known == nil {
@@ -433,6 +520,16 @@
 // agree on the order although each reaches others. While no other member is known, the seeds
 // are in it.
 func (d *Discoverer) Ranking(key string, n int) []Member {
+	return d.ranking(key, n, (*memberState).isLive)
+}
+
+// RowRanking is like Ranking, but keeps members until their rows are deleted, so that the instances
+// that have read the same version of the table agree on the order.
+func (d *Discoverer) RowRanking(key string, n int) []Member {
+	return d.ranking(key, n, func(*memberState, time.Time) bool { return true })
+}
+
+func (d *Discoverer) ranking(key string, n int, isMember func(*memberState, time.Time) bool) []Member {
 	type scored struct {
 		score  float64
 		member *Member
@@ -451,7 +548,7 @@
 	now, others := time.Now(), 0
 	d.mu.Lock()
 	for name, m := range d.members {
-		if name != d.self.Instance && m.isLive(now) {
+		if name != d.self.Instance && isMember(m, now) {
 			add(&m.Member)
 			others++
 		}
@@ -469,6 +566,58 @@
 	return members
 }
 
+// Rows returns the rows of the members as read last: those of other instances and this process's
+// own, whose version is zero if there was none, or another one than there is now. It also returns
+// when that read began.
+func (d *Discoverer) Rows() (others []Row, own Row, readAt time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, m := range d.members {
+		if name != d.self.Instance {
+			others = append(others, Row{Member: m.Member, Version: m.version})
+		}
+	}
+	if d.own.Incarnation == d.self.Incarnation && d.own.ExistsFrom() == d.continuousFrom.Load() {
+		own = d.own
+	}
+	return others, own, d.readAt
+}
+
+// DeleteLapsed deletes the rows of members that have missed their heartbeats, so that all instances
+// drop them together. Such a member has ceased to count itself as current before. Each row is
+// deleted by the live instance with the highest score for it, and by the next ones if it remains. It must follow a
+// successful Refresh, and not run beside one.
+func (d *Discoverer) DeleteLapsed(ctx context.Context) error {
+	var errs []error
+	now := time.Now()
+	for _, m := range d.lapsedMembers(now) {
+		rank := slices.IndexFunc(d.Ranking(m.Instance, maxDeleters), func(r Member) bool { return r.Instance == d.self.Instance })
+		if rank < 0 || m.isLive(now.Add(-time.Duration(rank)*deleterDelay)) {
+			continue
+		}
+		key := storer.RowKey{Table: Table, Partition: partition, Name: m.Instance}
+		_, err := d.rows.Transact(ctx, []storer.Change{{RowKey: key, Expected: m.version, Delete: true}})
+		// After a conflict, the member has returned or another instance has deleted its row.
+		if err != nil && !errors.Is(err, storer.ErrConflict) {
+			errs = append(errs, err)
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// lapsedMembers returns the other members that have missed their heartbeats.
+func (d *Discoverer) lapsedMembers(now time.Time) []memberState {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var lapsed []memberState
+	for name, m := range d.members {
+		if name != d.self.Instance && !m.isLive(now) {
+			lapsed = append(lapsed, *m)
+		}
+	}
+	return lapsed
+}
+
 // IsCurrent reports whether this instance has written its heartbeats, so that the other
 // instances have it in their lists.
 func (d *Discoverer) IsCurrent() bool {
