internal/allotter, internal/discoverer: an instance stands in for issuers that cannot be reached

What callers saw: the accounts with both issuers away were refused for 13 to 43 s after the loss of all instances, and those with one away had half of their quota for as long.

Cause: nobody can tell whether an issuer that cannot be reached goes on by an older table, so its part was left until its lease had ended.

Change: instances that do not reach an issuer contest it in its row, and it takes that back if it lives. An issuer that is contested, or that has not read the table for 8 s, issues half of its part; the first member after the issuers issues the other half from 8.35 s after it has read the contest, while it has read the table within 8 s (docs/design/quotas.md). Rows of contested members are marked as removed before they are deleted.

Not found by a test: issuing on at once after a contest was taken back, and standing in by an old table.

--- a/internal/allotter/allotter.go
+++ b/internal/allotter/allotter.go
@@ -35,6 +35,10 @@
 		"See whether the named members run and can be reached.")
 )
 
+var eventIssuerContested = logger.Define(5124, "QuotaIssuerContested", log.WarnLevel,
+	"this instance does not reach an issuer of permits; unless that one takes it back, another one issues half of its part from some seconds on",
+	"None, if the instance was stopped; otherwise see its log.")
+
 // pendingLogInterval is the time between two log lines about members that may not have this
 // instance in their tables, and from the last change of them to the first one.
 const pendingLogInterval = 2 * time.Second
@@ -49,9 +53,13 @@
 	// IsCurrent reports whether this instance has written its heartbeats, so that no other
 	// instance has deleted its row.
 	IsCurrent() bool
-	// Rows returns the rows of the other members and this instance's own as read last, and when
-	// that read began. The version of the own row is zero if it was not there.
-	Rows() (others []discoverer.Row, own discoverer.Row, readAt time.Time)
+	// Rows returns the rows of the members as read last.
+	Rows() discoverer.Rows
+	// Contest reports whether this instance's own row is or may be contested, and when it was last
+	// known not to be any longer.
+	Contest() (isContested bool, endedAt time.Time)
+	// ContestMember marks the row of a member that this instance does not reach.
+	ContestMember(ctx context.Context, row discoverer.Row) error
 	Self() discoverer.Member
 }
 
@@ -156,9 +164,7 @@
 	ticker := time.NewTicker(observeInterval)
 	defer ticker.Stop()
 	for {
-		if unsure := a.observe(time.Now()); len(unsure) > 0 {
-			go a.introduce(ctx, unsure)
-		}
+		a.maintain(ctx, time.Now())
 		select {
 		case <-ctx.Done():
 			return
@@ -167,6 +173,14 @@
 	}
 }
 
+// maintain does what is due at the time.
+func (a *Allotter) maintain(ctx context.Context, now time.Time) {
+	if unsure := a.observe(now); len(unsure) > 0 {
+		go a.introduce(ctx, unsure)
+	}
+	a.contest(ctx, now)
+}
+
 // observe looks at the table of members. It returns those to which this instance must introduce
 // itself now.
 func (a *Allotter) observe(now time.Time) []discoverer.Row {
--- a/internal/allotter/charge.go
+++ b/internal/allotter/charge.go
@@ -159,7 +159,7 @@
 // begin begins to issue permits with the right if it is another one than before. The bucket
 // fills from the time at which the right began.
 func (a *account) begin(r *right, start time.Time) {
-	if id := (rightID{r.since, r.clearedAt}); id != a.rightID {
+	if id := r.id(); id != a.rightID {
 		a.rightID, a.permits = id, bucket{at: r.beganAt().Sub(start)}
 	}
 }
--- a/internal/allotter/client.go
+++ b/internal/allotter/client.go
@@ -44,8 +44,16 @@
 	// admitted holds the issuers that last permitted requests of programs. Their further
 	// requests go there, so that no other issuer takes them for new programs.
 	admitted *simplelru.LRU[programKey, netip.AddrPort]
+	// failures are the issuers whose last calls failed, and answeredAt is when the others last
+	// answered. contestedAt is when this instance last contested one.
+	failures    map[netip.AddrPort]failure
+	answeredAt  map[netip.AddrPort]time.Time
+	contestedAt map[netip.AddrPort]time.Time
 }
 
+// failure is the interval in which all calls to an issuer failed.
+type failure struct{ since, last time.Time }
+
 // programKey identifies a program of an account.
 type programKey struct {
 	account string
@@ -55,13 +63,18 @@
 func newClient() client {
 	// NewLRU fails only for a size of zero.
 	admitted, _ := simplelru.NewLRU[programKey, netip.AddrPort](maxAdmitted, nil)
-	return client{queues: map[netip.AddrPort]*queue{}, unreachableUntil: map[netip.AddrPort]time.Time{}, rankings: map[string]ranking{}, admitted: admitted}
+	return client{
+		queues: map[netip.AddrPort]*queue{}, unreachableUntil: map[netip.AddrPort]time.Time{}, rankings: map[string]ranking{}, admitted: admitted,
+		failures: map[netip.AddrPort]failure{}, answeredAt: map[netip.AddrPort]time.Time{}, contestedAt: map[netip.AddrPort]time.Time{},
+	}
 }
 
-// ranking is the issuers of an account that were in this instance's list at a time.
+// ranking is the issuers of an account that were in this instance's table at a time; the first of
+// them, as many as stated, are not contested.
 type ranking struct {
-	at      time.Time
-	issuers []netip.AddrPort
+	at          time.Time
+	issuers     []netip.AddrPort
+	uncontested int
 }
 
 // queue is the requests for one issuer. While a call is under way, those that arrive wait for
@@ -190,9 +203,7 @@
 	a.client.mu.Unlock()
 	if !ok || now.Sub(r.at) > rankingMaxAge {
 		r = ranking{at: now}
-		for _, m := range a.members.RowRanking(program.account, issuersPerAccount) {
-			r.issuers = append(r.issuers, m.Address)
-		}
+		r.issuers, r.uncontested = a.candidates(program.account)
 	}
 	a.client.mu.Lock()
 	defer a.client.mu.Unlock()
@@ -204,11 +215,13 @@
 	rank := func(k int) int {
 		switch address := r.issuers[k]; {
 		case now.Before(a.client.unreachableUntil[address]):
-			return issuersPerAccount + 1
+			return len(r.issuers)
 		case isAdmitted && address == first:
 			return -1
+		case k < r.uncontested:
+			return (k + int(hash%uint64(r.uncontested))) % r.uncontested
 		default:
-			return (k + int(hash%issuersPerAccount)) % issuersPerAccount
+			return k
 		}
 	}
 	order := make([]int, len(r.issuers), maxIssuersAsked)
@@ -287,8 +300,16 @@
 	until, wasUnreachable := a.client.unreachableUntil[address]
 	if isAnswered {
 		delete(a.client.unreachableUntil, address)
+		delete(a.client.failures, address)
+		a.client.answeredAt[address] = now
 	} else {
 		a.client.unreachableUntil[address] = now.Add(unreachableTimeout)
+		delete(a.client.answeredAt, address)
+		f := a.client.failures[address]
+		if f.last = now; f.since.IsZero() {
+			f.since = now
+		}
+		a.client.failures[address] = f
 	}
 	a.client.mu.Unlock()
 	// An issuer that stays unreachable is logged once.
--- a/internal/allotter/fleet_test.go
+++ b/internal/allotter/fleet_test.go
@@ -34,8 +34,11 @@
 	bytes int
 }
 
-// run is a request that an endpoint ran.
-type run struct{ sentAt, ranAt time.Time }
+// run is a request of an instance that an endpoint ran.
+type run struct {
+	instance      int
+	sentAt, ranAt time.Time
+}
 
 // node is one process of an instance.
 type node struct {
@@ -60,6 +63,12 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
 }
 
+// index returns the index of the instance with the address.
+func index(address netip.AddrPort) int {
+	bytes := address.Addr().As4()
+	return int(bytes[2])<<8 + int(bytes[3])
+}
+
 // restart ends the instance's process and starts another one.
 func (f *fleet) restart(i int) {
 	n := &node{fleet: f, index: i}
@@ -78,9 +87,7 @@
 	f.mu.Unlock()
 	go n.keepMembership()
 	go n.loop(observeInterval, func() {
-		if unconfirmed := n.allotter.observe(time.Now()); len(unconfirmed) > 0 {
-			go n.allotter.introduce(n.ctx, unconfirmed)
-		}
+		n.allotter.maintain(n.ctx, time.Now())
 	})
 }
 
@@ -182,8 +189,7 @@
 
 // Call implements Caller.
 func (n *node) Call(ctx context.Context, address netip.AddrPort, method string, in, out any) error {
-	bytes := address.Addr().As4()
-	to := int(bytes[2])<<8 + int(bytes[3])
+	to := index(address)
 	request, err := cbor.Marshal(in)
 	if err != nil {
 		return err
@@ -237,7 +243,7 @@
 	time.Sleep(delay)
 	if d.Result == Granted {
 		f.mu.Lock()
-		f.runs = append(f.runs, run{sentAt, time.Now()})
+		f.runs = append(f.runs, run{i, sentAt, time.Now()})
 		f.mu.Unlock()
 	}
 	return d
--- a/internal/allotter/issuer.go
+++ b/internal/allotter/issuer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -47,9 +48,7 @@
 		if part == 0 {
 			out.Results = append(out.Results, newResult(notIssuer, 0))
 			if len(out.Issuers) == 0 {
-				for _, m := range a.members.RowRanking(i.Account, issuersPerAccount) {
-					out.Issuers = append(out.Issuers, m.Address)
-				}
+				out.Issuers, _ = a.candidates(i.Account)
 			}
 			continue
 		}
@@ -109,6 +108,24 @@
 	return introductionResponse{}
 }
 
+// candidates returns the addresses of the instances that issue the account's permits: the issuers,
+// the one that stands in for contested ones, and those. It also returns the number of the first kind.
+func (a *Allotter) candidates(account string) (addresses []netip.AddrPort, uncontested int) {
+	var contested []netip.AddrPort
+	for place, m := range a.members.RowRanking(account, candidatesPerAccount) {
+		switch {
+		case place < issuersPerAccount && m.IsContested:
+			contested = append(contested, m.Address)
+		case place < issuersPerAccount:
+			addresses = append(addresses, m.Address)
+			uncontested++
+		case len(contested) > 0 && !m.IsContested && len(addresses) == uncontested:
+			addresses = append(addresses, m.Address)
+		}
+	}
+	return append(addresses, contested...), uncontested
+}
+
 // introduce introduces this instance to the members.
 func (a *Allotter) introduce(ctx context.Context, members []discoverer.Row) {
 	self := a.members.Self()
--- a/internal/allotter/return_test.go
+++ b/internal/allotter/return_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
 )
 
 // recoveryTime is the time after the return of the instances by which each account is to be served,
@@ -64,9 +66,13 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(size, 1, 0)
 				time.Sleep(30 * time.Second)
+				// Those that stay away are the issuers of one account, and others.
 				away := map[int]bool{}
-				for i := range test.away {
-					away[7*i] = true
+				for _, m := range f.node(0).RowRanking("account-0", min(test.away, issuersPerAccount)) {
+					away[index(m.Address)] = true
+				}
+				for i := 0; len(away) < test.away; i += 7 {
+					away[i] = true
 				}
 				f.killAll(test.down, away)
 				times := f.timeUntilServed(accounts, away, time.Minute)
@@ -86,3 +92,59 @@
 		})
 	}
 }
+
+// cutOff cuts the instance off from the others and from the store.
+func (f *fleet) cutOff(i int, isCut bool) {
+	for k := range f.nodes {
+		f.setCut(i, k, isCut && i != k)
+		f.setCut(k, i, isCut && i != k)
+	}
+	f.rows.SetFaults(fakeplatform.RowFaults{Refused: map[string]bool{fmt.Sprint("i-", i): isCut}})
+}
+
+// Guards against the part of an issuer that is lost until its row is deleted, and against an issuer
+// that goes on by an older table beside the one that stands in for it: an issuer is cut off, and
+// later returns, while all instances get several times the quota.
+func TestInstanceStandsInForAnIssuerThatIsCutOff(t *testing.T) {
+	const size, rate = 6, 100
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(size, seed, 0)
+				start := time.Now()
+				done := make(chan struct{})
+				var work sync.WaitGroup
+				account := fmt.Sprint("account-", seed)
+				for k := range 12 {
+					work.Go(func() { f.demand(k, account, rate, done) })
+				}
+				time.Sleep(30 * time.Second)
+				issuer := index(f.node(0).RowRanking(account, issuersPerAccount)[seed%issuersPerAccount].Address)
+				f.cutOff(issuer, true)
+				cutAt := time.Now()
+				time.Sleep(34 * time.Second)
+				f.cutOff(issuer, false)
+				time.Sleep(30 * time.Second)
+				close(done)
+				work.Wait()
+				f.stop()
+				time.Sleep(10 * time.Second) // All calls end.
+				if most, bound := f.mostInWindow(start), int(testLimits.bound(rate*testLimits.Window.Seconds())); most > bound {
+					t.Errorf("%d requests in a window, %d allowed", most, bound)
+				}
+				reachable := 0
+				from, to := cutAt.Add(recoveryTime), cutAt.Add(34*time.Second)
+				for _, r := range f.runs {
+					if r.instance != issuer && r.ranAt.After(from) && r.ranAt.Before(to) {
+						reachable++
+					}
+				}
+				used := float64(reachable) / to.Sub(from).Seconds() / rate
+				t.Logf("%.2f of the quota used without the issuer", used)
+				if used < 0.7 {
+					t.Errorf("%.2f of the quota used without the issuer, three quarters are there", used)
+				}
+			})
+		})
+	}
+}
--- a/internal/allotter/right.go
+++ b/internal/allotter/right.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,6 +14,11 @@
 	// issuersPerAccount is the number of instances that issue an account's permits, each
 	// for an equal part of the bound.
 	issuersPerAccount = 2
+	// candidatesPerAccount is the number of members that may be issuers or stand in for them.
+	candidatesPerAccount = 4
+	// contestedShare is the part of its permits that an issuer may issue while it is contested or has
+	// not read the table for discoverer.StandInDelay. The rest is issued by the one that stands in for it.
+	contestedShare = 0.5
 	// observeInterval is the time between two looks at the table of members.
 	observeInterval = 250 * time.Millisecond
 	// maxPause is the longest time between two looks after which the instance counts as
@@ -41,6 +47,18 @@
 	clearedAt time.Time
 	term      int64
 	checked   int64
+	standIn   standIn
+}
+
+// standIn is the right of this instance to stand in for contested issuers of one account: it
+// issues what they may not. It holds while the table that shows it is recent, and begins when all
+// other instances have read it or rely on it no longer.
+type standIn struct {
+	// count is the number of contested issuers, and fingerprint tells the state from others,
+	// which has lasted since the time.
+	count       int
+	fingerprint uint64
+	since       time.Time
 }
 
 // rightID tells the rights of an instance to issue the permits of one account from each other.
@@ -63,8 +81,18 @@
 	fingerprint uint64
 	// own is this instance's row, whose version is zero if it is not in the table, and others are
 	// the rows of the other members.
-	own    discoverer.Row
-	others []discoverer.Row
+	own             discoverer.Row
+	others, removed []discoverer.Row
+	// readAt is when the read that brought the table began, and cleanAt that of the last one by
+	// which this instance was not contested.
+	readAt, cleanAt time.Time
+	// listedAt is since when this instance has had its row.
+	listedAt time.Time
+	// gaps counts the intervals between two reads that were too long to stand in for others.
+	gaps int64
+	// hasContested is set while there are contested members, and isSettled once this instance has been listed for
+	// so long that all that stand in for others know it.
+	hasContested, isSettled bool
 	// term counts the times after which members may have dropped this instance from their tables:
 	// its row is another one. confirmed holds the incarnations that have it in the term.
 	term       int64
@@ -100,8 +128,11 @@
 		t.resumedAt = now
 	}
 	t.observedAt = now
-	var readAt time.Time
-	t.others, t.own, readAt = t.members.Rows()
+	rows := t.members.Rows()
+	if rows.ReadAt.Sub(t.readAt) > discoverer.StandInDelay {
+		t.gaps++
+	}
+	t.others, t.removed, t.own, t.readAt = rows.Others, rows.Removed, rows.Own, rows.ReadAt
 	var fingerprint uint64
 	for i := range t.others {
 		fingerprint ^= hashMember(&t.others[i], 0)
@@ -111,13 +142,14 @@
 		t.epoch++
 		t.state++
 	}
+	t.observeContests()
 	isListed := t.own.Version != 0
 	if isListed && t.own.ExistsFrom() != t.existsFrom {
 		t.existsFrom = t.own.ExistsFrom()
 		t.beginTerm(now)
 	}
 	wasValid := t.isValid
-	t.isValid = isCurrent && isListed && readAt.After(t.resumedAt)
+	t.isValid = isCurrent && isListed && t.readAt.After(t.resumedAt)
 	switch {
 	case t.isValid && !wasValid:
 		t.startedAt = now
@@ -127,6 +159,23 @@
 	t.findUnsure(now)
 }
 
+// observeContests finds out whether this instance is contested, and whether other ones are.
+func (t *tenure) observeContests() {
+	if isContested, _ := t.members.Contest(); !isContested && t.own.Version != 0 && !t.own.IsContested {
+		t.cleanAt = t.readAt
+	}
+	t.hasContested = slices.ContainsFunc(t.others, func(m discoverer.Row) bool { return m.IsContested })
+}
+
+// ownShare returns the part of its permits that this instance may issue as an issuer.
+func (t *tenure) ownShare(now time.Time) float64 {
+	isContested, endedAt := t.members.Contest()
+	if isContested || elapsed(t.cleanAt, now) >= discoverer.StandInDelay || elapsed(endedAt, now) < discoverer.StandInDelay+rightMargin {
+		return contestedShare
+	}
+	return 1
+}
+
 // hasOlderBuilds reports whether there are members that drop others from their lists by time.
 func (t *tenure) hasOlderBuilds() bool {
 	for i := range t.others {
@@ -139,6 +188,7 @@
 
 func (t *tenure) beginTerm(now time.Time) {
 	t.term++
+	t.listedAt = now
 	t.confirmed = map[string]bool{}
 	t.unsureAt = now
 	t.state++
@@ -146,6 +196,10 @@
 
 // findUnsure finds the members that may not have this instance in their tables.
 func (t *tenure) findUnsure(now time.Time) {
+	if isSettled := elapsed(t.listedAt, now) >= discoverer.StandInDelay+rightMargin; isSettled != t.isSettled {
+		t.isSettled = isSettled
+		t.state++
+	}
 	t.unsure = t.unsure[:0]
 	var fingerprint uint64
 	for i := range t.others {
@@ -174,16 +228,17 @@
 
 // mayBeIssuer reports whether the member may have a right to issue the account's permits, by a
 // table without this instance. It has none if its table surely has members that take precedence.
+// It stands in for others only by a recent table.
 func (t *tenure) mayBeIssuer(m *discoverer.Row, account string) bool {
 	preceding := 0
 	for i := range t.others {
 		if o := &t.others[i]; o.Instance != m.Instance && m.Knows(o) && o.Outranks(account, m) {
-			if preceding++; preceding == issuersPerAccount {
+			if preceding++; preceding == candidatesPerAccount {
 				return false
 			}
 		}
 	}
-	return true
+	return preceding < issuersPerAccount || !t.isSettled
 }
 
 // isCleared reports whether every member that may issue the account's permits has this instance in
@@ -197,16 +252,22 @@
 	return true
 }
 
-// isIssuer reports whether this instance is one of the account's issuers.
-func (t *tenure) isIssuer(account string) bool {
+// isIssuer reports whether this instance is one of the account's issuers, and whether it would be
+// one if the removed members were there.
+func (t *tenure) isIssuer(account string) (isIssuer, isUndisputed bool) {
 	self := discoverer.Row{Member: t.members.Self()}
-	preceding := 0
+	preceding, removed := 0, 0
 	for i := range t.others {
 		if t.others[i].Outranks(account, &self) {
 			preceding++
 		}
 	}
-	return preceding < issuersPerAccount
+	for i := range t.removed {
+		if t.removed[i].Outranks(account, &self) {
+			removed++
+		}
+	}
+	return preceding < issuersPerAccount, preceding+removed < issuersPerAccount
 }
 
 // update updates the right after a change of the members.
@@ -214,7 +275,7 @@
 	if r.epoch == t.epoch {
 		return
 	}
-	isIssuer := t.isIssuer(account)
+	isIssuer, isUndisputed := t.isIssuer(account)
 	// In an epoch that was not looked at, the instance may not have been an issuer.
 	isContinued := r.epoch == t.epoch-1 && !r.since.IsZero()
 	switch {
@@ -222,14 +283,84 @@
 		r.since = time.Time{}
 	case !isContinued:
 		r.since = t.epochAt
+		if !isUndisputed {
+			// Another instance may stand in for the removed one by a table that it has read before.
+			r.since = r.since.Add(discoverer.StandInDelay)
+		}
 	}
 	isAlone := len(t.others) == 0
 	if !isAlone || !r.isAlone || r.epoch != t.epoch-1 {
 		r.aloneSince = t.epochAt
+		if !isUndisputed || len(t.removed) > 0 {
+			r.aloneSince = r.aloneSince.Add(discoverer.StandInDelay)
+		}
 	}
 	r.isAlone, r.epoch = isAlone, t.epoch
 }
 
+// update updates the right after a change of the contested members.
+func (s *standIn) update(t *tenure, account string, now time.Time) {
+	count, fingerprint := t.contestedIssuers(account)
+	if count != s.count || fingerprint != s.fingerprint {
+		*s = standIn{count: count, fingerprint: fingerprint, since: now}
+	}
+}
+
+// contestedIssuers returns how many of the account's issuers are contested if this instance stands
+// in for them, and a fingerprint of the members that decide that: those before it in the order.
+func (t *tenure) contestedIssuers(account string) (count int, fingerprint uint64) {
+	if !t.hasContested || t.hasOlderBuilds() {
+		return 0, 0
+	}
+	self := discoverer.Row{Member: t.members.Self()}
+	var preceding []*discoverer.Row
+	for i := range t.others {
+		if t.others[i].Outranks(account, &self) {
+			if preceding = append(preceding, &t.others[i]); len(preceding) == candidatesPerAccount {
+				return 0, 0
+			}
+		}
+	}
+	if len(preceding) < issuersPerAccount {
+		return 0, 0
+	}
+	slices.SortFunc(preceding, func(a, b *discoverer.Row) int {
+		if a.Outranks(account, b) {
+			return -1
+		}
+		return 1
+	})
+	for place, m := range preceding {
+		switch {
+		case m.IsContested && place < issuersPerAccount:
+			count++
+		case !m.IsContested && place >= issuersPerAccount:
+			return 0, 0 // That one does.
+		}
+		version := int64(0)
+		if m.IsContested {
+			version = m.Version
+		}
+		fingerprint ^= hashMember(m, version)
+	}
+	if count == 0 {
+		return 0, 0
+	}
+	return count, fingerprint ^ uint64(t.gaps)
+}
+
+// part returns the part of the bound that this instance may issue in place of contested issuers.
+func (s *standIn) part(t *tenure, now time.Time) float64 {
+	if s.count == 0 || elapsed(t.readAt, now) >= discoverer.StandInDelay || now.Before(s.beginsAt()) {
+		return 0
+	}
+	return float64(s.count) * (1 - contestedShare) / issuersPerAccount
+}
+
+func (s *standIn) beginsAt() time.Time {
+	return s.since.Add(discoverer.StandInDelay + rightMargin)
+}
+
 // clear finds out since when the instance is in the tables of all that may be issuers.
 func (r *right) clear(t *tenure, account string, now time.Time) {
 	if r.term != t.term {
@@ -249,23 +380,38 @@
 
 // beganAt returns a time from which a right that holds now has held.
 func (r *right) beganAt() time.Time {
+	if r.since.IsZero() {
+		return r.standIn.beginsAt()
+	}
 	if r.clearedAt.After(r.since) {
 		return r.clearedAt.Add(rightMargin)
 	}
 	return r.since.Add(rightMargin)
 }
 
+// id returns what tells the right from earlier and later ones.
+func (r *right) id() rightID {
+	if r.since.IsZero() {
+		return rightID{since: r.standIn.since}
+	}
+	return rightID{r.since, r.clearedAt}
+}
+
 // part returns the part of the bound that this instance may issue.
 func (r *right) part(t *tenure, account string, now time.Time) float64 {
 	r.update(t, account)
-	if !t.isValid || !t.members.IsCurrent() || r.since.IsZero() {
+	r.standIn.update(t, account, now)
+	if !t.isValid || !t.members.IsCurrent() {
 		return 0
 	}
+	if r.since.IsZero() {
+		return r.standIn.part(t, now)
+	}
 	if r.clear(t, account, now); r.clearedAt.IsZero() || now.Before(r.beganAt()) {
 		return 0
 	}
 	if r.isAlone && now.Sub(r.aloneSince) >= rightMargin {
-		return 1
+		return t.ownShare(now)
 	}
-	return 1.0 / issuersPerAccount
+	return t.ownShare(now) / issuersPerAccount
 }
--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -57,6 +57,14 @@
 	// deleterDelay after the one before.
 	maxDeleters  = 3
 	deleterDelay = 3 * time.Second
+	// StandInDelay is the time after which instances that have read a change of a contested member
+	// agree on it: an instance relies on a table that was read at most as long ago for what concerns
+	// contested members. It is longer than the usual outages of the store, so that they change nothing.
+	StandInDelay = 8 * time.Second
+	// removedTime is how long the row of a removed member is left, and contestMemory how long an
+	// instance counts as contested after that was taken back. Both exceed StandInDelay.
+	removedTime   = StandInDelay + 4*time.Second
+	contestMemory = StandInDelay + time.Second
 )
 
 // minCores is assumed for a member that reports no cores.
@@ -88,6 +96,12 @@
 	// ReadVersion is the version of the store up to which the instance had read the table when it
 	// wrote the row: notRead if it had not, and zero from builds that do not state it.
 	ReadVersion int64 `cbor:"11,keyasint,omitempty"`
+	// IsContested is set by another instance that does not reach the member, and taken back by the
+	// member's next heartbeat.
+	IsContested bool `cbor:"12,keyasint,omitempty"`
+	// IsRemoved is set in the row of a member that has lapsed, or has stopped, after it was
+	// contested. The row is deleted later.
+	IsRemoved bool `cbor:"13,keyasint,omitempty"`
 }
 
 // notRead is the ReadVersion of an instance that has not read the table.
@@ -111,12 +125,17 @@
 // that: it does so only after a read that began after it had written its first row. The instance
 // stays in its table until the row is deleted.
 func (r *Row) Knows(other *Row) bool {
-	from := other.ExistsFrom()
-	if r.ReadVersion > 0 && from <= r.ReadVersion {
-		return true
-	}
+	return other.ExistsFrom() <= r.knowsUpTo()
+}
+
+// knowsUpTo returns a version of the store up to which the member has read the table whenever it
+// relies on that.
+func (r *Row) knowsUpTo() int64 {
 	isFirst := r.ReadVersion == notRead || r.ReadVersion != 0 && r.Heartbeats == 1
-	return isFirst && from <= r.Version
+	if isFirst && !r.IsContested {
+		return max(r.ReadVersion, r.Version)
+	}
+	return r.ReadVersion
 }
 
 // StatesKnowledge reports whether the member's build states what it has read, and keeps others in
@@ -135,8 +154,11 @@
 	unchangedSince time.Time
 }
 
-func (m *memberState) isLive(now time.Time) bool {
-	return now.Sub(m.unchangedSince) <= missedHeartbeats*max(m.Interval, bookkeeperInterval)+writeDelayAllowance
+func (m *memberState) isLive(now time.Time) bool { return !now.After(m.lapsesAt()) }
+
+// lapsesAt returns when the member has missed its heartbeats.
+func (m *memberState) lapsesAt() time.Time {
+	return m.unchangedSince.Add(missedHeartbeats*max(m.Interval, bookkeeperInterval) + writeDelayAllowance)
 }
 
 // Discoverer maintains the list of members. It is safe for concurrent use, except for
@@ -169,6 +191,12 @@
 	readVersion int64
 	// own is this instance's row as read last, of any process; its version is zero if there is none.
 	own Row
+	// removed are the rows of removed members, by name.
+	removed map[string]*memberState
+	// isContested is set while this instance's own row is or may be contested, and contestEndedAt
+	// is when it was last known not to be any longer.
+	isContested    bool
+	contestEndedAt time.Time
 	// selected caches the bookkeepers; nil after a change.
 	selected *selection
 }
@@ -207,7 +235,7 @@
 	d := &Discoverer{
 		self: self, rows: rows, tracker: tracker.New(rows, Table, partition), createdAt: time.Now(),
 		clock:   func() (storer.Reading, bool) { return storer.Reading{}, false },
-		members: map[string]*memberState{}, suspectedUntil: map[string]time.Time{},
+		members: map[string]*memberState{}, removed: map[string]*memberState{}, suspectedUntil: map[string]time.Time{},
 	}
 	for _, option := range options {
 		option(d)
@@ -230,6 +258,9 @@
 	if last == nil || time.Since(last.at) >= min(last.interval, d.interval()) {
 		return true
 	}
+	if isContested, _ := d.Contest(); isContested {
+		return true
+	}
 	return !last.hasStart && d.learnStart() != 0
 }
 
@@ -270,7 +301,7 @@
 		// Until one is known to be written, an earlier one may be written late.
 		row.Interval = bookkeeperInterval
 		if expected = d.own.Version; expected != 0 {
-			from = d.own.ExistsFrom()
+			from = d.own.continuedFrom()
 		}
 	}
 	d.mu.Unlock()
@@ -285,8 +316,9 @@
 	if errors.As(err, &conflict) {
 		current := d.currentRow(conflict)
 		if expected, from = current.Version, 0; expected != 0 {
-			from = current.ExistsFrom()
+			from = current.continuedFrom()
 		}
+		d.recordContest(current.IsContested)
 		version, err = d.writeRow(ctx, row, expected, from)
 	}
 	if err != nil {
@@ -295,12 +327,64 @@
 	if from == 0 {
 		from = version
 	}
+	d.recordContest(false)
 	d.version.Store(version)
 	d.continuousFrom.Store(from)
 	d.lastHeartbeat.Store(&heartbeat{at: started, interval: row.Interval, hasStart: row.StartedAt != 0})
 	return nil
 }
 
+// continuedFrom returns the ContinuousFrom of a row that replaces this one.
+func (r *Row) continuedFrom() int64 {
+	if r.IsRemoved {
+		return 0 // The others have dropped the member.
+	}
+	return r.ExistsFrom()
+}
+
+// recordContest records whether the own row is contested.
+func (d *Discoverer) recordContest(isContested bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lockedRecordContest(isContested)
+}
+
+func (d *Discoverer) lockedRecordContest(isContested bool) {
+	if d.isContested && !isContested {
+		d.contestEndedAt = time.Now()
+	}
+	d.isContested = isContested
+}
+
+// Contest reports whether this instance's own row is or may be contested, and when it was last
+// known not to be any longer.
+func (d *Discoverer) Contest() (isContested bool, endedAt time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.isContested, d.contestEndedAt
+}
+
+// ContestMember marks the row of a member that this instance does not reach. It does nothing if the row is not as it
+// was read last.
+func (d *Discoverer) ContestMember(ctx context.Context, row Row) error {
+	row.ReadVersion, row.ContinuousFrom, row.IsContested = row.knowsUpTo(), row.ExistsFrom(), true
+	return d.replaceRow(ctx, row)
+}
+
+// replaceRow replaces the row of a member unless it is not as it was read last.
+func (d *Discoverer) replaceRow(ctx context.Context, row Row) error {
+	value, err := cbor.Marshal(row.Member)
+	if err != nil {
+		return eris.Wrap(err, "encode the member")
+	}
+	key := storer.RowKey{Table: Table, Partition: partition, Name: row.Instance}
+	_, err = d.rows.Transact(ctx, []storer.Change{{RowKey: key, Expected: row.Version, Value: value}})
+	if errors.Is(err, storer.ErrConflict) {
+		return nil
+	}
+	return err
+}
+
 // writeRow writes this instance's own row on the condition that it has the expected version; zero
 // if there is none.
 func (d *Discoverer) writeRow(ctx context.Context, row Member, expected, continuousFrom int64) (version int64, err error) {
@@ -333,6 +417,9 @@
 	// The condition keeps a deletion that takes effect late from removing the row of the
 	// instance's next process, which others would then drop from their lists.
 	change := storer.Change{RowKey: d.key(), Expected: d.version.Load(), Delete: true}
+	if isContested, endedAt := d.Contest(); isContested || time.Since(endedAt) < contestMemory {
+		return d.remove(ctx)
+	}
 	_, err := d.rows.Transact(ctx, []storer.Change{change})
 	var conflict *storer.Conflict
 	if !errors.As(err, &conflict) {
@@ -342,11 +429,37 @@
 	if current.Incarnation != d.self.Incarnation {
 		return nil // The row is another process's, or has been deleted.
 	}
+	if current.IsContested {
+		current.IsRemoved = true
+		return d.replaceRow(ctx, current)
+	}
 	change.Expected = current.Version
 	_, err = d.rows.Transact(ctx, []storer.Change{change})
 	return err
 }
 
+// remove marks this instance's own row as removed.
+func (d *Discoverer) remove(ctx context.Context) error {
+	row := Row{Member: d.self, Version: d.version.Load()}
+	row.IsRemoved = true
+	value, err := cbor.Marshal(row.Member)
+	if err != nil {
+		return eris.Wrap(err, "encode the member")
+	}
+	change := storer.Change{RowKey: d.key(), Expected: row.Version, Value: value}
+	_, err = d.rows.Transact(ctx, []storer.Change{change})
+	var conflict *storer.Conflict
+	if !errors.As(err, &conflict) {
+		return err
+	}
+	current := d.currentRow(conflict)
+	if current.Incarnation != d.self.Incarnation {
+		return nil // The row is another process's, or has been deleted.
+	}
+	current.IsRemoved = true
+	return d.replaceRow(ctx, current)
+}
+
 // currentRow returns this instance's own row, of any process, as a conflict states it; its version
 // is zero if there is none.
 func (d *Discoverer) currentRow(conflict *storer.Conflict) Row {
@@ -400,7 +513,8 @@
 		gap = max(now.Sub(d.refreshedAt)-bookkeeperInterval, 0)
 	}
 	d.refreshedAt = now
-	members := make(map[string]*memberState, len(records))
+	members, removed := make(map[string]*memberState, len(records)), map[string]*memberState{}
+	isOwnContested := false
 	for _, r := range records {
 		var m Member
 		if err := cbor.Unmarshal(r.Value, &m); err != nil || m.Instance != r.Name {
@@ -408,27 +522,38 @@
 		}
 		if m.Instance == d.self.Instance {
 			d.own = Row{Member: m, Version: r.Version}
+			isOwnContested = m.IsContested
 		}
-		known := d.members[r.Name]
-		if known == nil || known.version != r.Version {
-			if known == nil {
-				joined = append(joined, r.Name)
-			}
-			known = &memberState{Member: m, version: r.Version, unchangedSince: now}
-		} else {
-			known.unchangedSince = known.unchangedSince.Add(gap)
+		if m.IsRemoved {
+			removed[r.Name] = d.removed[r.Name].replace(m, r.Version, now, gap)
+			continue
 		}
-		members[r.Name] = known
+		if d.members[r.Name] == nil {
+			joined = append(joined, r.Name)
+		}
+		members[r.Name] = d.members[r.Name].replace(m, r.Version, now, gap)
 	}
+	d.lockedRecordContest(isOwnContested)
 	for name := range d.members {
 		if members[name] == nil {
 			left = append(left, name)
 		}
 	}
-	d.members, d.selected = members, nil
+	d.members, d.removed, d.selected = members, removed, nil
 	return joined, left
 }
 
+// replace returns the state of a member whose row was read. A row that another instance has
+// contested is no heartbeat. The gap does not count towards the member's timeout.
+func (m *memberState) replace(row Member, version int64, now time.Time, gap time.Duration) *memberState {
+	next := &memberState{Member: row, version: version, unchangedSince: now}
+	isSame := m != nil && (m.version == version || row.IsContested && m.Incarnation == row.Incarnation && m.Heartbeats == row.Heartbeats)
+	if isSame {
+		next.unchangedSince = m.unchangedSince.Add(gap)
+	}
+	return next
+}
+
 // Suspect excludes the instance from the live members for a short time. Callers use
 // it after a failed call.
 func (d *Discoverer) Suspect(instance string) {
@@ -566,37 +691,54 @@
 	return members
 }
 
-// Rows returns the rows of the members as read last: those of other instances and this process's
-// own, whose version is zero if there was none, or another one than there is now. It also returns
-// when that read began.
-func (d *Discoverer) Rows() (others []Row, own Row, readAt time.Time) {
+// Rows are the rows of the members as read last.
+type Rows struct {
+	// Others are the members other than this instance, without the removed ones.
+	Others, Removed []Row
+	// Own is this process's row. Its version is zero if there was none, or another one than there
+	// is now.
+	Own Row
+	// ReadAt is when that read began.
+	ReadAt time.Time
+}
+
+// Rows returns the rows of the members.
+func (d *Discoverer) Rows() Rows {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	out := Rows{ReadAt: d.readAt, Others: make([]Row, 0, len(d.members))}
 	for name, m := range d.members {
 		if name != d.self.Instance {
-			others = append(others, Row{Member: m.Member, Version: m.version})
+			out.Others = append(out.Others, Row{Member: m.Member, Version: m.version})
+		}
+	}
+	for name, m := range d.removed {
+		if name != d.self.Instance {
+			out.Removed = append(out.Removed, Row{Member: m.Member, Version: m.version})
 		}
 	}
-	if d.own.Incarnation == d.self.Incarnation && d.own.ExistsFrom() == d.continuousFrom.Load() {
-		own = d.own
+	if d.own.Incarnation == d.self.Incarnation && !d.own.IsRemoved && d.own.ExistsFrom() == d.continuousFrom.Load() {
+		out.Own = d.own
 	}
-	return others, own, d.readAt
+	return out
 }
 
 // DeleteLapsed deletes the rows of members that have missed their heartbeats, so that all instances
-// drop them together. Such a member has ceased to count itself as current before. Each row is
-// deleted by the live instance with the highest score for it, and by the next ones if it remains. It must follow a
-// successful Refresh, and not run beside one.
+// drop them together. Such a member has ceased to count itself as current before. The row of a contested member is
+// marked as removed first. Each row is
+// deleted by the live instance with the highest score for it, and by the next ones if it remains. It
+// must follow a successful Refresh, and not run beside one.
 func (d *Discoverer) DeleteLapsed(ctx context.Context) error {
 	var errs []error
-	now := time.Now()
-	for _, m := range d.lapsedMembers(now) {
-		rank := slices.IndexFunc(d.Ranking(m.Instance, maxDeleters), func(r Member) bool { return r.Instance == d.self.Instance })
-		if rank < 0 || m.isLive(now.Add(-time.Duration(rank)*deleterDelay)) {
-			continue
+	for _, m := range d.lapsedMembers(time.Now()) {
+		var err error
+		if m.IsContested && !m.IsRemoved {
+			m.IsRemoved = true
+			err = d.replaceRow(ctx, m)
+		} else {
+			key := storer.RowKey{Table: Table, Partition: partition, Name: m.Instance}
+			_, err = d.rows.Transact(ctx, []storer.Change{{RowKey: key, Expected: m.Version, Delete: true}})
 		}
-		key := storer.RowKey{Table: Table, Partition: partition, Name: m.Instance}
-		_, err := d.rows.Transact(ctx, []storer.Change{{RowKey: key, Expected: m.version, Delete: true}})
 		// After a conflict, the member has returned or another instance has deleted its row.
 		if err != nil && !errors.Is(err, storer.ErrConflict) {
 			errs = append(errs, err)
@@ -605,14 +747,31 @@
 	return errors.Join(errs...)
 }
 
-// lapsedMembers returns the other members that have missed their heartbeats.
-func (d *Discoverer) lapsedMembers(now time.Time) []memberState {
+// lapsedMembers returns the other members that have missed their heartbeats, and the removed ones
+// whose rows are to be deleted, of which this instance is the one to do so by now.
+func (d *Discoverer) lapsedMembers(now time.Time) []Row {
+	type deadline struct {
+		Row
+		at time.Time
+	}
+	var due []deadline
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	var lapsed []memberState
 	for name, m := range d.members {
 		if name != d.self.Instance && !m.isLive(now) {
-			lapsed = append(lapsed, *m)
+			due = append(due, deadline{Row{Member: m.Member, Version: m.version}, m.lapsesAt()})
+		}
+	}
+	for name, m := range d.removed {
+		if at := m.unchangedSince.Add(removedTime); name != d.self.Instance && now.After(at) {
+			due = append(due, deadline{Row{Member: m.Member, Version: m.version}, at})
+		}
+	}
+	d.mu.Unlock()
+	var lapsed []Row
+	for _, m := range due {
+		rank := slices.IndexFunc(d.Ranking(m.Instance, maxDeleters), func(r Member) bool { return r.Instance == d.self.Instance })
+		if rank >= 0 && !now.Before(m.at.Add(time.Duration(rank)*deleterDelay)) {
+			lapsed = append(lapsed, m.Row)
 		}
 	}
 	return lapsed
--- a/internal/discoverer/rows_test.go
+++ b/internal/discoverer/rows_test.go
@@ -34,8 +34,8 @@
 // known returns which of the instances the member at the observer's table surely has in its own.
 func known(t *testing.T, observer *discoverer.Discoverer, instance string) map[string]bool {
 	t.Helper()
-	others, own, _ := observer.Rows()
-	rows := append(others, own)
+	table := observer.Rows()
+	rows := append(table.Others, table.Own)
 	out := map[string]bool{}
 	for i := range rows {
 		if rows[i].Instance != instance {
@@ -89,8 +89,7 @@
 				}
 			}
 			refresh(t, observer)
-			others, _, _ := observer.Rows()
-			if len(others) == 1 && !lapsing.IsCurrent() && len(observer.Ranking("", 2)) == 1 {
+			if len(observer.Rows().Others) == 1 && !lapsing.IsCurrent() && len(observer.Ranking("", 2)) == 1 {
 				break
 			}
 		}
@@ -98,18 +97,18 @@
 			t.Fatal(err)
 		}
 		refresh(t, observer)
-		if others, _, _ := observer.Rows(); len(others) != 0 {
+		if others := observer.Rows().Others; len(others) != 0 {
 			t.Fatalf("the row of a lapsed member is left: %v", others)
 		}
-		_, before, _ := lapsing.Rows()
+		before := lapsing.Rows().Own
 		if err := lapsing.WriteHeartbeat(t.Context()); err != nil {
 			t.Fatal(err)
 		}
-		if _, own, _ := lapsing.Rows(); own.Version != 0 {
+		if lapsing.Rows().Own.Version != 0 {
 			t.Error("a row that was deleted counts as the instance's own")
 		}
 		refresh(t, lapsing)
-		_, own, _ := lapsing.Rows()
+		own := lapsing.Rows().Own
 		if own.Version == 0 || own.ExistsFrom() <= before.ExistsFrom() {
 			t.Errorf("the new row exists from version %d, the deleted one from %d", own.ExistsFrom(), before.ExistsFrom())
 		}
@@ -134,7 +133,7 @@
 			t.Fatal(err)
 		}
 		refresh(t, observer)
-		if others, _, _ := observer.Rows(); len(others) != 1 {
+		if others := observer.Rows().Others; len(others) != 1 {
 			t.Errorf("the row of a member with a heartbeat was deleted: %v", others)
 		}
 	})
@@ -190,3 +189,83 @@
 		}
 	})
 }
+
+// Guards against an instance that issues all of its part while another one stands in for it: it knows of
+// a contest that it has never read, and takes it back.
+func TestContestIsTakenBackAndRemembered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fakeplatform.NewRows(1)
+		contested, observer := process(0, "first", rows.For("0")), process(1, "first", rows.For("1"))
+		join(t, contested, observer)
+		refresh(t, contested, observer)
+		before := contested.Rows().Own
+		time.Sleep(6 * time.Second)
+		if err := observer.ContestMember(t.Context(), observer.Rows().Others[0]); err != nil {
+			t.Fatal(err)
+		}
+		refresh(t, observer)
+		if !observer.Rows().Others[0].IsContested {
+			t.Fatal("the member is not contested")
+		}
+		if diff := cmp.Diff(known(t, contested, "entry-00"), known(t, observer, "entry-00")); diff != "" {
+			t.Errorf("the contested row states another knowledge: %s", diff)
+		}
+		if err := contested.WriteHeartbeat(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		refresh(t, contested, observer)
+		isContested, endedAt := contested.Contest()
+		if isContested || time.Since(endedAt) > time.Second {
+			t.Errorf("contested %v, until %v ago", isContested, time.Since(endedAt))
+		}
+		if observer.Rows().Others[0].IsContested {
+			t.Error("the heartbeat did not take the contest back")
+		}
+		after := contested.Rows().Own
+		if diff := cmp.Diff(before.ExistsFrom(), after.ExistsFrom()); diff != "" {
+			t.Errorf("the row is not continued: %s", diff)
+		}
+	})
+}
+
+// Guards against a contest that counts as a heartbeat, and against the deletion of a contested row
+// while others may stand in for its member.
+func TestContestedMemberLapsesAndIsRemovedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fakeplatform.NewRows(1)
+		away, observer := process(0, "first", rows.For("0")), process(1, "first", rows.For("1"))
+		join(t, away, observer)
+		refresh(t, observer)
+		var removedAt, deletedAt time.Duration
+		start := time.Now()
+		for deletedAt == 0 && time.Since(start) < time.Minute {
+			time.Sleep(time.Second)
+			if time.Since(start) == 10*time.Second {
+				if err := observer.ContestMember(t.Context(), observer.Rows().Others[0]); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if observer.IsHeartbeatDue() {
+				if err := observer.WriteHeartbeat(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			refresh(t, observer)
+			if err := observer.DeleteLapsed(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			refresh(t, observer)
+			table := observer.Rows()
+			if removedAt == 0 && len(table.Removed) == 1 && len(table.Others) == 0 {
+				removedAt = time.Since(start)
+			}
+			if removedAt != 0 && len(table.Removed) == 0 {
+				deletedAt = time.Since(start)
+			}
+		}
+		// The first heartbeat states the short interval.
+		if removedAt > 15*time.Second || deletedAt-removedAt < discoverer.StandInDelay {
+			t.Errorf("removed after %v, deleted after %v", removedAt, deletedAt)
+		}
+	})
+}
