internal/discoverer: a process with other cores does not continue its instance's row

Cause: the order of an account weighs instances by their cores. A member that has read only the row of the former process ranks the instance by the former cores, and counted as knowing it.

Change: a row with other cores counts from its own version, so that such members have to confirm it.

Also, what follows from a look at the table is timed after the lock was taken.

--- a/internal/allotter/allotter.go
+++ b/internal/allotter/allotter.go
@@ -164,7 +164,7 @@
 	ticker := time.NewTicker(observeInterval)
 	defer ticker.Stop()
 	for {
-		a.maintain(ctx, time.Now())
+		a.maintain(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -173,19 +173,21 @@
 	}
 }
 
-// maintain does what is due at the time.
-func (a *Allotter) maintain(ctx context.Context, now time.Time) {
-	if unsure := a.observe(now); len(unsure) > 0 {
+// maintain does what is due.
+func (a *Allotter) maintain(ctx context.Context) {
+	if unsure := a.observe(); len(unsure) > 0 {
 		go a.introduce(ctx, unsure)
 	}
-	a.contest(ctx, now)
+	a.contest(ctx, time.Now())
 }
 
 // observe looks at the table of members. It returns those to which this instance must introduce
 // itself now.
-func (a *Allotter) observe(now time.Time) []discoverer.Row {
+func (a *Allotter) observe() []discoverer.Row {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	// What follows from the look is counted from a time after it may have had to wait.
+	now := time.Now()
 	a.lockedObserve(now)
 	a.lockedForget(now)
 	a.lockedLogPending(now)
--- a/internal/allotter/fleet_test.go
+++ b/internal/allotter/fleet_test.go
@@ -87,7 +87,7 @@
 	f.mu.Unlock()
 	go n.keepMembership()
 	go n.loop(observeInterval, func() {
-		n.allotter.maintain(n.ctx, time.Now())
+		n.allotter.maintain(n.ctx)
 	})
 }
 
--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -301,7 +301,7 @@
 		// Until one is known to be written, an earlier one may be written late.
 		row.Interval = bookkeeperInterval
 		if expected = d.own.Version; expected != 0 {
-			from = d.own.continuedFrom()
+			from = d.own.continuedFrom(d.self)
 		}
 	}
 	d.mu.Unlock()
@@ -316,7 +316,7 @@
 	if errors.As(err, &conflict) {
 		current := d.currentRow(conflict)
 		if expected, from = current.Version, 0; expected != 0 {
-			from = current.continuedFrom()
+			from = current.continuedFrom(d.self)
 		}
 		d.recordContest(current.IsContested)
 		version, err = d.writeRow(ctx, row, expected, from)
@@ -334,10 +334,11 @@
 	return nil
 }
 
-// continuedFrom returns the ContinuousFrom of a row that replaces this one.
-func (r *Row) continuedFrom() int64 {
-	if r.IsRemoved {
-		return 0 // The others have dropped the member.
+// continuedFrom returns the ContinuousFrom of a row of the instance that replaces this one; zero if
+// the members that have read this one have no member with the same place in their orders.
+func (r *Row) continuedFrom(self Member) int64 {
+	if r.IsRemoved || r.Cores != self.Cores {
+		return 0
 	}
 	return r.ExistsFrom()
 }
