internal/discoverer: only the first row of a process states more than it had read

Cause: a row written before the first read counted as knowing all that was older than the row, as its process reads the table before it relies on it. That holds for the first row only: a second one may take effect after the process has read its first one.

Change: later rows count by what they state, which is nothing if they were written before the first read.

--- a/internal/allotter/schedule_test.go
+++ b/internal/allotter/schedule_test.go
@@ -224,6 +224,28 @@
 // Guards against a row that claims more than its process knows: one that was written before the first
 // read, as the second of its process, takes effect after that read. The process relies on the read,
 // which shows the row before as its own, and does not have what was written in between.
+func TestLateRowOfAProcessThatHadNotReadKeepsTheBound(t *testing.T) {
+	const rate = 20
+	account := accountWith(t, func(account string) bool { return slices.Equal(orderOf(account, 1, 1, 1), []int{0, 1, 2}) })
+	synctest.Test(t, func(t *testing.T) {
+		f := emptyFleet(3)
+		f.rows.SetFaults(fakeplatform.RowFaults{Delay: time.Millisecond})
+		f.startNode(1, "first", 1, f.rows.For("i-1"))
+		// The first issuer reads the row of the newcomer 50 ms after it is written.
+		time.Sleep(19*time.Second + 850*time.Millisecond)
+		late := &scriptedRows{Rows: f.rows.For("i-2")}
+		f.startNode(2, "first", 1, late)
+		time.Sleep(1100 * time.Millisecond)
+		f.startNode(0, "first", 1, &writtenRows{Rows: f.rows.For("i-0"), onWrite: func() {
+			if err := late.land(context.Background()); err != nil {
+				t.Error(err)
+			}
+		}})
+		f.demandFor(account, rate, 40*time.Second)
+		checkMost(t, f, rate)
+	})
+}
+
 // servedAfter returns the time until a request of the account is granted at one of the instances.
 func (f *fleet) servedAfter(account string, limit time.Duration, at ...int) time.Duration {
 	start := time.Now()
--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -131,8 +131,9 @@
 // knowsUpTo returns a version of the store up to which the member has read the table whenever it
 // relies on that.
 func (r *Row) knowsUpTo() int64 {
-	isFirst := r.ReadVersion == notRead || r.ReadVersion != 0 && r.Heartbeats == 1
-	if isFirst && !r.IsContested {
+	// A process relies on the table after it has read it with its own row, which it may have written
+	// several times without knowing it.
+	if isFirst := r.ReadVersion != 0 && r.Heartbeats == 1; isFirst && !r.IsContested {
 		return max(r.ReadVersion, r.Version)
 	}
 	return r.ReadVersion
