internal/allotter: members confirm a row and not a process

Cause: an instance whose row was deleted writes it anew in the same process. A member that still had the former row confirmed the process, and then read the deletion without the new row, so that it dropped the instance that relied on its confirmation.

Change: the introduction states since which version the row has existed, and a member confirms only that row. Builds that state no versions are introduced to as before, by another method.

--- a/internal/allotter/allotter.go
+++ b/internal/allotter/allotter.go
@@ -156,6 +156,9 @@
 		methodIntroduce: messenger.Handle(func(_ context.Context, in introduction) (introductionResponse, error) {
 			return a.confirm(in), nil
 		}),
+		methodIntroduceProcess: messenger.Handle(func(_ context.Context, in processIntroduction) (introductionResponse, error) {
+			return a.confirmProcess(in), nil
+		}),
 	}
 }
 
--- a/internal/allotter/issuer.go
+++ b/internal/allotter/issuer.go
@@ -97,15 +97,27 @@
 // this instance issues no permits from now on for the accounts for which the other one is
 // an issuer in its place.
 func (a *Allotter) confirm(in introduction) introductionResponse {
+	row, isListed := a.find(in.Instance, in.Incarnation)
+	return introductionResponse{IsListed: isListed && row.ExistsFrom() == in.ExistsFrom}
+}
+
+// confirmProcess handles the introduction of an instance that does not state its row.
+func (a *Allotter) confirmProcess(in processIntroduction) introductionResponse {
+	_, isListed := a.find(in.Instance, in.Incarnation)
+	return introductionResponse{IsListed: isListed}
+}
+
+// find returns the row of the process from this instance's table.
+func (a *Allotter) find(instance, incarnation string) (row discoverer.Row, isListed bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.lockedObserve(time.Now())
 	for _, m := range a.tenure.others {
-		if m.Instance == in.Instance && m.Incarnation == in.Incarnation {
-			return introductionResponse{IsListed: true}
+		if m.Instance == instance && m.Incarnation == incarnation {
+			return m, true
 		}
 	}
-	return introductionResponse{}
+	return discoverer.Row{}, false
 }
 
 // candidates returns the addresses of the instances that issue the account's permits: the issuers,
@@ -130,7 +142,7 @@
 func (a *Allotter) introduce(ctx context.Context, members []discoverer.Row) {
 	self := a.members.Self()
 	a.mu.Lock()
-	term := a.tenure.term
+	term, existsFrom := a.tenure.term, a.tenure.existsFrom
 	a.mu.Unlock()
 	var calls errgroup.Group
 	calls.SetLimit(introduceConcurrency)
@@ -139,7 +151,14 @@
 			callCtx, cancel := context.WithTimeout(ctx, introduceTimeout)
 			defer cancel()
 			var out introductionResponse
-			err := a.caller.Call(callCtx, m.Address, methodIntroduce, introduction{Instance: self.Instance, Incarnation: self.Incarnation}, &out)
+			var err error
+			if m.StatesKnowledge() {
+				in := introduction{Instance: self.Instance, Incarnation: self.Incarnation, ExistsFrom: existsFrom}
+				err = a.caller.Call(callCtx, m.Address, methodIntroduce, in, &out)
+			} else {
+				in := processIntroduction{Instance: self.Instance, Incarnation: self.Incarnation}
+				err = a.caller.Call(callCtx, m.Address, methodIntroduceProcess, in, &out)
+			}
 			if err != nil || !out.IsListed {
 				return nil // The next attempt follows.
 			}
--- a/internal/allotter/messages.go
+++ b/internal/allotter/messages.go
@@ -8,7 +8,9 @@
 const (
 	// methodIssue is short because requests for permits are frequent.
 	methodIssue     = "Q"
-	methodIntroduce = "AllotIntroduce"
+	methodIntroduce = "AllotIntroduceRow"
+	// methodIntroduceProcess is for instances of builds that do not state in their rows what they have read.
+	methodIntroduceProcess = "AllotIntroduce"
 )
 
 // item asks for one permit.
@@ -69,10 +71,17 @@
 	Issuers []netip.AddrPort
 }
 
-// introduction says that an instance begins to issue permits.
+// processIntroduction says that a process of an instance begins to issue permits.
+type processIntroduction struct {
+	_                     struct{} `cbor:",toarray"`
+	Instance, Incarnation string
+}
+
+// introduction says that an instance begins to issue permits, with its row, which has existed since the version.
 type introduction struct {
 	_                     struct{} `cbor:",toarray"`
 	Instance, Incarnation string
+	ExistsFrom            int64
 }
 
 // introductionResponse says whether the instance is in the table of the one that responds,
--- a/internal/allotter/schedule_test.go
+++ b/internal/allotter/schedule_test.go
@@ -147,6 +147,29 @@
 // Guards against a confirmation by a row that was deleted: an instance whose row was deleted writes it
 // anew, and a member whose table has the former row still confirms it. The read that the member
 // has under way brings the deletion, and not the new row.
+func TestConfirmationByADeletedRowKeepsTheBound(t *testing.T) {
+	const rate = 20
+	account := accountWith(t, func(account string) bool { return slices.Equal(orderOf(account, 1, 1, 1), []int{0, 1, 2}) })
+	synctest.Test(t, func(t *testing.T) {
+		f := emptyFleet(3)
+		held := &heldRows{Rows: f.rows.For("i-2"), name: "i-0", onDeletion: func() {
+			// The lapsed instance reaches the store again while the answer is on its way, for 900 ms.
+			f.rows.SetFaults(fakeplatform.RowFaults{})
+			time.Sleep(900 * time.Millisecond)
+			f.rows.SetFaults(fakeplatform.RowFaults{Refused: map[string]bool{"i-2": true}})
+		}}
+		f.startNode(2, "first", 1, held)
+		f.startNode(1, "first", 1, f.rows.For("i-1"))
+		time.Sleep(400 * time.Millisecond)
+		f.startNode(0, "first", 1, f.rows.For("i-0"))
+		go f.demandFor(account, rate, 130*time.Second)
+		time.Sleep(45 * time.Second)
+		f.rows.SetFaults(fakeplatform.RowFaults{Refused: map[string]bool{"i-0": true}})
+		time.Sleep(100 * time.Second)
+		checkMost(t, f, rate)
+	})
+}
+
 // scriptedRows is the store as a process sees it that starts while its reads fail.
 type scriptedRows struct {
 	storer.Rows
