internal/tracker: a copy from several pages is of one moment

Cause: the pages of a list are of different moments, so that the copy could show a deletion without a row that was written before it. The issuers of quotas rely on that order.

Change: after a list of several pages the changes since the first one are read before the copy is taken over.

--- a/internal/allotter/schedule_test.go
+++ b/internal/allotter/schedule_test.go
@@ -344,6 +344,37 @@
 
 // Guards against a list in several pages as if it were of one moment: it shows the deletion of a
 // row and not one that was written before that.
+func TestListInPagesKeepsTheBound(t *testing.T) {
+	const rate = 20
+	// Instance 0 joins, 3 leaves, and 2 reads.
+	account := accountWith(t, func(account string) bool { return slices.Equal(orderOf(account, 1, 1, 1, 1), []int{1, 0, 3, 2}) })
+	synctest.Test(t, func(t *testing.T) {
+		f := emptyFleet(4)
+		f.rows.SetFaults(fakeplatform.RowFaults{Delay: time.Millisecond})
+		paged := &pagedRows{Rows: f.rows.For("i-2")}
+		f.startNode(2, "first", 1, paged)
+		time.Sleep(200 * time.Millisecond)
+		f.startNode(1, "first", 1, f.rows.For("i-1"))
+		f.startNode(3, "first", 1, f.rows.For("i-3"))
+		time.Sleep(46 * time.Second)
+		paged.arm(func() {
+			// The list takes 900 ms.
+			f.startNode(0, "first", 1, f.rows.For("i-0"))
+			time.Sleep(800 * time.Millisecond)
+			n := f.node(3)
+			_ = n.Deregister(context.Background()) // The count shows whether it had effect.
+			n.cancel()
+			time.Sleep(50 * time.Millisecond)
+			time.AfterFunc(20*time.Millisecond, func() {
+				f.rows.SetFaults(fakeplatform.RowFaults{Refused: map[string]bool{"i-2": true}})
+			})
+		})
+		time.Sleep(1500 * time.Millisecond)
+		f.demandFor(account, rate, 40*time.Second)
+		checkMost(t, f, rate)
+	})
+}
+
 // queuedRows calls a function before a write takes effect.
 type queuedRows struct {
 	storer.Rows
@@ -359,4 +390,4 @@
 }
 
 // Guards against a heartbeat that is under way at a planned stop and writes the row anew after it was
-// deleted: the instance remains an issuer for others until the row lapses.
+// deleted: the instance remains an issuer for others until the row lapses.
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -199,7 +199,8 @@
 func (t *Tracker) list(ctx context.Context) (records map[string]storer.Record, version int64, err error) {
 	records, version = map[string]storer.Record{}, -1
 	next := storer.Range{Table: t.table, Partition: t.partition}
-	for more := true; more; {
+	pages := 0
+	for more := true; more; pages++ {
 		page, err := t.rows.List(ctx, next)
 		if err != nil {
 			return nil, 0, err
@@ -215,7 +216,25 @@
 			next.From = page.Records[len(page.Records)-1].Name + "\x00"
 		}
 	}
-	return records, version, nil
+	if pages <= 1 {
+		return records, version, nil
+	}
+	// Each page is of another moment: a later one may show the deletion of a row, and an earlier
+	// one lack a row that was written before that.
+	page, err := t.rows.Changes(ctx, t.table, version, 0)
+	if err != nil {
+		return nil, 0, err
+	}
+	for _, r := range page.Records {
+		switch {
+		case r.Partition != t.partition || r.Version <= records[r.Name].Version:
+		case r.Deleted:
+			delete(records, r.Name)
+		default:
+			records[r.Name] = r
+		}
+	}
+	return records, page.Version, nil
 }
 
 func (t *Tracker) replace(records map[string]storer.Record, version int64) (changed bool) {
