internal/discoverer: a heartbeat under way at a planned stop writes no row

The instance remained an issuer for the others until its row lapsed.

Cause: the heartbeat conflicts with the deletion of the row, and was then written anew.

Change: after a conflict a deregistered instance writes nothing.

Result: TestHeartbeatUnderWayAtAPlannedStopLeavesNoRow failed before and passes.

--- a/internal/allotter/schedule_test.go
+++ b/internal/allotter/schedule_test.go
@@ -391,3 +391,28 @@
 
 // Guards against a heartbeat that is under way at a planned stop and writes the row anew after it was
 // deleted: the instance remains an issuer for others until the row lapses.
+func TestHeartbeatUnderWayAtAPlannedStopLeavesNoRow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fakeplatform.NewRows(1)
+		queued := &queuedRows{Rows: rows.For("i-0")}
+		leaving, other := discoverer.New(memberWithCores(0, 1), queued), discoverer.New(memberWithCores(1, 1), rows.For("i-1"))
+		for _, d := range []*discoverer.Discoverer{leaving, other} {
+			if _, err := d.Join(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(6 * time.Second)
+		queued.beforeWrite = func() {
+			if err := leaving.Deregister(t.Context()); err != nil {
+				t.Error(err)
+			}
+		}
+		_ = leaving.WriteHeartbeat(t.Context()) // It may fail, as the instance leaves.
+		if _, _, err := other.Refresh(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if others := other.Rows().Others; len(others) != 0 {
+			t.Errorf("the row of an instance that has left remains: %v", others)
+		}
+	})
+}
--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -320,6 +320,9 @@
 			from = current.continuedFrom(d.self)
 		}
 		d.recordContest(current.IsContested)
+		if d.isDeregistered.Load() {
+			return nil // The row was deleted meanwhile.
+		}
 		version, err = d.writeRow(ctx, row, expected, from)
 	}
 	if err != nil {
