internal/allotter: an instance that joins does not wait for an issuer that takes precedence over all others

Cause: the one that joins waits for each member that may issue without knowing it. If the member takes precedence over all others, it is one of the two issuers by the table of the one that joins as well, and a third one would have to be behind both.

Change: such a member is harmless. Of three issuers A, B and C, C would have a table without A or B. Without A: C is in the table by which A began, where B, if it was there, takes precedence over C, so that A did not begin. If it was not there, B joined later, with A and C in its table, and C does not know B either, as B's row is newer than A's; then B did not begin. Without B it is the same the other way round.

--- a/internal/allotter/right.go
+++ b/internal/allotter/right.go
@@ -226,19 +226,27 @@
 	return d.Sum64()
 }
 
-// mayBeIssuer reports whether the member may have a right to issue the account's permits, by a
-// table without this instance. It has none if its table surely has members that take precedence.
+// mayBeIssuer reports whether the member may issue the account's permits by a table without this
+// instance, beside another issuer that takes precedence over it. It issues none if its table surely has members that take precedence.
 // It stands in for others only by a recent table.
 func (t *tenure) mayBeIssuer(m *discoverer.Row, account string) bool {
-	preceding := 0
+	preceding, known := 0, 0
 	for i := range t.others {
-		if o := &t.others[i]; o.Instance != m.Instance && m.Knows(o) && o.Outranks(account, m) {
-			if preceding++; preceding == candidatesPerAccount {
+		if o := &t.others[i]; o.Instance != m.Instance && o.Outranks(account, m) {
+			preceding++
+			if !m.Knows(o) {
+				continue
+			}
+			if known++; known == candidatesPerAccount {
 				return false
 			}
 		}
 	}
-	return preceding < issuersPerAccount || !t.isSettled
+	if known >= issuersPerAccount {
+		return !t.isSettled
+	}
+	// As the first one of all others it is one of the two issuers in this instance's table, too.
+	return preceding > 0
 }
 
 // isCleared reports whether every member that may issue the account's permits has this instance in
--- a/internal/allotter/schedule_test.go
+++ b/internal/allotter/schedule_test.go
@@ -303,6 +303,28 @@
 
 // Guards against an account without an issuer because an instance joins beside one that was killed: the
 // live issuer gives way to the one that joins, which waits until the row of the dead one is deleted.
+func TestAccountIsServedIfAnInstanceJoinsBesideADeadOne(t *testing.T) {
+	others, bookkeeper := otherThanBookkeeper()
+	killed, joining, issuing := others[0], others[1], others[2]
+	account := accountWith(t, func(account string) bool {
+		return slices.Equal(orderOf(account, 1, 1, 1, 1), []int{killed, joining, issuing, bookkeeper})
+	})
+	synctest.Test(t, func(t *testing.T) {
+		f := startFour(joining)
+		f.kill(killed)
+		before := f.servedAfter(account, time.Minute, issuing, bookkeeper)
+		f.startNode(joining, "first", 1, f.rows.For(fmt.Sprint("i-", joining)))
+		time.Sleep(2 * time.Second)
+		served := 2*time.Second + f.servedAfter(account, 2*time.Minute, issuing, bookkeeper, joining)
+		f.stop()
+		time.Sleep(time.Second)
+		t.Logf("served %v after the death, and again %v after the join", before, served)
+		if served > recoveryTime {
+			t.Errorf("served %v after the join, %v allowed", served, recoveryTime)
+		}
+	})
+}
+
 // Guards against an account that is refused after the loss of all instances until the row of one of its
 // issuers is deleted, as both stay away.
 // pagedRows reads the list in pages of one row, and calls a function after the first page of a list.
