internal/tracker: the test of changes between pages asks for them at once

Cause: since a copy from several pages has the changes between them after the first refresh. The test expected the second refresh to bring them, and failed as that one reports no change.

Change: it checks the whole copy after the first refresh already, and that the second one changes nothing. Before it fails in that form.

Result: passes; the tests of internal/tracker and internal/discoverer do.

--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -148,11 +148,15 @@
 			rows.Remove(key("5"))
 		}
 		tr := tracker.New(pagedReader{rows.For("x"), afterPage}, table, "")
-		refresh(t, tr, true)
+		// The copy is of one moment, not before the last page.
 		refresh(t, tr, true)
 		want := map[string]string{"0": "new", "2": "old", "3": "old", "4": "new"}
 		if diff := cmp.Diff(want, values(tr)); diff != "" {
 			t.Error(diff)
 		}
+		refresh(t, tr, false)
+		if diff := cmp.Diff(want, values(tr)); diff != "" {
+			t.Error(diff)
+		}
 	})
 }
