--- a/internal/allotter/allotter.go
+++ b/internal/allotter/allotter.go
@@ -139,7 +139,7 @@
 func New(members Members, caller Caller, limits Limits, options ...Option) *Allotter {
 	a := &Allotter{
 		members: members, caller: caller, limits: limits, log: logger.Discard(), count: func(Result) {}, start: time.Now(),
-		tenure: tenure{members: members, confirmed: map[string]bool{}},
+		tenure: tenure{members: members, confirmed: map[string]bool{}, takenBackAt: map[string]time.Time{}},
 		needs:  needs{}, accounts: map[string]*account{},
 		client: newClient(),
 	}
--- a/internal/allotter/client.go
+++ b/internal/allotter/client.go
@@ -44,11 +44,8 @@
 	// admitted holds the issuers that last permitted requests of programs. Their further
 	// requests go there, so that no other issuer takes them for new programs.
 	admitted *simplelru.LRU[programKey, netip.AddrPort]
-	// failures are the issuers whose last calls failed, and answeredAt is when the others last
-	// answered. contestedAt is when this instance last contested one.
-	failures    map[netip.AddrPort]failure
-	answeredAt  map[netip.AddrPort]time.Time
-	contestedAt map[netip.AddrPort]time.Time
+	// failures are the issuers whose last calls failed.
+	failures map[netip.AddrPort]failure
 }
 
 // failure is the interval in which all calls to an issuer failed.
@@ -65,7 +62,7 @@
 	admitted, _ := simplelru.NewLRU[programKey, netip.AddrPort](maxAdmitted, nil)
 	return client{
 		queues: map[netip.AddrPort]*queue{}, unreachableUntil: map[netip.AddrPort]time.Time{}, rankings: map[string]ranking{}, admitted: admitted,
-		failures: map[netip.AddrPort]failure{}, answeredAt: map[netip.AddrPort]time.Time{}, contestedAt: map[netip.AddrPort]time.Time{},
+		failures: map[netip.AddrPort]failure{},
 	}
 }
 
@@ -301,10 +298,8 @@
 	if isAnswered {
 		delete(a.client.unreachableUntil, address)
 		delete(a.client.failures, address)
-		a.client.answeredAt[address] = now
 	} else {
 		a.client.unreachableUntil[address] = now.Add(unreachableTimeout)
-		delete(a.client.answeredAt, address)
 		f := a.client.failures[address]
 		if f.last = now; f.since.IsZero() {
 			f.since = now
--- a/internal/allotter/right.go
+++ b/internal/allotter/right.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"slices"
 	"time"
 
@@ -93,6 +94,9 @@
 	// hasContested is set while there are contested members, and isSettled once this instance has been listed for
 	// so long that all that stand in for others know it.
 	hasContested, isSettled bool
+	// contested are the processes that are contested, and takenBackAt is when others took that back.
+	contested   map[string]bool
+	takenBackAt map[string]time.Time
 	// term counts the times after which members may have dropped this instance from their tables:
 	// its row is another one. confirmed holds the incarnations that have it in the term.
 	term       int64
@@ -142,7 +146,7 @@
 		t.epoch++
 		t.state++
 	}
-	t.observeContests()
+	t.observeContests(now)
 	isListed := t.own.Version != 0
 	if isListed && t.own.ExistsFrom() != t.existsFrom {
 		t.existsFrom = t.own.ExistsFrom()
@@ -160,11 +164,21 @@
 }
 
 // observeContests finds out whether this instance is contested, and whether other ones are.
-func (t *tenure) observeContests() {
+func (t *tenure) observeContests(now time.Time) {
 	if isContested, _ := t.members.Contest(); !isContested && t.own.Version != 0 && !t.own.IsContested {
 		t.cleanAt = t.readAt
 	}
-	t.hasContested = slices.ContainsFunc(t.others, func(m discoverer.Row) bool { return m.IsContested })
+	contested := map[string]bool{}
+	for i := range t.others {
+		m := &t.others[i]
+		if m.IsContested {
+			contested[m.Incarnation] = true
+		} else if t.contested[m.Incarnation] {
+			t.takenBackAt[m.Incarnation] = now
+		}
+	}
+	maps.DeleteFunc(t.takenBackAt, func(_ string, at time.Time) bool { return now.Sub(at) > contestPause })
+	t.contested, t.hasContested = contested, len(contested) > 0
 }
 
 // ownShare returns the part of its permits that this instance may issue as an issuer.
--- a/internal/allotter/schedule_test.go
+++ b/internal/allotter/schedule_test.go
@@ -327,6 +327,24 @@
 
 // Guards against an account that is refused after the loss of all instances until the row of one of its
 // issuers is deleted, as both stay away.
+func TestAccountIsServedAfterTheLossOfBothIssuers(t *testing.T) {
+	others, bookkeeper := otherThanBookkeeper()
+	account := accountWith(t, func(account string) bool {
+		return slices.Equal(orderOf(account, 1, 1, 1, 1), append(slices.Clone(others), bookkeeper))
+	})
+	synctest.Test(t, func(t *testing.T) {
+		f := startFour()
+		f.killAll(time.Minute, map[int]bool{others[0]: true, others[1]: true})
+		served := f.servedAfter(account, 2*time.Minute, others[2], bookkeeper)
+		f.stop()
+		time.Sleep(time.Second)
+		t.Logf("served %v after the return, 60 s after the loss", served)
+		if served > recoveryTime {
+			t.Errorf("served %v after the return, %v allowed", served, recoveryTime)
+		}
+	})
+}
+
 // pagedRows reads the list in pages of one row, and calls a function after the first page of a list.
 type pagedRows struct {
 	storer.Rows
