internal/discoverer, internal/composer: rows of lapsed members are deleted beside heartbeats, by builds that delete

Cause: each deletion waited for a slow store before the next heartbeat, without a limit; builds that delete nothing counted among the three that do; a lease counted by the steady clock alone, which stands still while a machine is suspended, so that two unnoticed suspensions could outlast the time to the deletion of the row.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -466,11 +466,21 @@
 		}
 		// Issuers of quotas keep members until their rows are deleted.
 		if readErr == nil && e.settings.QuotaWindow > 0 && !e.isLeaving.Load() {
-			err = errors.Join(err, e.discoverer.DeleteLapsed(ctx))
+			e.deleteLapsed(ctx, refreshInterval)
 		}
 	}
 }
 
+// deleteLapsed deletes the rows of lapsed members. The limit keeps a slow store from delaying the
+// next heartbeat.
+func (e *Entry) deleteLapsed(ctx context.Context, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if err := e.discoverer.DeleteLapsed(ctx); err != nil {
+		e.log.Log(eventRowNotDeleted, "Cause", err)
+	}
+}
+
 func (e *Entry) logMembers(joined, left []string) {
 	if len(joined)+len(left) > 0 {
 		e.log.Log(eventMembersChanged, "Came", joined, "Went", left, "Living", e.discoverer.Count())
--- a/internal/composer/events.go
+++ b/internal/composer/events.go
@@ -31,6 +31,8 @@
 		"instances have joined or left", "None, if it was planned.")
 	eventHeartbeatFailed = logger.Define(5026, "HeartbeatFailed", log.WarnLevel,
 		"the instance's heartbeat or its removal could not be written", "Check the store if it persists.")
+	eventRowNotDeleted = logger.Define(5033, "MemberRowNotDeleted", log.WarnLevel,
+		"the row of a member without heartbeats could not be deleted", "Check the store if it persists.")
 	eventReadinessChanged = logger.Define(5027, "ReadinessChanged", log.InfoLevel,
 		"the instance's readiness has changed", "Check the path to the store if the instance stays not ready.")
 	eventSettingsReloaded = logger.Define(5028, "SettingsReread", log.InfoLevel,
--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -774,7 +774,9 @@
 	d.mu.Unlock()
 	var lapsed []Row
 	for _, m := range due {
-		rank := slices.IndexFunc(d.Ranking(m.Instance, maxDeleters), func(r Member) bool { return r.Instance == d.self.Instance })
+		// Other builds delete no rows.
+		deleters := d.ranking(m.Instance, maxDeleters, func(s *memberState, now time.Time) bool { return s.isLive(now) && s.ReadVersion != 0 })
+		rank := slices.IndexFunc(deleters, func(r Member) bool { return r.Instance == d.self.Instance })
 		if rank >= 0 && !now.Before(m.at.Add(time.Duration(rank)*deleterDelay)) {
 			lapsed = append(lapsed, m.Row)
 		}
@@ -786,7 +788,14 @@
 // instances have it in their lists.
 func (d *Discoverer) IsCurrent() bool {
 	last := d.lastHeartbeat.Load()
-	return last != nil && !d.isDeregistered.Load() && time.Since(last.at) <= missedHeartbeats*max(last.interval, bookkeeperInterval)
+	return last != nil && !d.isDeregistered.Load() && elapsedSince(last.at) <= missedHeartbeats*max(last.interval, bookkeeperInterval)
+}
+
+// elapsedSince returns the time since a reading of the clock, also if the steady clock stood still
+// while the machine was suspended.
+func elapsedSince(at time.Time) time.Duration {
+	now := time.Now()
+	return max(now.Sub(at), now.Round(0).Sub(at.Round(0)))
 }
 
 func bookkeepersAmong(members int) int {
