internal/bookkeeper: a lost holder and its witnesses are asked once a read

Cause: a successor asks the former holder and its witnesses for the openings, ten times at most, one attempt a read of the rights, which is one a second. Since an answer that has only the renewal calls step, which asks again at once. What tells that nothing was opened is the start of a process in place of a witness, from a read of the members that began after the right was taken, and these are one a second. If the successor runs in place of the holder it needs no such read, so that the fault shows only where the holder stays away.

Change: an attempt is made once a read. Between two reads an answer is only looked at.

Why budgets hold: what proves that nothing was opened is as before, and so is the time at which it may be read. A deduction begins later than before, never earlier, and until then the row names the former holder, while which nothing is opened and no program of the slot is lifted or marked. LOST: no turn's row depends on a right. What it costs: where nothing can be proved and not all three processes are back, turns that need the last part of a budget wait up to their deadlines for ten seconds more before they are refused at once.

The second test holds before and after: budgets after a loss in an outage.

--- a/internal/bookkeeper/rights.go
+++ b/internal/bookkeeper/rights.go
@@ -177,6 +177,9 @@
 	openings     map[string]int64
 	isAsking     bool
 	sealAttempts int
+	// isAskDue is true until the former holder was asked since the last read. Answers may arrive much faster
+	// than news of the members, which sealAttempts leaves time for.
+	isAskDue bool
 	// renewal is that of the former holder; nil until it is read.
 	renewal *renewal
 }
@@ -392,6 +395,7 @@
 		r.observe(s, i, m.rows[i].Value, m.rows[i].Version, m.startedAt)
 		r.takeIfDue(s, i)
 		sl.readsWithoutWitness++
+		sl.isAskDue = true
 		if right, isHolder := sl.right(); !isHolder || !r.needsWitnesses(right) {
 			sl.readsWithoutWitness = 0
 		}
@@ -627,6 +631,7 @@
 	sl, former := &r.slots[i], *right.Former
 	if sl.former != former.Tenure {
 		sl.former, sl.openings, sl.sealAttempts, sl.renewal = former.Tenure, nil, 0, nil
+		sl.isAskDue = true
 	}
 	ends, ended := r.ends(former, sl.tenure.HeldAt())
 	if ended > 0 {
@@ -644,10 +649,13 @@
 		s.log.Log(eventDeductionBegan, "Slot", slotNames[i], "Former", former.Holder, "Witnesses", former.Witnesses, "Renewal", sl.renewal, "Ended", ended)
 		submit(sl.tenure.Deduct())
 		return
-	default:
+	case sl.isAskDue:
+		sl.isAskDue = false
 		sl.sealAttempts++
 		r.askFormer(s, i, former)
 		return
+	default:
+		return // The next read asks again.
 	}
 	programs := slices.Sorted(maps.Keys(sl.openings))
 	if slices.ContainsFunc(programs, func(program string) bool { return !right.IsLifted(program) }) {
--- a/internal/bookkeeper/rights_test.go
+++ b/internal/bookkeeper/rights_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -612,3 +613,131 @@
 		}
 	})
 }
+
+// endAll ends all instances and starts those that return after the pause, with the store in reach all the time.
+func (o *outageFleet) endAll(t *testing.T, pause time.Duration, isAway map[int]bool) {
+	t.Helper()
+	for i := range o.clients {
+		o.killInstance(i)
+	}
+	time.Sleep(pause)
+	for i := range o.clients {
+		if !isAway[i] {
+			o.restart(t, i, "2")
+		}
+	}
+}
+
+// lastPartServedAfter returns for each slot how long after the call a turn was first served that needs the
+// last part of its program's budget, and the number of turns that were refused. It ends with the last slot, or
+// after the limit.
+func (o *outageFleet) lastPartServedAfter(t *testing.T, limit time.Duration) (served map[int]time.Duration, refused int) {
+	t.Helper()
+	served = map[int]time.Duration{}
+	var living []int
+	for i := range o.clients {
+		if o.isAlive(i) {
+			living = append(living, i)
+		}
+	}
+	startedAt := time.Now()
+	for n := 0; len(served) < opener.SlotCount && time.Since(startedAt) < limit; {
+		var mu sync.Mutex
+		var turns sync.WaitGroup
+		for isAsked := map[int]bool{}; len(isAsked) < opener.SlotCount; n++ {
+			name := fmt.Sprint("new-", n)
+			slot := opener.Slot(name)
+			if isAsked[slot] {
+				continue
+			}
+			isAsked[slot] = true
+			in := openRequest(name, "t")
+			in.Budget = turnTokens
+			client := o.clients[living[n%len(living)]]
+			turns.Go(func() {
+				out, _, err := client.Open(t.Context(), in)
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil || out.Status != bookkeeper.OK {
+					refused++
+				} else if _, isServed := served[slot]; !isServed {
+					served[slot] = time.Since(startedAt)
+				}
+			})
+		}
+		o.pass(t, time.Second)
+		turns.Wait()
+	}
+	return served, refused
+}
+
+// Guards against programs that don't get the last part of their budgets because the holder of their slot's
+// right stays away after the loss of all instances: what tells that it opened nothing comes from the
+// witnesses that are back.
+func TestProgramsHaveTheirBudgetsAlthoughSomeStayAwayAfterTheLossOfAllInstances(t *testing.T) {
+	const (
+		instances = 12
+		// Lists keep a bookkeeper for 13 s; its rights are taken after three reads, and the next two show that
+		// the former holder opened nothing.
+		returnLimit = 20 * time.Second
+	)
+	for _, away := range []int{0, 1, 3} {
+		t.Run(fmt.Sprint(away, " away"), func(t *testing.T) {
+			runFleet(t, 1, func(t *testing.T, f *fleet) {
+				o := newOutageFleet(t, f, instances)
+				o.pass(t, 20*time.Second)
+				// The holder of all rights stays away, and those that are last to follow it.
+				ranking := o.members[0].Ranking("", instances)
+				stayAway := slices.Concat(ranking[:1], ranking[instances-max(away, 1)+1:])[:away]
+				isAway := map[int]bool{}
+				for i, m := range o.members {
+					isAway[i] = slices.ContainsFunc(stayAway, func(a discoverer.Member) bool { return a.Instance == m.Self().Instance })
+				}
+				o.endAll(t, 1500*time.Millisecond, isAway)
+				served, refused := o.lastPartServedAfter(t, returnLimit)
+				latest := time.Duration(0)
+				for _, d := range served {
+					latest = max(latest, d)
+				}
+				t.Logf("%d slots served, the latest after %v; %d turns refused; %d deductions", len(served), latest, refused, o.deductions.Load())
+				if diff := cmp.Diff(opener.SlotCount, len(served)); diff != "" {
+					t.Errorf("slots whose programs have their whole budgets after %v: %s", returnLimit, diff)
+				}
+				if diff := cmp.Diff(int64(0), o.deductions.Load()); diff != "" {
+					t.Errorf("deductions: %s", diff)
+				}
+			})
+		})
+	}
+}
+
+// Guards against budgets that are handed out once more after all instances ended in an outage and the holder
+// of a right stays away: the witnesses that are back know nothing of what it opened.
+func TestBudgetsHoldAlthoughSomeStayAwayAfterALossInAnOutage(t *testing.T) {
+	for away := range 3 {
+		t.Run(fmt.Sprint(away, " away"), func(t *testing.T) {
+			runFleet(t, 1, func(t *testing.T, f *fleet) {
+				o := newOutageFleet(t, f, 5)
+				o.pass(t, 12*time.Second)
+				o.openDuringOutage(t, 0)
+				isAway := map[int]bool{}
+				for rank := range away {
+					for i, m := range o.members {
+						isAway[i] = isAway[i] || m.Self().Instance == o.members[0].Ranking("", len(o.members))[rank].Instance
+					}
+				}
+				o.endAll(t, 500*time.Millisecond, isAway)
+				o.setAway(false)
+				// Programs that were stopped return within the time that the slots' rights assume.
+				for i, endedAt := 0, time.Now(); time.Since(endedAt) < returnTime-10*time.Second; i++ {
+					o.pass(t, time.Second)
+					client := i % len(o.clients)
+					for !o.isAlive(client) {
+						client = (client + 1) % len(o.clients)
+					}
+					o.spendRest(t, client, program(i%outagePrograms))
+				}
+			})
+		})
+	}
+}
