internal/bookkeeper: holders of grants are asked at the same time

What callers may see: a turn is told that its program's budget is spent (402, which ends the program), although a living holder has tokens that it doesn't need, because another holder ended and its host doesn't answer.

Cause: the other holders of a program's grants are asked to release their unused tokens one after the other, in the order of a map, within 200 ms for all, and once for each version of the row. A host without power answers nothing, so that a call to it takes 150 ms (no connection) or all of the time. Those after it are asked with no time left and count as if they refused.

Change: all are asked at once, within the same time.

Why budgets hold: a holder's answer depends on its own ledger alone, and answers are used, as before, only if the row has the version for which they were asked, under which the next write is made.

Measured: TestGrantIsReclaimedBesideHoldersThatDoNotAnswer, three holders that ended and one that lives.

--- a/internal/bookkeeper/bookkeeper_test.go
+++ b/internal/bookkeeper/bookkeeper_test.go
@@ -25,9 +25,11 @@
 
 	mu          sync.Mutex
 	bookkeepers map[string]*bookkeeper.Bookkeeper
-	work        sync.WaitGroup
-	ctx         context.Context
-	cancels     map[string]context.CancelFunc
+	// isSilent makes calls of killed bookkeepers wait for their timeouts.
+	isSilent bool
+	work     sync.WaitGroup
+	ctx      context.Context
+	cancels  map[string]context.CancelFunc
 }
 
 func newFleet(ctx context.Context, seed uint64) *fleet {
@@ -66,6 +68,9 @@
 
 func (f *fleet) reclaim(ctx context.Context, holder, program string) (bookkeeper.ReclaimResponse, error) {
 	k := f.bookkeeper(holder)
+	if k == nil && f.isSilent {
+		<-ctx.Done()
+	}
 	if k == nil {
 		return bookkeeper.ReclaimResponse{}, errors.New("bookkeeper was killed")
 	}
@@ -219,6 +224,36 @@
 	})
 }
 
+// Guards against a budget that is said to be spent although a living holder would return its grant: holders
+// that ended, whose hosts don't answer, must not use up the time in which the others are asked.
+func TestGrantIsReclaimedBesideHoldersThatDoNotAnswer(t *testing.T) {
+	served := func(seed uint64, isSilent bool) (turns int) {
+		runFleet(t, seed, func(t *testing.T, f *fleet) {
+			const budget = 40 * turnTokens
+			f.isSilent = isSilent
+			for _, name := range []string{"a", "b", "c", "living"} {
+				k := f.start(name)
+				open(t, k, "turn at "+name, budget)
+				settle(t, k, "turn at "+name, 30)
+				if name != "living" {
+					f.kill(name)
+				}
+			}
+			k := f.start("e")
+			for open(t, k, fmt.Sprint(turns), budget).Status == bookkeeper.OK {
+				settle(t, k, fmt.Sprint(turns), turnTokens)
+				turns++
+			}
+		})
+		return turns
+	}
+	for seed := range uint64(5) {
+		if diff := cmp.Diff(served(seed, false), served(seed, true)); diff != "" {
+			t.Errorf("run %d: turns served beside holders that refuse calls and that don't answer: %s", seed, diff)
+		}
+	}
+}
+
 func TestOpenIsIdempotent(t *testing.T) {
 	runFleet(t, 1, func(t *testing.T, f *fleet) {
 		k := f.start("a")
--- a/internal/bookkeeper/reclaim.go
+++ b/internal/bookkeeper/reclaim.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 )
 
 // release answers a reclaim request of another holder.
@@ -37,12 +38,19 @@
 		ctx, cancel := context.WithTimeout(context.Background(), reclaimTimeout)
 		defer cancel()
 		committed := map[string]int64{}
+		var calls sync.WaitGroup
+		var mu sync.Mutex
 		for _, holder := range holders {
-			// A holder that does not answer keeps its grant.
-			if out, err := s.reclaim(ctx, holder, program); err == nil && !out.Refused {
-				committed[holder] = out.Committed
-			}
+			calls.Go(func() {
+				// A holder that does not answer keeps its grant.
+				if out, err := s.reclaim(ctx, holder, program); err == nil && !out.Refused {
+					mu.Lock()
+					defer mu.Unlock()
+					committed[holder] = out.Committed
+				}
+			})
 		}
+		calls.Wait()
 		s.send(reclaimResult{program: program, version: version, committed: committed})
 	}()
 	return true
