internal/bookkeeper: a test of budgets over losses of all instances with some away

All instances end 0 to 5 s into an outage, are down for 0.2 to 3.2 s, and up to two of five stay away; programs that were opened without a row return within the time that rights assume, and none may use more than its budget.

--- a/internal/bookkeeper/rights_test.go
+++ b/internal/bookkeeper/rights_test.go
@@ -153,9 +153,15 @@
 
 // turn runs a turn at the client, which uses the tokens.
 func (o *outageFleet) turn(t *testing.T, client int, program string, used int64) bookkeeper.Status {
+	t.Helper()
+	return o.turnWithin(t, client, program, used, 3*time.Second)
+}
+
+// turnWithin is turn for a turn that waits for at most the given time.
+func (o *outageFleet) turnWithin(t *testing.T, client int, program string, used int64, wait time.Duration) bookkeeper.Status {
 	t.Helper()
 	in := openRequest(program, fmt.Sprint("turn-", time.Now().UnixNano(), "-", o.spent[program]))
-	in.Wait = 3 * time.Second
+	in.Wait = wait
 	out, member, err := o.clients[client].Open(t.Context(), in)
 	if err != nil {
 		t.Fatal(err)
@@ -741,3 +747,49 @@
 		})
 	}
 }
+
+// Guards against budgets that are exceeded because a successor concludes wrongly that a lost holder opened
+// nothing: all instances end at any time of an outage, are down for any time, and some stay away.
+func TestBudgetsHoldOverLossesOfAllInstances(t *testing.T) {
+	const seeds = 24
+	var opened, withDeduction int
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			runFleet(t, seed, func(t *testing.T, f *fleet) {
+				random := rand.New(rand.NewPCG(seed, 13))
+				o := newWideOutageFleet(t, f, 5, 1+random.IntN(2))
+				o.pass(t, 12*time.Second)
+				o.setAway(true)
+				// Openings begin 2.6 s after the last renewal.
+				for end := time.Now().Add(time.Duration(random.IntN(5000)) * time.Millisecond); time.Now().Before(end); {
+					o.turnWithin(t, random.IntN(len(o.clients)), program(random.IntN(outagePrograms)), turnTokens, 200*time.Millisecond)
+				}
+				opened += int(o.opened.Load())
+				isAway := map[int]bool{}
+				for range random.IntN(3) {
+					isAway[random.IntN(len(o.clients))] = true
+				}
+				if random.IntN(2) == 0 {
+					o.setAway(false) // The store returns before the instances do.
+				}
+				o.endAll(t, time.Duration(200+random.IntN(3000))*time.Millisecond, isAway)
+				o.setAway(false)
+				for i, endedAt := 0, time.Now(); time.Since(endedAt) < returnTime-10*time.Second; i++ {
+					o.pass(t, time.Second)
+					client := random.IntN(len(o.clients))
+					for !o.isAlive(client) {
+						client = (client + 1) % len(o.clients)
+					}
+					o.spendRest(t, client, program(i%outagePrograms))
+				}
+				if o.deductions.Load() > 0 {
+					withDeduction++
+				}
+			})
+		})
+	}
+	if opened < 2*seeds || withDeduction == 0 || withDeduction == seeds {
+		t.Errorf("%d programs opened and deductions in %d of %d runs, which is too little to show anything", opened, withDeduction, seeds)
+	}
+	t.Logf("%d programs opened, deductions in %d of %d runs", opened, withDeduction, seeds)
+}
