internal/tunneler: a tunnel counts from the start of the direct connection beside it

Cause: while an endpoint counts as reached through others, a direct connection and a tunnel begin at once. The tunnel took the time at which its goroutine ran for its start. If the direct connection was open by then, recordTunnel took it for older than the tunnel, and the endpoint counted as reached through others for up to 10 s more (direct attempts once a second). Change: both count from the start of Dial, inclusive.

--- a/internal/tunneler/tunneler.go
+++ b/internal/tunneler/tunneler.go
@@ -170,6 +170,7 @@
 	}
 	ctx, cancel := t.withTimeout(ctx, openTimeout)
 	defer cancel()
+	start := time.Now()
 	isBlocked, mayProbe := t.begin(endpoint)
 	attempts := make(chan attempt, 2)
 	running := 0
@@ -190,7 +191,7 @@
 		hasTunnel = true
 		running++
 		go func() {
-			conn, err := t.openTunnel(ctx, endpoint)
+			conn, err := t.openTunnel(ctx, endpoint, start)
 			attempts <- attempt{conn: conn, err: err}
 		}()
 	}
@@ -249,7 +250,7 @@
 		_ = conn.Close() // It was never used.
 		return false
 	}
-	conn, err := t.openTunnel(ctx, address)
+	conn, err := t.openTunnel(ctx, address, time.Now())
 	if err == nil {
 		_ = conn.Close() // It was never used.
 	}
@@ -328,13 +329,13 @@
 }
 
 // recordTunnel records that an endpoint was reached through another instance, unless a direct
-// connection was opened since the start.
+// connection was opened at the start or since.
 func (t *Tunneler) recordTunnel(endpoint netip.AddrPort, m discoverer.Member, start time.Time) {
 	now := time.Now()
 	t.mu.Lock()
 	p := t.lockedPath(endpoint)
 	isNew := now.After(p.blockedUntil)
-	if p.openedAt.After(start) {
+	if !p.openedAt.Before(start) {
 		t.mu.Unlock()
 		return
 	}
@@ -423,8 +424,9 @@
 
 // openTunnel opens a connection to the endpoint through the first of several instances that
 // has one. It returns syscall.ECONNREFUSED if the endpoint refuses maxRefusals of them, or
-// all, and someRefused if it refuses fewer.
-func (t *Tunneler) openTunnel(ctx context.Context, endpoint netip.AddrPort) (net.Conn, error) {
+// all, and someRefused if it refuses fewer. The start is that of all ways to open the connection,
+// since a direct one may be open before this one begins.
+func (t *Tunneler) openTunnel(ctx context.Context, endpoint netip.AddrPort, start time.Time) (net.Conn, error) {
 	type result struct {
 		member discoverer.Member
 		conn   net.Conn
@@ -432,11 +434,10 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	began := time.Now()
 	members := t.rank(endpoint)
 	results := make(chan result, len(members))
 	running, next, refusals, ended := 0, 0, 0, 0
-	start := func() {
+	ask := func() {
 		if next == len(members) {
 			return
 		}
@@ -448,7 +449,7 @@
 			results <- result{member: m, conn: conn, err: err}
 		}()
 	}
-	start()
+	ask()
 	failure := errNoRelay
 	if running > 0 {
 		failure = errNoAnswer
@@ -464,7 +465,7 @@
 				t.recordRelay(r.member, r.err)
 			}
 			if r.err == nil {
-				t.recordTunnel(endpoint, r.member, began)
+				t.recordTunnel(endpoint, r.member, start)
 				go func() {
 					for range running {
 						if late := <-results; late.conn != nil {
@@ -486,9 +487,9 @@
 			if refusals >= min(maxRefusals, len(members)) {
 				return nil, failure
 			}
-			start()
+			ask()
 		case <-timer.C:
-			start()
+			ask()
 		case <-ctx.Done():
 			timer.Stop()
 			if refusals > 0 {
