internal/placer: an instance doesn't take itself for expired while the store is away

Cause: a placer judges leases by when it last read a new version of their rows, also its own. An outage may begin after a renewal that was not read any more. The instance then took its own lease for expired, up to a second before those of others, although it was confirmed, and released up to 64 shards to them. Nobody served these until the store returned, and calls to them were refused as Moved. Change: the own lease does not expire by the rows read.

--- a/internal/placer/fault_test.go
+++ b/internal/placer/fault_test.go
@@ -166,6 +166,30 @@
 	})
 }
 
+// TestStoreOutageStartsNoHandovers begins outages at all times between two renewals. An instance
+// that renewed its lease after it last read the row took itself for expired before the others, and
+// released its shards to them, which nobody served until the store returned.
+func TestStoreOutageStartsNoHandovers(t *testing.T) {
+	runStable(t, func(t *testing.T, c *cluster) {
+		for _, name := range c.names() {
+			c.get(name).maxAppendDelay.Store(int64(time.Hour))
+		}
+		for offset := time.Duration(0); offset < 4*time.Second; offset += 100 * time.Millisecond {
+			time.Sleep(20*time.Second + offset)
+			c.store.setOutage(true)
+			time.Sleep(time.Minute)
+			if diff := cmp.Diff(servedOnce, c.served()); diff != "" {
+				t.Errorf("outage %v later: %s", offset, diff)
+			}
+			c.store.setOutage(false)
+			time.Sleep(20*time.Second - offset)
+			if diff := cmp.Diff(servedOnce, c.served()); diff != "" {
+				t.Errorf("after the outage %v later: %s", offset, diff)
+			}
+		}
+	})
+}
+
 // TestPausesShorterThanLeaseMoveNoShards repeatedly pauses an instance for less than its
 // lease's TTL.
 func TestPausesShorterThanLeaseMoveNoShards(t *testing.T) {
--- a/internal/placer/shardmap.go
+++ b/internal/placer/shardmap.go
@@ -131,15 +131,18 @@
 
 // liveMembers returns the names of the members that may own shards: those that are live,
 // not leaving, and whose lease has not expired. With stableOnly, it leaves out members
-// that joined within the stabilization period.
+// that joined within the stabilization period. The own lease does not expire by the rows
+// read: the last renewal may be later, and while the store is away, the rows of others seem
+// valid for longer at times.
 func (p *Placer) liveMembers(stableOnly bool) []string {
+	self := p.lease.Lease().Instance
 	var names []string
 	for _, name := range p.leaseHolders() {
 		m := p.members[name]
 		if m.lease.State != leaser.Live || m.leaving {
 			continue
 		}
-		if p.observer.Expired(name, m.row.Version) {
+		if name != self && p.observer.Expired(name, m.row.Version) {
 			continue
 		}
 		if stableOnly && time.Since(m.joined) < p.stabilizationPeriod {
