internal/discoverer: a row written in an empty store is not one of an older build

Cause: a process that read version 0 of the store stated 0 as what it had read, which stands for builds that state nothing.

Change: it states that it has read nothing, which is the same.

--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -94,7 +94,8 @@
 	// also of earlier processes; zero in the row that was created last.
 	ContinuousFrom int64 `cbor:"10,keyasint,omitempty"`
 	// ReadVersion is the version of the store up to which the instance had read the table when it
-	// wrote the row: notRead if it had not, and zero from builds that do not state it.
+	// wrote the row: notRead if it had not, or not found any row in the store, and zero from builds
+	// that do not state it.
 	ReadVersion int64 `cbor:"11,keyasint,omitempty"`
 	// IsContested is set by another instance that does not reach the member, and taken back by the
 	// member's next heartbeat.
@@ -295,7 +296,8 @@
 	row.Heartbeats, row.Interval, row.StartedAt = d.heartbeats.Add(1), d.interval(), d.learnStart()
 	expected, from := d.version.Load(), d.continuousFrom.Load()
 	d.mu.Lock()
-	if row.ReadVersion = d.readVersion; d.readAt.IsZero() {
+	// Zero would be taken for an older build.
+	if row.ReadVersion = d.readVersion; row.ReadVersion == 0 {
 		row.ReadVersion = notRead
 	}
 	if expected == 0 {
