internal/allotter: a contested instance stands in for nobody

If its own writes failed, so that it could not take the contest back, but its reads did not, it went on to stand in beside the next one.

Change: it stands in only while it may issue all of its own part, which covers a table that is not recent, too.

--- a/internal/allotter/return_test.go
+++ b/internal/allotter/return_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/wigeonstand/wigeonstand/internal/discoverer"
 	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
 )
 
@@ -148,3 +149,47 @@
 		})
 	}
 }
+
+// Guards against two instances that stand in for the same issuer: one that can't take a contest of
+// its own back, as its writes fail, gives way to the next one.
+func TestContestedInstanceStandsInForNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(5, 1, 0)
+		time.Sleep(30 * time.Second)
+		ranking := f.node(0).RowRanking("account-0", candidatesPerAccount)
+		first, next := f.node(index(ranking[issuersPerAccount].Address)), f.node(index(ranking[issuersPerAccount+1].Address))
+		contest := func(n *node, instance string) {
+			for _, row := range n.Rows().Others {
+				if row.Instance == instance {
+					if err := n.ContestMember(t.Context(), row); err != nil {
+						t.Error(err)
+					}
+				}
+			}
+		}
+		parts := func(n *node) float64 {
+			n.allotter.mu.Lock()
+			defer n.allotter.mu.Unlock()
+			r := n.allotter.lockedNewRight("account-0", time.Now())
+			r.standIn.update(&n.allotter.tenure, "account-0", time.Now().Add(-discoverer.StandInDelay-rightMargin))
+			return r.part(&n.allotter.tenure, "account-0", time.Now())
+		}
+		f.kill(index(ranking[0].Address))
+		contest(next, ranking[0].Instance)
+		time.Sleep(2 * time.Second)
+		if part := parts(first); part != (1-contestedShare)/issuersPerAccount {
+			t.Errorf("the first candidate issues %v of the bound", part)
+		}
+		first.allotter.tenure.members = contestedMembers{first}
+		if part := parts(first); part != 0 {
+			t.Errorf("the first candidate issues %v of the bound while it is contested", part)
+		}
+		f.stop()
+		time.Sleep(10 * time.Second) // All calls end.
+	})
+}
+
+// contestedMembers are the members of an instance that is contested.
+type contestedMembers struct{ *node }
+
+func (contestedMembers) Contest() (isContested bool, endedAt time.Time) { return true, time.Time{} }
--- a/internal/allotter/right.go
+++ b/internal/allotter/right.go
@@ -73,9 +73,8 @@
 	// interruption. The table must have been read since then.
 	observedAt, resumedAt time.Time
 	// isValid is set while this instance may be an issuer: its lease is current, and its own row
-	// is in the table. startedAt is when that began.
-	isValid   bool
-	startedAt time.Time
+	// is in the table.
+	isValid bool
 	// epoch counts the changes of the members, and epochAt is the time of the last one.
 	epoch       int64
 	epochAt     time.Time
@@ -89,10 +88,10 @@
 	readAt, cleanAt time.Time
 	// listedAt is since when this instance has had its row.
 	listedAt time.Time
-	// gaps counts the intervals between two reads that were too long to stand in for others.
+	// gaps counts the intervals between two reads that were too long to stand in for others by them.
 	gaps int64
-	// hasContested is set while there are contested members, and isSettled once this instance has been listed for
-	// so long that all that stand in for others know it.
+	// hasContested is set while there are contested members, and isSettled once this instance has
+	// been listed for so long that all that stand in for others know it.
 	hasContested, isSettled bool
 	// contested are the processes that are contested, and takenBackAt is when others took that back.
 	contested   map[string]bool
@@ -154,10 +153,7 @@
 	}
 	wasValid := t.isValid
 	t.isValid = isCurrent && isListed && t.readAt.After(t.resumedAt)
-	switch {
-	case t.isValid && !wasValid:
-		t.startedAt = now
-	case !t.isValid && wasValid && t.hasOlderBuilds():
+	if !t.isValid && wasValid && t.hasOlderBuilds() {
 		t.beginTerm(now)
 	}
 	t.findUnsure(now)
@@ -241,8 +237,8 @@
 }
 
 // mayBeIssuer reports whether the member may issue the account's permits by a table without this
-// instance, beside another issuer that takes precedence over it. It issues none if its table surely has members that take precedence.
-// It stands in for others only by a recent table.
+// instance, beside another issuer that takes precedence over it. It issues none if its table surely
+// has members that take precedence, and stands in for others only by a recent table.
 func (t *tenure) mayBeIssuer(m *discoverer.Row, account string) bool {
 	preceding, known := 0, 0
 	for i := range t.others {
@@ -373,7 +369,8 @@
 
 // part returns the part of the bound that this instance may issue in place of contested issuers.
 func (s *standIn) part(t *tenure, now time.Time) float64 {
-	if s.count == 0 || elapsed(t.readAt, now) >= discoverer.StandInDelay || now.Before(s.beginsAt()) {
+	// While this instance is contested, or has not read the table, the next one stands in.
+	if s.count == 0 || t.ownShare(now) < 1 || now.Before(s.beginsAt()) {
 		return 0
 	}
 	return float64(s.count) * (1 - contestedShare) / issuersPerAccount
