internal/bookkeeper: a bookkeeper that is asked for another one's slot checks that one

What callers saw: after the loss of instances, turns that need the last part of a budget were refused (503, Books) for 17 s and longer in slots whose right's holder stayed away, where few turns come in.

Cause: a right is taken by the slot's bookkeeper by its own list of members. Lists keep one that is away for 13 s, one that was no bookkeeper for 43 s, and the next ones in rank that are away come after it. An instance leaves out a member only after its own calls to it fail. Turns of others come to it, as their instances have noticed, but it asks only the row's holder for the openings, and concludes nothing from the failure.

Change: if that call fails, the bookkeeper by its own list is pinged, twice after a silent connection, and left out for 2 s if it does not answer. The right is taken after three reads, as before.

Why budgets hold: whoever takes a right may do so at any time under the row's version, and settles the former holder's openings first. Which instance counts as a bookkeeper decides nothing about tokens. Where a link is cut but the holder lives, two instances may take the right from each other every few seconds; that was so for each instance whose own turns go to the holder, and the witnesses answer for either.

--- a/internal/bookkeeper/rights.go
+++ b/internal/bookkeeper/rights.go
@@ -88,6 +88,8 @@
 	ReplacedAt(incarnation string) (time.Time, bool)
 	// IsCurrent reports whether this process has written its row of the members.
 	IsCurrent() bool
+	// Suspect leaves an instance that did not answer out of Bookkeepers for a short time.
+	Suspect(instance string)
 	Self() discoverer.Member
 }
 
--- a/internal/bookkeeper/rights_calls.go
+++ b/internal/bookkeeper/rights_calls.go
@@ -254,10 +254,35 @@
 			s.send(programLifted{program: in.Program, LiftResponse: out})
 			return
 		}
+		if err != nil {
+			r.checkBookkeeper(ctx, in.Program)
+		}
 		r.pause(ctx)
 	}
 }
 
+// checkBookkeeper avoids the bookkeeper of the program's slot if it does not answer. The program's turns come
+// here instead, but this process takes the right only once it is the bookkeeper by its own list, which
+// keeps members that are away for long.
+func (r *rights) checkBookkeeper(ctx context.Context, program string) {
+	m := r.Members.Bookkeepers(slotKey(program))[0]
+	if m.Instance == r.Members.Self().Instance {
+		return
+	}
+	ping := func() error {
+		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+		defer cancel()
+		return r.Caller.Call(ctx, m.Address, methodPing, Ping{}, &Ping{})
+	}
+	err := ping()
+	if errors.Is(err, messenger.ErrStale) {
+		err = ping()
+	}
+	if err != nil && ctx.Err() == nil {
+		r.Members.Suspect(m.Instance)
+	}
+}
+
 // pause waits before a call that failed is repeated.
 func (r *rights) pause(ctx context.Context) {
 	timer := time.NewTimer(peerRetryDelay)
