internal/soaker: a turn that fails returns its last reply

Cause: a variable of the loop shadowed the one that is returned, so that a turn without success returned an empty reply. Change: one variable. Result: no effect on the checks so far, as callers only ask whether the turn succeeded.

--- a/internal/soaker/soak_caller.go
+++ b/internal/soaker/soak_caller.go
@@ -140,7 +140,8 @@
 			call.StopAfter = 1 + c.random.IntN(events)
 		}
 		s := c.begin(ctx, call, events)
-		reply, id := s.first().reply, s.first().call.ID
+		id := s.first().call.ID
+		reply = s.first().reply
 		if !retained {
 			reply = c.takeUp(ctx, s)
 		}
