--- a/Makefile
+++ b/Makefile
@@ -84,9 +84,12 @@
 regression:
 	hack/regression.sh
 
-# Runs the fault soak: SOAK_SEEDS seeds from SOAK_SEED, each for SOAK_TIME.
+# Runs the fault soak: SOAK_SEEDS seeds from SOAK_SEED, each for SOAK_TIME, and SOAK_DAYS days of
+# losses of all instances, which last up to a minute and a half.
 SOAK_SEED ?= 1
 SOAK_SEEDS ?= 3
 SOAK_TIME ?= 6s
+SOAK_DAYS ?= 1
 soak: build
 	$(BIN)/wigeonsoak --seed $(SOAK_SEED) --seeds $(SOAK_SEEDS) --length $(SOAK_TIME)
+	$(BIN)/wigeonsoak --losses --instances 12 --seed $(SOAK_SEED) --seeds $(SOAK_DAYS)
--- a/cmd/wigeonsoak/main.go
+++ b/cmd/wigeonsoak/main.go
@@ -48,6 +48,7 @@
 			&cli.IntFlag{Name: "callers", Value: 12},
 			&cli.BoolFlag{Name: "calm", Usage: "inject no faults"},
 			&cli.BoolFlag{Name: "planned-only", Usage: "inject planned stops, configurations and releases alone"},
+			&cli.BoolFlag{Name: "losses", Usage: "play losses of all instances, of which some stay away, with accounts that have quotas; the day has its own length, and up to --instances"},
 			&cli.BoolFlag{Name: "http10", Value: true, Usage: "let some callers speak HTTP/1.0"},
 			&cli.BoolFlag{Name: "version-mix", Value: true, Usage: "run endpoints of several software versions"},
 			&cli.BoolFlag{Name: "event-numbering", Value: true, Usage: "draw how events are numbered, in place of 1, 2, 3"},
@@ -65,7 +66,7 @@
 			Binary: c.String("binary"), OtherBinary: c.String("other-binary"), Folder: filepath.Join(c.String("folder"), fmt.Sprint(seed)), Seed: seed,
 			Length: c.Duration("length"), Instances: c.Int("instances"), Engines: c.Int("engines"),
 			Services: c.Int("services"), Callers: c.Int("callers"), Calm: c.Bool("calm"),
-			PlannedOnly: c.Bool("planned-only"), NoHTTP10: !c.Bool("http10"), SingleVersion: !c.Bool("version-mix"),
+			PlannedOnly: c.Bool("planned-only"), Losses: c.Bool("losses"), NoHTTP10: !c.Bool("http10"), SingleVersion: !c.Bool("version-mix"),
 			CountsFromOne: !c.Bool("event-numbering"),
 		}
 		if name := c.String("profile"); name != "" {
--- a/internal/soaker/soak_account.go
+++ b/internal/soaker/soak_account.go
@@ -10,19 +10,31 @@
 	"github.com/wigeonstand/wigeonstand/platform/standin"
 )
 
-// accountCount is the number of accounts of callers.
-const accountCount = 3
+// accountCount is the number of accounts of callers, and lossAccounts that in a day of losses.
+const (
+	accountCount = 3
+	lossAccounts = 6
+)
 
 // accounts makes the accounts of configurations. Each one gives an account, in turn, a new key
 // beside its last one, and withdraws the key that the account before it had kept in the same way.
 type accounts struct {
+	// rate is the quota of each account in requests a second; zero for none.
+	rate float64
+
 	mu sync.Mutex
 	// issued is the number of the newest key of each account.
-	issued [accountCount]int
+	issued []int
 	// changes is the number of configurations so far.
 	changes int
 }
 
+func newAccounts(count int, rate float64) *accounts {
+	return &accounts{rate: rate, issued: make([]int, count)}
+}
+
+func (a *accounts) count() int { return len(a.issued) }
+
 func accountName(i int) string { return fmt.Sprint("account-", i) }
 
 func accountKey(i, number int) string { return fmt.Sprintf("sk-%d-%d", i, number) }
@@ -31,12 +43,12 @@
 func (a *accounts) next() []standin.Account {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	changed := a.changes % accountCount
+	changed := a.changes % a.count()
 	a.changes++
 	a.issued[changed]++
 	var out []standin.Account
-	for i := range accountCount {
-		account := standin.Account{Name: accountName(i), Keys: []string{accountKey(i, a.issued[i])}}
+	for i := range a.issued {
+		account := standin.Account{Name: accountName(i), Keys: []string{accountKey(i, a.issued[i])}, Rate: a.rate}
 		if i == changed {
 			account.Keys = append(account.Keys, accountKey(i, a.issued[i]-1))
 		}
@@ -77,7 +89,7 @@
 func (c *caller) checkWithdrawn(ctx context.Context) {
 	for range lastTries {
 		c.count(c.report.Checks, "withdrawn key")
-		call := standin.Call{Path: standin.PathLookup + "x", Key: c.accounts.withdrawnKey(c.index % accountCount)}
+		call := standin.Call{Path: standin.PathLookup + "x", Key: c.accounts.withdrawnKey(c.account())}
 		if reply, id := c.do(ctx, call); reply.Status != http.StatusUnauthorized {
 			c.violate("KEY: %s with a withdrawn key was answered %d", id, reply.Status)
 		}
--- a/internal/soaker/soak_caller.go
+++ b/internal/soaker/soak_caller.go
@@ -73,7 +73,19 @@
 	}
 }
 
+// account returns the account of the caller.
+func (c *caller) account() int { return c.index % c.accounts.count() }
+
+func (c *caller) drawInstance() *instance {
+	present := c.present()
+	return present[c.random.IntN(len(present))]
+}
+
 func (c *caller) run(ctx context.Context) {
+	if c.Losses {
+		c.runThroughLosses(ctx)
+		return
+	}
 	if c.index%slowCallers == 1 {
 		c.runSlow(ctx)
 		return
@@ -114,6 +126,10 @@
 			c.do(ctx, standin.Call{Path: path + "x", Body: program, Program: program})
 		}
 	}
+	c.checkBudget(program, tokens)
+}
+
+func (c *caller) checkBudget(program string, tokens int) {
 	c.count(c.report.Checks, "budget")
 	if tokens > callerBudget+callerMost {
 		c.violate("BUDGET: program %s got %d tokens of a budget of %d", program, tokens, callerBudget)
@@ -174,7 +190,7 @@
 
 // do sends a call to an instance of chance and checks the answer by itself.
 func (c *caller) do(ctx context.Context, call standin.Call) (standin.Reply, string) {
-	sent := c.send(ctx, c.instances[c.random.IntN(len(c.instances))], call)
+	sent := c.send(ctx, c.drawInstance(), call)
 	return sent.reply, sent.call.ID
 }
 
@@ -200,7 +216,7 @@
 	call := &sent.call
 	call.ID = fmt.Sprintf("r-%d-%d", c.index, c.requests)
 	if call.Key == "" {
-		call.Key, call.ForgedAccount = c.accounts.newestKey(c.index%accountCount), "forged"
+		call.Key, call.ForgedAccount = c.accounts.newestKey(c.account()), "forged"
 	}
 	call.Method, call.Host = http.MethodPost, standin.Host
 	sent.began = time.Now()
--- a/internal/soaker/soak_fault.go
+++ b/internal/soaker/soak_fault.go
@@ -20,8 +20,12 @@
 	begin, end func()
 }
 
-// heartbeat is how late a process registers at most.
-const heartbeat = 1200 * time.Millisecond
+const (
+	// heartbeat is how late a process registers at most.
+	heartbeat = 1200 * time.Millisecond
+	// storeDelay is how late a slow store answers.
+	storeDelay = 300 * time.Millisecond
+)
 
 // injectFaults begins a fault after each gap until ctx ends; faults overlap.
 func (s *soak) injectFaults(ctx context.Context) {
@@ -161,15 +165,16 @@
 
 func (s *soak) each(f func(in *instance)) {
 	var work sync.WaitGroup
-	for _, in := range s.instances {
+	for _, in := range s.present() {
 		work.Go(func() { f(in) })
 	}
 	work.Wait()
 }
 
 func (s *soak) instanceNames() []string {
-	names := make([]string, len(s.instances))
-	for i, in := range s.instances {
+	present := s.present()
+	names := make([]string, len(present))
+	for i, in := range present {
 		names[i] = in.name
 	}
 	return names
@@ -182,7 +187,7 @@
 	}{
 		{"store down", fakeplatform.RowFaults{Outage: true}},
 		{"store silent", fakeplatform.RowFaults{Silent: true}},
-		{"store slow", fakeplatform.RowFaults{Delay: 300 * time.Millisecond}},
+		{"store slow", fakeplatform.RowFaults{Delay: storeDelay}},
 		{"store loses answers", fakeplatform.RowFaults{LoseAnswers: 0.4}},
 		{"store answers late", fakeplatform.RowFaults{LoseAnswers: 0.4, LandLate: 2 * time.Second}},
 		{"store refuses some", fakeplatform.RowFaults{Refused: map[string]bool{
--- a/internal/soaker/soak_instance.go
+++ b/internal/soaker/soak_instance.go
@@ -25,7 +25,11 @@
 	store      *link
 	peers      *link
 	// seeds are the peers' addresses of some instances that started before.
-	seeds   []string
+	seeds []string
+	// hasQuotas is true if the instance keeps quotas.
+	hasQuotas bool
+	// away is true if the instance does not come back; the mutex of soak guards it.
+	away    bool
 	command *exec.Cmd
 	ended   chan struct{}
 
@@ -66,6 +70,9 @@
 GracePeriod: 6s
 Budgets: {OutageShare: 0.25}
 `, in.name, in.host, in.peers.address(), in.store.address(), strings.Join(in.seeds, ", "), in.dataCentre)
+	if in.hasQuotas {
+		text += fmt.Sprintf("QuotaWindow: %v\nQuotaOverage: %g\nQuotaTolerance: %d\n", quotaWindow, quotaOverage, quotaTolerance)
+	}
 	return os.WriteFile(in.file("yaml"), []byte(text), 0o600)
 }
 
--- a/internal/soaker/soak_slow.go
+++ b/internal/soaker/soak_slow.go
@@ -19,7 +19,7 @@
 // runSlow sends unsafe calls whose heads or bodies come in slowly, on new and kept connections.
 func (c *caller) runSlow(ctx context.Context) {
 	for ctx.Err() == nil {
-		in := c.instances[c.random.IntN(len(c.instances))]
+		in := c.drawInstance()
 		conn := &standin.Conn{Address: in.callers(), IsHTTP10: !c.NoHTTP10 && c.random.IntN(oldCallers) == 0}
 		for range 1 + c.random.IntN(slowUses) {
 			pace := standin.Pace{}
--- a/internal/soaker/soak_stream.go
+++ b/internal/soaker/soak_stream.go
@@ -30,7 +30,7 @@
 // begin sends the first attempt of a stream with the number of events.
 func (c *caller) begin(ctx context.Context, call standin.Call, want int) *callerStream {
 	s := &callerStream{want: want}
-	c.attempt(ctx, s, c.instances[c.random.IntN(len(c.instances))], call)
+	c.attempt(ctx, s, c.drawInstance(), call)
 	return s
 }
 
@@ -62,7 +62,7 @@
 }
 
 func (c *caller) otherInstance(than *instance) *instance {
-	others := slices.DeleteFunc(slices.Clone(c.instances), func(in *instance) bool { return in == than })
+	others := slices.DeleteFunc(c.present(), func(in *instance) bool { return in == than })
 	if len(others) == 0 {
 		return than
 	}
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -12,23 +12,63 @@
 
 // TestSoak is a short run of the soak with fixed seeds.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "wigeonstand")
-	if out, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../../cmd/wigeonstand").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
+	binary := build(t)
 	for _, seed := range []uint64{1, 2} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			report, err := soaker.Run(t.Context(), soaker.Config{
-				Binary: binary, Folder: t.TempDir(), Seed: seed, Length: 5 * time.Second,
-				Instances: 3, Engines: 2, Services: 2, Callers: 6,
+			play(t, soaker.Config{
+				Binary: binary, Seed: seed, Length: 5 * time.Second, Instances: 3, Engines: 2, Services: 2, Callers: 6,
 			})
-			if err != nil {
-				t.Fatal(err)
-			}
-			for _, violation := range report.Violations {
-				t.Error(violation)
-			}
-			t.Logf("faults %v, answers %v, checks %v", report.Faults, report.Answers, report.Checks)
 		})
 	}
 }
+
+// TestServiceReturnsAfterLossesOfAllInstances plays days that failed.
+func TestServiceReturnsAfterLossesOfAllInstances(t *testing.T) {
+	const (
+		atOnce  = 2
+		waiting = "issuers of quotas waited for members that stayed away"
+	)
+	binary, slots := build(t), make(chan struct{}, atOnce)
+	for _, test := range []struct {
+		seed  uint64
+		cause string
+	}{
+		{1, waiting},
+		{2, waiting},
+		{4, waiting},
+		{7, waiting},
+	} {
+		t.Run(fmt.Sprint(test.seed), func(t *testing.T) {
+			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			t.Logf("failed as %s", test.cause)
+			play(t, soaker.Config{
+				Binary: binary, Seed: test.seed, Losses: true, Instances: 12, Engines: 3, Services: 3, Callers: 12,
+			})
+		})
+	}
+}
+
+// build builds the program of the instances.
+func build(t *testing.T) (binary string) {
+	t.Helper()
+	binary = filepath.Join(t.TempDir(), "wigeonstand")
+	if out, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../../cmd/wigeonstand").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return binary
+}
+
+func play(t *testing.T, config soaker.Config) {
+	t.Helper()
+	config.Folder = t.TempDir()
+	report, err := soaker.Run(t.Context(), config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, violation := range report.Violations {
+		t.Error(violation)
+	}
+	t.Logf("faults %v, answers %v, checks %v", report.Faults, report.Answers, report.Checks)
+}
--- a/internal/soaker/soak_zero.go
+++ b/internal/soaker/soak_zero.go
@@ -17,7 +17,7 @@
 
 // sendZeros sends a call that states a deadline, a budget or a last event of zero.
 func (c *caller) sendZeros(ctx context.Context) {
-	in := c.instances[c.random.IntN(len(c.instances))]
+	in := c.drawInstance()
 	program := fmt.Sprintf("zero-%d-%d", c.index, c.requests)
 	body := program + " " + standin.StateEvents(mostEvents)
 	turn := standin.Call{Path: standin.PathSession + "x", Body: body, Program: program, Budget: callerBudget, MaxTokens: callerMost, Gap: streamGap}
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -14,6 +14,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,6 +41,9 @@
 	Calm bool
 	// PlannedOnly leaves all out but planned stops, configurations and releases.
 	PlannedOnly bool
+	// Losses plays a day in which all instances are lost at once, and some stay away, in place of other
+	// faults. Accounts have quotas, Instances is the largest number to begin with, and Length has no effect.
+	Losses bool
 	// NoHTTP10 lets all callers speak HTTP/1.1.
 	NoHTTP10 bool
 	// SingleVersion gives all endpoints one software version, and CountsFromOne numbers the events
@@ -81,12 +85,12 @@
 
 type soak struct {
 	Config
-	random    *rand.Rand
-	rows      *fakeplatform.Rows
-	instances []*instance
-	version   int
-	accounts  accounts
-	history   history
+	random   *rand.Rand
+	rows     *fakeplatform.Rows
+	version  int
+	accounts *accounts
+	history  history
+	outages  []outage
 	// lifetime ends with the run, and changes are the planned changes under way.
 	lifetime context.Context //nolint:containedctx // Endpoints that join later end with the run.
 	changes  sync.WaitGroup
@@ -94,6 +98,7 @@
 	mu        sync.Mutex
 	report    Report
 	events    io.Writer
+	instances []*instance
 	endpoints []*endpoint
 	links     []*link
 	// added is the number of endpoints that have been added.
@@ -106,20 +111,28 @@
 	defer cancel()
 	s := &soak{
 		Config: config, random: rand.New(rand.NewPCG(config.Seed, 3)), rows: fakeplatform.NewRows(config.Seed), version: 1, lifetime: ctx,
-		report: Report{Seed: config.Seed, Faults: map[string]int{}, Answers: map[string]int{}, Checks: map[string]int{}},
+		accounts: newAccounts(accountCount, 0),
+		report:   Report{Seed: config.Seed, Faults: map[string]int{}, Answers: map[string]int{}, Checks: map[string]int{}},
 	}
 	defer func() {
 		for _, in := range s.instances {
 			in.kill()
 		}
 	}()
+	if s.Losses {
+		s.accounts = newAccounts(lossAccounts, quotaRate)
+		s.Instances = fewestInstances + s.random.IntN(max(1, s.Instances-fewestInstances+1))
+	}
 	if err := s.build(ctx); err != nil {
 		return s.report, err
 	}
 	if !s.awaitReady(ctx) {
 		return s.report, eris.New("the instances were not ready in time")
 	}
-	playing, stop := context.WithTimeout(ctx, config.Length)
+	playing, stop := context.WithCancel(ctx)
+	if !s.Losses {
+		playing, stop = context.WithTimeout(ctx, config.Length)
+	}
 	defer stop()
 	var work sync.WaitGroup
 	callers := make([]*caller, config.Callers)
@@ -127,7 +140,11 @@
 		callers[i] = newCaller(s, i)
 		work.Go(func() { callers[i].run(playing) })
 	}
-	if !s.Calm {
+	switch {
+	case s.Losses:
+		s.playLosses(playing)
+		stop()
+	case !s.Calm:
 		if !s.PlannedOnly {
 			work.Go(func() { s.injectLimits(playing) })
 		}
@@ -142,6 +159,8 @@
 		s.violate("the instances were not ready %v after the faults", readyWithin)
 	}
 	time.Sleep(settleTime)
+	s.checkReturns(callers)
+	s.checkQuotas(callers)
 	for _, c := range callers {
 		c.check(ctx)
 		c.checkWithdrawn(ctx)
@@ -199,7 +218,7 @@
 func (s *soak) addInstance(ctx context.Context, i int) error {
 	in := &instance{
 		name: fmt.Sprintf("entry-%d", i), host: fmt.Sprintf("127.88.%d.%d", s.Seed%200, i+1), binary: s.Binary, folder: s.Folder,
-		dataCentre: dataCentre(i % max(s.DataCentres, 1)),
+		dataCentre: dataCentre(i % max(s.DataCentres, 1)), hasQuotas: s.accounts.rate > 0,
 	}
 	if s.OtherBinary != "" && i%2 == 1 {
 		in.binary = s.OtherBinary
@@ -218,17 +237,25 @@
 	if in.peers, err = newLink(ctx, "127.0.0.1:0", in.host+":7103", in.name); err != nil {
 		return err
 	}
-	s.links = append(s.links, in.store, in.peers)
+	s.mu.Lock()
 	for _, before := range s.instances[:min(len(s.instances), maxSeeds)] {
 		in.seeds = append(in.seeds, before.peers.address().String())
 	}
+	s.instances, s.links = append(s.instances, in), append(s.links, in.store, in.peers)
+	s.mu.Unlock()
 	if err := in.settings(); err != nil {
 		return err
 	}
-	s.instances = append(s.instances, in)
 	return in.start()
 }
 
+// present returns the instances that have not gone away for good.
+func (s *soak) present() []*instance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(s.instances), func(in *instance) bool { return in.away })
+}
+
 // serve serves the handler on a free address until ctx ends.
 func serve(ctx context.Context, handler http.Handler) (string, error) {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
@@ -244,13 +271,7 @@
 func (s *soak) awaitReady(ctx context.Context) bool {
 	deadline := time.Now().Add(readyWithin)
 	for time.Now().Before(deadline) {
-		ready := 0
-		for _, in := range s.instances {
-			if in.isReady(ctx) {
-				ready++
-			}
-		}
-		if ready == len(s.instances) {
+		if !slices.ContainsFunc(s.present(), func(in *instance) bool { return !in.isReady(ctx) }) {
 			return true
 		}
 		time.Sleep(100 * time.Millisecond)
@@ -317,7 +338,7 @@
 	for _, l := range s.links {
 		l.set(linkFine)
 	}
-	for _, in := range s.instances {
+	for _, in := range s.present() {
 		if err := in.restart(); err != nil {
 			return eris.Wrap(err, in.name)
 		}
