--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -12,23 +12,66 @@
 
 // TestSoak is a short run of the soak with fixed seeds.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "wigeonstand")
-	if out, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../../cmd/wigeonstand").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
+	binary := build(t)
 	for _, seed := range []uint64{1, 2} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			report, err := soaker.Run(t.Context(), soaker.Config{
-				Binary: binary, Folder: t.TempDir(), Seed: seed, Length: 5 * time.Second,
-				Instances: 3, Engines: 2, Services: 2, Callers: 6,
+			play(t, soaker.Config{
+				Binary: binary, Seed: seed, Length: 5 * time.Second, Instances: 3, Engines: 2, Services: 2, Callers: 6,
+			})
+		})
+	}
+}
+
+// TestServiceReturnsAfterLossesOfAllInstances plays days that failed because issuers of quotas waited for
+// members that stayed away.
+func TestServiceReturnsAfterLossesOfAllInstances(t *testing.T) { playLosses(t, 1, 6) }
+
+// TestServiceReturnsBesideASlowStore plays a day with two losses while the store is slow.
+func TestServiceReturnsBesideASlowStore(t *testing.T) { playLosses(t, 5) }
+
+// TestServiceReturnsAlthoughBothIssuersAreAway plays days in which both issuers of an account stay away.
+func TestServiceReturnsAlthoughBothIssuersAreAway(t *testing.T) { playLosses(t, 2, 7) }
+
+// TestServiceReturnsAlthoughAnIssuerIsAwayAndTheOtherIsNew plays a day in which one issuer of an account
+// stays away, and the other one was added after an earlier loss.
+func TestServiceReturnsAlthoughAnIssuerIsAwayAndTheOtherIsNew(t *testing.T) { playLosses(t, 4) }
+
+// playLosses plays the days of losses with the seeds, two at a time.
+func playLosses(t *testing.T, seeds ...uint64) {
+	t.Helper()
+	const atOnce = 2
+	binary, slots := build(t), make(chan struct{}, atOnce)
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			play(t, soaker.Config{
+				Binary: binary, Seed: seed, Losses: true, Instances: 12, Engines: 3, Services: 3, Callers: 12,
 			})
-			if err != nil {
-				t.Fatal(err)
-			}
-			for _, violation := range report.Violations {
-				t.Error(violation)
-			}
-			t.Logf("faults %v, answers %v, checks %v", report.Faults, report.Answers, report.Checks)
 		})
 	}
 }
+
+// build builds the program of the instances.
+func build(t *testing.T) (binary string) {
+	t.Helper()
+	binary = filepath.Join(t.TempDir(), "wigeonstand")
+	if out, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../../cmd/wigeonstand").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return binary
+}
+
+func play(t *testing.T, config soaker.Config) {
+	t.Helper()
+	config.Folder = t.TempDir()
+	report, err := soaker.Run(t.Context(), config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, violation := range report.Violations {
+		t.Error(violation)
+	}
+	t.Logf("faults %v, answers %v, checks %v", report.Faults, report.Answers, report.Checks)
+}
