internal/allotter: an issuer that stood in for a removed one takes over at once, and spare candidates are known

Cause: an instance that becomes an issuer because a contested one is removed waits for others that may stand in, also if it was the one itself. And the candidates that may stand in were contested only once they were asked, seconds after the issuers.

Change: the one that stood in becomes an issuer at once. If no issuer answers, the spare candidates are asked as well, so that those that are away are contested at the same time.

--- a/internal/allotter/client.go
+++ b/internal/allotter/client.go
@@ -26,9 +26,9 @@
 	// maxRankings limits the rankings, and maxAdmitted the programs, that are kept.
 	maxRankings = 2000
 	maxAdmitted = 4096
-	// maxIssuersAsked limits the issuers that are asked for one request: those in this
-	// instance's list and those to which they refer.
-	maxIssuersAsked = 4
+	// maxIssuersAsked limits the instances that are asked for one request: those in this
+	// instance's table and those to which they refer.
+	maxIssuersAsked = 6
 	// waitSpread is the interval over which waiting requests ask again.
 	waitSpread = 50 * time.Millisecond
 	// unreachableWait is the time to come back if no issuer answers.
@@ -66,12 +66,10 @@
 	}
 }
 
-// ranking is the issuers of an account that were in this instance's table at a time; the first of
-// them, as many as stated, are not contested.
+// ranking is the candidates of an account in this instance's table at a time.
 type ranking struct {
-	at          time.Time
-	issuers     []netip.AddrPort
-	uncontested int
+	candidates
+	at time.Time
 }
 
 // queue is the requests for one issuer. While a call is under way, those that arrive wait for
@@ -135,7 +133,7 @@
 		key, i.Program = in.Program, max(uint32(xxhash.Sum64String(in.Program)), 1)
 	}
 	program := programKey{account: in.Account, program: i.Program}
-	targets, isAdmitted := a.issuersOf(program, xxhash.Sum64String(key)>>32)
+	targets, spares, isAdmitted := a.issuersOf(program, xxhash.Sum64String(key)>>32)
 	if in.Program != "" && (in.IsUnderWay || isAdmitted) {
 		i.Route = 0
 	}
@@ -185,6 +183,11 @@
 				}
 			}
 			next()
+			// The others are asked so that it is known which of them answer, before they stand in.
+			if running == 0 && out.Result == Unreachable {
+				targets, spares = append(targets, spares...), nil
+				next()
+			}
 		}
 	}
 	return out, nil
@@ -193,14 +196,14 @@
 // issuersOf returns the issuers of the account in the order in which to ask them: first the one
 // that admitted the program, if it was asked at this instance. Otherwise the hash of the program
 // spreads programs over the issuers. Those that did not answer come last.
-func (a *Allotter) issuersOf(program programKey, hash uint64) (ordered []netip.AddrPort, isAdmitted bool) {
+func (a *Allotter) issuersOf(program programKey, hash uint64) (ordered, spares []netip.AddrPort, isAdmitted bool) {
 	now := time.Now()
 	a.client.mu.Lock()
 	r, ok := a.client.rankings[program.account]
 	a.client.mu.Unlock()
 	if !ok || now.Sub(r.at) > rankingMaxAge {
 		r = ranking{at: now}
-		r.issuers, r.uncontested = a.candidates(program.account)
+		r.candidates = a.candidates(program.account)
 	}
 	a.client.mu.Lock()
 	defer a.client.mu.Unlock()
@@ -229,7 +232,7 @@
 	for _, k := range order {
 		ordered = append(ordered, r.issuers[k])
 	}
-	return ordered, isAdmitted
+	return ordered, r.spares, isAdmitted
 }
 
 // send asks one issuer. The result arrives on answers.
--- a/internal/allotter/issuer.go
+++ b/internal/allotter/issuer.go
@@ -48,7 +48,7 @@
 		if part == 0 {
 			out.Results = append(out.Results, newResult(notIssuer, 0))
 			if len(out.Issuers) == 0 {
-				out.Issuers, _ = a.candidates(i.Account)
+				out.Issuers = a.candidates(i.Account).issuers
 			}
 			continue
 		}
@@ -69,11 +69,12 @@
 // lockedObserve looks at the table of members and updates the rights if they have changed.
 func (a *Allotter) lockedObserve(now time.Time) {
 	t := &a.tenure
-	epoch, wasValid := t.epoch, t.isValid
+	epoch, contests, wasValid := t.epoch, t.contests, t.isValid
 	t.observe(now)
-	if t.epoch != epoch {
+	if t.epoch != epoch || t.contests != contests {
 		for name, acct := range a.accounts {
 			acct.right.update(t, name)
+			acct.right.standIn.update(t, name, now)
 		}
 	}
 	switch {
@@ -120,22 +121,36 @@
 	return discoverer.Row{}, false
 }
 
-// candidates returns the addresses of the instances that issue the account's permits: the issuers,
-// the one that stands in for contested ones, and those. It also returns the number of the first kind.
-func (a *Allotter) candidates(account string) (addresses []netip.AddrPort, uncontested int) {
+// candidates are the addresses of the instances that may issue an account's permits.
+type candidates struct {
+	// issuers are the issuers, the one that stands in for contested ones, and those. The first of
+	// them, as many as stated, are uncontested issuers.
+	issuers     []netip.AddrPort
+	uncontested int
+	// spares are the others that may stand in.
+	spares []netip.AddrPort
+}
+
+func (a *Allotter) candidates(account string) candidates {
+	var out candidates
 	var contested []netip.AddrPort
+	hasStandIn := false
 	for place, m := range a.members.RowRanking(account, candidatesPerAccount) {
 		switch {
 		case place < issuersPerAccount && m.IsContested:
 			contested = append(contested, m.Address)
 		case place < issuersPerAccount:
-			addresses = append(addresses, m.Address)
-			uncontested++
-		case len(contested) > 0 && !m.IsContested && len(addresses) == uncontested:
-			addresses = append(addresses, m.Address)
+			out.issuers = append(out.issuers, m.Address)
+			out.uncontested++
+		case len(contested) > 0 && !m.IsContested && !hasStandIn:
+			out.issuers = append(out.issuers, m.Address)
+			hasStandIn = true
+		default:
+			out.spares = append(out.spares, m.Address)
 		}
 	}
-	return append(addresses, contested...), uncontested
+	out.issuers = append(out.issuers, contested...)
+	return out
 }
 
 // introduce introduces this instance to the members.
--- a/internal/allotter/right.go
+++ b/internal/allotter/right.go
@@ -60,6 +60,8 @@
 	count       int
 	fingerprint uint64
 	since       time.Time
+	// gaps is that of the tenure.
+	gaps int64
 }
 
 // rightID tells the rights of an instance to issue the permits of one account from each other.
@@ -89,7 +91,9 @@
 	// listedAt is since when this instance has had its row.
 	listedAt time.Time
 	// gaps counts the intervals between two reads that were too long to stand in for others by them.
-	gaps int64
+	// contests tells the states of the contested members from each other.
+	gaps     int64
+	contests uint64
 	// hasContested is set while there are contested members, and isSettled once this instance has
 	// been listed for so long that all that stand in for others know it.
 	hasContested, isSettled bool
@@ -165,10 +169,12 @@
 		t.cleanAt = t.readAt
 	}
 	contested := map[string]bool{}
+	t.contests = uint64(t.gaps)
 	for i := range t.others {
 		m := &t.others[i]
 		if m.IsContested {
 			contested[m.Incarnation] = true
+			t.contests ^= hashMember(m, m.Version)
 		} else if t.contested[m.Incarnation] {
 			t.takenBackAt[m.Incarnation] = now
 		}
@@ -301,8 +307,9 @@
 		r.since = time.Time{}
 	case !isContinued:
 		r.since = t.epochAt
-		if !isUndisputed {
-			// Another instance may stand in for the removed one by a table that it has read before.
+		// Another instance may stand in for the removed one by a table that it has read before,
+		// unless this one does.
+		if !isUndisputed && !r.standIn.isActive(t, t.epochAt) {
 			r.since = r.since.Add(discoverer.StandInDelay)
 		}
 	}
@@ -319,8 +326,8 @@
 // update updates the right after a change of the contested members.
 func (s *standIn) update(t *tenure, account string, now time.Time) {
 	count, fingerprint := t.contestedIssuers(account)
-	if count != s.count || fingerprint != s.fingerprint {
-		*s = standIn{count: count, fingerprint: fingerprint, since: now}
+	if count != s.count || fingerprint != s.fingerprint || t.gaps != s.gaps {
+		*s = standIn{count: count, fingerprint: fingerprint, since: now, gaps: t.gaps}
 	}
 }
 
@@ -364,18 +371,23 @@
 	if count == 0 {
 		return 0, 0
 	}
-	return count, fingerprint ^ uint64(t.gaps)
+	return count, fingerprint
 }
 
 // part returns the part of the bound that this instance may issue in place of contested issuers.
 func (s *standIn) part(t *tenure, now time.Time) float64 {
-	// While this instance is contested, or has not read the table, the next one stands in.
-	if s.count == 0 || t.ownShare(now) < 1 || now.Before(s.beginsAt()) {
+	if !s.isActive(t, now) {
 		return 0
 	}
 	return float64(s.count) * (1 - contestedShare) / issuersPerAccount
 }
 
+// isActive reports whether this instance stands in for contested issuers. While it is contested, or
+// has not read the table, the next one does.
+func (s *standIn) isActive(t *tenure, now time.Time) bool {
+	return s.count > 0 && s.gaps == t.gaps && t.ownShare(now) == 1 && !now.Before(s.beginsAt())
+}
+
 func (s *standIn) beginsAt() time.Time {
 	return s.since.Add(discoverer.StandInDelay + rightMargin)
 }
