--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -101,6 +101,8 @@
 	instances []*instance
 	endpoints []*endpoint
 	links     []*link
+	// network is the third byte of the addresses of the instances.
+	network uint64
 	// added is the number of endpoints that have been added.
 	added int
 }
@@ -123,6 +125,9 @@
 		s.accounts = newAccounts(lossAccounts, quotaRate)
 		s.Instances = fewestInstances + s.random.IntN(max(1, s.Instances-fewestInstances+1))
 	}
+	if err := s.reserveNetwork(ctx); err != nil {
+		return s.report, err
+	}
 	if err := s.build(ctx); err != nil {
 		return s.report, err
 	}
@@ -215,9 +220,23 @@
 	return nil
 }
 
+// reserveNetwork draws addresses that no other run on this host uses, and keeps them until ctx ends.
+func (s *soak) reserveNetwork(ctx context.Context) error {
+	const networks = 200
+	for i := range uint64(networks) {
+		s.network = (s.Seed + i) % networks
+		listener, err := listenConfig.Listen(ctx, "tcp", fmt.Sprintf("127.88.%d.255:7100", s.network))
+		if err == nil {
+			context.AfterFunc(ctx, func() { _ = listener.Close() }) // The addresses are free from then on.
+			return nil
+		}
+	}
+	return eris.New("no network is free")
+}
+
 func (s *soak) addInstance(ctx context.Context, i int) error {
 	in := &instance{
-		name: fmt.Sprintf("entry-%d", i), host: fmt.Sprintf("127.88.%d.%d", s.Seed%200, i+1), binary: s.Binary, folder: s.Folder,
+		name: fmt.Sprintf("entry-%d", i), host: fmt.Sprintf("127.88.%d.%d", s.network, i+1), binary: s.Binary, folder: s.Folder,
 		dataCentre: dataCentre(i % max(s.DataCentres, 1)), hasQuotas: s.accounts.rate > 0,
 	}
 	if s.OtherBinary != "" && i%2 == 1 {
