internal/rerouter: the test of a relayed write without a response writes no variable that a probe reads

Cause: the test sets a field of its stand-in of the peers while a probe of the relays reads it. No fault of the product.

Change: the field is atomic; what the test checks is unchanged.

--- a/internal/rerouter/rerouter_test.go
+++ b/internal/rerouter/rerouter_test.go
@@ -28,7 +28,7 @@
 	members  []discoverer.Member
 	handlers map[netip.AddrPort]map[string]messenger.Handler
 	// silent leaves calls without a response.
-	silent bool
+	silent atomic.Bool
 	// delay is how long each call takes.
 	delay time.Duration
 }
@@ -38,7 +38,7 @@
 func (p *peerSet) Suspect(string) {}
 
 func (p *peerSet) Call(ctx context.Context, address netip.AddrPort, method string, in, out any) error {
-	if p.silent {
+	if p.silent.Load() {
 		<-ctx.Done()
 		return ctx.Err()
 	}
@@ -309,7 +309,7 @@
 		for range 5 {
 			_, _ = r.List(t.Context(), rowRange) // The first calls detect the failure.
 		}
-		peers.silent = true
+		peers.silent.Store(true)
 		time.Sleep(300 * time.Millisecond)
 		if err := insert(t.Context(), r); !errors.Is(err, storer.ErrInDoubt) {
 			t.Errorf("got %v, want ErrInDoubt", err)
