--- a/internal/allotter/contest.go
+++ b/internal/allotter/contest.go
@@ -20,7 +20,8 @@
 	// contestPause is the time for which an issuer that has taken a contest back is not contested
 	// again. It runs, and has the table.
 	contestPause = time.Minute
-	// contestsPerLook is the mean number of instances that contest an issuer at a time, if none reaches it.
+	// contestsPerLook is the mean number of instances that contest an issuer at a time, if none
+	// reaches it.
 	contestsPerLook = 2
 	// contestTimeout limits the calls and the write of a contest, and maxProbes the other members of
 	// which one must answer before it.
@@ -56,7 +57,8 @@
 	return maps.Clone(c.failures)
 }
 
-// contest contests the issuers that this instance does not reach. Of many that reach none, few do so at a time.
+// contest contests the issuers that this instance does not reach. Of many instances that do not
+// reach one, few write at a time.
 func (a *Allotter) contest(ctx context.Context, now time.Time) {
 	for _, m := range a.contestable(now) {
 		if randomFraction() >= contestsPerLook/float64(a.memberCount()) {
--- a/internal/allotter/messages.go
+++ b/internal/allotter/messages.go
@@ -9,7 +9,8 @@
 	// methodIssue is short because requests for permits are frequent.
 	methodIssue     = "Q"
 	methodIntroduce = "AllotIntroduceRow"
-	// methodIntroduceProcess is for instances of builds that do not state in their rows what they have read.
+	// methodIntroduceProcess is for instances of builds that do not state in their rows what they
+	// have read.
 	methodIntroduceProcess = "AllotIntroduce"
 )
 
@@ -77,7 +78,8 @@
 	Instance, Incarnation string
 }
 
-// introduction says that an instance begins to issue permits, with its row, which has existed since the version.
+// introduction says that an instance begins to issue permits, with its row, which has existed since
+// the version.
 type introduction struct {
 	_                     struct{} `cbor:",toarray"`
 	Instance, Incarnation string
--- a/internal/allotter/right.go
+++ b/internal/allotter/right.go
@@ -18,7 +18,7 @@
 	// candidatesPerAccount is the number of members that may be issuers or stand in for them.
 	candidatesPerAccount = 4
 	// contestedShare is the part of its permits that an issuer may issue while it is contested or has
-	// not read the table for discoverer.StandInDelay. The rest is issued by the one that stands in for it.
+	// not read the table for discoverer.StandInDelay. The one that stands in for it issues the rest.
 	contestedShare = 0.5
 	// observeInterval is the time between two looks at the table of members.
 	observeInterval = 250 * time.Millisecond
--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -1,8 +1,8 @@
 // Package discoverer discovers the live instances of the deployment by heartbeats
 // that each instance writes to the store. It also selects the instances that act as
 // bookkeepers, which account for the token budgets of programs, and avoids instances
-// after failed calls. Membership is only a hint: correctness depends on the versions
-// of the rows in the store, not on which instances are members.
+// after failed calls. Which instances are live is only a hint: correctness depends on the
+// versions of the rows in the store. The rows themselves state which instances know each other.
 package discoverer
 
 import (
@@ -57,9 +57,9 @@
 	// deleterDelay after the one before.
 	maxDeleters  = 3
 	deleterDelay = 3 * time.Second
-	// StandInDelay is the time after which instances that have read a change of a contested member
-	// agree on it: an instance relies on a table that was read at most as long ago for what concerns
-	// contested members. It is longer than the usual outages of the store, so that they change nothing.
+	// StandInDelay is the age of a table up to which an instance relies on it for what concerns
+	// contested members. A change of these binds all instances that long after it was written. It
+	// exceeds usual outages of the store, so that they change nothing.
 	StandInDelay = 8 * time.Second
 	// removedTime is how long the row of a removed member is left, and contestMemory how long an
 	// instance counts as contested after that was taken back. Both exceed StandInDelay.
@@ -371,8 +371,8 @@
 	return d.isContested, d.contestEndedAt
 }
 
-// ContestMember marks the row of a member that this instance does not reach. It does nothing if the row is not as it
-// was read last.
+// ContestMember marks the row of a member that this instance does not reach. It does nothing if the
+// row is not as it was read last.
 func (d *Discoverer) ContestMember(ctx context.Context, row Row) error {
 	row.ReadVersion, row.ContinuousFrom, row.IsContested = row.knowsUpTo(), row.ExistsFrom(), true
 	return d.replaceRow(ctx, row)
@@ -731,10 +731,10 @@
 }
 
 // DeleteLapsed deletes the rows of members that have missed their heartbeats, so that all instances
-// drop them together. Such a member has ceased to count itself as current before. The row of a contested member is
-// marked as removed first. Each row is
-// deleted by the live instance with the highest score for it, and by the next ones if it remains. It
-// must follow a successful Refresh, and not run beside one.
+// drop them together. Such a member has ceased to count itself as current before. The row of a
+// contested member is marked as removed first. Each row is deleted by the live instance with the
+// highest score for it, and by the next ones if it remains. It must follow a successful Refresh, and
+// not run beside one.
 func (d *Discoverer) DeleteLapsed(ctx context.Context) error {
 	var errs []error
 	for _, m := range d.lapsedMembers(time.Now()) {
