internal/soaker: a SIGHUP after a start waits until the process has set its handling

Cause: the signal follows each third start within 30 ms, at times before the Go runtime of the new process has set its handlers. Until then the default action holds, as for any program.

The soak now waits until the process catches or ignores the signal, for a second at most, and sends it then in any case. The Go runtime catches it before the program does, so that a program that is late with its handling still ends and is reported.

--- a/internal/soaker/soak_instance.go
+++ b/internal/soaker/soak_instance.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -47,11 +48,13 @@
 }
 
 const (
-	// Each hangupStarts-th start is followed by a SIGHUP within hangupDelay, and each planned stop by one
-	// within hangupStop.
-	hangupStarts = 3
-	hangupDelay  = 30 * time.Millisecond
-	hangupStop   = time.Second
+	// Each hangupStarts-th start is followed by a SIGHUP within hangupDelay, once the process handles or
+	// ignores it, and each planned stop by one within hangupStop. A process that still has the default
+	// action after handlerTimeout gets it nevertheless.
+	hangupStarts   = 3
+	hangupDelay    = 30 * time.Millisecond
+	handlerTimeout = time.Second
+	hangupStop     = time.Second
 )
 
 func (in *instance) callers() string { return in.host + ":7101" }
@@ -95,7 +98,7 @@
 	ended := make(chan struct{})
 	in.command, in.ended, in.frozen, in.stopped, in.killed = command, ended, false, false, false
 	if in.starts++; in.starts%hangupStarts == 0 {
-		time.AfterFunc(rand.N(hangupDelay), func() { _ = command.Process.Signal(syscall.SIGHUP) }) // It may have ended.
+		time.AfterFunc(rand.N(hangupDelay), func() { hangUpAtStart(command.Process) })
 	}
 	go func() {
 		_ = command.Wait() // The state tells how it ended.
@@ -110,6 +113,33 @@
 	return nil
 }
 
+// hangUpAtStart sends a SIGHUP to a process that has just started. Until it has set its handling, the
+// default action of the signal ends it, as that of any program.
+func hangUpAtStart(process *os.Process) {
+	for start := time.Now(); time.Since(start) < handlerTimeout && !handlesHangup(process.Pid); {
+		time.Sleep(time.Millisecond)
+	}
+	_ = process.Signal(syscall.SIGHUP) // It may have ended.
+}
+
+// handlesHangup reports whether the process catches or ignores SIGHUP.
+func handlesHangup(pid int) bool {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return false
+	}
+	for line := range strings.Lines(string(status)) {
+		name, mask, _ := strings.Cut(strings.TrimSpace(line), ":\t")
+		if name != "SigIgn" && name != "SigCgt" {
+			continue
+		}
+		if signals, err := strconv.ParseUint(mask, 16, 64); err == nil && signals>>(syscall.SIGHUP-1)&1 != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // endedByStop reports whether a process with the state may have ended by SIGTERM, which has its default
 // action until the process has set its handler.
 func endedByStop(state *os.ProcessState) bool {
