internal/bookkeeper: tests of a fleet use one processor

Cause: timers of a bubble of testing/synctest that are due at the same time run on the processor of the caller with one context of the race detector (time.go, unlockAndRun). With several processors two threads use it together, and the runtime of the detector crashes. No fault of the project.

runFleet runs its bubble on one processor.

--- a/internal/bookkeeper/bookkeeper_test.go
+++ b/internal/bookkeeper/bookkeeper_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -79,6 +80,10 @@
 
 // runFleet runs the test in a synctest bubble and then stops all bookkeepers.
 func runFleet(t *testing.T, seed uint64, test func(t *testing.T, f *fleet)) {
+	t.Helper()
+	// Timers of a bubble that are due at once run with one context of the race detector, also on
+	// several processors, and its runtime crashes.
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		f := newFleet(ctx, seed)
