internal/allotter: an instance that stands in goes on until the next one may begin

Callers of an account whose issuers stay away were refused for 7 to 15 s each time that a member before the one that stands in restarted or its row was deleted.

Cause: the right to stand in for all issuers together began anew, 8.35 s later, with each change of the members in front, also if nothing changed about who stands in; and an instance that was no longer the first to stand in ended at once, while the next one began 8.35 s later.

Now each contested issuer has a right of its own, which lasts while it is shown to be contested, and an instance goes on until the last table that showed the right is 8 s old, as it would if it had read none since. It does not beside an issuer that is new, which begins once all have confirmed it. An account that is new to an instance counts from the last change of the table and not from its first request.

--- a/internal/allotter/charge.go
+++ b/internal/allotter/charge.go
@@ -156,11 +156,11 @@
 	}
 }
 
-// begin begins to issue permits with the right if it is another one than before. The bucket
-// fills from the time at which the right began.
-func (a *account) begin(r *right, start time.Time) {
-	if id := r.id(); id != a.rightID {
-		a.rightID, a.permits = id, bucket{at: r.beganAt().Sub(start)}
+// begin begins to issue permits by the right if it is another one than before. The bucket fills
+// from the time at which the right began, and not for a time that another right was used in.
+func (a *account) begin(id rightID, start time.Time) {
+	if id != a.rightID {
+		a.rightID, a.permits = id, bucket{at: max(id.beganAt.Sub(start), a.permits.at)}
 	}
 }
 
--- /dev/null
+++ b/internal/allotter/former_test.go
@@ -0,0 +1,304 @@
+package allotter
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/discoverer"
+	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
+)
+
+// ask asks the instance itself for a permit of the account, as the call of another one would.
+func (f *fleet) ask(i int, account string, rate float64) code {
+	out := f.node(i).allotter.issue(issueRequest{{Account: account, Version: 1, Quota: int64(rate * testLimits.Window.Seconds() * quotaScale), Program: 1}})
+	return out.Results[0].code()
+}
+
+// part returns the part of the bound that the instance issues now.
+func (f *fleet) part(i int, account string) float64 {
+	n := f.node(i)
+	f.mu.Lock()
+	isFrozen := time.Now().Before(n.frozenUntil)
+	f.mu.Unlock()
+	if n.ctx.Err() != nil || isFrozen {
+		return 0
+	}
+	a := n.allotter
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	if elapsed(a.tenure.observedAt, now) > observeInterval {
+		a.lockedObserve(now)
+	}
+	if acct := a.accounts[account]; acct != nil {
+		return acct.right.part(&a.tenure, account, now)
+	}
+	return 0
+}
+
+// watchParts asks all instances for the account, and returns a function that returns the largest sum of their
+// parts so far, with a description.
+func (f *fleet) watchParts(account string, done <-chan struct{}) func() (float64, string) {
+	var mu sync.Mutex
+	largest, parts := 0.0, ""
+	start := time.Now()
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(50 * time.Millisecond):
+			}
+			sum, each := 0.0, make([]float64, len(f.nodes))
+			for i := range f.nodes {
+				if n := f.node(i); n.ctx.Err() == nil {
+					n.allotter.mu.Lock()
+					isNew := n.allotter.accounts[account] == nil
+					n.allotter.mu.Unlock()
+					if isNew {
+						f.ask(i, account, 20)
+					}
+				}
+				each[i] = f.part(i, account)
+				sum += each[i]
+			}
+			mu.Lock()
+			if sum > largest {
+				largest, parts = sum, fmt.Sprintf("%v after %v", each, time.Since(start))
+			}
+			mu.Unlock()
+		}
+	}()
+	return func() (float64, string) {
+		mu.Lock()
+		defer mu.Unlock()
+		return largest, parts
+	}
+}
+
+// contest lets an instance contest another one. It may fail.
+func (f *fleet) contest(by, contested int) {
+	n := f.node(by)
+	for _, row := range n.Rows().Others {
+		if row.Instance == fmt.Sprint("i-", contested) && !row.IsContested {
+			ctx, cancel := context.WithTimeout(n.ctx, contestTimeout)
+			_ = n.ContestMember(ctx, row) // The store may be away for the instance.
+			cancel()
+		}
+	}
+}
+
+// contestUntilRead lets an instance contest another one until it has read that.
+func (f *fleet) contestUntilRead(t *testing.T, by, contested int) {
+	t.Helper()
+	for range 5 {
+		f.contest(by, contested)
+		time.Sleep(1100 * time.Millisecond)
+		rows := f.node(by).Rows().Others
+		if slices.ContainsFunc(rows, func(r discoverer.Row) bool { return r.Instance == fmt.Sprint("i-", contested) && r.IsContested }) {
+			return
+		}
+	}
+	t.Errorf("instance %d is not contested", contested)
+}
+
+// isolate cuts the instances off from the store and from all others, and all others from them.
+func (f *fleet) isolate(isolated ...int) {
+	refused := map[string]bool{}
+	for _, i := range isolated {
+		refused[fmt.Sprint("i-", i)] = true
+	}
+	f.rows.SetFaults(fakeplatform.RowFaults{Refused: refused})
+	for i := range f.nodes {
+		for k := range f.nodes {
+			isCut := i != k && (slices.Contains(isolated, i) || slices.Contains(isolated, k))
+			f.setCut(i, k, isCut)
+		}
+	}
+}
+
+// startAll starts the processes of instances of one size.
+func startAll(size int) *fleet {
+	f := emptyFleet(size)
+	for i := range f.nodes {
+		f.startNode(i, "first", 1, f.rows.For(fmt.Sprint("i-", i)))
+	}
+	return f
+}
+
+// accountInOrder returns an account whose order of the instances, all of one size, begins with the indices.
+func accountInOrder(t *testing.T, size int, first ...int) string {
+	t.Helper()
+	cores := slices.Repeat([]float64{1}, size)
+	return accountWith(t, func(account string) bool { return slices.Equal(orderOf(account, cores...)[:len(first)], first) })
+}
+
+// accountBeforeBookkeeper returns an account, and its order of the instances, all of one size, of which the
+// only bookkeeper, whose row lapses sooner, is the last.
+func accountBeforeBookkeeper(t *testing.T, size int) (account string, order []int) {
+	t.Helper()
+	order = orderOf("", slices.Repeat([]float64{1}, size)...)
+	order = append(order[1:], order[0])
+	return accountInOrder(t, size, order...), order
+}
+
+// checkSum fails the test if the instances issued more than the whole bound.
+func checkSum(t *testing.T, largest func() (float64, string)) {
+	t.Helper()
+	if sum, parts := largest(); sum > 1 {
+		t.Errorf("the instances issue %v of the bound: %s", sum, parts)
+	}
+}
+
+// end ends all processes and waits until their calls have ended.
+func (f *fleet) end(done chan struct{}) {
+	close(done)
+	f.stop()
+	time.Sleep(10 * time.Second)
+}
+
+// serviceWindow is the longest time without a permit for an account of which some instance stands in.
+const serviceWindow = 4 * time.Second
+
+// longestWithoutPermit asks the instances for the time, and returns the longest time in which none grants.
+func (f *fleet) longestWithoutPermit(account string, d time.Duration, at ...int) time.Duration {
+	start, last, longest := time.Now(), time.Now(), time.Duration(0)
+	for time.Since(start) < d {
+		for _, i := range at {
+			if f.node(i).ctx.Err() == nil && f.part(i, account) > 0 {
+				last = time.Now()
+			}
+		}
+		longest = max(longest, time.Since(last))
+		time.Sleep(100 * time.Millisecond)
+	}
+	return longest
+}
+
+// Guards against an account that is refused for 8 s at each change of the members that precede the one that
+// stands in for its issuers.
+func TestAccountIsServedDespiteChangesOfOtherMembers(t *testing.T) {
+	// The members killed and restarted are named by their places in the order of the account. The rows
+	// of those killed lapse some 20 s after an instance has begun to stand in for them.
+	for _, test := range []struct {
+		killed, restarted int
+		pause             time.Duration
+	}{{2, -1, 0}, {3, -1, 0}, {2, 0, 0}, {2, 1, 0}, {3, 2, 0}, {3, 2, 14 * time.Second}, {3, 2, 17 * time.Second}, {3, 2, 20 * time.Second}} {
+		t.Run(fmt.Sprint(test), func(t *testing.T) {
+			account, order := accountBeforeBookkeeper(t, 6)
+			synctest.Test(t, func(t *testing.T) {
+				f := startAll(6)
+				time.Sleep(46 * time.Second)
+				done := make(chan struct{})
+				sum := f.watchParts(account, done)
+				time.Sleep(time.Second)
+				for _, i := range order[:test.killed] {
+					f.kill(i)
+					f.contestUntilRead(t, order[4], i)
+				}
+				time.Sleep(12 * time.Second)
+				if test.restarted >= 0 {
+					time.AfterFunc(test.pause, func() {
+						i := order[test.restarted]
+						f.startNode(i, "second", 1, f.rows.For(fmt.Sprint("i-", i)))
+					})
+				}
+				longest := f.longestWithoutPermit(account, time.Minute, order...)
+				f.end(done)
+				t.Logf("for %v nobody issued", longest)
+				if longest > serviceWindow {
+					t.Errorf("for %v nobody issued, %v allowed", longest, serviceWindow)
+				}
+				checkSum(t, sum)
+			})
+		})
+	}
+}
+
+// Guards against an instance that goes on standing in by a former table beside an issuer that has joined
+// since, which it has confirmed.
+func TestIssuerThatJoinsBesideAStandInKeepsTheBound(t *testing.T) {
+	account, order := accountBeforeBookkeeper(t, 6)
+	synctest.Test(t, func(t *testing.T) {
+		f := startAll(6)
+		// The first one joins later.
+		if err := f.node(order[0]).Deregister(t.Context()); err != nil {
+			t.Error(err)
+		}
+		f.kill(order[0])
+		time.Sleep(46 * time.Second)
+		done := make(chan struct{})
+		sum := f.watchParts(account, done)
+		time.Sleep(time.Second)
+		for _, i := range order[1:3] {
+			f.kill(i)
+			f.contestUntilRead(t, order[4], i)
+		}
+		time.Sleep(12 * time.Second)
+		if part := f.part(order[3], account); part == 0 {
+			t.Error("nobody stands in")
+		}
+		f.startNode(order[0], "second", 1, f.rows.For(fmt.Sprint("i-", order[0])))
+		time.Sleep(20 * time.Second)
+		f.end(done)
+		checkSum(t, sum)
+	})
+}
+
+// Guards against a bucket that is filled twice for one time, as a right returns after another one.
+func TestRightDoesNotReturnWithAFullBucket(t *testing.T) {
+	start := time.Now()
+	a := newAccount(testLimits, needs{})
+	a.update(1, 100)
+	first, second := rightID{since: start, beganAt: start}, rightID{since: start.Add(time.Minute), beganAt: start.Add(time.Minute)}
+	count := 0
+	drain := func(at time.Duration, id rightID) {
+		a.begin(id, start)
+		for a.decide(at, item{Program: 1}, 0.5, 0).code() == granted {
+			count++
+		}
+	}
+	drain(time.Minute, first)
+	drain(time.Minute+time.Second, second)
+	drain(time.Minute+2*time.Second, first)
+	// In 2 s the part allows a burst, and 2 s of the rate.
+	allowed := (a.limits.bound(a.quota)-a.quota)*0.5 + a.quota*0.5*2/testLimits.Window.Seconds()
+	if count > int(allowed) {
+		t.Errorf("%d requests in 2 s, %v allowed", count, allowed)
+	}
+}
+
+// Guards against an instance that stands in by an old table: cut off, it gives up before the next one
+// begins.
+func TestInstanceThatIsCutOffStandsInNoLonger(t *testing.T) {
+	account, order := accountBeforeBookkeeper(t, 6)
+	synctest.Test(t, func(t *testing.T) {
+		f := startAll(6)
+		time.Sleep(46 * time.Second)
+		done := make(chan struct{})
+		sum := f.watchParts(account, done)
+		time.Sleep(time.Second)
+		f.kill(order[0])
+		f.contestUntilRead(t, order[4], order[0])
+		time.Sleep(12 * time.Second)
+		if part := f.part(order[2], account); part != (1-contestedShare)/issuersPerAccount {
+			t.Errorf("the third instance issues %v of the bound", part)
+		}
+		f.isolate(order[2])
+		f.contestUntilRead(t, order[4], order[2])
+		time.Sleep(discoverer.StandInDelay + 2*time.Second)
+		if part := f.part(order[2], account); part != 0 {
+			t.Errorf("the third instance issues %v of the bound, cut off", part)
+		}
+		if part := f.part(order[3], account); part != (1-contestedShare)/issuersPerAccount {
+			t.Errorf("the fourth instance issues %v of the bound", part)
+		}
+		f.end(done)
+		checkSum(t, sum)
+	})
+}
--- a/internal/allotter/issuer.go
+++ b/internal/allotter/issuer.go
@@ -52,7 +52,7 @@
 			}
 			continue
 		}
-		acct.begin(&acct.right, a.start)
+		acct.begin(acct.right.id, a.start)
 		out.Results = append(out.Results, acct.decide(now.Sub(a.start), i, part, randomFraction()))
 	}
 	return out
@@ -69,9 +69,9 @@
 // lockedObserve looks at the table of members and updates the rights if they have changed.
 func (a *Allotter) lockedObserve(now time.Time) {
 	t := &a.tenure
-	epoch, contests, wasValid := t.epoch, t.contests, t.isValid
+	changes, wasValid := t.changes, t.isValid
 	t.observe(now)
-	if t.epoch != epoch || t.contests != contests {
+	if t.changes != changes {
 		for name, acct := range a.accounts {
 			acct.right.update(t, name)
 			acct.right.standIn.update(t, name, now)
--- a/internal/allotter/right.go
+++ b/internal/allotter/right.go
@@ -49,23 +49,48 @@
 	term      int64
 	checked   int64
 	standIn   standIn
+	// id is that of the right by which the last part was issued.
+	id rightID
 }
 
 // standIn is the right of this instance to stand in for contested issuers of one account: it
-// issues what they may not. It holds while the table that shows it is recent, and begins when all
-// other instances have read it or rely on it no longer.
+// issues what they may not. For each of them it begins when all other instances have read a table
+// that shows it or rely on no other one any more, and it holds while the table that showed it last
+// is recent.
 type standIn struct {
-	// count is the number of contested issuers, and fingerprint tells the state from others,
-	// which has lasted since the time.
-	count       int
-	fingerprint uint64
-	since       time.Time
-	// gaps is that of the tenure.
-	gaps int64
+	// changes and gaps are those of the tenure in the last update.
+	changes, gaps int64
+	// isFirst is set while this instance is the one to stand in for issuers that are contested, which
+	// all tables have shown since firstSince.
+	isFirst    bool
+	firstSince time.Time
+	contested  []contestedIssuer
+}
+
+// contestedIssuer is an issuer that is contested, which all tables have shown since the time.
+type contestedIssuer struct {
+	row rowID
+	// version is that of its row.
+	version int64
+	since   time.Time
+	// endsAt is when the table that showed it last is too old; zero while it is shown.
+	endsAt time.Time
+	// preceding are the members before this one in the order of the account by that table.
+	preceding []rowID
+}
+
+// rowID identifies the row of a process.
+type rowID struct {
+	incarnation string
+	existsFrom  int64
 }
 
 // rightID tells the rights of an instance to issue the permits of one account from each other.
-type rightID struct{ since, clearedAt time.Time }
+type rightID struct {
+	since, clearedAt time.Time
+	// beganAt is a time from which the right has held.
+	beganAt time.Time
+}
 
 // tenure is what this instance knows of the table of members, which decides whether it may be an
 // issuer at all.
@@ -88,12 +113,18 @@
 	// readAt is when the read that brought the table began, and cleanAt that of the last one by
 	// which this instance was not contested.
 	readAt, cleanAt time.Time
+	// changedAt is the time of the last change, and shownUntil when the read began that brought
+	// the table before it.
+	changedAt, shownUntil time.Time
 	// listedAt is since when this instance has had its row.
 	listedAt time.Time
 	// gaps counts the intervals between two reads that were too long to stand in for others by them.
 	// contests tells the states of the contested members from each other.
 	gaps     int64
 	contests uint64
+	// changes counts the changes of the members, of the contests, and of whether this instance's own
+	// row is in the table.
+	changes int64
 	// hasContested is set while there are contested members, and isSettled once this instance has
 	// been listed for so long that all that stand in for others know it.
 	hasContested, isSettled bool
@@ -135,7 +166,7 @@
 		t.resumedAt = now
 	}
 	t.observedAt = now
-	rows := t.members.Rows()
+	rows, wasListed, lastReadAt, contests, epoch := t.members.Rows(), t.own.Version != 0, t.readAt, t.contests, t.epoch
 	if rows.ReadAt.Sub(t.readAt) > discoverer.StandInDelay {
 		t.gaps++
 	}
@@ -151,6 +182,10 @@
 	}
 	t.observeContests(now)
 	isListed := t.own.Version != 0
+	if t.epoch != epoch || t.contests != contests || isListed != wasListed {
+		t.changes++
+		t.changedAt, t.shownUntil = now, lastReadAt
+	}
 	if isListed && t.own.ExistsFrom() != t.existsFrom {
 		t.existsFrom = t.own.ExistsFrom()
 		t.beginTerm(now)
@@ -309,8 +344,8 @@
 		r.since = t.epochAt
 		// Another instance may stand in for the removed one by a table that it has read before,
 		// unless this one does.
-		if !isUndisputed && !r.standIn.isActive(t, t.epochAt) {
-			r.since = r.since.Add(discoverer.StandInDelay)
+		if !isUndisputed {
+			r.since = r.standIn.onlySince(t, t.epochAt)
 		}
 	}
 	isAlone := len(t.others) == 0
@@ -323,73 +358,126 @@
 	r.isAlone, r.epoch = isAlone, t.epoch
 }
 
-// update updates the right after a change of the contested members.
+// update updates the right after a change of the members or of the contested ones.
 func (s *standIn) update(t *tenure, account string, now time.Time) {
-	count, fingerprint := t.contestedIssuers(account)
-	if count != s.count || fingerprint != s.fingerprint || t.gaps != s.gaps {
-		*s = standIn{count: count, fingerprint: fingerprint, since: now, gaps: t.gaps}
+	if s.changes == t.changes {
+		return
 	}
+	switch {
+	case s.changes == 0 && t.changedAt.Before(now):
+		now = t.changedAt // The table has been the same since then.
+	case s.changes != t.changes-1 || s.gaps != t.gaps:
+		*s = standIn{}
+	}
+	s.changes, s.gaps = t.changes, t.gaps
+	preceding, isFirst := t.standsIn(account)
+	if isFirst && !s.isFirst {
+		s.firstSince = now
+	}
+	s.isFirst = isFirst
+	var contested []contestedIssuer
+	if isFirst {
+		contested = contestedAmong(preceding, now)
+	}
+	for _, c := range s.contested {
+		i := slices.IndexFunc(contested, func(o contestedIssuer) bool { return c.endsAt.IsZero() && o.row == c.row && o.version == c.version })
+		switch {
+		case i >= 0:
+			contested[i].since = c.since
+		case !c.endsAt.IsZero():
+			contested = append(contested, c)
+		case !now.Before(c.beginsAt()):
+			c.endsAt = t.shownUntil.Add(discoverer.StandInDelay)
+			contested = append(contested, c)
+		}
+	}
+	s.contested = slices.DeleteFunc(contested, func(c contestedIssuer) bool { return !c.endsAt.IsZero() && !now.Before(c.endsAt) })
 }
 
-// contestedIssuers returns how many of the account's issuers are contested if this instance stands
-// in for them, and a fingerprint of the members that decide that: those before it in the order.
-func (t *tenure) contestedIssuers(account string) (count int, fingerprint uint64) {
-	if !t.hasContested || t.hasOlderBuilds() {
-		return 0, 0
+// standsIn reports whether this instance is the one that stands in for issuers of the account that
+// are contested, and returns the members that precede it.
+func (t *tenure) standsIn(account string) (preceding []*discoverer.Row, isFirst bool) {
+	if t.own.Version == 0 || t.hasOlderBuilds() {
+		return nil, false
+	}
+	preceding = t.preceding(account)
+	if len(preceding) < issuersPerAccount || len(preceding) >= candidatesPerAccount {
+		return nil, false
+	}
+	isContested := func(m *discoverer.Row) bool { return m.IsContested }
+	return preceding, !slices.ContainsFunc(preceding[issuersPerAccount:], func(m *discoverer.Row) bool { return !isContested(m) })
+}
+
+// contestedAmong returns the contested ones of the issuers, of the members that precede this one.
+func contestedAmong(preceding []*discoverer.Row, now time.Time) []contestedIssuer {
+	ids := make([]rowID, 0, len(preceding))
+	for _, m := range preceding {
+		ids = append(ids, idOf(m))
+	}
+	var contested []contestedIssuer
+	for i, m := range preceding[:issuersPerAccount] {
+		if m.IsContested {
+			contested = append(contested, contestedIssuer{row: ids[i], version: m.Version, since: now, preceding: ids})
+		}
 	}
+	return contested
+}
+
+// preceding returns the members that take precedence over this instance for the account, first
+// ones first. Of more than candidatesPerAccount, it returns some.
+func (t *tenure) preceding(account string) []*discoverer.Row {
 	self := discoverer.Row{Member: t.members.Self()}
 	var preceding []*discoverer.Row
 	for i := range t.others {
 		if t.others[i].Outranks(account, &self) {
-			if preceding = append(preceding, &t.others[i]); len(preceding) == candidatesPerAccount {
-				return 0, 0
+			if preceding = append(preceding, &t.others[i]); len(preceding) > candidatesPerAccount {
+				break
 			}
 		}
 	}
-	if len(preceding) < issuersPerAccount {
-		return 0, 0
-	}
 	slices.SortFunc(preceding, func(a, b *discoverer.Row) int {
 		if a.Outranks(account, b) {
 			return -1
 		}
 		return 1
 	})
-	for place, m := range preceding {
-		switch {
-		case m.IsContested && place < issuersPerAccount:
-			count++
-		case !m.IsContested && place >= issuersPerAccount:
-			return 0, 0 // That one does.
-		}
-		version := int64(0)
-		if m.IsContested {
-			version = m.Version
-		}
-		fingerprint ^= hashMember(m, version)
-	}
-	if count == 0 {
-		return 0, 0
-	}
-	return count, fingerprint
+	return preceding
 }
 
-// part returns the part of the bound that this instance may issue in place of contested issuers.
-func (s *standIn) part(t *tenure, now time.Time) float64 {
-	if !s.isActive(t, now) {
-		return 0
-	}
-	return float64(s.count) * (1 - contestedShare) / issuersPerAccount
+func idOf(m *discoverer.Row) rowID { return rowID{m.Incarnation, m.ExistsFrom()} }
+
+func (c *contestedIssuer) beginsAt() time.Time {
+	return c.since.Add(discoverer.StandInDelay + rightMargin)
 }
 
-// isActive reports whether this instance stands in for contested issuers. While it is contested, or
-// has not read the table, the next one does.
-func (s *standIn) isActive(t *tenure, now time.Time) bool {
-	return s.count > 0 && s.gaps == t.gaps && t.ownShare(now) == 1 && !now.Before(s.beginsAt())
+// part returns the part of the bound that this instance may issue in place of contested issuers. While
+// it is contested, or has not read the table, the next one does.
+func (s *standIn) part(t *tenure, account string, now time.Time) (part float64, id rightID) {
+	if s.gaps != t.gaps || t.ownShare(now) != 1 {
+		return 0, rightID{}
+	}
+	for i := range s.contested {
+		c := &s.contested[i]
+		isHeld := c.endsAt.IsZero() || now.Before(c.endsAt) && !t.hasNewIssuer(account, c.preceding)
+		if !isHeld || now.Before(c.beginsAt()) {
+			continue
+		}
+		part += (1 - contestedShare) / issuersPerAccount
+		if !c.since.Before(id.since) {
+			id = rightID{since: c.since, beganAt: c.beginsAt()}
+		}
+	}
+	return part, id
 }
 
-func (s *standIn) beginsAt() time.Time {
-	return s.since.Add(discoverer.StandInDelay + rightMargin)
+// hasNewIssuer reports whether there are issuers that are not among the members that preceded this
+// instance. They may begin as soon as this instance has confirmed them.
+func (t *tenure) hasNewIssuer(account string, preceded []rowID) bool {
+	preceding := t.preceding(account)
+	if len(preceding) >= candidatesPerAccount || t.hasOlderBuilds() {
+		return true
+	}
+	return slices.ContainsFunc(preceding[:min(len(preceding), issuersPerAccount)], func(m *discoverer.Row) bool { return !slices.Contains(preceded, idOf(m)) })
 }
 
 // clear finds out since when the instance is in the tables of all that may be issuers.
@@ -409,38 +497,52 @@
 	}
 }
 
-// beganAt returns a time from which a right that holds now has held.
-func (r *right) beganAt() time.Time {
-	if r.since.IsZero() {
-		return r.standIn.beginsAt()
+// onlySince returns from when on no other instance stands in for a member that was removed at the
+// time: none relies on a table from before, or on one by which it is the first.
+func (s *standIn) onlySince(t *tenure, removedAt time.Time) time.Time {
+	latest := removedAt.Add(discoverer.StandInDelay)
+	isContested, endedAt := t.members.Contest()
+	if !s.isFirst || s.changes < t.changes-1 || s.gaps != t.gaps || isContested || elapsed(t.cleanAt, removedAt) >= discoverer.StandInDelay {
+		return latest
 	}
-	if r.clearedAt.After(r.since) {
-		return r.clearedAt.Add(rightMargin)
+	since := s.firstSince
+	if endedAt.After(since) {
+		since = endedAt
 	}
-	return r.since.Add(rightMargin)
+	if since = since.Add(discoverer.StandInDelay + rightMargin); since.After(latest) {
+		return latest
+	}
+	if since.Before(removedAt) {
+		return removedAt
+	}
+	return since
 }
 
-// id returns what tells the right from earlier and later ones.
-func (r *right) id() rightID {
-	if r.since.IsZero() {
-		return rightID{since: r.standIn.since}
+// issuerID returns what tells the right as one of the issuers from earlier and later ones.
+func (r *right) issuerID() rightID {
+	id := rightID{r.since, r.clearedAt, r.since.Add(rightMargin)}
+	if r.clearedAt.After(r.since) {
+		id.beganAt = r.clearedAt.Add(rightMargin)
 	}
-	return rightID{r.since, r.clearedAt}
+	return id
 }
 
 // part returns the part of the bound that this instance may issue.
-func (r *right) part(t *tenure, account string, now time.Time) float64 {
+func (r *right) part(t *tenure, account string, now time.Time) (part float64) {
 	r.update(t, account)
 	r.standIn.update(t, account, now)
 	if !t.isValid || !t.members.IsCurrent() {
 		return 0
 	}
-	if r.since.IsZero() {
-		return r.standIn.part(t, now)
+	isIssuer := !r.since.IsZero()
+	if isIssuer {
+		r.clear(t, account, now)
 	}
-	if r.clear(t, account, now); r.clearedAt.IsZero() || now.Before(r.beganAt()) {
-		return 0
+	if !isIssuer || r.clearedAt.IsZero() || now.Before(r.issuerID().beganAt) {
+		part, r.id = r.standIn.part(t, account, now)
+		return part
 	}
+	r.id, r.standIn.contested = r.issuerID(), nil
 	if r.isAlone && now.Sub(r.aloneSince) >= rightMargin {
 		return t.ownShare(now)
 	}
