internal/allotter: a newcomer waits for an instance that may be alone by its table

Cause: a newcomer begins as the second issuer without the confirmation of the first one, which is an issuer by any table. But an instance that is alone in its table issues the whole bound, and not a half.

A member that takes precedence over all others is now harmless only if it surely has one of them in its table.

--- a/internal/allotter/former_test.go
+++ b/internal/allotter/former_test.go
@@ -250,6 +250,32 @@
 	})
 }
 
+// Guards against a newcomer that begins as the second issuer beside an instance that is alone by its table
+// and issues the whole bound.
+func TestJoinBesideAnInstanceAloneKeepsTheBound(t *testing.T) {
+	const rate = 20
+	account := accountInOrder(t, 2, 0, 1)
+	synctest.Test(t, func(t *testing.T) {
+		f := emptyFleet(2)
+		f.startNode(0, "first", 1, f.rows.For("i-0"))
+		f.startNode(1, "none", 1, f.rows.For("i-1"))
+		f.kill(1)
+		time.Sleep(46 * time.Second)
+		done := make(chan struct{})
+		sum := f.watchParts(account, done)
+		time.Sleep(time.Second)
+		f.isolate(0)
+		f.startNode(1, "first", 1, f.rows.For("i-1"))
+		f.demandFor(account, rate, 20*time.Second)
+		f.end(done)
+		bound := int(testLimits.bound(rate * testLimits.Window.Seconds()))
+		if most := f.mostInWindow(time.Time{}); most > bound {
+			t.Errorf("%d requests in a window, %d allowed", most, bound)
+		}
+		checkSum(t, sum)
+	})
+}
+
 // Guards against a bucket that is filled twice for one time, as a right returns after another one.
 func TestRightDoesNotReturnWithAFullBucket(t *testing.T) {
 	start := time.Now()
--- a/internal/allotter/right.go
+++ b/internal/allotter/right.go
@@ -296,8 +296,14 @@
 	if known >= issuersPerAccount {
 		return !t.isSettled
 	}
-	// As the first one of all others it is one of the two issuers in this instance's table, too.
-	return preceding > 0
+	// As the first one of all others it is one of the two issuers in this instance's table, too, unless
+	// it is alone in its own.
+	return preceding > 0 || !t.knowsOther(m)
+}
+
+// knowsOther reports whether the member surely has another one in its table than this instance.
+func (t *tenure) knowsOther(m *discoverer.Row) bool {
+	return slices.ContainsFunc(t.others, func(o discoverer.Row) bool { return o.Instance != m.Instance && m.Knows(&o) })
 }
 
 // isCleared reports whether every member that may issue the account's permits has this instance in
