internal/discoverer: the next process of an instance knows of its contest

Cause: that an instance issues half of its part for 8.35 s after a contest was in the memory of the process alone. The heartbeat that takes a contest back leaves nothing of it in the row.

The row now states for 9 s that it was contested, and a process that finds that in the row of the one before counts as contested until it has written its own. Builds without the field behave as before.

--- a/internal/allotter/former_test.go
+++ b/internal/allotter/former_test.go
@@ -9,6 +9,8 @@
 	"testing/synctest"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/wigeonstand/wigeonstand/internal/discoverer"
 	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
 )
@@ -250,6 +252,41 @@
 	})
 }
 
+// Guards against a process that issues its whole half although its instance was contested some seconds
+// before: another one may still stand in for it.
+func TestRestartAfterAContestKeepsTheBound(t *testing.T) {
+	for _, isRead := range []bool{true, false} {
+		for pause := time.Duration(0); pause <= 8*time.Second; pause += 500 * time.Millisecond {
+			t.Run(fmt.Sprint("read-", isRead, "-", pause), func(t *testing.T) {
+				account, order := accountBeforeBookkeeper(t, 6)
+				synctest.Test(t, func(t *testing.T) {
+					f := startAll(6)
+					time.Sleep(46 * time.Second)
+					done := make(chan struct{})
+					sum := f.watchParts(account, done)
+					time.Sleep(time.Second)
+					f.isolate(order[0])
+					f.contestUntilRead(t, order[4], order[0])
+					time.Sleep(12 * time.Second)
+					if part := f.part(order[2], account); part == 0 {
+						t.Error("nobody stands in")
+					}
+					f.isolate()
+					if !isRead {
+						// The one that stands in reads no more.
+						f.rows.SetFaults(fakeplatform.RowFaults{Refused: map[string]bool{fmt.Sprint("i-", order[2]): true}})
+					}
+					time.Sleep(pause)
+					f.startNode(order[0], "second", 1, f.rows.For(fmt.Sprint("i-", order[0])))
+					time.Sleep(20 * time.Second)
+					f.end(done)
+					checkSum(t, sum)
+				})
+			})
+		}
+	}
+}
+
 // Guards against a newcomer that begins as the second issuer beside an instance that is alone by its table
 // and issues the whole bound.
 func TestJoinBesideAnInstanceAloneKeepsTheBound(t *testing.T) {
@@ -299,6 +336,52 @@
 	}
 }
 
+// Guards against two issuers of one part in short faults, which contests, deletions and restarts of
+// members in different places of the order make of each other.
+func TestPartsKeepTheBoundDespiteShortFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		size := rapid.IntRange(2, 6).Draw(rt, "size")
+		account := fmt.Sprint("account-", rapid.IntRange(0, 20).Draw(rt, "account"))
+		seed := rapid.Uint64().Draw(rt, "seed")
+		var faults []fault
+		for range rapid.IntRange(1, 14).Draw(rt, "faults") {
+			faults = append(faults, fault{
+				pause:  time.Duration(rapid.IntRange(0, 9_000).Draw(rt, "pause")) * time.Millisecond,
+				kind:   rapid.SampledFrom([]string{"kill", "restart", "freeze", "isolate", "partition", "storeCut", "contest", "leave", "loss"}).Draw(rt, "kind"),
+				i:      rapid.IntRange(0, size-1).Draw(rt, "i"),
+				j:      rapid.IntRange(0, size-1).Draw(rt, "j"),
+				length: time.Duration(rapid.IntRange(100, 20_000).Draw(rt, "length")) * time.Millisecond,
+				away:   rapid.IntRange(0, 1<<size-1).Draw(rt, "away"),
+			})
+		}
+		var sum float64
+		var parts string
+		synctest.Test(t, func(*testing.T) {
+			f := newFleet(size, seed, 0)
+			done := make(chan struct{})
+			largest := f.watchParts(account, done)
+			store := &storeFaults{rows: f.rows, refused: map[string]int{}}
+			time.Sleep(30 * time.Second)
+			for _, x := range faults {
+				time.Sleep(x.pause)
+				if x.kind == "contest" {
+					if x.i != x.j {
+						f.contest(x.i, x.j)
+					}
+					continue
+				}
+				f.apply(x, store)
+			}
+			time.Sleep(40 * time.Second)
+			f.end(done)
+			sum, parts = largest()
+		})
+		if sum > 1 {
+			rt.Fatalf("the instances issue %v of the bound: %s", sum, parts)
+		}
+	})
+}
+
 // Guards against an instance that stands in by an old table: cut off, it gives up before the next one
 // begins.
 func TestInstanceThatIsCutOffStandsInNoLonger(t *testing.T) {
--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -103,6 +103,9 @@
 	// IsRemoved is set in the row of a member that has lapsed, or has stopped, after it was
 	// contested. The row is deleted later.
 	IsRemoved bool `cbor:"13,keyasint,omitempty"`
+	// WasContested is set by the member while its row was contested less than contestMemory ago, for its
+	// next process.
+	WasContested bool `cbor:"14,keyasint,omitempty"`
 }
 
 // notRead is the ReadVersion of an instance that has not read the table.
@@ -140,6 +143,12 @@
 	return r.ReadVersion
 }
 
+// isContestedFor reports whether the row is contested, or may be so still for the members that have not read
+// that this was taken back, which the process that took it back knows itself.
+func (m *Member) isContestedFor(self Member) bool {
+	return m.IsContested || m.WasContested && m.Incarnation != self.Incarnation
+}
+
 // StatesKnowledge reports whether the member's build states what it has read, and keeps others in
 // its table until their rows are deleted.
 func (r *Row) StatesKnowledge() bool { return r.ReadVersion != 0 }
@@ -300,6 +309,7 @@
 	if row.ReadVersion = d.readVersion; row.ReadVersion == 0 {
 		row.ReadVersion = notRead
 	}
+	row.WasContested = d.lockedWasContested()
 	if expected == 0 {
 		// Until one is known to be written, an earlier one may be written late.
 		row.Interval = bookkeeperInterval
@@ -321,7 +331,9 @@
 		if expected, from = current.Version, 0; expected != 0 {
 			from = current.continuedFrom(d.self)
 		}
-		d.recordContest(current.IsContested)
+		isContested := current.isContestedFor(d.self)
+		d.recordContest(isContested)
+		row.WasContested = row.WasContested || isContested
 		if d.isDeregistered.Load() {
 			return nil // The row was deleted meanwhile.
 		}
@@ -363,6 +375,11 @@
 	d.isContested = isContested
 }
 
+// lockedWasContested reports whether the own row is contested, or was so recently.
+func (d *Discoverer) lockedWasContested() bool {
+	return d.isContested || time.Since(d.contestEndedAt) < contestMemory
+}
+
 // Contest reports whether this instance's own row is or may be contested, and when it was last
 // known not to be any longer.
 func (d *Discoverer) Contest() (isContested bool, endedAt time.Time) {
@@ -424,7 +441,10 @@
 	// The condition keeps a deletion that takes effect late from removing the row of the
 	// instance's next process, which others would then drop from their lists.
 	change := storer.Change{RowKey: d.key(), Expected: d.version.Load(), Delete: true}
-	if isContested, endedAt := d.Contest(); isContested || time.Since(endedAt) < contestMemory {
+	d.mu.Lock()
+	wasContested := d.lockedWasContested()
+	d.mu.Unlock()
+	if wasContested {
 		return d.remove(ctx)
 	}
 	_, err := d.rows.Transact(ctx, []storer.Change{change})
@@ -529,7 +549,7 @@
 		}
 		if m.Instance == d.self.Instance {
 			d.own = Row{Member: m, Version: r.Version}
-			isOwnContested = m.IsContested
+			isOwnContested = m.isContestedFor(d.self)
 		}
 		if m.IsRemoved {
 			removed[r.Name] = d.removed[r.Name].replace(m, r.Version, now, gap)
