internal/allotter: the bucket of an issuer that was contested fills as for the part left to it

Cause: a bucket is filled when it is used, for the part that the issuer has then. An issuer that was not asked while it was contested had filled for its whole part, and so had an instance that stands in for the time in which it was contested itself.

--- a/internal/allotter/charge.go
+++ b/internal/allotter/charge.go
@@ -157,11 +157,22 @@
 }
 
 // begin begins to issue permits by the right if it is another one than before. The bucket fills
-// from the time at which the right began, and not for a time that another right was used in.
-func (a *account) begin(id rightID, start time.Time) {
+// from the time at which the right began, and not for a time that another right was used in. Until
+// halvedUntil it has filled as for the part that was left to this instance while it was contested.
+func (a *account) begin(id rightID, start time.Time, halvedUntil time.Duration, halved float64) {
 	if id != a.rightID {
 		a.rightID, a.permits = id, bucket{at: max(id.beganAt.Sub(start), a.permits.at)}
 	}
+	if halvedUntil > a.permits.at {
+		a.fill(halvedUntil, halved)
+	}
+}
+
+// fill fills the bucket as for the part of the bound. It returns the quota's part, and the bound's.
+func (a *account) fill(now time.Duration, part float64) (soft, most float64) {
+	soft, most = a.quota*part, a.limits.bound(a.quota)*part
+	a.permits.fill(now, soft/float64(a.limits.Window), most-soft)
+	return soft, most
 }
 
 // decide decides about one request. This issuer may permit the given part of the bound.
@@ -172,10 +183,8 @@
 func (a *account) decide(now time.Duration, in item, part, sample float64) result {
 	a.lastUsed = now
 	a.endPrograms(now)
-	soft := a.quota * part
-	most := a.limits.bound(a.quota) * part
-	rate, depth := soft/float64(a.limits.Window), most-soft
-	a.permits.fill(now, rate, depth)
+	soft, most := a.fill(now, part)
+	rate := soft / float64(a.limits.Window)
 	p, isKnown := a.programs.Get(in.Program)
 	isUnderWay := in.Program != 0 && (isKnown || in.Route == 0)
 	if isUnderWay {
--- a/internal/allotter/former_test.go
+++ b/internal/allotter/former_test.go
@@ -321,7 +321,7 @@
 	first, second := rightID{since: start, beganAt: start}, rightID{since: start.Add(time.Minute), beganAt: start.Add(time.Minute)}
 	count := 0
 	drain := func(at time.Duration, id rightID) {
-		a.begin(id, start)
+		a.begin(id, start, 0, 0)
 		for a.decide(at, item{Program: 1}, 0.5, 0).code() == granted {
 			count++
 		}
@@ -336,6 +336,70 @@
 	}
 }
 
+// Guards against a bucket that fills as if an issuer's whole part had been its own while another instance
+// stood in for it: nobody asks it meanwhile.
+func TestIssuerThatWasContestedBeginsWithTheTokensLeftToIt(t *testing.T) {
+	const rate = 4
+	account, order := accountBeforeBookkeeper(t, 6)
+	synctest.Test(t, func(t *testing.T) {
+		f := startAll(6)
+		time.Sleep(46 * time.Second)
+		// All three have full buckets.
+		for _, i := range order[:3] {
+			f.ask(i, account, rate)
+		}
+		time.Sleep(10 * time.Second)
+		f.ask(order[0], account, rate)
+		f.isolate(order[0])
+		f.contestUntilRead(t, order[4], order[0])
+		time.Sleep(12 * time.Second)
+		f.ask(order[2], account, rate)
+		time.Sleep(4 * time.Second)
+		f.isolate()
+		f.waitForWholePart(t, account, order[2], order[0])
+		for range 100 {
+			for _, i := range order[:2] {
+				for f.ask(i, account, rate) == granted {
+					f.record(i)
+				}
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		checkMost(t, f, rate)
+	})
+}
+
+// waitForWholePart waits until the issuer has its whole part again. The one that stands in for it uses its
+// tokens at the end of its right.
+func (f *fleet) waitForWholePart(t *testing.T, account string, standIn, issuer int) {
+	t.Helper()
+	endsAt := func() time.Time {
+		a := f.node(standIn).allotter
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if contested := a.accounts[account].right.standIn.contested; len(contested) > 0 {
+			return contested[0].endsAt
+		}
+		return time.Time{}
+	}
+	for start := time.Now(); f.part(standIn, account) > 0 || f.part(issuer, account) < 1.0/issuersPerAccount; time.Sleep(10 * time.Millisecond) {
+		if time.Since(start) > 30*time.Second {
+			t.Error("the issuer does not have its whole part again")
+			return
+		}
+		for end := endsAt(); !end.IsZero() && time.Until(end) < 50*time.Millisecond && f.ask(standIn, account, 4) == granted; {
+			f.record(standIn)
+		}
+	}
+}
+
+// record records a request of the instance that is sent and run now.
+func (f *fleet) record(i int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.runs = append(f.runs, run{i, time.Now(), time.Now()})
+}
+
 // Guards against two issuers of one part in short faults, which contests, deletions and restarts of
 // members in different places of the order make of each other.
 func TestPartsKeepTheBoundDespiteShortFaults(t *testing.T) {
--- a/internal/allotter/right.go
+++ b/internal/allotter/right.go
@@ -49,8 +49,10 @@
 	term      int64
 	checked   int64
 	standIn   standIn
-	// id is that of the right by which the last part was issued.
-	id rightID
+	// id is that of the right by which the last part was issued, and halved what of the part is left
+	// to this instance while it is contested.
+	id     rightID
+	halved float64
 }
 
 // standIn is the right of this instance to stand in for contested issuers of one account: it
@@ -113,6 +115,8 @@
 	// readAt is when the read that brought the table began, and cleanAt that of the last one by
 	// which this instance was not contested.
 	readAt, cleanAt time.Time
+	// halvedAt is when this instance was last seen to issue less than its part as an issuer.
+	halvedAt time.Time
 	// changedAt is the time of the last change, and shownUntil when the read began that brought
 	// the table before it.
 	changedAt, shownUntil time.Time
@@ -196,6 +200,9 @@
 		t.beginTerm(now)
 	}
 	t.findUnsure(now)
+	if t.ownShare(now) < 1 {
+		t.halvedAt = now
+	}
 }
 
 // observeContests finds out whether this instance is contested, and whether other ones are.
@@ -546,11 +553,14 @@
 	}
 	if !isIssuer || r.clearedAt.IsZero() || now.Before(r.issuerID().beganAt) {
 		part, r.id = r.standIn.part(t, account, now)
+		r.halved = 0 // Another one stands in.
 		return part
 	}
 	r.id, r.standIn.contested = r.issuerID(), nil
+	part = 1.0 / issuersPerAccount
 	if r.isAlone && now.Sub(r.aloneSince) >= rightMargin {
-		return t.ownShare(now)
+		part = 1
 	}
-	return t.ownShare(now) / issuersPerAccount
+	r.halved = part * contestedShare
+	return part * t.ownShare(now)
 }
