internal/allotter: the bucket of an issuer that is left alone begins anew

Cause: an instance that is left alone issues the whole bound, and its bucket filled for that as of its last use, in the time of the other one.

--- a/internal/allotter/former_test.go
+++ b/internal/allotter/former_test.go
@@ -369,6 +369,36 @@
 	})
 }
 
+// Guards against a bucket that fills for the whole bound as of the time of another issuer.
+func TestIssuerThatIsLeftAloneBeginsWithTheTokensOfItsPart(t *testing.T) {
+	const rate = 4
+	account := accountInOrder(t, 2, 0, 1)
+	synctest.Test(t, func(t *testing.T) {
+		f := startAll(2)
+		time.Sleep(46 * time.Second)
+		for i := range f.nodes {
+			f.ask(i, account, rate)
+		}
+		time.Sleep(10 * time.Second)
+		for f.ask(1, account, rate) == granted {
+			f.record(1)
+		}
+		if err := f.node(1).Deregister(t.Context()); err != nil {
+			t.Error(err)
+		}
+		for start := time.Now(); f.part(0, account) < 1 && time.Since(start) < 30*time.Second; {
+			time.Sleep(10 * time.Millisecond)
+		}
+		for range 100 {
+			for f.ask(0, account, rate) == granted {
+				f.record(0)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		checkMost(t, f, rate)
+	})
+}
+
 // waitForWholePart waits until the issuer has its whole part again. The one that stands in for it uses its
 // tokens at the end of its right.
 func (f *fleet) waitForWholePart(t *testing.T, account string, standIn, issuer int) {
--- a/internal/allotter/right.go
+++ b/internal/allotter/right.go
@@ -558,8 +558,11 @@
 	}
 	r.id, r.standIn.contested = r.issuerID(), nil
 	part = 1.0 / issuersPerAccount
-	if r.isAlone && now.Sub(r.aloneSince) >= rightMargin {
+	if aloneFrom := r.aloneSince.Add(rightMargin); r.isAlone && !now.Before(aloneFrom) {
 		part = 1
+		if aloneFrom.After(r.id.beganAt) {
+			r.id.beganAt = aloneFrom
+		}
 	}
 	r.halved = part * contestedShare
 	return part * t.ownShare(now)
