--- a/internal/allotter/former_test.go
+++ b/internal/allotter/former_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 
 	"github.com/wigeonstand/wigeonstand/internal/discoverer"
 	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
+	"github.com/wigeonstand/wigeonstand/internal/storer"
 )
 
 // ask asks the instance itself for a permit of the account, as the call of another one would.
@@ -45,7 +47,7 @@
 
 // watchParts asks all instances for the account, and returns a function that returns the largest sum of their
 // parts so far, with a description.
-func (f *fleet) watchParts(account string, done <-chan struct{}) func() (float64, string) {
+func (f *fleet) watchParts(account string, rate float64, done <-chan struct{}) func() (float64, string) {
 	var mu sync.Mutex
 	largest, parts := 0.0, ""
 	start := time.Now()
@@ -63,7 +65,7 @@
 					isNew := n.allotter.accounts[account] == nil
 					n.allotter.mu.Unlock()
 					if isNew {
-						f.ask(i, account, 20)
+						f.ask(i, account, rate)
 					}
 				}
 				each[i] = f.part(i, account)
@@ -188,20 +190,39 @@
 	// The members killed and restarted are named by their places in the order of the account. The rows
 	// of those killed lapse some 20 s after an instance has begun to stand in for them.
 	for _, test := range []struct {
-		killed, restarted int
-		pause             time.Duration
-	}{{2, -1, 0}, {3, -1, 0}, {2, 0, 0}, {2, 1, 0}, {3, 2, 0}, {3, 2, 14 * time.Second}, {3, 2, 17 * time.Second}, {3, 2, 20 * time.Second}} {
+		killed    []int
+		restarted int
+		pause     time.Duration
+	}{
+		{[]int{0, 1}, -1, 0},
+		{[]int{0, 1, 2}, -1, 0},
+		{[]int{0, 1}, 0, 0},
+		{[]int{0, 1}, 1, 0},
+		{[]int{0, 1, 2}, 2, 0},
+		{[]int{0, 1, 2}, 2, 14 * time.Second},
+		{[]int{0, 1, 2}, 2, 17 * time.Second},
+		{[]int{0, 1, 2}, 2, 20 * time.Second},
+		// The row of the third one lapses before those of the issuers.
+		{[]int{2, 0, 1}, -1, 0},
+	} {
 		t.Run(fmt.Sprint(test), func(t *testing.T) {
 			account, order := accountBeforeBookkeeper(t, 6)
 			synctest.Test(t, func(t *testing.T) {
 				f := startAll(6)
 				time.Sleep(46 * time.Second)
 				done := make(chan struct{})
-				sum := f.watchParts(account, done)
+				sum := f.watchParts(account, 20, done)
 				time.Sleep(time.Second)
-				for _, i := range order[:test.killed] {
-					f.kill(i)
-					f.contestUntilRead(t, order[4], i)
+				isEarlier := test.killed[0] == 2
+				if isEarlier {
+					time.Sleep(16 * time.Second)
+				}
+				for n, place := range test.killed {
+					if n == 1 && isEarlier {
+						time.Sleep(3 * time.Second)
+					}
+					f.kill(order[place])
+					f.contestUntilRead(t, order[4], order[place])
 				}
 				time.Sleep(12 * time.Second)
 				if test.restarted >= 0 {
@@ -222,31 +243,51 @@
 	}
 }
 
-// Guards against an instance that goes on standing in by a former table beside an issuer that has joined
-// since, which it has confirmed.
+// readOnlyRows is the store as an instance sees it whose writes fail from some time on.
+type readOnlyRows struct {
+	storer.Rows
+	isReadOnly atomic.Bool
+}
+
+func (r *readOnlyRows) Transact(ctx context.Context, changes []storer.Change) (int64, error) {
+	if r.isReadOnly.Load() {
+		return 0, storer.ErrUnavailable
+	}
+	return r.Rows.Transact(ctx, changes)
+}
+
+// Guards against an instance that goes on standing in by a former table for an issuer whose place another one
+// takes that has joined since, which both have confirmed.
 func TestIssuerThatJoinsBesideAStandInKeepsTheBound(t *testing.T) {
 	account, order := accountBeforeBookkeeper(t, 6)
 	synctest.Test(t, func(t *testing.T) {
-		f := startAll(6)
-		// The first one joins later.
-		if err := f.node(order[0]).Deregister(t.Context()); err != nil {
-			t.Error(err)
+		f := emptyFleet(6)
+		contested := &readOnlyRows{Rows: f.rows.For(fmt.Sprint("i-", order[2]))}
+		for _, i := range order[1:] {
+			rows := f.rows.For(fmt.Sprint("i-", i))
+			if i == order[2] {
+				rows = contested
+			}
+			f.startNode(i, "first", 1, rows)
 		}
+		f.startNode(order[0], "none", 1, f.rows.For("none"))
 		f.kill(order[0])
 		time.Sleep(46 * time.Second)
 		done := make(chan struct{})
-		sum := f.watchParts(account, done)
+		sum := f.watchParts(account, 20, done)
 		time.Sleep(time.Second)
-		for _, i := range order[1:3] {
-			f.kill(i)
-			f.contestUntilRead(t, order[4], i)
-		}
+		// The second issuer can't take the contest back.
+		contested.isReadOnly.Store(true)
+		f.contestUntilRead(t, order[4], order[2])
 		time.Sleep(12 * time.Second)
 		if part := f.part(order[3], account); part == 0 {
 			t.Error("nobody stands in")
 		}
-		f.startNode(order[0], "second", 1, f.rows.For(fmt.Sprint("i-", order[0])))
-		time.Sleep(20 * time.Second)
+		f.startNode(order[0], "first", 1, f.rows.For(fmt.Sprint("i-", order[0])))
+		time.Sleep(4 * time.Second)
+		if part := f.part(order[0], account); part == 0 {
+			t.Error("the instance that has joined issues nothing")
+		}
 		f.end(done)
 		checkSum(t, sum)
 	})
@@ -263,7 +304,7 @@
 					f := startAll(6)
 					time.Sleep(46 * time.Second)
 					done := make(chan struct{})
-					sum := f.watchParts(account, done)
+					sum := f.watchParts(account, 20, done)
 					time.Sleep(time.Second)
 					f.isolate(order[0])
 					f.contestUntilRead(t, order[4], order[0])
@@ -299,7 +340,7 @@
 		f.kill(1)
 		time.Sleep(46 * time.Second)
 		done := make(chan struct{})
-		sum := f.watchParts(account, done)
+		sum := f.watchParts(account, 20, done)
 		time.Sleep(time.Second)
 		f.isolate(0)
 		f.startNode(1, "first", 1, f.rows.For("i-1"))
@@ -453,7 +494,7 @@
 		synctest.Test(t, func(*testing.T) {
 			f := newFleet(size, seed, 0)
 			done := make(chan struct{})
-			largest := f.watchParts(account, done)
+			largest := f.watchParts(account, 20, done)
 			store := &storeFaults{rows: f.rows, refused: map[string]int{}}
 			time.Sleep(30 * time.Second)
 			for _, x := range faults {
@@ -484,7 +525,7 @@
 		f := startAll(6)
 		time.Sleep(46 * time.Second)
 		done := make(chan struct{})
-		sum := f.watchParts(account, done)
+		sum := f.watchParts(account, 20, done)
 		time.Sleep(time.Second)
 		f.kill(order[0])
 		f.contestUntilRead(t, order[4], order[0])
--- a/internal/allotter/return_test.go
+++ b/internal/allotter/return_test.go
@@ -116,6 +116,7 @@
 				done := make(chan struct{})
 				var work sync.WaitGroup
 				account := fmt.Sprint("account-", seed)
+				sum := f.watchParts(account, rate, done)
 				for k := range 12 {
 					work.Go(func() { f.demand(k, account, rate, done) })
 				}
@@ -133,6 +134,7 @@
 				if most, bound := f.mostInWindow(start), int(testLimits.bound(rate*testLimits.Window.Seconds())); most > bound {
 					t.Errorf("%d requests in a window, %d allowed", most, bound)
 				}
+				checkSum(t, sum)
 				reachable := 0
 				from, to := cutAt.Add(recoveryTime), cutAt.Add(34*time.Second)
 				for _, r := range f.runs {
