internal/allotter: an instance keeps its part until another one may stand in for it

A part of an account's quota was gone for 9.3 s after a contest that was taken back at once, as happens when an instance does not answer others for 1.5 s.

Cause: an issuer halved its part, and an instance that stands in gave its up, as soon as it read that it is contested, and took it back 8.35 s after it had taken the contest back. Another one stands in 8.35 s after the contest at the earliest, and 8 s after its end at the latest.

It now goes on until the last table that did not show the contest is 8 s old, as if it had not read it. TestContestedInstanceStandsInForNobody asserts that the contested instance issues nothing 8 s after the contest, in place of at once, and that it does once it is not contested.

--- a/internal/allotter/former_test.go
+++ b/internal/allotter/former_test.go
@@ -243,6 +243,43 @@
 	}
 }
 
+// Guards against an account that loses a part for 9 s after a contest that was taken back at once: of an
+// issuer, or of the instance that stands in for the issuers.
+func TestPartsReturnSoonAfterAContestThatIsTakenBack(t *testing.T) {
+	for _, killed := range []int{0, 2} {
+		t.Run(fmt.Sprint("killed-", killed), func(t *testing.T) {
+			account, order := accountBeforeBookkeeper(t, 6)
+			synctest.Test(t, func(t *testing.T) {
+				f := startAll(6)
+				time.Sleep(46 * time.Second)
+				done := make(chan struct{})
+				sum := f.watchParts(account, 20, done)
+				time.Sleep(time.Second)
+				for _, i := range order[:killed] {
+					f.kill(i)
+					f.contestUntilRead(t, order[4], i)
+				}
+				time.Sleep(12 * time.Second)
+				issuing, whole := order[killed], f.part(order[killed], account)
+				f.contest(order[4], issuing)
+				reduced := time.Duration(0)
+				for range 200 {
+					time.Sleep(100 * time.Millisecond)
+					if f.part(issuing, account) < whole {
+						reduced += 100 * time.Millisecond
+					}
+				}
+				f.end(done)
+				t.Logf("%v of the bound reduced for %v", whole, reduced)
+				if whole == 0 || reduced == 0 || reduced > serviceWindow {
+					t.Errorf("%v of the bound reduced for %v, %v allowed", whole, reduced, serviceWindow)
+				}
+				checkSum(t, sum)
+			})
+		})
+	}
+}
+
 // readOnlyRows is the store as an instance sees it whose writes fail from some time on.
 type readOnlyRows struct {
 	storer.Rows
--- a/internal/allotter/return_test.go
+++ b/internal/allotter/return_test.go
@@ -183,9 +183,15 @@
 			t.Errorf("the first candidate issues %v of the bound", part)
 		}
 		first.allotter.tenure.members = contestedMembers{first}
+		// Others begin later than that.
+		time.Sleep(discoverer.StandInDelay)
 		if part := parts(first); part != 0 {
 			t.Errorf("the first candidate issues %v of the bound while it is contested", part)
 		}
+		first.allotter.tenure.members = first
+		if part := parts(first); part != (1-contestedShare)/issuersPerAccount {
+			t.Errorf("the first candidate issues %v of the bound, not contested", part)
+		}
 		f.stop()
 		time.Sleep(10 * time.Second) // All calls end.
 	})
--- a/internal/allotter/right.go
+++ b/internal/allotter/right.go
@@ -115,6 +115,10 @@
 	// readAt is when the read that brought the table began, and cleanAt that of the last one by
 	// which this instance was not contested.
 	readAt, cleanAt time.Time
+	// wasWhole is set if this instance was not contested at the last look, and heldFrom is when the
+	// read began that was the last one of that time.
+	wasWhole bool
+	heldFrom time.Time
 	// halvedAt is when this instance was last seen to issue less than its part as an issuer.
 	halvedAt time.Time
 	// changedAt is the time of the last change, and shownUntil when the read began that brought
@@ -170,6 +174,7 @@
 		t.resumedAt = now
 	}
 	t.observedAt = now
+	cleanAt := t.cleanAt
 	rows, wasListed, lastReadAt, contests, epoch := t.members.Rows(), t.own.Version != 0, t.readAt, t.contests, t.epoch
 	if rows.ReadAt.Sub(t.readAt) > discoverer.StandInDelay {
 		t.gaps++
@@ -200,6 +205,11 @@
 		t.beginTerm(now)
 	}
 	t.findUnsure(now)
+	isWhole := t.isWhole(now)
+	if t.wasWhole && !isWhole {
+		t.heldFrom = cleanAt
+	}
+	t.wasWhole = isWhole
 	if t.ownShare(now) < 1 {
 		t.halvedAt = now
 	}
@@ -225,13 +235,20 @@
 	t.contested, t.hasContested = contested, len(contested) > 0
 }
 
-// ownShare returns the part of its permits that this instance may issue as an issuer.
+// ownShare returns the part of its permits that this instance may issue as an issuer. Once it is
+// contested it goes on until the last table that did not show that is too old, as no other one
+// stands in for it before.
 func (t *tenure) ownShare(now time.Time) float64 {
-	isContested, endedAt := t.members.Contest()
-	if isContested || elapsed(t.cleanAt, now) >= discoverer.StandInDelay || elapsed(endedAt, now) < discoverer.StandInDelay+rightMargin {
-		return contestedShare
+	if t.isWhole(now) || elapsed(t.heldFrom, now) < discoverer.StandInDelay {
+		return 1
 	}
-	return 1
+	return contestedShare
+}
+
+// isWhole reports whether no table that others may rely on shows this instance as contested.
+func (t *tenure) isWhole(now time.Time) bool {
+	isContested, endedAt := t.members.Contest()
+	return !isContested && elapsed(t.cleanAt, now) < discoverer.StandInDelay && elapsed(endedAt, now) >= discoverer.StandInDelay+rightMargin
 }
 
 // hasOlderBuilds reports whether there are members that drop others from their lists by time.
