internal/allotter: a member in front that may have stood in meanwhile begins the wait anew

Cause: an instance before the one that stands in is contested, takes that back, is contested again and is cut off. The one behind it reads only the two contests, and counted itself as the first to stand in all the time, as only the versions of the issuers were compared.

--- a/internal/allotter/former_test.go
+++ b/internal/allotter/former_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,7 +13,6 @@
 
 	"github.com/wigeonstand/wigeonstand/internal/discoverer"
 	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
-	"github.com/wigeonstand/wigeonstand/internal/storer"
 )
 
 // ask asks the instance itself for a permit of the account, as the call of another one would.
@@ -280,26 +278,13 @@
 	}
 }
 
-// readOnlyRows is the store as an instance sees it whose writes fail from some time on.
-type readOnlyRows struct {
-	storer.Rows
-	isReadOnly atomic.Bool
-}
-
-func (r *readOnlyRows) Transact(ctx context.Context, changes []storer.Change) (int64, error) {
-	if r.isReadOnly.Load() {
-		return 0, storer.ErrUnavailable
-	}
-	return r.Rows.Transact(ctx, changes)
-}
-
 // Guards against an instance that goes on standing in by a former table for an issuer whose place another one
 // takes that has joined since, which both have confirmed.
 func TestIssuerThatJoinsBesideAStandInKeepsTheBound(t *testing.T) {
 	account, order := accountBeforeBookkeeper(t, 6)
 	synctest.Test(t, func(t *testing.T) {
 		f := emptyFleet(6)
-		contested := &readOnlyRows{Rows: f.rows.For(fmt.Sprint("i-", order[2]))}
+		contested := &gatedRows{Rows: f.rows.For(fmt.Sprint("i-", order[2]))}
 		for _, i := range order[1:] {
 			rows := f.rows.For(fmt.Sprint("i-", i))
 			if i == order[2] {
@@ -314,7 +299,7 @@
 		sum := f.watchParts(account, 20, done)
 		time.Sleep(time.Second)
 		// The second issuer can't take the contest back.
-		contested.isReadOnly.Store(true)
+		contested.refusesWrites.Store(true)
 		f.contestUntilRead(t, order[4], order[2])
 		time.Sleep(12 * time.Second)
 		if part := f.part(order[3], account); part == 0 {
--- /dev/null
+++ b/internal/allotter/interruption_test.go
@@ -0,0 +1,120 @@
+package allotter
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wigeonstand/wigeonstand/internal/discoverer"
+	"github.com/wigeonstand/wigeonstand/internal/storer"
+)
+
+// gatedRows is the store as an instance sees it whose reads or writes fail for a time.
+type gatedRows struct {
+	storer.Rows
+	refusesReads, refusesWrites atomic.Bool
+	// onDelete is called before a row is deleted.
+	onDelete func(name string)
+}
+
+func (r *gatedRows) List(ctx context.Context, list storer.Range) (storer.Page, error) {
+	if r.refusesReads.Load() {
+		return storer.Page{}, storer.ErrUnavailable
+	}
+	return r.Rows.List(ctx, list)
+}
+
+func (r *gatedRows) Changes(ctx context.Context, table string, after int64, wait time.Duration) (storer.Page, error) {
+	if r.refusesReads.Load() {
+		return storer.Page{}, storer.ErrUnavailable
+	}
+	return r.Rows.Changes(ctx, table, after, wait)
+}
+
+func (r *gatedRows) Transact(ctx context.Context, changes []storer.Change) (int64, error) {
+	if r.refusesWrites.Load() {
+		return 0, storer.ErrUnavailable
+	}
+	if r.onDelete != nil && changes[0].Delete {
+		r.onDelete(changes[0].Name)
+	}
+	return r.Rows.Transact(ctx, changes)
+}
+
+func (r *gatedRows) refuse(isRefused bool) {
+	r.refusesReads.Store(isRefused)
+	r.refusesWrites.Store(isRefused)
+}
+
+// startGated starts the instances of one size with gates before their stores.
+func startGated(size int) (*fleet, []*gatedRows) {
+	f := emptyFleet(size)
+	gates := make([]*gatedRows, size)
+	for i := range f.nodes {
+		gates[i] = &gatedRows{Rows: f.rows.For(fmt.Sprint("i-", i))}
+		f.startNode(i, "first", 1, gates[i])
+	}
+	return f, gates
+}
+
+// rowSeen returns the row of an instance in the table of another one.
+func (f *fleet) rowSeen(by, of int) discoverer.Row {
+	rows := f.node(by).Rows().Others
+	if i := slices.IndexFunc(rows, func(r discoverer.Row) bool { return r.Instance == fmt.Sprint("i-", of) }); i >= 0 {
+		return rows[i]
+	}
+	return discoverer.Row{}
+}
+
+func waitUntil(t *testing.T, what string, limit time.Duration, isSo func() bool) {
+	t.Helper()
+	for start := time.Now(); !isSo(); time.Sleep(5 * time.Millisecond) {
+		if time.Since(start) > limit {
+			t.Error("not within the time: ", what)
+			return
+		}
+	}
+}
+
+// cutOffAfterHeartbeat cuts the instance off from the store after its next heartbeat, for which its lease is
+// current for some 20 s, and lets another one contest it.
+func (f *fleet) cutOffAfterHeartbeat(t *testing.T, gate *gatedRows, i, by int) {
+	t.Helper()
+	before := f.rowSeen(by, i).Heartbeats
+	waitUntil(t, "the heartbeat is read", 25*time.Second, func() bool { return f.rowSeen(by, i).Heartbeats > before })
+	gate.refuse(true)
+	f.contest(by, i)
+}
+
+// Guards against an instance that counts a member before it as contested all the time, because it has read
+// two contests of it, and not that the first one was taken back in between.
+func TestContestThatIsTakenBackUnseenKeepsTheBound(t *testing.T) {
+	account, order := accountBeforeBookkeeper(t, 6)
+	first, third, fourth, by := order[0], order[2], order[3], order[4]
+	synctest.Test(t, func(t *testing.T) {
+		f, gates := startGated(6)
+		time.Sleep(46 * time.Second)
+		done := make(chan struct{})
+		sum := f.watchParts(account, 20, done)
+		time.Sleep(time.Second)
+		f.cutOffAfterHeartbeat(t, gates[first], first, by)
+		waitUntil(t, "the fourth one reads the contest", 5*time.Second, func() bool {
+			f.contest(by, third) // It fails if the row was written meanwhile.
+			return f.rowSeen(fourth, third).IsContested
+		})
+		gates[fourth].refuse(true) // For less than 8 s.
+		seenVersion := f.rowSeen(fourth, third).Version
+		waitUntil(t, "the contest is taken back", 3*time.Second, func() bool { r := f.rowSeen(by, third); return r.Version > seenVersion && !r.IsContested })
+		time.Sleep(4 * time.Second)
+		gates[third].refuse(true)
+		f.contest(by, third)
+		gates[fourth].refuse(false)
+		time.Sleep(20 * time.Second)
+		f.end(done)
+		checkSum(t, sum)
+	})
+}
--- a/internal/allotter/right.go
+++ b/internal/allotter/right.go
@@ -62,19 +62,20 @@
 type standIn struct {
 	// changes and gaps are those of the tenure in the last update.
 	changes, gaps int64
-	// isFirst is set while this instance is the one to stand in for issuers that are contested, which
-	// all tables have shown since firstSince.
+	// isFirst is set while this instance is the one to stand in for issuers that are contested, since
+	// firstSince. between are the rows of the members between it and the issuers, which are
+	// contested: one with another version may have stood in meanwhile.
 	isFirst    bool
 	firstSince time.Time
-	contested  []contestedIssuer
+	between    []rowVersion
+	// contested are the issuers that are contested, and those that were by a former table.
+	contested []contestedIssuer
 }
 
 // contestedIssuer is an issuer that is contested, which all tables have shown since the time.
 type contestedIssuer struct {
-	row rowID
-	// version is that of its row.
-	version int64
-	since   time.Time
+	row   rowVersion
+	since time.Time
 	// endsAt is when the table that showed it last is too old; zero while it is shown.
 	endsAt time.Time
 	// preceding are the members before this one in the order of the account by that table.
@@ -87,6 +88,12 @@
 	existsFrom  int64
 }
 
+// rowVersion identifies a version of the row of a process.
+type rowVersion struct {
+	incarnation string
+	version     int64
+}
+
 // rightID tells the rights of an instance to issue the permits of one account from each other.
 type rightID struct {
 	since, clearedAt time.Time
@@ -401,16 +408,18 @@
 	}
 	s.changes, s.gaps = t.changes, t.gaps
 	preceding, isFirst := t.standsIn(account)
-	if isFirst && !s.isFirst {
+	between := versionsOf(preceding[min(len(preceding), issuersPerAccount):])
+	isNew := isFirst && (!s.isFirst || slices.ContainsFunc(between, func(v rowVersion) bool { return !slices.Contains(s.between, v) }))
+	if isNew {
 		s.firstSince = now
 	}
-	s.isFirst = isFirst
+	s.isFirst, s.between = isFirst, between
 	var contested []contestedIssuer
 	if isFirst {
 		contested = contestedAmong(preceding, now)
 	}
 	for _, c := range s.contested {
-		i := slices.IndexFunc(contested, func(o contestedIssuer) bool { return c.endsAt.IsZero() && o.row == c.row && o.version == c.version })
+		i := slices.IndexFunc(contested, func(o contestedIssuer) bool { return !isNew && c.endsAt.IsZero() && o.row == c.row })
 		switch {
 		case i >= 0:
 			contested[i].since = c.since
@@ -434,8 +443,7 @@
 	if len(preceding) < issuersPerAccount || len(preceding) >= candidatesPerAccount {
 		return nil, false
 	}
-	isContested := func(m *discoverer.Row) bool { return m.IsContested }
-	return preceding, !slices.ContainsFunc(preceding[issuersPerAccount:], func(m *discoverer.Row) bool { return !isContested(m) })
+	return preceding, !slices.ContainsFunc(preceding[issuersPerAccount:], func(m *discoverer.Row) bool { return !m.IsContested })
 }
 
 // contestedAmong returns the contested ones of the issuers, of the members that precede this one.
@@ -445,14 +453,22 @@
 		ids = append(ids, idOf(m))
 	}
 	var contested []contestedIssuer
-	for i, m := range preceding[:issuersPerAccount] {
+	for _, m := range preceding[:issuersPerAccount] {
 		if m.IsContested {
-			contested = append(contested, contestedIssuer{row: ids[i], version: m.Version, since: now, preceding: ids})
+			contested = append(contested, contestedIssuer{row: rowVersion{m.Incarnation, m.Version}, since: now, preceding: ids})
 		}
 	}
 	return contested
 }
 
+func versionsOf(rows []*discoverer.Row) []rowVersion {
+	versions := make([]rowVersion, 0, len(rows))
+	for _, m := range rows {
+		versions = append(versions, rowVersion{m.Incarnation, m.Version})
+	}
+	return versions
+}
+
 // preceding returns the members that take precedence over this instance for the account, first
 // ones first. Of more than candidatesPerAccount, it returns some.
 func (t *tenure) preceding(account string) []*discoverer.Row {
