internal/allotter: a suspension ends a right to stand in by a former table

Cause: the end was a time of the steady clock, which stands still meanwhile.

The age of the table is compared, by both clocks, as it is elsewhere; and so is the interval between two reads.

--- a/internal/allotter/former_test.go
+++ b/internal/allotter/former_test.go
@@ -470,8 +470,8 @@
 		a := f.node(standIn).allotter
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		if contested := a.accounts[account].right.standIn.contested; len(contested) > 0 {
-			return contested[0].endsAt
+		if contested := a.accounts[account].right.standIn.contested; len(contested) > 0 && !contested[0].shownAt.IsZero() {
+			return contested[0].shownAt.Add(discoverer.StandInDelay)
 		}
 		return time.Time{}
 	}
--- a/internal/allotter/interruption_test.go
+++ b/internal/allotter/interruption_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"testing/synctest"
 	"time"
+	"unsafe"
 
 	"github.com/wigeonstand/wigeonstand/internal/discoverer"
 	"github.com/wigeonstand/wigeonstand/internal/storer"
@@ -118,3 +119,47 @@
 		checkSum(t, sum)
 	})
 }
+
+// suspended returns the time with a time of day that is later, as after a suspension in which the steady clock stood still.
+func suspended(at time.Time, d time.Duration) time.Time {
+	const secondsShift = 30 // In the first word of a time with a steady clock.
+	*(*uint64)(unsafe.Pointer(&at)) += uint64(d/time.Second) << secondsShift
+	return at
+}
+
+// quietMembers are the members of an instance that is not contested.
+type quietMembers struct{ self discoverer.Member }
+
+func (m quietMembers) RowRanking(string, int) []discoverer.Member { return nil }
+func (m quietMembers) IsCurrent() bool                            { return true }
+func (m quietMembers) Rows() discoverer.Rows                      { return discoverer.Rows{} }
+
+func (m quietMembers) Contest() (isContested bool, endedAt time.Time)      { return false, time.Time{} }
+func (m quietMembers) ContestMember(context.Context, discoverer.Row) error { return nil }
+func (m quietMembers) Self() discoverer.Member                             { return m.self }
+
+// Guards against an instance that goes on standing in by a former table after its machine was suspended, while
+// the steady clock stood still.
+func TestSuspensionEndsStandingInByAFormerTable(t *testing.T) {
+	account := accountInOrder(t, 3, 0, 1, 2)
+	now := time.Now()
+	later := suspended(now, 20*time.Second)
+	if d := elapsed(now, later); d != 20*time.Second {
+		t.Fatalf("%v elapsed", d)
+	}
+	tn := tenure{members: quietMembers{memberWithCores(2, 1)}, cleanAt: later, changes: 1} // It has read the table since.
+	c := contestedIssuer{since: now.Add(-20 * time.Second), shownAt: now.Add(-time.Second)}
+	for i := range 2 {
+		row := discoverer.Row{Member: memberWithCores(i, 1), Version: int64(i + 1)}
+		row.ReadVersion = 5
+		tn.others = append(tn.others, row)
+		c.preceding = append(c.preceding, idOf(&row))
+	}
+	s := standIn{changes: 1, contested: []contestedIssuer{c}}
+	if part, _ := s.part(&tn, account, now.Add(6*time.Second)); part == 0 {
+		t.Error("it does not stand in before the end")
+	}
+	if part, _ := s.part(&tn, account, later); part != 0 {
+		t.Errorf("13 s after the end it issues %v of the bound by a former table", part)
+	}
+}
--- a/internal/allotter/right.go
+++ b/internal/allotter/right.go
@@ -76,8 +76,8 @@
 type contestedIssuer struct {
 	row   rowVersion
 	since time.Time
-	// endsAt is when the table that showed it last is too old; zero while it is shown.
-	endsAt time.Time
+	// shownAt is when the read began that showed it last, by a former table; zero while it is shown.
+	shownAt time.Time
 	// preceding are the members before this one in the order of the account by that table.
 	preceding []rowID
 }
@@ -128,9 +128,9 @@
 	heldFrom time.Time
 	// halvedAt is when this instance was last seen to issue less than its part as an issuer.
 	halvedAt time.Time
-	// changedAt is the time of the last change, and shownUntil when the read began that brought
+	// changedAt is the time of the last change, and previousReadAt when the read began that brought
 	// the table before it.
-	changedAt, shownUntil time.Time
+	changedAt, previousReadAt time.Time
 	// listedAt is since when this instance has had its row.
 	listedAt time.Time
 	// gaps counts the intervals between two reads that were too long to stand in for others by them.
@@ -183,7 +183,7 @@
 	t.observedAt = now
 	cleanAt := t.cleanAt
 	rows, wasListed, lastReadAt, contests, epoch := t.members.Rows(), t.own.Version != 0, t.readAt, t.contests, t.epoch
-	if rows.ReadAt.Sub(t.readAt) > discoverer.StandInDelay {
+	if elapsed(t.readAt, rows.ReadAt) > discoverer.StandInDelay {
 		t.gaps++
 	}
 	t.others, t.removed, t.own, t.readAt = rows.Others, rows.Removed, rows.Own, rows.ReadAt
@@ -200,7 +200,7 @@
 	isListed := t.own.Version != 0
 	if t.epoch != epoch || t.contests != contests || isListed != wasListed {
 		t.changes++
-		t.changedAt, t.shownUntil = now, lastReadAt
+		t.changedAt, t.previousReadAt = now, lastReadAt
 	}
 	if isListed && t.own.ExistsFrom() != t.existsFrom {
 		t.existsFrom = t.own.ExistsFrom()
@@ -419,18 +419,18 @@
 		contested = contestedAmong(preceding, now)
 	}
 	for _, c := range s.contested {
-		i := slices.IndexFunc(contested, func(o contestedIssuer) bool { return !isNew && c.endsAt.IsZero() && o.row == c.row })
+		i := slices.IndexFunc(contested, func(o contestedIssuer) bool { return !isNew && c.shownAt.IsZero() && o.row == c.row })
 		switch {
 		case i >= 0:
 			contested[i].since = c.since
-		case !c.endsAt.IsZero():
+		case !c.shownAt.IsZero():
 			contested = append(contested, c)
 		case !now.Before(c.beginsAt()):
-			c.endsAt = t.shownUntil.Add(discoverer.StandInDelay)
+			c.shownAt = t.previousReadAt
 			contested = append(contested, c)
 		}
 	}
-	s.contested = slices.DeleteFunc(contested, func(c contestedIssuer) bool { return !c.endsAt.IsZero() && !now.Before(c.endsAt) })
+	s.contested = slices.DeleteFunc(contested, func(c contestedIssuer) bool { return !c.isRecent(now) })
 }
 
 // standsIn reports whether this instance is the one that stands in for issuers of the account that
@@ -492,6 +492,11 @@
 
 func idOf(m *discoverer.Row) rowID { return rowID{m.Incarnation, m.ExistsFrom()} }
 
+// isRecent reports whether the table that showed it last is not too old.
+func (c *contestedIssuer) isRecent(now time.Time) bool {
+	return c.shownAt.IsZero() || elapsed(c.shownAt, now) < discoverer.StandInDelay
+}
+
 func (c *contestedIssuer) beginsAt() time.Time {
 	return c.since.Add(discoverer.StandInDelay + rightMargin)
 }
@@ -504,7 +509,7 @@
 	}
 	for i := range s.contested {
 		c := &s.contested[i]
-		isHeld := c.endsAt.IsZero() || now.Before(c.endsAt) && !t.hasNewIssuer(account, c.preceding)
+		isHeld := c.shownAt.IsZero() || c.isRecent(now) && !t.hasNewIssuer(account, c.preceding)
 		if !isHeld || now.Before(c.beginsAt()) {
 			continue
 		}
