internal/allotter: an instance whose row was written anew begins the wait to stand in anew

Cause: the looks at the table show the instance as listed before and after, and the rows of the others as they were.

--- a/internal/allotter/interruption_test.go
+++ b/internal/allotter/interruption_test.go
@@ -163,3 +163,36 @@
 		t.Errorf("13 s after the end it issues %v of the bound by a former table", part)
 	}
 }
+
+// Guards against an instance that stands in for others at once after its row was deleted and written anew,
+// and nothing was read in between.
+func TestRowThatIsWrittenAnewKeepsTheBound(t *testing.T) {
+	account, order := accountBeforeBookkeeper(t, 6)
+	first, third, fourth, by := order[0], order[2], order[3], order[4]
+	synctest.Test(t, func(t *testing.T) {
+		f, gates := startGated(6)
+		var deleted atomic.Bool
+		for i := range gates {
+			gates[i].onDelete = func(name string) {
+				if name == fmt.Sprint("i-", third) && !deleted.Swap(true) {
+					gates[third].refusesReads.Store(true)
+				}
+			}
+		}
+		time.Sleep(46 * time.Second)
+		done := make(chan struct{})
+		sum := f.watchParts(account, 20, done)
+		before := f.rowSeen(by, third).Heartbeats
+		waitUntil(t, "the heartbeat is read", 25*time.Second, func() bool { return f.rowSeen(by, third).Heartbeats > before })
+		gates[third].refusesWrites.Store(true)
+		time.Sleep(33 * time.Second)
+		f.cutOffAfterHeartbeat(t, gates[first], first, by)
+		waitUntil(t, "the row is deleted", 60*time.Second, deleted.Load)
+		time.Sleep(5500 * time.Millisecond)
+		gates[fourth].refuse(true)
+		gates[third].refuse(false)
+		time.Sleep(20 * time.Second)
+		f.end(done)
+		checkSum(t, sum)
+	})
+}
--- a/internal/allotter/right.go
+++ b/internal/allotter/right.go
@@ -133,7 +133,7 @@
 	changedAt, previousReadAt time.Time
 	// listedAt is since when this instance has had its row.
 	listedAt time.Time
-	// gaps counts the intervals between two reads that were too long to stand in for others by them.
+	// gaps counts the intervals between two reads in which others may have stood in unseen.
 	// contests tells the states of the contested members from each other.
 	gaps     int64
 	contests uint64
@@ -183,7 +183,9 @@
 	t.observedAt = now
 	cleanAt := t.cleanAt
 	rows, wasListed, lastReadAt, contests, epoch := t.members.Rows(), t.own.Version != 0, t.readAt, t.contests, t.epoch
-	if elapsed(t.readAt, rows.ReadAt) > discoverer.StandInDelay {
+	// By a row that was deleted and written anew, others may have dropped this instance meanwhile.
+	isOther := rows.Own.Version != 0 && rows.Own.ExistsFrom() != t.existsFrom
+	if isOther || elapsed(t.readAt, rows.ReadAt) > discoverer.StandInDelay {
 		t.gaps++
 	}
 	t.others, t.removed, t.own, t.readAt = rows.Others, rows.Removed, rows.Own, rows.ReadAt
