internal/allotter: a newcomer waits for an instance that may be alone for 8 s, and not for its row

An instance that is alone issues the whole bound only while it has read the table within 8 s, as one that stands in does. So it is harmless, too, once the newcomer has been in the table for 8.35 s.

--- a/internal/allotter/interruption_test.go
+++ b/internal/allotter/interruption_test.go
@@ -254,3 +254,59 @@
 		})
 	}
 }
+
+// Guards against an account that is refused after the loss of all instances until the row of one that stays
+// away is deleted, as those that return have new rows.
+func TestAccountIsServedAfterAReturnWithANewRow(t *testing.T) {
+	for _, size := range []int{2, 3, 4} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			account, order := accountBeforeBookkeeper(t, size)
+			synctest.Test(t, func(t *testing.T) {
+				f := startAll(size)
+				time.Sleep(46 * time.Second)
+				for _, i := range order[1:] {
+					f.kill(i)
+				}
+				f.kill(order[0])
+				time.Sleep(1400 * time.Millisecond)
+				for _, i := range order[1:] {
+					f.startNode(i, "second", 2, f.rows.For(fmt.Sprint("i-", i))) // Larger machines.
+				}
+				served := f.servedAfter(account, time.Minute, order[1:]...)
+				f.stop()
+				time.Sleep(10 * time.Second)
+				t.Logf("served after %v", served)
+				if served > recoveryTime {
+					t.Errorf("served after %v, %v allowed", served, recoveryTime)
+				}
+			})
+		})
+	}
+}
+
+// Guards against the same after the loss of the only instance, as another one starts that had stopped before.
+func TestAccountIsServedAfterAReturnOfAnInstanceThatHadStopped(t *testing.T) {
+	for _, pause := range []time.Duration{time.Second, 3 * time.Second, 8 * time.Second} {
+		t.Run(fmt.Sprint(pause), func(t *testing.T) {
+			account, order := accountBeforeBookkeeper(t, 2)
+			synctest.Test(t, func(t *testing.T) {
+				f := startAll(2)
+				time.Sleep(46 * time.Second)
+				if err := f.node(order[1]).Deregister(t.Context()); err != nil {
+					t.Error(err)
+				}
+				f.kill(order[1])
+				time.Sleep(pause)
+				f.kill(order[0])
+				f.startNode(order[1], "second", 1, f.rows.For(fmt.Sprint("i-", order[1])))
+				served := f.servedAfter(account, time.Minute, order[1])
+				f.stop()
+				time.Sleep(10 * time.Second)
+				t.Logf("served after %v", served)
+				if served > recoveryTime {
+					t.Errorf("served after %v, %v allowed", served, recoveryTime)
+				}
+			})
+		})
+	}
+}
--- a/internal/allotter/right.go
+++ b/internal/allotter/right.go
@@ -314,9 +314,11 @@
 	return d.Sum64()
 }
 
-// mayBeIssuer reports whether the member may issue the account's permits by a table without this
-// instance, beside another issuer that takes precedence over it. It issues none if its table surely
-// has members that take precedence, and stands in for others only by a recent table.
+// mayBeIssuer reports whether the member may issue permits of the account that this instance would
+// issue, by a table without it. A member issues none as an issuer if its table surely has
+// issuersPerAccount members that take precedence over it, and its half of the bound if it is the first of
+// all others. What it issues beyond that, in place of others or as the only member, it issues by a recent
+// table only.
 func (t *tenure) mayBeIssuer(m *discoverer.Row, account string) bool {
 	preceding, known := 0, 0
 	for i := range t.others {
@@ -330,16 +332,17 @@
 			}
 		}
 	}
-	if known >= issuersPerAccount {
+	switch {
+	case known >= issuersPerAccount:
 		return !t.isSettled
+	case preceding > 0:
+		return true
 	}
-	// As the first one of all others it is one of the two issuers in this instance's table, too, unless
-	// it is alone in its own.
-	return preceding > 0 || !t.knowsOther(m)
+	return !t.isSettled && !t.isKnownNotAlone(m)
 }
 
-// knowsOther reports whether the member surely has another one in its table than this instance.
-func (t *tenure) knowsOther(m *discoverer.Row) bool {
+// isKnownNotAlone reports whether the member surely has another one in its table.
+func (t *tenure) isKnownNotAlone(m *discoverer.Row) bool {
 	return slices.ContainsFunc(t.others, func(o discoverer.Row) bool { return o.Instance != m.Instance && m.Knows(&o) })
 }
 
