internal/allotter: a bucket counts an interruption that ended before a look

Cause: that the table was too old is noticed at a look, and the instance had read it again before the first one.

--- a/internal/allotter/interruption_test.go
+++ b/internal/allotter/interruption_test.go
@@ -348,3 +348,60 @@
 		})
 	}
 }
+
+// Guards against a bucket that fills as for the whole bound for the time of an interruption, as the table is read
+// before the first look after it: an instance alone is frozen for less than the time after which its row lapses, and
+// another one joins, issues and stops meanwhile.
+func TestJoinAndStopDuringAFreezeKeepsTheBound(t *testing.T) {
+	const rate, frozenFor = 6, 12900 * time.Millisecond
+	account := accountInOrder(t, 2, 0, 1)
+	for _, late := range []time.Duration{0, 100 * time.Millisecond} {
+		t.Run(fmt.Sprint(late), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := emptyFleet(2)
+				n := &node{fleet: f}
+				n.ctx, n.cancel = context.WithCancel(context.Background())
+				n.Discoverer = discoverer.New(memberWithCores(0, 1), f.rows.For("i-0"))
+				n.allotter = New(n.Discoverer, n, testLimits)
+				f.nodes[0] = n
+				go n.keepMembership()
+				var delay atomic.Int64 // Of each look.
+				go n.loop(observeInterval, func() {
+					time.Sleep(time.Duration(delay.Load()))
+					n.allotter.maintain(n.ctx)
+				})
+				f.startNode(1, "none", 1, f.rows.For("none"))
+				f.kill(1)
+				time.Sleep(46 * time.Second)
+				f.ask(0, account, rate)
+				time.Sleep(10 * time.Second)
+				f.setCut(1, 0, true)
+				f.node(0).freeze(frozenFor)
+				resumedAt := time.Now().Add(frozenFor)
+				f.startNode(1, "first", 1, f.rows.For("i-1"))
+				time.AfterFunc(frozenFor-time.Millisecond, func() { delay.Store(int64(late)) })
+				for time.Until(resumedAt) > 100*time.Millisecond {
+					// It is asked when it has some tokens.
+					if time.Until(resumedAt) < 200*time.Millisecond || f.part(1, account) == 0 {
+						for f.ask(1, account, rate) == granted {
+							f.record(1)
+						}
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+				if err := f.node(1).Deregister(t.Context()); err != nil {
+					t.Error(err)
+				}
+				f.kill(1)
+				time.Sleep(time.Until(resumedAt) + late + 10*time.Millisecond)
+				for range 120 {
+					for f.ask(0, account, rate) == granted {
+						f.record(0)
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				checkMost(t, f, rate)
+			})
+		})
+	}
+}
--- a/internal/allotter/right.go
+++ b/internal/allotter/right.go
@@ -182,8 +182,8 @@
 	t.wasWhole = isWhole
 	_, endedAt := t.members.Contest()
 	switch end := endedAt.Add(discoverer.StandInDelay + rightMargin); {
-	case t.ownShare(now) < 1:
-		t.contestedUntil = now
+	case t.ownShare(now) < 1 || elapsed(cleanAt, t.cleanAt) >= discoverer.StandInDelay:
+		t.contestedUntil = now // In an interruption before this look, too.
 	case isWhole && end.After(t.contestedUntil):
 		t.contestedUntil = end // Later than the last look before.
 	}
