internal/allotter: a route's first program counts for no more than a burst

Cause: until three programs of a route have ended, a new one was charged with what the longest has sent.

--- a/internal/allotter/charge.go
+++ b/internal/allotter/charge.go
@@ -85,14 +85,14 @@
 }
 
 // charge returns the number of requests that a new program is expected to need, and the time over
-// which they arrive.
-func (n *need) charge() (requests int, duration time.Duration) {
+// which they arrive. Until that is known a single program counts for no more than a burst.
+func (n *need) charge(burst int) (requests int, duration time.Duration) {
 	if n.ended >= minEnded {
 		return max(int(math.Round(n.mean)), 1), time.Duration(n.duration)
 	}
 	// Those under way have sent only a part of their requests.
 	mean := float64(initialNeed*minEnded+n.requests) / float64(minEnded+n.started)
-	return max(int(math.Round(mean)), n.longest, 1), math.MaxInt64
+	return max(min(max(int(math.Round(mean)), n.longest), burst), 1), math.MaxInt64
 }
 
 // learn records a program that has ended after the number of requests, which arrived over the time.
@@ -207,7 +207,7 @@
 	}
 	charge, duration := 1, time.Duration(0)
 	if in.Program != 0 {
-		charge, duration = a.needs.get(in.Route).charge()
+		charge, duration = a.needs.get(in.Route).charge(int(most - soft))
 	}
 	if wait := a.waitForProgram(now, charge, duration, soft, most); wait > 0 {
 		// Those that were refused return over the time in which there will be room for them.
--- a/internal/allotter/use_test.go
+++ b/internal/allotter/use_test.go
@@ -215,3 +215,37 @@
 		}
 	}
 }
+
+// Guards against an account that is refused below its quota for minutes, as one program of the route has sent
+// many requests.
+func TestLongProgramDoesNotKeepOthersOut(t *testing.T) {
+	for _, long := range []int{0, 100, 400} {
+		t.Run(fmt.Sprint(long), func(t *testing.T) {
+			a := newAccount(testLimits, needs{})
+			a.update(1, 20) // 4 a second, of which this issuer has half.
+			at := time.Minute
+			a.begin(rightID{since: time.Unix(1, 0)}, time.Unix(1, 0), 0, 0)
+			for range long {
+				if a.decide(at, item{Program: 1, Route: 1}, 0.5, 0).code() != granted {
+					t.Fatal("the long program is refused")
+				}
+				at += time.Second
+			}
+			// New programs of one request come every 10 s: a twentieth of the issuer's quota.
+			refused, longest, since := 0, time.Duration(0), at
+			for n := range 60 {
+				if a.decide(at, item{Program: uint32(n + 2), Route: 1}, 0.5, 0).code() == granted {
+					since = at
+				} else {
+					refused++
+				}
+				longest = max(longest, at-since)
+				at += 10 * time.Second
+			}
+			t.Logf("%d of 60 programs refused, for %v at the longest", refused, longest)
+			if longest > 20*time.Second {
+				t.Errorf("%d of 60 programs refused, for %v at the longest", refused, longest)
+			}
+		})
+	}
+}
