internal/allotter: a step of the time of day does not shorten a wait

Cause: the larger of two clocks tells that a table is too old; it does not tell that a wait was long enough.

Waits are measured by the steady clock alone.

--- a/internal/allotter/interruption_test.go
+++ b/internal/allotter/interruption_test.go
@@ -405,3 +405,28 @@
 		})
 	}
 }
+
+// Guards against a step of the time of day that counts for a wait.
+func TestStepOfTheTimeOfDayDoesNotShortenAWait(t *testing.T) {
+	now := time.Now()
+	members := endedMembers{quietMembers{memberWithCores(0, 1)}, now.Add(-7 * time.Second)}
+	tn := tenure{members: members, cleanAt: now, listedAt: now.Add(-7 * time.Second), observedAt: now}
+	stepped := suspended(now.Add(observeInterval), 2*time.Second)
+	if tn.hasPaused(stepped) {
+		t.Fatal("it counts as an interruption")
+	}
+	tn.cleanAt = stepped
+	if tn.isWhole(stepped) {
+		t.Error("7.25 s after it took a contest back it is whole")
+	}
+	if tn.findUnsure(stepped); tn.isSettled {
+		t.Error("after 7.25 s it is settled")
+	}
+}
+
+type endedMembers struct {
+	quietMembers
+	endedAt time.Time
+}
+
+func (m endedMembers) Contest() (isContested bool, endedAt time.Time) { return false, m.endedAt }
--- a/internal/allotter/right.go
+++ b/internal/allotter/right.go
@@ -123,7 +123,8 @@
 }
 
 // elapsed returns the time from one reading of the clock to a later one, also if the steady clock
-// stood still while the machine was suspended.
+// stood still while the machine was suspended. A wait is measured by the steady clock alone, as a step
+// of the time of day must not shorten it.
 func elapsed(from, to time.Time) time.Duration {
 	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
 }
@@ -222,7 +223,7 @@
 // isWhole reports whether no table that others may rely on shows this instance as contested.
 func (t *tenure) isWhole(now time.Time) bool {
 	isContested, endedAt := t.members.Contest()
-	return !isContested && elapsed(t.cleanAt, now) < discoverer.StandInDelay && elapsed(endedAt, now) >= discoverer.StandInDelay+rightMargin
+	return !isContested && elapsed(t.cleanAt, now) < discoverer.StandInDelay && now.Sub(endedAt) >= discoverer.StandInDelay+rightMargin
 }
 
 // hasOlderBuilds reports whether there are members that drop others from their lists by time.
@@ -245,7 +246,7 @@
 
 // findUnsure finds the members that may not have this instance in their tables.
 func (t *tenure) findUnsure(now time.Time) {
-	if isSettled := elapsed(t.listedAt, now) >= discoverer.StandInDelay+rightMargin; isSettled != t.isSettled {
+	if isSettled := now.Sub(t.listedAt) >= discoverer.StandInDelay+rightMargin; isSettled != t.isSettled {
 		t.isSettled = isSettled
 		t.state++
 	}
