--- a/internal/allotter/interruption_test.go
+++ b/internal/allotter/interruption_test.go
@@ -430,3 +430,37 @@
 }
 
 func (m endedMembers) Contest() (isContested bool, endedAt time.Time) { return false, m.endedAt }
+
+// Guards against an account that is refused after the loss of all, as the one that stays away is behind those
+// that return.
+func TestAccountIsServedAfterAReturnWithANewRowBeforeTheOneAway(t *testing.T) {
+	for _, size := range []int{2, 3, 4} {
+		for away := range size {
+			t.Run(fmt.Sprint(size, "-", away), func(t *testing.T) {
+				account, order := accountBeforeBookkeeper(t, size)
+				synctest.Test(t, func(t *testing.T) {
+					f := startAll(size)
+					time.Sleep(46 * time.Second)
+					for i := range size {
+						f.kill(i)
+					}
+					time.Sleep(1400 * time.Millisecond)
+					var back []int
+					for place, i := range order {
+						if place != away {
+							f.startNode(i, "second", 2, f.rows.For(fmt.Sprint("i-", i))) // Larger machines.
+							back = append(back, i)
+						}
+					}
+					served := f.servedAfter(account, time.Minute, back...)
+					f.stop()
+					time.Sleep(10 * time.Second)
+					t.Logf("served after %v", served)
+					if served > recoveryTime {
+						t.Errorf("served after %v, %v allowed", served, recoveryTime)
+					}
+				})
+			})
+		}
+	}
+}
