internal/bookkeeper: calls for one request to the same bookkeeper are 50 ms apart

What callers saw: while an instance stopped, it used all of its processor, and turns beside it were refused ("the reservation cannot be recorded") or broke off without a record.

Cause: an instance that stops before it knows another one, or while all others are suspected, is its own bookkeeper although that has retired. Client.Open took the answer Retired as a reason to go to the next one, which was the same, and asked again at once until the turn's 1.8 s were over. Seen: 9155 and 12222 calls for one turn, up to six turns at a time. Client.Record asks again in the same way.

Why it works: a call to the bookkeeper that was just asked begins 50 ms after the last one at the earliest. Another bookkeeper is still asked at once, and one that becomes known meanwhile serves the turn.

Measured: TestRetiredBookkeeperIsAskedWithPauses fails before (more calls than fit into the wait) and passes after.

--- a/internal/bookkeeper/client.go
+++ b/internal/bookkeeper/client.go
@@ -45,6 +45,10 @@
 // avoided.
 const networkMargin = 150 * time.Millisecond
 
+// callInterval is the minimum time between the starts of two calls for one request to the same
+// bookkeeper. A call may fail at once, and one of a retired bookkeeper does.
+const callInterval = 50 * time.Millisecond
+
 // Caller calls other instances.
 type Caller interface {
 	Call(ctx context.Context, address netip.AddrPort, method string, in, out any) error
@@ -145,6 +149,7 @@
 		m := c.members.Bookkeepers(c.keyOf(in.Program))[0]
 		in.Observations, in.Verdicts = c.gossiper.ObservationsFor(m.Instance), c.local.verdicts.Verdicts()
 		in.Wait = min(time.Until(deadline), bookkeeperTimeout)
+		start := time.Now()
 		out, err := call(ctx, c, m, methodOpen, in.Wait, in, c.local.Open)
 		c.gossiper.Merge(out.Observations)
 		c.local.verdicts.MergeVerdicts(out.Verdicts)
@@ -156,6 +161,9 @@
 		case err == nil && out.Status != Unavailable:
 			return out, m, nil
 		}
+		if m.Instance == c.members.Bookkeepers(c.keyOf(in.Program))[0].Instance {
+			pause(ctx, min(callInterval-time.Since(start), time.Until(deadline)))
+		}
 		if !time.Now().Before(deadline) {
 			return OpenResponse{Status: Unavailable}, m, nil
 		}
@@ -174,10 +182,14 @@
 	for {
 		in.Wait = min(time.Until(deadline), bookkeeperTimeout)
 		member := c.members.Recorders(in.Record.ID)[0]
+		start := time.Now()
 		out, err := call(ctx, c, member, methodClose, in.Wait, in, c.local.Close)
 		if ctx.Err() != nil || (err == nil && out.Status == OK) {
 			return out, err
 		}
+		if member.Instance == c.members.Recorders(in.Record.ID)[0].Instance {
+			pause(ctx, min(callInterval-time.Since(start), time.Until(deadline)))
+		}
 		if !time.Now().Before(deadline) {
 			return CloseResponse{Status: InDoubt}, err
 		}
--- a/internal/bookkeeper/client_test.go
+++ b/internal/bookkeeper/client_test.go
@@ -85,24 +85,33 @@
 	s := &dataCentre{fleet: f, network: &network{
 		handlers: map[netip.AddrPort]map[string]messenger.Handler{}, silent: map[netip.AddrPort]bool{},
 	}}
-	for i := range n {
-		self := discoverer.Member{
-			Instance: fmt.Sprintf("entry-%02d", i), Incarnation: fmt.Sprintf("process-%02d", i), DataCentre: "dc", Cores: 1,
-			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1),
-		}
-		members := discoverer.New(self, f.rows.For(self.Instance))
-		if err := members.WriteHeartbeat(t.Context()); err != nil {
-			t.Fatal(err)
-		}
-		k := f.start(self.Incarnation)
-		s.members = append(s.members, members)
-		s.clients = append(s.clients, bookkeeper.NewClient(k, members, s.network, registrar.New(), options...))
-		s.network.handlers[self.Address] = k.Handlers(registrar.New())
+	for range n {
+		s.add(t, options...)
 	}
 	s.refresh(t)
 	return s
 }
 
+// add starts one more instance, which others know once they refresh their members.
+func (s *dataCentre) add(t *testing.T, options ...bookkeeper.ClientOption) {
+	t.Helper()
+	i := len(s.members)
+	self := discoverer.Member{
+		Instance: fmt.Sprintf("entry-%02d", i), Incarnation: fmt.Sprintf("process-%02d", i), DataCentre: "dc", Cores: 1,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1),
+	}
+	members := discoverer.New(self, s.rows.For(self.Instance))
+	if err := members.WriteHeartbeat(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	k := s.start(self.Incarnation)
+	s.members = append(s.members, members)
+	s.clients = append(s.clients, bookkeeper.NewClient(k, members, s.network, registrar.New(), options...))
+	s.network.mu.Lock()
+	defer s.network.mu.Unlock()
+	s.network.handlers[self.Address] = k.Handlers(registrar.New())
+}
+
 func (s *dataCentre) refresh(t *testing.T) {
 	t.Helper()
 	for _, m := range s.members {
@@ -167,6 +176,67 @@
 	}
 }
 
+// countingGossiper counts the calls of bookkeepers, which each begin with its observations. It cancels
+// the one that makes more than most of them: time does not pass in a bubble in which a loop does not wait.
+type countingGossiper struct {
+	bookkeeper.Gossiper
+	calls, most int
+	cancel      context.CancelFunc
+}
+
+func (g *countingGossiper) ObservationsFor(instance string) []registrar.Observation {
+	if g.calls++; g.calls > g.most {
+		g.cancel()
+	}
+	return g.Gossiper.ObservationsFor(instance)
+}
+
+// An instance that stopped before it knew another one asked its own retired bookkeeper some thousand times
+// a second for each turn, and did little else.
+func TestRetiredBookkeeperIsAskedWithPauses(t *testing.T) {
+	const wait, interval = 1820 * time.Millisecond, 50 * time.Millisecond
+	for name, tc := range map[string]struct {
+		// knownAfter is when another instance becomes known; zero for none.
+		knownAfter time.Duration
+		status     bookkeeper.Status
+		within     time.Duration
+	}{
+		"NoOtherIsKnown":          {status: bookkeeper.Unavailable, within: wait},
+		"AnotherIsKnownMeanwhile": {knownAfter: 410 * time.Millisecond, status: bookkeeper.OK, within: 500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, 1, func(t *testing.T, f *fleet) {
+				s := newDataCentre(t, f, 1)
+				members := s.members[0]
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				gossiper := &countingGossiper{Gossiper: registrar.New(), most: int(tc.within/interval) + 1, cancel: cancel}
+				client := bookkeeper.NewClient(f.bookkeeper(members.Self().Incarnation), members, s.network, gossiper)
+				if err := errors.Join(members.Deregister(ctx), client.HandOver(ctx)); err != nil {
+					t.Fatal(err)
+				}
+				start := time.Now()
+				var opening sync.WaitGroup
+				opening.Go(func() {
+					out, _, err := client.Open(ctx, bookkeeper.OpenRequest{Program: "p", Turn: "t", Tokens: turnTokens, Budget: 5000, Wait: wait})
+					if took := time.Since(start); err != nil || out.Status != tc.status || took > tc.within {
+						t.Errorf("status %v, %v after %v, want %v within %v", out.Status, err, took, tc.status, tc.within)
+					}
+				})
+				if tc.knownAfter > 0 {
+					time.Sleep(tc.knownAfter)
+					s.add(t)
+					s.refresh(t)
+				}
+				opening.Wait()
+				if gossiper.calls > gossiper.most {
+					t.Errorf("more than %d calls", gossiper.most)
+				}
+			})
+		})
+	}
+}
+
 // When a bookkeeper dies under load, the instances must fall back to the same next
 // one. When each instance wrote by itself, 68 writers overloaded one partition of
 // the store.
--- a/internal/bookkeeper/rights_calls.go
+++ b/internal/bookkeeper/rights_calls.go
@@ -198,7 +198,7 @@
 		}
 	}
 	if len(result.acknowledged) < len(witnesses) {
-		r.pause(r.ctx)
+		pause(r.ctx, peerRetryDelay)
 	}
 	s.send(result)
 }
@@ -257,7 +257,7 @@
 		if err != nil {
 			r.checkBookkeeper(ctx, in.Program)
 		}
-		r.pause(ctx)
+		pause(ctx, peerRetryDelay)
 	}
 }
 
@@ -283,9 +283,9 @@
 	}
 }
 
-// pause waits before a call that failed is repeated.
-func (r *rights) pause(ctx context.Context) {
-	timer := time.NewTimer(peerRetryDelay)
+// pause waits before a call that failed is repeated, and until ctx ends at most.
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
