--- a/internal/allotter/charge.go
+++ b/internal/allotter/charge.go
@@ -56,8 +56,7 @@
 type program struct {
 	route    uint16
 	requests int
-	// startedAt and lastUsed are the times of the first and the last request.
-	startedAt, lastUsed time.Duration
+	lastUsed time.Duration
 	// isWhole is set if the first request of the program was seen, so that the number of
 	// its requests is known when it ends.
 	isWhole bool
@@ -65,13 +64,10 @@
 
 // need is what is known of the programs of a route.
 type need struct {
-	// started and requests count the programs and their requests so far, and longest is the
-	// largest number of requests of one.
-	started, requests, longest int
-	// ended counts the programs that have ended, with the means of the number of their requests
-	// and of the time from the first to the last.
-	ended          int
-	mean, duration float64
+	// started and requests count the programs and their requests so far, and ended the
+	// programs that have ended, with the mean number of their requests.
+	started, requests, ended int
+	mean                     float64
 }
 
 // needs holds what programs need, by route.
@@ -84,23 +80,20 @@
 	return n[route]
 }
 
-// charge returns the number of requests that a new program is expected to need, and the time over
-// which they arrive. Until that is known a single program counts for no more than a burst.
-func (n *need) charge(burst int) (requests int, duration time.Duration) {
-	if n.ended >= minEnded {
-		return max(int(math.Round(n.mean)), 1), time.Duration(n.duration)
+// charge returns the number of requests that a new program is expected to need.
+func (n *need) charge() int {
+	mean := n.mean
+	if n.ended < minEnded {
+		mean = float64(initialNeed*minEnded+n.requests) / float64(minEnded+n.started)
 	}
-	// Those under way have sent only a part of their requests.
-	mean := float64(initialNeed*minEnded+n.requests) / float64(minEnded+n.started)
-	return max(min(max(int(math.Round(mean)), n.longest), burst), 1), math.MaxInt64
+	return max(int(math.Round(mean)), 1)
 }
 
-// learn records a program that has ended after the number of requests, which arrived over the time.
-func (n *need) learn(requests int, duration time.Duration) {
+// learn records a program that has ended after the number of requests.
+func (n *need) learn(requests int) {
 	n.ended++
 	weight := max(needWeight, 1/float64(n.ended))
 	n.mean += (float64(requests) - n.mean) * weight
-	n.duration += (float64(duration) - n.duration) * weight
 }
 
 // account is an issuer's state of one account.
@@ -139,7 +132,7 @@
 	// NewLRU fails only for a size of zero.
 	a.programs, _ = simplelru.NewLRU(maxPrograms, func(_ uint32, p *program) {
 		if p.isWhole {
-			needs.get(p.route).learn(p.requests, p.lastUsed-p.startedAt)
+			needs.get(p.route).learn(p.requests)
 		}
 	})
 	return a
@@ -205,11 +198,11 @@
 		a.grant(now, in, p, false)
 		return newResult(granted, 0)
 	}
-	charge, duration := 1, time.Duration(0)
+	charge := 1
 	if in.Program != 0 {
-		charge, duration = a.needs.get(in.Route).charge(int(most - soft))
+		charge = a.needs.get(in.Route).charge()
 	}
-	if wait := a.waitForProgram(now, charge, duration, soft, most); wait > 0 {
+	if wait := a.waitForProgram(now, charge, soft, most); wait > 0 {
 		// Those that were refused return over the time in which there will be room for them.
 		a.refused.add(now, 1)
 		spread := float64(a.refused.count(now)*charge) / max(soft, 1) * float64(a.limits.Window)
@@ -223,9 +216,9 @@
 	return newResult(granted, 0)
 }
 
-// waitForProgram returns how long it takes until a program can start whose requests, as many as
-// charged, arrive over the duration; zero if it can start now.
-func (a *account) waitForProgram(now time.Duration, charge int, duration time.Duration, soft, most float64) time.Duration {
+// waitForProgram returns how long it takes until a program with the charge can start; zero if
+// it can start now.
+func (a *account) waitForProgram(now time.Duration, charge int, soft, most float64) time.Duration {
 	limit := int(soft + (most-soft)*newProgramShare)
 	rate := soft / float64(a.limits.Window)
 	a.paced = max(a.paced-float64(now-a.pacedAt)*rate, 0)
@@ -234,9 +227,6 @@
 	a.owed *= math.Exp(-float64(now-a.owedAt) / float64(owedMemory))
 	a.owedAt = now
 	reserved := min(a.owed-rate*float64(reserveTime), (most-soft)*reservedShare)
-	// The tokens for all that it and those under way need are there or arrive meanwhile.
-	missing := a.owed + float64(charge) - rate*float64(max(duration, reserveTime))
-	reserved = max(reserved, min(missing, most-soft))
 	wait := a.permits.timeUntil(max(reserved, 1), rate)
 	// A program that needs more than there is starts alone.
 	if over := charged + charge - int(most); over > 0 && charged > 0 {
@@ -257,7 +247,7 @@
 		return
 	}
 	if p == nil {
-		p = &program{route: in.Route, startedAt: now, isWhole: isFirst}
+		p = &program{route: in.Route, isWhole: isFirst}
 		a.programs.Add(in.Program, p)
 	}
 	p.requests++
@@ -265,7 +255,6 @@
 	if p.isWhole {
 		n := a.needs.get(p.route)
 		n.requests++
-		n.longest = max(n.longest, p.requests)
 		if isFirst {
 			n.started++
 		}
