--- a/internal/allotter/interruption_test.go
+++ b/internal/allotter/interruption_test.go
@@ -51,12 +51,18 @@
 	r.refusesWrites.Store(isRefused)
 }
 
-// startGated starts the instances of one size with gates before their stores.
-func startGated(size int) (*fleet, []*gatedRows) {
+// startGated starts the instances of one size with gates before their stores, which call the function, if
+// there is one, before a row is deleted.
+func startGated(size int, onDelete func(gates []*gatedRows, name string)) (*fleet, []*gatedRows) {
 	f := emptyFleet(size)
 	gates := make([]*gatedRows, size)
 	for i := range f.nodes {
 		gates[i] = &gatedRows{Rows: f.rows.For(fmt.Sprint("i-", i))}
+		if onDelete != nil {
+			gates[i].onDelete = func(name string) { onDelete(gates, name) }
+		}
+	}
+	for i := range f.nodes {
 		f.startNode(i, "first", 1, gates[i])
 	}
 	return f, gates
@@ -97,7 +103,7 @@
 	account, order := accountBeforeBookkeeper(t, 6)
 	first, third, fourth, by := order[0], order[2], order[3], order[4]
 	synctest.Test(t, func(t *testing.T) {
-		f, gates := startGated(6)
+		f, gates := startGated(6, nil)
 		time.Sleep(46 * time.Second)
 		done := make(chan struct{})
 		sum := f.watchParts(account, 20, done)
@@ -170,15 +176,12 @@
 	account, order := accountBeforeBookkeeper(t, 6)
 	first, third, fourth, by := order[0], order[2], order[3], order[4]
 	synctest.Test(t, func(t *testing.T) {
-		f, gates := startGated(6)
 		var deleted atomic.Bool
-		for i := range gates {
-			gates[i].onDelete = func(name string) {
-				if name == fmt.Sprint("i-", third) && !deleted.Swap(true) {
-					gates[third].refusesReads.Store(true)
-				}
+		f, gates := startGated(6, func(gates []*gatedRows, name string) {
+			if name == fmt.Sprint("i-", third) && !deleted.Swap(true) {
+				gates[third].refusesReads.Store(true)
 			}
-		}
+		})
 		time.Sleep(46 * time.Second)
 		done := make(chan struct{})
 		sum := f.watchParts(account, 20, done)
--- a/internal/allotter/return_test.go
+++ b/internal/allotter/return_test.go
@@ -182,13 +182,18 @@
 		if part := parts(first); part != (1-contestedShare)/issuersPerAccount {
 			t.Errorf("the first candidate issues %v of the bound", part)
 		}
-		first.allotter.tenure.members = contestedMembers{first}
+		setMembers := func(members Members) {
+			first.allotter.mu.Lock()
+			defer first.allotter.mu.Unlock()
+			first.allotter.tenure.members = members
+		}
+		setMembers(contestedMembers{first})
 		// Others begin later than that.
 		time.Sleep(discoverer.StandInDelay)
 		if part := parts(first); part != 0 {
 			t.Errorf("the first candidate issues %v of the bound while it is contested", part)
 		}
-		first.allotter.tenure.members = first
+		setMembers(first)
 		if part := parts(first); part != (1-contestedShare)/issuersPerAccount {
 			t.Errorf("the first candidate issues %v of the bound, not contested", part)
 		}
