--- a/internal/allotter/fleet_test.go
+++ b/internal/allotter/fleet_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/wigeonstand/wigeonstand/internal/discoverer"
 	"github.com/wigeonstand/wigeonstand/internal/fakeplatform"
+	"github.com/wigeonstand/wigeonstand/internal/storer"
 )
 
 var testLimits = Limits{Window: 5 * time.Second, Overage: 0.1, Tolerance: 20}
@@ -71,12 +72,17 @@
 
 // restart ends the instance's process and starts another one.
 func (f *fleet) restart(i int) {
-	n := &node{fleet: f, index: i}
-	n.ctx, n.cancel = context.WithCancel(context.Background())
 	name := fmt.Sprintf("i-%d", i)
-	n.Discoverer = discoverer.New(discoverer.Member{
+	f.launch(i, discoverer.Member{
 		Instance: name, Incarnation: fmt.Sprintf("%s-%d", name, f.draw(1<<30)), Address: nodeAddress(i), DataCentre: "dc", Cores: 0.2 + float64(i%4)/5,
 	}, f.rows.For(name))
+}
+
+// launch starts a process in place of the instance's one, with the store.
+func (f *fleet) launch(i int, m discoverer.Member, rows storer.Rows) {
+	n := &node{fleet: f, index: i}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.Discoverer = discoverer.New(m, rows)
 	n.allotter = New(n.Discoverer, n, testLimits)
 	// Restarts of one instance may coincide.
 	f.mu.Lock()
--- a/internal/allotter/interruption_test.go
+++ b/internal/allotter/interruption_test.go
@@ -232,26 +232,10 @@
 					time.AfterFunc(time.Until(resumedAt)-length, func() { f.node(order[0]).freeze(length) })
 				}
 				for time.Until(resumedAt) > 0 {
-					a := f.node(order[2]).allotter
-					a.mu.Lock()
-					var end time.Time
-					if c := a.accounts[account].right.standIn.contested; len(c) > 0 && !c[0].shownAt.IsZero() {
-						end = c[0].shownAt.Add(discoverer.StandInDelay)
-					}
-					a.mu.Unlock()
-					for !end.IsZero() && time.Until(end) < 50*time.Millisecond && f.ask(order[2], account, rate) == granted {
-						f.record(order[2])
-					}
+					f.useTokensAtTheEnd(account, rate, order[2])
 					time.Sleep(10 * time.Millisecond)
 				}
-				for range 110 {
-					for _, i := range order[:2] {
-						for f.ask(i, account, rate) == granted {
-							f.record(i)
-						}
-					}
-					time.Sleep(50 * time.Millisecond)
-				}
+				f.useTokens(account, rate, 5500*time.Millisecond, order[:2]...)
 				checkMost(t, f, rate)
 			})
 		})
@@ -397,12 +381,7 @@
 				}
 				f.kill(1)
 				time.Sleep(time.Until(resumedAt) + late + 10*time.Millisecond)
-				for range 120 {
-					for f.ask(0, account, rate) == granted {
-						f.record(0)
-					}
-					time.Sleep(50 * time.Millisecond)
-				}
+				f.useTokens(account, rate, 6*time.Second, 0)
 				checkMost(t, f, rate)
 			})
 		})
--- a/internal/allotter/right.go
+++ b/internal/allotter/right.go
@@ -101,9 +101,9 @@
 	// changes counts the changes of the members, of the contests, and of whether this instance's own
 	// row is in the table.
 	changes int64
-	// hasContested is set while there are contested members, and isSettled once this instance has
-	// been listed for so long that all that stand in for others know it.
-	hasContested, isSettled bool
+	// isSettled is set once this instance has been listed for so long that all that stand in for others
+	// have read its row.
+	isSettled bool
 	// contested are the processes that are contested, and takenBackAt is when others took that back.
 	contested   map[string]bool
 	takenBackAt map[string]time.Time
@@ -207,7 +207,7 @@
 		}
 	}
 	maps.DeleteFunc(t.takenBackAt, func(_ string, at time.Time) bool { return now.Sub(at) > contestPause })
-	t.contested, t.hasContested = contested, len(contested) > 0
+	t.contested = contested
 }
 
 // ownShare returns the part of its permits that this instance may issue as an issuer. Once it is
--- a/internal/allotter/schedule_test.go
+++ b/internal/allotter/schedule_test.go
@@ -16,20 +16,9 @@
 
 // startNode starts a process of the instance in place of the one before, with the cores and the store.
 func (f *fleet) startNode(i int, incarnation string, cores float64, rows storer.Rows) {
-	n := &node{fleet: f, index: i}
-	n.ctx, n.cancel = context.WithCancel(context.Background())
 	m := memberWithCores(i, cores)
 	m.Incarnation = m.Instance + "/" + incarnation
-	n.Discoverer = discoverer.New(m, rows)
-	n.allotter = New(n.Discoverer, n, testLimits)
-	f.mu.Lock()
-	if f.nodes[i] != nil {
-		f.nodes[i].cancel()
-	}
-	f.nodes[i] = n
-	f.mu.Unlock()
-	go n.keepMembership()
-	go n.loop(observeInterval, func() { n.allotter.maintain(n.ctx) })
+	f.launch(i, m, rows)
 }
 
 func memberWithCores(i int, cores float64) discoverer.Member {
--- a/internal/allotter/standin.go
+++ b/internal/allotter/standin.go
@@ -8,9 +8,8 @@
 )
 
 // standIn is the right of this instance to stand in for contested issuers of one account: it
-// issues what they may not. For each of them it begins when all other instances have read a table
-// that shows it or rely on no other one any more, and it holds while the table that showed it last
-// is recent.
+// issues what they may not. For each of them it begins when no other instance relies any more on a
+// table that does not show the contest, and ends when the last table that showed it is too old.
 type standIn struct {
 	// changes and gaps are those of the tenure in the last update.
 	changes, gaps int64
@@ -172,14 +171,14 @@
 	return part, id
 }
 
-// hasNewIssuer reports whether there are issuers that are not among the members that preceded this
-// instance. They may begin as soon as this instance has confirmed them.
-func (t *tenure) hasNewIssuer(account string, preceded []rowID) bool {
+// hasNewIssuer reports whether there are issuers that are not among the known members. They may
+// begin as soon as this instance has confirmed them.
+func (t *tenure) hasNewIssuer(account string, known []rowID) bool {
 	preceding := t.preceding(account)
 	if len(preceding) >= candidatesPerAccount || t.hasOlderBuilds() {
 		return true
 	}
-	return slices.ContainsFunc(preceding[:min(len(preceding), issuersPerAccount)], func(m *discoverer.Row) bool { return !slices.Contains(preceded, idOf(m)) })
+	return slices.ContainsFunc(preceding[:min(len(preceding), issuersPerAccount)], func(m *discoverer.Row) bool { return !slices.Contains(known, idOf(m)) })
 }
 
 // onlySince returns from when on no other instance stands in for a member that was removed at the
--- a/internal/allotter/standin_test.go
+++ b/internal/allotter/standin_test.go
@@ -149,6 +149,16 @@
 	return accountInOrder(t, size, order...), order
 }
 
+// waitUntilStoodIn lets an instance contest another one, and waits until the one that stands in issues.
+func (f *fleet) waitUntilStoodIn(t *testing.T, account string, by, contested, standIn int) {
+	t.Helper()
+	f.contestUntilRead(t, by, contested)
+	time.Sleep(12 * time.Second)
+	if part := f.part(standIn, account); part == 0 {
+		t.Error("nobody stands in")
+	}
+}
+
 // checkSum fails the test if the instances issued more than the whole bound.
 func checkSum(t *testing.T, largest func() (float64, string)) {
 	t.Helper()
@@ -300,11 +310,7 @@
 		time.Sleep(time.Second)
 		// The second issuer can't take the contest back.
 		contested.refusesWrites.Store(true)
-		f.contestUntilRead(t, order[4], order[2])
-		time.Sleep(12 * time.Second)
-		if part := f.part(order[3], account); part == 0 {
-			t.Error("nobody stands in")
-		}
+		f.waitUntilStoodIn(t, account, order[4], order[2], order[3])
 		f.startNode(order[0], "first", 1, f.rows.For(fmt.Sprint("i-", order[0])))
 		time.Sleep(4 * time.Second)
 		if part := f.part(order[0], account); part == 0 {
@@ -329,11 +335,7 @@
 					sum := f.watchParts(account, 20, done)
 					time.Sleep(time.Second)
 					f.isolate(order[0])
-					f.contestUntilRead(t, order[4], order[0])
-					time.Sleep(12 * time.Second)
-					if part := f.part(order[2], account); part == 0 {
-						t.Error("nobody stands in")
-					}
+					f.waitUntilStoodIn(t, account, order[4], order[0], order[2])
 					f.isolate()
 					if !isRead {
 						// The one that stands in reads no more.
@@ -419,15 +421,8 @@
 		f.ask(order[2], account, rate)
 		time.Sleep(4 * time.Second)
 		f.isolate()
-		f.waitForWholePart(t, account, order[2], order[0])
-		for range 100 {
-			for _, i := range order[:2] {
-				for f.ask(i, account, rate) == granted {
-					f.record(i)
-				}
-			}
-			time.Sleep(50 * time.Millisecond)
-		}
+		f.waitForWholePart(t, account, rate, order[2], order[0])
+		f.useTokens(account, rate, 5*time.Second, order[:2]...)
 		checkMost(t, f, rate)
 	})
 }
@@ -452,37 +447,47 @@
 		for start := time.Now(); f.part(0, account) < 1 && time.Since(start) < 30*time.Second; {
 			time.Sleep(10 * time.Millisecond)
 		}
-		for range 100 {
-			for f.ask(0, account, rate) == granted {
-				f.record(0)
-			}
-			time.Sleep(50 * time.Millisecond)
-		}
+		f.useTokens(account, rate, 5*time.Second, 0)
 		checkMost(t, f, rate)
 	})
 }
 
+// useTokens lets the instances use all their tokens for the time.
+func (f *fleet) useTokens(account string, rate float64, d time.Duration, at ...int) {
+	for start := time.Now(); time.Since(start) < d; time.Sleep(50 * time.Millisecond) {
+		for _, i := range at {
+			for f.ask(i, account, rate) == granted {
+				f.record(i)
+			}
+		}
+	}
+}
+
+// useTokensAtTheEnd lets an instance that stands in use its tokens at the end of its right, if that
+// is now.
+func (f *fleet) useTokensAtTheEnd(account string, rate float64, standIn int) {
+	a := f.node(standIn).allotter
+	a.mu.Lock()
+	var end time.Time
+	if contested := a.accounts[account].right.standIn.contested; len(contested) > 0 && !contested[0].shownAt.IsZero() {
+		end = contested[0].shownAt.Add(discoverer.StandInDelay)
+	}
+	a.mu.Unlock()
+	for !end.IsZero() && time.Until(end) < 50*time.Millisecond && f.ask(standIn, account, rate) == granted {
+		f.record(standIn)
+	}
+}
+
 // waitForWholePart waits until the issuer has its whole part again. The one that stands in for it uses its
 // tokens at the end of its right.
-func (f *fleet) waitForWholePart(t *testing.T, account string, standIn, issuer int) {
+func (f *fleet) waitForWholePart(t *testing.T, account string, rate float64, standIn, issuer int) {
 	t.Helper()
-	endsAt := func() time.Time {
-		a := f.node(standIn).allotter
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		if contested := a.accounts[account].right.standIn.contested; len(contested) > 0 && !contested[0].shownAt.IsZero() {
-			return contested[0].shownAt.Add(discoverer.StandInDelay)
-		}
-		return time.Time{}
-	}
 	for start := time.Now(); f.part(standIn, account) > 0 || f.part(issuer, account) < 1.0/issuersPerAccount; time.Sleep(10 * time.Millisecond) {
 		if time.Since(start) > 30*time.Second {
 			t.Error("the issuer does not have its whole part again")
 			return
 		}
-		for end := endsAt(); !end.IsZero() && time.Until(end) < 50*time.Millisecond && f.ask(standIn, account, 4) == granted; {
-			f.record(standIn)
-		}
+		f.useTokensAtTheEnd(account, rate, standIn)
 	}
 }
 
